--- /dev/null
+++ b/src/cli/serve.rs
@@ -0,0 +1,48 @@
+//! `cardamomshore serve`: runs one instance.
+
+use std::path::PathBuf;
+
+use lexopt::{Arg, Parser};
+
+use super::{CliError, block_on};
+use crate::{
+    node::{Listeners, Node},
+    settings::Settings,
+};
+
+const HELP: &str = "\
+Runs one instance until SIGTERM or SIGINT.
+
+Usage: cardamomshore serve --settings FILE
+
+Options:
+      --settings FILE  Settings of this process, see docs/CONFIG.md
+  -h, --help           Print this help
+";
+
+/// Runs the command.
+pub fn run(mut parser: Parser) -> Result<(), CliError> {
+    let mut path: Option<PathBuf> = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("settings") => path = Some(parser.value()?.into()),
+            Arg::Short('h') | Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let path = path.ok_or_else(|| CliError::Usage("serve needs --settings FILE".to_owned()))?;
+    let settings = Settings::load(&path).map_err(|err| CliError::Failed(err.to_string()))?;
+    let _logger = flexi_logger::Logger::try_with_str(&settings.log.spec)
+        .and_then(|logger| logger.start())
+        .map_err(|err| CliError::Failed(err.to_string()))?;
+    block_on(async {
+        let listeners = Listeners::bind(&settings).await;
+        let listeners =
+            listeners.map_err(|err| CliError::Failed(format!("cannot listen: {err}")))?;
+        let served = Node::new(settings).run(listeners).await;
+        served.map_err(|err| CliError::Failed(err.to_string()))
+    })?
+}
--- /dev/null
+++ b/src/cli/standin.rs
@@ -0,0 +1,52 @@
+//! `cardamomshore standin`: runs a stand-in for tests.
+
+use std::net::SocketAddr;
+
+use lexopt::{Arg, Parser, ValueExt};
+
+use super::{CliError, block_on};
+use crate::standin::{engine, platform, service};
+
+const HELP: &str = "\
+Runs a stand-in of the project's own, for tests and trials.
+
+Usage: cardamomshore standin platform|engine|service --listen IP:PORT [--settings FILE]
+
+Options:
+      --listen IP:PORT  Address
+      --settings FILE   What an engine is like, as YAML
+  -h, --help            Print this help
+";
+
+/// Runs the command.
+pub fn run(mut parser: Parser) -> Result<(), CliError> {
+    let mut kind: Option<String> = None;
+    let mut listen: Option<SocketAddr> = None;
+    let mut settings = engine::EngineSettings::default();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("listen") => listen = Some(parser.value()?.parse()?),
+            Arg::Long("settings") => settings = read(&parser.value()?.string()?)?,
+            Arg::Short('h') | Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            Arg::Value(value) if kind.is_none() => kind = Some(value.string()?),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let listen = listen.ok_or_else(|| CliError::Usage("standin needs --listen".to_owned()))?;
+    let served = match kind.as_deref() {
+        Some("platform") => block_on(platform::run_at(listen))?,
+        Some("engine") => block_on(engine::run_at(listen, settings))?,
+        Some("service") => block_on(service::run_at(listen))?,
+        _ => return Err(CliError::Usage("name platform, engine or service".to_owned())),
+    };
+    served.map_err(|err| CliError::Failed(err.to_string()))
+}
+
+fn read(path: &str) -> Result<engine::EngineSettings, CliError> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|err| CliError::Failed(format!("cannot read {path}: {err}")))?;
+    serde_saphyr::from_str(&text).map_err(|err| CliError::Failed(format!("{path}: {err}")))
+}
--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,235 @@
+//! Turns a configuration document into its checked form.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::{checked::*, raw::*};
+use crate::names::{Class, Model, Pool};
+
+const MEGABYTE: u64 = 1 << 20;
+
+/// Why a configuration was not accepted.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// The text is not YAML of the expected shape.
+    #[error("{0}")]
+    Parse(String),
+    /// A field has a value that cannot be used.
+    #[error("{path}: {reason}")]
+    Field {
+        /// Path of the field.
+        path: String,
+        /// What is wrong with it and what to write instead.
+        reason: String,
+    },
+}
+
+impl Config {
+    /// Checks a document given as YAML text.
+    pub fn parse(version: u64, text: &str) -> Result<Self, ConfigError> {
+        let raw: RawConfig =
+            serde_saphyr::from_str(text).map_err(|err| ConfigError::Parse(err.to_string()))?;
+        Self::try_from((version, raw))
+    }
+}
+
+impl TryFrom<(u64, RawConfig)> for Config {
+    type Error = ConfigError;
+
+    fn try_from((version, raw): (u64, RawConfig)) -> Result<Self, Self::Error> {
+        Ok(Config {
+            version,
+            classes: each(&raw.classes, "classes", class)?,
+            teams: each(&raw.teams, "teams", |path, team: &RawTeam| check_team(&raw, path, team))?,
+            keys: keys(&raw)?,
+            data_centres: each(&raw.data_centres, "data_centres", data_centre)?,
+            pools: each(&raw.pools, "pools", pool)?,
+            models: each(&raw.models, "models", |path, model: &RawModel| {
+                check_model(&raw, path, model)
+            })?,
+            services: each(&raw.services, "services", |path, service: &RawService| {
+                check_service(&raw, path, service)
+            })?,
+            store: store(&raw.weight_store)?,
+            policy: PolicyNames {
+                dispatch: raw.policy.dispatch.clone(),
+                routing: raw.policy.routing.clone(),
+                placement: raw.policy.placement.clone(),
+            },
+            raw,
+        })
+    }
+}
+
+fn each<R, K: From<String> + Ord, V>(
+    raw: &BTreeMap<String, R>,
+    section: &str,
+    check: impl Fn(&str, &R) -> Result<V, ConfigError>,
+) -> Result<BTreeMap<K, V>, ConfigError> {
+    raw.iter()
+        .map(|(name, item)| Ok((K::from(name.clone()), check(&format!("{section}.{name}"), item)?)))
+        .collect()
+}
+
+fn class(path: &str, raw: &RawClass) -> Result<ClassTarget, ConfigError> {
+    ensure(raw.first_ms > 0, path, "first_ms must be above zero")?;
+    ensure(raw.deadline_ms >= raw.first_ms, path, "deadline_ms must not be below first_ms")?;
+    ensure(raw.percent > 0.0 && raw.percent <= 100.0, path, "percent lies above 0, up to 100")?;
+    Ok(ClassTarget {
+        first: Duration::from_millis(raw.first_ms),
+        gap: raw.gap_ms.map(Duration::from_millis),
+        deadline: Duration::from_millis(raw.deadline_ms),
+        part: raw.percent / 100.0,
+        background: raw.background,
+    })
+}
+
+fn check_team(raw: &RawConfig, path: &str, team: &RawTeam) -> Result<TeamSpec, ConfigError> {
+    ensure(team.rate > 0, path, "rate must be above zero")?;
+    ensure(team.burst > 0, path, "burst must be above zero")?;
+    ensure(!team.classes.is_empty(), path, "name at least one class")?;
+    for class in &team.classes {
+        ensure(raw.classes.contains_key(class), path, &format!("class {class} does not exist"))?;
+    }
+    let classes = team.classes.iter().map(|name| Class::from(name.as_str())).collect();
+    Ok(TeamSpec { rate: team.rate, burst: team.burst, classes })
+}
+
+fn keys(
+    raw: &RawConfig,
+) -> Result<
+    std::collections::HashMap<[u8; 32], (crate::names::KeyId, crate::names::Team)>,
+    ConfigError,
+> {
+    let mut keys = std::collections::HashMap::new();
+    for (id, key) in &raw.keys {
+        let path = format!("keys.{id}");
+        ensure(raw.teams.contains_key(&key.team), &path, "the team does not exist")?;
+        let hash = blake3::Hash::from_hex(&key.hash)
+            .map_err(|_| field(&path, "hash must be 64 hexadecimal digits"))?;
+        let entry = (id.as_str().into(), key.team.as_str().into());
+        ensure(keys.insert(*hash.as_bytes(), entry).is_none(), &path, "the key is given twice")?;
+    }
+    Ok(keys)
+}
+
+fn data_centre(_: &str, raw: &RawDataCentre) -> Result<DataCentreState, ConfigError> {
+    Ok(if raw.out { DataCentreState::Out } else { DataCentreState::In })
+}
+
+fn pool(path: &str, raw: &RawPool) -> Result<PoolSpec, ConfigError> {
+    let kind = match raw.kind.as_str() {
+        "engine" => PoolKind::Engine,
+        "service" => PoolKind::Service,
+        _ => return Err(field(path, "kind is engine or service")),
+    };
+    ensure(raw.cold_limit > 0, path, "cold_limit must be above zero")?;
+    ensure(raw.warm_limit >= raw.cold_limit, path, "warm_limit must not be below cold_limit")?;
+    ensure(kind == PoolKind::Service || raw.memory_mb > 0, path, "an engine needs memory_mb")?;
+    ensure(raw.adapter_mb <= raw.memory_mb, path, "adapter_mb must not exceed memory_mb")?;
+    ensure(raw.adapter_loads > 0, path, "adapter_loads must be above zero")?;
+    Ok(PoolSpec {
+        kind,
+        fencing: raw.fencing,
+        memory: raw.memory_mb * MEGABYTE,
+        adapter_pool: raw.adapter_mb * MEGABYTE,
+        cold_limit: raw.cold_limit,
+        warm_limit: raw.warm_limit,
+        order_life: Duration::from_millis(raw.order_ms),
+        adapter_loads: raw.adapter_loads,
+    })
+}
+
+fn check_model(raw: &RawConfig, path: &str, model: &RawModel) -> Result<ModelSpec, ConfigError> {
+    let pool = raw
+        .pools
+        .get(&model.pool)
+        .ok_or_else(|| field(path, &format!("pool {} does not exist", model.pool)))?;
+    ensure(pool.kind == "engine", path, "its pool must be of kind engine")?;
+    ensure(model.mb > 0, path, "mb must be above zero")?;
+    ensure(
+        model.mb <= pool.memory_mb.saturating_sub(pool.adapter_mb),
+        path,
+        "the model is too large for every endpoint of its pool",
+    )?;
+    ensure(model.max_tokens > 0, path, "max_tokens must be above zero")?;
+    for (name, mb) in &model.adapters {
+        ensure(*mb <= pool.adapter_mb, path, &format!("adapter {name} exceeds adapter_mb"))?;
+    }
+    let adapters =
+        model.adapters.iter().map(|(name, mb)| (name.as_str().into(), mb * MEGABYTE)).collect();
+    Ok(ModelSpec {
+        pool: Pool::from(model.pool.as_str()),
+        bytes: model.mb * MEGABYTE,
+        adapters,
+        max_tokens: model.max_tokens,
+    })
+}
+
+fn check_service(
+    raw: &RawConfig,
+    path: &str,
+    service: &RawService,
+) -> Result<ServiceSpec, ConfigError> {
+    let pool = raw
+        .pools
+        .get(&service.pool)
+        .ok_or_else(|| field(path, &format!("pool {} does not exist", service.pool)))?;
+    ensure(pool.kind == "service", path, "its pool must be of kind service")?;
+    let routes = service
+        .routes
+        .iter()
+        .enumerate()
+        .map(|(i, route)| check_route(raw, &format!("{path}.routes[{i}]"), route))
+        .collect::<Result<Vec<_>, _>>()?;
+    ensure(!routes.is_empty(), path, "name at least one route")?;
+    let pool = Pool::from(service.pool.as_str());
+    Ok(ServiceSpec { pool, dedupes: service.dedupes, routes })
+}
+
+fn check_route(raw: &RawConfig, path: &str, route: &RawRoute) -> Result<RouteSpec, ConfigError> {
+    ensure(
+        raw.classes.contains_key(&route.class),
+        path,
+        &format!("class {} does not exist", route.class),
+    )?;
+    ensure(route.path.starts_with('/'), path, "path must start with /")?;
+    let repeat = match route.repeat.as_str() {
+        "safe" => Repeat::Safe,
+        "never" => Repeat::Never,
+        _ => return Err(field(path, "repeat is safe or never")),
+    };
+    let open_once = route.open && repeat == Repeat::Never;
+    ensure(!open_once, path, "a route that may not be repeated needs a key")?;
+    Ok(RouteSpec {
+        method: route.method.parse().map_err(|_| field(path, "method is not an HTTP method"))?,
+        path: route.path.clone(),
+        class: Class::from(route.class.as_str()),
+        repeat,
+        open: route.open,
+        tokens: route.tokens,
+    })
+}
+
+fn store(raw: &RawStore) -> Result<WeightStore, ConfigError> {
+    ensure(raw.loads > 0.0, "weight_store", "loads must be above zero")?;
+    ensure(raw.at_once > 0, "weight_store", "at_once must be above zero")?;
+    Ok(WeightStore { rate: raw.loads, at_once: raw.at_once })
+}
+
+impl Config {
+    /// Returns the models of a pool.
+    pub fn models_of<'a>(
+        &'a self,
+        pool: &'a Pool,
+    ) -> impl Iterator<Item = (&'a Model, &'a ModelSpec)> {
+        self.models.iter().filter(move |(_, spec)| spec.pool == *pool)
+    }
+}
+
+fn ensure(ok: bool, path: &str, reason: &str) -> Result<(), ConfigError> {
+    if ok { Ok(()) } else { Err(field(path, reason)) }
+}
+
+fn field(path: &str, reason: &str) -> ConfigError {
+    ConfigError::Field { path: path.to_owned(), reason: reason.to_owned() }
+}
--- /dev/null
+++ b/src/config/checked.rs
@@ -0,0 +1,201 @@
+//! The configuration after its checks, as the rest of the system reads it.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use http::Method;
+
+use super::raw::RawConfig;
+use crate::names::{Adapter, Class, DataCentre, KeyId, Model, Pool, Service, Team};
+
+/// One version of the configuration.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Version, which only grows.
+    pub version: u64,
+    /// The document that was checked.
+    pub raw: RawConfig,
+    /// Classes by name.
+    pub classes: BTreeMap<Class, ClassTarget>,
+    /// Teams by name.
+    pub teams: BTreeMap<Team, TeamSpec>,
+    /// Teams and handles by the hash of the key.
+    pub keys: HashMap<[u8; 32], (KeyId, Team)>,
+    /// Data centres by name.
+    pub data_centres: BTreeMap<DataCentre, DataCentreState>,
+    /// Pools by name.
+    pub pools: BTreeMap<Pool, PoolSpec>,
+    /// Models by name.
+    pub models: BTreeMap<Model, ModelSpec>,
+    /// Plain services by name.
+    pub services: BTreeMap<Service, ServiceSpec>,
+    /// Limits of the weight store.
+    pub store: WeightStore,
+    /// Policies by name.
+    pub policy: PolicyNames,
+}
+
+/// Target of a class.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ClassTarget {
+    /// Longest time to the first token or byte.
+    pub first: Duration,
+    /// Longest gap between tokens.
+    pub gap: Option<Duration>,
+    /// Longest time to the whole answer.
+    pub deadline: Duration,
+    /// Part of the requests that must meet the target, from 0 to 1.
+    pub part: f64,
+    /// Whether the work may wait while others are served.
+    pub background: bool,
+}
+
+/// Limits and rights of a team.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TeamSpec {
+    /// Tokens a second over all instances.
+    pub rate: u64,
+    /// Tokens that may be used at once over all instances.
+    pub burst: u64,
+    /// Classes that the team may use; the first is its default.
+    pub classes: Vec<Class>,
+}
+
+/// Whether a data centre takes new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DataCentreState {
+    /// In service.
+    In,
+    /// Taken out by operators.
+    Out,
+}
+
+/// What an endpoint of a pool speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolKind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// Properties shared by all endpoints of a pool.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PoolSpec {
+    /// What its endpoints speak.
+    pub kind: PoolKind,
+    /// Whether its endpoints refuse orders with an old fencing number.
+    pub fencing: bool,
+    /// Memory of each endpoint for weights and adapters, in bytes.
+    pub memory: u64,
+    /// Part of the memory kept for adapters, in bytes.
+    pub adapter_pool: u64,
+    /// Requests that a fresh endpoint bears at once.
+    pub cold_limit: u32,
+    /// Requests that a warm endpoint bears at once.
+    pub warm_limit: u32,
+    /// Time after which an order that was sent can no longer take effect.
+    pub order_life: Duration,
+    /// Adapter loads that an endpoint bears at once.
+    pub adapter_loads: u32,
+}
+
+/// A model.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelSpec {
+    /// Pool whose engines serve it.
+    pub pool: Pool,
+    /// Size of the weights in bytes.
+    pub bytes: u64,
+    /// Adapters with their size in bytes.
+    pub adapters: BTreeMap<Adapter, u64>,
+    /// Tokens charged for an answer where the caller sets no limit.
+    pub max_tokens: u32,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceSpec {
+    /// Pool whose endpoints serve it.
+    pub pool: Pool,
+    /// Whether the service itself recognizes a repeated idempotency key.
+    pub dedupes: bool,
+    /// Routes; the first match counts.
+    pub routes: Vec<RouteSpec>,
+}
+
+/// Whether a request may be sent to an endpoint more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// The request is idempotent.
+    Safe,
+    /// The request runs at most once.
+    Never,
+}
+
+/// A route of a plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteSpec {
+    /// HTTP method.
+    pub method: Method,
+    /// Path; a trailing `*` matches any rest.
+    pub path: String,
+    /// Class of its requests.
+    pub class: Class,
+    /// Whether its requests may be repeated.
+    pub repeat: Repeat,
+    /// Whether it needs no key.
+    pub open: bool,
+    /// Tokens charged for one request.
+    pub tokens: u64,
+}
+
+/// Limits of the weight store.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WeightStore {
+    /// Loads that may start in a second.
+    pub rate: f64,
+    /// Loads that may run at once.
+    pub at_once: u32,
+}
+
+/// Names of the registered policies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PolicyNames {
+    /// Order in which a steward dispatches.
+    pub dispatch: String,
+    /// Choice among the copies of a model.
+    pub routing: String,
+    /// Placement of models on endpoints.
+    pub placement: String,
+}
+
+impl Config {
+    /// Returns whether a data centre takes new work; unknown ones do not.
+    pub fn is_in(&self, data_centre: &DataCentre) -> bool {
+        self.data_centres.get(data_centre) == Some(&DataCentreState::In)
+    }
+
+    /// Returns the key's handle and team, or `None` for an unknown or withdrawn key.
+    pub fn team_of(&self, key: &str) -> Option<&(KeyId, Team)> {
+        self.keys.get(blake3::hash(key.as_bytes()).as_bytes())
+    }
+}
+
+impl ServiceSpec {
+    /// Returns the first route that matches a method and a path.
+    pub fn route(&self, method: &Method, path: &str) -> Option<&RouteSpec> {
+        self.routes.iter().find(|route| route.method == *method && route.matches(path))
+    }
+}
+
+impl RouteSpec {
+    fn matches(&self, path: &str) -> bool {
+        match self.path.strip_suffix('*') {
+            Some(prefix) => path.starts_with(prefix),
+            None => path == self.path,
+        }
+    }
+}
--- /dev/null
+++ b/src/endpoint/client.rs
@@ -0,0 +1,90 @@
+//! The client of one endpoint.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+
+use super::{AnswerReader, Order, OrderReply, Report};
+use crate::{
+    http::{HttpError, Limits, REQUEST_HEADER, call_json, client, send},
+    wire::{Header, Work},
+};
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+const IDLE_LIMIT: Duration = Duration::from_secs(10);
+const REPORT_LIMIT: Duration = Duration::from_millis(800);
+const KEPT_CONNECTIONS: usize = 64;
+
+/// Header that carries the events of an answer which were already delivered.
+pub const RESUME_HEADER: &str = "x-resume-from";
+
+/// Header that carries an idempotency key.
+pub const ONCE_HEADER: &str = "idempotency-key";
+
+/// Client of one endpoint.
+pub struct EndpointClient {
+    base: String,
+    pooled: volo_http::client::Client,
+    single: volo_http::client::Client,
+}
+
+impl EndpointClient {
+    /// Creates the client of the endpoint at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        let limits = Limits { connect: CONNECT_LIMIT, idle: IDLE_LIMIT, kept: KEPT_CONNECTIONS };
+        Self {
+            base: crate::http::base_url(address),
+            pooled: client(limits),
+            single: client(Limits { kept: 0, ..limits }),
+        }
+    }
+
+    /// Sends a request and returns the reader of its answer.
+    ///
+    /// Requests that may not be repeated use a connection of their own, so that a kept connection
+    /// which went stale cannot make the outcome unknown.
+    pub async fn run(&self, work: &Work) -> Result<AnswerReader, HttpError> {
+        let client = if work.once.is_empty() { &self.pooled } else { &self.single };
+        let method = Method::from_bytes(work.method.as_bytes())
+            .map_err(|err| HttpError::Parse(err.to_string()))?;
+        let url = format!("{}{}", self.base, work.path);
+        let answer = send(client, method, &url, headers(work), work.body.clone()).await?;
+        Ok(AnswerReader::new(answer, &work.request))
+    }
+
+    /// Sends an order and waits for its effect.
+    pub async fn order(&self, order: &Order, limit: Duration) -> Result<OrderReply, HttpError> {
+        let url = format!("{}/orders", self.base);
+        call_json(&self.single, Method::POST, &url, order, limit).await
+    }
+
+    /// Reads the load report.
+    pub async fn report(&self) -> Result<Report, HttpError> {
+        let url = format!("{}/report", self.base);
+        call_json(&self.pooled, Method::GET, &url, &(), REPORT_LIMIT).await
+    }
+}
+
+fn headers(work: &Work) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for Header { name, value } in &work.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    let mut set = |name: &'static str, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    set(REQUEST_HEADER, &work.request);
+    if work.offset > 0 {
+        set(RESUME_HEADER, &work.offset.to_string());
+    }
+    if !work.once.is_empty() {
+        set(ONCE_HEADER, &work.once);
+    }
+    headers
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,232 @@
+//! Small helpers around `volo-http` that the node, the stand-ins and the command line share.
+
+use std::{
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
+use http::{HeaderMap, Method, StatusCode};
+use http_body::Frame;
+use http_body_util::BodyExt;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::{net::TcpListener, sync::mpsc};
+use volo::net::incoming::DefaultIncoming;
+use volo_http::{
+    body::Body,
+    client::{Client, ClientBuilder},
+    request::Request,
+    response::Response,
+    server::{Router, Server},
+};
+
+use crate::codes::Refusal;
+
+type BoxError = Box<dyn std::error::Error + Send + Sync>;
+
+/// Header that says whether a refused request can have run.
+pub const RUN_HEADER: &str = "x-cardamomshore-run";
+
+/// Header that carries the request id to endpoints and back to callers.
+pub const REQUEST_HEADER: &str = "x-request-id";
+
+/// Why an HTTP exchange failed.
+#[derive(Debug, thiserror::Error)]
+pub enum HttpError {
+    /// No connection was made, so nothing was sent.
+    #[error("no connection: {0}")]
+    Connect(String),
+    /// The exchange failed after the connection was made.
+    #[error("exchange failed: {0}")]
+    Exchange(String),
+    /// No progress within the limit.
+    #[error("timed out")]
+    Timeout,
+    /// The body exceeds the limit.
+    #[error("body over {0} bytes")]
+    TooLarge(usize),
+    /// The answer has an error status.
+    #[error("status {0}: {1}")]
+    Status(StatusCode, String),
+    /// The answer cannot be parsed.
+    #[error("bad answer: {0}")]
+    Parse(String),
+}
+
+/// Limits of a client.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest time for a connection to open.
+    pub connect: Duration,
+    /// Longest time between two reads or writes.
+    pub idle: Duration,
+    /// Connections kept per host for the next request.
+    pub kept: usize,
+}
+
+/// Builds a client with bounded timeouts and without name resolution or redirects.
+pub fn client(limits: Limits) -> Client {
+    let mut builder = ClientBuilder::new();
+    builder
+        .set_connect_timeout(limits.connect)
+        .set_read_timeout(limits.idle)
+        .set_write_timeout(limits.idle)
+        .set_max_idle_per_host(limits.kept)
+        .set_pool_idle_timeout(Duration::from_secs(5));
+    builder.build().expect("a client without TLS always builds")
+}
+
+/// Sends a request with a whole body and returns the answer with its body unread.
+pub async fn send(
+    client: &Client,
+    method: Method,
+    url: &str,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Result<Response, HttpError> {
+    let mut request = client.request(method, url);
+    request.headers_mut().extend(headers);
+    request.body(Body::from(body)).send().await.map_err(|err| classify(&err))
+}
+
+fn classify(err: &volo_http::error::ClientError) -> HttpError {
+    let text = format!("{err:?}");
+    if text.contains("Connect") || text.contains("refused") {
+        return HttpError::Connect(text);
+    }
+    if text.to_lowercase().contains("timeout") {
+        return HttpError::Timeout;
+    }
+    HttpError::Exchange(text)
+}
+
+/// Reads a body up to `limit` bytes.
+pub async fn read_body(body: Body, limit: usize) -> Result<Bytes, HttpError> {
+    let mut body = body;
+    let mut all = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| HttpError::Exchange(err.to_string()))?;
+        if let Ok(data) = frame.into_data() {
+            if all.len() + data.len() > limit {
+                return Err(HttpError::TooLarge(limit));
+            }
+            all.extend_from_slice(&data);
+        }
+    }
+    Ok(all.freeze())
+}
+
+/// Most bytes of a JSON answer that [`call_json`] reads.
+const JSON_LIMIT: usize = 16 << 20;
+
+/// Sends a JSON request and parses the JSON answer, all within `limit`.
+pub async fn call_json<T: DeserializeOwned>(
+    client: &Client,
+    method: Method,
+    url: &str,
+    body: &impl Serialize,
+    limit: Duration,
+) -> Result<T, HttpError> {
+    let body = serde_json::to_vec(body).map_err(|err| HttpError::Parse(err.to_string()))?;
+    let exchange = async {
+        let mut headers = HeaderMap::new();
+        headers.insert("content-type", http::HeaderValue::from_static("application/json"));
+        let answer = send(client, method, url, headers, body.into()).await?;
+        let status = answer.status();
+        let bytes = read_body(answer.into_body(), JSON_LIMIT).await?;
+        if !status.is_success() {
+            return Err(HttpError::Status(status, String::from_utf8_lossy(&bytes).into_owned()));
+        }
+        serde_json::from_slice(&bytes).map_err(|err| HttpError::Parse(err.to_string()))
+    };
+    tokio::time::timeout(limit, exchange).await.unwrap_or(Err(HttpError::Timeout))
+}
+
+/// Builds a JSON answer.
+pub fn json(status: u16, value: &impl Serialize) -> Response {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut answer = Response::new(Body::from(body));
+    *answer.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    answer.headers_mut().insert("content-type", http::HeaderValue::from_static("application/json"));
+    answer
+}
+
+/// Builds the JSON answer of a refusal.
+pub fn refuse(refusal: &Refusal, request: &str) -> Response {
+    #[derive(Serialize)]
+    struct Inner<'a> {
+        code: u32,
+        name: &'a str,
+        message: &'a str,
+        run: &'a str,
+        retry_after_ms: Option<u64>,
+        request: &'a str,
+    }
+    #[derive(Serialize)]
+    struct Outer<'a> {
+        error: Inner<'a>,
+    }
+    let code = refusal.code;
+    let error = Inner {
+        code: code.number(),
+        name: code.name(),
+        message: code.text(),
+        run: refusal.run.as_str(),
+        retry_after_ms: refusal.retry_ms,
+        request,
+    };
+    let mut answer = json(code.status(), &Outer { error });
+    let headers = answer.headers_mut();
+    headers.insert(RUN_HEADER, http::HeaderValue::from_static(refusal.run.as_str()));
+    if let Some(ms) = refusal.retry_ms {
+        headers.insert("retry-after", http::HeaderValue::from(ms.div_ceil(1_000)));
+    }
+    answer
+}
+
+/// Returns the base URL of an address.
+pub fn base_url(addr: SocketAddr) -> String {
+    format!("http://{addr}")
+}
+
+/// Serves every request on `listener` with one function until the process is told to stop.
+///
+/// `drain` runs after the signal and before the library's own limit of half a minute starts.
+pub async fn serve<F, Fut, D>(listener: TcpListener, handle: F, drain: D) -> Result<(), HttpError>
+where
+    F: Fn(Request) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+    D: Future<Output = ()> + Send + 'static,
+{
+    let router: Router = Router::new().fallback(move |request: Request| handle(request));
+    let server = Server::new(router).register_shutdown_hook(move || Box::pin(drain));
+    let incoming = DefaultIncoming::from(listener);
+    server.run(incoming).await.map_err(|err| HttpError::Exchange(err.to_string()))
+}
+
+/// A stream of what an `mpsc` channel receives.
+#[derive(Debug)]
+pub struct ReceiverStream<T>(pub mpsc::Receiver<T>);
+
+impl<T> Stream for ReceiverStream<T> {
+    type Item = T;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<T>> {
+        self.0.poll_recv(cx)
+    }
+}
+
+/// Sender of a streamed body; an error item cuts the body.
+pub type BodySender = mpsc::Sender<Result<Frame<Bytes>, BoxError>>;
+
+const BODY_QUEUE: usize = 64;
+
+/// Creates a body that streams what its sender is given.
+pub fn channel_body() -> (BodySender, Body) {
+    let (tx, rx) = mpsc::channel(BODY_QUEUE);
+    (tx, Body::from_stream(ReceiverStream(rx)))
+}
--- /dev/null
+++ b/src/kernel.rs
@@ -0,0 +1,19 @@
+//! The decisions. Everything here takes inputs and a time, and returns what to do next.
+//!
+//! No module below holds a socket, a clock or a random source of its own, so the same code runs in
+//! a node, in property tests and in benchmarks.
+
+pub mod dispatch;
+pub mod freshness;
+pub mod ledger;
+pub mod once;
+pub mod placement;
+pub mod quota;
+pub mod registry;
+pub mod retry;
+pub mod routing;
+pub mod shares;
+pub mod stewardship;
+pub mod stream;
+pub mod suspect;
+pub mod warmup;
--- /dev/null
+++ b/src/kernel/stream.rs
@@ -0,0 +1,1 @@
+//! Joins the parts of an answer that several attempts deliver.
--- /dev/null
+++ b/src/kernel/suspect.rs
@@ -0,0 +1,1 @@
+//! Requests that crash their endpoints.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! Serves many models on fewer accelerators.
+//!
+//! One binary runs on every entry instance. `kernel` holds the decisions and does no input or
+//! output, `node` connects them to sockets, clocks and the platform's key-value service.
+
+pub mod cli;
+pub mod clock;
+pub mod codes;
+pub mod config;
+pub mod endpoint;
+pub mod events;
+pub mod http;
+pub mod kernel;
+pub mod names;
+pub mod node;
+pub mod platform;
+pub mod settings;
+pub mod shards;
+pub mod standin;
+pub mod timeline;
+pub mod wire;
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,140 @@
+//! One node: the tasks and the shared state of an entry instance.
+
+mod admit;
+mod chat;
+mod config_sync;
+mod digests;
+mod drain;
+mod exchange;
+mod list_sync;
+mod members;
+mod once;
+mod operator;
+mod peers;
+mod planner;
+mod router;
+mod services;
+mod shares;
+mod steward;
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use parking_lot::{Mutex, RwLock};
+use tokio::{net::TcpListener, task::JoinSet};
+
+use crate::{
+    config::Config,
+    events::Event,
+    http::HttpError,
+    kernel::{retry::RetryBudget, routing::Directory},
+    names::RequestId,
+    platform::{Client, InstanceList},
+    settings::Settings,
+    timeline::Timeline,
+};
+
+/// The shared state of a node.
+pub struct Node {
+    settings: Settings,
+    incarnation: u64,
+    timeline: Timeline,
+    platform: Client,
+    config: ArcSwapOption<Config>,
+    list: ArcSwap<InstanceList>,
+    directory: RwLock<Directory>,
+    members: members::Members,
+    peers: peers::Peers,
+    shares: shares::Shares,
+    stewards: steward::Stewards,
+    once: once::Claims,
+    planner: planner::Planner,
+    demand: digests::Demand,
+    drain: drain::Drain,
+    retries: Mutex<RetryBudget>,
+    requests: AtomicU64,
+}
+
+/// The sockets of a node.
+pub struct Listeners {
+    /// For callers.
+    pub callers: TcpListener,
+    /// For other instances.
+    pub peers: TcpListener,
+    /// For operators.
+    pub operators: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings.
+    pub async fn bind(settings: &Settings) -> std::io::Result<Self> {
+        Ok(Self {
+            callers: TcpListener::bind(settings.listen).await?,
+            peers: TcpListener::bind(settings.peer).await?,
+            operators: TcpListener::bind(settings.operator).await?,
+        })
+    }
+}
+
+impl Node {
+    /// Creates a node that does nothing yet.
+    pub fn new(settings: Settings) -> Arc<Self> {
+        let platform = Client::new(settings.platform.clone(), settings.list);
+        Arc::new(Self {
+            incarnation: rand::random::<u64>() | 1,
+            timeline: Timeline::new(settings.instance.clone()),
+            platform,
+            config: ArcSwapOption::empty(),
+            list: ArcSwap::default(),
+            directory: RwLock::default(),
+            members: members::Members::default(),
+            peers: peers::Peers::default(),
+            shares: shares::Shares::default(),
+            stewards: steward::Stewards::default(),
+            once: once::Claims::default(),
+            planner: planner::Planner::default(),
+            demand: digests::Demand::default(),
+            drain: drain::Drain::default(),
+            retries: Mutex::default(),
+            requests: AtomicU64::new(0),
+            settings,
+        })
+    }
+
+    /// Runs the node until the process is told to stop and all work has ended.
+    pub async fn run(self: Arc<Self>, listeners: Listeners) -> Result<(), HttpError> {
+        let mut tasks = JoinSet::new();
+        tasks.spawn(list_sync::run(self.clone()));
+        tasks.spawn(config_sync::run(self.clone()));
+        tasks.spawn(members::run(self.clone()));
+        tasks.spawn(shares::run(self.clone()));
+        tasks.spawn(steward::run(self.clone()));
+        tasks.spawn(once::run(self.clone()));
+        tasks.spawn(planner::run(self.clone()));
+        tasks.spawn(digests::run(self.clone()));
+        tasks.spawn(peers::listen(self.clone(), listeners.peers));
+        tasks.spawn(operator::run(self.clone(), listeners.operators));
+        self.timeline.record(Event::InstanceStarted, self.settings.instance.as_str(), "");
+        let served = router::run(self.clone(), listeners.callers).await;
+        self.timeline.record(Event::InstanceStopped, self.settings.instance.as_str(), "");
+        served
+    }
+
+    /// Returns the time line.
+    pub fn timeline(&self) -> &Timeline {
+        &self.timeline
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config.load_full()
+    }
+
+    fn next_request(&self) -> RequestId {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number}", self.settings.instance, self.incarnation as u32).into()
+    }
+}
--- /dev/null
+++ b/src/node/exchange.rs
@@ -0,0 +1,171 @@
+//! One exchange between the asker and the answerer of a request, over a link or within a node.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
+
+use tokio::sync::{Semaphore, mpsc};
+use tokio_util::sync::CancellationToken;
+
+use crate::wire::{Body, Cancel, Credit, End, Frame};
+
+/// Chunks that an answerer may send before the asker has taken any.
+pub const WINDOW: usize = 32;
+
+/// The answerer's end.
+#[derive(Clone)]
+pub struct Responder {
+    stream: u64,
+    route: Route,
+    window: Arc<Semaphore>,
+    cancelled: CancellationToken,
+    over: Arc<AtomicBool>,
+}
+
+#[derive(Clone)]
+enum Route {
+    Local(mpsc::UnboundedSender<Body>),
+    Link(mpsc::Sender<Frame>),
+}
+
+/// The asker is gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Gone;
+
+impl Responder {
+    /// Creates the answerer's end of an exchange on a link.
+    pub fn on_link(stream: u64, tx: mpsc::Sender<Frame>) -> Self {
+        Self::new(stream, Route::Link(tx))
+    }
+
+    fn new(stream: u64, route: Route) -> Self {
+        let window = Arc::new(Semaphore::new(WINDOW));
+        let cancelled = CancellationToken::new();
+        Self { stream, route, window, cancelled, over: Arc::default() }
+    }
+
+    /// Sends a part of the answer; chunks wait until the asker can take them.
+    pub async fn send(&self, body: Body) -> Result<(), Gone> {
+        if matches!(body, Body::Chunk(_)) {
+            tokio::select! {
+                permit = self.window.acquire() => permit.map_err(|_| Gone)?.forget(),
+                () = self.cancelled.cancelled() => return Err(Gone),
+            }
+        }
+        if self.cancelled.is_cancelled() {
+            return Err(Gone);
+        }
+        if matches!(body, Body::End(_) | Body::Reply(_)) {
+            self.over.store(true, Ordering::Release);
+        }
+        match &self.route {
+            Route::Local(tx) => tx.send(body).map_err(|_| Gone),
+            Route::Link(tx) => {
+                let frame = Frame { clock: 0, stream: self.stream, body: Some(body) };
+                tx.send(frame).await.map_err(|_| Gone)
+            }
+        }
+    }
+
+    /// Ends the exchange.
+    pub async fn end(&self, end: End) {
+        // An asker that left needs no end.
+        let _ = self.send(Body::End(end)).await;
+    }
+
+    /// Waits until the asker drops the exchange.
+    pub async fn gone(&self) {
+        self.cancelled.cancelled().await;
+    }
+
+    /// Returns whether the asker dropped the exchange.
+    pub fn is_gone(&self) -> bool {
+        self.cancelled.is_cancelled()
+    }
+
+    /// Returns whether the last part was sent.
+    pub fn is_over(&self) -> bool {
+        self.over.load(Ordering::Acquire)
+    }
+
+    /// Notes that the asker dropped the exchange.
+    pub fn cancel(&self) {
+        self.cancelled.cancel();
+    }
+
+    /// Notes that the asker can take more chunks.
+    pub fn credit(&self, chunks: u32) {
+        self.window.add_permits(chunks as usize);
+    }
+}
+
+/// The asker's end.
+pub struct Exchange {
+    rx: mpsc::UnboundedReceiver<Body>,
+    back: Back,
+    over: bool,
+}
+
+enum Back {
+    Local(Responder),
+    Link { stream: u64, tx: mpsc::Sender<Frame>, on_drop: Box<dyn Fn(u64) + Send + Sync> },
+}
+
+impl Exchange {
+    /// Creates both ends of an exchange within this node.
+    pub fn local() -> (Exchange, Responder) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let responder = Responder::new(0, Route::Local(tx));
+        let back = Back::Local(responder.clone());
+        (Exchange { rx, back, over: false }, responder)
+    }
+
+    /// Creates the asker's end of an exchange on a link.
+    pub fn on_link(
+        stream: u64,
+        rx: mpsc::UnboundedReceiver<Body>,
+        tx: mpsc::Sender<Frame>,
+        on_drop: impl Fn(u64) + Send + Sync + 'static,
+    ) -> Self {
+        let back = Back::Link { stream, tx, on_drop: Box::new(on_drop) };
+        Exchange { rx, back, over: false }
+    }
+
+    /// Waits for the next part of the answer; `None` means that the answerer was lost.
+    pub async fn next(&mut self) -> Option<Body> {
+        let body = self.rx.recv().await;
+        match &body {
+            Some(Body::Chunk(_)) => self.give_credit().await,
+            Some(Body::End(_) | Body::Reply(_)) => self.over = true,
+            _ => {}
+        }
+        body
+    }
+
+    async fn give_credit(&self) {
+        match &self.back {
+            Back::Local(responder) => responder.credit(1),
+            Back::Link { stream, tx, .. } => {
+                let body = Some(Body::Credit(Credit { chunks: 1 }));
+                // A closed link shows when the next part is awaited.
+                let _ = tx.send(Frame { clock: 0, stream: *stream, body }).await;
+            }
+        }
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        match &self.back {
+            Back::Local(responder) => responder.cancel(),
+            Back::Link { stream, tx, on_drop } => {
+                on_drop(*stream);
+                if !self.over {
+                    let body = Some(Body::Cancel(Cancel {}));
+                    let _ = tx.try_send(Frame { clock: 0, stream: *stream, body });
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/node/list_sync.rs
@@ -0,0 +1,24 @@
+//! Follows the platform's instance list.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::RngExt;
+use tokio::time::sleep;
+
+use super::Node;
+
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Reads the list again and again and keeps the last one while the platform is down.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        if let Ok(list) = node.platform.list().await
+            && list != **node.list.load()
+        {
+            node.list.store(Arc::new(list));
+            node.peers.follow(&node);
+        }
+        let jitter = rand::rng().random_range(0.8..1.2);
+        sleep(PERIOD.mul_f64(jitter)).await;
+    }
+}
--- /dev/null
+++ b/src/node/peers.rs
@@ -0,0 +1,116 @@
+//! Links to the other instances.
+
+mod answer;
+mod inbound;
+mod link;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+pub use self::inbound::listen;
+use self::link::Link;
+use super::{Node, exchange::Exchange};
+use crate::{
+    codes::{Code, Refusal},
+    names::InstanceId,
+    wire::{AskBody, Beat, Body, Digest, ReplyBody},
+};
+
+const REPLY_LIMIT: Duration = Duration::from_secs(2);
+
+/// Links by the peer's name.
+#[derive(Default)]
+pub struct Peers {
+    links: Mutex<HashMap<InstanceId, Arc<Link>>>,
+    beat_now: Notify,
+}
+
+impl Peers {
+    /// Opens links to listed instances and closes those to instances that left the list.
+    pub fn follow(&self, node: &Arc<Node>) {
+        let list = node.list.load();
+        let mut links = self.links.lock();
+        links.retain(|id, link| {
+            let kept = list.instance(id).is_some_and(|listed| listed.peer == link.address());
+            if !kept {
+                link.close();
+            }
+            kept
+        });
+        for peer in list.instances.iter().filter(|peer| peer.id != node.settings.instance) {
+            links
+                .entry(peer.id.clone())
+                .or_insert_with(|| Link::open(node.clone(), peer.id.clone(), peer.peer));
+        }
+    }
+
+    /// Sends a heartbeat on every link.
+    pub fn beat(&self, beat: &Beat) {
+        self.broadcast(|| Body::Beat(beat.clone()));
+    }
+
+    /// Sends a digest on every link.
+    pub fn publish(&self, digest: &Digest) {
+        self.broadcast(|| Body::Digest(digest.clone()));
+    }
+
+    fn broadcast(&self, body: impl Fn() -> Body) {
+        for link in self.links.lock().values() {
+            link.notify(body());
+        }
+    }
+
+    /// Asks for a heartbeat before the next period.
+    pub fn beat_now(&self) {
+        self.beat_now.notify_one();
+    }
+
+    /// Waits until a heartbeat before the next period is wanted.
+    pub async fn beat_wanted(&self) {
+        self.beat_now.notified().await;
+    }
+
+    /// Returns whether the link to a peer works.
+    pub fn is_up(&self, peer: &InstanceId) -> bool {
+        self.links.lock().get(peer).is_some_and(|link| link.is_up())
+    }
+
+    fn link(&self, peer: &InstanceId) -> Option<Arc<Link>> {
+        self.links.lock().get(peer).cloned()
+    }
+}
+
+impl Node {
+    /// Opens an exchange with an instance, which may be this one.
+    pub async fn open(
+        self: &Arc<Self>,
+        peer: &InstanceId,
+        ask: AskBody,
+    ) -> Result<Exchange, Refusal> {
+        if *peer == self.settings.instance {
+            let (exchange, responder) = Exchange::local();
+            answer::answer(self.clone(), ask, responder);
+            return Ok(exchange);
+        }
+        let link = self.peers.link(peer).filter(|link| link.is_up());
+        let link = link.ok_or(Refusal::not_run(Code::PeerUnreachable))?;
+        link.ask(ask).await.ok_or(Refusal::not_run(Code::PeerUnreachable))
+    }
+
+    /// Asks an instance for one answer.
+    pub async fn ask(
+        self: &Arc<Self>,
+        peer: &InstanceId,
+        ask: AskBody,
+    ) -> Result<ReplyBody, Refusal> {
+        let mut exchange = self.open(peer, ask).await?;
+        let lost = Refusal::unknown(Code::PeerUnreachable);
+        match tokio::time::timeout(REPLY_LIMIT, exchange.next()).await {
+            Ok(Some(Body::Reply(reply))) => reply.body.ok_or(lost),
+            Ok(Some(Body::End(end))) => Err(end.refusal().unwrap_or(lost)),
+            _ => Err(lost),
+        }
+    }
+}
--- /dev/null
+++ b/src/node/peers/link.rs
@@ -0,0 +1,185 @@
+//! The outgoing connection to one peer, which is opened again whenever it fails or goes silent.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use futures_util::{SinkExt, StreamExt};
+use parking_lot::Mutex;
+use tokio::{
+    net::TcpStream,
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+use tokio_util::{codec::Framed, sync::CancellationToken};
+
+use crate::{
+    events::Event,
+    names::InstanceId,
+    node::{Node, exchange::Exchange},
+    wire::{Ask, AskBody, Body, Frame, FrameCodec, Hello, WireError},
+};
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+const RECONNECT_PERIOD: Duration = Duration::from_millis(200);
+
+/// Silence after which a connection is given up; heartbeats come four times a second.
+pub const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
+const QUEUE_LENGTH: usize = 1_024;
+
+type Streams = Mutex<HashMap<u64, mpsc::UnboundedSender<Body>>>;
+
+/// A link to one peer.
+pub struct Link {
+    peer: InstanceId,
+    address: SocketAddr,
+    up: AtomicBool,
+    next: AtomicU64,
+    streams: Arc<Streams>,
+    tx: Mutex<Option<mpsc::Sender<Frame>>>,
+    closed: CancellationToken,
+}
+
+impl Link {
+    /// Opens a link and keeps it open until it is closed.
+    pub fn open(node: Arc<Node>, peer: InstanceId, address: SocketAddr) -> Arc<Self> {
+        let link = Arc::new(Self {
+            peer,
+            address,
+            up: AtomicBool::new(false),
+            next: AtomicU64::new(1),
+            streams: Arc::default(),
+            tx: Mutex::default(),
+            closed: CancellationToken::new(),
+        });
+        let task = link.clone();
+        tokio::spawn(async move {
+            let closed = task.closed.clone();
+            tokio::select! {
+                () = task.keep_open(node) => {}
+                () = closed.cancelled() => task.drop_streams(),
+            }
+        });
+        link
+    }
+
+    /// Returns the peer's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns whether the connection works.
+    pub fn is_up(&self) -> bool {
+        self.up.load(Ordering::Acquire)
+    }
+
+    /// Closes the link for good.
+    pub fn close(&self) {
+        self.closed.cancel();
+    }
+
+    /// Sends a message outside any exchange if the connection works and its queue has room.
+    pub fn notify(&self, body: Body) {
+        if let Some(tx) = self.sender() {
+            let _ = tx.try_send(Frame { clock: 0, stream: 0, body: Some(body) });
+        }
+    }
+
+    /// Opens an exchange, or returns `None` when nothing was sent.
+    pub async fn ask(&self, ask: AskBody) -> Option<Exchange> {
+        let tx = self.sender()?;
+        let stream = self.next.fetch_add(1, Ordering::Relaxed);
+        let (body_tx, rx) = mpsc::unbounded_channel();
+        self.streams.lock().insert(stream, body_tx);
+        let streams = self.streams.clone();
+        let exchange = Exchange::on_link(stream, rx, tx.clone(), move |stream| {
+            streams.lock().remove(&stream);
+        });
+        let body = Some(Body::Ask(Ask { body: Some(ask) }));
+        tx.send(Frame { clock: 0, stream, body }).await.ok()?;
+        Some(exchange)
+    }
+
+    fn sender(&self) -> Option<mpsc::Sender<Frame>> {
+        self.tx.lock().clone()
+    }
+
+    async fn keep_open(&self, node: Arc<Node>) {
+        loop {
+            let connected = timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await;
+            if let Ok(Ok(stream)) = connected {
+                let ended = self.run(&node, stream).await;
+                self.drop_streams();
+                let reason = ended.map_or_else(|err| err.to_string(), |()| "silent".to_owned());
+                node.timeline().record(Event::PeerDown, self.peer.as_str(), reason);
+            }
+            sleep(RECONNECT_PERIOD).await;
+        }
+    }
+
+    fn drop_streams(&self) {
+        self.up.store(false, Ordering::Release);
+        *self.tx.lock() = None;
+        self.streams.lock().clear();
+    }
+
+    /// Runs one connection and returns when it went silent.
+    async fn run(&self, node: &Arc<Node>, stream: TcpStream) -> Result<(), WireError> {
+        stream.set_nodelay(true)?;
+        let (mut sink, mut source) = Framed::new(stream, FrameCodec::default()).split();
+        let (tx, mut rx) = mpsc::channel::<Frame>(QUEUE_LENGTH);
+        let hello =
+            Hello { instance: node.settings.instance.to_string(), incarnation: node.incarnation };
+        sink.send(Frame { clock: node.timeline.tick(), stream: 0, body: Some(Body::Hello(hello)) })
+            .await?;
+        *self.tx.lock() = Some(tx);
+        let write = async {
+            while let Some(mut frame) = rx.recv().await {
+                frame.clock = node.timeline.tick();
+                timeout(SILENCE_LIMIT, sink.send(frame)).await.map_err(|_| timed_out())??;
+            }
+            Ok(())
+        };
+        let read = async {
+            while let Ok(frame) = timeout(SILENCE_LIMIT, source.next()).await {
+                let Some(frame) = frame else { return Ok(()) };
+                self.take(node, frame?);
+            }
+            Ok(())
+        };
+        tokio::select! {
+            ended = write => ended,
+            ended = read => ended,
+        }
+    }
+
+    fn take(&self, node: &Arc<Node>, frame: Frame) {
+        node.timeline.witness(frame.clock);
+        match frame.body {
+            Some(Body::Hello(_)) => {}
+            Some(Body::Beat(beat)) => {
+                if !self.up.swap(true, Ordering::AcqRel) {
+                    node.timeline.record(Event::PeerUp, self.peer.as_str(), "");
+                }
+                node.members.hear(beat);
+            }
+            Some(body) => {
+                if let Some(tx) = self.streams.lock().get(&frame.stream) {
+                    let _ = tx.send(body);
+                }
+            }
+            None => {}
+        }
+    }
+}
+
+fn timed_out() -> WireError {
+    WireError::Io(std::io::ErrorKind::TimedOut.into())
+}
--- /dev/null
+++ b/src/node/steward.rs
@@ -0,0 +1,145 @@
+//! The endpoints that this node stewards: queues, dispatch, orders and reports.
+
+mod digest;
+mod duty;
+mod orders;
+mod reports;
+mod run;
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use self::run::run_work;
+pub use self::{
+    duty::{hand_over, run},
+    orders::carry_out,
+};
+use super::{Node, exchange::Responder};
+use crate::{
+    clock::Time,
+    codes::{Code, Refusal},
+    config::PoolSpec,
+    endpoint::{EndpointClient, Report},
+    kernel::{
+        dispatch::{Queue, Ticket},
+        ledger::EndpointRecord,
+        registry,
+        warmup::Warmth,
+    },
+    names::{EndpointId, Model},
+    platform::ListedEndpoint,
+    shards::Shards,
+    wire::{End, Work},
+};
+
+/// The endpoints by name.
+#[derive(Default)]
+pub struct Stewards {
+    endpoints: Shards<EndpointId, Stewarded>,
+}
+
+/// One endpoint.
+pub struct Stewarded {
+    listed: ListedEndpoint,
+    pool: PoolSpec,
+    client: Arc<EndpointClient>,
+    record: EndpointRecord,
+    revision: i64,
+    queue: Queue<Waiting>,
+    running: u32,
+    warmth: Warmth,
+    report: Option<Report>,
+}
+
+/// A request that waits for its endpoint.
+pub struct Waiting {
+    work: Work,
+    responder: Responder,
+}
+
+impl Stewarded {
+    /// Returns the models that may be dispatched to.
+    fn models(&self) -> BTreeSet<Model> {
+        let residents = self.report.iter().flat_map(|report| &report.residents);
+        residents.filter(|r| r.adapter.is_none()).map(|r| r.model.clone()).collect()
+    }
+}
+
+/// Queues a request at its endpoint.
+pub fn submit(node: &Arc<Node>, work: Work, responder: Responder) {
+    let endpoint = EndpointId::from(work.endpoint.as_str());
+    let ticket = ticket(node, &work);
+    let mut item = Some(Waiting { work, responder });
+    let queued = node.stewards.endpoints.with(&endpoint, |stewarded| {
+        if let Some(waiting) = item.take()
+            && let Err(back) = stewarded.queue.push(ticket, waiting)
+        {
+            item = Some(back);
+        }
+    });
+    let Some(waiting) = item else {
+        return pump(node, &endpoint);
+    };
+    let code = if queued.is_some() { Code::QueueFull } else { Code::NotSteward };
+    refuse(waiting.responder, Refusal::not_run(code).retry_after(RETRY_MS));
+}
+
+const RETRY_MS: u64 = 200;
+
+fn refuse(responder: Responder, refusal: Refusal) {
+    tokio::spawn(async move { responder.end(End::from(&refusal)).await });
+}
+
+fn ticket(node: &Node, work: &Work) -> Ticket {
+    let now = Time::now();
+    let arrived = now - Duration::from_millis(work.waited_ms);
+    let deadline = now + Duration::from_millis(work.left_ms);
+    let config = node.config();
+    let target = config.as_ref().and_then(|c| c.classes.get(work.class.as_str()));
+    Ticket {
+        team: work.team.as_str().into(),
+        class: work.class.as_str().into(),
+        arrived,
+        due: target.map_or(deadline, |target| arrived + target.first),
+        deadline,
+        background: target.is_some_and(|target| target.background),
+        tokens: work.tokens,
+    }
+}
+
+/// What to do next at an endpoint.
+enum Next {
+    Run(Ticket, Waiting, Arc<EndpointClient>),
+    Nothing,
+}
+
+/// Starts as many waiting requests as the endpoint bears.
+fn pump(node: &Arc<Node>, endpoint: &EndpointId) {
+    loop {
+        let next = node.stewards.endpoints.with(endpoint, |stewarded| next(node, stewarded));
+        match next {
+            Some(Next::Run(ticket, waiting, client)) => {
+                tokio::spawn(run_work(node.clone(), endpoint.clone(), ticket, waiting, client));
+            }
+            Some(Next::Nothing) | None => return,
+        }
+    }
+}
+
+fn next(node: &Node, stewarded: &mut Stewarded) -> Next {
+    let now = Time::now();
+    for late in stewarded.queue.expired(now) {
+        refuse(late.responder, Refusal::not_run(Code::DeadlinePassed));
+    }
+    if stewarded.running >= stewarded.warmth.limit() {
+        return Next::Nothing;
+    }
+    let name = node.config().map(|config| config.policy.dispatch.clone()).unwrap_or_default();
+    let policy = registry::dispatch(&name).unwrap_or(&crate::kernel::dispatch::Fifo);
+    match stewarded.queue.pop(policy, now) {
+        Some((ticket, waiting)) => {
+            stewarded.running += 1;
+            Next::Run(ticket, waiting, stewarded.client.clone())
+        }
+        None => Next::Nothing,
+    }
+}
--- /dev/null
+++ b/src/node/steward/digest.rs
@@ -0,0 +1,33 @@
+//! What this node tells the others about its endpoints.
+
+use super::{Stewarded, Stewards};
+use crate::wire::EndpointDigest;
+
+impl Stewards {
+    /// Describes every endpoint.
+    pub fn digests(&self) -> Vec<EndpointDigest> {
+        let mut digests = Vec::new();
+        self.endpoints.for_each(|_, stewarded| digests.push(stewarded.digest()));
+        digests
+    }
+}
+
+impl Stewarded {
+    fn digest(&self) -> EndpointDigest {
+        let residents = self.report.iter().flat_map(|report| &report.residents);
+        let adapters = residents.filter_map(|r| r.adapter.as_ref().map(ToString::to_string));
+        EndpointDigest {
+            endpoint: self.listed.id.to_string(),
+            fence: self.record.fence,
+            pool: self.listed.pool.to_string(),
+            data_centre: self.listed.data_centre.to_string(),
+            models: self.models().iter().map(ToString::to_string).collect(),
+            running: self.running,
+            queued: self.queue.len() as u32,
+            limit: self.warmth.limit(),
+            adapters: adapters.collect(),
+            loading: Vec::new(),
+            free: 0,
+        }
+    }
+}
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,13 @@
+//! The platform's services: the key-value service and the instance list.
+//!
+//! Nothing outside this module knows their protocols.
+
+mod client;
+pub(crate) mod encoding;
+mod list;
+
+pub use self::{
+    client::{Change, Client, Kv, LeaseId, PlatformError, Put, Snapshot, Txn, TxnReply, Watch},
+    encoding::range_end,
+    list::{InstanceList, ListedEndpoint, ListedInstance, ListedState},
+};
--- /dev/null
+++ b/src/platform/client.rs
@@ -0,0 +1,331 @@
+//! Client of the key-value service, which speaks the etcd v3 HTTP/JSON gateway's protocol.
+
+use std::{
+    net::SocketAddr,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+
+use bytes::{Buf, BytesMut};
+use http::{HeaderMap, Method};
+use http_body_util::BodyExt;
+use serde::{Serialize, de::DeserializeOwned};
+use volo_http::body::Body;
+
+use super::{encoding::*, list::InstanceList};
+use crate::http::{HttpError, Limits, call_json, client, send};
+
+const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+const WATCH_IDLE: Duration = Duration::from_secs(15);
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum PlatformError {
+    /// The call took no effect.
+    #[error("platform not reached: {0}")]
+    NotSent(String),
+    /// The call may have taken effect.
+    #[error("platform's answer lost: {0}")]
+    Unknown(String),
+    /// The service refused the call.
+    #[error("platform refused: {0}")]
+    Refused(String),
+}
+
+impl From<HttpError> for PlatformError {
+    fn from(err: HttpError) -> Self {
+        match err {
+            HttpError::Connect(text) => PlatformError::NotSent(text),
+            HttpError::Status(status, text) if status.is_client_error() => {
+                PlatformError::Refused(format!("{status} {text}"))
+            }
+            other => PlatformError::Unknown(other.to_string()),
+        }
+    }
+}
+
+/// A lease by its number.
+pub type LeaseId = i64;
+
+/// A record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Kv {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Revision of the last write to the record.
+    pub revision: i64,
+    /// Lease to which the record is attached; zero for none.
+    pub lease: LeaseId,
+}
+
+/// Records read at one revision of the service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Records in the order of their keys.
+    pub kvs: Vec<Kv>,
+    /// Revision of the service at the time of the read.
+    pub revision: i64,
+}
+
+/// A write within a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Put {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Vec<u8>,
+    /// Lease to which the record is attached; zero for none.
+    pub lease: LeaseId,
+}
+
+/// A transaction: if every record has the expected revision, all writes happen at once.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Txn {
+    /// Keys with the expected revision of their record; zero for an absent record.
+    pub expect: Vec<(String, i64)>,
+    /// Writes.
+    pub puts: Vec<Put>,
+    /// Keys to delete.
+    pub deletes: Vec<String>,
+}
+
+/// Answer to a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TxnReply {
+    /// Whether the writes happened.
+    pub done: bool,
+    /// Revision of the service after the transaction.
+    pub revision: i64,
+    /// The records of the expected keys, where the writes did not happen.
+    pub current: Vec<Kv>,
+}
+
+/// A change seen by a watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A record was written.
+    Put(Kv),
+    /// A record was deleted, or its lease ended.
+    Delete(String),
+}
+
+/// Client of the key-value service and of the instance list.
+pub struct Client {
+    http: volo_http::client::Client,
+    bases: Vec<SocketAddr>,
+    list: SocketAddr,
+    next: AtomicUsize,
+}
+
+impl Client {
+    /// Creates a client of these servers.
+    pub fn new(bases: Vec<SocketAddr>, list: SocketAddr) -> Self {
+        let limits = Limits { connect: Duration::from_millis(500), idle: WATCH_IDLE, kept: 8 };
+        Self { http: client(limits), bases, list, next: AtomicUsize::new(0) }
+    }
+
+    /// Reads one record.
+    pub async fn get(&self, key: &str) -> Result<Option<Kv>, PlatformError> {
+        let request = RangeJson { key: Base64(key.into()), range_end: None };
+        let reply: RangeReply = self.call("range", "/v3/kv/range", &request).await?;
+        Ok(reply.kvs.into_iter().next().map(kv))
+    }
+
+    /// Reads all records whose key starts with `prefix`.
+    pub async fn range(&self, prefix: &str) -> Result<Snapshot, PlatformError> {
+        let range_end = Some(Base64(range_end(prefix.as_bytes())));
+        let request = RangeJson { key: Base64(prefix.into()), range_end };
+        let reply: RangeReply = self.call("range", "/v3/kv/range", &request).await?;
+        let kvs = reply.kvs.into_iter().map(kv).collect();
+        Ok(Snapshot { kvs, revision: reply.header.revision.0 })
+    }
+
+    /// Runs a transaction.
+    pub async fn txn(&self, txn: &Txn) -> Result<TxnReply, PlatformError> {
+        let reply: TxnReplyJson = self.call("txn", "/v3/kv/txn", &txn_json(txn)).await?;
+        let ranges = reply.responses.into_iter().filter_map(|op| op.response_range);
+        let current = ranges.flat_map(|range| range.kvs).map(kv).collect();
+        Ok(TxnReply { done: reply.succeeded, revision: reply.header.revision.0, current })
+    }
+
+    /// Writes one record if it has the expected revision.
+    ///
+    /// A lost answer is resolved by reading the record back, so `value` must be unique to the
+    /// writer, for example by a random number within it.
+    pub async fn put_if(&self, put: Put, expected: i64) -> Result<TxnReply, PlatformError> {
+        let expect = vec![(put.key.clone(), expected)];
+        let txn = Txn { expect, puts: vec![put], deletes: Vec::new() };
+        match self.txn(&txn).await {
+            Err(PlatformError::Unknown(_)) => self.resolve(&txn.puts[0], expected).await,
+            other => other,
+        }
+    }
+
+    async fn resolve(&self, put: &Put, expected: i64) -> Result<TxnReply, PlatformError> {
+        let current = self.get(&put.key).await;
+        match current.map_err(|err| PlatformError::Unknown(err.to_string()))? {
+            Some(kv) if kv.value == put.value => {
+                Ok(TxnReply { done: true, revision: kv.revision, current: Vec::new() })
+            }
+            Some(kv) if kv.revision != expected => {
+                Ok(TxnReply { done: false, revision: kv.revision, current: vec![kv] })
+            }
+            _ => Err(PlatformError::Unknown("the write may still arrive".to_owned())),
+        }
+    }
+
+    /// Grants a lease of `ttl`, rounded up to whole seconds.
+    pub async fn grant(&self, ttl: Duration) -> Result<LeaseId, PlatformError> {
+        let ttl = Int(ttl.as_millis().div_ceil(1_000) as i64);
+        let request = LeaseJson { id: Int(0), ttl };
+        let reply: LeaseJson = self.call("grant", "/v3/lease/grant", &request).await?;
+        Ok(reply.id.0)
+    }
+
+    /// Renews a lease and returns whether it still exists.
+    pub async fn renew(&self, lease: LeaseId) -> Result<bool, PlatformError> {
+        let request = LeaseJson { id: Int(lease), ttl: Int(0) };
+        let reply: StreamReply<LeaseJson> =
+            self.call("renew", "/v3/lease/keepalive", &request).await?;
+        Ok(reply.result.ttl.0 > 0)
+    }
+
+    /// Ends a lease and deletes the records that are attached to it.
+    pub async fn revoke(&self, lease: LeaseId) -> Result<(), PlatformError> {
+        let request = LeaseJson { id: Int(lease), ttl: Int(0) };
+        let _: serde_json::Value = self.call("revoke", "/v3/lease/revoke", &request).await?;
+        Ok(())
+    }
+
+    /// Watches all records whose key starts with `prefix`, from a revision on.
+    pub async fn watch(&self, prefix: &str, from: i64) -> Result<Watch, PlatformError> {
+        let create_request = WatchCreate {
+            key: Base64(prefix.into()),
+            range_end: Base64(range_end(prefix.as_bytes())),
+            start_revision: Int(from),
+        };
+        let body = serde_json::to_vec(&WatchJson { create_request }).unwrap_or_default();
+        count("watch");
+        let url = format!("{}/v3/watch", self.base());
+        let answer = send(&self.http, Method::POST, &url, HeaderMap::new(), body.into()).await?;
+        if !answer.status().is_success() {
+            return Err(PlatformError::Unknown(format!("status {}", answer.status())));
+        }
+        Ok(Watch { body: answer.into_body(), buffer: BytesMut::new() })
+    }
+
+    /// Reads the instance list.
+    pub async fn list(&self) -> Result<InstanceList, PlatformError> {
+        let url = format!("http://{}/list", self.list);
+        Ok(call_json(&self.http, Method::GET, &url, &(), CALL_LIMIT).await?)
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        kind: &'static str,
+        path: &str,
+        request: &impl Serialize,
+    ) -> Result<T, PlatformError> {
+        count(kind);
+        let url = format!("{}{path}", self.base());
+        let reply = call_json(&self.http, Method::POST, &url, request, CALL_LIMIT).await;
+        if reply.is_err() {
+            self.next.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(reply?)
+    }
+
+    fn base(&self) -> String {
+        let next = self.next.load(Ordering::Relaxed);
+        crate::http::base_url(self.bases[next % self.bases.len()])
+    }
+}
+
+fn count(kind: &'static str) {
+    metrics::counter!("cardamomshore_platform_calls_total", "kind" => kind).increment(1);
+}
+
+fn kv(json: KvJson) -> Kv {
+    Kv {
+        key: String::from_utf8_lossy(&json.key.0).into_owned(),
+        value: json.value.0,
+        revision: json.mod_revision.0,
+        lease: json.lease.0,
+    }
+}
+
+fn txn_json(txn: &Txn) -> TxnJson {
+    let compare = txn.expect.iter().map(|(key, revision)| CompareJson {
+        key: Base64(key.clone().into()),
+        target: "MOD".to_owned(),
+        result: "EQUAL".to_owned(),
+        mod_revision: Int(*revision),
+    });
+    let puts = txn.puts.iter().map(|put| PutJson {
+        key: Base64(put.key.clone().into()),
+        value: Base64(put.value.clone()),
+        lease: Int(put.lease),
+    });
+    let deletes = txn.deletes.iter().map(|key| DeleteJson { key: Base64(key.clone().into()) });
+    let reads = txn
+        .expect
+        .iter()
+        .map(|(key, _)| RangeJson { key: Base64(key.clone().into()), range_end: None });
+    let mut success: Vec<OpJson> =
+        puts.map(|put| OpJson { request_put: Some(put), ..OpJson::default() }).collect();
+    success
+        .extend(deletes.map(|del| OpJson { request_delete_range: Some(del), ..OpJson::default() }));
+    let failure =
+        reads.map(|read| OpJson { request_range: Some(read), ..OpJson::default() }).collect();
+    TxnJson { compare: compare.collect(), success, failure }
+}
+
+/// An open watch.
+pub struct Watch {
+    body: Body,
+    buffer: BytesMut,
+}
+
+impl Watch {
+    /// Waits for the next changes and returns them with the service's revision.
+    ///
+    /// An empty set of changes is a sign of life. After an error the watch is over and the caller
+    /// reads everything again, since changes may have been missed.
+    pub async fn next(&mut self) -> Result<(Vec<Change>, i64), PlatformError> {
+        loop {
+            if let Some(line) = self.take_line() {
+                return parse_watch(&line);
+            }
+            let frame = tokio::time::timeout(WATCH_IDLE, self.body.frame()).await;
+            let frame = frame.map_err(|_| PlatformError::Unknown("watch went silent".into()))?;
+            let frame = frame.ok_or_else(|| PlatformError::Unknown("watch ended".into()))?;
+            let frame = frame.map_err(|err| PlatformError::Unknown(err.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+
+    fn take_line(&mut self) -> Option<BytesMut> {
+        let end = self.buffer.iter().position(|b| *b == b'\n')?;
+        let line = self.buffer.split_to(end);
+        self.buffer.advance(1);
+        Some(line)
+    }
+}
+
+fn parse_watch(line: &[u8]) -> Result<(Vec<Change>, i64), PlatformError> {
+    let reply: StreamReply<WatchReply> =
+        serde_json::from_slice(line).map_err(|err| PlatformError::Unknown(err.to_string()))?;
+    let reply = reply.result;
+    if reply.canceled || reply.compact_revision.0 > 0 {
+        return Err(PlatformError::Unknown("watch missed changes".to_owned()));
+    }
+    let changes = reply.events.into_iter().map(|event| match event.kind.as_str() {
+        "DELETE" => Change::Delete(kv(event.kv).key),
+        _ => Change::Put(kv(event.kv)),
+    });
+    Ok((changes.collect(), reply.header.revision.0))
+}
--- /dev/null
+++ b/src/standin/platform/store.rs
@@ -0,0 +1,235 @@
+//! The key-value store of the stand-in: revisions, transactions, leases and a change log.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use serde_json::{Value, json, to_value};
+
+use crate::{clock::Time, platform::encoding::*};
+
+/// A watch as it is asked for.
+pub type WatchRequest = WatchJson;
+
+struct Record {
+    value: Vec<u8>,
+    revision: i64,
+    lease: i64,
+}
+
+struct Lease {
+    ttl: Duration,
+    ends: Time,
+}
+
+struct Logged {
+    revision: i64,
+    event: EventJson,
+}
+
+/// Position of a watch in the change log.
+pub struct Cursor {
+    key: Vec<u8>,
+    end: Vec<u8>,
+    next: i64,
+}
+
+/// The store.
+#[derive(Default)]
+pub struct Store {
+    records: BTreeMap<Vec<u8>, Record>,
+    leases: HashMap<i64, Lease>,
+    log: Vec<Logged>,
+    revision: i64,
+    last_lease: i64,
+    /// Calls by kind.
+    pub counts: BTreeMap<String, u64>,
+}
+
+impl Store {
+    /// Counts a call.
+    pub fn count(&mut self, kind: &str) {
+        *self.counts.entry(kind.to_owned()).or_default() += 1;
+    }
+
+    /// Answers a call.
+    pub fn call(&mut self, path: &str, body: &[u8]) -> Result<Value, String> {
+        self.count(path.rsplit('/').next().unwrap_or(path));
+        match path {
+            "/v3/kv/range" => self.range(&parse(body)?),
+            "/v3/kv/txn" => self.txn(parse(body)?),
+            "/v3/lease/grant" => Ok(self.grant(parse(body)?)),
+            "/v3/lease/keepalive" => Ok(self.renew(parse(body)?)),
+            "/v3/lease/revoke" => Ok(self.revoke(parse(body)?)),
+            _ => Err(format!("no such call: {path}")),
+        }
+    }
+
+    fn header(&self) -> HeaderJson {
+        HeaderJson { revision: Int(self.revision) }
+    }
+
+    fn read(&self, request: &RangeJson) -> RangeReply {
+        let key = &request.key.0;
+        let kvs = match &request.range_end {
+            None => self.records.get(key).map(|r| kv(key, r)).into_iter().collect(),
+            Some(end) => {
+                self.records.range(key.clone()..end.0.clone()).map(|(k, r)| kv(k, r)).collect()
+            }
+        };
+        RangeReply { header: self.header(), kvs }
+    }
+
+    fn range(&self, request: &RangeJson) -> Result<Value, String> {
+        to_value(self.read(request)).map_err(|err| err.to_string())
+    }
+
+    fn txn(&mut self, txn: TxnJson) -> Result<Value, String> {
+        let equal = |c: &CompareJson| {
+            let revision = self.records.get(&c.key.0).map_or(0, |r| r.revision);
+            revision == c.mod_revision.0
+        };
+        let succeeded = txn.compare.iter().all(equal);
+        let ops = if succeeded { txn.success } else { txn.failure };
+        let writes = ops.iter().any(|op| op.request_range.is_none());
+        if let Some(lease) = self.missing_lease(&ops) {
+            return Err(format!("requested lease not found: {lease}"));
+        }
+        if writes {
+            self.revision += 1;
+        }
+        let responses = ops.into_iter().map(|op| self.apply(op)).collect();
+        let reply = TxnReplyJson { header: self.header(), succeeded, responses };
+        to_value(reply).map_err(|err| err.to_string())
+    }
+
+    fn missing_lease(&self, ops: &[OpJson]) -> Option<i64> {
+        let leases = ops.iter().filter_map(|op| op.request_put.as_ref()).map(|put| put.lease.0);
+        leases.filter(|lease| *lease != 0).find(|lease| !self.leases.contains_key(lease))
+    }
+
+    fn apply(&mut self, op: OpJson) -> OpReply {
+        if let Some(put) = op.request_put {
+            self.put(put);
+        }
+        if let Some(delete) = op.request_delete_range {
+            self.delete(&delete.key.0);
+        }
+        OpReply { response_range: op.request_range.map(|read| self.read(&read)) }
+    }
+
+    fn put(&mut self, put: PutJson) {
+        let record = Record { value: put.value.0, revision: self.revision, lease: put.lease.0 };
+        let event = EventJson { kind: "PUT".to_owned(), kv: kv(&put.key.0, &record) };
+        self.records.insert(put.key.0, record);
+        self.log.push(Logged { revision: self.revision, event });
+    }
+
+    fn delete(&mut self, key: &[u8]) {
+        if self.records.remove(key).is_none() {
+            return;
+        }
+        let kv = KvJson {
+            key: Base64(key.to_vec()),
+            mod_revision: Int(self.revision),
+            ..KvJson::default()
+        };
+        let event = EventJson { kind: "DELETE".to_owned(), kv };
+        self.log.push(Logged { revision: self.revision, event });
+    }
+
+    fn grant(&mut self, request: LeaseJson) -> Value {
+        self.last_lease += 1;
+        let ttl = Duration::from_secs(request.ttl.0.max(1) as u64);
+        self.leases.insert(self.last_lease, Lease { ttl, ends: Time::now() + ttl });
+        json!(LeaseJson { id: Int(self.last_lease), ttl: request.ttl })
+    }
+
+    fn renew(&mut self, request: LeaseJson) -> Value {
+        let ttl = match self.leases.get_mut(&request.id.0) {
+            Some(lease) => {
+                lease.ends = Time::now() + lease.ttl;
+                lease.ttl.as_secs() as i64
+            }
+            None => 0,
+        };
+        json!(StreamReply { result: LeaseJson { id: request.id, ttl: Int(ttl) } })
+    }
+
+    fn revoke(&mut self, request: LeaseJson) -> Value {
+        self.end_lease(request.id.0);
+        json!({})
+    }
+
+    fn end_lease(&mut self, id: i64) {
+        self.leases.remove(&id);
+        let attached = self.records.iter().filter(|(_, r)| r.lease == id);
+        let keys: Vec<Vec<u8>> = attached.map(|(key, _)| key.clone()).collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+        }
+        for key in keys {
+            self.delete(&key);
+        }
+    }
+
+    /// Ends the leases whose time has passed and returns whether there were any.
+    pub fn expire(&mut self) -> bool {
+        let now = Time::now();
+        let ended = self.leases.iter().filter(|(_, lease)| lease.ends <= now);
+        let ids: Vec<i64> = ended.map(|(id, _)| *id).collect();
+        for id in &ids {
+            self.end_lease(*id);
+        }
+        !ids.is_empty()
+    }
+
+    /// Opens a watch.
+    pub fn open_watch(&self, request: &WatchRequest) -> Cursor {
+        let create = &request.create_request;
+        let next = match create.start_revision.0 {
+            0 => self.revision + 1,
+            revision => revision,
+        };
+        Cursor { key: create.key.0.clone(), end: create.range_end.0.clone(), next }
+    }
+
+    /// Returns the next line of a watch, or `None` when nothing changed.
+    pub fn read_watch(&self, cursor: &mut Cursor) -> Option<Bytes> {
+        let covered = |l: &&Logged| {
+            let key = &l.event.kv.key.0;
+            l.revision >= cursor.next && *key >= cursor.key && *key < cursor.end
+        };
+        let events: Vec<EventJson> =
+            self.log.iter().filter(covered).map(|l| l.event.clone()).collect();
+        cursor.next = self.revision + 1;
+        (!events.is_empty()).then(|| self.watch_line(events))
+    }
+
+    /// Returns a line without changes.
+    pub fn beat_watch(&self) -> Bytes {
+        self.watch_line(Vec::new())
+    }
+
+    fn watch_line(&self, events: Vec<EventJson>) -> Bytes {
+        let result = WatchReply { header: self.header(), events, ..WatchReply::default() };
+        let mut line = serde_json::to_vec(&StreamReply { result }).unwrap_or_default();
+        line.push(b'\n');
+        line.into()
+    }
+}
+
+fn kv(key: &[u8], record: &Record) -> KvJson {
+    KvJson {
+        key: Base64(key.to_vec()),
+        value: Base64(record.value.clone()),
+        mod_revision: Int(record.revision),
+        lease: Int(record.lease),
+    }
+}
+
+fn parse<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, String> {
+    serde_json::from_slice(body).map_err(|err| err.to_string())
+}
--- /dev/null
+++ b/src/wire/codec.rs
@@ -0,0 +1,52 @@
+//! Length-delimited frames that hold one [`Frame`] each.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use super::Frame;
+
+/// Largest frame in bytes; larger bodies are refused at the entry.
+pub const FRAME_LIMIT: usize = 4 << 20;
+
+/// Why a frame cannot be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum WireError {
+    /// The connection failed or a frame is too long.
+    #[error("link: {0}")]
+    Io(#[from] std::io::Error),
+    /// A frame is garbled.
+    #[error("garbled frame: {0}")]
+    Garbled(#[from] prost::DecodeError),
+}
+
+/// Reads and writes frames.
+#[derive(Debug)]
+pub struct FrameCodec(LengthDelimitedCodec);
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        Self(LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec())
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Frame;
+    type Error = WireError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frame>, WireError> {
+        match self.0.decode(src)? {
+            Some(bytes) => Ok(Some(Frame::decode(bytes)?)),
+            None => Ok(None),
+        }
+    }
+}
+
+impl Encoder<Frame> for FrameCodec {
+    type Error = WireError;
+
+    fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<(), WireError> {
+        self.0.encode(Bytes::from(frame.encode_to_vec()), dst)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/tests/kernel.rs
@@ -0,0 +1,22 @@
+//! Tests of the decision code under virtual time, and the fault matrix.
+
+mod matrix;
+
+mod kernel {
+    mod configuration;
+    mod dispatch;
+    mod freshness;
+    mod ledger;
+    mod lending;
+    mod once;
+    mod placement;
+    mod quota;
+    mod retry;
+    mod routing;
+    mod runner;
+    mod shutdown;
+    mod stewardship;
+    mod stream;
+    mod suspect;
+    mod warmup;
+}
--- /dev/null
+++ b/tests/kernel/configuration.rs
@@ -0,0 +1,1 @@
+//! Configuration versions.
--- /dev/null
+++ b/tests/kernel/dispatch.rs
@@ -0,0 +1,1 @@
+//! The order of dispatch.
--- /dev/null
+++ b/tests/kernel/freshness.rs
@@ -0,0 +1,1 @@
+//! Cut off or service down.
--- /dev/null
+++ b/tests/kernel/ledger.rs
@@ -0,0 +1,1 @@
+//! The memory ledger.
--- /dev/null
+++ b/tests/kernel/lending.rs
@@ -0,0 +1,1 @@
+//! Shares of rates and loans.
--- /dev/null
+++ b/tests/kernel/once.rs
@@ -0,0 +1,1 @@
+//! Claims of non-repeatable requests.
--- /dev/null
+++ b/tests/kernel/placement.rs
@@ -0,0 +1,1 @@
+//! Placement of models.
--- /dev/null
+++ b/tests/kernel/quota.rs
@@ -0,0 +1,1 @@
+//! Token buckets.
--- /dev/null
+++ b/tests/kernel/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budgets.
--- /dev/null
+++ b/tests/kernel/routing.rs
@@ -0,0 +1,1 @@
+//! Choice among copies.
--- /dev/null
+++ b/tests/kernel/shutdown.rs
@@ -0,0 +1,1 @@
+//! The protocol of a shutdown.
--- /dev/null
+++ b/tests/kernel/stewardship.rs
@@ -0,0 +1,1 @@
+//! Stewardship of endpoints.
--- /dev/null
+++ b/tests/kernel/stream.rs
@@ -0,0 +1,1 @@
+//! Joined answers.
--- /dev/null
+++ b/tests/kernel/warmup.rs
@@ -0,0 +1,1 @@
+//! Warm-up of endpoints.
--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,19 @@
+//! Tests with real processes of the one binary on loopback.
+
+mod util;
+
+mod process {
+    mod cold;
+    mod configuration;
+    mod input;
+    mod keys;
+    mod links;
+    mod membership;
+    mod memory;
+    mod once;
+    mod operators;
+    mod path;
+    mod rate;
+    mod shutdown;
+    mod streams;
+}
--- /dev/null
+++ b/tests/process/cold.rs
@@ -0,0 +1,1 @@
+//! Cold endpoints and requests that crash endpoints.
--- /dev/null
+++ b/tests/process/configuration.rs
@@ -0,0 +1,1 @@
+//! The configuration in force on every instance.
--- /dev/null
+++ b/tests/process/input.rs
@@ -0,0 +1,1 @@
+//! Malformed, oversized and slow input.
--- /dev/null
+++ b/tests/process/keys.rs
@@ -0,0 +1,1 @@
+//! Callers' keys, which no endpoint may see.
--- /dev/null
+++ b/tests/process/links.rs
@@ -0,0 +1,1 @@
+//! Links between instances that fail or go silent.
--- /dev/null
+++ b/tests/process/membership.rs
@@ -0,0 +1,1 @@
+//! Instances that are cut off, paused or replaced.
--- /dev/null
+++ b/tests/process/memory.rs
@@ -0,0 +1,1 @@
+//! Memory of endpoints through a change of steward.
--- /dev/null
+++ b/tests/process/once.rs
@@ -0,0 +1,1 @@
+//! Non-repeatable requests.
--- /dev/null
+++ b/tests/process/operators.rs
@@ -0,0 +1,1 @@
+//! The operators' commands.
--- /dev/null
+++ b/tests/process/rate.rs
@@ -0,0 +1,1 @@
+//! Rates of teams over all instances.
--- /dev/null
+++ b/tests/process/shutdown.rs
@@ -0,0 +1,1 @@
+//! Graceful shutdown.
--- /dev/null
+++ b/tests/process/streams.rs
@@ -0,0 +1,1 @@
+//! Streamed answers that are cut, crossed or late.
--- /dev/null
+++ b/tests/product.rs
@@ -0,0 +1,10 @@
+//! Tests of the parts of the product: documents, samples, settings and command line.
+
+mod product {
+    mod cli;
+    mod config;
+    mod docs;
+    mod measure;
+    mod settings;
+    mod timeline;
+}
--- /dev/null
+++ b/tests/product/cli.rs
@@ -0,0 +1,1 @@
+//! The command line.
--- /dev/null
+++ b/tests/product/config.rs
@@ -0,0 +1,1 @@
+//! Checks of the configuration.
--- /dev/null
+++ b/tests/product/measure.rs
@@ -0,0 +1,1 @@
+//! Bounds of the measured policy.
--- /dev/null
+++ b/tests/product/timeline.rs
@@ -0,0 +1,1 @@
+//! The merged time line.
