--- a/src/kernel/stewardship.rs
+++ b/src/kernel/stewardship.rs
@@ -1,4 +1,19 @@
-//! Who should be steward of which endpoint.
+//! Who is steward of which endpoint, and what a steward may do.
+//!
+//! Each instance holds one lease at the platform's service. An endpoint's record names its steward
+//! and is not attached to the lease; the steward holds the endpoint while the lease of the same
+//! incarnation exists.
+
+mod claim;
+mod tenure;
+
+pub use self::{
+    claim::{
+        Bid, Claim, Holding, Keep, Lease, Leases, RANK_PERIOD, SETTLE_PERIOD, TAKE_GRACE, Vacancy,
+        claim, keep, vacancy,
+    },
+    tenure::{Duty, LEASE_MARGIN, LEASE_TTL, PAUSE_LIMIT, RENEW_PERIOD, RETURN_PERIOD, Tenure},
+};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -28,7 +43,18 @@
     ranked.into_iter().map(|(_, _, id)| id).collect()
 }
 
+/// Prefix of the endpoints' records.
+pub const RECORD_PREFIX: &str = "cardamomshore/endpoints/";
+
+/// Prefix of the instances' leases.
+pub const LEASE_PREFIX: &str = "cardamomshore/nodes/";
+
 /// Returns the key of an endpoint's record.
 pub fn record_key(endpoint: &EndpointId) -> String {
-    format!("cardamomshore/endpoints/{endpoint}")
+    format!("{RECORD_PREFIX}{endpoint}")
+}
+
+/// Returns the key of an instance's lease.
+pub fn lease_key(instance: &InstanceId) -> String {
+    format!("{LEASE_PREFIX}{instance}")
 }
--- /dev/null
+++ b/src/kernel/stewardship/claim.rs
@@ -0,0 +1,155 @@
+//! Who takes an endpoint, and when.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    kernel::{freshness::Freshness, ledger::EndpointRecord},
+    names::InstanceId,
+};
+
+/// Time for which an endpoint of a lapsed steward is left to it, so that a steward whose lease
+/// lapsed while the service was down renews before anybody takes over, and one that is gone has
+/// stopped to dispatch.
+pub const TAKE_GRACE: Duration = Duration::from_secs(4);
+
+/// Time after which a vacant endpoint goes to the preferred of the instances with a lease.
+pub const SETTLE_PERIOD: Duration = Duration::from_secs(3);
+
+/// Time by which each further instance in the order of preference waits longer.
+pub const RANK_PERIOD: Duration = Duration::from_secs(2);
+
+/// The instances that hold a lease, as the service shows them.
+pub type Leases = BTreeMap<InstanceId, Lease>;
+
+/// Lease of one instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Incarnation of the instance's process.
+    pub incarnation: u64,
+    /// Revision of the lease's record.
+    pub revision: i64,
+}
+
+/// Whether an endpoint has a steward.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Vacancy {
+    /// Its steward holds a lease.
+    Held,
+    /// It was never taken, or it was handed over.
+    Free,
+    /// Its steward's lease is gone.
+    Lapsed(InstanceId),
+}
+
+/// Judges whether an endpoint has a steward.
+pub fn vacancy(record: Option<&EndpointRecord>, leases: &Leases) -> Vacancy {
+    let Some(record) = record else { return Vacancy::Free };
+    let Some(holder) = &record.holder else { return Vacancy::Free };
+    match leases.get(holder) {
+        Some(lease) if lease.incarnation == record.incarnation => Vacancy::Held,
+        _ => Vacancy::Lapsed(holder.clone()),
+    }
+}
+
+/// What an instance does about an endpoint that it does not steward.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Claim {
+    /// Take it.
+    Take,
+    /// Leave it to others.
+    Leave,
+}
+
+/// What a claim depends on.
+#[derive(Clone, Debug)]
+pub struct Bid<'a> {
+    /// The instance that decides.
+    pub own: &'a InstanceId,
+    /// Whether that instance surely holds its lease.
+    pub leased: bool,
+    /// Its contact with the rest.
+    pub freshness: Freshness,
+    /// Instances in the order of preference for the endpoint.
+    pub ranked: &'a [InstanceId],
+    /// Instances with a lease.
+    pub leases: &'a Leases,
+    /// Whether the endpoint has a steward.
+    pub vacancy: &'a Vacancy,
+    /// Time since when it has none, as seen by this instance.
+    pub vacant: Duration,
+}
+
+/// Decides whether an instance takes an endpoint.
+pub fn claim(bid: &Bid) -> Claim {
+    let grace = match bid.vacancy {
+        Vacancy::Held => return Claim::Leave,
+        Vacancy::Free => Duration::ZERO,
+        Vacancy::Lapsed(_) => TAKE_GRACE,
+    };
+    if !bid.leased || bid.freshness != Freshness::Fresh || bid.vacant < grace {
+        return Claim::Leave;
+    }
+    let since = bid.vacant - grace;
+    if bid.ranked.first() == Some(bid.own) {
+        return Claim::Take;
+    }
+    let leased = bid.ranked.iter().filter(|id| bid.leases.contains_key(*id));
+    let position = leased.take_while(|id| *id != bid.own).count() as u32;
+    let known = bid.ranked.contains(bid.own);
+    let due = known && since >= SETTLE_PERIOD + RANK_PERIOD * position;
+    if due { Claim::Take } else { Claim::Leave }
+}
+
+/// What a steward does about an endpoint that it holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Keep {
+    /// Go on.
+    Keep,
+    /// Take no new work, and hand it over once nothing runs.
+    Drain,
+    /// Hand it over to the preferred instance, since nothing runs.
+    HandOver,
+    /// The record names another steward: drop it at once.
+    Lost,
+}
+
+/// What a steward's decision depends on.
+#[derive(Clone, Debug)]
+pub struct Holding<'a> {
+    /// The steward.
+    pub own: &'a InstanceId,
+    /// Incarnation of its process.
+    pub incarnation: u64,
+    /// Fencing number of its tenure.
+    pub fence: u64,
+    /// The record as the service shows it.
+    pub record: Option<&'a EndpointRecord>,
+    /// Whether the list shows the endpoint as live at the known address.
+    pub listed: bool,
+    /// Whether nothing runs, waits or is ordered there.
+    pub idle: bool,
+    /// Instances in the order of preference for the endpoint.
+    pub ranked: &'a [InstanceId],
+    /// Instances with a lease.
+    pub leases: &'a Leases,
+}
+
+/// Decides whether a steward keeps an endpoint.
+pub fn keep(holding: &Holding) -> Keep {
+    if holding.record.is_some_and(|record| is_lost(holding, record)) {
+        return Keep::Lost;
+    }
+    if !holding.listed {
+        return if holding.idle { Keep::HandOver } else { Keep::Drain };
+    }
+    let mut leased = holding.ranked.iter().filter(|id| holding.leases.contains_key(*id));
+    let preferred = leased.next().is_none_or(|first| first == holding.own);
+    if preferred || !holding.idle { Keep::Keep } else { Keep::HandOver }
+}
+
+/// Returns whether a record shows that another tenure began since this one.
+fn is_lost(holding: &Holding, record: &EndpointRecord) -> bool {
+    let own = record.holder.as_ref() == Some(holding.own);
+    let own = own && record.incarnation == holding.incarnation;
+    record.fence > holding.fence || (record.fence == holding.fence && !own)
+}
--- /dev/null
+++ b/src/kernel/stewardship/tenure.rs
@@ -0,0 +1,93 @@
+//! How long a steward may order and dispatch after its last renewal.
+
+use std::time::Duration;
+
+use crate::{clock::Time, kernel::freshness::Freshness};
+
+/// Length of an instance's lease.
+pub const LEASE_TTL: Duration = Duration::from_secs(9);
+
+/// Time between two renewals of a lease.
+pub const RENEW_PERIOD: Duration = Duration::from_secs(3);
+
+/// Time by which a holder counts its lease as shorter than the service does.
+///
+/// It covers clocks that run apart and the time between a decision and its effect.
+pub const LEASE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time for which a steward without a lease dispatches on after the service is back, so that it
+/// can renew first.
+pub const RETURN_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time without a decision in contact with the others after which a steward without a lease stops
+/// until it holds one again.
+///
+/// What it hears just after a pause was sent before it. With [`RETURN_PERIOD`] it
+/// stays below the time after which others take over.
+pub const PAUSE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// What a steward may do now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Duty {
+    /// Order and dispatch.
+    Hold,
+    /// Dispatch only: the lease may have lapsed, but the service is down for everybody, so that
+    /// nobody can have taken over.
+    DispatchOnly,
+    /// Neither.
+    Stop,
+}
+
+/// The lease of an instance as its holder may count on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tenure {
+    renewed: Option<Time>,
+    back: Option<Time>,
+    sound: Time,
+}
+
+impl Tenure {
+    /// Notes a successful renewal that was sent at `sent`.
+    ///
+    /// The service counts the lease from when the renewal arrived, which is later, so the holder
+    /// always stops first.
+    pub fn renew(&mut self, sent: Time) {
+        self.renewed = self.renewed.max(Some(sent));
+        self.back = None;
+    }
+
+    /// Notes that the lease is over.
+    pub fn end(&mut self) {
+        self.renewed = None;
+    }
+
+    /// Returns whether the lease is surely still held.
+    pub fn is_held(&self, now: Time) -> bool {
+        self.renewed.is_some_and(|sent| now.since(sent) + LEASE_MARGIN < LEASE_TTL)
+    }
+
+    /// Decides what the steward may do now.
+    pub fn decide(&mut self, freshness: Freshness, now: Time) -> Duty {
+        if self.is_held(now) {
+            self.sound = now;
+            return Duty::Hold;
+        }
+        if now.since(self.sound) > PAUSE_LIMIT {
+            self.renewed = None;
+        }
+        if self.renewed.is_none() || freshness == Freshness::CutOff {
+            return Duty::Stop;
+        }
+        self.sound = now;
+        self.decide_lapsed(freshness, now)
+    }
+
+    fn decide_lapsed(&mut self, freshness: Freshness, now: Time) -> Duty {
+        if freshness == Freshness::ServiceDown {
+            self.back = None;
+            return Duty::DispatchOnly;
+        }
+        let back = *self.back.get_or_insert(now);
+        if now.since(back) < RETURN_PERIOD { Duty::DispatchOnly } else { Duty::Stop }
+    }
+}
