--- /dev/null
+++ b/src/node/lease.rs
@@ -0,0 +1,163 @@
+//! This instance's lease at the platform's service, on which all its duties rest.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use rand::RngExt;
+use tokio::time::sleep;
+
+use super::{Node, steward};
+use crate::{
+    clock::Time,
+    events::Event,
+    kernel::{
+        freshness::Freshness,
+        stewardship::{Duty, LEASE_TTL, RENEW_PERIOD, Tenure, lease_key},
+    },
+    platform::{Kv, LeaseId, PlatformError, Put, Txn},
+};
+
+/// Time between two tries to get or renew the lease while the service does not answer.
+const RETRY_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time between two decisions; it stays well below the limit that tells a pause.
+const DECIDE_PERIOD: Duration = Duration::from_millis(200);
+
+/// The lease and what its holder may count on.
+#[derive(Default)]
+pub struct InstanceLease {
+    tenure: Mutex<Tenure>,
+    held: Mutex<Option<Held>>,
+    ended: AtomicBool,
+}
+
+/// The lease as the service knows it.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    id: LeaseId,
+    revision: i64,
+}
+
+impl InstanceLease {
+    /// Returns the revision of the lease's record, which duties expect in their transactions.
+    pub fn revision(&self) -> Option<i64> {
+        self.held.lock().map(|held| held.revision)
+    }
+
+    /// Returns whether the lease is surely still held.
+    pub fn is_held(&self) -> bool {
+        self.tenure.lock().is_held(Time::now())
+    }
+}
+
+impl Node {
+    /// Decides what this instance may do as a steward now.
+    pub fn duty(&self) -> Duty {
+        let held = self.lease.is_held();
+        let freshness = if held { Freshness::Fresh } else { self.freshness() };
+        self.lease.tenure.lock().decide(freshness, Time::now())
+    }
+}
+
+/// Gets the lease and keeps it.
+pub async fn run(node: Arc<Node>) {
+    tokio::join!(keep(&node), decide(&node));
+}
+
+async fn decide(node: &Node) {
+    loop {
+        node.duty();
+        sleep(DECIDE_PERIOD).await;
+    }
+}
+
+async fn keep(node: &Arc<Node>) {
+    let mut failing = false;
+    while !node.lease.ended.load(Ordering::Acquire) {
+        let outcome = step(node).await;
+        if let Err(err) = &outcome
+            && !failing
+        {
+            let instance = node.settings.instance.as_str();
+            node.timeline.record(Event::LeaseRenewFailed, instance, err.to_string());
+        }
+        failing = outcome.is_err();
+        let period = if failing { RETRY_PERIOD } else { RENEW_PERIOD };
+        sleep(period.mul_f64(rand::rng().random_range(0.8..1.0))).await;
+    }
+}
+
+/// Renews the lease, or gets a new one where there is none.
+async fn step(node: &Arc<Node>) -> Result<(), PlatformError> {
+    let held = *node.lease.held.lock();
+    let Some(held) = held else { return acquire(node).await };
+    let sent = Time::now();
+    if node.platform.renew(held.id).await? {
+        node.members.contacted();
+        node.lease.tenure.lock().renew(sent);
+        return Ok(());
+    }
+    *node.lease.held.lock() = None;
+    if node.lease.is_held() {
+        node.lease.tenure.lock().end();
+    }
+    acquire(node).await
+}
+
+async fn acquire(node: &Arc<Node>) -> Result<(), PlatformError> {
+    let sent = Time::now();
+    let id = node.platform.grant(LEASE_TTL).await?;
+    node.members.contacted();
+    let key = lease_key(&node.settings.instance);
+    let value = node.incarnation.to_string().into_bytes();
+    let put = Put { key: key.clone(), value, lease: id };
+    let txn = Txn { expect: vec![(key, 0)], puts: vec![put], deletes: Vec::new() };
+    let reply = node.platform.commit(&txn).await?;
+    if reply.done {
+        return start(node, Held { id, revision: reply.revision }, sent).await;
+    }
+    node.platform.revoke(id).await?;
+    match reply.current.first() {
+        Some(kv) if incarnation_of(kv) == Some(node.incarnation) => adopt(node, kv).await,
+        _ => Err(PlatformError::Refused("an earlier process holds the lease".to_owned())),
+    }
+}
+
+/// Goes on with a lease of this process whose answer was lost.
+async fn adopt(node: &Arc<Node>, kv: &Kv) -> Result<(), PlatformError> {
+    let sent = Time::now();
+    if !node.platform.renew(kv.lease).await? {
+        return Err(PlatformError::Refused("the earlier lease just ended".to_owned()));
+    }
+    start(node, Held { id: kv.lease, revision: kv.revision }, sent).await
+}
+
+/// Starts a new lease: what others took over in the meantime is dropped before anything is done.
+async fn start(node: &Arc<Node>, held: Held, sent: Time) -> Result<(), PlatformError> {
+    steward::verify(node).await?;
+    *node.lease.held.lock() = Some(held);
+    node.lease.tenure.lock().renew(sent);
+    Ok(())
+}
+
+/// Returns the incarnation that a lease's record names.
+pub fn incarnation_of(kv: &Kv) -> Option<u64> {
+    std::str::from_utf8(&kv.value).ok()?.parse().ok()
+}
+
+/// Gives the lease back, after all duties were handed over.
+pub async fn end(node: &Node) {
+    node.lease.ended.store(true, Ordering::Release);
+    node.lease.tenure.lock().end();
+    let held = node.lease.held.lock().take();
+    if let Some(held) = held {
+        // A lease that cannot be given back ends by itself.
+        let _ = node.platform.revoke(held.id).await;
+    }
+}
