Run non-repeatable requests at most once

Ids are spread over 32 buckets with one owner each. A lost answer is resolved by the write's nonce, now or at the next write. A claim that was certainly not sent is taken out of the record again. `not-run` also covers earlier sendings of the same id: an owner that may have been replaced says `unknown` until its next write succeeds.

Weighed: a record for each payment (two writes a payment; 250 writes/s carry 125 payments/s) against groups (up to 32 writes a round for any number of payments).

--- a/src/kernel/once.rs
+++ b/src/kernel/once.rs
@@ -1,11 +1,20 @@
 //! Claims of non-repeatable requests.
+//!
+//! An id belongs to one of a few buckets, and each bucket to one owner. The owner commits claims in
+//! groups, one compare-and-swap a group, before it dispatches. The compare-and-swap fences an owner
+//! that was replaced, so a claim is dispatched by the one owner that committed it or by nobody.
+//! As in an inbox table, the claim is the proof of processing; unlike there, the effect cannot join
+//! its transaction, so a claim without a known answer is reported as unknown and never run again.
 
-use xxhash_rust::xxh3::xxh3_64;
+mod bucket;
+mod record;
 
-/// Number of buckets over which the ids are spread.
-pub const BUCKET_COUNT: u64 = 256;
+pub use self::{
+    bucket::{Asked, Bucket, Commit, Committed, Finished, Outcome, Write},
+    record::{
+        ClaimId, ClaimRecord, HeadRecord, SegmentRecord, bucket_of, head_key, prefix, segment_key,
+    },
+};
 
-/// Returns the bucket of an idempotency key.
-pub fn bucket_of(team: &str, id: &str) -> u64 {
-    xxh3_64(format!("{team}\n{id}").as_bytes()) % BUCKET_COUNT
-}
+/// Number of buckets over which the ids are spread; each owner spends one write a group on each.
+pub const BUCKET_COUNT: u32 = 32;
--- a/src/node/drain.rs
+++ b/src/node/drain.rs
@@ -10,7 +10,7 @@
 
 use tokio::{sync::Notify, time::sleep};
 
-use super::{Node, steward};
+use super::{Node, once, steward};
 use crate::events::Event;
 
 /// Time for the other instances and callers to learn that this one leaves.
@@ -68,5 +68,6 @@
     node.peers.beat_now();
     sleep(ANNOUNCE_PERIOD).await;
     node.drain.idle().await;
+    once::hand_over(&node).await;
     steward::hand_over(&node).await;
 }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -58,6 +58,19 @@
         (Time::now().since(seen.heard) <= CONTACT_BOUND).then_some(seen)
     }
 
+    /// Returns the peer that says it owns a bucket of ids.
+    pub fn bucket_owner(&self, bucket: u32) -> Option<InstanceId> {
+        let mut owner = None;
+        let now = Time::now();
+        self.seen.for_each(|id, seen| {
+            let owns = seen.beat.buckets & (1 << bucket) != 0;
+            if owns && now.since(seen.heard) <= CONTACT_BOUND {
+                owner = Some(id.clone());
+            }
+        });
+        owner
+    }
+
     fn contact_age(&self) -> Duration {
         Time::now().since(*self.contact.lock())
     }
@@ -89,6 +102,7 @@
             cut_off: self.freshness() == Freshness::CutOff,
             echo: 0,
             number: 0,
+            buckets: self.once.mask(),
         }
     }
 }
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -1,41 +1,241 @@
 //! Claims of non-repeatable requests whose buckets this node owns.
+//!
+//! A claim and its dispatch sit in one process: the owner commits the claim and then sends the
+//! request to the endpoint's steward itself.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicUsize, Ordering},
-};
+mod answers;
+mod commit;
+mod dispatch;
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
+use self::answers::{Answers, Kept};
+pub use self::commit::{hand_over, run};
 use super::{Node, exchange::Responder};
 use crate::{
+    clock::Time,
     codes::{Code, Refusal},
-    wire::{End, Work},
+    events::Event,
+    kernel::{
+        once::{Asked, BUCKET_COUNT, Bucket, ClaimId, bucket_of},
+        stewardship,
+    },
+    names::InstanceId,
+    platform::ListedState,
+    wire::{Body, End, Work},
 };
 
+/// Time for which new claims are refused at once after the platform's service failed.
+const DOWN_PERIOD: Duration = Duration::from_millis(300);
+
+/// Pause of the process after which another instance may have taken its buckets.
+const PAUSE_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Buckets owned by this node.
-#[derive(Default)]
 pub struct Claims {
-    owned: AtomicUsize,
+    slots: Vec<Mutex<Slot>>,
+    wake: Notify,
+    down: Mutex<Time>,
+    tick: Mutex<Time>,
+}
+
+/// One bucket and what waits for it.
+#[derive(Default)]
+struct Slot {
+    bucket: Option<Bucket>,
+    pending: HashMap<ClaimId, Pending>,
+    answers: Answers,
+    retry: Time,
+}
+
+/// A request that was claimed or waits to be.
+struct Pending {
+    work: Work,
+    waiters: Vec<Responder>,
+}
+
+/// What to do with a request at once.
+enum Step {
+    Wait,
+    Replay(Arc<Kept>),
+    Refuse(Refusal),
+}
+
+impl Default for Claims {
+    fn default() -> Self {
+        Self {
+            slots: (0..BUCKET_COUNT).map(|_| Mutex::default()).collect(),
+            wake: Notify::new(),
+            down: Mutex::default(),
+            tick: Mutex::new(Time::now()),
+        }
+    }
 }
 
 impl Claims {
     /// Returns the number of owned buckets.
     pub fn owned(&self) -> usize {
-        self.owned.load(Ordering::Relaxed)
+        self.mask().count_ones() as usize
+    }
+
+    /// Returns the owned buckets as a bit mask.
+    pub fn mask(&self) -> u32 {
+        let owned = |slot: &Mutex<Slot>| {
+            let slot = slot.lock();
+            slot.bucket.as_ref().is_some_and(|bucket| bucket.is_owned() && !bucket.is_closing())
+        };
+        (0..BUCKET_COUNT).filter(|i| owned(&self.slots[*i as usize])).fold(0, |m, i| m | 1 << i)
+    }
+
+    /// Notes that the process runs, and doubts every bucket after a pause.
+    fn tick(&self) {
+        let now = Time::now();
+        let last = std::mem::replace(&mut *self.tick.lock(), now);
+        if now.since(last) <= PAUSE_LIMIT {
+            return;
+        }
+        for slot in &self.slots {
+            if let Some(bucket) = slot.lock().bucket.as_mut() {
+                bucket.doubt_tenure();
+            }
+        }
     }
-}
 
-/// Takes and keeps the buckets that belong to this node.
-pub async fn run(_: Arc<Node>) {
-    std::future::pending::<()>().await;
+    fn is_down(&self) -> bool {
+        Time::now() < *self.down.lock()
+    }
+
+    fn note_down(&self) {
+        *self.down.lock() = Time::now() + DOWN_PERIOD;
+    }
 }
 
 /// Claims the id of a request, runs it and answers.
 pub async fn submit(node: Arc<Node>, work: Work, responder: Responder) {
-    let key = format!("cardamomshore/once/{}/{}", work.team, blake3::hash(work.once.as_bytes()));
-    let put = crate::platform::Put { key, value: work.request.clone().into_bytes(), lease: 0 };
-    match node.platform.put_if(put, 0).await {
-        Ok(reply) if reply.done => super::steward::submit(&node, work, responder),
-        Ok(_) => responder.end(End::from(&Refusal::unknown(Code::OutcomeUnknown))).await,
-        Err(_) => responder.end(End::from(&Refusal::not_run(Code::PlatformDown))).await,
+    let id = ClaimId::new(&work.team, &work.service, &work.once);
+    let request = work.request.clone();
+    let bucket = bucket_of(&id);
+    node.once.tick();
+    let step = {
+        let mut slot = node.once.slots[bucket as usize].lock();
+        slot.ask(&node, id, work, &responder)
+    };
+    match step {
+        Step::Wait => node.once.wake.notify_one(),
+        Step::Replay(kept) => {
+            node.timeline.record(Event::ClaimRepeated, request, format!("bucket={bucket}"));
+            kept.send(&responder).await;
+        }
+        Step::Refuse(refusal) => responder.end(End::from(&refusal)).await,
+    }
+}
+
+impl Slot {
+    fn ask(&mut self, node: &Node, id: ClaimId, work: Work, responder: &Responder) -> Step {
+        let Some(bucket) = self.bucket.as_mut().filter(|bucket| !bucket.is_closing()) else {
+            return Step::Refuse(Refusal::not_run(Code::NotOwner));
+        };
+        if self.answers.get(&id).is_none() {
+            bucket.forget_answer(&id);
+        }
+        match bucket.ask(id, fingerprint(&work), node.dedupes(&work)) {
+            Asked::Queued if node.once.is_down() => {
+                let run = bucket.may_have_run(&id);
+                bucket.withdraw(&id);
+                Step::Refuse(refusal(Code::PlatformDown, run))
+            }
+            Asked::Queued => {
+                self.pending.insert(id, Pending { work, waiters: vec![responder.clone()] });
+                Step::Wait
+            }
+            Asked::Join => self.join(&id, responder),
+            Asked::Replay => match self.answers.get(&id) {
+                Some(kept) => Step::Replay(kept),
+                None => Step::Refuse(Refusal::unknown(Code::OutcomeUnknown)),
+            },
+            Asked::Unknown => Step::Refuse(Refusal::unknown(Code::OutcomeUnknown)),
+            Asked::Reused => Step::Refuse(Refusal::not_run(Code::IdReused)),
+        }
+    }
+
+    fn join(&mut self, id: &ClaimId, responder: &Responder) -> Step {
+        match self.pending.get_mut(id) {
+            Some(pending) => {
+                pending.waiters.push(responder.clone());
+                Step::Wait
+            }
+            None => Step::Refuse(Refusal::unknown(Code::InProgress)),
+        }
+    }
+}
+
+/// Returns the refusal of a request that this attempt did not send.
+fn refusal(code: Code, may_have_run: bool) -> Refusal {
+    let refusal = if may_have_run { Refusal::unknown(code) } else { Refusal::not_run(code) };
+    refusal.retry_after(RETRY_MS)
+}
+
+const RETRY_MS: u64 = 1_000;
+
+/// Returns the hash by which a reused id is told from a repeat.
+fn fingerprint(work: &Work) -> u64 {
+    let line = format!("{} {}\n", work.method, work.path);
+    xxh3_64(line.as_bytes()) ^ xxh3_64(&work.body).rotate_left(1)
+}
+
+/// Sends one answer to everybody who waits for it.
+async fn answer_all(waiters: Vec<Responder>, result: Result<Arc<Kept>, Refusal>) {
+    for responder in waiters {
+        match &result {
+            Ok(kept) => kept.send(&responder).await,
+            Err(refusal) => responder.end(End::from(refusal)).await,
+        }
+    }
+}
+
+impl Kept {
+    async fn send(&self, responder: &Responder) {
+        for body in [Body::Head(self.head.clone()), Body::Chunk(self.chunk.clone())] {
+            if responder.send(body).await.is_err() {
+                return;
+            }
+        }
+        responder.end(End::whole(0)).await;
+    }
+}
+
+impl Node {
+    /// Returns whether the service of a request recognizes a repeated idempotency key itself.
+    fn dedupes(&self, work: &Work) -> bool {
+        let config = self.config();
+        let service = config.as_ref().and_then(|c| c.services.get(work.service.as_str()));
+        service.is_some_and(|service| service.dedupes)
+    }
+
+    /// Returns the instance to ask about a bucket: its owner, or the one that should take it.
+    pub fn bucket_owner(&self, bucket: u32) -> Option<InstanceId> {
+        if self.once.mask() & (1 << bucket) != 0 {
+            return Some(self.settings.instance.clone());
+        }
+        self.members.bucket_owner(bucket).or_else(|| self.preferred_owner(bucket))
+    }
+
+    /// Returns the first instance in rendezvous order that can be asked and stays.
+    fn preferred_owner(&self, bucket: u32) -> Option<InstanceId> {
+        let subject = format!("once-{bucket}");
+        let list = self.list.load();
+        let stays = |id: &InstanceId| {
+            if *id == self.settings.instance {
+                return !self.drain.is_draining();
+            }
+            let beat = self.members.peer(id).map(|seen| seen.beat);
+            beat.is_some_and(|beat| !beat.leaving && !beat.cut_off) && self.reaches(id)
+        };
+        let live = list.instances.iter().filter(|i| i.state == ListedState::Live && stays(&i.id));
+        live.map(|i| &i.id).max_by_key(|id| stewardship::weight(&subject, id)).cloned()
     }
 }
--- /dev/null
+++ b/src/node/once/commit.rs
@@ -0,0 +1,257 @@
+//! Takes buckets, commits claims in groups and gives buckets back.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use prost::Message;
+use tokio::time::{sleep, timeout};
+
+use super::{answer_all, dispatch::dispatch, refusal};
+use crate::{
+    clock::Time,
+    codes::Code,
+    events::Event,
+    kernel::{
+        freshness::Freshness,
+        once::{
+            BUCKET_COUNT, Bucket, ClaimId, Commit, Committed, HeadRecord, Outcome, SegmentRecord,
+            Write, head_key, prefix, segment_key,
+        },
+    },
+    node::Node,
+    platform::{Kv, PlatformError, Put, Snapshot, Txn},
+};
+
+/// Time between two looks for buckets to take or give up.
+const LOOK_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time until a bucket that could not be taken is tried again.
+const TAKE_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Writes a second that all owners together spend on claims.
+const FLEET_WRITES: f64 = 250.0;
+
+/// Takes and keeps the buckets that belong to this node and commits what waits.
+pub async fn run(node: Arc<Node>) {
+    tokio::spawn(watch_pauses(node.clone()));
+    loop {
+        // A look without a wake-up takes buckets; a wake-up commits claims at once.
+        let _ = timeout(LOOK_PERIOD, node.once.wake.notified()).await;
+        let written = join_all((0..BUCKET_COUNT).map(|bucket| tend(&node, bucket))).await;
+        let count = written.into_iter().filter(|written| *written).count();
+        sleep(pause(&node, count)).await;
+    }
+}
+
+/// Notices that the process was paused, also while a write waits for its answer.
+async fn watch_pauses(node: Arc<Node>) {
+    loop {
+        node.once.tick();
+        sleep(LOOK_PERIOD).await;
+    }
+}
+
+/// Returns the pause after a round of writes that keeps the whole fleet within its writes.
+fn pause(node: &Node, writes: usize) -> Duration {
+    let owners = node.list.load().instances.len().clamp(1, BUCKET_COUNT as usize);
+    Duration::from_secs_f64((writes * owners) as f64 / FLEET_WRITES)
+}
+
+/// Does what is due for one bucket and returns whether that took a write.
+async fn tend(node: &Arc<Node>, bucket: u32) -> bool {
+    let due = {
+        let slot = node.once.slots[bucket as usize].lock();
+        slot.bucket.is_none() && slot.retry <= Time::now()
+    };
+    if due && should_take(node, bucket) {
+        load(node, bucket).await;
+    }
+    doubt_if_taken(node, bucket);
+    close_if_misplaced(node, bucket);
+    commit(node, bucket).await
+}
+
+fn should_take(node: &Node, bucket: u32) -> bool {
+    node.config().is_some()
+        && !node.drain.is_draining()
+        && node.freshness() == Freshness::Fresh
+        && node.preferred_owner(bucket).as_ref() == Some(&node.settings.instance)
+}
+
+/// Reads a bucket whose owner is gone; the first write then takes it.
+async fn load(node: &Node, bucket: u32) {
+    let slot = &node.once.slots[bucket as usize];
+    slot.lock().retry = Time::now() + TAKE_PERIOD;
+    let Ok(snapshot) = node.platform.range(&prefix(bucket)).await else { return };
+    match parse(bucket, snapshot) {
+        Ok((head, _)) if owner_lives(node, head.as_ref()) => {}
+        Ok((head, sealed)) => {
+            let owner = node.settings.instance.as_str();
+            let loaded = Bucket::load(owner, node.incarnation, head, sealed, Time::now());
+            slot.lock().bucket = Some(loaded);
+        }
+        Err(err) => log::error!("bucket {bucket} is unreadable: {err}"),
+    }
+}
+
+type Parsed = (Option<(HeadRecord, i64)>, BTreeMap<u64, SegmentRecord>);
+
+fn parse(bucket: u32, snapshot: Snapshot) -> Result<Parsed, prost::DecodeError> {
+    let mut head = None;
+    let mut sealed = BTreeMap::new();
+    let head_key = head_key(bucket);
+    for Kv { key, value, revision, .. } in snapshot.kvs {
+        if key == head_key {
+            head = Some((HeadRecord::parse(&value)?, revision));
+        } else if let Some(number) = key.rsplit('-').next().and_then(|n| n.parse().ok()) {
+            sealed.insert(number, SegmentRecord::decode(value.as_slice())?);
+        }
+    }
+    Ok((head, sealed))
+}
+
+fn owner_lives(node: &Node, head: Option<&(HeadRecord, i64)>) -> bool {
+    let Some((head, _)) = head else { return false };
+    let id = head.owner.as_str().into();
+    let seen = node.members.peer(&id);
+    seen.is_some_and(|seen| seen.beat.incarnation == head.incarnation && !seen.beat.cut_off)
+}
+
+/// Writes a bucket anew that a peer says it owns, which shows whose it is.
+fn doubt_if_taken(node: &Node, bucket: u32) {
+    if node.members.bucket_owner(bucket).is_none() {
+        return;
+    }
+    if let Some(bucket) = node.once.slots[bucket as usize].lock().bucket.as_mut() {
+        bucket.doubt_tenure();
+    }
+}
+
+/// Gives a bucket up that belongs to another instance by now.
+fn close_if_misplaced(node: &Node, bucket: u32) {
+    let preferred = node.preferred_owner(bucket);
+    let elsewhere = preferred.is_some_and(|preferred| preferred != node.settings.instance);
+    if !elsewhere || node.freshness() != Freshness::Fresh {
+        return;
+    }
+    let mut slot = node.once.slots[bucket as usize].lock();
+    if let Some(bucket) = slot.bucket.as_mut().filter(|bucket| bucket.is_owned()) {
+        bucket.close();
+    }
+}
+
+async fn commit(node: &Arc<Node>, bucket: u32) -> bool {
+    let next = {
+        let mut slot = node.once.slots[bucket as usize].lock();
+        slot.bucket.as_mut().map(|bucket| bucket.next_write(Time::now(), rand::random()))
+    };
+    let Some(Commit::Write(write)) = next else { return false };
+    let outcome = store(node, bucket, &write).await;
+    take_in(node, bucket, &write, outcome);
+    true
+}
+
+async fn store(node: &Node, bucket: u32, write: &Write) -> Outcome {
+    let txn = txn_of(bucket, write);
+    match node.platform.txn(&txn).await {
+        Ok(reply) if reply.done => Outcome::Done(reply.revision),
+        Ok(reply) => conflict(reply.current.first()),
+        Err(PlatformError::NotSent(_) | PlatformError::Refused(_)) => Outcome::NotSent,
+        Err(PlatformError::Unknown(_)) => read_back(node, bucket, write).await,
+    }
+}
+
+fn txn_of(bucket: u32, write: &Write) -> Txn {
+    let put = |key: String, value: Vec<u8>| Put { key, value, lease: 0 };
+    let mut puts = vec![put(head_key(bucket), write.head.encode_to_vec())];
+    if let Some((number, segment)) = &write.sealed {
+        puts.push(put(segment_key(bucket, *number), segment.encode_to_vec()));
+    }
+    let deletes = write.pruned.iter().map(|number| segment_key(bucket, *number)).collect();
+    Txn { expect: vec![(head_key(bucket), write.expected)], puts, deletes }
+}
+
+fn conflict(current: Option<&Kv>) -> Outcome {
+    let Some(kv) = current else { return Outcome::Conflict { nonce: 0, revision: 0 } };
+    let nonce = HeadRecord::parse(&kv.value).map_or(0, |head| head.nonce);
+    Outcome::Conflict { nonce, revision: kv.revision }
+}
+
+/// Resolves a lost answer by the write's own nonce.
+async fn read_back(node: &Node, bucket: u32, write: &Write) -> Outcome {
+    match node.platform.get(&head_key(bucket)).await {
+        Ok(Some(kv)) if kv.revision != write.expected => match conflict(Some(&kv)) {
+            Outcome::Conflict { nonce, revision } if nonce == write.head.nonce => {
+                Outcome::Done(revision)
+            }
+            other => other,
+        },
+        _ => Outcome::Unknown,
+    }
+}
+
+fn take_in(node: &Arc<Node>, index: u32, write: &Write, outcome: Outcome) {
+    let mut slot = node.once.slots[index as usize].lock();
+    let Some(bucket) = slot.bucket.as_mut() else { return };
+    let was_owned = bucket.is_owned();
+    let committed = bucket.committed(write, outcome, Time::now());
+    let closed = bucket.is_closing() && matches!(outcome, Outcome::Done(_));
+    if !was_owned && bucket.is_owned() {
+        node.timeline.record(Event::BucketTaken, format!("bucket-{index}"), "");
+    }
+    drop(slot);
+    match committed {
+        Committed::Dispatch(ids) => ids.into_iter().for_each(|id| start(node, index, id)),
+        Committed::Again => node.once.wake.notify_one(),
+        Committed::Refuse(ids) => {
+            node.once.note_down();
+            refuse(node, index, &ids, Code::PlatformDown);
+        }
+        Committed::Dropped(ids) => {
+            refuse(node, index, &ids, Code::NotOwner);
+            discard(node, index);
+        }
+    }
+    if closed {
+        discard(node, index);
+    }
+}
+
+fn start(node: &Arc<Node>, index: u32, id: ClaimId) {
+    let slot = node.once.slots[index as usize].lock();
+    let Some(pending) = slot.pending.get(&id) else { return };
+    let work = pending.work.clone();
+    drop(slot);
+    node.timeline.record(Event::ClaimCommitted, &*work.request, format!("bucket={index}"));
+    tokio::spawn(dispatch(node.clone(), index, id, work));
+}
+
+fn refuse(node: &Node, index: u32, ids: &[ClaimId], code: Code) {
+    let mut slot = node.once.slots[index as usize].lock();
+    for id in ids {
+        let may_have_run = slot.bucket.as_ref().is_some_and(|bucket| bucket.may_have_run(id));
+        let Some(pending) = slot.pending.remove(id) else { continue };
+        tokio::spawn(answer_all(pending.waiters, Err(refusal(code, may_have_run))));
+    }
+}
+
+/// Forgets a bucket that belongs to another owner; what runs still ends and is answered.
+fn discard(node: &Node, index: u32) {
+    let mut slot = node.once.slots[index as usize].lock();
+    slot.bucket = None;
+    slot.answers = Default::default();
+    slot.retry = Time::now() + TAKE_PERIOD;
+}
+
+/// Gives every bucket back before the process ends.
+pub async fn hand_over(node: &Arc<Node>) {
+    for bucket in 0..BUCKET_COUNT {
+        let closing = {
+            let mut slot = node.once.slots[bucket as usize].lock();
+            slot.bucket.as_mut().is_some_and(|bucket| bucket.is_owned() && bucket.close())
+        };
+        if closing {
+            commit(node, bucket).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/node/once/dispatch.rs
@@ -0,0 +1,84 @@
+//! Sends a claimed request to an endpoint and keeps its answer.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::time::timeout;
+
+use super::{answer_all, answers::Kept};
+use crate::{
+    codes::{Code, Refusal, Run},
+    events::Event,
+    kernel::once::{ClaimId, Finished},
+    node::{Node, chat::gather, services::choose},
+    wire::{AskBody, Body, Chunk, Head, Work},
+};
+
+/// Endpoints that are tried while each is certain not to have received the request.
+const MAX_TRIES: usize = 3;
+
+/// Dispatches a request, takes in how it ended and answers everybody who waits.
+pub async fn dispatch(node: Arc<Node>, index: u32, id: ClaimId, work: Work) {
+    let _running = node.drain.enter();
+    let request = work.request.clone();
+    let limit = Duration::from_millis(work.left_ms);
+    let result = timeout(limit, send(&node, work)).await;
+    let result = result.unwrap_or(Err(Refusal::unknown(Code::OutcomeUnknown))).map(Arc::new);
+    let waiters = finish(&node, index, id, &result);
+    if result.as_ref().is_err_and(|refusal| refusal.run == Run::NotRun) {
+        node.timeline.record(Event::ClaimReleased, request, format!("bucket={index}"));
+        node.once.wake.notify_one();
+    }
+    answer_all(waiters, result).await;
+}
+
+fn finish(
+    node: &Node,
+    index: u32,
+    id: ClaimId,
+    result: &Result<Arc<Kept>, Refusal>,
+) -> Vec<crate::node::exchange::Responder> {
+    let mut slot = node.once.slots[index as usize].lock();
+    if let Ok(kept) = result {
+        slot.answers.keep(id, kept.clone());
+    }
+    let finished = match result {
+        Ok(_) => Finished::Answered,
+        Err(refusal) if refusal.run == Run::NotRun => Finished::NotSent,
+        Err(_) => Finished::Unknown,
+    };
+    if let Some(bucket) = slot.bucket.as_mut() {
+        bucket.finished(&id, finished);
+    }
+    slot.pending.remove(&id).map(|pending| pending.waiters).unwrap_or_default()
+}
+
+/// Tries endpoints until one may have received the request.
+async fn send(node: &Arc<Node>, work: Work) -> Result<Kept, Refusal> {
+    let mut refusal = Refusal::not_run(Code::NoEndpoint).retry_after(500);
+    for _ in 0..MAX_TRIES {
+        match attempt(node, &work).await {
+            Err(err) if err.run == Run::NotRun => refusal = err,
+            other => return other,
+        }
+    }
+    Err(refusal)
+}
+
+async fn attempt(node: &Arc<Node>, work: &Work) -> Result<Kept, Refusal> {
+    let none = Refusal::not_run(Code::NoEndpoint).retry_after(500);
+    let config = node.config().ok_or(none.clone())?;
+    let spec = config.services.get(work.service.as_str()).ok_or(none.clone())?;
+    let copy = choose(node, &config, spec).ok_or(none)?;
+    let work = Work { endpoint: copy.endpoint.to_string(), ..work.clone() };
+    let mut exchange = node.open(&copy.steward, AskBody::Work(work)).await?;
+    let head: Head = match exchange.next().await {
+        Some(Body::Head(head)) => head,
+        Some(Body::End(end)) => {
+            return Err(end.refusal().unwrap_or(Refusal::unknown(Code::OutcomeUnknown)));
+        }
+        _ => return Err(Refusal::unknown(Code::OutcomeUnknown)),
+    };
+    // The endpoint has answered, so whatever fails from here on leaves the outcome unknown.
+    let data = gather(exchange).await.map_err(|_| Refusal::unknown(Code::OutcomeUnknown))?;
+    Ok(Kept { head, chunk: Chunk { data, events: 0 } })
+}
--- a/src/node/services.rs
+++ b/src/node/services.rs
@@ -1,9 +1,10 @@
 //! Requests to plain services at the entry.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use http::HeaderMap;
 use rand::seq::IndexedRandom;
+use tokio::time::sleep;
 use volo_http::{request::Request, response::Response};
 
 use super::{
@@ -12,18 +13,34 @@
     chat::{gather, receive, with_head},
 };
 use crate::{
-    codes::{Code, Refusal},
+    clock::Time,
+    codes::{Code, Refusal, Run},
     config::{Config, Repeat, RouteSpec, ServiceSpec},
     endpoint::ONCE_HEADER,
     events::Event,
-    kernel::routing::Copy,
-    names::{RequestId, Service},
+    kernel::{
+        once::{ClaimId, bucket_of},
+        routing::Copy,
+    },
+    names::{InstanceId, RequestId, Service},
     wire::{AskBody, Body, Work},
 };
 
 /// Longest idempotency key in bytes.
 const ONCE_LIMIT: usize = 200;
 
+/// Endpoints that are tried for one request that may be repeated.
+const MAX_TRIES: usize = 3;
+
+/// Longest search for the owner of a bucket.
+const OWNER_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time between two asks during that search.
+const OWNER_PERIOD: Duration = Duration::from_millis(50);
+
+/// Time after which a caller may repeat a request whose outcome is unknown, in milliseconds.
+const RETRY_MS: u64 = 1_000;
+
 /// Serves a request to a plain service.
 pub async fn call(node: &Arc<Node>, id: RequestId, request: Request) -> Result<Response, Refusal> {
     let (parts, body) = request.into_parts();
@@ -47,7 +64,11 @@
         once,
         ..admitted.work(&parts.headers)
     };
-    serve(node, admitted, &spec, work).await
+    if work.once.is_empty() {
+        serve(node, admitted, &spec, work).await
+    } else {
+        serve_once(node, admitted, work).await
+    }
 }
 
 fn split(path: &str) -> (&str, &str) {
@@ -67,33 +88,104 @@
     Ok(text.to_owned())
 }
 
+/// Sends a request that may be repeated to an endpoint, and to another one when that fails.
 async fn serve(
     node: &Arc<Node>,
     mut admitted: Admitted,
     spec: &ServiceSpec,
     work: Work,
 ) -> Result<Response, Refusal> {
-    let copy = choose(node, &admitted.caller.config, spec)
-        .ok_or(Refusal::not_run(Code::NoEndpoint).retry_after(500))?;
-    let work = Work { endpoint: copy.endpoint.to_string(), ..work };
-    let request = work.request.clone();
-    let request_tokens = work.tokens;
-    let ask = if work.once.is_empty() { AskBody::Work(work) } else { AskBody::Once(work) };
-    let mut exchange = node.open(&copy.steward, ask).await?;
+    let mut refusal = Refusal::not_run(Code::NoEndpoint).retry_after(500);
+    let mut unknown = false;
+    let tokens = work.tokens;
+    node.retries.lock().first_try();
+    for attempt in 0..MAX_TRIES {
+        if attempt > 0 && !node.retries.lock().take() {
+            break;
+        }
+        let Some(copy) = choose(node, &admitted.caller.config, spec) else { break };
+        let work = Work { endpoint: copy.endpoint.to_string(), ..work.clone() };
+        match exchange(node, &copy.steward, AskBody::Work(work)).await {
+            Ok(answer) => {
+                admitted.charge.settle(tokens);
+                node.timeline.record(Event::RequestCompleted, admitted.caller.request.as_str(), "");
+                return Ok(answer);
+            }
+            Err(err) => {
+                unknown |= err.run == Run::Unknown;
+                refusal = err;
+            }
+        }
+    }
+    Err(if unknown { Refusal { run: Run::Unknown, ..refusal } } else { refusal })
+}
+
+/// Sends a non-repeatable request to the owner of its bucket until one knows the outcome.
+///
+/// Asking again is safe: the owner recognizes the id.
+async fn serve_once(
+    node: &Arc<Node>,
+    mut admitted: Admitted,
+    work: Work,
+) -> Result<Response, Refusal> {
+    let id = ClaimId::new(&work.team, &work.service, &work.once);
+    let until = admitted.deadline().min(Time::now() + OWNER_LIMIT);
+    let mut lost = false;
+    loop {
+        let refusal = match ask_owner(node, bucket_of(&id), &work).await {
+            Ok(answer) => {
+                admitted.charge.settle(work.tokens);
+                node.timeline.record(Event::RequestCompleted, work.request, "");
+                return Ok(answer);
+            }
+            Err(refusal) => refusal,
+        };
+        lost |= refusal.run == Run::Unknown;
+        match after(&refusal, Time::now() + OWNER_PERIOD < until) {
+            Next::Retry => sleep(OWNER_PERIOD).await,
+            Next::Unknown => return Err(Refusal::unknown(refusal.code).retry_after(RETRY_MS)),
+            Next::Return if lost => return Err(Refusal { run: Run::Unknown, ..refusal }),
+            Next::Return => return Err(refusal),
+        }
+    }
+}
+
+/// What to do after the owner of a bucket refused or was lost.
+enum Next {
+    Retry,
+    Return,
+    Unknown,
+}
+
+fn after(refusal: &Refusal, in_time: bool) -> Next {
+    match refusal.code {
+        Code::NotOwner | Code::PeerUnreachable if in_time => Next::Retry,
+        // Without an owner nobody knows whether the id ran before.
+        Code::NotOwner | Code::PeerUnreachable => Next::Unknown,
+        _ => Next::Return,
+    }
+}
+
+async fn ask_owner(node: &Arc<Node>, bucket: u32, work: &Work) -> Result<Response, Refusal> {
+    let owner = node.bucket_owner(bucket).ok_or(Refusal::not_run(Code::NotOwner))?;
+    exchange(node, &owner, AskBody::Once(work.clone())).await
+}
+
+async fn exchange(node: &Arc<Node>, peer: &InstanceId, ask: AskBody) -> Result<Response, Refusal> {
+    let mut exchange = node.open(peer, ask).await?;
     let head = match exchange.next().await {
         Some(Body::Head(head)) => head,
         Some(Body::End(end)) => {
             return Err(end.refusal().unwrap_or(Refusal::unknown(Code::Internal)));
         }
-        _ => return Err(Refusal::unknown(Code::OutcomeUnknown)),
+        _ => return Err(Refusal::unknown(Code::PeerUnreachable)),
     };
     let body = gather(exchange).await?;
-    admitted.charge.settle(request_tokens);
-    node.timeline.record(Event::RequestCompleted, request, "");
     Ok(with_head(&head, body.into()))
 }
 
-fn choose(node: &Node, config: &Config, spec: &ServiceSpec) -> Option<Arc<Copy>> {
+/// Chooses an endpoint of a service.
+pub fn choose(node: &Node, config: &Config, spec: &ServiceSpec) -> Option<Arc<Copy>> {
     let directory = node.directory.read();
     let usable = |copy: &&Arc<Copy>| config.is_in(&copy.data_centre) && node.reaches(&copy.steward);
     let copies: Vec<_> = directory.pool(&spec.pool).iter().filter(usable).collect();
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -89,6 +89,9 @@
     /// Number of this heartbeat.
     #[prost(uint64, tag = "8")]
     pub number: u64,
+    /// Buckets of ids that the sender owns, as a bit mask.
+    #[prost(fixed32, tag = "9")]
+    pub buckets: u32,
 }
 
 /// What an instance stewards.
