Dispatch by slack within each team's entitlement

Cause: the queue scanned all requests per pop and served by earliest due time, so a flooding team, whose requests are always the most overdue, took every place. The queue now keeps one lane per team, sorted by arrival, target and deadline; a pop costs a logarithm plus one step per team. A team above its entitlement (by rate, over a decayed window) gets only places nobody else wants; background and late requests keep a part.

Ruled out: worst-served-first alone, since it prefers the flooding team.

The directory is indexed incrementally, so a digest costs its own endpoints and not the fleet's. Routing prefers a prefix's home copy or a resident adapter within a bound of excess load.

Seen to fail: with the entitlement check off slack_flood_bounded, with the background part and lead at zero slack_background_ends_by_deadline, with fences ignored directory_index_matches_digests, with no bound on the excess two_choices_prefers_resident_adapter.

--- a/src/kernel/dispatch.rs
+++ b/src/kernel/dispatch.rs
@@ -1,12 +1,22 @@
 //! The queue of one endpoint and the order in which it is served.
 
-use std::time::Duration;
+mod fifo;
+mod queue;
+mod slack;
+mod standing;
 
 use crate::{
     clock::Time,
     names::{Class, Team},
 };
 
+pub use self::{
+    fifo::Fifo,
+    queue::{QUEUE_LIMIT, Queue},
+    slack::{BACKGROUND_LEAD, BACKGROUND_PART, LATE_PART, Slack},
+    standing::Standing,
+};
+
 /// What the order of dispatch depends on.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ticket {
@@ -24,87 +34,54 @@
     pub background: bool,
     /// Tokens of prompt and answer.
     pub tokens: u64,
+    /// Part of the class's requests that must meet the target, from 0 to 1.
+    pub part: f64,
+    /// Tokens a second to which the team is entitled.
+    pub rate: u64,
 }
 
-/// Requests that wait for one endpoint.
+/// One team's requests that compete for the next free place.
 #[derive(Debug)]
-pub struct Queue<T> {
-    waiting: Vec<(Ticket, T)>,
-    limit: usize,
+pub struct Lane<'a> {
+    /// Whether these requests may wait while others are served.
+    pub background: bool,
+    /// The request that arrived first.
+    pub oldest: &'a Ticket,
+    /// The request with the earliest target that can still be met.
+    pub urgent: Option<&'a Ticket>,
+    /// The request with the earliest deadline among background work or those that missed their
+    /// target.
+    pub late: Option<&'a Ticket>,
+    /// How far the team is below the target of its classes, from 0 to 1.
+    pub shortfall: f64,
+    /// The team's recent work divided by what its rate entitles it to.
+    pub used: f64,
 }
 
-/// Longest queue of one team at one endpoint.
-pub const QUEUE_LIMIT: usize = 256;
-
-impl<T> Default for Queue<T> {
-    fn default() -> Self {
-        Self { waiting: Vec::new(), limit: QUEUE_LIMIT }
-    }
+/// Everything that competes for the next free place.
+#[derive(Debug)]
+pub struct Contest<'a> {
+    /// Each team's requests; never empty.
+    pub lanes: Vec<Lane<'a>>,
+    /// Part of the recent work that was background work, from 0 to 1.
+    pub background: f64,
+    /// Part of the recent work that had already missed its target, from 0 to 1.
+    pub late: f64,
 }
 
-impl<T> Queue<T> {
-    /// Adds a request, or returns it when its team's part of the queue is full.
-    pub fn push(&mut self, ticket: Ticket, item: T) -> Result<(), T> {
-        let same = self.waiting.iter().filter(|(other, _)| other.team == ticket.team).count();
-        if same >= self.limit {
-            return Err(item);
-        }
-        self.waiting.push((ticket, item));
-        Ok(())
-    }
-
-    /// Takes the request that a policy puts first.
-    pub fn pop(&mut self, policy: &dyn DispatchPolicy, now: Time) -> Option<(Ticket, T)> {
-        let best = (0..self.waiting.len()).min_by_key(|i| policy.rank(&self.waiting[*i].0, now))?;
-        Some(self.waiting.remove(best))
-    }
-
-    /// Removes and returns the requests whose deadline has passed.
-    pub fn expired(&mut self, now: Time) -> Vec<T> {
-        let late = |(ticket, _): &mut (Ticket, T)| ticket.deadline <= now;
-        self.waiting.extract_if(.., late).map(|(_, item)| item).collect()
-    }
-
-    /// Returns the number of waiting requests.
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
-    /// Returns whether nothing waits.
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-    }
+/// Which request of a lane goes next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pick {
+    /// The one that arrived first.
+    Oldest(usize),
+    /// The one with the earliest target that can still be met.
+    Urgent(usize),
+    /// The one with the earliest deadline among background work or those that missed their target.
+    Late(usize),
 }
 
-/// Order in which waiting requests are served; the lowest rank goes first.
+/// Order in which waiting requests are served.
 pub trait DispatchPolicy: Send + Sync {
-    /// Returns the rank of a waiting request in microseconds.
-    fn rank(&self, ticket: &Ticket, now: Time) -> i64;
+    /// Returns which request goes next, with the position of its lane.
+    fn pick(&self, contest: &Contest<'_>, now: Time) -> Pick;
 }
-
-/// Serves by slack to the first token's target, background work by slack to its deadline.
-#[derive(Debug)]
-pub struct Slack;
-
-impl DispatchPolicy for Slack {
-    fn rank(&self, ticket: &Ticket, _: Time) -> i64 {
-        let due = if ticket.background { ticket.deadline - BACKGROUND_LEAD } else { ticket.due };
-        due.0 as i64
-    }
-}
-
-/// Time before its deadline at which background work competes with all other work.
-const BACKGROUND_LEAD: Duration = Duration::from_secs(30);
-
-/// Serves in the order of arrival.
-#[derive(Debug)]
-pub struct Fifo;
-
-impl DispatchPolicy for Fifo {
-    fn rank(&self, ticket: &Ticket, _: Time) -> i64 {
-        ticket.arrived.0 as i64
-    }
-}
-
-inventory::submit! { super::registry::DispatchPlugin { name: "slack", policy: &Slack } }
-inventory::submit! { super::registry::DispatchPlugin { name: "fifo", policy: &Fifo } }
--- /dev/null
+++ b/src/kernel/routing/directory.rs
@@ -0,0 +1,165 @@
+//! What all stewards said of their endpoints, indexed by model and by pool.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+};
+
+use super::Copy;
+use crate::{
+    names::{EndpointId, InstanceId, Model, Pool},
+    wire::{Digest, EndpointDigest},
+};
+
+/// What all stewards said of their endpoints.
+///
+/// A digest changes only the entries of its own endpoints, so that its cost does not grow with
+/// the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    digests: BTreeMap<InstanceId, Digest>,
+    claims: HashMap<EndpointId, Vec<Claim>>,
+    models: HashMap<Model, Vec<Arc<Copy>>>,
+    pools: HashMap<Pool, Vec<Arc<Copy>>>,
+}
+
+/// What one instance says of an endpoint.
+#[derive(Clone, Debug)]
+struct Claim {
+    copy: Arc<Copy>,
+    models: Vec<Model>,
+}
+
+impl Directory {
+    /// Takes a digest in unless it is older than the known one, and returns whether it was taken.
+    pub fn update(&mut self, digest: Digest) -> bool {
+        let id = InstanceId::from(digest.instance.as_str());
+        if self.digests.get(&id).is_some_and(|known| is_newer(known, &digest)) {
+            return false;
+        }
+        let named: HashSet<&str> = digest.endpoints.iter().map(|e| e.endpoint.as_str()).collect();
+        let before = self.digests.remove(&id);
+        let gone = before.iter().flat_map(|digest| &digest.endpoints);
+        for endpoint in gone.filter(|endpoint| !named.contains(endpoint.endpoint.as_str())) {
+            self.replace(&endpoint.endpoint.as_str().into(), &id, None);
+        }
+        for endpoint in &digest.endpoints {
+            let claim = claim_of(endpoint, id.clone());
+            self.replace(&endpoint.endpoint.as_str().into(), &id, Some(claim));
+        }
+        self.digests.insert(id, digest);
+        true
+    }
+
+    /// Forgets what an instance said.
+    pub fn forget(&mut self, instance: &InstanceId) {
+        let Some(digest) = self.digests.remove(instance) else { return };
+        for endpoint in &digest.endpoints {
+            self.replace(&endpoint.endpoint.as_str().into(), instance, None);
+        }
+    }
+
+    /// Returns all digests.
+    pub fn digests(&self) -> impl Iterator<Item = &Digest> {
+        self.digests.values()
+    }
+
+    /// Returns the copies of a model in the order of their endpoints.
+    pub fn copies(&self, model: &Model) -> &[Arc<Copy>] {
+        self.models.get(model).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the endpoints of a pool in their order.
+    pub fn pool(&self, pool: &Pool) -> &[Arc<Copy>] {
+        self.pools.get(pool).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the number of endpoints.
+    pub fn len(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Returns whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.claims.is_empty()
+    }
+
+    /// Replaces what one instance says of an endpoint and indexes the newest tenure's claim.
+    fn replace(&mut self, endpoint: &EndpointId, instance: &InstanceId, claim: Option<Claim>) {
+        let mut claims = self.claims.remove(endpoint).unwrap_or_default();
+        let before = newest(&claims).cloned();
+        claims.retain(|known| known.copy.steward != *instance);
+        claims.extend(claim);
+        let after = newest(&claims).cloned();
+        self.index(endpoint, before, after);
+        if !claims.is_empty() {
+            self.claims.insert(endpoint.clone(), claims);
+        }
+    }
+
+    fn index(&mut self, endpoint: &EndpointId, before: Option<Claim>, after: Option<Claim>) {
+        let models = |claim: &Option<Claim>| {
+            claim.as_ref().map(|claim| claim.models.clone()).unwrap_or_default()
+        };
+        let kept = models(&after);
+        for model in models(&before).iter().filter(|model| !kept.contains(model)) {
+            remove(&mut self.models, model, endpoint);
+        }
+        let pool = after.as_ref().map(|claim| &claim.copy.pool);
+        if let Some(before) = before.filter(|before| Some(&before.copy.pool) != pool) {
+            remove(&mut self.pools, &before.copy.pool, endpoint);
+        }
+        if let Some(after) = after {
+            for model in after.models {
+                insert(self.models.entry(model).or_default(), after.copy.clone());
+            }
+            insert(self.pools.entry(after.copy.pool.clone()).or_default(), after.copy);
+        }
+    }
+}
+
+fn is_newer(known: &Digest, digest: &Digest) -> bool {
+    known.incarnation == digest.incarnation && known.number >= digest.number
+}
+
+/// Returns the claim of the steward with the highest fencing number.
+fn newest(claims: &[Claim]) -> Option<&Claim> {
+    claims.iter().max_by_key(|claim| (claim.copy.fence, &claim.copy.steward))
+}
+
+fn insert(copies: &mut Vec<Arc<Copy>>, copy: Arc<Copy>) {
+    match copies.binary_search_by(|known| known.endpoint.cmp(&copy.endpoint)) {
+        Ok(position) => copies[position] = copy,
+        Err(position) => copies.insert(position, copy),
+    }
+}
+
+fn remove<K: std::hash::Hash + Eq>(
+    index: &mut HashMap<K, Vec<Arc<Copy>>>,
+    key: &K,
+    endpoint: &EndpointId,
+) {
+    let Some(copies) = index.get_mut(key) else { return };
+    if let Ok(position) = copies.binary_search_by(|known| known.endpoint.cmp(endpoint)) {
+        copies.remove(position);
+    }
+    if copies.is_empty() {
+        index.remove(key);
+    }
+}
+
+fn claim_of(digest: &EndpointDigest, steward: InstanceId) -> Claim {
+    let copy = Copy {
+        endpoint: digest.endpoint.as_str().into(),
+        steward,
+        data_centre: digest.data_centre.as_str().into(),
+        pool: digest.pool.as_str().into(),
+        fence: digest.fence,
+        running: digest.running,
+        queued: digest.queued,
+        limit: digest.limit,
+        adapters: digest.adapters.iter().map(|name| name.as_str().into()).collect(),
+    };
+    let models = digest.models.iter().map(|name| name.as_str().into()).collect();
+    Claim { copy: Arc::new(copy), models }
+}
--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -154,7 +154,9 @@
     if copies.is_empty() {
         return None;
     }
-    let wish = Wish { prefix: work.prefix, adapter: None, draw: rand::random() };
+    let adapter = (!work.adapter.is_empty()).then(|| work.adapter.as_str().into());
+    let turn = node.requests.load(std::sync::atomic::Ordering::Relaxed);
+    let wish = Wish { prefix: work.prefix, adapter, draw: rand::random(), turn };
     let policy = registry::routing(policy).unwrap_or(&TwoChoices);
     let refs: Vec<&Copy> = copies.iter().map(AsRef::as_ref).collect();
     let chosen = policy.choose(&refs, &wish);
--- a/src/node/steward.rs
+++ b/src/node/steward.rs
@@ -95,6 +95,7 @@
     let deadline = now + Duration::from_millis(work.left_ms);
     let config = node.config();
     let target = config.as_ref().and_then(|c| c.classes.get(work.class.as_str()));
+    let team = config.as_ref().and_then(|c| c.teams.get(work.team.as_str()));
     Ticket {
         team: work.team.as_str().into(),
         class: work.class.as_str().into(),
@@ -103,6 +104,8 @@
         deadline,
         background: target.is_some_and(|target| target.background),
         tokens: work.tokens,
+        part: target.map_or(0.0, |target| target.part),
+        rate: team.map_or(0, |team| team.rate),
     }
 }
 
