Rest stewardship on one lease per instance and carry orders out

Each node holds one lease with its incarnation attached; endpoint records persist and are taken by compare-and-swap that also expects the own lease present and the former holder's absent. Leases and records are followed by one read and two watches, so that a claim costs one transaction. A steward whose lease may have lapsed orders nothing, and dispatches on only while the service is down for everybody.

An order is recorded before it is sent and stays recorded until no copy of it can land and a report after a later answer shows what it did. An unload reads the plan after its intent was recorded, and is dropped where the endpoint is the model's keeper or none is named.

--- a/src/kernel/stewardship/claim.rs
+++ b/src/kernel/stewardship/claim.rs
@@ -12,7 +12,8 @@
 /// stopped to dispatch.
 pub const TAKE_GRACE: Duration = Duration::from_secs(4);
 
-/// Time after which a vacant endpoint goes to the preferred of the instances with a lease.
+/// Time for which an endpoint that was never taken is left to the preferred listed instance, which
+/// may be about to start.
 pub const SETTLE_PERIOD: Duration = Duration::from_secs(3);
 
 /// Time by which each further instance in the order of preference waits longer.
@@ -35,7 +36,9 @@
 pub enum Vacancy {
     /// Its steward holds a lease.
     Held,
-    /// It was never taken, or it was handed over.
+    /// It was never taken.
+    New,
+    /// It was handed over.
     Free,
     /// Its steward's lease is gone.
     Lapsed(InstanceId),
@@ -43,7 +46,7 @@
 
 /// Judges whether an endpoint has a steward.
 pub fn vacancy(record: Option<&EndpointRecord>, leases: &Leases) -> Vacancy {
-    let Some(record) = record else { return Vacancy::Free };
+    let Some(record) = record else { return Vacancy::New };
     let Some(holder) = &record.holder else { return Vacancy::Free };
     match leases.get(holder) {
         Some(lease) if lease.incarnation == record.incarnation => Vacancy::Held,
@@ -81,22 +84,20 @@
 
 /// Decides whether an instance takes an endpoint.
 pub fn claim(bid: &Bid) -> Claim {
+    let first = bid.ranked.first() == Some(bid.own);
     let grace = match bid.vacancy {
         Vacancy::Held => return Claim::Leave,
+        Vacancy::New if first => Duration::ZERO,
+        Vacancy::New => SETTLE_PERIOD,
         Vacancy::Free => Duration::ZERO,
         Vacancy::Lapsed(_) => TAKE_GRACE,
     };
-    if !bid.leased || bid.freshness != Freshness::Fresh || bid.vacant < grace {
+    if !bid.leased || bid.freshness != Freshness::Fresh || !bid.ranked.contains(bid.own) {
         return Claim::Leave;
     }
-    let since = bid.vacant - grace;
-    if bid.ranked.first() == Some(bid.own) {
-        return Claim::Take;
-    }
     let leased = bid.ranked.iter().filter(|id| bid.leases.contains_key(*id));
     let position = leased.take_while(|id| *id != bid.own).count() as u32;
-    let known = bid.ranked.contains(bid.own);
-    let due = known && since >= SETTLE_PERIOD + RANK_PERIOD * position;
+    let due = bid.vacant >= grace + RANK_PERIOD * position;
     if due { Claim::Take } else { Claim::Leave }
 }
 
@@ -142,9 +143,10 @@
     if !holding.listed {
         return if holding.idle { Keep::HandOver } else { Keep::Drain };
     }
-    let mut leased = holding.ranked.iter().filter(|id| holding.leases.contains_key(*id));
-    let preferred = leased.next().is_none_or(|first| first == holding.own);
-    if preferred || !holding.idle { Keep::Keep } else { Keep::HandOver }
+    let first = holding.ranked.first();
+    let better =
+        first.is_some_and(|first| first != holding.own && holding.leases.contains_key(first));
+    if better && holding.idle { Keep::HandOver } else { Keep::Keep }
 }
 
 /// Returns whether a record shows that another tenure began since this one.
--- a/src/node.rs
+++ b/src/node.rs
@@ -6,6 +6,7 @@
 mod digests;
 mod drain;
 mod exchange;
+mod lease;
 mod list_sync;
 mod members;
 mod once;
@@ -47,6 +48,7 @@
     list: ArcSwap<InstanceList>,
     directory: RwLock<Directory>,
     members: members::Members,
+    lease: lease::InstanceLease,
     peers: peers::Peers,
     shares: shares::Shares,
     stewards: steward::Stewards,
@@ -91,6 +93,7 @@
             list: ArcSwap::default(),
             directory: RwLock::default(),
             members: members::Members::default(),
+            lease: lease::InstanceLease::default(),
             peers: peers::Peers::default(),
             shares: shares::Shares::default(),
             stewards: steward::Stewards::default(),
--- a/src/node/lease.rs
+++ b/src/node/lease.rs
@@ -89,7 +89,8 @@
         }
         failing = outcome.is_err();
         let period = if failing { RETRY_PERIOD } else { RENEW_PERIOD };
-        sleep(period.mul_f64(rand::rng().random_range(0.8..1.0))).await;
+        let period = period.mul_f64(rand::rng().random_range(0.8..1.0));
+        sleep(period).await;
     }
 }
 
--- a/src/node/steward.rs
+++ b/src/node/steward.rs
@@ -3,14 +3,23 @@
 mod digest;
 mod duty;
 mod orders;
+mod registry;
 mod reports;
 mod run;
+mod write;
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use self::run::run_work;
 pub use self::{
-    duty::{hand_over, run},
+    duty::{hand_over, run, verify},
     orders::carry_out,
 };
 use super::{Node, exchange::Responder};
@@ -21,8 +30,9 @@
     endpoint::{EndpointClient, Report},
     kernel::{
         dispatch::{Queue, Ticket},
-        ledger::EndpointRecord,
-        registry,
+        ledger::{EndpointRecord, Ledger},
+        registry as policies,
+        stewardship::Duty,
         warmup::Warmth,
     },
     names::{EndpointId, Model},
@@ -35,6 +45,15 @@
 #[derive(Default)]
 pub struct Stewards {
     endpoints: Shards<EndpointId, Stewarded>,
+    registry: registry::Registry,
+    leaving: AtomicBool,
+}
+
+impl Stewards {
+    /// Returns whether this node gives its endpoints away and takes none.
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
 }
 
 /// One endpoint.
@@ -48,6 +67,11 @@
     running: u32,
     warmth: Warmth,
     report: Option<Report>,
+    ledger: Ledger,
+    /// Whether new work is taken.
+    accepting: bool,
+    /// Models of the requests that run, by request id.
+    active: HashMap<String, Model>,
 }
 
 /// A request that waits for its endpoint.
@@ -57,10 +81,17 @@
 }
 
 impl Stewarded {
-    /// Returns the models that may be dispatched to.
-    fn models(&self) -> BTreeSet<Model> {
-        let residents = self.report.iter().flat_map(|report| &report.residents);
-        residents.filter(|r| r.adapter.is_none()).map(|r| r.model.clone()).collect()
+    /// Returns whether a request may be sent to the endpoint.
+    fn admits(&self, work: &Work) -> bool {
+        let resident = || self.ledger.dispatchable().any(|model| model.as_str() == work.model);
+        self.accepting && (work.model.is_empty() || resident())
+    }
+}
+
+/// Refuses what waits, so that the entry instances ask another steward at once.
+fn refuse_queue(stewarded: &mut Stewarded) {
+    for waiting in stewarded.queue.expired(Time(u64::MAX)) {
+        refuse(waiting.responder, Refusal::not_run(Code::NotSteward).retry_after(RETRY_MS));
     }
 }
 
@@ -112,6 +143,7 @@
 /// What to do next at an endpoint.
 enum Next {
     Run(Ticket, Waiting, Arc<EndpointClient>),
+    Again,
     Nothing,
 }
 
@@ -123,6 +155,7 @@
             Some(Next::Run(ticket, waiting, client)) => {
                 tokio::spawn(run_work(node.clone(), endpoint.clone(), ticket, waiting, client));
             }
+            Some(Next::Again) => {}
             Some(Next::Nothing) | None => return,
         }
     }
@@ -133,14 +166,20 @@
     for late in stewarded.queue.expired(now) {
         refuse(late.responder, Refusal::not_run(Code::DeadlinePassed));
     }
-    if stewarded.running >= stewarded.warmth.limit() {
+    if stewarded.running >= stewarded.warmth.limit() || node.duty() == Duty::Stop {
         return Next::Nothing;
     }
     let name = node.config().map(|config| config.policy.dispatch.clone()).unwrap_or_default();
-    let policy = registry::dispatch(&name).unwrap_or(&crate::kernel::dispatch::Fifo);
+    let policy = policies::dispatch(&name).unwrap_or(&crate::kernel::dispatch::Fifo);
     match stewarded.queue.pop(policy, now) {
+        Some((_, waiting)) if !stewarded.admits(&waiting.work) => {
+            refuse(waiting.responder, Refusal::not_run(Code::NoEndpoint).retry_after(RETRY_MS));
+            Next::Again
+        }
         Some((ticket, waiting)) => {
             stewarded.running += 1;
+            let model = waiting.work.model.as_str().into();
+            stewarded.active.insert(waiting.work.request.clone(), model);
             Next::Run(ticket, waiting, stewarded.client.clone())
         }
         None => Next::Nothing,
--- a/src/node/steward/digest.rs
+++ b/src/node/steward/digest.rs
@@ -4,10 +4,14 @@
 use crate::wire::EndpointDigest;
 
 impl Stewards {
-    /// Describes every endpoint.
+    /// Describes every endpoint that takes work.
     pub fn digests(&self) -> Vec<EndpointDigest> {
         let mut digests = Vec::new();
-        self.endpoints.for_each(|_, stewarded| digests.push(stewarded.digest()));
+        self.endpoints.for_each(|_, stewarded| {
+            if stewarded.accepting {
+                digests.push(stewarded.digest());
+            }
+        });
         digests
     }
 }
@@ -21,13 +25,13 @@
             fence: self.record.fence,
             pool: self.listed.pool.to_string(),
             data_centre: self.listed.data_centre.to_string(),
-            models: self.models().iter().map(ToString::to_string).collect(),
+            models: self.ledger.dispatchable().map(ToString::to_string).collect(),
             running: self.running,
             queued: self.queue.len() as u32,
             limit: self.warmth.limit(),
             adapters: adapters.collect(),
-            loading: Vec::new(),
-            free: 0,
+            loading: self.ledger.loading().map(ToString::to_string).collect(),
+            free: self.ledger.free(),
         }
     }
 }
--- a/src/node/steward/duty.rs
+++ b/src/node/steward/duty.rs
@@ -1,49 +1,135 @@
 //! Takes, keeps and hands over stewardships.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
+use rand::RngExt;
 use tokio::time::sleep;
 
-use super::{Stewarded, reports::read_reports};
+use super::{Stewarded, registry, registry::Versioned, reports, write::write_record};
 use crate::{
+    clock::Time,
+    config::{Config, PoolKind, PoolSpec},
     endpoint::EndpointClient,
     events::Event,
-    kernel::{ledger::EndpointRecord, stewardship, warmup::Warmth},
-    node::Node,
-    platform::{Kv, ListedEndpoint, ListedState, Put},
+    kernel::{
+        ledger::{EndpointRecord, Ledger, LedgerLimits},
+        stewardship::{
+            self, Bid, Claim, Duty, Holding, Keep, Leases, Vacancy, lease_key, record_key,
+        },
+        warmup::Warmth,
+    },
+    names::{EndpointId, InstanceId},
+    node::{Node, lease},
+    platform::{InstanceList, ListedEndpoint, ListedState, PlatformError, Put, Txn},
 };
 
 const PERIOD: Duration = Duration::from_millis(250);
 
-/// Takes the endpoints that belong to this node and reads their reports.
+/// Time between two looks at whether the work of a handed over endpoint has ended.
+const IDLE_PERIOD: Duration = Duration::from_millis(20);
+
+/// Since when endpoints have had no steward.
+type Vacant = HashMap<EndpointId, Time>;
+
+/// Keeps the lease, and takes and keeps the endpoints that belong to this node.
 pub async fn run(node: Arc<Node>) {
+    tokio::join!(
+        lease::run(node.clone()),
+        registry::run(node.clone()),
+        reports::run(node.clone()),
+        decide(&node),
+    );
+}
+
+async fn decide(node: &Arc<Node>) {
+    let mut vacant = Vacant::new();
     loop {
-        take_missing(&node).await;
-        read_reports(&node).await;
-        sleep(PERIOD).await;
+        keep_all(node).await;
+        claim_all(node, &mut vacant).await;
+        let jitter = rand::rng().random_range(0.8..1.2);
+        tokio::select! {
+            () = sleep(PERIOD.mul_f64(jitter)) => {}
+            () = node.stewards.registry.changed() => {}
+        }
     }
 }
 
-async fn take_missing(node: &Arc<Node>) {
+async fn claim_all(node: &Arc<Node>, vacant: &mut Vacant) {
+    let Some(config) = node.config() else { return };
+    let Some(leases) = node.stewards.registry.leases() else { return };
     let list = node.list.load_full();
-    let mine = |endpoint: &&ListedEndpoint| {
-        let ranked = stewardship::ranked(endpoint, &list);
-        endpoint.state == ListedState::Live && ranked.first() == Some(&node.settings.instance)
-    };
-    for endpoint in list.endpoints.iter().filter(mine) {
+    vacant.retain(|id, _| list.endpoint(id).is_some());
+    if !node.stewards.registry.is_read() || node.stewards.is_leaving() {
+        return;
+    }
+    for endpoint in list.endpoints.iter().filter(|e| e.state == ListedState::Live) {
         if node.stewards.endpoints.with(&endpoint.id, |_| ()).is_none() {
-            take(node, endpoint).await;
+            claim(node, &config, &leases, endpoint, vacant).await;
         }
     }
 }
 
-async fn take(node: &Node, endpoint: &ListedEndpoint) {
-    let Some(config) = node.config() else { return };
-    let Some(pool) = config.pools.get(&endpoint.pool).cloned() else { return };
-    let key = stewardship::record_key(&endpoint.id);
-    let Ok(current) = node.platform.get(&key).await else { return };
-    let revision = current.as_ref().map_or(0, |kv| kv.revision);
-    let previous = current.as_ref().map(parse).unwrap_or_default();
+async fn claim(
+    node: &Arc<Node>,
+    config: &Config,
+    leases: &Leases,
+    endpoint: &ListedEndpoint,
+    vacant: &mut Vacant,
+) {
+    let Some(pool) = config.pools.get(&endpoint.pool) else { return };
+    let known = node.stewards.registry.record(&endpoint.id);
+    let vacancy = vacancy(node, known.as_ref().map(|known| &known.record), leases);
+    if vacancy == Vacancy::Held {
+        vacant.remove(&endpoint.id);
+        return;
+    }
+    let now = Time::now();
+    let since = *vacant.entry(endpoint.id.clone()).or_insert(now);
+    let bid = Bid {
+        own: &node.settings.instance,
+        leased: node.duty() == Duty::Hold && node.lease.revision().is_some(),
+        freshness: node.freshness(),
+        ranked: &ranked(node, endpoint, &node.list.load()),
+        leases,
+        vacancy: &vacancy,
+        vacant: now.since(since),
+    };
+    if stewardship::claim(&bid) == Claim::Take {
+        take(node, endpoint, pool, known, &vacancy).await;
+    }
+}
+
+/// Returns the instances that may steward an endpoint, without those that shut down.
+fn ranked(node: &Node, endpoint: &ListedEndpoint, list: &InstanceList) -> Vec<InstanceId> {
+    let mut ranked = stewardship::ranked(endpoint, list);
+    ranked.retain(|id| !node.members.peer(id).is_some_and(|seen| seen.beat.leaving));
+    ranked
+}
+
+/// Judges whether an endpoint has a steward; one that this node holds by the record only, since
+/// the answer to its write was lost, has none.
+fn vacancy(node: &Node, record: Option<&EndpointRecord>, leases: &Leases) -> Vacancy {
+    let own = |record: &EndpointRecord| {
+        record.holder.as_ref() == Some(&node.settings.instance)
+            && record.incarnation == node.incarnation
+    };
+    if record.is_some_and(own) { Vacancy::Free } else { stewardship::vacancy(record, leases) }
+}
+
+async fn take(
+    node: &Arc<Node>,
+    endpoint: &ListedEndpoint,
+    pool: &PoolSpec,
+    known: Option<Versioned>,
+    vacancy: &Vacancy,
+) {
+    let Some(own) = node.lease.revision() else { return };
+    let revision = known.as_ref().map_or(0, |known| known.revision);
+    let previous = known.map(|known| known.record).unwrap_or_default();
     let record = EndpointRecord {
         holder: Some(node.settings.instance.clone()),
         incarnation: node.incarnation,
@@ -51,42 +137,157 @@
         nonce: rand::random(),
         ..previous
     };
+    let key = record_key(&endpoint.id);
+    let mut expect = vec![(key.clone(), revision), (lease_key(&node.settings.instance), own)];
+    if let Vacancy::Lapsed(holder) = vacancy
+        && *holder != node.settings.instance
+    {
+        let leases = node.stewards.registry.leases().unwrap_or_default();
+        expect.push((lease_key(holder), leases.get(holder).map_or(0, |lease| lease.revision)));
+    }
     let value = serde_json::to_vec(&record).unwrap_or_default();
-    let Ok(reply) = node.platform.put_if(Put { key, value, lease: 0 }, revision).await else {
-        return;
-    };
-    if !reply.done {
-        return;
+    let txn = Txn { expect, puts: vec![Put { key, value, lease: 0 }], deletes: Vec::new() };
+    let Ok(reply) = node.platform.commit(&txn).await else { return };
+    if reply.done {
+        start(node, endpoint, pool, Versioned { record, revision: reply.revision });
+    } else if let Some((id, current)) = reply.current.iter().find_map(registry::versioned) {
+        node.stewards.registry.put(id, current);
     }
-    let detail = format!("fence={}", record.fence);
+}
+
+/// Starts a tenure from cold.
+fn start(node: &Node, endpoint: &ListedEndpoint, pool: &PoolSpec, taken: Versioned) {
+    let weights = pool.memory.saturating_sub(pool.adapter_pool);
+    let limits = LedgerLimits { weights, life: pool.order_life };
+    let mut ledger = Ledger::inherit(limits, &taken.record, Time::now());
+    ledger.written(&taken.record);
+    let detail = format!("fence={} intents={}", taken.record.fence, taken.record.intents.len());
     let stewarded = Stewarded {
         listed: endpoint.clone(),
         client: Arc::new(EndpointClient::new(endpoint.address)),
-        warmth: Warmth::cold(&pool),
-        pool,
-        record,
-        revision: reply.revision,
+        warmth: Warmth::cold(pool),
+        pool: pool.clone(),
+        record: taken.record.clone(),
+        revision: taken.revision,
         queue: Default::default(),
         running: 0,
         report: None,
+        ledger,
+        accepting: true,
+        active: HashMap::new(),
     };
+    node.stewards.registry.put(endpoint.id.clone(), taken);
     node.stewards.endpoints.insert(endpoint.id.clone(), stewarded);
     node.timeline.record(Event::StewardTaken, endpoint.id.as_str(), detail);
 }
 
-fn parse(kv: &Kv) -> EndpointRecord {
-    serde_json::from_slice(&kv.value).unwrap_or_default()
+async fn keep_all(node: &Arc<Node>) {
+    let Some(leases) = node.stewards.registry.leases() else { return };
+    let list = node.list.load_full();
+    let duty = node.duty();
+    for id in node.stewards.endpoints.keys() {
+        let kept = node.stewards.endpoints.with(&id, |stewarded| {
+            let keep = judge(node, stewarded, &list, &leases);
+            stewarded.accepting =
+                keep == Keep::Keep && duty != Duty::Stop && !node.stewards.is_leaving();
+            if !stewarded.accepting {
+                super::refuse_queue(stewarded);
+            }
+            keep
+        });
+        match kept {
+            Some(Keep::Lost) => lose(node, &id),
+            Some(Keep::HandOver) if duty == Duty::Hold => give(node, &id).await,
+            _ => {}
+        }
+    }
 }
 
-/// Gives every stewardship back.
-pub async fn hand_over(node: &Node) {
+fn judge(node: &Node, stewarded: &Stewarded, list: &InstanceList, leases: &Leases) -> Keep {
+    let listed = list.endpoint(&stewarded.listed.id);
+    let ranked = ranked(node, &stewarded.listed, list);
+    let known = node.stewards.registry.record(&stewarded.listed.id);
+    let known = known.filter(|known| known.revision >= stewarded.revision);
+    stewardship::keep(&Holding {
+        own: &node.settings.instance,
+        incarnation: node.incarnation,
+        fence: stewarded.record.fence,
+        record: known.as_ref().map(|known| &known.record),
+        listed: listed.is_some_and(|listed| {
+            listed.state == ListedState::Live && listed.address == stewarded.listed.address
+        }),
+        idle: stewarded.is_idle(),
+        ranked: &ranked,
+        leases,
+    })
+}
+
+/// Drops an endpoint that another instance took; what runs there ends.
+fn lose(node: &Node, id: &EndpointId) {
+    if let Some(mut stewarded) = node.stewards.endpoints.remove(id) {
+        super::refuse_queue(&mut stewarded);
+        node.timeline.record(Event::StewardLost, id.as_str(), "");
+    }
+}
+
+/// Hands one endpoint over; its record keeps the orders that may still take effect.
+async fn give(node: &Node, id: &EndpointId) {
+    let given = write_record(node, id, |record| record.holder = None).await;
+    if given.is_ok()
+        && let Some(mut stewarded) = node.stewards.endpoints.remove(id)
+    {
+        super::refuse_queue(&mut stewarded);
+        node.timeline.record(Event::StewardHandedOver, id.as_str(), "");
+    }
+}
+
+/// Drops the endpoints whose record names another tenure, before a new lease counts.
+pub async fn verify(node: &Node) -> Result<(), PlatformError> {
+    let snapshot = node.platform.range(stewardship::RECORD_PREFIX).await?;
+    node.members.contacted();
+    node.stewards.registry.replace_records(&snapshot.kvs);
     for id in node.stewards.endpoints.keys() {
-        let Some(stewarded) = node.stewards.endpoints.remove(&id) else { continue };
-        let record = EndpointRecord { holder: None, nonce: rand::random(), ..stewarded.record };
-        let value = serde_json::to_vec(&record).unwrap_or_default();
-        let put = Put { key: stewardship::record_key(&id), value, lease: 0 };
-        if node.platform.put_if(put, stewarded.revision).await.is_ok_and(|reply| reply.done) {
-            node.timeline.record(Event::StewardHandedOver, id.as_str(), "");
+        let known = node.stewards.registry.record(&id);
+        let own = node.stewards.endpoints.with(&id, |stewarded| {
+            known.is_some_and(|known| {
+                known.record.fence == stewarded.record.fence
+                    && known.record.holder == stewarded.record.holder
+                    && known.record.incarnation == stewarded.record.incarnation
+            })
+        });
+        if own == Some(false) {
+            lose(node, &id);
+        }
+    }
+    Ok(())
+}
+
+/// Gives every stewardship back as soon as its work has ended, then the lease.
+pub async fn hand_over(node: &Node) {
+    node.stewards.leaving.store(true, Ordering::Release);
+    let ids = node.stewards.endpoints.keys();
+    let all = ids.iter().map(|id| async move {
+        node.stewards.endpoints.with(id, |stewarded| {
+            stewarded.accepting = false;
+            super::refuse_queue(stewarded);
+        });
+        while node.stewards.endpoints.with(id, |s| s.running > 0) == Some(true) {
+            sleep(IDLE_PERIOD).await;
         }
+        give(node, id).await;
+    });
+    futures_util::future::join_all(all).await;
+    lease::end(node).await;
+}
+
+impl Stewarded {
+    /// Returns whether nothing runs, waits or is ordered at the endpoint.
+    fn is_idle(&self) -> bool {
+        self.running == 0 && self.queue.is_empty() && !self.ledger.is_busy()
+    }
+
+    /// Returns whether the endpoint is an engine.
+    pub fn is_engine(&self) -> bool {
+        self.pool.kind == PoolKind::Engine
     }
 }
--- a/src/node/steward/orders.rs
+++ b/src/node/steward/orders.rs
@@ -1,13 +1,199 @@
 //! Orders to endpoints, each recorded before it is sent.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
+use tokio::time::sleep;
+
+use super::{Stewarded, write::write_record};
 use crate::{
+    clock::Time,
+    endpoint::Order,
+    events::Event,
+    http::HttpError,
+    kernel::{
+        ledger::{Denial, Step},
+        placement::{PLAN_KEY, PlanRecord},
+        stewardship::Duty,
+    },
+    names::{EndpointId, Model},
     node::Node,
     wire::{Move, Moved},
 };
 
+/// Time between two looks at whether the requests for a model have ended.
+const DRAIN_PERIOD: Duration = Duration::from_millis(20);
+
+/// Why an order was not accepted.
+#[derive(Debug, thiserror::Error)]
+enum Rejected {
+    #[error("not the steward of this endpoint")]
+    NotSteward,
+    #[error("no such model is configured for this endpoint")]
+    ModelUnknown,
+    #[error("{0}")]
+    Denied(#[from] Denial),
+    #[error("{0}")]
+    NotRecorded(#[from] super::write::WriteError),
+    #[error("the plan keeps the model here")]
+    Kept,
+    #[error("the steward may not send orders now")]
+    Abandoned,
+}
+
+/// What to do next for an order, with its endpoint.
+struct Ordered {
+    node: Arc<Node>,
+    endpoint: EndpointId,
+    model: Model,
+    order: String,
+}
+
 /// Records and sends the order for a move that the planner decided.
-pub async fn carry_out(_: &Arc<Node>, _: Move) -> Moved {
-    Moved { accepted: false, reason: "orders are not carried out yet".to_owned() }
+pub async fn carry_out(node: &Arc<Node>, order: Move) -> Moved {
+    match accept(node, &order).await {
+        Ok(()) => Moved { accepted: true, reason: String::new() },
+        Err(reason) => {
+            let detail = format!("model={} reason={reason}", order.model);
+            node.timeline.record(Event::MoveRefused, order.endpoint, detail);
+            Moved { accepted: false, reason: reason.to_string() }
+        }
+    }
+}
+
+/// Returns a new order id.
+pub fn next_order(node: &Node) -> String {
+    format!("{}-{:016x}", node.settings.instance, rand::random::<u64>())
+}
+
+async fn accept(node: &Arc<Node>, wanted: &Move) -> Result<(), Rejected> {
+    let ordered = Ordered {
+        node: node.clone(),
+        endpoint: wanted.endpoint.as_str().into(),
+        model: wanted.model.as_str().into(),
+        order: next_order(node),
+    };
+    ordered.plan(wanted.unload)?;
+    loop {
+        match ordered.next()? {
+            Step::Write => ordered.record().await?,
+            Step::CheckKeeper => ordered.check_keeper().await?,
+            Step::Abandon => return Err(Rejected::Abandoned),
+            step => {
+                tokio::spawn(ordered.finish(step));
+                return Ok(());
+            }
+        }
+    }
+}
+
+impl Ordered {
+    fn with<T>(&self, f: impl FnOnce(&mut Stewarded) -> T) -> Result<T, Rejected> {
+        self.node.stewards.endpoints.with(&self.endpoint, f).ok_or(Rejected::NotSteward)
+    }
+
+    fn plan(&self, unload: bool) -> Result<(), Rejected> {
+        let config = self.node.config().ok_or(Rejected::ModelUnknown)?;
+        let spec = config.models.get(&self.model).ok_or(Rejected::ModelUnknown)?;
+        let (order, model) = (self.order.clone(), self.model.clone());
+        self.with(|stewarded| {
+            if stewarded.listed.pool != spec.pool {
+                return Err(Rejected::ModelUnknown);
+            }
+            match unload {
+                true => stewarded.ledger.plan_unload(order, model)?,
+                false => stewarded.ledger.plan_load(order, model, spec.bytes)?,
+            }
+            Ok(())
+        })?
+    }
+
+    fn next(&self) -> Result<Step, Rejected> {
+        let duty = self.node.duty();
+        self.with(|stewarded| {
+            let running = stewarded.running_of(&self.model);
+            stewarded.ledger.next(&self.order, duty, running)
+        })
+    }
+
+    async fn record(&self) -> Result<(), Rejected> {
+        let written = write_record(&self.node, &self.endpoint, |_| {}).await;
+        if written.is_err() {
+            self.cancel();
+        }
+        written?;
+        self.note(Event::OrderIntent);
+        Ok(())
+    }
+
+    /// Reads the plan after the intent to unload was recorded.
+    async fn check_keeper(&self) -> Result<(), Rejected> {
+        let plan = self.node.platform.get(PLAN_KEY).await;
+        let plan = plan.ok().flatten().and_then(|kv| serde_json::from_slice(&kv.value).ok());
+        let plan: PlanRecord = plan.unwrap_or_default();
+        let elsewhere = plan.keepers.get(&self.model).is_some_and(|id| *id != self.endpoint);
+        if elsewhere {
+            return self.with(|stewarded| stewarded.ledger.clear(&self.order));
+        }
+        self.cancel();
+        // The intent that is left in the record when this fails goes with the next write.
+        let _ = write_record(&self.node, &self.endpoint, |_| {}).await;
+        Err(Rejected::Kept)
+    }
+
+    fn cancel(&self) {
+        // An endpoint that is lost took its orders with it.
+        let _ = self.with(|stewarded| stewarded.ledger.cancel(&self.order));
+    }
+
+    /// Waits for running work, sends the order and notes what came of it.
+    async fn finish(self, mut step: Step) {
+        loop {
+            match step {
+                Step::Drain => sleep(DRAIN_PERIOD).await,
+                Step::Send(order) => return self.send(order).await,
+                _ => return,
+            }
+            match self.next() {
+                Ok(next) => step = next,
+                Err(_) => return,
+            }
+        }
+    }
+
+    async fn send(&self, order: Order) {
+        let wanted = self.with(|stewarded| (stewarded.client.clone(), stewarded.pool.order_life));
+        let Ok((client, life)) = wanted else { return };
+        if self.node.duty() != Duty::Hold {
+            // Nothing was sent, but the record may be another steward's by now.
+            let _ = self.with(|stewarded| stewarded.ledger.given_up(&self.order, Time::now()));
+            return;
+        }
+        self.note(Event::OrderSent);
+        let outcome = client.order(&order, life).await;
+        let now = Time::now();
+        // The ledger of an endpoint that was lost meanwhile is its new steward's.
+        let _ = self.with(|stewarded| match &outcome {
+            Ok(reply) => stewarded.ledger.answered(reply, now),
+            Err(HttpError::Status(status, _)) if status.is_client_error() => {
+                stewarded.ledger.refused(&self.order, now);
+            }
+            Err(_) => stewarded.ledger.given_up(&self.order, now),
+        });
+        if let Err(err) = outcome {
+            let detail = format!("endpoint={} reason={err}", self.endpoint);
+            self.node.timeline.record(Event::OrderFailed, self.order.as_str(), detail);
+        }
+    }
+
+    fn note(&self, event: Event) {
+        let detail = format!("endpoint={} model={}", self.endpoint, self.model);
+        self.node.timeline.record(event, self.order.as_str(), detail);
+    }
+}
+
+impl Stewarded {
+    /// Returns the requests for a model that run at the endpoint.
+    fn running_of(&self, model: &Model) -> usize {
+        self.active.values().filter(|active| *active == model).count()
+    }
 }
--- /dev/null
+++ b/src/node/steward/registry.rs
@@ -0,0 +1,162 @@
+//! What the platform's service shows of leases and endpoint records, kept by watches.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use parking_lot::RwLock;
+use rand::RngExt;
+use tokio::{sync::Notify, time::sleep};
+
+use crate::{
+    kernel::{
+        ledger::EndpointRecord,
+        stewardship::{LEASE_PREFIX, Lease, Leases, RECORD_PREFIX},
+    },
+    names::{EndpointId, InstanceId},
+    node::{Node, lease::incarnation_of},
+    platform::{Change, Kv, PlatformError},
+};
+
+/// Longest wait before the first read, so that a fleet that starts at once is spread.
+const START_SPREAD: Duration = Duration::from_millis(300);
+
+/// Time between two tries to read and watch.
+const RETRY_PERIOD: Duration = Duration::from_millis(500);
+
+/// Records by endpoint with their revision.
+pub type Records = BTreeMap<EndpointId, Versioned>;
+
+/// A record and the revision of its last write.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Versioned {
+    /// The record.
+    pub record: EndpointRecord,
+    /// Revision of its last write.
+    pub revision: i64,
+}
+
+/// Leases and records as last seen; either is empty until it was read once.
+#[derive(Default)]
+pub struct Registry {
+    leases: RwLock<Option<Leases>>,
+    records: RwLock<Option<Records>>,
+    changed: Notify,
+}
+
+impl Registry {
+    /// Returns the leases, or `None` before the first read.
+    pub fn leases(&self) -> Option<Leases> {
+        self.leases.read().clone()
+    }
+
+    /// Returns whether the records were read once.
+    pub fn is_read(&self) -> bool {
+        self.records.read().is_some()
+    }
+
+    /// Returns the record of an endpoint.
+    pub fn record(&self, id: &EndpointId) -> Option<Versioned> {
+        self.records.read().as_ref()?.get(id).cloned()
+    }
+
+    /// Takes in a record unless a younger one is known.
+    pub fn put(&self, id: EndpointId, versioned: Versioned) {
+        let mut records = self.records.write();
+        let records = records.get_or_insert_default();
+        if records.get(&id).is_none_or(|known| known.revision < versioned.revision) {
+            records.insert(id, versioned);
+        }
+    }
+
+    /// Replaces all records by what was read at one revision.
+    pub fn replace_records(&self, kvs: &[Kv]) {
+        let read = kvs.iter().filter_map(versioned).collect();
+        *self.records.write() = Some(read);
+        self.changed.notify_one();
+    }
+
+    fn replace_leases(&self, kvs: &[Kv]) {
+        let read = kvs.iter().filter_map(lease).collect();
+        *self.leases.write() = Some(read);
+        self.changed.notify_one();
+    }
+
+    fn apply(&self, prefix: &'static str, change: &Change) {
+        match (prefix, change) {
+            (LEASE_PREFIX, Change::Put(kv)) => {
+                self.leases.write().get_or_insert_default().extend(lease(kv));
+            }
+            (LEASE_PREFIX, Change::Delete(key)) => {
+                let id = key.strip_prefix(LEASE_PREFIX).unwrap_or(key);
+                self.leases.write().get_or_insert_default().remove(id);
+            }
+            (_, Change::Put(kv)) => {
+                if let Some((id, versioned)) = versioned(kv) {
+                    self.put(id, versioned);
+                }
+            }
+            (_, Change::Delete(key)) => {
+                let id = key.strip_prefix(RECORD_PREFIX).unwrap_or(key);
+                self.records.write().get_or_insert_default().remove(id);
+            }
+        }
+        self.changed.notify_one();
+    }
+
+    /// Waits until something changed.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
+
+/// Parses the record of an endpoint.
+pub fn versioned(kv: &Kv) -> Option<(EndpointId, Versioned)> {
+    let id = kv.key.strip_prefix(RECORD_PREFIX)?;
+    match serde_json::from_slice(&kv.value) {
+        Ok(record) => Some((id.into(), Versioned { record, revision: kv.revision })),
+        Err(err) => {
+            log::error!("unreadable record {}: {err}", kv.key);
+            None
+        }
+    }
+}
+
+fn lease(kv: &Kv) -> Option<(InstanceId, Lease)> {
+    let id = kv.key.strip_prefix(LEASE_PREFIX)?;
+    let incarnation = incarnation_of(kv)?;
+    Some((id.into(), Lease { incarnation, revision: kv.revision }))
+}
+
+/// Reads and watches leases and records.
+pub async fn run(node: Arc<Node>) {
+    let spread = START_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+    sleep(spread).await;
+    tokio::join!(keep(&node, LEASE_PREFIX), keep(&node, RECORD_PREFIX));
+}
+
+async fn keep(node: &Node, prefix: &'static str) {
+    loop {
+        if let Err(err) = follow(node, prefix).await {
+            log::debug!("watch of {prefix}: {err}");
+        }
+        let period = RETRY_PERIOD.mul_f64(rand::rng().random_range(0.5..1.5));
+        sleep(period).await;
+    }
+}
+
+async fn follow(node: &Node, prefix: &'static str) -> Result<(), PlatformError> {
+    let registry = &node.stewards.registry;
+    let snapshot = node.platform.range(prefix).await?;
+    node.members.contacted();
+    match prefix {
+        LEASE_PREFIX => registry.replace_leases(&snapshot.kvs),
+        _ => registry.replace_records(&snapshot.kvs),
+    }
+    let mut watch = node.platform.watch(prefix, snapshot.revision + 1).await?;
+    loop {
+        let (changes, _) = watch.next().await?;
+        node.members.contacted();
+        for change in &changes {
+            registry.apply(prefix, change);
+        }
+    }
+}
--- a/src/node/steward/reports.rs
+++ b/src/node/steward/reports.rs
@@ -1,18 +1,71 @@
-//! Reads the reports of the endpoints that this node stewards.
+//! Reads the reports of the endpoints that this node stewards and closes their orders.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use crate::{config::PoolKind, node::Node};
+use futures_util::future::join_all;
+use rand::RngExt;
+use tokio::time::sleep;
 
-/// Reads every engine's report once.
-pub async fn read_reports(node: &Arc<Node>) {
-    for id in node.stewards.endpoints.keys() {
-        let client = node.stewards.endpoints.with(&id, |stewarded| {
-            (stewarded.pool.kind == PoolKind::Engine).then(|| stewarded.client.clone())
+use super::{orders::next_order, write::write_record};
+use crate::{
+    clock::Time,
+    kernel::{ledger::Sight, stewardship::Duty},
+    names::EndpointId,
+    node::Node,
+};
+
+const PERIOD: Duration = Duration::from_millis(250);
+
+/// Longest time for a probe to be answered; it changes nothing, so that it may be sent again.
+const PROBE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Reads every engine's report again and again.
+pub async fn run(node: Arc<Node>) {
+    loop {
+        let ids = node.stewards.endpoints.keys();
+        join_all(ids.iter().map(|id| tend(&node, id))).await;
+        let period = PERIOD.mul_f64(rand::rng().random_range(0.8..1.2));
+        sleep(period).await;
+    }
+}
+
+/// Reads one engine's report and brings its ledger and record up to date.
+async fn tend(node: &Arc<Node>, id: &EndpointId) {
+    let client = node
+        .stewards
+        .endpoints
+        .with(id, |stewarded| stewarded.is_engine().then(|| stewarded.client.clone()));
+    let Some(Some(client)) = client else { return };
+    if let Ok(report) = client.report().await {
+        node.stewards.endpoints.with(id, |stewarded| {
+            if stewarded.ledger.take_report(&report, Time::now()) != Sight::Stale {
+                stewarded.report = Some(report);
+            }
         });
-        let Some(Some(client)) = client else { continue };
-        if let Ok(report) = client.report().await {
-            node.stewards.endpoints.with(&id, |stewarded| stewarded.report = Some(report));
-        }
+    }
+    if node.duty() != Duty::Hold {
+        return;
+    }
+    probe(node, id).await;
+    let dirty = node.stewards.endpoints.with(id, |stewarded| {
+        stewarded.ledger.sweep(Time::now());
+        stewarded.ledger.is_dirty()
+    });
+    if dirty == Some(true) {
+        // What was not written now is written with the next report.
+        let _ = write_record(node, id, |_| {}).await;
+    }
+}
+
+/// Asks for the endpoint's state where orders have outlived their life.
+async fn probe(node: &Arc<Node>, id: &EndpointId) {
+    let sent = Time::now();
+    let wanted = node.stewards.endpoints.with(id, |stewarded| {
+        let order = stewarded.ledger.probe(next_order(node), sent)?;
+        Some((order, stewarded.client.clone()))
+    });
+    let Some(Some((order, client))) = wanted else { return };
+    if let Ok(reply) = client.order(&order, PROBE_LIMIT).await {
+        node.stewards.endpoints.with(id, |stewarded| stewarded.ledger.probed(&reply, sent));
     }
 }
--- a/src/node/steward/run.rs
+++ b/src/node/steward/run.rs
@@ -40,7 +40,7 @@
     let subject = work.request.clone();
     node.timeline.record(Event::RequestDispatched, &*subject, format!("endpoint={endpoint}"));
     let outcome = exchange(&work, &responder, &client).await;
-    settle(&node, &endpoint, &outcome);
+    settle(&node, &endpoint, &subject, &outcome);
     match outcome {
         Outcome::Whole { used } => responder.end(End::whole(used)).await,
         Outcome::Failed(refusal) => {
@@ -53,9 +53,10 @@
     pump(&node, &endpoint);
 }
 
-fn settle(node: &Node, endpoint: &EndpointId, outcome: &Outcome) {
+fn settle(node: &Node, endpoint: &EndpointId, request: &str, outcome: &Outcome) {
     node.stewards.endpoints.with(endpoint, |stewarded| {
         stewarded.running = stewarded.running.saturating_sub(1);
+        stewarded.active.remove(request);
         match outcome {
             Outcome::Whole { .. } => stewarded.warmth.complete(),
             Outcome::Failed(_) => stewarded.warmth.reset(),
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -152,13 +152,22 @@
 
     /// Writes one record if it has the expected revision.
     ///
-    /// A lost answer is resolved by reading the record back, so `value` must be unique to the
-    /// writer, for example by a random number within it.
+    /// `value` must be unique to the writer, as for [`Client::commit`].
     pub async fn put_if(&self, put: Put, expected: i64) -> Result<TxnReply, PlatformError> {
         let expect = vec![(put.key.clone(), expected)];
-        let txn = Txn { expect, puts: vec![put], deletes: Vec::new() };
-        match self.txn(&txn).await {
-            Err(PlatformError::Unknown(_)) => self.resolve(&txn.puts[0], expected).await,
+        self.commit(&Txn { expect, puts: vec![put], deletes: Vec::new() }).await
+    }
+
+    /// Runs a transaction whose first expected key is the first that it writes.
+    ///
+    /// A lost answer is resolved by reading that record back, so its value must be unique to the
+    /// writer, for example by a random number within it.
+    pub async fn commit(&self, txn: &Txn) -> Result<TxnReply, PlatformError> {
+        match self.txn(txn).await {
+            Err(PlatformError::Unknown(reason)) => match (txn.puts.first(), txn.expect.first()) {
+                (Some(put), Some((_, expected))) => self.resolve(put, *expected).await,
+                _ => Err(PlatformError::Unknown(reason)),
+            },
             other => other,
         }
     }
