--- a/tests/kernel/ledger.rs
+++ b/tests/kernel/ledger.rs
@@ -1,1 +1,229 @@
-//! The memory ledger.
+//! Memory is never overcommitted and the last keeper is never unloaded, under every fault.
+
+pub mod world;
+
+use std::time::Duration;
+
+use cardamomshore::{
+    kernel::{
+        ledger::{EndpointRecord, Ledger, LedgerLimits, Step},
+        stewardship::Duty,
+    },
+    names::Model,
+};
+
+use self::world::{Fate, World, WriteFate};
+use crate::matrix::{Protocol, run_all};
+
+/// Faults of an order to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    Killed,
+    Paused,
+    ServiceDown,
+    WriteMute,
+    WriteLate,
+    OrderLost,
+    OrderLate,
+    OrderTwice,
+    OrderMute,
+    EngineRestarted,
+    ReportsLate,
+    ReportsMissing,
+    FencingIgnored,
+}
+
+const FAULTS: &[Fault] = &[
+    Fault::Killed,
+    Fault::Paused,
+    Fault::ServiceDown,
+    Fault::WriteMute,
+    Fault::WriteLate,
+    Fault::OrderLost,
+    Fault::OrderLate,
+    Fault::OrderTwice,
+    Fault::OrderMute,
+    Fault::EngineRestarted,
+    Fault::ReportsLate,
+    Fault::ReportsMissing,
+    Fault::FencingIgnored,
+];
+
+/// Longer than a lease and the wait of those that take over.
+const PAUSE: Duration = Duration::from_secs(18);
+
+fn inject(world: &mut World, fault: Fault) {
+    let holder = world.holder();
+    match fault {
+        Fault::Killed => {
+            if let Some(holder) = holder {
+                world.kill(holder);
+                world.add_steward();
+                world.advance(PAUSE);
+            }
+        }
+        Fault::Paused => {
+            if let Some(holder) = holder {
+                world.stewards[holder].paused = true;
+                world.advance(PAUSE);
+                world.stewards[holder].paused = false;
+            }
+        }
+        Fault::ServiceDown => {
+            world.down = true;
+            world.advance(PAUSE);
+        }
+        Fault::WriteMute => world.write_fate = WriteFate::Mute,
+        Fault::WriteLate => world.write_fate = WriteFate::Late,
+        Fault::OrderLost => world.fate = Fate::Lost,
+        Fault::OrderLate => world.fate = Fate::Late,
+        Fault::OrderTwice => world.fate = Fate::Twice,
+        Fault::OrderMute => world.fate = Fate::Mute,
+        Fault::EngineRestarted => world.restart_engine(),
+        Fault::ReportsLate => world.engine.lag = Duration::from_secs(4),
+        Fault::ReportsMissing => world.engine.silent = true,
+        Fault::FencingIgnored => world.engine.fencing = false,
+    }
+}
+
+/// A step of an order, run by the steward that planned it as long as it may.
+struct Ordering {
+    world: World,
+    order: String,
+    write: Option<(EndpointRecord, i64)>,
+}
+
+impl Ordering {
+    fn new(residents: &[(&str, u64)]) -> Self {
+        let mut world = World::new(residents);
+        let order = world.next_order();
+        Self { world, order, write: None }
+    }
+
+    fn acts(&self) -> bool {
+        self.world.stewards[0].acts() && self.world.stewards[0].ledger.is_some()
+    }
+
+    fn next(&mut self) -> Option<Step> {
+        let duty = self.world.duty(0);
+        let ledger = self.world.stewards[0].ledger.as_mut()?;
+        Some(ledger.next(&self.order, duty, 0))
+    }
+
+    fn begin_write(&mut self) {
+        if self.next() == Some(Step::Write) {
+            self.write = self.world.build(0);
+        }
+    }
+
+    fn end_write(&mut self) {
+        if let Some((record, expected)) = self.write.take() {
+            self.world.arrive(0, record, expected);
+        }
+    }
+
+    fn begin_send(&mut self) {
+        if let Some(Step::Send(order)) = self.next() {
+            self.world.send(0, order);
+        }
+    }
+
+    fn end_step(&mut self, step: &str) {
+        match step {
+            "intent written" if self.acts() => self.end_write(),
+            "order sent" => self.world.deliver_orders(),
+            "order answered" if self.acts() => self.world.hear(0),
+            "report seen" if self.acts() => self.world.see_report(0),
+            "intent closed" if self.acts() => self.world.tend(0),
+            _ => {}
+        }
+    }
+}
+
+/// Loads `spar` beside `glue`; whenever they may, the stewards also load `twine`, which fits only
+/// where `spar` cannot land any more.
+struct Load(Ordering);
+
+impl Protocol for Load {
+    type Fault = Fault;
+
+    const NAME: &'static str = "load";
+    const STEPS: &'static [&'static str] = &[
+        "decide",
+        "intent written",
+        "order sent",
+        "order answered",
+        "report seen",
+        "intent closed",
+    ];
+    const FAULTS: &'static [Fault] = FAULTS;
+
+    fn start() -> Self {
+        let mut ordering = Ordering::new(&[("glue", 400)]);
+        let order = ordering.order.clone();
+        let ledger = ordering.world.stewards[0].ledger.as_mut();
+        let planned = ledger.map(|ledger| ledger.plan_load(order, "spar".into(), 350));
+        assert_eq!(planned, Some(Ok(())));
+        ordering.world.hunger.push(("twine".into(), 300));
+        Self(ordering)
+    }
+
+    fn begin(&mut self, step: usize) {
+        match Self::STEPS[step] {
+            "intent written" if self.0.acts() => self.0.begin_write(),
+            "order sent" if self.0.acts() => self.0.begin_send(),
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, step: usize) {
+        self.0.end_step(Self::STEPS[step]);
+    }
+
+    fn inject(&mut self, fault: Fault) {
+        inject(&mut self.0.world, fault);
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.0.world.check()
+    }
+
+    fn settle(&mut self) {
+        self.0.world.recover();
+    }
+
+    fn check_settled(&self) -> Result<(), String> {
+        let world = &self.0.world;
+        let loaded = ["spar", "twine"].iter().any(|m| world.engine.residents.contains_key(*m));
+        if !loaded {
+            return Err(format!("nothing was loaded: {:?}", world.engine.residents));
+        }
+        world.check_recovered()
+    }
+}
+
+#[test]
+fn matrix_load() {
+    run_all::<Load>();
+}
+
+#[test]
+fn ledger_denies_second_copy_while_first_is_open() {
+    let mut ordering = Ordering::new(&[("glue", 400)]);
+    let second = ordering.world.next_order();
+    let ledger = ordering.world.stewards[0].ledger.as_mut().expect("a ledger");
+    ledger.plan_load(ordering.order.clone(), "spar".into(), 100).expect("it fits");
+    let denied = ledger.plan_load(second, "spar".into(), 100);
+    assert_eq!(denied, Err(cardamomshore::kernel::ledger::Denial::Open));
+}
+
+#[test]
+fn ledger_loads_nothing_before_a_report() {
+    let limits = LedgerLimits { weights: 1_000, life: Duration::from_secs(30) };
+    let now = cardamomshore::clock::Time::from_millis(1_000);
+    let mut ledger = Ledger::inherit(limits, &EndpointRecord::default(), now);
+    assert_eq!(ledger.free(), 0);
+    let denied = ledger.plan_load("o".to_owned(), Model::from("spar"), 1);
+    assert_eq!(denied, Err(cardamomshore::kernel::ledger::Denial::Unknown));
+    assert_eq!(ledger.next("o", Duty::Hold, 0), Step::Done);
+}
