--- a/tests/kernel/ledger/world.rs
+++ b/tests/kernel/ledger/world.rs
@@ -266,8 +266,8 @@
         }
         let (id, incarnation) = (self.stewards[index].id.clone(), self.stewards[index].incarnation);
         self.ends.insert(id.clone(), self.now + LEASE_TTL);
-        if !self.leases.contains_key(&id) {
-            self.leases.insert(id, Lease { incarnation, revision: 1 });
+        let known = self.leases.insert(id, Lease { incarnation, revision: 1 });
+        if known.is_none() {
             self.verify(index);
         }
         let now = self.now;
