Run every fault of an unload and of stewardship through the kernel

The stewardship matrix failed on two cases that stand corrected: a steward that had stopped after the service came back dispatched again in the next outage (HolderUnserved, then ServiceDownThenCutOff: two stewards dispatch at once), and a node whose record names a later tenure of its own kept the earlier one. Takers now also start their wait again after each outage.

--- a/src/kernel/ledger/record.rs
+++ b/src/kernel/ledger/record.rs
@@ -62,6 +62,13 @@
 }
 
 impl EndpointRecord {
+    /// Returns whether both records are of the same steward's tenure.
+    pub fn is_same_tenure(&self, other: &EndpointRecord) -> bool {
+        self.fence == other.fence
+            && self.holder == other.holder
+            && self.incarnation == other.incarnation
+    }
+
     /// Returns the loads that may still take memory from the weight store.
     pub fn open_loads(&self) -> impl Iterator<Item = &Intent> {
         self.intents.iter().filter(|intent| intent.kind == OrderKind::Load && !intent.settled)
--- a/src/kernel/stewardship/claim.rs
+++ b/src/kernel/stewardship/claim.rs
@@ -44,10 +44,20 @@
     Lapsed(InstanceId),
 }
 
-/// Judges whether an endpoint has a steward.
-pub fn vacancy(record: Option<&EndpointRecord>, leases: &Leases) -> Vacancy {
+/// Judges whether an endpoint that the process `own` does not steward has a steward.
+///
+/// A record that names this process comes from a write whose answer was lost, or from before it
+/// dropped the endpoint.
+pub fn vacancy(
+    own: (&InstanceId, u64),
+    record: Option<&EndpointRecord>,
+    leases: &Leases,
+) -> Vacancy {
     let Some(record) = record else { return Vacancy::New };
     let Some(holder) = &record.holder else { return Vacancy::Free };
+    if own == (holder, record.incarnation) {
+        return Vacancy::Free;
+    }
     match leases.get(holder) {
         Some(lease) if lease.incarnation == record.incarnation => Vacancy::Held,
         _ => Vacancy::Lapsed(holder.clone()),
@@ -119,10 +129,8 @@
 pub struct Holding<'a> {
     /// The steward.
     pub own: &'a InstanceId,
-    /// Incarnation of its process.
-    pub incarnation: u64,
-    /// Fencing number of its tenure.
-    pub fence: u64,
+    /// The record as the steward last wrote it.
+    pub written: &'a EndpointRecord,
     /// The record as the service shows it.
     pub record: Option<&'a EndpointRecord>,
     /// Whether the list shows the endpoint as live at the known address.
@@ -137,7 +145,7 @@
 
 /// Decides whether a steward keeps an endpoint.
 pub fn keep(holding: &Holding) -> Keep {
-    if holding.record.is_some_and(|record| is_lost(holding, record)) {
+    if holding.record.is_some_and(|record| !record.is_same_tenure(holding.written)) {
         return Keep::Lost;
     }
     if !holding.listed {
@@ -148,10 +156,3 @@
         first.is_some_and(|first| first != holding.own && holding.leases.contains_key(first));
     if better && holding.idle { Keep::HandOver } else { Keep::Keep }
 }
-
-/// Returns whether a record shows that another tenure began since this one.
-fn is_lost(holding: &Holding, record: &EndpointRecord) -> bool {
-    let own = record.holder.as_ref() == Some(holding.own);
-    let own = own && record.incarnation == holding.incarnation;
-    record.fence > holding.fence || (record.fence == holding.fence && !own)
-}
--- a/src/kernel/stewardship/tenure.rs
+++ b/src/kernel/stewardship/tenure.rs
@@ -88,6 +88,11 @@
             return Duty::DispatchOnly;
         }
         let back = *self.back.get_or_insert(now);
-        if now.since(back) < RETURN_PERIOD { Duty::DispatchOnly } else { Duty::Stop }
+        if now.since(back) < RETURN_PERIOD {
+            return Duty::DispatchOnly;
+        }
+        // Others may take over from here on, so a later outage does not bring the duty back.
+        self.renewed = None;
+        Duty::Stop
     }
 }
--- a/src/node/steward/duty.rs
+++ b/src/node/steward/duty.rs
@@ -16,6 +16,7 @@
     endpoint::EndpointClient,
     events::Event,
     kernel::{
+        freshness::Freshness,
         ledger::{EndpointRecord, Ledger, LedgerLimits},
         stewardship::{
             self, Bid, Claim, Duty, Holding, Keep, Leases, Vacancy, lease_key, record_key,
@@ -63,6 +64,11 @@
     let Some(leases) = node.stewards.registry.leases() else { return };
     let list = node.list.load_full();
     vacant.retain(|id, _| list.endpoint(id).is_some());
+    if node.freshness() != Freshness::Fresh {
+        // A lapsed steward may renew first after every outage, so the wait starts again.
+        vacant.clear();
+        return;
+    }
     if !node.stewards.registry.is_read() || node.stewards.is_leaving() {
         return;
     }
@@ -82,7 +88,9 @@
 ) {
     let Some(pool) = config.pools.get(&endpoint.pool) else { return };
     let known = node.stewards.registry.record(&endpoint.id);
-    let vacancy = vacancy(node, known.as_ref().map(|known| &known.record), leases);
+    let own = (&node.settings.instance, node.incarnation);
+    let record = known.as_ref().map(|known| &known.record);
+    let vacancy = stewardship::vacancy(own, record, leases);
     if vacancy == Vacancy::Held {
         vacant.remove(&endpoint.id);
         return;
@@ -110,16 +118,6 @@
     ranked
 }
 
-/// Judges whether an endpoint has a steward; one that this node holds by the record only, since
-/// the answer to its write was lost, has none.
-fn vacancy(node: &Node, record: Option<&EndpointRecord>, leases: &Leases) -> Vacancy {
-    let own = |record: &EndpointRecord| {
-        record.holder.as_ref() == Some(&node.settings.instance)
-            && record.incarnation == node.incarnation
-    };
-    if record.is_some_and(own) { Vacancy::Free } else { stewardship::vacancy(record, leases) }
-}
-
 async fn take(
     node: &Arc<Node>,
     endpoint: &ListedEndpoint,
@@ -210,8 +208,7 @@
     let known = known.filter(|known| known.revision >= stewarded.revision);
     stewardship::keep(&Holding {
         own: &node.settings.instance,
-        incarnation: node.incarnation,
-        fence: stewarded.record.fence,
+        written: &stewarded.record,
         record: known.as_ref().map(|known| &known.record),
         listed: listed.is_some_and(|listed| {
             listed.state == ListedState::Live && listed.address == stewarded.listed.address
@@ -249,11 +246,7 @@
     for id in node.stewards.endpoints.keys() {
         let known = node.stewards.registry.record(&id);
         let own = node.stewards.endpoints.with(&id, |stewarded| {
-            known.is_some_and(|known| {
-                known.record.fence == stewarded.record.fence
-                    && known.record.holder == stewarded.record.holder
-                    && known.record.incarnation == stewarded.record.incarnation
-            })
+            known.is_some_and(|known| known.record.is_same_tenure(&stewarded.record))
         });
         if own == Some(false) {
             lose(node, &id);
--- a/src/node/steward/write.rs
+++ b/src/node/steward/write.rs
@@ -90,9 +90,7 @@
 /// Another write of this node, or one whose answer was lost, may have come first.
 fn adopt(node: &Node, id: &EndpointId, current: Versioned) -> Try {
     let own = node.stewards.endpoints.with(id, |stewarded| {
-        let same = current.record.holder == stewarded.record.holder
-            && current.record.incarnation == stewarded.record.incarnation
-            && current.record.fence == stewarded.record.fence;
+        let same = current.record.is_same_tenure(&stewarded.record);
         if same {
             stewarded.revision = stewarded.revision.max(current.revision);
         }
--- a/tests/kernel/ledger.rs
+++ b/tests/kernel/ledger.rs
@@ -1,6 +1,6 @@
 //! Memory is never overcommitted and the last keeper is never unloaded, under every fault.
 
-pub mod world;
+pub(super) mod world;
 
 use std::time::Duration;
 
@@ -31,6 +31,8 @@
     ReportsLate,
     ReportsMissing,
     FencingIgnored,
+    /// The planner makes this endpoint the model's keeper, as its protocol allows.
+    KeeperMoved,
 }
 
 const FAULTS: &[Fault] = &[
@@ -49,6 +51,21 @@
     Fault::FencingIgnored,
 ];
 
+const UNLOAD_FAULTS: &[Fault] = &[
+    Fault::Killed,
+    Fault::Paused,
+    Fault::ServiceDown,
+    Fault::WriteMute,
+    Fault::WriteLate,
+    Fault::OrderLate,
+    Fault::OrderTwice,
+    Fault::OrderMute,
+    Fault::EngineRestarted,
+    Fault::ReportsLate,
+    Fault::FencingIgnored,
+    Fault::KeeperMoved,
+];
+
 /// Longer than a lease and the wait of those that take over.
 const PAUSE: Duration = Duration::from_secs(18);
 
@@ -80,9 +97,10 @@
         Fault::OrderTwice => world.fate = Fate::Twice,
         Fault::OrderMute => world.fate = Fate::Mute,
         Fault::EngineRestarted => world.restart_engine(),
-        Fault::ReportsLate => world.engine.lag = Duration::from_secs(4),
+        Fault::ReportsLate => world.engine.lag = Duration::from_secs(8),
         Fault::ReportsMissing => world.engine.silent = true,
         Fault::FencingIgnored => world.engine.fencing = false,
+        Fault::KeeperMoved => {}
     }
 }
 
@@ -95,7 +113,7 @@
 
 impl Ordering {
     fn new(residents: &[(&str, u64)]) -> Self {
-        let mut world = World::new(residents);
+        let mut world = World::new(residents).settled();
         let order = world.next_order();
         Self { world, order, write: None }
     }
@@ -202,6 +220,134 @@
     }
 }
 
+/// Time for a model to return that was unloaded, in seconds; longer than two lives of an order.
+const RETURN_SECONDS: u64 = 70;
+
+/// Unloads `glue`, which another endpoint keeps at first.
+struct Unload {
+    ordering: Ordering,
+    /// Incarnation of this endpoint at which it became the keeper.
+    keeper: Option<u64>,
+    read: Option<bool>,
+}
+
+impl Unload {
+    /// Moves the keeper here in one transaction that expects a record without an intent to unload,
+    /// for a model that the steward's digest shows.
+    fn move_keeper(&mut self) {
+        let world = &self.ordering.world;
+        let (Some(holder), Some(record)) = (world.holder(), &world.record) else { return };
+        let ledger = world.stewards[holder].ledger.as_ref();
+        let shown = ledger.is_some_and(|l| l.dispatchable().any(|m| m.as_str() == "glue"));
+        if self.keeper == Some(world.engine.incarnation) {
+            return;
+        }
+        if !world.down && shown && !record.may_unload(&"glue".into()) {
+            self.keeper = Some(world.engine.incarnation);
+        }
+    }
+
+    fn read_plan(&mut self) {
+        if self.ordering.next() == Some(Step::CheckKeeper) {
+            self.read = Some(self.keeper.is_none() && !self.ordering.world.down);
+        }
+    }
+
+    fn note_plan(&mut self) {
+        let Some(allowed) = self.read.take() else { return };
+        let order = self.ordering.order.clone();
+        let Some(ledger) = &mut self.ordering.world.stewards[0].ledger else { return };
+        if allowed {
+            ledger.clear(&order);
+        } else {
+            ledger.cancel(&order);
+            self.ordering.world.write(0);
+        }
+    }
+}
+
+impl Protocol for Unload {
+    type Fault = Fault;
+
+    const NAME: &'static str = "unload";
+    const STEPS: &'static [&'static str] = &[
+        "decide",
+        "intent written",
+        "plan read",
+        "order sent",
+        "order answered",
+        "report seen",
+        "intent closed",
+    ];
+    const FAULTS: &'static [Fault] = UNLOAD_FAULTS;
+
+    fn start() -> Self {
+        let mut ordering = Ordering::new(&[("glue", 400)]);
+        let order = ordering.order.clone();
+        let ledger = ordering.world.stewards[0].ledger.as_mut();
+        let planned = ledger.map(|ledger| ledger.plan_unload(order, "glue".into()));
+        assert_eq!(planned, Some(Ok(())));
+        Self { ordering, keeper: None, read: None }
+    }
+
+    fn begin(&mut self, step: usize) {
+        match Self::STEPS[step] {
+            "intent written" if self.ordering.acts() => self.ordering.begin_write(),
+            "plan read" if self.ordering.acts() => self.read_plan(),
+            "order sent" if self.ordering.acts() => self.ordering.begin_send(),
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, step: usize) {
+        match Self::STEPS[step] {
+            "plan read" => self.note_plan(),
+            step => self.ordering.end_step(step),
+        }
+    }
+
+    fn inject(&mut self, fault: Fault) {
+        match fault {
+            Fault::KeeperMoved => self.move_keeper(),
+            fault => inject(&mut self.ordering.world, fault),
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let engine = &self.ordering.world.engine;
+        if self.keeper == Some(engine.incarnation) && !engine.residents.contains_key("glue") {
+            return Err("the keeper's copy was unloaded".to_owned());
+        }
+        self.ordering.world.check()
+    }
+
+    /// The model is wanted here again, and becomes kept here as soon as the protocol allows.
+    fn settle(&mut self) {
+        self.ordering.world.end_faults();
+        self.ordering.world.hunger.push(("glue".into(), 400));
+        for _ in 0..RETURN_SECONDS {
+            self.ordering.world.advance(Duration::from_secs(1));
+            self.move_keeper();
+            if self.check().is_err() {
+                return;
+            }
+        }
+        self.ordering.world.recover();
+    }
+
+    fn check_settled(&self) -> Result<(), String> {
+        if self.keeper != Some(self.ordering.world.engine.incarnation) {
+            return Err("the model could not be kept here again".to_owned());
+        }
+        self.ordering.world.check_recovered()
+    }
+}
+
+#[test]
+fn matrix_unload() {
+    run_all::<Unload>();
+}
+
 #[test]
 fn matrix_load() {
     run_all::<Load>();
--- a/tests/kernel/ledger/world.rs
+++ b/tests/kernel/ledger/world.rs
@@ -9,7 +9,8 @@
         freshness::Freshness,
         ledger::{EndpointRecord, Ledger, LedgerLimits, Step},
         stewardship::{
-            Bid, Claim, Duty, LEASE_TTL, Lease, Leases, Tenure, Vacancy, claim, vacancy,
+            Bid, Claim, Duty, Holding, Keep, LEASE_TTL, Lease, Leases, Tenure, Vacancy, claim,
+            keep, vacancy,
         },
     },
     names::{InstanceId, Model},
@@ -18,6 +19,7 @@
 pub const CAPACITY: u64 = 1_000;
 pub const LIFE: Duration = Duration::from_secs(30);
 const ANSWER_LIMIT: Duration = Duration::from_secs(5);
+/// Time between two looks at everything, where a test asks for no other.
 const TICK: Duration = Duration::from_secs(1);
 
 /// What happens to the next order.
@@ -105,6 +107,8 @@
     pub alive: bool,
     pub paused: bool,
     pub cut_off: bool,
+    /// Hears the others, but not the service.
+    pub unserved: bool,
     pub tenure: Tenure,
     pub ledger: Option<Ledger>,
     pub record: EndpointRecord,
@@ -136,6 +140,7 @@
 /// Everything.
 pub struct World {
     pub now: Time,
+    pub step: Duration,
     pub engine: Engine,
     pub record: Option<EndpointRecord>,
     pub revision: i64,
@@ -154,7 +159,7 @@
 }
 
 impl World {
-    /// Creates a world in which the first steward holds the endpoint with these residents.
+    /// Creates a world in which nobody holds the endpoint yet.
     pub fn new(residents: &[(&str, u64)]) -> Self {
         let residents = residents.iter().map(|(name, mb)| (Model::from(*name), *mb)).collect();
         let engine = Engine {
@@ -169,6 +174,7 @@
         };
         let mut world = Self {
             now: Time::from_millis(1_000_000),
+            step: TICK,
             engine,
             record: None,
             revision: 0,
@@ -187,11 +193,16 @@
         world.add_steward();
         world.add_steward();
         world.engine.note(world.now);
-        world.advance(Duration::from_secs(6));
-        assert!(world.stewards[0].ledger.is_some(), "the first steward takes the endpoint");
         world
     }
 
+    /// Lets the first steward take the endpoint.
+    pub fn settled(mut self) -> Self {
+        self.advance(Duration::from_secs(6));
+        assert!(self.stewards[0].ledger.is_some(), "the first steward takes the endpoint");
+        self
+    }
+
     pub fn add_steward(&mut self) {
         let number = self.stewards.len() as u64;
         self.stewards.push(Steward {
@@ -200,6 +211,7 @@
             alive: true,
             paused: false,
             cut_off: false,
+            unserved: false,
             tenure: Tenure::default(),
             ledger: None,
             record: EndpointRecord::default(),
@@ -225,14 +237,15 @@
     }
 
     fn reaches(&self, index: usize) -> bool {
-        !self.down && !self.stewards[index].cut_off
+        let steward = &self.stewards[index];
+        !self.down && !steward.cut_off && !steward.unserved
     }
 
     /// Lets time pass.
     pub fn advance(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
-            self.now = self.now + TICK;
+            self.now = self.now + self.step;
             self.tick();
         }
     }
@@ -246,6 +259,7 @@
             if self.stewards[index].acts() {
                 self.keep_lease(index);
                 self.duty(index);
+                self.keep(index);
                 self.claim(index);
                 self.tend(index);
                 self.eat(index);
@@ -277,17 +291,41 @@
     /// Drops the endpoint if another tenure began since.
     pub fn verify(&mut self, index: usize) {
         let steward = &mut self.stewards[index];
-        let fence = self.record.as_ref().map_or(0, |record| record.fence);
-        if fence != steward.record.fence {
+        let own = self.record.as_ref().is_some_and(|r| r.is_same_tenure(&steward.record));
+        if !own {
             steward.ledger = None;
         }
     }
 
+    /// Drops the endpoint when the watched record is of another tenure.
+    fn keep(&mut self, index: usize) {
+        let steward = &self.stewards[index];
+        if !self.reaches(index) || steward.ledger.is_none() {
+            return;
+        }
+        let kept = keep(&Holding {
+            own: &steward.id,
+            written: &steward.record,
+            record: self.record.as_ref(),
+            listed: true,
+            idle: false,
+            ranked: &[],
+            leases: &self.leases,
+        });
+        if kept == Keep::Lost {
+            self.stewards[index].ledger = None;
+        }
+    }
+
     fn claim(&mut self, index: usize) {
+        if self.freshness(index) != Freshness::Fresh {
+            self.stewards[index].vacant = None;
+        }
         if self.stewards[index].ledger.is_some() || !self.reaches(index) {
             return;
         }
-        let vacancy = vacancy(self.record.as_ref(), &self.leases);
+        let own = (&self.stewards[index].id, self.stewards[index].incarnation);
+        let vacancy = vacancy(own, self.record.as_ref(), &self.leases);
         if vacancy == Vacancy::Held {
             self.stewards[index].vacant = None;
             return;
@@ -303,14 +341,20 @@
             vacancy: &vacancy,
             vacant: self.now.since(since),
         };
-        if claim(&bid) == Claim::Take {
-            self.take(index);
+        if claim(&bid) == Claim::Take
+            && let Some(taking) = self.prepare(index)
+        {
+            self.take(index, taking);
         }
     }
 
-    pub fn take(&mut self, index: usize) {
+    /// Builds the record by which a steward takes the endpoint.
+    pub fn prepare(&self, index: usize) -> Option<(EndpointRecord, i64)> {
+        let steward = &self.stewards[index];
+        if !steward.acts() || steward.ledger.is_some() || !steward.tenure.is_held(self.now) {
+            return None;
+        }
         let previous = self.record.clone().unwrap_or_default();
-        let expected = self.revision;
         let steward = &self.stewards[index];
         let record = EndpointRecord {
             holder: Some(steward.id.clone()),
@@ -318,7 +362,20 @@
             fence: previous.fence + 1,
             ..previous
         };
-        if !self.commit(expected, record.clone()) {
+        Some((record, self.revision))
+    }
+
+    /// Takes the endpoint if its record is unchanged and nobody holds it.
+    pub fn take(&mut self, index: usize, (record, expected): (EndpointRecord, i64)) {
+        let steward = &self.stewards[index];
+        let own = (&steward.id, steward.incarnation);
+        let held = vacancy(own, self.record.as_ref(), &self.leases) == Vacancy::Held;
+        let leased = self.leases.contains_key(&steward.id);
+        if !self.reaches(index) || held || !leased || !self.commit(expected, record.clone()) {
+            return;
+        }
+        let fate = std::mem::replace(&mut self.write_fate, WriteFate::Answered);
+        if fate == WriteFate::Mute {
             return;
         }
         let limits = LedgerLimits { weights: CAPACITY, life: LIFE };
@@ -558,7 +615,7 @@
     }
 
     /// At most one steward dispatches, and the one that the record names can.
-    fn check_stewards(&mut self) {
+    pub fn check_stewards(&mut self) {
         let mut active = 0;
         for index in 0..self.stewards.len() {
             let holds = self.stewards[index].acts() && self.stewards[index].ledger.is_some();
@@ -594,18 +651,24 @@
 
     /// Ends all faults and lets the fleet recover.
     pub fn recover(&mut self) {
+        self.end_faults();
+        self.advance(LIFE * 3);
+        self.engine.lag = Duration::ZERO;
+        self.advance(LIFE);
+    }
+
+    /// Ends all faults but the lag of reports.
+    pub fn end_faults(&mut self) {
         self.down = false;
         self.engine.silent = false;
         for steward in &mut self.stewards {
             steward.paused = false;
             steward.cut_off = false;
+            steward.unserved = false;
         }
         if self.stewards.iter().all(|steward| !steward.alive) {
             self.add_steward();
         }
-        self.advance(LIFE * 3);
-        self.engine.lag = Duration::ZERO;
-        self.advance(LIFE);
     }
 
     pub fn check(&self) -> Result<(), String> {
--- a/tests/kernel/stewardship.rs
+++ b/tests/kernel/stewardship.rs
@@ -1,1 +1,245 @@
-//! Stewardship of endpoints.
+//! One steward at a time orders and dispatches, under every fault.
+
+use std::time::Duration;
+
+use cardamomshore::{
+    clock::Time,
+    kernel::{
+        freshness::Freshness,
+        ledger::EndpointRecord,
+        stewardship::{
+            Duty, Holding, Keep, LEASE_MARGIN, LEASE_TTL, Lease, Leases, RETURN_PERIOD, Tenure,
+            keep,
+        },
+    },
+    names::InstanceId,
+};
+
+use super::ledger::world::{World, WriteFate};
+use crate::matrix::{Protocol, run_all};
+
+/// Longer than a lease and the wait of those that take over.
+const PAUSE: Duration = Duration::from_secs(18);
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Killed,
+    Paused,
+    ServiceDown,
+    /// The service is back for all but the holder.
+    HolderUnserved,
+    /// The holder hears nobody.
+    HolderCutOff,
+    /// The service is down, and the holder is cut off when it comes back.
+    ServiceDownThenCutOff,
+    TakeMute,
+    TwoTakers,
+}
+
+/// The endpoint is taken, kept, handed over and taken again.
+struct Stewardship {
+    world: World,
+    taking: Vec<(usize, (EndpointRecord, i64))>,
+}
+
+impl Stewardship {
+    fn all_take(&mut self) {
+        let all = 0..self.world.stewards.len();
+        self.taking = all.filter_map(|index| Some((index, self.world.prepare(index)?))).collect();
+    }
+
+    fn end_taking(&mut self) {
+        for (index, taking) in std::mem::take(&mut self.taking) {
+            self.world.take(index, taking);
+        }
+    }
+
+    fn hand_over(&mut self) {
+        let Some(holder) = self.world.holder() else { return };
+        if self.world.duty(holder) != Duty::Hold || self.world.down {
+            return;
+        }
+        let Some((record, expected)) = self.world.build(holder) else { return };
+        let record = EndpointRecord { holder: None, ..record };
+        self.world.arrive(holder, record, expected);
+        self.world.stewards[holder].ledger = None;
+    }
+
+    fn with_holder(&mut self, change: impl Fn(&mut World, usize)) {
+        if let Some(holder) = self.world.holder() {
+            change(&mut self.world, holder);
+        }
+    }
+}
+
+impl Protocol for Stewardship {
+    type Fault = Fault;
+
+    const NAME: &'static str = "stewardship";
+    const STEPS: &'static [&'static str] = &[
+        "lease taken",
+        "endpoint taken",
+        "first dispatch",
+        "renewal",
+        "handover",
+        "taken again",
+        "loss",
+    ];
+    const FAULTS: &'static [Fault] = &[
+        Fault::Killed,
+        Fault::Paused,
+        Fault::ServiceDown,
+        Fault::HolderUnserved,
+        Fault::HolderCutOff,
+        Fault::ServiceDownThenCutOff,
+        Fault::TakeMute,
+        Fault::TwoTakers,
+    ];
+
+    fn start() -> Self {
+        let mut world = World::new(&[("glue", 400)]);
+        world.step = Duration::from_millis(500);
+        world.add_steward();
+        Self { world, taking: Vec::new() }
+    }
+
+    fn begin(&mut self, step: usize) {
+        match Self::STEPS[step] {
+            "lease taken" => self.world.advance(Duration::from_millis(500)),
+            "endpoint taken" => self.all_take(),
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, step: usize) {
+        match Self::STEPS[step] {
+            "endpoint taken" => self.end_taking(),
+            "handover" => self.hand_over(),
+            "loss" => self.with_holder(|world, holder| world.kill(holder)),
+            _ => self.world.advance(Duration::from_secs(4)),
+        }
+        self.world.check_stewards();
+    }
+
+    fn inject(&mut self, fault: Fault) {
+        match fault {
+            Fault::Killed => self.with_holder(|world, holder| world.kill(holder)),
+            Fault::Paused => self.with_holder(|world, holder| {
+                world.stewards[holder].paused = true;
+                world.advance(PAUSE);
+                world.stewards[holder].paused = false;
+            }),
+            Fault::ServiceDown => {
+                self.world.down = true;
+                self.world.advance(PAUSE);
+                self.world.down = false;
+            }
+            Fault::HolderUnserved => self.with_holder(|world, holder| {
+                world.stewards[holder].unserved = true;
+                world.advance(PAUSE);
+            }),
+            Fault::HolderCutOff => self.with_holder(|world, holder| {
+                world.stewards[holder].cut_off = true;
+                world.advance(PAUSE);
+            }),
+            Fault::ServiceDownThenCutOff => {
+                self.world.down = true;
+                self.world.advance(PAUSE);
+                self.with_holder(|world, holder| world.stewards[holder].cut_off = true);
+                self.world.down = false;
+                self.world.advance(PAUSE);
+            }
+            Fault::TakeMute => self.world.write_fate = WriteFate::Mute,
+            Fault::TwoTakers => {
+                self.all_take();
+                self.end_taking();
+            }
+        }
+        self.world.check_stewards();
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.world.check()
+    }
+
+    fn settle(&mut self) {
+        self.world.recover();
+    }
+
+    fn check_settled(&self) -> Result<(), String> {
+        self.world.check_recovered()
+    }
+}
+
+#[test]
+fn matrix_stewardship() {
+    run_all::<Stewardship>();
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+#[test]
+fn tenure_ends_before_the_lease() {
+    let mut tenure = Tenure::default();
+    assert_eq!(tenure.decide(Freshness::Fresh, at(0)), Duty::Stop);
+    tenure.renew(at(1_000));
+    let end = at(1_000) + LEASE_TTL - LEASE_MARGIN;
+    assert_eq!(tenure.decide(Freshness::CutOff, end - Duration::from_micros(1)), Duty::Hold);
+    assert_eq!(tenure.decide(Freshness::CutOff, end), Duty::Stop);
+}
+
+#[test]
+fn tenure_dispatches_on_while_service_is_down() {
+    let mut tenure = Tenure::default();
+    tenure.renew(at(1_000));
+    for ms in (1_000..120_000).step_by(500) {
+        assert_ne!(tenure.decide(Freshness::ServiceDown, at(ms)), Duty::Stop, "at {ms}");
+    }
+    let back = at(120_000);
+    assert_eq!(tenure.decide(Freshness::Fresh, back), Duty::DispatchOnly);
+    assert_eq!(tenure.decide(Freshness::Fresh, back + Duration::from_secs(1)), Duty::DispatchOnly);
+    assert_eq!(tenure.decide(Freshness::Fresh, back + RETURN_PERIOD), Duty::Stop);
+}
+
+#[test]
+fn tenure_stops_after_a_pause_whatever_is_heard() {
+    let mut tenure = Tenure::default();
+    tenure.renew(at(1_000));
+    assert_eq!(tenure.decide(Freshness::ServiceDown, at(2_000)), Duty::Hold);
+    assert_eq!(tenure.decide(Freshness::ServiceDown, at(30_000)), Duty::Stop);
+    assert_eq!(tenure.decide(Freshness::ServiceDown, at(30_200)), Duty::Stop);
+    tenure.renew(at(31_000));
+    assert_eq!(tenure.decide(Freshness::ServiceDown, at(31_200)), Duty::Hold);
+}
+
+fn keep_of(first: &str, idle: bool, listed: bool) -> Keep {
+    let own = InstanceId::from("i-1");
+    let record = EndpointRecord { holder: Some(own.clone()), fence: 3, ..Default::default() };
+    let ranked = [InstanceId::from(first), InstanceId::from("i-1")];
+    let lease = Lease { incarnation: 1, revision: 1 };
+    let leases: Leases = ranked.iter().map(|id| (id.clone(), lease)).collect();
+    keep(&Holding {
+        own: &own,
+        written: &record,
+        record: Some(&record),
+        listed,
+        idle,
+        ranked: &ranked,
+        leases: &leases,
+    })
+}
+
+#[test]
+fn keep_hands_only_idle_endpoints_to_a_newcomer() {
+    assert_eq!(keep_of("i-0", false, true), Keep::Keep);
+    assert_eq!(keep_of("i-0", true, true), Keep::HandOver);
+    assert_eq!(keep_of("i-1", true, true), Keep::Keep);
+}
+
+#[test]
+fn keep_drains_an_endpoint_that_leaves() {
+    assert_eq!(keep_of("i-1", false, false), Keep::Drain);
+    assert_eq!(keep_of("i-1", true, false), Keep::HandOver);
+}
