Keep answers of payments through a change of owner

A node now expects listed instances for three seconds, each claim names the owner that committed it, and a later owner fetches the answer there. Answers stay after a bucket was given up.

Ruled out: handing answers over with the bucket, which costs a transfer at every shutdown and does not help after a takeover.

--- a/src/kernel/once.rs
+++ b/src/kernel/once.rs
@@ -12,7 +12,8 @@
 pub use self::{
     bucket::{Asked, Bucket, Commit, Committed, Finished, Outcome, Write},
     record::{
-        ClaimId, ClaimRecord, HeadRecord, SegmentRecord, bucket_of, head_key, prefix, segment_key,
+        ClaimId, ClaimRecord, HeadRecord, SegmentRecord, bucket_of, head_key, owner_hash, prefix,
+        segment_key,
     },
 };
 
--- a/src/kernel/once/bucket.rs
+++ b/src/kernel/once/bucket.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use super::record::{ClaimId, ClaimRecord, HeadRecord, SegmentAge, SegmentRecord};
+use super::record::{ClaimId, ClaimRecord, HeadRecord, SegmentAge, SegmentRecord, owner_hash};
 use crate::clock::Time;
 
 /// Claims of an open segment above which it is sealed, so that each write stays small.
@@ -34,6 +34,7 @@
     state: State,
     recorded: bool,
     tainted: bool,
+    owner: u32,
 }
 
 impl Entry {
@@ -186,6 +187,7 @@
                 state: State::Unresolved,
                 recorded: true,
                 tainted: true,
+                owner: record.owner,
             };
             self.claims.insert(id, entry);
             if let Some(number) = segment {
@@ -208,7 +210,9 @@
     /// Takes in a request; `dedupes` says that the service itself recognizes a repeated id.
     pub fn ask(&mut self, id: ClaimId, print: u64, dedupes: bool) -> Asked {
         let Some(entry) = self.claims.get(&id).copied() else {
-            let entry = Entry { print, state: State::Queued, recorded: false, tainted: false };
+            let owner = owner_hash(&self.owner);
+            let entry =
+                Entry { print, state: State::Queued, recorded: false, tainted: false, owner };
             return self.enqueue(id, entry);
         };
         if entry.print != print {
@@ -253,6 +257,11 @@
         !self.sure || self.claims.get(id).is_some_and(|entry| entry.tainted)
     }
 
+    /// Returns the short hash of the owner that committed a claim and may hold its answer.
+    pub fn committed_by(&self, id: &ClaimId) -> Option<u32> {
+        self.claims.get(id).map(|entry| entry.owner)
+    }
+
     /// Notes that another owner may have taken the bucket, as after a pause of the process.
     pub fn doubt_tenure(&mut self) {
         self.sure = false;
@@ -279,7 +288,8 @@
         let pruned = prune(&mut head, now.since(self.aged).as_secs());
         let sealed = (head.claims.len() >= SEGMENT_LENGTH).then(|| seal(&mut head));
         let fresh = group.iter().filter(|id| !self.claims[id].recorded);
-        head.claims.extend(fresh.map(|id| ClaimRecord::new(*id, self.claims[id].print)));
+        head.claims
+            .extend(fresh.map(|id| ClaimRecord::new(*id, self.claims[id].print, &self.owner)));
         let owner = if self.closing { "" } else { self.owner.as_str() };
         head.owner = owner.to_owned();
         head.incarnation = self.incarnation;
--- a/src/kernel/once/record.rs
+++ b/src/kernel/once/record.rs
@@ -26,7 +26,8 @@
         &self.0
     }
 
-    fn from_bytes(bytes: &[u8]) -> Option<Self> {
+    /// Reads an id from its bytes.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Self> {
         bytes.try_into().ok().map(Self)
     }
 }
@@ -60,12 +61,20 @@
     /// Hash of the request, by which a reused id is told from a repeat.
     #[prost(fixed64, tag = "2")]
     pub print: u64,
+    /// Hash of the owner that committed it, which may still hold the answer.
+    #[prost(fixed32, tag = "3")]
+    pub owner: u32,
+}
+
+/// Returns the short hash by which a claim names its owner.
+pub fn owner_hash(owner: &str) -> u32 {
+    xxh3_64(owner.as_bytes()) as u32
 }
 
 impl ClaimRecord {
     /// Creates the record of a claim.
-    pub fn new(id: ClaimId, print: u64) -> Self {
-        Self { id: id.as_bytes().to_vec(), print }
+    pub fn new(id: ClaimId, print: u64, owner: &str) -> Self {
+        Self { id: id.as_bytes().to_vec(), print, owner: owner_hash(owner) }
     }
 
     /// Returns the id, or `None` for a damaged record.
--- a/src/node/once.rs
+++ b/src/node/once.rs
@@ -21,17 +21,20 @@
     codes::{Code, Refusal},
     events::Event,
     kernel::{
-        once::{Asked, BUCKET_COUNT, Bucket, ClaimId, bucket_of},
+        once::{Asked, BUCKET_COUNT, Bucket, ClaimId, bucket_of, owner_hash},
         stewardship,
     },
     names::InstanceId,
     platform::ListedState,
-    wire::{Body, End, Work},
+    wire::{AskBody, Body, End, KeptAsk, Work},
 };
 
 /// Time for which new claims are refused at once after the platform's service failed.
 const DOWN_PERIOD: Duration = Duration::from_millis(300);
 
+/// Time after its start for which a node expects listed instances that it has not heard yet.
+const START_GRACE: Duration = Duration::from_secs(3);
+
 /// Pause of the process after which another instance may have taken its buckets.
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -41,6 +44,7 @@
     wake: Notify,
     down: Mutex<Time>,
     tick: Mutex<Time>,
+    started: Time,
 }
 
 /// One bucket and what waits for it.
@@ -62,6 +66,8 @@
 enum Step {
     Wait,
     Replay(Arc<Kept>),
+    /// Another instance may hold the answer.
+    Fetch(InstanceId),
     Refuse(Refusal),
 }
 
@@ -72,6 +78,7 @@
             wake: Notify::new(),
             down: Mutex::default(),
             tick: Mutex::new(Time::now()),
+            started: Time::now(),
         }
     }
 }
@@ -130,10 +137,45 @@
             node.timeline.record(Event::ClaimRepeated, request, format!("bucket={bucket}"));
             kept.send(&responder).await;
         }
+        Step::Fetch(peer) => fetch(&node, &peer, &id, &responder).await,
         Step::Refuse(refusal) => responder.end(End::from(&refusal)).await,
     }
 }
 
+/// Passes on the answer that an earlier owner of the bucket kept.
+async fn fetch(node: &Arc<Node>, peer: &InstanceId, id: &ClaimId, responder: &Responder) {
+    let lost = End::from(&Refusal::unknown(Code::OutcomeUnknown));
+    let ask = AskBody::Kept(KeptAsk { claim: id.as_bytes().to_vec() });
+    let Ok(mut exchange) = node.open(peer, ask).await else { return responder.end(lost).await };
+    while let Some(body) = exchange.next().await {
+        let over = matches!(body, Body::End(_));
+        if responder.send(body).await.is_err() || over {
+            return;
+        }
+    }
+    responder.end(lost).await;
+}
+
+/// Answers a later owner of a bucket with what this node kept, or joins what still runs here.
+pub async fn send_kept(node: Arc<Node>, ask: KeptAsk, responder: Responder) {
+    let lost = Refusal::unknown(Code::OutcomeUnknown);
+    let Some(id) = ClaimId::from_bytes(&ask.claim) else {
+        return responder.end(End::from(&lost)).await;
+    };
+    let step = {
+        let mut slot = node.once.slots[bucket_of(&id) as usize].lock();
+        match slot.answers.get(&id) {
+            Some(kept) => Step::Replay(kept),
+            None => slot.join(&id, &responder),
+        }
+    };
+    match step {
+        Step::Replay(kept) => kept.send(&responder).await,
+        Step::Refuse(_) => responder.end(End::from(&lost)).await,
+        Step::Wait | Step::Fetch(_) => {}
+    }
+}
+
 impl Slot {
     fn ask(&mut self, node: &Node, id: ClaimId, work: Work, responder: &Responder) -> Step {
         let Some(bucket) = self.bucket.as_mut().filter(|bucket| !bucket.is_closing()) else {
@@ -157,11 +199,26 @@
                 Some(kept) => Step::Replay(kept),
                 None => Step::Refuse(Refusal::unknown(Code::OutcomeUnknown)),
             },
-            Asked::Unknown => Step::Refuse(Refusal::unknown(Code::OutcomeUnknown)),
+            Asked::Unknown => self.recall(node, &id),
             Asked::Reused => Step::Refuse(Refusal::not_run(Code::IdReused)),
         }
     }
 
+    /// Looks for the answer of a claim that an earlier owner, perhaps this one, committed.
+    fn recall(&self, node: &Node, id: &ClaimId) -> Step {
+        if let Some(kept) = self.answers.get(id) {
+            return Step::Replay(kept);
+        }
+        let hash = self.bucket.as_ref().and_then(|bucket| bucket.committed_by(id));
+        let list = node.list.load();
+        let earlier = |peer: &InstanceId| Some(owner_hash(peer.as_str())) == hash;
+        let earlier = list.instances.iter().map(|i| &i.id).find(|id| earlier(id));
+        match earlier {
+            Some(peer) if *peer != node.settings.instance => Step::Fetch(peer.clone()),
+            _ => Step::Refuse(Refusal::unknown(Code::OutcomeUnknown)),
+        }
+    }
+
     fn join(&mut self, id: &ClaimId, responder: &Responder) -> Step {
         match self.pending.get_mut(id) {
             Some(pending) => {
@@ -224,7 +281,7 @@
         self.members.bucket_owner(bucket).or_else(|| self.preferred_owner(bucket))
     }
 
-    /// Returns the first instance in rendezvous order that can be asked and stays.
+    /// Returns the first instance in rendezvous order that is heard, or expected, and stays.
     fn preferred_owner(&self, bucket: u32) -> Option<InstanceId> {
         let subject = format!("once-{bucket}");
         let list = self.list.load();
@@ -232,8 +289,10 @@
             if *id == self.settings.instance {
                 return !self.drain.is_draining();
             }
-            let beat = self.members.peer(id).map(|seen| seen.beat);
-            beat.is_some_and(|beat| !beat.leaving && !beat.cut_off) && self.reaches(id)
+            match self.members.peer(id).map(|seen| seen.beat) {
+                Some(beat) => !beat.leaving && !beat.cut_off,
+                None => Time::now().since(self.once.started) < START_GRACE,
+            }
         };
         let live = list.instances.iter().filter(|i| i.state == ListedState::Live && stays(&i.id));
         live.map(|i| &i.id).max_by_key(|id| stewardship::weight(&subject, id)).cloned()
--- a/src/node/once/commit.rs
+++ b/src/node/once/commit.rs
@@ -235,11 +235,12 @@
     }
 }
 
-/// Forgets a bucket that belongs to another owner; what runs still ends and is answered.
+/// Forgets a bucket that belongs to another owner.
+///
+/// What runs still ends, and the new owner asks here for the answers.
 fn discard(node: &Node, index: u32) {
     let mut slot = node.once.slots[index as usize].lock();
     slot.bucket = None;
-    slot.answers = Default::default();
     slot.retry = Time::now() + TAKE_PERIOD;
 }
 
--- a/src/node/peers/answer.rs
+++ b/src/node/peers/answer.rs
@@ -22,6 +22,9 @@
                 reply(responder, moved);
             });
         }
+        AskBody::Kept(ask) => {
+            tokio::spawn(once::send_kept(node, ask, responder));
+        }
         AskBody::Inspect(ask) => reply(responder, operator::inspect(&node, &ask)),
     }
 }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -173,7 +173,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
     /// What is asked.
-    #[prost(oneof = "AskBody", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "AskBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<AskBody>,
 }
 
@@ -198,6 +198,17 @@
     /// Load or unload a model at an endpoint of which the receiver is steward.
     #[prost(message, tag = "6")]
     Move(Move),
+    /// Send the answer of a non-repeatable request that the receiver claimed earlier.
+    #[prost(message, tag = "7")]
+    Kept(KeptAsk),
+}
+
+/// Asks for a kept answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeptAsk {
+    /// Id of the claim.
+    #[prost(bytes = "vec", tag = "1")]
+    pub claim: Vec<u8>,
 }
 
 /// Loads or unloads a model, as the planner decided.
--- a/tests/process/once.rs
+++ b/tests/process/once.rs
@@ -20,6 +20,18 @@
     call(Method::POST, address, "/services/ledger/payments", &headers, "{}").await.ok()
 }
 
+/// Waits until the buckets are spread over both instances.
+async fn wait_owned(fleet: &Fleet) {
+    eventually("both instances own buckets", READY, || async {
+        let mut owned = Vec::new();
+        for operator in &fleet.operators {
+            owned.push(fleet.status(*operator).await["buckets"].as_u64().unwrap_or(0));
+        }
+        owned.iter().all(|count| *count > 0) && owned.iter().sum::<u64>() == 32
+    })
+    .await;
+}
+
 fn ids() -> Vec<String> {
     (0..IDS).map(|number| format!("restock-{number}")).collect()
 }
@@ -73,6 +85,28 @@
     });
 }
 
+#[test]
+fn payment_answer_outlives_handover() {
+    block_on(async {
+        let plan = Plan { instances: vec!["dc-a", "dc-b", "dc-b"], ..Plan::default() };
+        let mut fleet = Fleet::start("once-handover", plan).await;
+        fleet.instances[2].kill();
+        let first = pay_all(fleet.caller(0)).await;
+        fleet.instances[2].restart();
+        eventually("the newcomer takes buckets", READY, || async {
+            fleet.status(fleet.operators[2]).await["buckets"].as_u64() > Some(0)
+        })
+        .await;
+        let second = pay_all(fleet.caller(1)).await;
+        for (first, second) in first.iter().zip(&second) {
+            let (first, second) = (first.as_ref().unwrap(), second.as_ref().unwrap());
+            assert_eq!((first.status, second.status), (200, 200), "{}", second.text());
+            assert_eq!(first.body, second.body);
+        }
+        check_runs(&fleet).await;
+    });
+}
+
 #[test]
 fn payment_owner_killed_in_flight() {
     block_on(async {
@@ -110,10 +144,9 @@
 fn payment_platform_down_is_not_run_at_once() {
     block_on(async {
         let fleet = Fleet::start("once-down", Plan::default()).await;
-        eventually("buckets are owned", READY, || async {
-            pay(fleet.caller(0), "warm-up").await.is_some_and(|answer| answer.status == 200)
-        })
-        .await;
+        wait_owned(&fleet).await;
+        let warm_up = pay(fleet.caller(0), "warm-up").await.unwrap();
+        assert_eq!(warm_up.status, 200);
         fleet.set_faults(fleet.platform, json!({ "down": true })).await;
         let start = std::time::Instant::now();
         let refused = pay_all(fleet.caller(0)).await;
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -5,6 +5,7 @@
     net::{SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
@@ -263,10 +264,25 @@
     }
 }
 
-/// Returns a loopback address that was free just now.
+/// First of the ports that tests use, all below those that outgoing connections get.
+///
+/// A port of an outgoing connection could be taken while a killed process is away.
+const FIRST_PORT: u32 = 10_000;
+
+const PORT_COUNT: u32 = 20_000;
+
+/// Returns a loopback address that was free just now and that no other test of this process gets.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let offset = std::process::id().wrapping_mul(509);
+    loop {
+        let number = offset.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
+        let port = FIRST_PORT + number % PORT_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 fn start(dir: &std::path::Path, name: &str, args: &[&str]) -> Process {
