Add the operators' commands, checked documents and confirmations

Now `config check, show, diff, apply`, `key give, withdraw`, `data-centre out, return`, `status` and `timeline` work against any instance. An apply is a compare-and-swap on the version that the operator saw; the loser exits with 3 and gets the difference, an outcome that is not known exits with 4, and "accepted" is printed only after more than half of the listed live instances confirmed the version. Errors in documents name the line and the path. Requests and rare events have separate records in the time line, since a busy hour pushed the rare ones out.

Seen to fail first, each with one mechanism off: - apply_race_has_one_winner: without the revision in the transaction both applies exit with 0; without the check of the version a later apply over version 1 exits with 0. - apply_names_silent_instance: with every listed instance counted as confirmed, the stopped one is not named. - apply_answer_lost_is_resolved: without the read-back the exit code is 4. - key_given_then_withdrawn: with the removal left out, the key works on. - timeline_merges_all_instances: with the order of the clocks reversed. - timeline_line_shows_time_and_event found that names ignored the width of a format; their Display pads now.

An unreadable record and a record that the platform lost no longer let versions start again at 1: the first is refused, the second goes on from the version in force.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,7 +1,16 @@
 //! The command line.
 
+mod args;
+mod change;
+mod config;
+mod data_centre;
+mod diff;
+mod key;
+mod remote;
 mod serve;
 mod standin;
+mod status;
+mod timeline;
 
 use std::{ffi::OsString, process::ExitCode};
 
@@ -13,18 +22,36 @@
 /// Exit code for a command line that cannot be understood.
 const EXIT_USAGE: u8 = 2;
 
+/// Exit code for a change that lost against another operator's.
+const EXIT_CONFLICT: u8 = 3;
+
+/// Exit code for a change of which it is not known whether it is in force.
+const EXIT_UNKNOWN: u8 = 4;
+
 const HELP: &str = "\
 Serves many models on fewer accelerators.
 
 Usage: cardamomshore COMMAND [OPTIONS]
 
 Commands:
-  serve     Run one instance
-  standin   Run a stand-in of the platform, an engine or a service
+  serve        Run one instance
+  config       Check, show, compare and apply the configuration
+  key          Give a key to a team or withdraw it
+  data-centre  Take a data centre out of service or return it
+  status       Show all instances
+  timeline     Show the recent events of all instances
+  standin      Run a stand-in of the platform, an engine or a service
 
 Options:
-  -h, --help     Print this help
+  -h, --help     Print this help; `COMMAND --help` tells more
   -V, --version  Print the version
+
+Exit codes:
+  0  Done
+  1  Not done
+  2  The command line cannot be understood
+  3  Conflict: the configuration changed since it was read
+  4  Unknown: the change may be in force, or may come into force
 ";
 
 /// Why a command failed.
@@ -36,6 +63,23 @@
     /// The command could not do what it was asked.
     #[error("{0}")]
     Failed(String),
+    /// Another operator's change came first.
+    #[error("{0}")]
+    Conflict(String),
+    /// It is not known whether the change is in force.
+    #[error("{0}")]
+    Unknown(String),
+}
+
+impl CliError {
+    fn exit_code(&self) -> u8 {
+        match self {
+            CliError::Usage(_) => EXIT_USAGE,
+            CliError::Failed(_) => EXIT_FAILED,
+            CliError::Conflict(_) => EXIT_CONFLICT,
+            CliError::Unknown(_) => EXIT_UNKNOWN,
+        }
+    }
 }
 
 impl From<lexopt::Error> for CliError {
@@ -50,10 +94,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
             eprintln!("error: {err}");
-            ExitCode::from(match err {
-                CliError::Usage(_) => EXIT_USAGE,
-                CliError::Failed(_) => EXIT_FAILED,
-            })
+            ExitCode::from(err.exit_code())
         }
     }
 }
@@ -76,6 +117,11 @@
 fn dispatch(command: OsString, parser: Parser) -> Result<(), CliError> {
     match command.string()?.as_str() {
         "serve" => serve::run(parser),
+        "config" => config::run(parser),
+        "key" => key::run(parser),
+        "data-centre" => data_centre::run(parser),
+        "status" => status::run(parser),
+        "timeline" => timeline::run(parser),
         "standin" => standin::run(parser),
         other => Err(CliError::Usage(format!("no such command: {other}"))),
     }
--- /dev/null
+++ b/src/cli/args.rs
@@ -0,0 +1,71 @@
+//! Arguments of the commands that talk to a running instance.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use lexopt::{Arg, Parser, ValueExt};
+
+use super::{CliError, remote::Remote};
+
+/// Parsed arguments of a command.
+#[derive(Debug, Default)]
+pub struct Args {
+    values: Vec<String>,
+    options: BTreeMap<&'static str, String>,
+    to: Vec<SocketAddr>,
+}
+
+impl Args {
+    /// Parses the rest of the command line, or prints the help and returns `None`.
+    pub fn parse(
+        mut parser: Parser,
+        options: &[&'static str],
+        help: &str,
+    ) -> Result<Option<Self>, CliError> {
+        let mut args = Args::default();
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Short('h') | Arg::Long("help") => {
+                    print!("{help}");
+                    return Ok(None);
+                }
+                Arg::Long("to") => args.to.push(parser.value()?.parse()?),
+                Arg::Long(name) => match options.iter().find(|option| **option == name) {
+                    Some(option) => {
+                        args.options.insert(option, parser.value()?.string()?);
+                    }
+                    None => return Err(arg.unexpected().into()),
+                },
+                Arg::Value(value) => args.values.push(value.string()?),
+                Arg::Short(_) => return Err(arg.unexpected().into()),
+            }
+        }
+        Ok(Some(args))
+    }
+
+    /// Returns the values, which must be as many as `names`.
+    pub fn values<const N: usize>(&self, names: [&str; N]) -> Result<[&str; N], CliError> {
+        if self.values.len() > N {
+            return Err(CliError::Usage(format!("unexpected argument: {}", self.values[N])));
+        }
+        let mut values = [""; N];
+        for (i, name) in names.iter().enumerate() {
+            let value = self.values.get(i);
+            values[i] = value.ok_or_else(|| CliError::Usage(format!("missing {name}")))?;
+        }
+        Ok(values)
+    }
+
+    /// Returns an option's value.
+    pub fn option(&self, name: &str) -> Option<&str> {
+        self.options.get(name).map(String::as_str)
+    }
+
+    /// Returns the client of the instances that `--to` names.
+    pub fn remote(&self) -> Result<Remote, CliError> {
+        if self.to.is_empty() {
+            let reason = "missing --to IP:PORT, the operators' address of any instance";
+            return Err(CliError::Usage(reason.to_owned()));
+        }
+        Ok(Remote::new(self.to.clone()))
+    }
+}
--- /dev/null
+++ b/src/cli/config.rs
@@ -0,0 +1,112 @@
+//! `cardamomshore config`: checks, shows, compares and applies the configuration.
+
+use lexopt::{Arg, Parser, ValueExt};
+
+use super::{CliError, args::Args, block_on, change, diff::unified};
+use crate::{config::Config, node::operator::Apply};
+
+const HELP: &str = "\
+Checks, shows, compares and applies the configuration.
+
+Usage: cardamomshore config check FILE
+       cardamomshore config show --to IP:PORT
+       cardamomshore config diff FILE --to IP:PORT
+       cardamomshore config apply FILE --seen VERSION --to IP:PORT
+
+Commands:
+  check  Check a file without talking to any instance
+  show   Print the newest version and its number
+  diff   Show what a file would change
+  apply  Bring a file into force, if VERSION is still the newest; 0 for the first one
+
+Options:
+      --seen VERSION  Version that you changed, as `show` and `diff` print it
+      --to IP:PORT    Operators' address of any instance; may be given several times
+  -h, --help          Print this help
+";
+
+/// Runs the command.
+pub fn run(mut parser: Parser) -> Result<(), CliError> {
+    let command = match parser.next()? {
+        None | Some(Arg::Short('h') | Arg::Long("help")) => {
+            print!("{HELP}");
+            return Ok(());
+        }
+        Some(Arg::Value(command)) => command.string()?,
+        Some(arg) => return Err(arg.unexpected().into()),
+    };
+    let Some(args) = Args::parse(parser, &["seen"], HELP)? else { return Ok(()) };
+    match command.as_str() {
+        "check" => check(&args),
+        "show" => show(&args),
+        "diff" => diff(&args),
+        "apply" => apply(&args),
+        other => Err(CliError::Usage(format!("no such command: config {other}"))),
+    }
+}
+
+fn read(path: &str) -> Result<String, CliError> {
+    std::fs::read_to_string(path)
+        .map_err(|err| CliError::Failed(format!("cannot read {path}: {err}")))
+}
+
+fn read_checked(path: &str) -> Result<(String, Config), CliError> {
+    let text = read(path)?;
+    let config = Config::parse(0, &text);
+    let config = config.map_err(|err| CliError::Failed(format!("{path}: {err}")))?;
+    Ok((text, config))
+}
+
+fn check(args: &Args) -> Result<(), CliError> {
+    let [path] = args.values(["FILE"])?;
+    let (_, config) = read_checked(path)?;
+    let adapters: usize = config.models.values().map(|model| model.adapters.len()).sum();
+    println!(
+        "{path}: good, with {} classes, {} teams, {} data centres, {} pools, {} models, \
+         {adapters} adapters and {} services",
+        config.classes.len(),
+        config.teams.len(),
+        config.data_centres.len(),
+        config.pools.len(),
+        config.models.len(),
+        config.services.len()
+    );
+    Ok(())
+}
+
+fn show(args: &Args) -> Result<(), CliError> {
+    let [] = args.values([])?;
+    let remote = args.remote()?;
+    let newest = block_on(remote.show())??;
+    if newest.seen == 0 {
+        return Err(CliError::Failed("there is no configuration yet".to_owned()));
+    }
+    println!("# version {}", newest.seen);
+    println!("{}", newest.text.trim_end());
+    Ok(())
+}
+
+fn diff(args: &Args) -> Result<(), CliError> {
+    let [path] = args.values(["FILE"])?;
+    let remote = args.remote()?;
+    let (text, _) = read_checked(path)?;
+    let newest = block_on(remote.show())??;
+    let changes = unified((&format!("version {}", newest.seen), &newest.text), (path, &text));
+    match changes.is_empty() {
+        true => println!("no difference to version {}", newest.seen),
+        false => println!("{}", changes.trim_end()),
+    }
+    Ok(())
+}
+
+fn apply(args: &Args) -> Result<(), CliError> {
+    let [path] = args.values(["FILE"])?;
+    let remote = args.remote()?;
+    let seen = args.option("seen").ok_or_else(|| {
+        CliError::Usage("missing --seen VERSION, as `config diff` prints it".to_owned())
+    })?;
+    let seen = seen.parse();
+    let seen = seen.map_err(|_| CliError::Usage("--seen takes a number".to_owned()))?;
+    let (text, _) = read_checked(path)?;
+    block_on(change::write(&remote, Apply { seen, text }))?
+}
--- /dev/null
+++ b/src/cli/data_centre.rs
@@ -0,0 +1,52 @@
+//! `cardamomshore data-centre`: takes a data centre out of service and returns it.
+
+use lexopt::{Arg, Parser, ValueExt};
+
+use super::{CliError, args::Args, block_on, change};
+use crate::config::RawConfig;
+
+const HELP: &str = "\
+Takes a data centre out of service or returns it.
+
+Usage: cardamomshore data-centre out NAME --to IP:PORT
+       cardamomshore data-centre return NAME --to IP:PORT
+
+After `out` the data centre gets no new work within seconds, and what runs there ends in peace.
+After `return` its endpoints start from their cold limits.
+
+Options:
+      --to IP:PORT  Operators' address of any instance; may be given several times
+  -h, --help        Print this help
+";
+
+/// Runs the command.
+pub fn run(mut parser: Parser) -> Result<(), CliError> {
+    let out = match parser.next()? {
+        None | Some(Arg::Short('h') | Arg::Long("help")) => {
+            print!("{HELP}");
+            return Ok(());
+        }
+        Some(Arg::Value(command)) => match command.string()?.as_str() {
+            "out" => true,
+            "return" => false,
+            other => return Err(CliError::Usage(format!("no such command: data-centre {other}"))),
+        },
+        Some(arg) => return Err(arg.unexpected().into()),
+    };
+    let Some(args) = Args::parse(parser, &[], HELP)? else { return Ok(()) };
+    let [name] = args.values(["NAME"])?;
+    let remote = args.remote()?;
+    block_on(change::edit(&remote, |config| set(config, name, out)))?
+}
+
+fn set(config: &mut RawConfig, name: &str, out: bool) -> Result<(), CliError> {
+    let known: Vec<&str> = config.data_centres.keys().map(String::as_str).collect();
+    let known = known.join(", ");
+    match config.data_centres.get_mut(name) {
+        Some(data_centre) => {
+            data_centre.out = out;
+            Ok(())
+        }
+        None => Err(CliError::Failed(format!("there is no data centre {name}, only {known}"))),
+    }
+}
--- /dev/null
+++ b/src/cli/remote.rs
@@ -0,0 +1,155 @@
+//! Client of an instance's operators' interface.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{Method, StatusCode};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use volo_http::client::Client;
+
+use super::CliError;
+use crate::{
+    http::{HttpError, Limits, base_url, call_json, client},
+    node::operator::{Apply, Confirmation, Gather, Gathered},
+};
+
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// Client of the first of several instances that can be reached.
+pub struct Remote {
+    http: Client,
+    addresses: Vec<SocketAddr>,
+}
+
+/// What became of a change.
+pub enum Written {
+    /// It was written as this version.
+    Done(u64),
+    /// Another change came first.
+    Conflict(Apply),
+    /// It was not accepted.
+    Refused(String),
+    /// It may have been written.
+    Unknown(String),
+}
+
+#[derive(Deserialize)]
+struct Version {
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct Loser {
+    current: Apply,
+}
+
+#[derive(Deserialize)]
+struct Invalid {
+    reason: String,
+}
+
+#[derive(Deserialize)]
+struct Refused {
+    error: RefusedError,
+}
+
+#[derive(Deserialize)]
+struct RefusedError {
+    code: u32,
+    name: String,
+    message: String,
+    #[serde(default)]
+    run: String,
+}
+
+impl Remote {
+    /// Creates a client that tries the addresses in their order.
+    pub fn new(addresses: Vec<SocketAddr>) -> Self {
+        let limits =
+            Limits { connect: Duration::from_secs(1), idle: Duration::from_secs(10), kept: 1 };
+        Self { http: client(limits), addresses }
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &impl Serialize,
+    ) -> Result<T, HttpError> {
+        let mut failure = HttpError::Connect("no address".to_owned());
+        for address in &self.addresses {
+            let url = format!("{}{path}", base_url(*address));
+            match call_json(&self.http, method.clone(), &url, body, CALL_LIMIT).await {
+                Err(HttpError::Connect(_)) => {
+                    let reason = format!(
+                        "no instance answers at {address}; name another one with --to IP:PORT"
+                    );
+                    failure = HttpError::Connect(reason);
+                }
+                other => return other,
+            }
+        }
+        Err(failure)
+    }
+
+    /// Returns the newest configuration; version zero where there is none yet.
+    pub async fn show(&self) -> Result<Apply, CliError> {
+        match self.call(Method::GET, "/config", &()).await {
+            Ok(shown) => Ok(shown),
+            Err(HttpError::Status(_, text)) if text.contains("NoConfig") => {
+                Ok(Apply { seen: 0, text: String::new() })
+            }
+            Err(err) => Err(failed(err)),
+        }
+    }
+
+    /// Writes a configuration.
+    pub async fn apply(&self, apply: &Apply) -> Written {
+        match self.call::<Version>(Method::PUT, "/config", apply).await {
+            Ok(written) => Written::Done(written.version),
+            Err(HttpError::Status(status, text)) => refused(status, &text),
+            Err(HttpError::Connect(text)) => Written::Refused(text),
+            Err(err) => Written::Unknown(err.to_string()),
+        }
+    }
+
+    /// Returns which instances have the newest version in force.
+    pub async fn confirmation(&self) -> Result<Confirmation, CliError> {
+        self.call(Method::GET, "/confirmation", &()).await.map_err(failed)
+    }
+
+    /// Gathers documents from all instances.
+    pub async fn gather(&self, kind: &str, filter: &str) -> Result<Gathered, CliError> {
+        let wanted = Gather { kind: kind.to_owned(), filter: filter.to_owned() };
+        self.call(Method::POST, "/gather", &wanted).await.map_err(failed)
+    }
+}
+
+fn refused(status: StatusCode, text: &str) -> Written {
+    if let Ok(loser) = serde_json::from_str::<Loser>(text) {
+        return Written::Conflict(loser.current);
+    }
+    if let Ok(invalid) = serde_json::from_str::<Invalid>(text) {
+        return Written::Refused(invalid.reason);
+    }
+    match serde_json::from_str::<Refused>(text) {
+        Ok(refused) if refused.error.run == "unknown" => Written::Unknown(explain(&refused)),
+        Ok(refused) => Written::Refused(explain(&refused)),
+        Err(_) => Written::Unknown(format!("status {status}")),
+    }
+}
+
+fn explain(refused: &Refused) -> String {
+    let error = &refused.error;
+    format!("{} {}: {}", error.code, error.name, error.message)
+}
+
+fn failed(err: HttpError) -> CliError {
+    match err {
+        HttpError::Connect(text) => CliError::Failed(text),
+        HttpError::Status(status, text) => match serde_json::from_str::<Refused>(&text) {
+            Ok(refused) => CliError::Failed(explain(&refused)),
+            Err(_) => CliError::Failed(format!("status {status}: {text}")),
+        },
+        other => CliError::Failed(other.to_string()),
+    }
+}
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -8,6 +8,7 @@
 use crate::{
     node::{Listeners, Node},
     settings::Settings,
+    telemetry,
 };
 
 const HELP: &str = "\
@@ -35,9 +36,9 @@
     }
     let path = path.ok_or_else(|| CliError::Usage("serve needs --settings FILE".to_owned()))?;
     let settings = Settings::load(&path).map_err(|err| CliError::Failed(err.to_string()))?;
-    let _logger = flexi_logger::Logger::try_with_str(&settings.log.spec)
-        .and_then(|logger| logger.start())
-        .map_err(|err| CliError::Failed(err.to_string()))?;
+    let _logger = telemetry::start_log(&settings.log)
+        .map_err(|err| CliError::Failed(format!("log.level: {err}")))?;
+    telemetry::start_metrics();
     block_on(async {
         let listeners = Listeners::bind(&settings).await;
         let listeners =
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -5,7 +5,10 @@
 use lexopt::{Arg, Parser, ValueExt};
 
 use super::{CliError, block_on};
-use crate::standin::{engine, platform, service};
+use crate::{
+    standin::{engine, platform, service},
+    yaml,
+};
 
 const HELP: &str = "\
 Runs a stand-in of the project's own, for tests and trials.
@@ -48,5 +51,5 @@
 fn read(path: &str) -> Result<engine::EngineSettings, CliError> {
     let text = std::fs::read_to_string(path)
         .map_err(|err| CliError::Failed(format!("cannot read {path}: {err}")))?;
-    serde_saphyr::from_str(&text).map_err(|err| CliError::Failed(format!("{path}: {err}")))
+    yaml::parse(&text).map_err(|err| CliError::Failed(format!("{path}: {err}")))
 }
--- /dev/null
+++ b/src/cli/timeline.rs
@@ -0,0 +1,44 @@
+//! `cardamomshore timeline`: shows the recent events of all instances.
+
+use lexopt::Parser;
+
+use super::{CliError, args::Args, block_on};
+use crate::{
+    node::operator::Gathered,
+    timeline::{Entry, line, merge},
+};
+
+const HELP: &str = "\
+Shows the recent events of all instances, causes before their effects.
+
+Usage: cardamomshore timeline [--filter ID] --to IP:PORT
+
+Options:
+      --filter ID   Only events about this request, order, endpoint, instance or version
+      --to IP:PORT  Operators' address of any instance; may be given several times
+  -h, --help        Print this help
+";
+
+/// Runs the command.
+pub fn run(parser: Parser) -> Result<(), CliError> {
+    let Some(args) = Args::parse(parser, &["filter"], HELP)? else { return Ok(()) };
+    let [] = args.values([])?;
+    let remote = args.remote()?;
+    let filter = args.option("filter").unwrap_or_default();
+    let gathered = block_on(remote.gather("timeline", filter))??;
+    let silent = gathered.silent.clone();
+    for entry in merge(entries(gathered)) {
+        println!("{}", line(&entry));
+    }
+    for instance in silent {
+        eprintln!("warning: {instance} does not answer; its events are missing");
+    }
+    Ok(())
+}
+
+fn entries(gathered: Gathered) -> impl Iterator<Item = Vec<Entry>> {
+    gathered
+        .answers
+        .into_iter()
+        .map(|answer| serde_json::from_value(answer.document).unwrap_or_default())
+}
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -3,10 +3,22 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use super::{checked::*, raw::*};
-use crate::names::{Class, Model, Pool};
+use crate::{
+    names::{Class, Model, Pool},
+    yaml,
+};
 
 const MEGABYTE: u64 = 1 << 20;
 
+/// Most megabytes that a size in the document may state.
+const MAX_MB: u64 = 1 << 30;
+
+/// Longest deadline of a class, in milliseconds; one week.
+const MAX_DEADLINE_MS: u64 = 7 * 24 * 3_600 * 1_000;
+
+/// Longest name of anything in the document, in bytes.
+const MAX_NAME: usize = 100;
+
 /// Why a configuration was not accepted.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -14,8 +26,10 @@
     #[error("{0}")]
     Parse(String),
     /// A field has a value that cannot be used.
-    #[error("{path}: {reason}")]
+    #[error("{}{path}: {reason}", line.map(|line| format!("line {line}: ")).unwrap_or_default())]
     Field {
+        /// Line of the field, where the document's text is at hand.
+        line: Option<u64>,
         /// Path of the field.
         path: String,
         /// What is wrong with it and what to write instead.
@@ -26,9 +40,20 @@
 impl Config {
     /// Checks a document given as YAML text.
     pub fn parse(version: u64, text: &str) -> Result<Self, ConfigError> {
-        let raw: RawConfig =
-            serde_saphyr::from_str(text).map_err(|err| ConfigError::Parse(err.to_string()))?;
-        Self::try_from((version, raw))
+        let raw: RawConfig = yaml::parse(text).map_err(ConfigError::Parse)?;
+        Self::try_from((version, raw)).map_err(|err| err.locate(text))
+    }
+}
+
+impl ConfigError {
+    /// Adds the line of the field.
+    fn locate(self, text: &str) -> Self {
+        match self {
+            ConfigError::Field { path, reason, .. } => {
+                ConfigError::Field { line: yaml::line_of(text, &path), path, reason }
+            }
+            other => other,
+        }
     }
 }
 
@@ -66,13 +91,24 @@
     check: impl Fn(&str, &R) -> Result<V, ConfigError>,
 ) -> Result<BTreeMap<K, V>, ConfigError> {
     raw.iter()
-        .map(|(name, item)| Ok((K::from(name.clone()), check(&format!("{section}.{name}"), item)?)))
+        .map(|(name, item)| {
+            let path = format!("{section}.{name}");
+            check_name(&path, name)?;
+            Ok((K::from(name.clone()), check(&path, item)?))
+        })
         .collect()
 }
 
+fn check_name(path: &str, name: &str) -> Result<(), ConfigError> {
+    let legal = |c: char| c.is_ascii_alphanumeric() || "-_./:".contains(c);
+    let ok = !name.is_empty() && name.len() <= MAX_NAME && name.chars().all(legal);
+    ensure(ok, path, "write a name of letters, digits, '-', '_', '.', '/' and ':' only")
+}
+
 fn class(path: &str, raw: &RawClass) -> Result<ClassTarget, ConfigError> {
     ensure(raw.first_ms > 0, path, "first_ms must be above zero")?;
     ensure(raw.deadline_ms >= raw.first_ms, path, "deadline_ms must not be below first_ms")?;
+    ensure(raw.deadline_ms <= MAX_DEADLINE_MS, path, "deadline_ms must not exceed a week")?;
     ensure(raw.percent > 0.0 && raw.percent <= 100.0, path, "percent lies above 0, up to 100")?;
     Ok(ClassTarget {
         first: Duration::from_millis(raw.first_ms),
@@ -103,7 +139,9 @@
     let mut keys = std::collections::HashMap::new();
     for (id, key) in &raw.keys {
         let path = format!("keys.{id}");
-        ensure(raw.teams.contains_key(&key.team), &path, "the team does not exist")?;
+        check_name(&path, id)?;
+        let reason = format!("team {} does not exist", key.team);
+        ensure(raw.teams.contains_key(&key.team), &path, &reason)?;
         let hash = blake3::Hash::from_hex(&key.hash)
             .map_err(|_| field(&path, "hash must be 64 hexadecimal digits"))?;
         let entry = (id.as_str().into(), key.team.as_str().into());
@@ -125,6 +163,7 @@
     ensure(raw.cold_limit > 0, path, "cold_limit must be above zero")?;
     ensure(raw.warm_limit >= raw.cold_limit, path, "warm_limit must not be below cold_limit")?;
     ensure(kind == PoolKind::Service || raw.memory_mb > 0, path, "an engine needs memory_mb")?;
+    ensure(raw.memory_mb <= MAX_MB, path, "memory_mb is no plausible size")?;
     ensure(raw.adapter_mb <= raw.memory_mb, path, "adapter_mb must not exceed memory_mb")?;
     ensure(raw.adapter_loads > 0, path, "adapter_loads must be above zero")?;
     Ok(PoolSpec {
@@ -211,7 +250,8 @@
 }
 
 fn store(raw: &RawStore) -> Result<WeightStore, ConfigError> {
-    ensure(raw.loads > 0.0, "weight_store", "loads must be above zero")?;
+    let loads_ok = raw.loads > 0.0 && raw.loads.is_finite();
+    ensure(loads_ok, "weight_store", "loads must be above zero")?;
     ensure(raw.at_once > 0, "weight_store", "at_once must be above zero")?;
     Ok(WeightStore { rate: raw.loads, at_once: raw.at_once })
 }
@@ -231,5 +271,5 @@
 }
 
 fn field(path: &str, reason: &str) -> ConfigError {
-    ConfigError::Field { path: path.to_owned(), reason: reason.to_owned() }
+    ConfigError::Field { line: None, path: path.to_owned(), reason: reason.to_owned() }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,5 +17,7 @@
 pub mod settings;
 pub mod shards;
 pub mod standin;
+pub mod telemetry;
 pub mod timeline;
 pub mod wire;
+pub mod yaml;
--- a/src/names.rs
+++ b/src/names.rs
@@ -28,7 +28,7 @@
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                f.pad(&self.0)
             }
         }
 
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 mod list_sync;
 mod members;
 mod once;
-mod operator;
+pub mod operator;
 mod peers;
 mod planner;
 mod router;
--- a/src/node/drain.rs
+++ b/src/node/drain.rs
@@ -36,6 +36,11 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Acquire)
+    }
+
     /// Counts a request in.
     pub fn enter(&self) -> Running {
         self.running.fetch_add(1, Ordering::AcqRel);
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -1,37 +1,30 @@
 //! The operators' interface.
 
+mod apply;
+mod gather;
+
 use std::sync::Arc;
 
-use bytes::Bytes;
 use http::Method;
-use serde::{Deserialize, Serialize};
 use serde_json::json as value;
 use tokio::net::TcpListener;
-use volo_http::{request::Request, response::Response};
+use volo_http::{body::Body, request::Request, response::Response};
 
-use super::{
-    Node,
-    config_sync::{self, CONFIG_KEY, ConfigRecord},
+pub use self::{
+    apply::{Apply, Confirmation},
+    gather::{Answer, Gather, Gathered},
 };
+use super::Node;
 use crate::{
     codes::{Code, Refusal},
-    config::Config,
     http::{json, read_body, refuse, serve},
-    platform::Put,
+    kernel::freshness::Freshness,
+    telemetry,
     wire::{Document, Inspect, ReplyBody},
 };
 
-/// Largest configuration in bytes; the platform's service holds values up to a megabyte.
-const CONFIG_LIMIT: usize = 700 << 10;
-
-/// A configuration that an operator wants in force.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Apply {
-    /// Version that the operator saw; zero where there was none.
-    pub seen: u64,
-    /// The document as YAML.
-    pub text: String,
-}
+/// Largest body of an operator's request in bytes, within what the platform's service holds.
+const BODY_LIMIT: usize = 700 << 10;
 
 /// Serves operators.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
@@ -47,18 +40,39 @@
     let answer = match (&method, path.as_str()) {
         (&Method::GET, "/status") => Ok(json(200, &status(&node))),
         (&Method::GET, "/timeline") => Ok(json(200, &node.timeline.entries(""))),
-        (&Method::GET, "/config") => show(&node),
-        (&Method::PUT, "/config") => apply(&node, request).await,
+        (&Method::GET, "/config") => apply::show(&node).await,
+        (&Method::PUT, "/config") => apply::apply(&node, request).await,
+        (&Method::GET, "/confirmation") => Ok(json(200, &apply::confirmation(&node))),
+        (&Method::POST, "/gather") => gather::gather(&node, request).await,
+        (&Method::GET, "/metrics") => Ok(metrics_page(&node)),
+        (_, "/status" | "/timeline" | "/config" | "/confirmation" | "/gather" | "/metrics") => {
+            Err(Refusal::not_run(Code::MethodNotAllowed))
+        }
         _ => Err(Refusal::not_run(Code::RouteUnknown)),
     };
     answer.unwrap_or_else(|refusal| refuse(&refusal, ""))
 }
 
+/// Reads the JSON body of an operator's request.
+async fn read<T: serde::de::DeserializeOwned>(request: Request) -> Result<T, Refusal> {
+    let body = read_body(request.into_body(), BODY_LIMIT).await;
+    let body = body.map_err(|_| Refusal::not_run(Code::BodyTooLarge))?;
+    serde_json::from_slice(&body).map_err(|_| Refusal::not_run(Code::BadRequest))
+}
+
 fn status(node: &Node) -> serde_json::Value {
+    let freshness = match node.freshness() {
+        Freshness::Fresh => "fresh",
+        Freshness::ServiceDown => "service-down",
+        Freshness::CutOff => "cut-off",
+    };
     value!({
         "instance": node.settings.instance,
+        "data_centre": node.settings.data_centre,
         "version": node.version(),
+        "freshness": freshness,
         "draining": node.drain.is_draining(),
+        "running": node.drain.running(),
         "stewards": node.stewards.digests().len(),
         "buckets": node.once.owned(),
         "planner": node.planner.is_held(),
@@ -66,45 +80,19 @@
     })
 }
 
-fn show(node: &Node) -> Result<Response, Refusal> {
-    let config = node.config().ok_or(Refusal::not_run(Code::NoConfig))?;
-    let text =
-        serde_saphyr::to_string(&config.raw).map_err(|_| Refusal::not_run(Code::Internal))?;
-    Ok(json(200, &Apply { seen: config.version, text }))
-}
-
-async fn apply(node: &Node, request: Request) -> Result<Response, Refusal> {
-    let body: Bytes = read_body(request.into_body(), CONFIG_LIMIT)
-        .await
-        .map_err(|_| Refusal::not_run(Code::BodyTooLarge))?;
-    let apply: Apply =
-        serde_json::from_slice(&body).map_err(|_| Refusal::not_run(Code::BadRequest))?;
-    let version = apply.seen + 1;
-    if let Err(err) = Config::parse(version, &apply.text) {
-        return Ok(json(
-            400,
-            &value!({ "code": Code::ConfigInvalid.number(), "reason": err.to_string() }),
-        ));
-    }
-    let current = node.platform.get(CONFIG_KEY).await;
-    let current = current.map_err(|_| Refusal::not_run(Code::PlatformDown))?;
-    let record: Option<ConfigRecord> =
-        current.as_ref().and_then(|kv| serde_json::from_slice(&kv.value).ok());
-    let held = record.map_or(0, |record| record.version);
-    if held != apply.seen {
-        return Err(Refusal::not_run(Code::Conflict));
-    }
-    let record = ConfigRecord { version, text: apply.text, nonce: rand::random() };
-    let value = serde_json::to_vec(&record).map_err(|_| Refusal::not_run(Code::Internal))?;
-    let put = Put { key: CONFIG_KEY.to_owned(), value, lease: 0 };
-    let revision = current.map_or(0, |kv| kv.revision);
-    let reply = node.platform.put_if(put, revision).await;
-    let reply = reply.map_err(|_| Refusal::unknown(Code::PlatformDown))?;
-    if !reply.done {
-        return Err(Refusal::not_run(Code::Conflict));
-    }
-    config_sync::take(node, version, &record.text);
-    Ok(json(200, &value!({ "version": version })))
+fn metrics_page(node: &Node) -> Response {
+    let digests = node.stewards.digests();
+    let queued: u32 = digests.iter().map(|digest| digest.queued).sum();
+    let running: u32 = digests.iter().map(|digest| digest.running).sum();
+    metrics::gauge!("cardamomshore_entry_running").set(node.drain.running() as f64);
+    metrics::gauge!("cardamomshore_endpoint_running").set(running);
+    metrics::gauge!("cardamomshore_endpoint_queued").set(queued);
+    metrics::gauge!("cardamomshore_endpoints_stewarded").set(digests.len() as f64);
+    metrics::gauge!("cardamomshore_config_version").set(node.version() as f64);
+    let mut answer = Response::new(Body::from(telemetry::render()));
+    let kind = http::HeaderValue::from_static("text/plain; version=0.0.4");
+    answer.headers_mut().insert("content-type", kind);
+    answer
 }
 
 /// Answers a peer that gathers documents for operators.
--- /dev/null
+++ b/src/node/operator/apply.rs
@@ -0,0 +1,172 @@
+//! Changes of the configuration: a compare-and-swap on the version that the operator saw.
+
+use std::{sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use serde_json::json as value;
+use tokio::time::sleep;
+use volo_http::{request::Request, response::Response};
+
+use crate::{
+    clock::Time,
+    codes::{Code, Refusal},
+    config::Config,
+    events::Event,
+    http::json,
+    names::InstanceId,
+    node::{
+        Node,
+        config_sync::{self, CONFIG_KEY, ConfigRecord},
+    },
+    platform::{Kv, ListedState, PlatformError, Put},
+};
+
+/// Longest time for which a change is followed until most instances confirmed it.
+const FOLLOW_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at the confirmations.
+const FOLLOW_PERIOD: Duration = Duration::from_millis(100);
+
+/// A configuration that an operator wants in force.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Apply {
+    /// Version that the operator saw; zero where there was none.
+    pub seen: u64,
+    /// The document as YAML.
+    pub text: String,
+}
+
+/// Which of the listed live instances have a version in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Version in force at the instance that was asked.
+    pub version: u64,
+    /// Instances that have this version or a later one in force.
+    pub confirmed: Vec<InstanceId>,
+    /// Instances that have not said so.
+    pub missing: Vec<InstanceId>,
+}
+
+impl Confirmation {
+    /// Returns whether more than half of the listed instances confirmed the version.
+    pub fn is_accepted(&self) -> bool {
+        self.confirmed.len() > self.missing.len()
+    }
+}
+
+/// What the platform's service holds.
+struct Held {
+    revision: i64,
+    version: u64,
+    text: String,
+}
+
+/// Returns the newest configuration, or the one in force where the service does not answer.
+pub async fn show(node: &Arc<Node>) -> Result<Response, Refusal> {
+    let newest = match held(node).await {
+        Ok(held) => Apply { seen: held.version, text: held.text },
+        Err(_) => in_force(node),
+    };
+    if newest.seen == 0 {
+        return Err(Refusal::not_run(Code::NoConfig));
+    }
+    Ok(json(200, &newest))
+}
+
+fn in_force(node: &Node) -> Apply {
+    let config = node.config();
+    let text = config.as_ref().and_then(|config| serde_saphyr::to_string(&config.raw).ok());
+    Apply { seen: node.version(), text: text.unwrap_or_default() }
+}
+
+/// Writes a configuration if the version that the operator saw is still the newest.
+pub async fn apply(node: &Arc<Node>, request: Request) -> Result<Response, Refusal> {
+    let apply: Apply = super::read(request).await?;
+    let version = apply.seen + 1;
+    if let Err(err) = Config::parse(version, &apply.text) {
+        return Ok(invalid(&err.to_string()));
+    }
+    let held = held(node).await?;
+    if held.version != apply.seen {
+        return Ok(conflict(held));
+    }
+    let record = ConfigRecord { version, text: apply.text, nonce: rand::random() };
+    let value = serde_json::to_vec(&record).map_err(|_| Refusal::not_run(Code::Internal))?;
+    let put = Put { key: CONFIG_KEY.to_owned(), value, lease: 0 };
+    let reply = node.platform.put_if(put, held.revision).await.map_err(failed_write)?;
+    if !reply.done {
+        return Ok(conflict(self::held(node).await?));
+    }
+    config_sync::take(node, version, &record.text);
+    tokio::spawn(follow(node.clone(), version));
+    Ok(json(200, &value!({ "version": version })))
+}
+
+fn failed_write(err: PlatformError) -> Refusal {
+    match err {
+        PlatformError::Unknown(_) => Refusal::unknown(Code::PlatformDown),
+        _ => Refusal::not_run(Code::PlatformDown),
+    }
+}
+
+async fn held(node: &Node) -> Result<Held, Refusal> {
+    let current = node.platform.get(CONFIG_KEY).await;
+    match current.map_err(|_| Refusal::not_run(Code::PlatformDown))? {
+        Some(kv) => read(&kv),
+        // A service that lost the record must not make versions start again.
+        None => {
+            let Apply { seen, text } = in_force(node);
+            Ok(Held { revision: 0, version: seen, text })
+        }
+    }
+}
+
+fn read(kv: &Kv) -> Result<Held, Refusal> {
+    let record: ConfigRecord =
+        serde_json::from_slice(&kv.value).map_err(|_| Refusal::not_run(Code::Internal))?;
+    Ok(Held { revision: kv.revision, version: record.version, text: record.text })
+}
+
+fn invalid(reason: &str) -> Response {
+    json(400, &value!({ "code": Code::ConfigInvalid.number(), "reason": reason }))
+}
+
+/// Tells the loser of a race what won it.
+fn conflict(held: Held) -> Response {
+    let code = Code::Conflict;
+    let error = value!({ "code": code.number(), "name": code.name(), "message": code.text() });
+    let current = Apply { seen: held.version, text: held.text };
+    json(code.status(), &value!({ "error": error, "current": current }))
+}
+
+/// Returns which of the listed live instances confirmed the version in force here.
+pub fn confirmation(node: &Node) -> Confirmation {
+    let version = node.version();
+    let mut found = Confirmation { version, ..Confirmation::default() };
+    let list = node.list.load();
+    for listed in list.instances.iter().filter(|listed| listed.state == ListedState::Live) {
+        let own = listed.id == node.settings.instance;
+        let beat = node.members.peer(&listed.id).map(|seen| seen.beat);
+        if own || beat.is_some_and(|beat| beat.version >= version) {
+            found.confirmed.push(listed.id.clone());
+        } else {
+            found.missing.push(listed.id.clone());
+        }
+    }
+    found
+}
+
+/// Records in the time line when most of the instances confirmed a version.
+async fn follow(node: Arc<Node>, version: u64) {
+    let start = Time::now();
+    while Time::now().since(start) < FOLLOW_LIMIT && node.version() == version {
+        let found = confirmation(&node);
+        if found.is_accepted() {
+            let detail =
+                format!("confirmed={} missing={}", found.confirmed.len(), found.missing.len());
+            node.timeline.record(Event::ConfigConfirmed, format!("config-{version}"), detail);
+            return;
+        }
+        sleep(FOLLOW_PERIOD).await;
+    }
+}
--- /dev/null
+++ b/src/node/operator/gather.rs
@@ -0,0 +1,71 @@
+//! Gathers a document from every listed instance, so that operators may ask any of them.
+
+use std::sync::Arc;
+
+use futures_util::future::join_all;
+use serde::{Deserialize, Serialize};
+use volo_http::{request::Request, response::Response};
+
+use crate::{
+    codes::Refusal,
+    http::json,
+    names::InstanceId,
+    node::Node,
+    wire::{AskBody, Inspect, ReplyBody},
+};
+
+/// What is gathered.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Gather {
+    /// Kind of the document: `status` or `timeline`.
+    pub kind: String,
+    /// Text that entries of the time line must contain.
+    #[serde(default)]
+    pub filter: String,
+}
+
+/// The document of one instance.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Answer {
+    /// Instance.
+    pub instance: InstanceId,
+    /// Its document.
+    pub document: serde_json::Value,
+}
+
+/// The documents of all instances that answered.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Gathered {
+    /// Documents in the order of the instances' names.
+    pub answers: Vec<Answer>,
+    /// Listed instances that did not answer in time.
+    pub silent: Vec<InstanceId>,
+}
+
+/// Serves an operator who wants the documents of all instances.
+pub async fn gather(node: &Arc<Node>, request: Request) -> Result<Response, Refusal> {
+    let wanted: Gather = super::read(request).await?;
+    let mut peers: Vec<InstanceId> =
+        node.list.load().instances.iter().map(|listed| listed.id.clone()).collect();
+    if !peers.contains(&node.settings.instance) {
+        peers.push(node.settings.instance.clone());
+    }
+    peers.sort();
+    let asks = peers.iter().map(|peer| ask(node, peer, &wanted));
+    let mut gathered = Gathered::default();
+    for (instance, document) in peers.iter().cloned().zip(join_all(asks).await) {
+        match document {
+            Some(document) => gathered.answers.push(Answer { instance, document }),
+            None => gathered.silent.push(instance),
+        }
+    }
+    Ok(json(200, &gathered))
+}
+
+async fn ask(node: &Arc<Node>, peer: &InstanceId, wanted: &Gather) -> Option<serde_json::Value> {
+    let ask = Inspect { kind: wanted.kind.clone(), filter: wanted.filter.clone() };
+    match node.ask(peer, AskBody::Inspect(ask)).await {
+        Ok(ReplyBody::Document(document)) => serde_json::from_str(&document.text).ok(),
+        _ => None,
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -5,7 +5,10 @@
 use std::{net::SocketAddr, path::Path};
 
 pub use self::raw::RawSettings;
-use crate::names::{DataCentre, InstanceId};
+use crate::{
+    names::{DataCentre, InstanceId},
+    yaml,
+};
 
 /// Checked settings of one node.
 #[derive(Clone, Debug)]
@@ -51,9 +54,19 @@
     /// The text is not YAML of the expected shape.
     #[error("{0}")]
     Parse(String),
+    /// Something is wrong with a file.
+    #[error("{path}: {source}")]
+    File {
+        /// The file.
+        path: String,
+        /// What is wrong with it.
+        source: Box<SettingsError>,
+    },
     /// A field has a value that cannot be used.
-    #[error("{field}: {reason}")]
+    #[error("{}{field}: {reason}", line.map(|line| format!("line {line}: ")).unwrap_or_default())]
     Field {
+        /// Line of the field, where the text is at hand.
+        line: Option<u64>,
         /// Path of the field.
         field: String,
         /// What is wrong with it and what to write instead.
@@ -61,18 +74,33 @@
     },
 }
 
+impl SettingsError {
+    /// Adds the line of the field.
+    fn locate(self, text: &str) -> Self {
+        match self {
+            SettingsError::Field { field, reason, .. } => {
+                SettingsError::Field { line: yaml::line_of(text, &field), field, reason }
+            }
+            other => other,
+        }
+    }
+
+    fn within(self, path: &Path) -> Self {
+        SettingsError::File { path: path.display().to_string(), source: Box::new(self) }
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| SettingsError::Read { path: path.display().to_string(), source })?;
-        Self::parse(&text)
+        Self::parse(&text).map_err(|err| err.within(path))
     }
 
     /// Checks settings given as YAML text.
     pub fn parse(text: &str) -> Result<Self, SettingsError> {
-        let raw: RawSettings =
-            serde_saphyr::from_str(text).map_err(|err| SettingsError::Parse(err.to_string()))?;
-        Self::try_from(raw)
+        let raw: RawSettings = yaml::parse(text).map_err(SettingsError::Parse)?;
+        Self::try_from(raw).map_err(|err| err.locate(text))
     }
 }
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -97,5 +97,5 @@
 }
 
 fn field(path: &str, reason: &str) -> SettingsError {
-    SettingsError::Field { field: path.to_owned(), reason: reason.to_owned() }
+    SettingsError::Field { line: None, field: path.to_owned(), reason: reason.to_owned() }
 }
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,52 @@
+//! Logs and metrics of the process.
+
+use std::{io::Write, sync::OnceLock};
+
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use log::Record;
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use serde_json::json;
+
+use crate::settings::LogSettings;
+
+static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
+
+/// Format of a time in the log.
+const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
+
+/// Starts the log; it ends when the handle is dropped.
+pub fn start_log(settings: &LogSettings) -> Result<LoggerHandle, FlexiLoggerError> {
+    let format = if settings.json { json_line } else { plain_line };
+    Logger::try_with_str(&settings.spec)?.use_utc().format(format).start()
+}
+
+/// Starts to collect metrics; later calls change nothing.
+pub fn start_metrics() {
+    METRICS.get_or_init(|| {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // Another recorder can stand in its place only in tests, which then read none of these.
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    });
+}
+
+/// Returns the metrics as a Prometheus text page.
+pub fn render() -> String {
+    METRICS.get().map(PrometheusHandle::render).unwrap_or_default()
+}
+
+fn plain_line(out: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> std::io::Result<()> {
+    let time = now.format(TIME_FORMAT);
+    write!(out, "{time} {} {} {}", record.level(), record.target(), record.args())
+}
+
+fn json_line(out: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> std::io::Result<()> {
+    let line = json!({
+        "time": now.format(TIME_FORMAT).to_string(),
+        "level": record.level().as_str(),
+        "module": record.target(),
+        "message": record.args().to_string(),
+    });
+    write!(out, "{line}")
+}
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -13,7 +13,14 @@
 
 use crate::{clock, events::Event, names::InstanceId};
 
-const CAPACITY: usize = 8_192;
+/// Entries that are kept of requests, and as many of everything else.
+const CAPACITY: usize = 4_096;
+
+/// Events from this number on, up to [`REQUEST_END`], are about single requests.
+const REQUEST_START: u32 = 2_101;
+
+/// First number above the events about single requests.
+const REQUEST_END: u32 = 2_200;
 
 /// One event of one instance.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -35,17 +42,26 @@
 }
 
 /// A bounded record of the events of one instance.
+///
+/// Requests have a record of their own, so that a busy hour does not push out the rare events that
+/// explain it.
 #[derive(Debug)]
 pub struct Timeline {
     instance: InstanceId,
     clock: AtomicU64,
-    entries: Mutex<VecDeque<Entry>>,
+    requests: Mutex<VecDeque<Entry>>,
+    others: Mutex<VecDeque<Entry>>,
 }
 
 impl Timeline {
     /// Creates an empty time line.
     pub fn new(instance: InstanceId) -> Self {
-        Self { instance, clock: AtomicU64::new(0), entries: Mutex::default() }
+        Self {
+            instance,
+            clock: AtomicU64::new(0),
+            requests: Mutex::default(),
+            others: Mutex::default(),
+        }
     }
 
     /// Records an event in the time line and the log.
@@ -65,7 +81,9 @@
             "E{} {} instance={} subject={} {}",
             entry.event, entry.name, entry.instance, entry.subject, entry.detail
         );
-        let mut entries = self.entries.lock();
+        let is_request = (REQUEST_START..REQUEST_END).contains(&entry.event);
+        let entries = if is_request { &self.requests } else { &self.others };
+        let mut entries = entries.lock();
         if entries.len() == CAPACITY {
             entries.pop_front();
         }
@@ -82,10 +100,15 @@
         self.clock.fetch_max(clock, Ordering::Relaxed);
     }
 
-    /// Returns the entries whose subject or detail contains `filter`.
+    /// Returns the entries whose subject, detail or event contains `filter`, in the clock's order.
     pub fn entries(&self, filter: &str) -> Vec<Entry> {
-        let matches = |e: &&Entry| e.subject.contains(filter) || e.detail.contains(filter);
-        self.entries.lock().iter().filter(matches).cloned().collect()
+        let matches = |e: &&Entry| {
+            e.subject.contains(filter) || e.detail.contains(filter) || e.name.contains(filter)
+        };
+        let copy = |entries: &Mutex<VecDeque<Entry>>| -> Vec<Entry> {
+            entries.lock().iter().filter(matches).cloned().collect()
+        };
+        merge([copy(&self.requests), copy(&self.others)])
     }
 }
 
@@ -95,3 +118,26 @@
     all.sort_by(|a, b| (a.clock, &a.instance).cmp(&(b.clock, &b.instance)));
     all
 }
+
+/// Returns an entry as one line of text.
+///
+/// The order of the lines is that of the clocks; the wall-clock time helps to compare with logs.
+pub fn line(entry: &Entry) -> String {
+    let text = format!(
+        "{:>8} {} {:<16} E{} {:<18} {} {}",
+        entry.clock,
+        time_of_day(entry.wall_ms),
+        entry.instance,
+        entry.event,
+        entry.name,
+        entry.subject,
+        entry.detail
+    );
+    text.trim_end().to_owned()
+}
+
+fn time_of_day(wall_ms: u64) -> String {
+    let seconds = wall_ms / 1_000;
+    let (hours, minutes) = (seconds / 3_600 % 24, seconds / 60 % 60);
+    format!("{hours:02}:{minutes:02}:{:02}.{:03}", seconds % 60, wall_ms % 1_000)
+}
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -1,6 +1,7 @@
 //! Helpers that the integration tests share.
 #![allow(dead_code)]
 
+pub mod cli;
 pub mod fleet;
 pub mod http;
 
