--- a/src/node.rs
+++ b/src/node.rs
@@ -9,7 +9,7 @@
 mod list_sync;
 mod members;
 mod once;
-mod operator;
+pub mod operator;
 mod peers;
 mod planner;
 mod router;
@@ -128,6 +128,11 @@
         &self.timeline
     }
 
+    /// Returns how many endpoints this node knows by their stewards' digests.
+    pub fn known(&self) -> usize {
+        self.directory.read().len()
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.load_full()
