Decide placement by marginal gain per byte

Cause: nothing decided where copies are. The marginal policy reloads lost models first, spreads to two data centres, then gives memory to copies that relieve most requests per byte; an exchange must pay for its load. Permits hold the store's rate and open-load limit across planners. Steps that digests do not show yet are added to the view. A model's keeper is never unloaded.

Ruled out: counting freed memory before a report shows it.

--- a/src/kernel/placement.rs
+++ b/src/kernel/placement.rs
@@ -1,9 +1,26 @@
 //! Where copies of models should be.
 
+mod demand;
+mod fixed;
+mod keepers;
+mod marginal;
+mod permits;
+mod planning;
+mod view;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
+pub use self::{
+    demand::Averages,
+    fixed::Static,
+    keepers::{KeeperMove, keeper_moves},
+    marginal::Marginal,
+    permits::Permits,
+    planning::Planning,
+    view::{Need, Site, View},
+};
 use crate::names::{EndpointId, InstanceId, Model};
 
 /// Key of the plan's record.
@@ -28,3 +45,44 @@
     /// Random number of the write, by which its writer recognizes it.
     pub nonce: u64,
 }
+
+/// A change of what is resident at an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Step {
+    /// Load a copy.
+    Load {
+        /// Endpoint.
+        endpoint: EndpointId,
+        /// Model.
+        model: Model,
+    },
+    /// Unload a copy of which another one is resident.
+    Unload {
+        /// Endpoint.
+        endpoint: EndpointId,
+        /// Model.
+        model: Model,
+    },
+}
+
+impl Step {
+    /// Returns the endpoint and the model.
+    pub fn place(&self) -> (&EndpointId, &Model) {
+        match self {
+            Step::Load { endpoint, model } | Step::Unload { endpoint, model } => (endpoint, model),
+        }
+    }
+
+    /// Returns whether the step loads a copy.
+    pub fn is_load(&self) -> bool {
+        matches!(self, Step::Load { .. })
+    }
+}
+
+/// Placement of models on endpoints.
+pub trait PlacementPolicy: Send + Sync {
+    /// Returns the wanted steps, the most urgent one first.
+    ///
+    /// A model's keeper is never unloaded.
+    fn plan(&self, view: &View, keepers: &BTreeMap<Model, EndpointId>) -> Vec<Step>;
+}
--- /dev/null
+++ b/src/kernel/placement/marginal.rs
@@ -0,0 +1,244 @@
+//! Places copies where a byte of memory gains most.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
+
+use super::{Need, PlacementPolicy, Site, Step, View};
+use crate::{
+    kernel::registry::PlacementPlugin,
+    names::{EndpointId, Model},
+};
+
+/// Requests a second that a further copy must relieve to be worth a load into free memory.
+const MIN_GAIN: f64 = 0.25;
+
+/// Gain of a new copy over the loss of an old one from which they are exchanged.
+const HYSTERESIS: f64 = 2.0;
+
+/// Requests that an exchange must gain within [`HORIZON_SECS`] to pay for its load.
+const LOAD_PRICE: f64 = 30.0;
+
+/// Time for which demand is taken to last, in seconds.
+const HORIZON_SECS: f64 = 60.0;
+
+/// Factor on the loss of a copy that is its data centre's only one.
+const LONE_FACTOR: f64 = 4.0;
+
+/// Exchanges begun in one round.
+const EXCHANGES: usize = 2;
+
+/// Keeps one copy of each model, then two data centres where memory allows, and gives the rest
+/// of the memory to the copies that relieve most requests per byte.
+#[derive(Debug)]
+pub struct Marginal;
+
+impl PlacementPolicy for Marginal {
+    fn plan(&self, view: &View, keepers: &BTreeMap<Model, EndpointId>) -> Vec<Step> {
+        let mut draft = Draft { view: view.clone(), keepers, steps: Vec::new() };
+        draft.load_lost();
+        draft.spread();
+        draft.add_copies();
+        draft.steps
+    }
+}
+
+/// A plan in the making; `view` shows the state after its steps.
+struct Draft<'a> {
+    view: View,
+    keepers: &'a BTreeMap<Model, EndpointId>,
+    steps: Vec<Step>,
+}
+
+impl Draft<'_> {
+    /// Loads models without a copy, the most wanted first, and makes room where none is left.
+    fn load_lost(&mut self) {
+        let lost = self.by_need(|view, model| view.holders(model).next().is_none());
+        for (model, need) in lost {
+            match self.best_site(&model, &need) {
+                Some(endpoint) => self.load(endpoint, &model),
+                None => self.make_room(&need, f64::INFINITY),
+            }
+        }
+    }
+
+    /// Gives models a copy in a second data centre where memory is free.
+    fn spread(&mut self) {
+        let single = self.by_need(|view, model| data_centres(view, model).len() == 1);
+        for (model, need) in single {
+            let known = data_centres(&self.view, &model);
+            let elsewhere = |site: &Site| !known.contains(site.data_centre.as_str());
+            if let Some(endpoint) = self.best_site_where(&model, &need, elsewhere) {
+                self.load(endpoint, &model);
+            }
+        }
+    }
+
+    /// Adds the copies with the highest gain per byte, in free memory or in place of others.
+    fn add_copies(&mut self) {
+        let mut exchanges = 0;
+        for (model, need) in self.by_gain() {
+            let gain = gain(&self.view, &model, &need);
+            if gain < MIN_GAIN {
+                continue;
+            }
+            if let Some(endpoint) = self.best_site(&model, &need) {
+                self.load(endpoint, &model);
+            } else if exchanges < EXCHANGES && self.held_everywhere(&model, &need).is_none() {
+                exchanges += 1;
+                self.make_room(&need, gain);
+            }
+        }
+    }
+
+    /// Returns something only if every endpoint of the pool holds the model.
+    fn held_everywhere(&self, model: &Model, need: &Need) -> Option<()> {
+        let mut sites = self.view.sites.iter().filter(|s| s.open && s.pool == need.pool);
+        sites.all(|site| site.holds(model)).then_some(())
+    }
+
+    fn by_need(&self, wanted: impl Fn(&View, &Model) -> bool) -> Vec<(Model, Need)> {
+        let needs = self.view.needs.iter().filter(|(model, _)| wanted(&self.view, model));
+        let mut needs: Vec<(Model, Need)> = needs.map(|(m, n)| (m.clone(), n.clone())).collect();
+        needs.sort_by(|(_, a), (_, b)| {
+            b.waiting.cmp(&a.waiting).then(b.demand.total_cmp(&a.demand))
+        });
+        needs
+    }
+
+    fn by_gain(&self) -> Vec<(Model, Need)> {
+        let mut needs = self.by_need(|view, model| view.holders(model).next().is_some());
+        let per_byte = |(m, n): &(Model, Need)| gain(&self.view, m, n) / n.bytes.max(1) as f64;
+        needs.sort_by(|a, b| per_byte(b).total_cmp(&per_byte(a)));
+        needs
+    }
+
+    fn best_site(&self, model: &Model, need: &Need) -> Option<EndpointId> {
+        self.best_site_where(model, need, |_| true)
+    }
+
+    /// Returns the endpoint with room in the data centre that holds the fewest copies.
+    fn best_site_where(
+        &self,
+        model: &Model,
+        need: &Need,
+        wanted: impl Fn(&Site) -> bool,
+    ) -> Option<EndpointId> {
+        let fits = |site: &&Site| {
+            site.open && site.pool == need.pool && site.free >= need.bytes && !site.holds(model)
+        };
+        let near = |site: &Site| {
+            let same = |other: &&Site| other.data_centre == site.data_centre;
+            self.view.holders(model).filter(same).count()
+        };
+        let sites = self.view.sites.iter().filter(fits).filter(|site| wanted(site));
+        let best = sites.min_by_key(|site| {
+            (near(site), site.load, site.loading.len(), Reverse(site.free), &site.endpoint)
+        });
+        best.map(|site| site.endpoint.clone())
+    }
+
+    fn load(&mut self, endpoint: EndpointId, model: &Model) {
+        let bytes = self.view.needs.get(model).map_or(0, |need| need.bytes);
+        if let Some(site) = self.view.site_mut(&endpoint) {
+            site.loading.insert(model.clone());
+            site.free = site.free.saturating_sub(bytes);
+        }
+        self.steps.push(Step::Load { endpoint, model: model.clone() });
+    }
+
+    /// Unloads copies at the endpoint where room costs least, if a copy of `gain` pays for it.
+    ///
+    /// The load follows in a later round, once the endpoint reports the memory free.
+    fn make_room(&mut self, need: &Need, gain: f64) {
+        if self.wait_for_room(need) {
+            return;
+        }
+        let sites = self.view.sites.iter().filter(|site| site.open && site.pool == need.pool);
+        let rooms = sites.filter_map(|site| self.room(site, need.bytes));
+        let Some(room) = rooms.min_by(|a, b| a.loss.total_cmp(&b.loss)) else { return };
+        let pays = gain > room.loss * HYSTERESIS && (gain - room.loss) * HORIZON_SECS > LOAD_PRICE;
+        if !pays {
+            return;
+        }
+        for model in room.models {
+            if let Some(site) = self.view.site_mut(&room.endpoint) {
+                site.resident.remove(&model);
+                site.free = 0;
+            }
+            self.steps.push(Step::Unload { endpoint: room.endpoint.clone(), model });
+        }
+    }
+
+    /// Claims the memory that unloads in progress will free, and returns whether it suffices.
+    fn wait_for_room(&mut self, need: &Need) -> bool {
+        let fits = |site: &&mut Site| {
+            site.open
+                && site.pool == need.pool
+                && site.freeing > 0
+                && site.free + site.freeing >= need.bytes
+        };
+        let Some(site) = self.view.sites.iter_mut().find(fits) else { return false };
+        site.freeing = (site.free + site.freeing).saturating_sub(need.bytes);
+        site.free = 0;
+        true
+    }
+
+    /// Returns the copies to unload at an endpoint for `bytes` of free memory, cheapest first.
+    fn room(&self, site: &Site, bytes: u64) -> Option<Room> {
+        let mut victims: Vec<(f64, &Model)> = site
+            .resident
+            .iter()
+            .filter(|model| self.is_spare(site, model))
+            .map(|model| (loss(&self.view, site, model), model))
+            .collect();
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut room = Room { endpoint: site.endpoint.clone(), models: Vec::new(), loss: 0.0 };
+        let mut free = site.free;
+        for (loss, model) in victims {
+            if free >= bytes {
+                break;
+            }
+            free += self.view.needs.get(model).map_or(0, |need| need.bytes);
+            room.loss += loss;
+            room.models.push(model.clone());
+        }
+        (free >= bytes && !room.models.is_empty()).then_some(room)
+    }
+
+    /// Returns whether another resident copy remains and the endpoint is not the model's keeper.
+    fn is_spare(&self, site: &Site, model: &Model) -> bool {
+        let keeper = self.keepers.get(model);
+        let others = self.view.residents(model).filter(|other| other.endpoint != site.endpoint);
+        keeper.is_some_and(|keeper| *keeper != site.endpoint) && others.count() > 0
+    }
+}
+
+/// Copies to unload at one endpoint.
+struct Room {
+    endpoint: EndpointId,
+    models: Vec<Model>,
+    loss: f64,
+}
+
+/// Returns the requests a second by which one more copy relieves each of the others.
+fn gain(view: &View, model: &Model, need: &Need) -> f64 {
+    let copies = view.holders(model).count() as f64;
+    if copies == 0.0 { f64::INFINITY } else { need.demand / (copies * (copies + 1.0)) }
+}
+
+/// Returns the requests a second that each remaining copy would take over.
+fn loss(view: &View, site: &Site, model: &Model) -> f64 {
+    let copies = view.residents(model).count() as f64;
+    let demand = view.needs.get(model).map_or(0.0, |need| need.demand);
+    let near = view.residents(model).filter(|other| other.data_centre == site.data_centre);
+    let factor = if near.count() == 1 { LONE_FACTOR } else { 1.0 };
+    demand * factor / (copies * (copies - 1.0)).max(1.0)
+}
+
+fn data_centres(view: &View, model: &Model) -> BTreeSet<String> {
+    view.holders(model).map(|site| site.data_centre.to_string()).collect()
+}
+
+inventory::submit! { PlacementPlugin { name: "marginal", policy: &Marginal } }
--- /dev/null
+++ b/src/kernel/placement/planning.rs
@@ -0,0 +1,103 @@
+//! The planner's decisions from round to round.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::{Permits, PlacementPolicy, Step, View};
+use crate::{
+    clock::Time,
+    config::WeightStore,
+    names::{EndpointId, Model},
+};
+
+/// Time after which a step that no digest shows counts as not taken.
+const PENDING_LIMIT: Duration = Duration::from_secs(5);
+
+/// The planner's decisions from round to round.
+///
+/// Digests lag behind orders, so steps that were just given out are added to the view until the
+/// digests show them.
+#[derive(Clone, Debug)]
+pub struct Planning {
+    permits: Permits,
+    pending: BTreeMap<Step, Given>,
+}
+
+/// When a step was given out, and the free memory of its endpoint then.
+#[derive(Clone, Copy, Debug)]
+struct Given {
+    at: Time,
+    free: u64,
+}
+
+impl Planning {
+    /// Creates the state of a planner that just took the duty.
+    pub fn new(limits: WeightStore, now: Time) -> Self {
+        Self { permits: Permits::new(limits, now), pending: BTreeMap::new() }
+    }
+
+    /// Takes over changed limits of the weight store.
+    pub fn set_limits(&mut self, limits: WeightStore, now: Time) {
+        self.permits.set_limits(limits, now);
+    }
+
+    /// Returns the steps to take now.
+    pub fn steps(
+        &mut self,
+        policy: &dyn PlacementPolicy,
+        view: &View,
+        keepers: &BTreeMap<Model, EndpointId>,
+        now: Time,
+    ) -> Vec<Step> {
+        self.forget_shown(view, now);
+        let view = self.with_pending(view);
+        let mut open = view.open_loads();
+        let mut steps = Vec::new();
+        for step in policy.plan(&view, keepers) {
+            if step.is_load() {
+                if !self.permits.take(open, now) {
+                    continue;
+                }
+                open += 1;
+            }
+            let (endpoint, _) = step.place();
+            let free = view.site(endpoint).map_or(0, |site| site.free);
+            self.pending.insert(step.clone(), Given { at: now, free });
+            steps.push(step);
+        }
+        steps
+    }
+
+    /// Notes that a step was refused and will not be taken.
+    pub fn refused(&mut self, step: &Step) {
+        self.pending.remove(step);
+    }
+
+    fn forget_shown(&mut self, view: &View, now: Time) {
+        self.pending.retain(|step, given| {
+            now.since(given.at) <= PENDING_LIMIT && !is_shown(view, step, given)
+        });
+    }
+
+    fn with_pending(&self, view: &View) -> View {
+        let mut view = view.clone();
+        for step in self.pending.keys() {
+            let (endpoint, model) = step.place();
+            let bytes = view.needs.get(model).map_or(0, |need| need.bytes);
+            let Some(site) = view.site_mut(endpoint) else { continue };
+            if step.is_load() {
+                site.loading.insert(model.clone());
+                site.free = site.free.saturating_sub(bytes);
+            } else {
+                site.resident.remove(model);
+                site.freeing += bytes;
+            }
+        }
+        view
+    }
+}
+
+fn is_shown(view: &View, step: &Step, given: &Given) -> bool {
+    let (endpoint, model) = step.place();
+    let Some(site) = view.site(endpoint) else { return true };
+    if step.is_load() { site.holds(model) } else { !site.holds(model) && site.free > given.free }
+}
--- a/tests/kernel/placement.rs
+++ b/tests/kernel/placement.rs
@@ -1,1 +1,321 @@
-//! Placement of models.
+//! Placement: every model keeps a copy, the store's limits hold, and memory is not overcommitted.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::Duration,
+};
+
+use cardamomshore::{
+    clock::Time,
+    config::WeightStore,
+    kernel::{
+        placement::{
+            Averages, Marginal, Need, Permits, PlacementPolicy, Planning, Site, Static, Step, View,
+            keeper_moves,
+        },
+        registry,
+    },
+    names::{EndpointId, Model},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+const ROUND: Duration = Duration::from_millis(250);
+const LOAD_ROUNDS: u32 = 8;
+
+/// Rounds by which the planner's view lags behind the engines.
+const LAG_ROUNDS: usize = 3;
+const STORE: WeightStore = WeightStore { rate: 2.0, at_once: 6 };
+
+/// Engines that carry steps out after a while, with the planner that gives them.
+struct Fleet {
+    view: View,
+    history: VecDeque<View>,
+    memory: BTreeMap<EndpointId, u64>,
+    open: Vec<(Step, u32)>,
+    keepers: BTreeMap<Model, EndpointId>,
+    planning: Planning,
+    now: Time,
+    loads: Vec<Time>,
+    unloads: u32,
+    refusals: u32,
+}
+
+impl Fleet {
+    /// Creates engines in `centres` data centres and models of one size.
+    fn new(engines: u32, centres: u32, memory: u64, models: u32, bytes: u64) -> Self {
+        let sites = (0..engines).map(|i| Site {
+            endpoint: format!("e-{i:02}").into(),
+            pool: "assistant".into(),
+            data_centre: format!("dc-{}", i % centres).into(),
+            open: true,
+            free: memory,
+            freeing: 0,
+            resident: BTreeSet::new(),
+            loading: BTreeSet::new(),
+            load: 0,
+        });
+        let need = Need { pool: "assistant".into(), bytes, demand: 1.0, waiting: 0 };
+        let needs = (0..models).map(|i| (format!("m-{i:02}").into(), need.clone()));
+        let view = View { sites: sites.collect(), needs: needs.collect() };
+        Self {
+            memory: view.sites.iter().map(|site| (site.endpoint.clone(), memory)).collect(),
+            view,
+            history: VecDeque::new(),
+            open: Vec::new(),
+            keepers: BTreeMap::new(),
+            planning: Planning::new(STORE, Time(0)),
+            now: Time(0),
+            loads: Vec::new(),
+            unloads: 0,
+            refusals: 0,
+        }
+    }
+
+    fn run(&mut self, policy: &dyn PlacementPolicy, rounds: u32) {
+        for _ in 0..rounds {
+            self.round(policy);
+            self.check();
+        }
+    }
+
+    fn round(&mut self, policy: &dyn PlacementPolicy) {
+        self.now = self.now + ROUND;
+        self.finish_orders();
+        self.history.push_back(self.view.clone());
+        if self.history.len() <= LAG_ROUNDS {
+            return;
+        }
+        let Some(seen) = self.history.pop_front() else { return };
+        for moved in keeper_moves(&seen, &self.keepers) {
+            // The transaction fails where the new keeper's record shows an intent to unload.
+            let to = self.view.site(&moved.to);
+            if to.is_some_and(|site| site.resident.contains(&moved.model)) {
+                self.keepers.insert(moved.model, moved.to);
+            }
+        }
+        let steps = self.planning.steps(policy, &seen, &self.keepers, self.now);
+        for step in steps {
+            self.start_order(step);
+        }
+    }
+
+    fn start_order(&mut self, step: Step) {
+        let (endpoint, model) = step.place();
+        let bytes = self.view.needs[model].bytes;
+        let kept_elsewhere = self.keepers.get(model).is_some_and(|keeper| keeper != endpoint);
+        let site = self.view.sites.iter_mut().find(|s| s.endpoint == *endpoint).unwrap();
+        if step.is_load() {
+            if site.free < bytes || site.holds(model) {
+                // The steward's ledger refuses.
+                self.refusals += 1;
+                return self.planning.refused(&step);
+            }
+            site.free -= bytes;
+            site.loading.insert(model.clone());
+            self.loads.push(self.now);
+        } else {
+            assert!(kept_elsewhere, "{step:?} takes the last copy");
+            if !site.resident.remove(model) {
+                return self.planning.refused(&step);
+            }
+            self.unloads += 1;
+        }
+        self.open.push((step, LOAD_ROUNDS));
+    }
+
+    fn finish_orders(&mut self) {
+        for (_, rounds) in &mut self.open {
+            *rounds -= 1;
+        }
+        let done: Vec<Step> =
+            self.open.extract_if(.., |(_, rounds)| *rounds == 0).map(|(step, _)| step).collect();
+        for step in done {
+            let (endpoint, model) = step.place();
+            let bytes = self.view.needs[model].bytes;
+            let site = self.view.sites.iter_mut().find(|s| s.endpoint == *endpoint).unwrap();
+            if !step.is_load() {
+                site.free += bytes;
+            } else if site.loading.remove(model) {
+                site.resident.insert(model.clone());
+            }
+        }
+    }
+
+    fn crash(&mut self, position: usize) {
+        let site = &mut self.view.sites[position];
+        site.resident.clear();
+        site.loading.clear();
+        site.free = self.memory[&site.endpoint];
+        let endpoint = site.endpoint.clone();
+        self.open.retain(|(step, _)| *step.place().0 != endpoint);
+    }
+
+    fn set_open(&mut self, centre: &str, open: bool) {
+        for site in self.view.sites.iter_mut().filter(|s| s.data_centre.as_str() == centre) {
+            site.open = open;
+        }
+    }
+
+    fn check(&self) {
+        for site in &self.view.sites {
+            let held = site.resident.union(&site.loading).map(|m| self.view.needs[m].bytes);
+            assert!(held.sum::<u64>() + site.free <= self.memory[&site.endpoint]);
+        }
+        assert!(self.view.open_loads() <= STORE.at_once as usize);
+        let recent = self.loads.iter().filter(|at| self.now.since(**at) < Duration::from_secs(1));
+        assert!(recent.count() as f64 <= STORE.rate + 1.0);
+    }
+
+    fn copies(&self, model: &str) -> usize {
+        self.view.residents(&model.into()).count()
+    }
+
+    fn lost(&self) -> usize {
+        self.view.needs.keys().filter(|model| self.view.residents(model).count() == 0).count()
+    }
+}
+
+#[test]
+fn marginal_reaches_every_model_in_two_data_centres() {
+    let mut fleet = Fleet::new(8, 4, 100, 30, 10);
+    for need in fleet.view.needs.values_mut() {
+        need.demand = 0.0;
+    }
+    fleet.run(&Marginal, 400);
+    assert_eq!(fleet.refusals, 0);
+    for model in fleet.view.needs.keys() {
+        let centres: BTreeSet<_> = fleet.view.residents(model).map(|s| &s.data_centre).collect();
+        assert!(centres.len() >= 2, "{model}");
+    }
+}
+
+#[test]
+fn marginal_lost_copy_first_of_all_permits() {
+    let mut fleet = Fleet::new(4, 2, 100, 16, 10);
+    fleet.run(&Marginal, 400);
+    let busy = fleet.view.needs.get_mut("m-00").unwrap();
+    busy.demand = 500.0;
+    let only: Vec<usize> =
+        (0..4).filter(|i| fleet.view.sites[*i].resident.contains("m-09")).collect();
+    for position in only {
+        fleet.crash(position);
+    }
+    let lost = fleet.lost();
+    assert!(lost > 0);
+    fleet.loads.clear();
+    let rounds = LAG_ROUNDS as u32 + LOAD_ROUNDS + lost as u32 * 2 + 2;
+    fleet.run(&Marginal, rounds);
+    assert_eq!(fleet.lost(), 0, "in the time that the store's rate allows");
+}
+
+#[test]
+fn marginal_follows_swing_and_settles() {
+    let mut fleet = Fleet::new(8, 4, 60, 20, 10);
+    fleet.run(&Marginal, 400);
+    let before = fleet.copies("m-03");
+    fleet.view.needs.get_mut("m-03").unwrap().demand = 40.0;
+    fleet.run(&Marginal, 400);
+    assert!(fleet.copies("m-03") > before, "{before} copies");
+    let mut loads = 0;
+    for i in 0..60_u32 {
+        if i == 20 {
+            // By now what was free is filled.
+            loads = fleet.loads.len();
+        }
+        for (model, need) in fleet.view.needs.iter_mut().filter(|(m, _)| m.as_str() != "m-03") {
+            let odd = (model.as_str().as_bytes()[3] as u32 + i) % 2 == 0;
+            need.demand = if odd { 3.0 } else { 1.0 };
+        }
+        fleet.run(&Marginal, 20);
+    }
+    assert_eq!(fleet.loads.len(), loads, "a small swing moves nothing");
+}
+
+#[test]
+fn marginal_makes_room_for_lost_model() {
+    let mut fleet = Fleet::new(2, 2, 30, 4, 10);
+    fleet.run(&Marginal, 200);
+    assert_eq!(fleet.lost(), 0);
+    let late = fleet.view.needs["m-00"].clone();
+    fleet.view.needs.insert("m-new".into(), late);
+    fleet.run(&Marginal, 100);
+    assert_eq!(fleet.lost(), 0, "with {} unloads", fleet.unloads);
+    assert!(fleet.unloads > 0);
+}
+
+#[test]
+fn marginal_data_centre_out_and_back() {
+    let mut fleet = Fleet::new(8, 4, 100, 16, 10);
+    fleet.run(&Marginal, 400);
+    fleet.set_open("dc-1", false);
+    assert_eq!(fleet.lost(), 0, "two data centres each");
+    fleet.run(&Marginal, 200);
+    for keeper in fleet.keepers.values() {
+        assert!(fleet.view.site(keeper).unwrap().open);
+    }
+    fleet.set_open("dc-1", true);
+    fleet.run(&Marginal, 200);
+    assert_eq!(fleet.lost(), 0);
+}
+
+#[test]
+fn planning_any_history_keeps_limits() {
+    let event = (0..4_u8, 0..6_usize, 0..12_u32, 1..40_u32);
+    let history = prop::collection::vec(event, 1..12);
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::with_cases(60), rng);
+    let result = runner.run(&history, |history| {
+        for policy in [&Marginal as &dyn PlacementPolicy, &Static] {
+            let mut fleet = Fleet::new(6, 3, 50, 12, 10);
+            for (kind, position, model, rounds) in &history {
+                let name = format!("m-{model:02}");
+                match kind {
+                    0 => fleet.crash(*position),
+                    1 => fleet.set_open(&format!("dc-{}", position % 3), false),
+                    2 => fleet.set_open(&format!("dc-{}", position % 3), true),
+                    _ => fleet.view.needs.get_mut(name.as_str()).unwrap().demand = 60.0,
+                }
+                fleet.run(policy, *rounds);
+            }
+            for centre in 0..3 {
+                fleet.set_open(&format!("dc-{centre}"), true);
+            }
+            fleet.run(policy, 200);
+            prop_assert_eq!(fleet.lost(), 0);
+        }
+        Ok(())
+    });
+    result.unwrap();
+}
+
+#[test]
+fn permits_span_planners() {
+    let mut permits = Permits::new(STORE, Time(0));
+    assert!(!permits.take(0, Time(0)), "a new planner saves nothing up");
+    let later = Time::from_millis(60_000);
+    assert!(!permits.take(6, later), "open loads of the last planner count");
+    assert!(permits.take(5, later));
+    assert!(!permits.take(5, later), "no burst");
+}
+
+#[test]
+fn averages_follow_and_outlast() {
+    let mut averages = Averages::default();
+    for i in 0..600_u64 {
+        averages.count(Time::from_millis(i * 100));
+    }
+    let end = Time::from_millis(60_000);
+    assert!((9.0..11.0).contains(&averages.fast(end)));
+    let paused = end + Duration::from_secs(60);
+    assert!(averages.fast(paused) < 0.1 && averages.slow(paused) > 1.0);
+}
+
+#[test]
+fn registry_finds_each_placement() {
+    for name in ["marginal", "static"] {
+        assert!(registry::placement(name).is_some(), "{name}");
+    }
+}
