Send digests on change and report demand

Cause: each instance sent its whole digest to all four times a second, changed or not. A digest now goes out when what can be dispatched to changes, when load moves by a quarter of the limit, or every two seconds; it carries the entry's demand per model and the requests that wait for a copy.

--- a/src/kernel/routing.rs
+++ b/src/kernel/routing.rs
@@ -1,10 +1,12 @@
 //! Which copy of a model serves a request.
 
 mod directory;
+mod news;
 mod policies;
 
 pub use self::{
     directory::Directory,
+    news::is_news,
     policies::{AnyCopy, HOME_EXCESS, RoundRobin, TwoChoices},
 };
 use crate::names::{Adapter, DataCentre, EndpointId, InstanceId, Pool};
--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -74,6 +74,7 @@
     let class = caller.class(&parts.headers)?;
     let admitted = caller.admit(node, class, tokens).await?;
     node.timeline.record(Event::RequestAdmitted, admitted.caller.request.as_str(), "");
+    node.demand.count(&asked.model);
     let work = Work {
         model: asked.model.to_string(),
         adapter: asked.adapter,
@@ -132,6 +133,7 @@
 /// Chooses a copy, and waits for one while the deadline allows it.
 async fn find_copy(node: &Node, admitted: &Admitted, work: &Work) -> Result<Arc<Copy>, Refusal> {
     let model = Model::from(work.model.as_str());
+    let mut waiting = None;
     loop {
         if let Some(copy) = choose(node, &admitted.caller.config.policy.routing, &model, work) {
             return Ok(copy);
@@ -139,6 +141,7 @@
         if Time::now() + LOOK_PERIOD >= admitted.deadline() {
             return Err(Refusal::not_run(Code::NoEndpoint));
         }
+        waiting.get_or_insert_with(|| node.demand.wait(&model));
         sleep(LOOK_PERIOD).await;
     }
 }
--- a/src/node/digests.rs
+++ b/src/node/digests.rs
@@ -11,32 +11,116 @@
 use tokio::time::sleep;
 
 use super::Node;
-use crate::wire::Digest;
+use crate::{
+    clock::Time,
+    kernel::{placement::Averages, routing::is_news},
+    names::Model,
+    shards::Shards,
+    wire::{Digest, EndpointDigest, ModelDemand},
+};
 
+/// Time between two looks for changes.
 const PERIOD: Duration = Duration::from_millis(250);
 
+/// Time after which a digest is sent without a change.
+const REFRESH: Duration = Duration::from_secs(2);
+
+/// Requests a second below which a model's demand is not sent.
+const MIN_DEMAND: f64 = 0.001;
+
 /// Demand seen by this node as an entry instance.
 #[derive(Default)]
 pub struct Demand {
     number: AtomicU64,
+    models: Shards<Model, Wanted>,
+}
+
+/// Demand for one model.
+#[derive(Default)]
+struct Wanted {
+    averages: Averages,
+    waiting: u32,
 }
 
-/// Publishes digests.
+/// A request that waits because no copy of its model is resident.
+pub struct WaitingFor<'a> {
+    demand: &'a Demand,
+    model: Model,
+}
+
+impl Demand {
+    /// Counts a request for a model.
+    pub fn count(&self, model: &Model) {
+        let now = Time::now();
+        self.models.with_or(model.clone(), Wanted::default, |wanted| wanted.averages.count(now));
+    }
+
+    /// Counts a request as waiting for a copy until the returned guard is dropped.
+    pub fn wait(&self, model: &Model) -> WaitingFor<'_> {
+        self.models.with_or(model.clone(), Wanted::default, |wanted| wanted.waiting += 1);
+        WaitingFor { demand: self, model: model.clone() }
+    }
+
+    fn snapshot(&self, now: Time) -> Vec<ModelDemand> {
+        let mut demand = Vec::new();
+        self.models.retain(|model, wanted| {
+            let (fast, slow) = (wanted.averages.fast(now), wanted.averages.slow(now));
+            let kept = wanted.waiting > 0 || fast.max(slow) >= MIN_DEMAND;
+            if kept {
+                demand.push(ModelDemand {
+                    model: model.to_string(),
+                    fast: thousandths(fast),
+                    slow: thousandths(slow),
+                    waiting: wanted.waiting,
+                });
+            }
+            kept
+        });
+        demand
+    }
+}
+
+impl Drop for WaitingFor<'_> {
+    fn drop(&mut self) {
+        self.demand.models.with(&self.model, |wanted| {
+            wanted.waiting = wanted.waiting.saturating_sub(1);
+        });
+    }
+}
+
+fn thousandths(rate: f64) -> u64 {
+    (rate * 1_000.0) as u64
+}
+
+/// Publishes digests where something changed, and a refresh from time to time.
 pub async fn run(node: Arc<Node>) {
+    let mut sent: Vec<EndpointDigest> = Vec::new();
+    let mut refreshed: Option<Time> = None;
     loop {
-        let digest = Digest {
-            instance: node.settings.instance.to_string(),
-            incarnation: node.incarnation,
-            number: node.demand.number.fetch_add(1, Ordering::Relaxed) + 1,
-            endpoints: node.stewards.digests(),
-            demand: Vec::new(),
-        };
-        node.peers.publish(&digest);
-        node.directory.write().update(digest);
+        let now = Time::now();
+        let endpoints = node.stewards.digests();
+        let due = refreshed.is_none_or(|at| now.since(at) >= REFRESH);
+        if due || is_news(&sent, &endpoints) {
+            sent.clone_from(&endpoints);
+            refreshed = Some(now);
+            publish(&node, endpoints, now);
+        }
         sleep(PERIOD).await;
     }
 }
 
+fn publish(node: &Node, endpoints: Vec<EndpointDigest>, now: Time) {
+    let digest = Digest {
+        instance: node.settings.instance.to_string(),
+        incarnation: node.incarnation,
+        number: node.demand.number.fetch_add(1, Ordering::Relaxed) + 1,
+        endpoints,
+        demand: node.demand.snapshot(now),
+    };
+    node.peers.publish(&digest);
+    node.directory.write().update(digest);
+}
+
 /// Takes in a digest of a peer.
 pub fn take(node: &Node, digest: Digest) {
     node.directory.write().update(digest);
