--- a/tests/kernel/placement.rs
+++ b/tests/kernel/placement.rs
@@ -226,7 +226,7 @@
             loads = fleet.loads.len();
         }
         for (model, need) in fleet.view.needs.iter_mut().filter(|(m, _)| m.as_str() != "m-03") {
-            let odd = (model.as_str().as_bytes()[3] as u32 + i) % 2 == 0;
+            let odd = (model.as_str().as_bytes()[3] as u32 + i).is_multiple_of(2);
             need.demand = if odd { 3.0 } else { 1.0 };
         }
         fleet.run(&Marginal, 20);
