--- a/tests/process/once.rs
+++ b/tests/process/once.rs
@@ -181,3 +181,35 @@
         settle_all(&fleet, fleet.caller(1)).await;
     });
 }
+
+/// Payments of the burst, and the callers that send them.
+const BURST: usize = 600;
+const CALLERS: usize = 60;
+
+#[test]
+fn payment_burst_within_platform_budget() {
+    block_on(async {
+        let fleet = Fleet::start("once-burst", Plan::default()).await;
+        wait_owned(&fleet).await;
+        let before = fleet.read(fleet.platform, "/standin/counts").await;
+        let start = std::time::Instant::now();
+        let callers = (0..CALLERS).map(|caller| {
+            let address = fleet.caller(caller % 2);
+            async move {
+                for number in 0..BURST / CALLERS {
+                    let paid = pay(address, &format!("burst-{caller}-{number}")).await;
+                    let paid = paid.expect("an answer");
+                    assert_eq!(paid.status, 200, "{}", paid.text());
+                }
+            }
+        });
+        join_all(callers).await;
+        let elapsed = start.elapsed();
+        let after = fleet.read(fleet.platform, "/standin/counts").await;
+        let writes = after["txn"].as_u64().unwrap() - before["txn"].as_u64().unwrap();
+        println!("{BURST} payments in {elapsed:?} took {writes} writes");
+        assert!(writes < BURST as u64, "less than one write a payment, took {writes}");
+        let per_second = writes as f64 / elapsed.as_secs_f64();
+        assert!(per_second < 300.0, "within the platform's writes, took {per_second:.0} a second");
+    });
+}
