--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -2,10 +2,12 @@
 
 mod answer;
 mod client;
+mod events;
 mod order;
 
 pub use self::{
-    answer::{AnswerEvent, AnswerReader, EventSplitter},
+    answer::{AnswerEvent, AnswerReader},
     client::{EndpointClient, ONCE_HEADER},
+    events::EventSplitter,
     order::{Order, OrderKind, OrderReply, Report, Resident},
 };
--- a/src/endpoint/answer.rs
+++ b/src/endpoint/answer.rs
@@ -1,41 +1,35 @@
 //! Reads an endpoint's answer and decides whether it is whole.
 
+use std::collections::VecDeque;
+
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, StatusCode, header};
 use http_body_util::BodyExt;
 use serde::Deserialize;
 use volo_http::{body::Body, response::Response};
 
-use crate::http::HttpError;
+use super::EventSplitter;
+use crate::{
+    http::{HttpError, REQUEST_HEADER},
+    wire::Work,
+};
 
-/// Cuts a byte stream into server-sent events.
-#[derive(Debug, Default)]
-pub struct EventSplitter {
-    buffer: BytesMut,
-}
+/// Largest answer that is no stream, in bytes.
+const ANSWER_LIMIT: usize = 8 << 20;
 
-impl EventSplitter {
-    /// Adds bytes.
-    pub fn push(&mut self, data: &[u8]) {
-        self.buffer.extend_from_slice(data);
-    }
-
-    /// Takes the next complete event with its closing blank line.
-    pub fn next_event(&mut self) -> Option<Bytes> {
-        let end = self.buffer.windows(2).position(|pair| pair == b"\n\n")?;
-        Some(self.buffer.split_to(end + 2).freeze())
-    }
-
-    /// Returns whether an incomplete event is left.
-    pub fn has_rest(&self) -> bool {
-        !self.buffer.is_empty()
-    }
-}
+/// Largest part of such an answer that is passed on at once, in bytes.
+const PART_BYTES: usize = 64 << 10;
 
 /// The next part of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AnswerEvent {
-    /// Bytes for the caller; for a stream, one whole event.
+    /// One whole event of a stream.
+    Event(Bytes),
+    /// The event that closes a stream.
+    Last(Bytes),
+    /// Bytes of a stream that are no event, such as comments that keep connections open.
+    Comment(Bytes),
+    /// Bytes of an answer that is no stream.
     Data(Bytes),
     /// The answer is whole.
     Whole,
@@ -51,7 +45,9 @@
     headers: HeaderMap,
     body: Body,
     request: String,
+    model: bool,
     splitter: EventSplitter,
+    parts: VecDeque<Bytes>,
     stream: bool,
     done: bool,
 }
@@ -62,20 +58,26 @@
     id: String,
 }
 
-const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+/// What the reading of a body that is no stream came to.
+enum Read {
+    Whole(Bytes),
+    Broken,
+}
 
 impl AnswerReader {
-    /// Starts to read the answer to `request`.
-    pub fn new(answer: Response, request: &str) -> Self {
+    /// Starts to read the answer to `work`.
+    pub fn new(answer: Response, work: &Work) -> Self {
         let (parts, body) = answer.into_parts();
-        let kind = parts.headers.get("content-type").and_then(|v| v.to_str().ok());
+        let kind = parts.headers.get(header::CONTENT_TYPE).and_then(|v| v.to_str().ok());
         let stream = kind.is_some_and(|kind| kind.starts_with("text/event-stream"));
         Self {
             status: parts.status,
             headers: parts.headers,
             body,
-            request: request.to_owned(),
+            request: work.request.clone(),
+            model: !work.model.is_empty(),
             splitter: EventSplitter::default(),
+            parts: VecDeque::new(),
             stream,
             done: false,
         }
@@ -98,45 +100,102 @@
 
     /// Returns whether the headers name another request.
     pub fn is_crossed(&self) -> bool {
-        let named = self.headers.get(crate::http::REQUEST_HEADER);
+        let named = self.headers.get(REQUEST_HEADER);
         named.is_some_and(|id| id.as_bytes() != self.request.as_bytes())
     }
 
     /// Waits for the next part of the answer.
     pub async fn next(&mut self) -> Result<AnswerEvent, HttpError> {
+        if self.stream { self.next_event().await } else { self.next_part().await }
+    }
+
+    async fn next_event(&mut self) -> Result<AnswerEvent, HttpError> {
         loop {
-            if self.stream
-                && let Some(event) = self.splitter.next_event()
-            {
-                return Ok(self.judge(event));
-            }
             if self.done {
                 return Ok(AnswerEvent::Whole);
             }
+            if let Some(event) = self.splitter.next_event() {
+                return Ok(self.judge(event));
+            }
             match self.body.frame().await {
-                None if self.stream => return Ok(AnswerEvent::Cut),
-                None => return Ok(AnswerEvent::Whole),
-                Some(Err(_)) => return Ok(AnswerEvent::Cut),
+                None | Some(Err(_)) => return Ok(AnswerEvent::Cut),
                 Some(Ok(frame)) => {
                     let Ok(data) = frame.into_data() else { continue };
-                    if !self.stream {
-                        return Ok(AnswerEvent::Data(data));
+                    if !self.splitter.push(&data) {
+                        return Ok(AnswerEvent::Cut);
                     }
-                    self.splitter.push(&data);
                 }
             }
         }
     }
 
     fn judge(&mut self, event: Bytes) -> AnswerEvent {
-        if event == DONE_EVENT {
+        let Some(data) = event_data(&event) else { return AnswerEvent::Comment(event) };
+        if data == b"[DONE]" {
+            self.done = true;
+            return AnswerEvent::Last(event);
+        }
+        if self.names_another(data) { AnswerEvent::Crossed } else { AnswerEvent::Event(event) }
+    }
+
+    /// Reads the whole body before its first part is passed on.
+    ///
+    /// The id stands in the body, and bytes of another request's answer must not reach the caller.
+    async fn next_part(&mut self) -> Result<AnswerEvent, HttpError> {
+        if !self.done {
+            let Read::Whole(body) = self.read_whole().await? else { return Ok(AnswerEvent::Cut) };
+            if self.names_another(&body) {
+                return Ok(AnswerEvent::Crossed);
+            }
+            self.split(body);
             self.done = true;
-            return AnswerEvent::Data(event);
         }
-        let json = event.strip_prefix(b"data: ".as_slice()).unwrap_or(&event);
-        match serde_json::from_slice::<WithId>(json) {
-            Ok(named) if !named.id.is_empty() && named.id != self.request => AnswerEvent::Crossed,
-            _ => AnswerEvent::Data(event),
+        Ok(self.parts.pop_front().map_or(AnswerEvent::Whole, AnswerEvent::Data))
+    }
+
+    async fn read_whole(&mut self) -> Result<Read, HttpError> {
+        let mut all = BytesMut::new();
+        while let Some(frame) = self.body.frame().await {
+            let Ok(frame) = frame else { return Ok(Read::Broken) };
+            let Ok(data) = frame.into_data() else { continue };
+            if all.len() + data.len() > ANSWER_LIMIT {
+                return Err(HttpError::TooLarge(ANSWER_LIMIT));
+            }
+            all.extend_from_slice(&data);
+        }
+        if self.is_framed() || serde_json::from_slice::<serde_json::Value>(&all).is_ok() {
+            return Ok(Read::Whole(all.freeze()));
         }
+        Ok(Read::Broken)
+    }
+
+    /// Returns whether the library can tell a cut body from a whole one.
+    fn is_framed(&self) -> bool {
+        let bodiless = self.status == StatusCode::NO_CONTENT;
+        let length = self.headers.contains_key(header::CONTENT_LENGTH);
+        bodiless || length || self.headers.contains_key(header::TRANSFER_ENCODING)
     }
+
+    /// Returns whether a model's answer names another request; services give ids of their own.
+    fn names_another(&self, json: &[u8]) -> bool {
+        if !self.model {
+            return false;
+        }
+        let named = serde_json::from_slice::<WithId>(json);
+        named.is_ok_and(|named| !named.id.is_empty() && named.id != self.request)
+    }
+
+    fn split(&mut self, mut body: Bytes) {
+        while !body.is_empty() {
+            let part = body.split_to(body.len().min(PART_BYTES));
+            self.parts.push_back(part);
+        }
+    }
+}
+
+/// Returns the text of an event's `data` line, or `None` for a comment.
+fn event_data(event: &[u8]) -> Option<&[u8]> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let data = lines.find_map(|line| line.strip_prefix(b"data:".as_slice()))?;
+    Some(data.trim_ascii())
 }
--- a/src/endpoint/client.rs
+++ b/src/endpoint/client.rs
@@ -11,9 +11,12 @@
 };
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
-const IDLE_LIMIT: Duration = Duration::from_secs(10);
+
+/// Backstop only: the steward bounds each answer's silence by what the request explains.
+const IDLE_LIMIT: Duration = Duration::from_secs(900);
+
 const REPORT_LIMIT: Duration = Duration::from_millis(800);
-const KEPT_CONNECTIONS: usize = 64;
+const KEPT_CONNECTIONS: usize = 2;
 
 /// Header that carries the events of an answer which were already delivered.
 pub const RESUME_HEADER: &str = "x-resume-from";
@@ -24,7 +27,7 @@
 /// Client of one endpoint.
 pub struct EndpointClient {
     base: String,
-    pooled: volo_http::client::Client,
+    reports: volo_http::client::Client,
     single: volo_http::client::Client,
 }
 
@@ -34,22 +37,21 @@
         let limits = Limits { connect: CONNECT_LIMIT, idle: IDLE_LIMIT, kept: KEPT_CONNECTIONS };
         Self {
             base: crate::http::base_url(address),
-            pooled: client(limits),
+            reports: client(limits),
             single: client(Limits { kept: 0, ..limits }),
         }
     }
 
     /// Sends a request and returns the reader of its answer.
     ///
-    /// Requests that may not be repeated use a connection of their own, so that a kept connection
-    /// which went stale cannot make the outcome unknown.
+    /// Each request uses a connection of its own: a kept one may have gone silent, which would cost
+    /// the idle bound of a model request and the known outcome of one that may not be repeated.
     pub async fn run(&self, work: &Work) -> Result<AnswerReader, HttpError> {
-        let client = if work.once.is_empty() { &self.pooled } else { &self.single };
         let method = Method::from_bytes(work.method.as_bytes())
             .map_err(|err| HttpError::Parse(err.to_string()))?;
         let url = format!("{}{}", self.base, work.path);
-        let answer = send(client, method, &url, headers(work), work.body.clone()).await?;
-        Ok(AnswerReader::new(answer, &work.request))
+        let answer = send(&self.single, method, &url, headers(work), work.body.clone()).await?;
+        Ok(AnswerReader::new(answer, work))
     }
 
     /// Sends an order and waits for its effect.
@@ -61,7 +63,7 @@
     /// Reads the load report.
     pub async fn report(&self) -> Result<Report, HttpError> {
         let url = format!("{}/report", self.base);
-        call_json(&self.pooled, Method::GET, &url, &(), REPORT_LIMIT).await
+        call_json(&self.reports, Method::GET, &url, &(), REPORT_LIMIT).await
     }
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,7 @@
 //! Small helpers around `volo-http` that the node, the stand-ins and the command line share.
 
 use std::{
+    error::Error,
     net::SocketAddr,
     pin::Pin,
     task::{Context, Poll},
@@ -18,6 +19,7 @@
 use volo_http::{
     body::Body,
     client::{Client, ClientBuilder},
+    error::client::{ClientError, ErrorKind, Timeout},
     request::Request,
     response::Response,
     server::{Router, Server},
@@ -92,15 +94,25 @@
     request.body(Body::from(body)).send().await.map_err(|err| classify(&err))
 }
 
-fn classify(err: &volo_http::error::ClientError) -> HttpError {
-    let text = format!("{err:?}");
-    if text.contains("Connect") || text.contains("refused") {
-        return HttpError::Connect(text);
-    }
-    if text.to_lowercase().contains("timeout") {
-        return HttpError::Timeout;
+/// Tells failures before the first byte of the request from later ones by their types.
+///
+/// The library wraps what its dialer returns, an input or output error, directly; what fails on an
+/// open connection comes as an error of the HTTP layer with the cause inside.
+fn classify(err: &ClientError) -> HttpError {
+    let direct = err.source();
+    let dialing = direct.is_some_and(|source| source.is::<std::io::Error>());
+    if dialing || *err.kind() == ErrorKind::Connect {
+        return HttpError::Connect(err.to_string());
     }
-    HttpError::Exchange(text)
+    if is_timeout(direct) { HttpError::Timeout } else { HttpError::Exchange(err.to_string()) }
+}
+
+/// Returns whether an error or one of its causes is a timeout.
+fn is_timeout(err: Option<&(dyn Error + 'static)>) -> bool {
+    std::iter::successors(err, |err: &&(dyn Error + 'static)| (*err).source()).any(|err| {
+        let io = err.downcast_ref::<std::io::Error>();
+        io.is_some_and(|io| io.kind() == std::io::ErrorKind::TimedOut) || err.is::<Timeout>()
+    })
 }
 
 /// Reads a body up to `limit` bytes.
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -4,6 +4,7 @@
 //! a node, in property tests and in benchmarks.
 
 pub mod dispatch;
+pub mod drain;
 pub mod freshness;
 pub mod ledger;
 pub mod once;
--- /dev/null
+++ b/src/kernel/drain.rs
@@ -0,0 +1,87 @@
+//! The phases of a shutdown, by what still runs.
+
+/// How far a shutdown is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Everything is served.
+    #[default]
+    Serving,
+    /// Callers are refused, while the others learn that this instance leaves.
+    Announcing,
+    /// Callers' requests end; work for stewarded endpoints is still taken.
+    Finishing,
+    /// Work for stewarded endpoints ends; none is taken any more.
+    Closing,
+    /// Nothing runs, and the duties can be handed over.
+    Idle,
+    /// The duties are handed over.
+    Gone,
+}
+
+/// What runs at an instance.
+#[derive(Clone, Debug, Default)]
+pub struct Count {
+    phase: Phase,
+    callers: usize,
+    steward: usize,
+}
+
+impl Count {
+    /// Returns the phase.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Counts a caller's request in and returns whether it may run.
+    pub fn enter(&mut self) -> bool {
+        let taken = self.phase == Phase::Serving;
+        self.callers += usize::from(taken);
+        taken
+    }
+
+    /// Counts work for a stewarded endpoint in and returns whether it may run.
+    pub fn enter_steward(&mut self) -> bool {
+        let taken = self.phase < Phase::Closing;
+        self.steward += usize::from(taken);
+        taken
+    }
+
+    /// Counts a request or work out.
+    pub fn leave(&mut self, as_steward: bool) {
+        if as_steward {
+            self.steward -= 1;
+        } else {
+            self.callers -= 1;
+        }
+        self.advance();
+    }
+
+    /// Begins the shutdown; a second signal changes nothing.
+    pub fn begin(&mut self) {
+        self.phase = self.phase.max(Phase::Announcing);
+    }
+
+    /// Notes that the others had time to learn of the shutdown.
+    pub fn announced(&mut self) {
+        if self.phase == Phase::Announcing {
+            self.phase = Phase::Finishing;
+        }
+        self.advance();
+    }
+
+    /// Notes that the duties were handed over.
+    pub fn hand_over(&mut self) {
+        if self.phase == Phase::Idle {
+            self.phase = Phase::Gone;
+        }
+    }
+
+    fn advance(&mut self) {
+        if self.phase == Phase::Finishing && self.callers == 0 {
+            self.phase = Phase::Closing;
+        }
+        if self.phase == Phase::Closing && self.steward == 0 {
+            self.phase = Phase::Idle;
+        }
+    }
+}
--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -1,12 +1,18 @@
-//! A budget of retries as a share of first tries.
+//! Whether and when a failed attempt is made again.
+
+use std::time::Duration;
+
+use crate::clock::Time;
 
 /// Retries that a budget may save up.
-const SAVED_LIMIT: f64 = 10.0;
+const SAVED_LIMIT: f64 = 64.0;
 
 /// Retries that each first try allows.
 const RETRY_SHARE: f64 = 0.2;
 
-/// A budget of retries.
+/// A budget of retries as a share of first tries.
+///
+/// It keeps retries from multiplying the load when most of the requests fail.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     saved: f64,
@@ -33,3 +39,74 @@
         there
     }
 }
+
+/// How an attempt was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// No byte of the request reached an endpoint.
+    NotRun,
+    /// The instance that ran it was lost, its endpoint perhaps not.
+    Route,
+    /// The endpoint failed; `progress` says whether it answered anything new before.
+    Cut {
+        /// Whether at least one new event arrived.
+        progress: bool,
+    },
+    /// The endpoint crashed while it ran the request.
+    Crash,
+}
+
+/// What to do after a lost attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Retry {
+    /// Try again after this time.
+    After(Duration),
+    /// Give the request up.
+    Stop,
+}
+
+/// Attempts that one request may make.
+const TRY_LIMIT: u32 = 6;
+
+/// Endpoints that one request may cost before it is given up.
+const COST_LIMIT: u32 = 2;
+
+/// Longest wait before the first retry; it doubles with each further one.
+const FIRST_WAIT: Duration = Duration::from_millis(20);
+
+/// The attempts of one request.
+#[derive(Clone, Debug)]
+pub struct Tries {
+    made: u32,
+    cost: u32,
+    deadline: Time,
+}
+
+impl Tries {
+    /// Creates the count of a request whose first attempt is about to be made.
+    pub fn until(deadline: Time) -> Self {
+        Self { made: 1, cost: 0, deadline }
+    }
+
+    /// Decides after a lost attempt; `draw` is a random number for the jitter.
+    pub fn lost(&mut self, loss: Loss, budget: &mut RetryBudget, now: Time, draw: u64) -> Retry {
+        let costs = matches!(loss, Loss::Crash | Loss::Cut { progress: false });
+        self.cost += u32::from(costs);
+        if self.cost >= COST_LIMIT || self.made >= TRY_LIMIT {
+            return Retry::Stop;
+        }
+        let wait = jittered(self.made, draw);
+        if now + wait >= self.deadline || !budget.take() {
+            return Retry::Stop;
+        }
+        self.made += 1;
+        Retry::After(wait)
+    }
+}
+
+/// Returns a wait between half and all of the doubled first wait.
+fn jittered(made: u32, draw: u64) -> Duration {
+    let full = FIRST_WAIT * (1 << made.saturating_sub(1));
+    let half = full / 2;
+    half + Duration::from_micros(draw % (half.as_micros() as u64 + 1))
+}
--- a/src/kernel/stream.rs
+++ b/src/kernel/stream.rs
@@ -1,1 +1,113 @@
 //! Joins the parts of an answer that several attempts deliver.
+//!
+//! Events are numbered from one in the order in which the endpoint generates them. A part is passed
+//! on when its number is the next one, so that a resumed attempt neither repeats nor skips.
+
+use std::time::Duration;
+
+/// What to do with a part of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Pass it on.
+    Deliver,
+    /// Drop it; the caller has it already.
+    Duplicate,
+    /// Give the attempt up; an event before this one is missing.
+    Gap,
+}
+
+/// What to do when an attempt ended without the endpoint's explicit end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AfterLoss {
+    /// Nothing is missing: only the notice of the end was lost.
+    Finish,
+    /// Ask for the events after this many.
+    Resume(u64),
+    /// Cut the caller's body, since the rest cannot be had without repeating.
+    Break,
+}
+
+/// What to do when an attempt says that the answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AtEnd {
+    /// The answer is whole.
+    Finish,
+    /// The attempt ended before the endpoint's explicit end; treat it as lost.
+    Lost,
+}
+
+/// How much of one answer the caller has.
+#[derive(Clone, Debug, Default)]
+pub struct Joiner {
+    delivered: u64,
+    last: bool,
+    raw: bool,
+}
+
+impl Joiner {
+    /// Judges a part that ends with event `events`; zero stands for bytes without events.
+    pub fn part(&mut self, events: u64, last: bool) -> Part {
+        if events == 0 {
+            return self.raw_part();
+        }
+        if self.last || events <= self.delivered {
+            return Part::Duplicate;
+        }
+        if self.raw || events != self.delivered + 1 {
+            return Part::Gap;
+        }
+        self.delivered = events;
+        self.last = last;
+        Part::Deliver
+    }
+
+    /// Judges bytes of an answer that is no stream of events, which cannot be resumed.
+    fn raw_part(&mut self) -> Part {
+        if self.delivered > 0 {
+            return Part::Gap;
+        }
+        self.raw = true;
+        Part::Deliver
+    }
+
+    /// Judges an attempt's statement that the answer ended.
+    pub fn end(&self) -> AtEnd {
+        if self.last || self.raw { AtEnd::Finish } else { AtEnd::Lost }
+    }
+
+    /// Decides how to go on after an attempt was lost.
+    pub fn lost(&self) -> AfterLoss {
+        if self.last {
+            AfterLoss::Finish
+        } else if self.raw {
+            AfterLoss::Break
+        } else {
+            AfterLoss::Resume(self.delivered)
+        }
+    }
+
+    /// Returns the number of events that the caller has.
+    pub fn delivered(&self) -> u64 {
+        self.delivered
+    }
+}
+
+/// Longest silence between two events of a stream.
+pub const EVENT_IDLE: Duration = Duration::from_secs(5);
+
+/// Longest time to the first byte of an answer that its length does not explain.
+const FIRST_IDLE: Duration = Duration::from_secs(10);
+
+/// Longest time that one token of a whole answer explains.
+const TOKEN_IDLE: Duration = Duration::from_millis(150);
+
+/// Returns how long an endpoint may stay silent before the first byte of its answer.
+///
+/// An answer that is not streamed shows nothing until its last token is generated.
+pub fn first_bound(stream: bool, tokens: u64) -> Duration {
+    if stream {
+        return FIRST_IDLE;
+    }
+    let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+    FIRST_IDLE + TOKEN_IDLE.saturating_mul(tokens)
+}
--- a/src/kernel/suspect.rs
+++ b/src/kernel/suspect.rs
@@ -1,1 +1,180 @@
 //! Requests that crash their endpoints.
+//!
+//! Every request in flight at a crash becomes suspect. A suspect runs alone, so that a second crash
+//! has one cause only, and is refused after it. Two crashes in company prove nothing: when several
+//! endpoints fail together, the same harmless request may have run at each of them. Crashes carry
+//! ids, so that the reports of several instances about one crash count once.
+
+use std::{collections::HashMap, time::Duration};
+
+use crate::{clock::Time, names::EndpointId};
+
+/// Crashes after which a request is refused even if it never ran alone.
+const CRASH_LIMIT: usize = 3;
+
+/// Bit of a crash's id that says that the request ran alone.
+const ALONE_BIT: u64 = 1;
+
+/// Suspects that are remembered.
+const CAPACITY: usize = 1_024;
+
+/// Time after which a suspect is forgotten.
+const LIFETIME: Duration = Duration::from_secs(600);
+
+/// Time for which news of a suspect is passed on.
+const NEWS_PERIOD: Duration = Duration::from_secs(5);
+
+/// Suspects in one heartbeat.
+const NEWS_LIMIT: usize = 16;
+
+/// Copies of a model over which one part of its suspects is spread.
+const SPREAD_DIVISOR: usize = 4;
+
+/// Id of one crash of one endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct CrashId(pub u64);
+
+impl CrashId {
+    /// Returns the id of the crash that ended an incarnation of an endpoint.
+    ///
+    /// `alone` says whether a suspect ran there and nothing else.
+    pub fn of(endpoint: &EndpointId, incarnation: u64, alone: bool) -> Self {
+        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), incarnation);
+        Self(hash & !ALONE_BIT | u64::from(alone))
+    }
+
+    fn is_alone(self) -> bool {
+        self.0 & ALONE_BIT != 0
+    }
+}
+
+/// How a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Like any other.
+    Free,
+    /// With nothing else at its endpoint.
+    Alone,
+    /// Not at all.
+    Refuse,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    crashes: Vec<CrashId>,
+    changed: Time,
+}
+
+/// The suspects that an instance knows, by the hash of model and body.
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    records: HashMap<u64, Record>,
+}
+
+impl Suspects {
+    /// Notes that a request was in flight at crashes, and returns whether any was new.
+    pub fn note(
+        &mut self,
+        fingerprint: u64,
+        crashes: impl IntoIterator<Item = CrashId>,
+        now: Time,
+    ) -> bool {
+        let mut crashes = crashes.into_iter().peekable();
+        if fingerprint == 0 || crashes.peek().is_none() {
+            return false;
+        }
+        self.make_room(now);
+        let fresh = Record { crashes: Vec::new(), changed: now };
+        let record = self.records.entry(fingerprint).or_insert(fresh);
+        let mut changed = false;
+        for crash in crashes {
+            if record.crashes.len() < CRASH_LIMIT && !record.crashes.contains(&crash) {
+                record.crashes.push(crash);
+                record.changed = now;
+                changed = true;
+            }
+        }
+        changed
+    }
+
+    /// Drops what expired, and the oldest record when the table is full.
+    fn make_room(&mut self, now: Time) {
+        if self.records.len() < CAPACITY {
+            return;
+        }
+        self.records.retain(|_, record| now.since(record.changed) < LIFETIME);
+        while self.records.len() >= CAPACITY {
+            let oldest = self.records.iter().min_by_key(|(_, record)| record.changed);
+            let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) else { return };
+            self.records.remove(&oldest);
+        }
+    }
+
+    /// Clears a suspect that ran alone to its end.
+    pub fn acquit(&mut self, fingerprint: u64) {
+        self.records.remove(&fingerprint);
+    }
+
+    /// Judges a request.
+    pub fn judge(&self, fingerprint: u64, now: Time) -> Verdict {
+        let crashes = self.crashes(fingerprint, now);
+        let proved = crashes.len() > 1 && crashes.iter().any(|crash| crash.is_alone());
+        match crashes.len() {
+            0 => Verdict::Free,
+            CRASH_LIMIT.. => Verdict::Refuse,
+            _ if proved => Verdict::Refuse,
+            _ => Verdict::Alone,
+        }
+    }
+
+    /// Returns the crashes at which a request was in flight.
+    pub fn crashes(&self, fingerprint: u64, now: Time) -> &[CrashId] {
+        let record = self.records.get(&fingerprint);
+        let record = record.filter(|record| now.since(record.changed) < LIFETIME);
+        record.map_or(&[], |record| &record.crashes)
+    }
+
+    /// Returns the latest news for other instances.
+    pub fn news(&self, now: Time) -> Vec<(u64, Vec<CrashId>)> {
+        let fresh = |(_, record): &(&u64, &Record)| now.since(record.changed) < NEWS_PERIOD;
+        let mut news: Vec<_> = self.records.iter().filter(fresh).collect();
+        news.sort_by_key(|(fingerprint, record)| {
+            (
+                std::cmp::Reverse(record.crashes.len()),
+                std::cmp::Reverse(record.changed),
+                **fingerprint,
+            )
+        });
+        news.truncate(NEWS_LIMIT);
+        news.into_iter().map(|(print, record)| (*print, record.crashes.clone())).collect()
+    }
+}
+
+/// What an endpoint may start next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gate {
+    /// The request.
+    Start,
+    /// Nothing until what runs has ended.
+    Wait,
+    /// The request must be refused.
+    Refuse,
+}
+
+/// Decides whether a request may start beside `running` others, of which `alone` must be alone.
+pub fn gate(verdict: Verdict, running: u32, alone: bool) -> Gate {
+    match verdict {
+        Verdict::Refuse => Gate::Refuse,
+        _ if alone => Gate::Wait,
+        Verdict::Alone if running > 0 => Gate::Wait,
+        Verdict::Alone | Verdict::Free => Gate::Start,
+    }
+}
+
+/// Returns the position of the copy at which a suspect runs.
+///
+/// Suspects gather at a part of the copies, so that the other copies go on with all other work.
+pub fn place(fingerprint: u64, copies: usize) -> usize {
+    let part = copies.div_ceil(SPREAD_DIVISOR).max(1);
+    (fingerprint % part as u64) as usize
+}
--- a/src/kernel/warmup.rs
+++ b/src/kernel/warmup.rs
@@ -1,33 +1,210 @@
 //! How much an endpoint bears while it warms up.
+//!
+//! Its steward alone holds this state, so the limit counts the requests of all entry instances.
 
-use crate::config::PoolSpec;
+use std::time::Duration;
+
+use crate::{clock::Time, config::PoolSpec};
+
+/// Requests that a cold endpoint must answer whole before its limit rises.
+const COLD_COMPLETIONS: u32 = 32;
+
+/// Shortest time in the cold state, however many requests were answered.
+const COLD_PERIOD: Duration = Duration::from_secs(2);
+
+/// Whole answers for each further request that a warming endpoint may run.
+const STEP_COMPLETIONS: u32 = 4;
+
+/// Slow first bytes in a row that count as a fall back.
+const SLOW_LIMIT: u32 = 3;
+
+/// Factor over the usual time to the first byte that counts as slow.
+const SLOW_FACTOR: u32 = 5;
+
+/// Shortest time to the first byte that counts as slow.
+const SLOW_FLOOR: Duration = Duration::from_secs(1);
+
+/// A sign that an endpoint fell back into its cold state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// A report names another incarnation.
+    Incarnation,
+    /// It refused a connection.
+    Refused,
+    /// It answered that it is overloaded or down.
+    Overloaded,
+    /// It broke an answer off.
+    Cut,
+    /// Its time to the first byte rose.
+    Slow,
+    /// It was out of service.
+    Returned,
+}
+
+impl Sign {
+    /// Returns the word that stands for the sign in the time line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Sign::Incarnation => "incarnation",
+            Sign::Refused => "refused",
+            Sign::Overloaded => "overloaded",
+            Sign::Cut => "cut",
+            Sign::Slow => "slow",
+            Sign::Returned => "returned",
+        }
+    }
+}
+
+/// Nothing is known to have been served since the last start.
+#[derive(Clone, Debug)]
+struct Cold {
+    since: Option<Time>,
+    completed: u32,
+}
+
+/// The limit rises with each answer.
+#[derive(Clone, Debug)]
+struct Warming {
+    completed: u32,
+}
+
+/// The endpoint bears its full load.
+#[derive(Clone, Debug)]
+struct Warm;
+
+impl Cold {
+    fn new() -> Self {
+        Self { since: None, completed: 0 }
+    }
+
+    /// Counts an answer; the first one starts the period.
+    fn complete(mut self, now: Time) -> State {
+        let since = *self.since.get_or_insert(now);
+        self.completed += 1;
+        if self.completed < COLD_COMPLETIONS || now.since(since) < COLD_PERIOD {
+            return State::Cold(self);
+        }
+        State::Warming(Warming { completed: 0 })
+    }
+}
+
+impl Warming {
+    fn complete(self, cold: u32, warm: u32) -> State {
+        let next = Warming { completed: self.completed + 1 };
+        if next.limit(cold) < warm { State::Warming(next) } else { State::Warm(Warm) }
+    }
+
+    fn limit(&self, cold: u32) -> u32 {
+        cold + self.completed / STEP_COMPLETIONS
+    }
+}
 
-/// Warmth of one endpoint, held by its steward alone.
+#[derive(Clone, Debug)]
+enum State {
+    Cold(Cold),
+    Warming(Warming),
+    Warm(Warm),
+}
+
+/// What an answer changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing that others need to know.
+    None,
+    /// The endpoint bears its full load now.
+    Warm,
+    /// The endpoint fell back.
+    Cold(Sign),
+}
+
+/// Warmth of one endpoint.
 #[derive(Clone, Debug)]
 pub struct Warmth {
     cold_limit: u32,
     warm_limit: u32,
-    completed: u32,
+    state: State,
+    usual: Option<Duration>,
+    slow: u32,
+    orphans: Option<u32>,
 }
 
 impl Warmth {
     /// Creates the warmth of an endpoint of which nothing is known.
     pub fn cold(pool: &PoolSpec) -> Self {
-        Self { cold_limit: pool.cold_limit, warm_limit: pool.warm_limit, completed: 0 }
+        Self {
+            cold_limit: pool.cold_limit,
+            warm_limit: pool.warm_limit,
+            state: State::Cold(Cold::new()),
+            usual: None,
+            slow: 0,
+            orphans: None,
+        }
+    }
+
+    /// Takes in how many requests a report shows, of which this steward sent `own`.
+    ///
+    /// The rest was sent by an earlier steward. It only shrinks, so a lagging report that still
+    /// shows requests of this steward cannot raise it.
+    pub fn reported(&mut self, running: u32, own: u32) {
+        let rest = running.saturating_sub(own);
+        self.orphans = Some(self.orphans.map_or(rest, |known| known.min(rest)));
+    }
+
+    /// Returns whether one more request may start beside `running` ones of this steward.
+    pub fn bears(&self, running: u32) -> bool {
+        running + self.orphans.unwrap_or(0) < self.limit()
     }
 
     /// Counts a request that was answered whole.
-    pub fn complete(&mut self) {
-        self.completed = self.completed.saturating_add(1);
+    pub fn complete(&mut self, now: Time) -> Change {
+        let was_warm = self.is_warm();
+        self.state = match std::mem::replace(&mut self.state, State::Cold(Cold::new())) {
+            State::Cold(cold) => cold.complete(now),
+            State::Warming(warming) => warming.complete(self.cold_limit, self.warm_limit),
+            State::Warm(warm) => State::Warm(warm),
+        };
+        if self.is_warm() && !was_warm { Change::Warm } else { Change::None }
+    }
+
+    /// Takes in the time to the first byte of an answer.
+    pub fn first_byte(&mut self, elapsed: Duration) -> Change {
+        let Some(usual) = self.usual else {
+            self.usual = Some(elapsed);
+            return Change::None;
+        };
+        if elapsed < SLOW_FLOOR || elapsed < usual * SLOW_FACTOR {
+            self.usual = Some((usual * 7 + elapsed) / 8);
+            self.slow = 0;
+            return Change::None;
+        }
+        self.slow += 1;
+        if self.slow < SLOW_LIMIT { Change::None } else { self.fall_back(Sign::Slow) }
     }
 
-    /// Returns to cold.
-    pub fn reset(&mut self) {
-        self.completed = 0;
+    /// Returns to cold at a sign that the endpoint did.
+    pub fn fall_back(&mut self, sign: Sign) -> Change {
+        let was_cold = matches!(self.state, State::Cold(_));
+        self.state = State::Cold(Cold::new());
+        self.slow = 0;
+        self.usual = None;
+        if sign == Sign::Incarnation {
+            self.orphans = Some(0);
+        }
+        if was_cold { Change::None } else { Change::Cold(sign) }
     }
 
     /// Returns the requests that may run at once.
     pub fn limit(&self) -> u32 {
-        (self.cold_limit + self.completed / 4).min(self.warm_limit)
+        let limit = match &self.state {
+            State::Cold(_) => self.cold_limit,
+            State::Warming(warming) => warming.limit(self.cold_limit),
+            State::Warm(Warm) => self.warm_limit,
+        };
+        limit.min(self.warm_limit)
+    }
+
+    /// Returns whether the endpoint bears its full load.
+    pub fn is_warm(&self) -> bool {
+        matches!(self.state, State::Warm(_))
     }
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -30,7 +30,7 @@
     config::Config,
     events::Event,
     http::HttpError,
-    kernel::{retry::RetryBudget, routing::Directory},
+    kernel::{retry::RetryBudget, routing::Directory, suspect::Suspects},
     names::RequestId,
     platform::{Client, InstanceList},
     settings::Settings,
@@ -55,6 +55,7 @@
     demand: digests::Demand,
     drain: drain::Drain,
     retries: Mutex<RetryBudget>,
+    suspects: Mutex<Suspects>,
     requests: AtomicU64,
 }
 
@@ -99,6 +100,7 @@
             demand: digests::Demand::default(),
             drain: drain::Drain::default(),
             retries: Mutex::default(),
+            suspects: Mutex::default(),
             requests: AtomicU64::new(0),
             settings,
         })
@@ -112,6 +114,7 @@
         tasks.spawn(members::run(self.clone()));
         tasks.spawn(shares::run(self.clone()));
         tasks.spawn(steward::run(self.clone()));
+        tasks.spawn(steward::keep_pumping(self.clone()));
         tasks.spawn(once::run(self.clone()));
         tasks.spawn(planner::run(self.clone()));
         tasks.spawn(digests::run(self.clone()));
--- a/src/node/admit.rs
+++ b/src/node/admit.rs
@@ -53,12 +53,9 @@
     headers: &HeaderMap,
     open: impl Fn(&Config) -> bool,
 ) -> Result<Caller, Refusal> {
-    if node.drain.is_draining() {
-        return Err(Refusal::not_run(Code::Draining));
-    }
+    let _running = node.drain.enter().ok_or(Refusal::not_run(Code::Draining))?;
     let config = node.config().ok_or(Refusal::not_run(Code::NoConfig).retry_after(500))?;
     let team = if open(&config) { None } else { Some(authenticate(node, &config, headers)?) };
-    let _running = node.drain.enter();
     Ok(Caller { request, arrived: Time::now(), config, team, _running })
 }
 
--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -1,31 +1,29 @@
 //! Model requests at the entry: choice of a copy and relay of the answer.
 
+mod job;
+mod relay;
+
 use std::{sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use http_body::Frame;
 use serde::Deserialize;
-use tokio::time::sleep;
+use tokio::time::timeout;
 use volo_http::{request::Request, response::Response};
 use xxhash_rust::xxh3::xxh3_64;
 
+use self::job::Job;
 use super::{
     Node,
     admit::{Admitted, identify},
     exchange::Exchange,
 };
 use crate::{
-    clock::Time,
     codes::{Code, Refusal},
     events::Event,
-    http::{BodySender, HttpError, channel_body, read_body},
-    kernel::{
-        registry,
-        routing::{Copy, TwoChoices, Wish},
-    },
+    http::{HttpError, read_body},
     names::{Model, RequestId},
-    wire::{AskBody, Body, Head, Work},
+    wire::{Body, End, Head, Work},
 };
 
 /// Largest body of a request in bytes.
@@ -40,12 +38,6 @@
 /// Most tokens of an answer.
 const MAX_TOKENS: u64 = 32_768;
 
-/// Time between two looks for a copy.
-const LOOK_PERIOD: Duration = Duration::from_millis(50);
-
-/// Instances that are tried for one request.
-const MAX_TRIES: usize = 3;
-
 #[derive(Deserialize)]
 struct Asked {
     model: Model,
@@ -93,7 +85,7 @@
 
 /// Reads a caller's body within the limits.
 pub async fn receive(body: volo_http::body::Body) -> Result<Bytes, Refusal> {
-    match tokio::time::timeout(BODY_TIME, read_body(body, BODY_LIMIT)).await {
+    match timeout(BODY_TIME, read_body(body, BODY_LIMIT)).await {
         Ok(Ok(body)) => Ok(body),
         Ok(Err(HttpError::TooLarge(_))) => Err(Refusal::not_run(Code::BodyTooLarge)),
         Ok(Err(_)) => Err(Refusal::not_run(Code::BadRequest)),
@@ -102,63 +94,14 @@
 }
 
 async fn serve(node: &Arc<Node>, admitted: Admitted, work: Work) -> Result<Response, Refusal> {
-    let mut refusal = Refusal::not_run(Code::NoEndpoint);
     node.retries.lock().first_try();
-    for attempt in 0..MAX_TRIES {
-        if attempt > 0 && !node.retries.lock().take() {
-            break;
-        }
-        let copy = find_copy(node, &admitted, &work).await?;
-        let work = Work { endpoint: copy.endpoint.to_string(), ..work.clone() };
-        let opened = node.open(&copy.steward, AskBody::Work(work.clone())).await;
-        let mut exchange = match opened {
-            Ok(exchange) => exchange,
-            Err(err) => {
-                refusal = err;
-                continue;
-            }
-        };
-        match exchange.next().await {
-            Some(Body::Head(head)) => return answer(node, admitted, work, head, exchange).await,
-            Some(Body::End(end)) => {
-                refusal = end.refusal().unwrap_or(Refusal::unknown(Code::Internal));
-            }
-            _ => refusal = Refusal::unknown(Code::PeerUnreachable),
-        }
-    }
-    Err(refusal)
-}
-
-/// Chooses a copy, and waits for one while the deadline allows it.
-async fn find_copy(node: &Node, admitted: &Admitted, work: &Work) -> Result<Arc<Copy>, Refusal> {
-    let model = Model::from(work.model.as_str());
-    loop {
-        if let Some(copy) = choose(node, &admitted.caller.config.policy.routing, &model, work) {
-            return Ok(copy);
-        }
-        if Time::now() + LOOK_PERIOD >= admitted.deadline() {
-            return Err(Refusal::not_run(Code::NoEndpoint));
-        }
-        sleep(LOOK_PERIOD).await;
+    let mut job = Job::new(node.clone(), admitted, work);
+    if job.is_stream() {
+        return relay::start(job).await;
     }
-}
-
-fn choose(node: &Node, policy: &str, model: &Model, work: &Work) -> Option<Arc<Copy>> {
-    let config = node.config()?;
-    let copies: Vec<Arc<Copy>> = {
-        let directory = node.directory.read();
-        let usable =
-            |copy: &&Arc<Copy>| config.is_in(&copy.data_centre) && node.reaches(&copy.steward);
-        directory.copies(model).iter().filter(usable).cloned().collect()
-    };
-    if copies.is_empty() {
-        return None;
-    }
-    let wish = Wish { prefix: work.prefix, adapter: None, draw: rand::random() };
-    let policy = registry::routing(policy).unwrap_or(&TwoChoices);
-    let refs: Vec<&Copy> = copies.iter().map(AsRef::as_ref).collect();
-    let chosen = policy.choose(&refs, &wish);
-    copies.get(chosen).cloned()
+    let (head, body) = job.run_whole().await?;
+    job.complete();
+    Ok(with_head(&head, body.into()))
 }
 
 impl Node {
@@ -168,63 +111,36 @@
     }
 }
 
-async fn answer(
-    node: &Arc<Node>,
-    admitted: Admitted,
-    work: Work,
-    head: Head,
-    exchange: Exchange,
-) -> Result<Response, Refusal> {
-    if work.stream {
-        let (tx, body) = channel_body();
-        tokio::spawn(stream(node.clone(), admitted, work, exchange, tx));
-        return Ok(with_head(&head, body));
-    }
-    let body = gather(exchange).await?;
-    node.timeline.record(Event::RequestCompleted, work.request.as_str(), "");
-    Ok(with_head(&head, body.into()))
-}
+/// Largest answer that is gathered, in bytes.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Longest silence of a steward within an exchange.
+const SILENCE_LIMIT: Duration = Duration::from_secs(15);
 
 /// Collects an answer that is returned whole.
-pub async fn gather(mut exchange: Exchange) -> Result<Bytes, Refusal> {
-    let mut all = BytesMut::new();
-    loop {
-        match exchange.next().await {
-            Some(Body::Chunk(chunk)) => all.extend_from_slice(&chunk.data),
-            Some(Body::End(end)) => match end.refusal() {
-                None => return Ok(all.freeze()),
-                Some(refusal) => return Err(refusal),
-            },
-            Some(_) => {}
-            None => return Err(Refusal::unknown(Code::PeerUnreachable)),
-        }
+pub async fn gather(exchange: Exchange) -> Result<Bytes, Refusal> {
+    match collect(exchange).await {
+        Ok(body) => Ok(body),
+        Err(Some(end)) => Err(end.refusal().unwrap_or(Refusal::unknown(Code::Internal))),
+        Err(None) => Err(Refusal::unknown(Code::PeerUnreachable)),
     }
 }
 
-async fn stream(
-    node: Arc<Node>,
-    mut admitted: Admitted,
-    work: Work,
-    mut exchange: Exchange,
-    tx: BodySender,
-) {
+/// Collects an answer; an error holds the answerer's end, or nothing when the answerer was lost.
+async fn collect(mut exchange: Exchange) -> Result<Bytes, Option<End>> {
+    let mut all = BytesMut::new();
     loop {
-        match exchange.next().await {
-            Some(Body::Chunk(chunk)) => {
-                if tx.send(Ok(Frame::data(chunk.data))).await.is_err() {
-                    return;
-                }
-            }
-            Some(Body::End(end)) if end.code == 0 => break,
-            _ => {
-                // The error item cuts the body, so that the answer does not look whole.
-                let _ = tx.send(Err("answer cut".into())).await;
-                return;
-            }
+        match timeout(SILENCE_LIMIT, exchange.next()).await {
+            Ok(Some(Body::Chunk(chunk))) => all.extend_from_slice(&chunk.data),
+            Ok(Some(Body::End(end))) if end.code == 0 => return Ok(all.freeze()),
+            Ok(Some(Body::End(end))) => return Err(Some(end)),
+            Ok(Some(_)) => {}
+            Ok(None) | Err(_) => return Err(None),
+        }
+        if all.len() > ANSWER_LIMIT {
+            return Err(Some(End::from(&Refusal::unknown(Code::EndpointFailed))));
         }
     }
-    admitted.charge.settle(work.tokens);
-    node.timeline.record(Event::RequestCompleted, work.request, "");
 }
 
 /// Builds the caller's answer from an endpoint's status and headers.
--- /dev/null
+++ b/src/node/chat/job.rs
@@ -0,0 +1,222 @@
+//! The attempts of one model request: choice of a copy, and what to do when an attempt is lost.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tokio::time::{sleep, timeout};
+
+use super::collect;
+use crate::{
+    clock::Time,
+    codes::{Code, Refusal, Run},
+    events::Event,
+    kernel::{
+        registry,
+        retry::{Loss, Retry, Tries},
+        routing::{Copy, TwoChoices, Wish},
+        stream::first_bound,
+        suspect::{self, Verdict},
+    },
+    names::{EndpointId, Model},
+    node::{Node, admit::Admitted, exchange::Exchange},
+    wire::{AskBody, Body, End, Head, Work},
+};
+
+/// Time between two looks for a copy.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Time that the hop to the steward adds to the bounds of the endpoint's answer.
+const HOP_SLACK: Duration = Duration::from_secs(2);
+
+/// A model request over all its attempts.
+pub struct Job {
+    /// The node that serves it as an entry instance.
+    pub node: Arc<Node>,
+    admitted: Admitted,
+    work: Work,
+    tries: Tries,
+    tried: Vec<EndpointId>,
+}
+
+/// How an attempt failed.
+struct Failure {
+    refusal: Refusal,
+    loss: Loss,
+}
+
+impl Job {
+    /// Creates the job of an admitted request.
+    pub fn new(node: Arc<Node>, admitted: Admitted, work: Work) -> Self {
+        let tries = Tries::until(admitted.deadline());
+        Self { node, admitted, work, tries, tried: Vec::new() }
+    }
+
+    /// Returns whether the caller asked for a stream of events.
+    pub fn is_stream(&self) -> bool {
+        self.work.stream
+    }
+
+    /// Sets the number of events that the caller has.
+    pub fn resume_at(&mut self, offset: u64) {
+        self.work.offset = offset;
+        let detail = format!("offset={offset}");
+        self.node.timeline.record(Event::StreamResumed, &*self.work.request, detail);
+    }
+
+    /// Settles the charge and records that the caller was answered.
+    pub fn complete(mut self) {
+        self.admitted.charge.settle(self.work.tokens);
+        self.node.timeline.record(Event::RequestCompleted, self.work.request, "");
+    }
+
+    /// Runs the request until an attempt delivers a whole answer.
+    pub async fn run_whole(&mut self) -> Result<(Head, Bytes), Refusal> {
+        loop {
+            let (head, exchange) = self.open().await?;
+            match collect(exchange).await {
+                Ok(body) => return Ok((head, body)),
+                Err(end) => self.lose(end, false).await?,
+            }
+        }
+    }
+
+    /// Makes attempts until one begins to answer.
+    pub async fn open(&mut self) -> Result<(Head, Exchange), Refusal> {
+        loop {
+            match self.attempt().await? {
+                Ok(opened) => return Ok(opened),
+                Err(failure) => self.wait(failure).await?,
+            }
+        }
+    }
+
+    /// Decides after an attempt that had begun to answer, and waits before the next one.
+    pub async fn lose(&mut self, end: Option<End>, progress: bool) -> Result<(), Refusal> {
+        let failure = self.failure(end, progress);
+        self.wait(failure).await
+    }
+
+    async fn wait(&mut self, failure: Failure) -> Result<(), Refusal> {
+        let draw = rand::random();
+        let retry = {
+            let mut budget = self.node.retries.lock();
+            self.tries.lost(failure.loss, &mut budget, Time::now(), draw)
+        };
+        match retry {
+            Retry::After(wait) => sleep(wait).await,
+            Retry::Stop => return Err(failure.refusal),
+        }
+        Ok(())
+    }
+
+    /// Makes one attempt; the outer error ends the request.
+    async fn attempt(&mut self) -> Result<Result<(Head, Exchange), Failure>, Refusal> {
+        self.check_suspect()?;
+        let copy = self.find_copy().await?;
+        self.tried.push(copy.endpoint.clone());
+        let work = self.work_for(&copy);
+        let bound = first_bound(work.stream, work.tokens) + HOP_SLACK;
+        // The steward may let the request wait until the deadline before it starts.
+        let bound = bound + Duration::from_millis(work.left_ms);
+        let mut exchange = match self.node.open(&copy.steward, AskBody::Work(work)).await {
+            Ok(exchange) => exchange,
+            Err(refusal) => return Ok(Err(Failure { refusal, loss: Loss::NotRun })),
+        };
+        match timeout(bound, exchange.next()).await {
+            Ok(Some(Body::Head(head))) => Ok(Ok((head, exchange))),
+            Ok(Some(Body::End(end))) => Ok(Err(self.failure(Some(end), false))),
+            Ok(_) | Err(_) => Ok(Err(self.failure(None, false))),
+        }
+    }
+
+    /// Refuses a request that crashed as many endpoints as one request may.
+    fn check_suspect(&self) -> Result<(), Refusal> {
+        if self.verdict() != Verdict::Refuse {
+            return Ok(());
+        }
+        self.node.timeline.record(Event::SuspectRefused, &*self.work.request, "");
+        let ran = !self.tried.is_empty();
+        let refuse = if ran { Refusal::unknown } else { Refusal::not_run };
+        Err(refuse(Code::CrashSuspect))
+    }
+
+    fn verdict(&self) -> Verdict {
+        self.node.suspects.lock().judge(self.work.fingerprint, Time::now())
+    }
+
+    fn failure(&self, end: Option<End>, progress: bool) -> Failure {
+        let Some(end) = end else {
+            return Failure { refusal: Refusal::unknown(Code::PeerUnreachable), loss: Loss::Route };
+        };
+        let known = self.node.crashes(self.work.fingerprint).len();
+        self.node.note_crashes(self.work.fingerprint, &end.crashes);
+        let crashed = end.crashes.len() > known;
+        let refusal = end.refusal().unwrap_or(Refusal::unknown(Code::Internal));
+        let loss = match refusal.run {
+            Run::NotRun => Loss::NotRun,
+            Run::Unknown if crashed => Loss::Crash,
+            Run::Unknown => Loss::Cut { progress },
+        };
+        Failure { refusal, loss }
+    }
+
+    fn work_for(&self, copy: &Copy) -> Work {
+        let now = Time::now();
+        Work {
+            endpoint: copy.endpoint.to_string(),
+            left_ms: self.admitted.deadline().since(now).as_millis() as u64,
+            waited_ms: now.since(self.admitted.caller.arrived).as_millis() as u64,
+            crashes: self.node.crashes(self.work.fingerprint),
+            ..self.work.clone()
+        }
+    }
+
+    /// Chooses a copy, and waits for one while the deadline allows it.
+    async fn find_copy(&self) -> Result<Arc<Copy>, Refusal> {
+        loop {
+            if let Some(copy) = self.choose() {
+                return Ok(copy);
+            }
+            if Time::now() + LOOK_PERIOD >= self.admitted.deadline() {
+                return Err(self.nothing_found());
+            }
+            sleep(LOOK_PERIOD).await;
+        }
+    }
+
+    /// Returns the refusal for want of a copy; an earlier attempt may have run.
+    fn nothing_found(&self) -> Refusal {
+        let refuse = if self.tried.is_empty() { Refusal::not_run } else { Refusal::unknown };
+        refuse(Code::NoEndpoint)
+    }
+
+    fn choose(&self) -> Option<Arc<Copy>> {
+        let config = self.node.config()?;
+        let model = Model::from(self.work.model.as_str());
+        let usable =
+            |copy: &&Arc<Copy>| config.is_in(&copy.data_centre) && self.node.reaches(&copy.steward);
+        let copies = self.node.directory.read().copies(&model).to_vec();
+        let mut copies: Vec<&Arc<Copy>> = copies.iter().filter(usable).collect();
+        let untried = copies.iter().any(|copy| !self.tried.contains(&copy.endpoint));
+        if untried {
+            copies.retain(|copy| !self.tried.contains(&copy.endpoint));
+        }
+        if copies.is_empty() {
+            return None;
+        }
+        let chosen = self.pick(&mut copies);
+        Some(copies[chosen].clone())
+    }
+
+    fn pick(&self, copies: &mut [&Arc<Copy>]) -> usize {
+        if self.verdict() == Verdict::Alone {
+            copies.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
+            return suspect::place(self.work.fingerprint, copies.len());
+        }
+        let wish = Wish { prefix: self.work.prefix, adapter: None, draw: rand::random() };
+        let name = &self.admitted.caller.config.policy.routing;
+        let policy = registry::routing(name).unwrap_or(&TwoChoices);
+        let refs: Vec<&Copy> = copies.iter().map(|copy| copy.as_ref()).collect();
+        policy.choose(&refs, &wish)
+    }
+}
--- a/src/node/drain.rs
+++ b/src/node/drain.rs
@@ -1,72 +1,101 @@
 //! Counts running requests, so that a shutdown can wait for them.
+//!
+//! A shutdown goes through two phases. First the requests of this instance's own callers end, while
+//! it still runs work at the endpoints that it stewards. Then that work ends too, new work is passed
+//! on to the next steward, and the stewardships are handed over.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use tokio::{sync::Notify, time::sleep};
+use parking_lot::Mutex;
+use tokio::{sync::watch, time::sleep};
 
 use super::{Node, steward};
-use crate::events::Event;
+use crate::{
+    events::Event,
+    kernel::drain::{Count, Phase},
+};
 
 /// Time for the other instances and callers to learn that this one leaves.
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(1_000);
 
-/// Whether the node shuts down, and what still runs.
-#[derive(Default)]
+/// How far the shutdown is, and what still runs.
 pub struct Drain {
-    draining: AtomicBool,
-    running: Arc<AtomicUsize>,
-    ended: Arc<Notify>,
+    state: Arc<Mutex<Count>>,
+    changed: Arc<watch::Sender<()>>,
+}
+
+impl Default for Drain {
+    fn default() -> Self {
+        Self { state: Arc::default(), changed: Arc::new(watch::Sender::new(())) }
+    }
 }
 
 /// A running request; the drain waits until it is dropped.
 pub struct Running {
-    running: Arc<AtomicUsize>,
-    ended: Arc<Notify>,
+    state: Arc<Mutex<Count>>,
+    changed: Arc<watch::Sender<()>>,
+    as_steward: bool,
 }
 
 impl Drain {
-    /// Returns whether the node takes no new work.
+    /// Returns whether the node takes no new requests of callers.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
+        self.state.lock().phase() != Phase::Serving
+    }
+
+    /// Counts a caller's request in, or returns `None` when the node takes none any more.
+    pub fn enter(&self) -> Option<Running> {
+        self.state.lock().enter().then(|| self.running(false))
     }
 
-    /// Counts a request in.
-    pub fn enter(&self) -> Running {
-        self.running.fetch_add(1, Ordering::AcqRel);
-        Running { running: self.running.clone(), ended: self.ended.clone() }
+    /// Counts work for a stewarded endpoint in, or returns `None` when another steward has to run it.
+    pub fn enter_steward(&self) -> Option<Running> {
+        self.state.lock().enter_steward().then(|| self.running(true))
     }
 
-    /// Waits until no request runs.
-    async fn idle(&self) {
-        loop {
-            let ended = self.ended.notified();
-            if self.running.load(Ordering::Acquire) == 0 {
-                return;
-            }
-            ended.await;
+    fn running(&self, as_steward: bool) -> Running {
+        Running { state: self.state.clone(), changed: self.changed.clone(), as_steward }
+    }
+
+    fn begin(&self) {
+        self.state.lock().begin();
+    }
+
+    fn announced(&self) {
+        self.state.lock().announced();
+        self.changed.send_replace(());
+    }
+
+    /// Waits until the shutdown has come to a phase.
+    pub async fn reached(&self, phase: Phase) {
+        let mut changed = self.changed.subscribe();
+        while self.state.lock().phase() < phase {
+            // The sender lives as long as the node.
+            let _ = changed.changed().await;
         }
     }
+
+    fn hand_over(&self) {
+        self.state.lock().hand_over();
+        self.changed.send_replace(());
+    }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.running.fetch_sub(1, Ordering::AcqRel);
-        self.ended.notify_waiters();
+        self.state.lock().leave(self.as_steward);
+        self.changed.send_replace(());
     }
 }
 
 /// Takes no new work, finishes what runs and hands the node's duties over.
 pub async fn run(node: Arc<Node>) {
-    node.drain.draining.store(true, Ordering::Release);
+    node.drain.begin();
     node.timeline.record(Event::InstanceDraining, node.settings.instance.as_str(), "");
     node.peers.beat_now();
     sleep(ANNOUNCE_PERIOD).await;
-    node.drain.idle().await;
+    node.drain.announced();
+    node.drain.reached(Phase::Idle).await;
     steward::hand_over(&node).await;
+    node.drain.hand_over();
 }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -89,6 +89,7 @@
             cut_off: self.freshness() == Freshness::CutOff,
             echo: 0,
             number: 0,
+            suspects: self.suspect_news(),
         }
     }
 }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -17,6 +17,7 @@
     codes::{Code, Refusal},
     config::Config,
     http::{json, read_body, refuse, serve},
+    kernel::drain::Phase,
     platform::Put,
     wire::{Document, Inspect, ReplyBody},
 };
@@ -35,8 +36,11 @@
 
 /// Serves operators.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
+    let draining = node.clone();
     let handle = move |request: Request| handle(node.clone(), request);
-    if let Err(err) = serve(listener, handle, async {}).await {
+    // The library ends each of its servers at the signal; this one stays until the work has ended.
+    let drained = async move { draining.drain.reached(Phase::Gone).await };
+    if let Err(err) = serve(listener, handle, drained).await {
         log::error!("operators' interface: {err}");
     }
 }
--- a/src/node/peers/inbound.rs
+++ b/src/node/peers/inbound.rs
@@ -80,6 +80,7 @@
             Some(Body::Beat(beat)) => {
                 let mut own = self.node.beat();
                 own.echo = beat.number;
+                self.node.hear_suspects(&beat);
                 self.node.members.hear(beat);
                 let _ =
                     self.tx.try_send(Frame { clock: 0, stream: 0, body: Some(Body::Beat(own)) });
--- a/src/node/peers/link.rs
+++ b/src/node/peers/link.rs
@@ -168,6 +168,7 @@
                 if !self.up.swap(true, Ordering::AcqRel) {
                     node.timeline.record(Event::PeerUp, self.peer.as_str(), "");
                 }
+                node.hear_suspects(&beat);
                 node.members.hear(beat);
             }
             Some(body) => {
--- a/src/node/steward.rs
+++ b/src/node/steward.rs
@@ -1,19 +1,24 @@
 //! The endpoints that this node stewards: queues, dispatch, orders and reports.
 
+mod crash;
 mod digest;
 mod duty;
+mod flow;
 mod orders;
 mod reports;
 mod run;
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use self::run::run_work;
 pub use self::{
     duty::{hand_over, run},
     orders::carry_out,
 };
-use super::{Node, exchange::Responder};
+use self::{
+    flow::{Flow, Next, next},
+    run::run_work,
+};
+use super::{Node, drain::Running, exchange::Responder};
 use crate::{
     clock::Time,
     codes::{Code, Refusal},
@@ -22,7 +27,6 @@
     kernel::{
         dispatch::{Queue, Ticket},
         ledger::EndpointRecord,
-        registry,
         warmup::Warmth,
     },
     names::{EndpointId, Model},
@@ -48,12 +52,15 @@
     running: u32,
     warmth: Warmth,
     report: Option<Report>,
+    flow: Flow,
 }
 
 /// A request that waits for its endpoint.
 pub struct Waiting {
     work: Work,
     responder: Responder,
+    /// Keeps a shutdown waiting.
+    running: Running,
 }
 
 impl Stewarded {
@@ -66,9 +73,13 @@
 
 /// Queues a request at its endpoint.
 pub fn submit(node: &Arc<Node>, work: Work, responder: Responder) {
+    let Some(running) = node.drain.enter_steward() else {
+        return refuse(responder, Refusal::not_run(Code::Draining).retry_after(RETRY_MS));
+    };
+    node.note_crashes(work.fingerprint, &work.crashes);
     let endpoint = EndpointId::from(work.endpoint.as_str());
     let ticket = ticket(node, &work);
-    let mut item = Some(Waiting { work, responder });
+    let mut item = Some(Waiting { work, responder, running });
     let queued = node.stewards.endpoints.with(&endpoint, |stewarded| {
         if let Some(waiting) = item.take()
             && let Err(back) = stewarded.queue.push(ticket, waiting)
@@ -106,12 +117,6 @@
     }
 }
 
-/// What to do next at an endpoint.
-enum Next {
-    Run(Ticket, Waiting, Arc<EndpointClient>),
-    Nothing,
-}
-
 /// Starts as many waiting requests as the endpoint bears.
 fn pump(node: &Arc<Node>, endpoint: &EndpointId) {
     loop {
@@ -120,26 +125,21 @@
             Some(Next::Run(ticket, waiting, client)) => {
                 tokio::spawn(run_work(node.clone(), endpoint.clone(), ticket, waiting, client));
             }
+            Some(Next::Again) => {}
             Some(Next::Nothing) | None => return,
         }
     }
 }
 
-fn next(node: &Node, stewarded: &mut Stewarded) -> Next {
-    let now = Time::now();
-    for late in stewarded.queue.expired(now) {
-        refuse(late.responder, Refusal::not_run(Code::DeadlinePassed));
-    }
-    if stewarded.running >= stewarded.warmth.limit() {
-        return Next::Nothing;
-    }
-    let name = node.config().map(|config| config.policy.dispatch.clone()).unwrap_or_default();
-    let policy = registry::dispatch(&name).unwrap_or(&crate::kernel::dispatch::Fifo);
-    match stewarded.queue.pop(policy, now) {
-        Some((ticket, waiting)) => {
-            stewarded.running += 1;
-            Next::Run(ticket, waiting, stewarded.client.clone())
+/// Time between two looks at queues that nothing else moves.
+const PUMP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Looks at every queue again and again, since limits, the list and deadlines change by themselves.
+pub async fn keep_pumping(node: Arc<Node>) {
+    loop {
+        for id in node.stewards.endpoints.keys() {
+            pump(&node, &id);
         }
-        None => Next::Nothing,
+        tokio::time::sleep(PUMP_PERIOD).await;
     }
 }
--- a/src/node/steward/duty.rs
+++ b/src/node/steward/duty.rs
@@ -69,6 +69,7 @@
         queue: Default::default(),
         running: 0,
         report: None,
+        flow: Default::default(),
     };
     node.stewards.endpoints.insert(endpoint.id.clone(), stewarded);
     node.timeline.record(Event::StewardTaken, endpoint.id.as_str(), detail);
--- /dev/null
+++ b/src/node/steward/flow.rs
@@ -0,0 +1,153 @@
+//! What runs at one endpoint, and what may start there next.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{Stewarded, Waiting, refuse};
+use crate::{
+    clock::Time,
+    codes::{Code, Refusal},
+    config::DataCentreState,
+    endpoint::EndpointClient,
+    events::Event,
+    kernel::{
+        dispatch::{Fifo, Ticket},
+        registry,
+        suspect::{Gate, Verdict, gate},
+        warmup::{Change, Sign},
+    },
+    node::Node,
+    platform::ListedState,
+};
+
+/// The requests in flight at one endpoint.
+#[derive(Default)]
+pub struct Flow {
+    /// Fingerprints in flight by request id.
+    pub flights: HashMap<String, u64>,
+    /// Fingerprints whose answers were cut lately, while a lagging report may yet show a crash.
+    pub cuts: Vec<(u64, Time)>,
+    /// Incarnation of the endpoint, or `None` before a report and after a crash.
+    pub incarnation: Option<u64>,
+    /// Whether a suspect runs, which must run alone.
+    pub alone: bool,
+    /// A suspect that waits until nothing else runs.
+    held: Option<(Ticket, Waiting)>,
+    /// Whether operators took the data centre out.
+    out: bool,
+}
+
+/// What to do next at an endpoint.
+pub enum Next {
+    /// Run this request.
+    Run(Ticket, Waiting, Arc<EndpointClient>),
+    /// Look again; the request at the front was refused.
+    Again,
+    /// Nothing until something ends or comes.
+    Nothing,
+}
+
+/// Decides what an endpoint does next.
+pub fn next(node: &Node, stewarded: &mut Stewarded) -> Next {
+    let now = Time::now();
+    for late in stewarded.queue.expired(now) {
+        refuse(late.responder, Refusal::not_run(Code::DeadlinePassed));
+    }
+    if !takes_work(node, stewarded) {
+        refuse_waiting(stewarded, Code::NoEndpoint);
+        return Next::Nothing;
+    }
+    if !stewarded.warmth.bears(stewarded.running) {
+        return Next::Nothing;
+    }
+    let Some((ticket, waiting)) = front(node, stewarded, now) else { return Next::Nothing };
+    if waiting.responder.is_gone() {
+        return Next::Again;
+    }
+    if ticket.deadline <= now {
+        refuse(waiting.responder, Refusal::not_run(Code::DeadlinePassed));
+        return Next::Again;
+    }
+    let verdict = node.suspects.lock().judge(waiting.work.fingerprint, now);
+    match gate(verdict, stewarded.running, stewarded.flow.alone) {
+        Gate::Start => start(stewarded, verdict, ticket, waiting),
+        Gate::Wait => {
+            stewarded.flow.held = Some((ticket, waiting));
+            Next::Nothing
+        }
+        Gate::Refuse => {
+            node.timeline.record(Event::SuspectRefused, &*waiting.work.request, "");
+            refuse(waiting.responder, Refusal::not_run(Code::CrashSuspect));
+            Next::Again
+        }
+    }
+}
+
+/// Takes the request that is to start next; one that was held goes first.
+fn front(node: &Node, stewarded: &mut Stewarded, now: Time) -> Option<(Ticket, Waiting)> {
+    if stewarded.flow.alone {
+        return None;
+    }
+    if let Some(held) = stewarded.flow.held.take() {
+        return Some(held);
+    }
+    let name = node.config().map(|config| config.policy.dispatch.clone()).unwrap_or_default();
+    stewarded.queue.pop(registry::dispatch(&name).unwrap_or(&Fifo), now)
+}
+
+fn start(stewarded: &mut Stewarded, verdict: Verdict, ticket: Ticket, waiting: Waiting) -> Next {
+    stewarded.running += 1;
+    stewarded.flow.alone = verdict == Verdict::Alone;
+    let flight = (waiting.work.request.clone(), waiting.work.fingerprint);
+    stewarded.flow.flights.insert(flight.0, flight.1);
+    Next::Run(ticket, waiting, stewarded.client.clone())
+}
+
+/// Notes that a request ended and returns whether it ran alone.
+pub fn finish(stewarded: &mut Stewarded, request: &str) -> bool {
+    stewarded.running = stewarded.running.saturating_sub(1);
+    stewarded.flow.flights.remove(request);
+    std::mem::take(&mut stewarded.flow.alone)
+}
+
+/// Refuses what waits, so that the entry instances try other copies at once.
+pub fn refuse_waiting(stewarded: &mut Stewarded, code: Code) {
+    let held = stewarded.flow.held.take().map(|(_, waiting)| waiting);
+    for waiting in stewarded.queue.expired(Time(u64::MAX)).into_iter().chain(held) {
+        refuse(waiting.responder, Refusal::not_run(code));
+    }
+}
+
+/// Returns whether an endpoint takes new work: it is not leaving and its data centre is in service.
+fn takes_work(node: &Node, stewarded: &mut Stewarded) -> bool {
+    let listed = node.list.load();
+    let state = listed.endpoint(&stewarded.listed.id).map(|listed| listed.state);
+    if let Some(state) = state {
+        stewarded.listed.state = state;
+    }
+    let config = node.config();
+    let place = config.as_ref().and_then(|c| c.data_centres.get(&stewarded.listed.data_centre));
+    let out = place == Some(&DataCentreState::Out);
+    if std::mem::replace(&mut stewarded.flow.out, out) && !out {
+        note(node, stewarded, Sign::Returned);
+    }
+    stewarded.listed.state == ListedState::Live && !out
+}
+
+/// Returns an endpoint to cold and records the change.
+pub fn note(node: &Node, stewarded: &mut Stewarded, sign: Sign) {
+    let change = stewarded.warmth.fall_back(sign);
+    record(node, stewarded, change);
+}
+
+/// Records a change of an endpoint's warmth.
+pub fn record(node: &Node, stewarded: &Stewarded, change: Change) {
+    let subject = stewarded.listed.id.as_str();
+    match change {
+        Change::None => {}
+        Change::Warm => node.timeline.record(Event::EndpointWarm, subject, ""),
+        Change::Cold(sign) => {
+            let detail = format!("sign={}", sign.as_str());
+            node.timeline.record(Event::EndpointCold, subject, detail);
+        }
+    }
+}
--- a/src/node/steward/reports.rs
+++ b/src/node/steward/reports.rs
@@ -12,7 +12,10 @@
         });
         let Some(Some(client)) = client else { continue };
         if let Ok(report) = client.report().await {
-            node.stewards.endpoints.with(&id, |stewarded| stewarded.report = Some(report));
+            node.stewards.endpoints.with(&id, |stewarded| {
+                super::crash::take_report(node, stewarded, &report);
+                stewarded.report = Some(report);
+            });
         }
     }
 }
--- a/src/node/steward/run.rs
+++ b/src/node/steward/run.rs
@@ -1,30 +1,46 @@
 //! Runs one request at its endpoint and passes the answer on.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
+use http::StatusCode;
 use tokio::time::timeout;
 
-use super::{Ticket, Waiting, pump};
+use super::{Ticket, Waiting, crash, flow, pump};
 use crate::{
+    clock::Time,
     codes::{Code, Refusal},
     endpoint::{AnswerEvent, AnswerReader, EndpointClient},
     events::Event,
     http::HttpError,
+    kernel::{
+        stream::{EVENT_IDLE, first_bound},
+        warmup::Sign,
+    },
     names::EndpointId,
     node::{Node, exchange::Responder},
     wire::{Body, Chunk, End, Head, Header, Work},
 };
 
-/// Longest silence within an answer.
-const IDLE_LIMIT: Duration = Duration::from_secs(10);
-
 /// Headers of endpoints that callers see.
 const RETURNED: &[&str] = &["content-type"];
 
 /// How a request ended at its endpoint.
 enum Outcome {
-    Whole { used: u64 },
-    Failed(Refusal),
+    /// The endpoint answered to its explicit end.
+    Whole {
+        /// Time to the first event of a stream; that of other answers depends on their length.
+        first: Option<Duration>,
+    },
+    /// The endpoint answered that it cannot serve the request now.
+    Declined(Option<Sign>),
+    /// No connection was made.
+    Unreached,
+    /// The answer broke off, stalled or named another request.
+    Broken(Code),
+    /// Nobody waits for the answer any more.
     CallerLeft,
 }
 
@@ -36,84 +52,148 @@
     waiting: Waiting,
     client: Arc<EndpointClient>,
 ) {
-    let Waiting { work, responder } = waiting;
+    let Waiting { work, responder, running } = waiting;
     let subject = work.request.clone();
     node.timeline.record(Event::RequestDispatched, &*subject, format!("endpoint={endpoint}"));
     let outcome = exchange(&work, &responder, &client).await;
-    settle(&node, &endpoint, &outcome);
     match outcome {
-        Outcome::Whole { used } => responder.end(End::whole(used)).await,
-        Outcome::Failed(refusal) => {
+        _ if work.model.is_empty() => {}
+        Outcome::Broken(_) => crash::examine(&node, &endpoint, &work, true, &client).await,
+        Outcome::Unreached | Outcome::Declined(Some(_)) => {
+            crash::examine(&node, &endpoint, &work, false, &client).await;
+        }
+        Outcome::Whole { .. } | Outcome::Declined(None) | Outcome::CallerLeft => {}
+    }
+    settle(&node, &endpoint, &work, &outcome);
+    match refusal(&work, &outcome) {
+        Ok(true) => responder.end(End::whole(0)).await,
+        Ok(false) => node.timeline.record(Event::StreamCancelled, subject, ""),
+        Err(refusal) => {
             let detail = format!("endpoint={endpoint} code={}", refusal.code.number());
             node.timeline.record(Event::RequestFailed, subject, detail);
-            responder.end(End::from(&refusal)).await;
+            let crashes = node.crashes(work.fingerprint);
+            responder.end(End { crashes, ..End::from(&refusal) }).await;
         }
-        Outcome::CallerLeft => node.timeline.record(Event::StreamCancelled, subject, ""),
     }
+    drop(running);
     pump(&node, &endpoint);
 }
 
-fn settle(node: &Node, endpoint: &EndpointId, outcome: &Outcome) {
-    node.stewards.endpoints.with(endpoint, |stewarded| {
-        stewarded.running = stewarded.running.saturating_sub(1);
+/// Returns whether an outcome is a whole answer, or the refusal that it calls for.
+fn refusal(work: &Work, outcome: &Outcome) -> Result<bool, Refusal> {
+    match outcome {
+        Outcome::Whole { .. } => Ok(true),
+        Outcome::CallerLeft => Ok(false),
+        Outcome::Unreached => Err(Refusal::not_run(Code::NoEndpoint)),
+        Outcome::Declined(_) => Err(Refusal::unknown(Code::EndpointFailed)),
+        Outcome::Broken(_) if !work.once.is_empty() => Err(Refusal::unknown(Code::OutcomeUnknown)),
+        Outcome::Broken(code) => Err(Refusal::unknown(*code)),
+    }
+}
+
+fn settle(node: &Node, endpoint: &EndpointId, work: &Work, outcome: &Outcome) {
+    let alone = node.stewards.endpoints.with(endpoint, |stewarded| {
         match outcome {
-            Outcome::Whole { .. } => stewarded.warmth.complete(),
-            Outcome::Failed(_) => stewarded.warmth.reset(),
-            Outcome::CallerLeft => {}
+            Outcome::Whole { first } => {
+                if let Some(first) = first {
+                    let change = stewarded.warmth.first_byte(*first);
+                    flow::record(node, stewarded, change);
+                }
+                let change = stewarded.warmth.complete(Time::now());
+                flow::record(node, stewarded, change);
+            }
+            Outcome::Declined(Some(sign)) => flow::note(node, stewarded, *sign),
+            Outcome::Unreached => flow::note(node, stewarded, Sign::Refused),
+            // Engines show by their incarnation whether they fell back, services do not.
+            Outcome::Broken(_) if work.model.is_empty() => {
+                flow::note(node, stewarded, Sign::Cut);
+            }
+            Outcome::Declined(None) | Outcome::Broken(_) | Outcome::CallerLeft => {}
         }
+        flow::finish(stewarded, &work.request)
     });
+    if alone == Some(true) && matches!(outcome, Outcome::Whole { .. }) {
+        node.suspects.lock().acquit(work.fingerprint);
+    }
 }
 
 async fn exchange(work: &Work, responder: &Responder, client: &EndpointClient) -> Outcome {
+    let started = Instant::now();
     let left = Duration::from_millis(work.left_ms);
+    let bound = left.min(first_bound(work.stream, work.tokens));
     let answer = tokio::select! {
-        answer = timeout(left, client.run(work)) => answer,
+        answer = timeout(bound, client.run(work)) => answer,
         () = responder.gone() => return Outcome::CallerLeft,
     };
     let mut reader = match answer {
         Ok(Ok(reader)) => reader,
-        Ok(Err(HttpError::Connect(_))) => {
-            return Outcome::Failed(Refusal::not_run(Code::NoEndpoint));
-        }
-        Ok(Err(_)) | Err(_) => return Outcome::Failed(failed(work)),
+        Ok(Err(HttpError::Connect(_))) => return Outcome::Unreached,
+        Ok(Err(_)) | Err(_) => return Outcome::Broken(Code::EndpointFailed),
     };
     if reader.is_crossed() {
-        return Outcome::Failed(Refusal::unknown(Code::AnswerCrossed));
+        return Outcome::Broken(Code::AnswerCrossed);
+    }
+    if let Some(declined) = declined(work, reader.status()) {
+        return declined;
     }
     if responder.send(Body::Head(head(&reader))).await.is_err() {
         return Outcome::CallerLeft;
     }
-    relay(work, responder, &mut reader).await
+    relay(work, responder, &mut reader, started).await
+}
+
+/// Judges a status by which an engine passes a request on; a service's status is its answer.
+fn declined(work: &Work, status: StatusCode) -> Option<Outcome> {
+    if work.model.is_empty() {
+        return None;
+    }
+    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+        return Some(Outcome::Declined(Some(Sign::Overloaded)));
+    }
+    (status == StatusCode::NOT_FOUND).then_some(Outcome::Declined(None))
 }
 
-async fn relay(work: &Work, responder: &Responder, reader: &mut AnswerReader) -> Outcome {
+async fn relay(
+    work: &Work,
+    responder: &Responder,
+    reader: &mut AnswerReader,
+    started: Instant,
+) -> Outcome {
     let mut events = work.offset;
+    let mut first = None;
     loop {
+        let bound = if first.is_none() || !reader.is_stream() {
+            first_bound(reader.is_stream(), work.tokens)
+        } else {
+            EVENT_IDLE
+        };
         let next = tokio::select! {
-            next = timeout(IDLE_LIMIT, reader.next()) => next,
+            next = timeout(bound, reader.next()) => next,
             () = responder.gone() => return Outcome::CallerLeft,
         };
-        match next {
-            Ok(Ok(AnswerEvent::Data(data))) => {
-                events += u64::from(reader.is_stream());
-                if responder.send(Body::Chunk(Chunk { data, events })).await.is_err() {
-                    return Outcome::CallerLeft;
-                }
+        if reader.is_stream() {
+            first.get_or_insert_with(|| started.elapsed());
+        }
+        let chunk = match next {
+            Ok(Ok(AnswerEvent::Event(data))) => {
+                events += 1;
+                Chunk { data, events, last: false }
             }
-            Ok(Ok(AnswerEvent::Whole)) => return Outcome::Whole { used: 0 },
-            Ok(Ok(AnswerEvent::Crossed)) => {
-                return Outcome::Failed(Refusal::unknown(Code::AnswerCrossed));
+            Ok(Ok(AnswerEvent::Last(data))) => Chunk { data, events: events + 1, last: true },
+            Ok(Ok(AnswerEvent::Data(data))) => Chunk { data, events: 0, last: false },
+            Ok(Ok(AnswerEvent::Comment(_))) => continue,
+            Ok(Ok(AnswerEvent::Whole)) => return Outcome::Whole { first },
+            Ok(Ok(AnswerEvent::Crossed)) => return Outcome::Broken(Code::AnswerCrossed),
+            Ok(Ok(AnswerEvent::Cut) | Err(_)) | Err(_) => {
+                return Outcome::Broken(Code::EndpointFailed);
             }
-            Ok(Ok(AnswerEvent::Cut) | Err(_)) | Err(_) => return Outcome::Failed(failed(work)),
+        };
+        if responder.send(Body::Chunk(chunk)).await.is_err() {
+            return Outcome::CallerLeft;
         }
     }
 }
 
-fn failed(work: &Work) -> Refusal {
-    let code = if work.once.is_empty() { Code::EndpointFailed } else { Code::OutcomeUnknown };
-    Refusal::unknown(code)
-}
-
 fn head(reader: &AnswerReader) -> Head {
     let headers = RETURNED.iter().filter_map(|name| {
         let value = reader.headers().get(*name)?;
--- a/src/standin/engine/answer.rs
+++ b/src/standin/engine/answer.rs
@@ -44,6 +44,8 @@
     model: Model,
     first: u64,
     tokens: u64,
+    incarnation: u64,
+    _running: Running,
 }
 
 /// Returns the text of a token, which depends on its place alone.
@@ -62,14 +64,20 @@
     }
     let faults = engine.faults.lock().clone();
     let text = String::from_utf8_lossy(&body);
-    if !faults.crash_on.is_empty() && text.contains(&faults.crash_on) || !start(&engine) {
+    let poisoned = !faults.crash_on.is_empty() && text.contains(&faults.crash_on);
+    let incarnation = *engine.incarnation.borrow();
+    let running = start(&engine);
+    if poisoned || !running.borne {
         engine.crash();
+        return cut_body();
     }
     let answer = Answer {
         first: header(&request, "x-resume-from").parse().unwrap_or(0),
         request: header(&request, REQUEST_HEADER),
         model: asked.model,
         tokens: asked.max_tokens,
+        incarnation,
+        _running: running,
         faults,
         engine,
     };
@@ -82,8 +90,14 @@
     value.unwrap_or_default().to_owned()
 }
 
-/// Counts a request in and returns whether the engine bears it.
-fn start(engine: &Engine) -> bool {
+/// A request that runs.
+struct Running {
+    engine: Arc<Engine>,
+    borne: bool,
+}
+
+/// Counts a request in and notes whether the engine bears it.
+fn start(engine: &Arc<Engine>) -> Running {
     let mut load = engine.load.lock();
     load.running += 1;
     let mut counts = engine.counts.lock();
@@ -91,14 +105,12 @@
     counts.peak = counts.peak.max(load.running);
     let settings = &engine.settings;
     let cold = settings.cold_limit > 0 && load.since_start < settings.warm_after;
-    !cold || load.running <= settings.cold_limit
+    Running { engine: engine.clone(), borne: !cold || load.running <= settings.cold_limit }
 }
 
-struct Running(Arc<Engine>);
-
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.load.lock().running -= 1;
+        self.engine.load.lock().running -= 1;
     }
 }
 
@@ -107,14 +119,19 @@
         if self.faults.cross { "another-request".to_owned() } else { self.request.clone() }
     }
 
-    async fn whole(self) -> Response {
-        let _running = Running(self.engine.clone());
+    /// Waits until the engine restarts, which ends what it ran before.
+    async fn restarted(&self) {
         let mut incarnation = self.engine.incarnation.subscribe();
+        // The sender lives as long as the engine.
+        let _ = incarnation.wait_for(|number| *number != self.incarnation).await;
+    }
+
+    async fn whole(self) -> Response {
         let settings = &self.engine.settings;
         let time = settings.first_ms + settings.token_ms * self.tokens;
         tokio::select! {
             () = sleep(Duration::from_millis(time)) => {}
-            _ = incarnation.changed() => return cut_body(),
+            () = self.restarted() => return cut_body(),
         }
         let text: String = (0..self.tokens).map(token).collect();
         let choice = json!({ "index": 0, "finish_reason": "length",
@@ -150,16 +167,13 @@
     }
 
     async fn feed(self, tx: BodySender) {
-        let _running = Running(self.engine.clone());
-        let mut incarnation = self.engine.incarnation.subscribe();
-        incarnation.mark_unchanged();
         let generation = async {
             sleep(Duration::from_millis(self.engine.settings.first_ms)).await;
             self.feed_tokens(&tx).await
         };
         let sent = tokio::select! {
             sent = generation => sent,
-            _ = incarnation.changed() => Err(()),
+            () = self.restarted() => Err(()),
         };
         match sent {
             Ok(()) => self.complete(self.tokens.saturating_sub(self.first)),
--- /dev/null
+++ b/src/wire/end.rs
@@ -0,0 +1,35 @@
+//! The end of an answer and the refusal that it may stand for.
+
+use super::End;
+use crate::codes::{Code, Refusal, Run};
+
+impl End {
+    /// Creates the end of a whole answer.
+    pub fn whole(used: u64) -> Self {
+        Self { used, ..Self::default() }
+    }
+}
+
+impl From<&Refusal> for End {
+    fn from(refusal: &Refusal) -> Self {
+        Self {
+            code: refusal.code.number(),
+            unknown: refusal.run == Run::Unknown,
+            retry_ms: refusal.retry_ms.unwrap_or(0),
+            ..Self::default()
+        }
+    }
+}
+
+impl End {
+    /// Returns the refusal that this end stands for, or `None` for a whole answer.
+    pub fn refusal(&self) -> Option<Refusal> {
+        if self.code == 0 {
+            return None;
+        }
+        let code = Code::from_number(self.code).unwrap_or(Code::Internal);
+        let run = if self.unknown { Run::Unknown } else { Run::NotRun };
+        let retry_ms = (self.retry_ms > 0).then_some(self.retry_ms);
+        Some(Refusal { code, run, retry_ms })
+    }
+}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use super::Suspect;
+
 /// One frame on a link.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
@@ -89,6 +91,9 @@
     /// Number of this heartbeat.
     #[prost(uint64, tag = "8")]
     pub number: u64,
+    /// Requests that crashed endpoints lately.
+    #[prost(message, repeated, tag = "30")]
+    pub suspects: Vec<Suspect>,
 }
 
 /// What an instance stewards.
@@ -304,6 +309,9 @@
     /// Hash of the prompt's prefix, by which caches are found.
     #[prost(fixed64, tag = "19")]
     pub prefix: u64,
+    /// Ids of the crashes at which an earlier attempt was in flight.
+    #[prost(fixed64, repeated, tag = "30")]
+    pub crashes: Vec<u64>,
 }
 
 /// An HTTP header.
@@ -427,6 +435,9 @@
     /// Number of server-sent events up to and with this chunk; zero for other answers.
     #[prost(uint64, tag = "2")]
     pub events: u64,
+    /// Whether this is the event that closes the stream.
+    #[prost(bool, tag = "3")]
+    pub last: bool,
 }
 
 /// End of a streamed answer.
@@ -447,6 +458,9 @@
     /// Requests that run or wait at the endpoint.
     #[prost(uint32, tag = "5")]
     pub load: u32,
+    /// Ids of the crashes at which the request was in flight.
+    #[prost(fixed64, repeated, tag = "30")]
+    pub crashes: Vec<u64>,
 }
 
 /// The asker drops the exchange.
@@ -460,35 +474,3 @@
     #[prost(uint32, tag = "1")]
     pub chunks: u32,
 }
-
-impl End {
-    /// Creates the end of a whole answer.
-    pub fn whole(used: u64) -> Self {
-        Self { used, ..Self::default() }
-    }
-}
-
-impl From<&crate::codes::Refusal> for End {
-    fn from(refusal: &crate::codes::Refusal) -> Self {
-        Self {
-            code: refusal.code.number(),
-            unknown: refusal.run == crate::codes::Run::Unknown,
-            retry_ms: refusal.retry_ms.unwrap_or(0),
-            ..Self::default()
-        }
-    }
-}
-
-impl End {
-    /// Returns the refusal that this end stands for, or `None` for a whole answer.
-    pub fn refusal(&self) -> Option<crate::codes::Refusal> {
-        use crate::codes::{Code, Refusal, Run};
-        if self.code == 0 {
-            return None;
-        }
-        let code = Code::from_number(self.code).unwrap_or(Code::Internal);
-        let run = if self.unknown { Run::Unknown } else { Run::NotRun };
-        let retry_ms = (self.retry_ms > 0).then_some(self.retry_ms);
-        Some(Refusal { code, run, retry_ms })
-    }
-}
--- a/tests/kernel/retry.rs
+++ b/tests/kernel/retry.rs
@@ -1,1 +1,89 @@
-//! Retry budgets.
+//! Retries stay within the budget, the deadline and the endpoints that one request may cost.
+
+use std::time::Duration;
+
+use cardamomshore::{
+    clock::Time,
+    kernel::retry::{Loss, Retry, RetryBudget, Tries},
+};
+
+const START: Time = Time::from_millis(1_000);
+
+fn deadline() -> Time {
+    START + Duration::from_secs(20)
+}
+
+/// Returns how many retries follow when every attempt is lost in the same way.
+fn retries(loss: Loss, budget: &mut RetryBudget) -> usize {
+    let mut tries = Tries::until(deadline());
+    let lost = |draw: &u64| tries.lost(loss, budget, START, *draw) != Retry::Stop;
+    (0..100).take_while(lost).count()
+}
+
+#[test]
+fn lost_crash_costs_two_endpoints() {
+    assert_eq!(retries(Loss::Crash, &mut RetryBudget::default()), 1);
+}
+
+#[test]
+fn lost_cut_without_progress_costs_two_endpoints() {
+    assert_eq!(retries(Loss::Cut { progress: false }, &mut RetryBudget::default()), 1);
+}
+
+#[test]
+fn lost_others_bounded() {
+    for loss in [Loss::NotRun, Loss::Route, Loss::Cut { progress: true }] {
+        assert_eq!(retries(loss, &mut RetryBudget::default()), 5, "{loss:?}");
+    }
+}
+
+#[test]
+fn lost_past_deadline() {
+    let mut tries = Tries::until(deadline());
+    let late = deadline() - Duration::from_millis(5);
+    let retry = tries.lost(Loss::NotRun, &mut RetryBudget::default(), late, u64::MAX);
+    assert_eq!(retry, Retry::Stop);
+}
+
+#[test]
+fn lost_waits_jittered_and_longer() {
+    let mut waits = Vec::new();
+    for draw in [0, 9_999, 123_456] {
+        let mut tries = Tries::until(deadline());
+        let mut budget = RetryBudget::default();
+        for _ in 0..3 {
+            match tries.lost(Loss::NotRun, &mut budget, START, draw) {
+                Retry::After(wait) => waits.push(wait.as_micros()),
+                Retry::Stop => panic!("stopped early"),
+            }
+        }
+    }
+    assert_ne!(waits[0], waits[3], "no jitter");
+    for three in waits.chunks(3) {
+        assert!((10_000..=20_000).contains(&three[0]), "{three:?}");
+        assert!((20_000..=40_000).contains(&three[1]), "{three:?}");
+        assert!((40_000..=80_000).contains(&three[2]), "{three:?}");
+    }
+}
+
+#[test]
+fn budget_share_of_first_tries() {
+    let mut budget = RetryBudget::default();
+    while budget.take() {}
+    for _ in 0..1_000 {
+        budget.first_try();
+        retries(Loss::NotRun, &mut budget);
+    }
+    let mut left = 0;
+    while budget.take() {
+        left += 1;
+    }
+    assert!(left <= 1, "all that was earned is spent");
+    // An outage in which every request fails multiplies the load by the share only.
+    let mut spent = 0;
+    for _ in 0..1_000 {
+        budget.first_try();
+        spent += retries(Loss::NotRun, &mut budget);
+    }
+    assert!((190..=210).contains(&spent), "{spent} retries for 1000 first tries");
+}
