Bound what waits on links by frames and bytes

Cause: a peer could queue any number of chunks at an asker that does not read, a thousand frames of four megabytes on a link, and open exchanges without end; a cancel was dropped when the queue was full.

Cancel and credit frames wait instead of getting lost.

--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -114,8 +114,12 @@
 /// Largest answer that is gathered, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
 
-/// Longest silence of a steward within an exchange.
-const SILENCE_LIMIT: Duration = Duration::from_secs(15);
+/// Longest silence of a steward within a stream, over its own bound for the endpoint's silence.
+const STREAM_SILENCE: Duration = Duration::from_secs(15);
+
+/// Longest silence of a steward within an answer that is gathered; the steward's own bound, which
+/// knows the length of the answer, ends before.
+const GATHER_SILENCE: Duration = Duration::from_secs(900);
 
 /// Collects an answer that is returned whole.
 pub async fn gather(exchange: Exchange) -> Result<Bytes, Refusal> {
@@ -130,7 +134,7 @@
 async fn collect(mut exchange: Exchange) -> Result<Bytes, Option<End>> {
     let mut all = BytesMut::new();
     loop {
-        match timeout(SILENCE_LIMIT, exchange.next()).await {
+        match timeout(GATHER_SILENCE, exchange.next()).await {
             Ok(Some(Body::Chunk(chunk))) => all.extend_from_slice(&chunk.data),
             Ok(Some(Body::End(end))) if end.code == 0 => return Ok(all.freeze()),
             Ok(Some(Body::End(end))) => return Err(Some(end)),
--- a/src/node/chat/relay.rs
+++ b/src/node/chat/relay.rs
@@ -1,10 +1,12 @@
 //! Streams an answer to the caller across the attempts that deliver it.
 
+use std::time::Duration;
+
 use http_body::Frame;
 use tokio::time::timeout;
 use volo_http::response::Response;
 
-use super::{SILENCE_LIMIT, job::Job, with_head};
+use super::{STREAM_SILENCE, job::Job, with_head};
 use crate::{
     codes::Refusal,
     http::{BodySender, channel_body},
@@ -17,7 +19,7 @@
 enum Ended {
     /// The caller has the whole answer.
     Whole,
-    /// The caller is gone.
+    /// The caller is gone or stopped reading.
     CallerLeft,
     /// The attempt was lost, with its end where the steward gave one.
     Lost(Option<End>),
@@ -52,7 +54,7 @@
     loop {
         let before = joiner.delivered();
         let end = match relay(&mut joiner, &mut exchange, tx).await {
-            Ended::CallerLeft => return true,
+            Ended::CallerLeft => return false,
             Ended::Whole => break,
             Ended::Lost(end) => end,
         };
@@ -78,7 +80,7 @@
 /// Passes the parts of one attempt on.
 async fn relay(joiner: &mut Joiner, exchange: &mut Exchange, tx: &BodySender) -> Ended {
     loop {
-        match timeout(SILENCE_LIMIT, exchange.next()).await {
+        match timeout(STREAM_SILENCE, exchange.next()).await {
             Ok(Some(Body::Chunk(chunk))) => match joiner.part(chunk.events, chunk.last) {
                 Part::Deliver => {
                     if deliver(chunk, tx).await.is_err() {
@@ -99,6 +101,12 @@
     }
 }
 
+/// Longest time for a caller to read on before its request is given up.
+///
+/// A caller that stopped reading holds a place at its endpoint.
+const CALLER_LIMIT: Duration = Duration::from_secs(30);
+
 async fn deliver(chunk: Chunk, tx: &BodySender) -> Result<(), ()> {
-    tx.send(Ok(Frame::data(chunk.data))).await.map_err(|_| ())
+    let sent = timeout(CALLER_LIMIT, tx.send(Ok(Frame::data(chunk.data)))).await;
+    sent.map_err(|_| ())?.map_err(|_| ())
 }
--- a/src/node/exchange.rs
+++ b/src/node/exchange.rs
@@ -8,10 +8,19 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
 
+use super::peers::Outbox;
 use crate::wire::{Body, Cancel, Credit, End, Frame};
 
 /// Chunks that an answerer may send before the asker has taken any.
-pub const WINDOW: usize = 32;
+const WINDOW: usize = 32;
+
+/// Parts of an answer that can wait for the asker: the window, the head and the end.
+const PART_LIMIT: usize = WINDOW + 2;
+
+/// Creates the channel on which the parts of an answer wait for the asker.
+pub fn part_channel() -> (mpsc::Sender<Body>, mpsc::Receiver<Body>) {
+    mpsc::channel(PART_LIMIT)
+}
 
 /// The answerer's end.
 #[derive(Clone)]
@@ -25,8 +34,8 @@
 
 #[derive(Clone)]
 enum Route {
-    Local(mpsc::UnboundedSender<Body>),
-    Link(mpsc::Sender<Frame>),
+    Local(mpsc::Sender<Body>),
+    Link(Outbox),
 }
 
 /// The asker is gone.
@@ -35,7 +44,7 @@
 
 impl Responder {
     /// Creates the answerer's end of an exchange on a link.
-    pub fn on_link(stream: u64, tx: mpsc::Sender<Frame>) -> Self {
+    pub fn on_link(stream: u64, tx: Outbox) -> Self {
         Self::new(stream, Route::Link(tx))
     }
 
@@ -60,10 +69,10 @@
             self.over.store(true, Ordering::Release);
         }
         match &self.route {
-            Route::Local(tx) => tx.send(body).map_err(|_| Gone),
+            Route::Local(tx) => tx.send(body).await.map_err(|_| Gone),
             Route::Link(tx) => {
                 let frame = Frame { clock: 0, stream: self.stream, body: Some(body) };
-                tx.send(frame).await.map_err(|_| Gone)
+                tx.send(frame).await
             }
         }
     }
@@ -102,20 +111,20 @@
 
 /// The asker's end.
 pub struct Exchange {
-    rx: mpsc::UnboundedReceiver<Body>,
+    rx: mpsc::Receiver<Body>,
     back: Back,
     over: bool,
 }
 
 enum Back {
     Local(Responder),
-    Link { stream: u64, tx: mpsc::Sender<Frame>, on_drop: Box<dyn Fn(u64) + Send + Sync> },
+    Link { stream: u64, tx: Outbox, on_drop: Box<dyn Fn(u64) + Send + Sync> },
 }
 
 impl Exchange {
     /// Creates both ends of an exchange within this node.
     pub fn local() -> (Exchange, Responder) {
-        let (tx, rx) = mpsc::unbounded_channel();
+        let (tx, rx) = part_channel();
         let responder = Responder::new(0, Route::Local(tx));
         let back = Back::Local(responder.clone());
         (Exchange { rx, back, over: false }, responder)
@@ -124,8 +133,8 @@
     /// Creates the asker's end of an exchange on a link.
     pub fn on_link(
         stream: u64,
-        rx: mpsc::UnboundedReceiver<Body>,
-        tx: mpsc::Sender<Frame>,
+        rx: mpsc::Receiver<Body>,
+        tx: Outbox,
         on_drop: impl Fn(u64) + Send + Sync + 'static,
     ) -> Self {
         let back = Back::Link { stream, tx, on_drop: Box::new(on_drop) };
@@ -136,20 +145,19 @@
     pub async fn next(&mut self) -> Option<Body> {
         let body = self.rx.recv().await;
         match &body {
-            Some(Body::Chunk(_)) => self.give_credit().await,
+            Some(Body::Chunk(_)) => self.give_credit(),
             Some(Body::End(_) | Body::Reply(_)) => self.over = true,
             _ => {}
         }
         body
     }
 
-    async fn give_credit(&self) {
+    fn give_credit(&self) {
         match &self.back {
             Back::Local(responder) => responder.credit(1),
             Back::Link { stream, tx, .. } => {
                 let body = Some(Body::Credit(Credit { chunks: 1 }));
-                // A closed link shows when the next part is awaited.
-                let _ = tx.send(Frame { clock: 0, stream: *stream, body }).await;
+                tx.send_later(Frame { clock: 0, stream: *stream, body });
             }
         }
     }
@@ -163,7 +171,7 @@
                 on_drop(*stream);
                 if !self.over {
                     let body = Some(Body::Cancel(Cancel {}));
-                    let _ = tx.try_send(Frame { clock: 0, stream: *stream, body });
+                    tx.send_later(Frame { clock: 0, stream: *stream, body });
                 }
             }
         }
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -3,14 +3,15 @@
 mod answer;
 mod inbound;
 mod link;
+mod outbox;
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-pub use self::inbound::listen;
 use self::link::Link;
+pub use self::{inbound::listen, outbox::Outbox};
 use super::{Node, exchange::Exchange};
 use crate::{
     codes::{Code, Refusal},
--- a/src/node/peers/inbound.rs
+++ b/src/node/peers/inbound.rs
@@ -5,18 +5,22 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::mpsc,
     time::{sleep, timeout},
 };
 use tokio_util::codec::Framed;
 
-use super::{answer::answer, link::SILENCE_LIMIT};
+use super::{Outbox, answer::answer, link::SILENCE_LIMIT};
 use crate::{
+    codes::{Code, Refusal},
     node::{Node, digests, exchange::Responder, members::BEAT_PERIOD},
-    wire::{Ask, Body, Frame, FrameCodec, WireError},
+    wire::{Ask, AskBody, Body, End, Frame, FrameCodec, WireError},
 };
 
-const QUEUE_LENGTH: usize = 1_024;
+/// Exchanges that one peer may hold open.
+const STREAM_LIMIT: usize = 4_096;
+
+/// Bytes of asks that one peer may hold open.
+const BYTES_LIMIT: usize = 64 << 20;
 
 /// Accepts connections of peers.
 pub async fn listen(node: Arc<Node>, listener: TcpListener) {
@@ -42,17 +46,17 @@
 async fn run(node: Arc<Node>, stream: TcpStream) -> Result<(), WireError> {
     stream.set_nodelay(true)?;
     let (mut sink, mut source) = Framed::new(stream, FrameCodec::default()).split();
-    let (tx, mut rx) = mpsc::channel::<Frame>(QUEUE_LENGTH);
+    let (tx, mut queue) = Outbox::new();
     let writer_node = node.clone();
     let write = async move {
-        while let Some(mut frame) = rx.recv().await {
+        while let Some(mut frame) = queue.next().await {
             frame.clock = writer_node.timeline.tick();
             if !matches!(timeout(SILENCE_LIMIT, sink.send(frame)).await, Ok(Ok(()))) {
                 return;
             }
         }
     };
-    let mut inbound = Inbound { node, tx, streams: HashMap::new() };
+    let mut inbound = Inbound { node, tx, streams: HashMap::new(), bytes: 0 };
     let read = async {
         while let Ok(Some(frame)) = timeout(SILENCE_LIMIT, source.next()).await {
             inbound.take(frame?);
@@ -69,8 +73,15 @@
 
 struct Inbound {
     node: Arc<Node>,
-    tx: mpsc::Sender<Frame>,
-    streams: HashMap<u64, Responder>,
+    tx: Outbox,
+    streams: HashMap<u64, Open>,
+    bytes: usize,
+}
+
+/// An exchange that the peer opened.
+struct Open {
+    responder: Responder,
+    bytes: usize,
 }
 
 impl Inbound {
@@ -84,31 +95,63 @@
                 self.node.members.hear(beat);
                 let _ =
                     self.tx.try_send(Frame { clock: 0, stream: 0, body: Some(Body::Beat(own)) });
-                self.streams.retain(|_, responder| !responder.is_over());
+                self.forget_ended();
             }
             Some(Body::Digest(digest)) => digests::take(&self.node, digest),
             Some(Body::Ask(Ask { body: Some(ask) })) => {
-                let responder = Responder::on_link(frame.stream, self.tx.clone());
-                self.streams.insert(frame.stream, responder.clone());
-                answer(self.node.clone(), ask, responder);
-            }
-            Some(Body::Cancel(_)) => {
-                if let Some(responder) = self.streams.remove(&frame.stream) {
-                    responder.cancel();
-                }
+                self.open(frame.stream, ask);
             }
+            Some(Body::Cancel(_)) => self.close(frame.stream),
             Some(Body::Credit(credit)) => {
-                if let Some(responder) = self.streams.get(&frame.stream) {
-                    responder.credit(credit.chunks);
+                if let Some(open) = self.streams.get(&frame.stream) {
+                    open.responder.credit(credit.chunks);
                 }
             }
             _ => {}
         }
     }
 
+    fn open(&mut self, stream: u64, ask: AskBody) {
+        let bytes = ask_bytes(&ask);
+        let responder = Responder::on_link(stream, self.tx.clone());
+        // A number that is used twice would leave the first exchange without its cancel.
+        self.close(stream);
+        if self.streams.len() >= STREAM_LIMIT || self.bytes + bytes > BYTES_LIMIT {
+            self.forget_ended();
+        }
+        if self.streams.len() >= STREAM_LIMIT || self.bytes + bytes > BYTES_LIMIT {
+            let full = End::from(&Refusal::not_run(Code::QueueFull));
+            tokio::spawn(async move { responder.end(full).await });
+            return;
+        }
+        self.bytes += bytes;
+        self.streams.insert(stream, Open { responder: responder.clone(), bytes });
+        answer(self.node.clone(), ask, responder);
+    }
+
+    fn close(&mut self, stream: u64) {
+        if let Some(open) = self.streams.remove(&stream) {
+            self.bytes -= open.bytes;
+            open.responder.cancel();
+        }
+    }
+
+    fn forget_ended(&mut self) {
+        self.streams.retain(|_, open| !open.responder.is_over());
+        self.bytes = self.streams.values().map(|open| open.bytes).sum();
+    }
+
     fn cancel_all(&self) {
-        for responder in self.streams.values() {
-            responder.cancel();
+        for open in self.streams.values() {
+            open.responder.cancel();
         }
     }
 }
+
+/// Returns the bytes that an ask holds until it ends.
+fn ask_bytes(ask: &AskBody) -> usize {
+    match ask {
+        AskBody::Work(work) | AskBody::Once(work) => work.body.len(),
+        _ => 0,
+    }
+}
--- a/src/node/peers/link.rs
+++ b/src/node/peers/link.rs
@@ -19,10 +19,14 @@
 };
 use tokio_util::{codec::Framed, sync::CancellationToken};
 
+use super::Outbox;
 use crate::{
     events::Event,
     names::InstanceId,
-    node::{Node, exchange::Exchange},
+    node::{
+        Node,
+        exchange::{Exchange, part_channel},
+    },
     wire::{Ask, AskBody, Body, Frame, FrameCodec, Hello, WireError},
 };
 
@@ -32,9 +36,7 @@
 /// Silence after which a connection is given up; heartbeats come four times a second.
 pub const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
 
-const QUEUE_LENGTH: usize = 1_024;
-
-type Streams = Mutex<HashMap<u64, mpsc::UnboundedSender<Body>>>;
+type Streams = Mutex<HashMap<u64, mpsc::Sender<Body>>>;
 
 /// A link to one peer.
 pub struct Link {
@@ -43,7 +45,7 @@
     up: AtomicBool,
     next: AtomicU64,
     streams: Arc<Streams>,
-    tx: Mutex<Option<mpsc::Sender<Frame>>>,
+    tx: Mutex<Option<Outbox>>,
     closed: CancellationToken,
 }
 
@@ -96,7 +98,7 @@
     pub async fn ask(&self, ask: AskBody) -> Option<Exchange> {
         let tx = self.sender()?;
         let stream = self.next.fetch_add(1, Ordering::Relaxed);
-        let (body_tx, rx) = mpsc::unbounded_channel();
+        let (body_tx, rx) = part_channel();
         self.streams.lock().insert(stream, body_tx);
         let streams = self.streams.clone();
         let exchange = Exchange::on_link(stream, rx, tx.clone(), move |stream| {
@@ -107,7 +109,7 @@
         Some(exchange)
     }
 
-    fn sender(&self) -> Option<mpsc::Sender<Frame>> {
+    fn sender(&self) -> Option<Outbox> {
         self.tx.lock().clone()
     }
 
@@ -134,14 +136,14 @@
     async fn run(&self, node: &Arc<Node>, stream: TcpStream) -> Result<(), WireError> {
         stream.set_nodelay(true)?;
         let (mut sink, mut source) = Framed::new(stream, FrameCodec::default()).split();
-        let (tx, mut rx) = mpsc::channel::<Frame>(QUEUE_LENGTH);
+        let (tx, mut queue) = Outbox::new();
         let hello =
             Hello { instance: node.settings.instance.to_string(), incarnation: node.incarnation };
         sink.send(Frame { clock: node.timeline.tick(), stream: 0, body: Some(Body::Hello(hello)) })
             .await?;
         *self.tx.lock() = Some(tx);
         let write = async {
-            while let Some(mut frame) = rx.recv().await {
+            while let Some(mut frame) = queue.next().await {
                 frame.clock = node.timeline.tick();
                 timeout(SILENCE_LIMIT, sink.send(frame)).await.map_err(|_| timed_out())??;
             }
@@ -171,14 +173,20 @@
                 node.hear_suspects(&beat);
                 node.members.hear(beat);
             }
-            Some(body) => {
-                if let Some(tx) = self.streams.lock().get(&frame.stream) {
-                    let _ = tx.send(body);
-                }
-            }
+            Some(body) => self.pass_on(frame.stream, body),
             None => {}
         }
     }
+
+    /// Passes a part of an answer to its asker, and drops the exchange of a peer that sends more
+    /// than the asker granted.
+    fn pass_on(&self, stream: u64, body: Body) {
+        let mut streams = self.streams.lock();
+        let Some(tx) = streams.get(&stream) else { return };
+        if tx.try_send(body).is_err() {
+            streams.remove(&stream);
+        }
+    }
 }
 
 fn timed_out() -> WireError {
--- a/tests/kernel/warmup.rs
+++ b/tests/kernel/warmup.rs
@@ -52,6 +52,15 @@
     assert_eq!(warmth.limit(), WARM_LIMIT);
 }
 
+#[test]
+fn limit_needs_many_answers() {
+    let mut warmth = Warmth::cold(&pool());
+    for i in 0..31 {
+        warmth.complete(at(i * 10_000));
+    }
+    assert_eq!(warmth.limit(), COLD_LIMIT);
+}
+
 #[test]
 fn limit_does_not_rise_in_a_burst() {
     let mut warmth = Warmth::cold(&pool());
