--- a/src/kernel/drain.rs
+++ b/src/kernel/drain.rs
@@ -10,11 +10,9 @@
     Announcing,
     /// Callers' requests end; work for stewarded endpoints is still taken.
     Finishing,
-    /// Work for stewarded endpoints ends; none is taken any more.
+    /// Work for stewarded endpoints ends, none is taken any more, and the duties are handed over.
     Closing,
-    /// Nothing runs, and the duties can be handed over.
-    Idle,
-    /// The duties are handed over.
+    /// Nothing runs and the duties are handed over.
     Gone,
 }
 
@@ -24,6 +22,7 @@
     phase: Phase,
     callers: usize,
     steward: usize,
+    given: bool,
 }
 
 impl Count {
@@ -46,6 +45,16 @@
         taken
     }
 
+    /// Counts a claimed request in; its claim stands, so that it must run.
+    pub fn enter_claim(&mut self) {
+        self.steward += 1;
+    }
+
+    /// Returns how much runs.
+    pub fn running(&self) -> usize {
+        self.callers + self.steward
+    }
+
     /// Counts a request or work out.
     pub fn leave(&mut self, as_steward: bool) {
         if as_steward {
@@ -69,19 +78,18 @@
         self.advance();
     }
 
-    /// Notes that the duties were handed over.
+    /// Notes that the duties were handed over, which begins once no caller's request runs.
     pub fn hand_over(&mut self) {
-        if self.phase == Phase::Idle {
-            self.phase = Phase::Gone;
-        }
+        self.given |= self.phase == Phase::Closing;
+        self.advance();
     }
 
     fn advance(&mut self) {
         if self.phase == Phase::Finishing && self.callers == 0 {
             self.phase = Phase::Closing;
         }
-        if self.phase == Phase::Closing && self.steward == 0 {
-            self.phase = Phase::Idle;
+        if self.phase == Phase::Closing && self.given && self.steward == 0 {
+            self.phase = Phase::Gone;
         }
     }
 }
--- a/src/node/chat/job.rs
+++ b/src/node/chat/job.rs
@@ -1,6 +1,9 @@
 //! The attempts of one model request: choice of a copy, and what to do when an attempt is lost.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use tokio::time::{sleep, timeout};
@@ -173,6 +176,8 @@
 
     /// Chooses a copy, and waits for one while the deadline allows it.
     async fn find_copy(&self) -> Result<Arc<Copy>, Refusal> {
+        let model = Model::from(self.work.model.as_str());
+        let mut waiting = None;
         loop {
             if let Some(copy) = self.choose() {
                 return Ok(copy);
@@ -180,6 +185,7 @@
             if Time::now() + LOOK_PERIOD >= self.admitted.deadline() {
                 return Err(self.nothing_found());
             }
+            waiting.get_or_insert_with(|| self.node.demand.wait(&model));
             sleep(LOOK_PERIOD).await;
         }
     }
@@ -213,7 +219,13 @@
             copies.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
             return suspect::place(self.work.fingerprint, copies.len());
         }
-        let wish = Wish { prefix: self.work.prefix, adapter: None, draw: rand::random() };
+        let adapter = &self.work.adapter;
+        let wish = Wish {
+            prefix: self.work.prefix,
+            adapter: (!adapter.is_empty()).then(|| adapter.as_str().into()),
+            draw: rand::random(),
+            turn: self.node.requests.load(Ordering::Relaxed),
+        };
         let name = &self.admitted.caller.config.policy.routing;
         let policy = registry::routing(name).unwrap_or(&TwoChoices);
         let refs: Vec<&Copy> = copies.iter().map(|copy| copy.as_ref()).collect();
--- a/src/node/drain.rs
+++ b/src/node/drain.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::sleep};
 
-use super::{Node, steward};
+use super::{Node, once, steward};
 use crate::{
     events::Event,
     kernel::drain::{Count, Phase},
@@ -43,17 +43,28 @@
         self.state.lock().phase() != Phase::Serving
     }
 
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.state.lock().running()
+    }
+
+    /// Counts a claimed request in; it runs in any phase, since its claim stands.
+    pub fn enter_claim(&self) -> Running {
+        self.state.lock().enter_claim();
+        self.running_as(true)
+    }
+
     /// Counts a caller's request in, or returns `None` when the node takes none any more.
     pub fn enter(&self) -> Option<Running> {
-        self.state.lock().enter().then(|| self.running(false))
+        self.state.lock().enter().then(|| self.running_as(false))
     }
 
     /// Counts work for a stewarded endpoint in, or returns `None` when another steward has to run it.
     pub fn enter_steward(&self) -> Option<Running> {
-        self.state.lock().enter_steward().then(|| self.running(true))
+        self.state.lock().enter_steward().then(|| self.running_as(true))
     }
 
-    fn running(&self, as_steward: bool) -> Running {
+    fn running_as(&self, as_steward: bool) -> Running {
         Running { state: self.state.clone(), changed: self.changed.clone(), as_steward }
     }
 
@@ -95,7 +106,9 @@
     node.peers.beat_now();
     sleep(ANNOUNCE_PERIOD).await;
     node.drain.announced();
-    node.drain.reached(Phase::Idle).await;
+    node.drain.reached(Phase::Closing).await;
+    once::hand_over(&node).await;
     steward::hand_over(&node).await;
     node.drain.hand_over();
+    node.drain.reached(Phase::Gone).await;
 }
--- a/src/node/steward.rs
+++ b/src/node/steward.rs
@@ -5,13 +5,22 @@
 mod duty;
 mod flow;
 mod orders;
+mod registry;
 mod reports;
 mod run;
+mod write;
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 pub use self::{
-    duty::{hand_over, run},
+    duty::{hand_over, run, verify},
     orders::carry_out,
 };
 use self::{
@@ -26,7 +35,7 @@
     endpoint::{EndpointClient, Report},
     kernel::{
         dispatch::{Queue, Ticket},
-        ledger::EndpointRecord,
+        ledger::{EndpointRecord, Ledger},
         warmup::Warmth,
     },
     names::{EndpointId, Model},
@@ -39,6 +48,15 @@
 #[derive(Default)]
 pub struct Stewards {
     endpoints: Shards<EndpointId, Stewarded>,
+    registry: registry::Registry,
+    leaving: AtomicBool,
+}
+
+impl Stewards {
+    /// Returns whether this node gives its endpoints away and takes none.
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
 }
 
 /// One endpoint.
@@ -53,6 +71,11 @@
     warmth: Warmth,
     report: Option<Report>,
     flow: Flow,
+    ledger: Ledger,
+    /// Whether new work is taken.
+    accepting: bool,
+    /// Models of the requests that run, by request id.
+    active: HashMap<String, Model>,
 }
 
 /// A request that waits for its endpoint.
@@ -64,13 +87,18 @@
 }
 
 impl Stewarded {
-    /// Returns the models that may be dispatched to.
-    fn models(&self) -> BTreeSet<Model> {
-        let residents = self.report.iter().flat_map(|report| &report.residents);
-        residents.filter(|r| r.adapter.is_none()).map(|r| r.model.clone()).collect()
+    /// Returns whether a request may be sent to the endpoint.
+    fn admits(&self, work: &Work) -> bool {
+        let resident = || self.ledger.dispatchable().any(|model| model.as_str() == work.model);
+        self.serves() && (work.model.is_empty() || resident())
     }
 }
 
+/// Refuses what waits, so that the entry instances ask another steward at once.
+fn refuse_queue(stewarded: &mut Stewarded) {
+    flow::refuse_waiting(stewarded, Code::NotSteward);
+}
+
 /// Queues a request at its endpoint.
 pub fn submit(node: &Arc<Node>, work: Work, responder: Responder) {
     let Some(running) = node.drain.enter_steward() else {
@@ -106,6 +134,7 @@
     let deadline = now + Duration::from_millis(work.left_ms);
     let config = node.config();
     let target = config.as_ref().and_then(|c| c.classes.get(work.class.as_str()));
+    let team = config.as_ref().and_then(|c| c.teams.get(work.team.as_str()));
     Ticket {
         team: work.team.as_str().into(),
         class: work.class.as_str().into(),
@@ -114,6 +143,8 @@
         deadline,
         background: target.is_some_and(|target| target.background),
         tokens: work.tokens,
+        part: target.map_or(0.0, |target| target.part),
+        rate: team.map_or(0, |team| team.rate),
     }
 }
 
--- a/src/node/steward/crash.rs
+++ b/src/node/steward/crash.rs
@@ -12,6 +12,7 @@
     endpoint::{EndpointClient, Report},
     events::Event,
     kernel::{
+        ledger::Sight,
         suspect::{CrashId, Suspects},
         warmup::Sign,
     },
@@ -42,16 +43,22 @@
             stewarded.flow.cuts.push((work.fingerprint, now));
         }
         match report {
-            Ok(report) => meet(node, stewarded, report.incarnation),
+            Ok(report) => take_report(node, stewarded, report),
             Err(_) => crashed(node, stewarded, Sign::Refused),
         }
     });
 }
 
-/// Takes in what a report shows of crashes and of an earlier steward's requests.
-pub fn take_report(node: &Node, stewarded: &mut Stewarded, report: &Report) {
+/// Takes in a report unless it is older than what is known.
+pub fn take_report(node: &Node, stewarded: &mut Stewarded, report: Report) {
+    match stewarded.ledger.take_report(&report, Time::now()) {
+        Sight::Stale | Sight::InDoubt => return,
+        Sight::Fresh | Sight::Restarted => {}
+    }
     meet(node, stewarded, report.incarnation);
     stewarded.warmth.reported(report.running, stewarded.running);
+    stewarded.flow.down = false;
+    stewarded.report = Some(report);
 }
 
 fn meet(node: &Node, stewarded: &mut Stewarded, incarnation: u64) {
@@ -64,7 +71,7 @@
 /// Makes everything in flight suspect and treats the endpoint as cold and empty.
 fn crashed(node: &Node, stewarded: &mut Stewarded, sign: Sign) {
     note(node, stewarded, sign);
-    stewarded.report = None;
+    stewarded.flow.down = true;
     refuse_waiting(stewarded, Code::NoEndpoint);
     let Some(incarnation) = stewarded.flow.incarnation.take() else { return };
     let id = &stewarded.listed.id;
--- a/src/node/steward/flow.rs
+++ b/src/node/steward/flow.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use super::{Stewarded, Waiting, refuse};
+use super::{RETRY_MS, Stewarded, Waiting, refuse};
 use crate::{
     clock::Time,
     codes::{Code, Refusal},
@@ -12,6 +12,7 @@
     kernel::{
         dispatch::{Fifo, Ticket},
         registry,
+        stewardship::Duty,
         suspect::{Gate, Verdict, gate},
         warmup::{Change, Sign},
     },
@@ -28,6 +29,8 @@
     pub cuts: Vec<(u64, Time)>,
     /// Incarnation of the endpoint, or `None` before a report and after a crash.
     pub incarnation: Option<u64>,
+    /// Whether the endpoint crashed and has given no report since.
+    pub down: bool,
     /// Whether a suspect runs, which must run alone.
     pub alone: bool,
     /// A suspect that waits until nothing else runs.
@@ -56,7 +59,7 @@
         refuse_waiting(stewarded, Code::NoEndpoint);
         return Next::Nothing;
     }
-    if !stewarded.warmth.bears(stewarded.running) {
+    if !stewarded.warmth.bears(stewarded.running) || node.duty() == Duty::Stop {
         return Next::Nothing;
     }
     let Some((ticket, waiting)) = front(node, stewarded, now) else { return Next::Nothing };
@@ -67,6 +70,10 @@
         refuse(waiting.responder, Refusal::not_run(Code::DeadlinePassed));
         return Next::Again;
     }
+    if !stewarded.admits(&waiting.work) {
+        refuse(waiting.responder, Refusal::not_run(Code::NoEndpoint).retry_after(RETRY_MS));
+        return Next::Again;
+    }
     let verdict = node.suspects.lock().judge(waiting.work.fingerprint, now);
     match gate(verdict, stewarded.running, stewarded.flow.alone) {
         Gate::Start => start(stewarded, verdict, ticket, waiting),
@@ -99,6 +106,8 @@
     stewarded.flow.alone = verdict == Verdict::Alone;
     let flight = (waiting.work.request.clone(), waiting.work.fingerprint);
     stewarded.flow.flights.insert(flight.0, flight.1);
+    let model = waiting.work.model.as_str().into();
+    stewarded.active.insert(waiting.work.request.clone(), model);
     Next::Run(ticket, waiting, stewarded.client.clone())
 }
 
@@ -106,6 +115,7 @@
 pub fn finish(stewarded: &mut Stewarded, request: &str) -> bool {
     stewarded.running = stewarded.running.saturating_sub(1);
     stewarded.flow.flights.remove(request);
+    stewarded.active.remove(request);
     std::mem::take(&mut stewarded.flow.alone)
 }
 
@@ -113,7 +123,14 @@
 pub fn refuse_waiting(stewarded: &mut Stewarded, code: Code) {
     let held = stewarded.flow.held.take().map(|(_, waiting)| waiting);
     for waiting in stewarded.queue.expired(Time(u64::MAX)).into_iter().chain(held) {
-        refuse(waiting.responder, Refusal::not_run(code));
+        refuse(waiting.responder, Refusal::not_run(code).retry_after(RETRY_MS));
+    }
+}
+
+impl Stewarded {
+    /// Returns whether the endpoint is to be known to the entry instances.
+    pub fn serves(&self) -> bool {
+        self.accepting && !self.flow.down && self.listed.state == ListedState::Live
     }
 }
 
--- a/tests/kernel/shutdown.rs
+++ b/tests/kernel/shutdown.rs
@@ -40,6 +40,7 @@
 enum Fault {
     CallerComes,
     WorkComes,
+    ClaimComes,
     CallerEnds,
     WorkEnds,
     SecondSignal,
@@ -58,6 +59,7 @@
         if self.callers > 0 {
             self.callers -= 1;
             self.count.leave(false);
+            self.observe();
         }
     }
 
@@ -65,14 +67,20 @@
         if self.steward > 0 {
             self.steward -= 1;
             self.count.leave(true);
+            self.observe();
         }
     }
 
-    fn hand_over(&mut self) {
-        self.count.hand_over();
+    /// The process exits as soon as the count says so.
+    fn observe(&mut self) {
         self.handed_over = self.count.phase() == Phase::Gone;
         self.cut |= self.handed_over && self.callers + self.steward > 0;
     }
+
+    fn hand_over(&mut self) {
+        self.count.hand_over();
+        self.observe();
+    }
 }
 
 impl Protocol for Shutdown {
@@ -84,6 +92,7 @@
     const FAULTS: &'static [Fault] = &[
         Fault::CallerComes,
         Fault::WorkComes,
+        Fault::ClaimComes,
         Fault::CallerEnds,
         Fault::WorkEnds,
         Fault::SecondSignal,
@@ -135,6 +144,12 @@
                     self.steward += 1;
                 }
             }
+            // Buckets are handed over before the instance is gone.
+            Fault::ClaimComes if !self.handed_over => {
+                self.count.enter_claim();
+                self.steward += 1;
+            }
+            Fault::ClaimComes => {}
             Fault::CallerEnds => self.end_caller(),
             Fault::WorkEnds => self.end_work(),
             Fault::SecondSignal if self.signalled => self.count.begin(),
