--- a/src/node/steward.rs
+++ b/src/node/steward.rs
@@ -1,7 +1,9 @@
 //! The endpoints that this node stewards: queues, dispatch, orders and reports.
 
+mod crash;
 mod digest;
 mod duty;
+mod flow;
 mod orders;
 mod registry;
 mod reports;
@@ -17,12 +19,15 @@
     time::Duration,
 };
 
-use self::run::run_work;
 pub use self::{
     duty::{hand_over, run, verify},
     orders::carry_out,
 };
-use super::{Node, exchange::Responder};
+use self::{
+    flow::{Flow, Next, next},
+    run::run_work,
+};
+use super::{Node, drain::Running, exchange::Responder};
 use crate::{
     clock::Time,
     codes::{Code, Refusal},
@@ -31,8 +36,6 @@
     kernel::{
         dispatch::{Queue, Ticket},
         ledger::{EndpointRecord, Ledger},
-        registry as policies,
-        stewardship::Duty,
         warmup::Warmth,
     },
     names::{EndpointId, Model},
@@ -67,6 +70,7 @@
     running: u32,
     warmth: Warmth,
     report: Option<Report>,
+    flow: Flow,
     ledger: Ledger,
     /// Whether new work is taken.
     accepting: bool,
@@ -78,28 +82,32 @@
 pub struct Waiting {
     work: Work,
     responder: Responder,
+    /// Keeps a shutdown waiting.
+    running: Running,
 }
 
 impl Stewarded {
     /// Returns whether a request may be sent to the endpoint.
     fn admits(&self, work: &Work) -> bool {
         let resident = || self.ledger.dispatchable().any(|model| model.as_str() == work.model);
-        self.accepting && (work.model.is_empty() || resident())
+        self.serves() && (work.model.is_empty() || resident())
     }
 }
 
 /// Refuses what waits, so that the entry instances ask another steward at once.
 fn refuse_queue(stewarded: &mut Stewarded) {
-    for waiting in stewarded.queue.expired(Time(u64::MAX)) {
-        refuse(waiting.responder, Refusal::not_run(Code::NotSteward).retry_after(RETRY_MS));
-    }
+    flow::refuse_waiting(stewarded, Code::NotSteward);
 }
 
 /// Queues a request at its endpoint.
 pub fn submit(node: &Arc<Node>, work: Work, responder: Responder) {
+    let Some(running) = node.drain.enter_steward() else {
+        return refuse(responder, Refusal::not_run(Code::Draining).retry_after(RETRY_MS));
+    };
+    node.note_crashes(work.fingerprint, &work.crashes);
     let endpoint = EndpointId::from(work.endpoint.as_str());
     let ticket = ticket(node, &work);
-    let mut item = Some(Waiting { work, responder });
+    let mut item = Some(Waiting { work, responder, running });
     let queued = node.stewards.endpoints.with(&endpoint, |stewarded| {
         if let Some(waiting) = item.take()
             && let Err(back) = stewarded.queue.push(ticket, waiting)
@@ -140,13 +148,6 @@
     }
 }
 
-/// What to do next at an endpoint.
-enum Next {
-    Run(Ticket, Waiting, Arc<EndpointClient>),
-    Again,
-    Nothing,
-}
-
 /// Starts as many waiting requests as the endpoint bears.
 fn pump(node: &Arc<Node>, endpoint: &EndpointId) {
     loop {
@@ -161,27 +162,15 @@
     }
 }
 
-fn next(node: &Node, stewarded: &mut Stewarded) -> Next {
-    let now = Time::now();
-    for late in stewarded.queue.expired(now) {
-        refuse(late.responder, Refusal::not_run(Code::DeadlinePassed));
-    }
-    if stewarded.running >= stewarded.warmth.limit() || node.duty() == Duty::Stop {
-        return Next::Nothing;
-    }
-    let name = node.config().map(|config| config.policy.dispatch.clone()).unwrap_or_default();
-    let policy = policies::dispatch(&name).unwrap_or(&crate::kernel::dispatch::Fifo);
-    match stewarded.queue.pop(policy, now) {
-        Some((_, waiting)) if !stewarded.admits(&waiting.work) => {
-            refuse(waiting.responder, Refusal::not_run(Code::NoEndpoint).retry_after(RETRY_MS));
-            Next::Again
-        }
-        Some((ticket, waiting)) => {
-            stewarded.running += 1;
-            let model = waiting.work.model.as_str().into();
-            stewarded.active.insert(waiting.work.request.clone(), model);
-            Next::Run(ticket, waiting, stewarded.client.clone())
+/// Time between two looks at queues that nothing else moves.
+const PUMP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Looks at every queue again and again, since limits, the list and deadlines change by themselves.
+pub async fn keep_pumping(node: Arc<Node>) {
+    loop {
+        for id in node.stewards.endpoints.keys() {
+            pump(&node, &id);
         }
-        None => Next::Nothing,
+        tokio::time::sleep(PUMP_PERIOD).await;
     }
 }
