--- a/src/node.rs
+++ b/src/node.rs
@@ -10,7 +10,7 @@
 mod list_sync;
 mod members;
 mod once;
-mod operator;
+pub mod operator;
 mod peers;
 mod planner;
 mod router;
@@ -31,7 +31,7 @@
     config::Config,
     events::Event,
     http::HttpError,
-    kernel::{retry::RetryBudget, routing::Directory},
+    kernel::{retry::RetryBudget, routing::Directory, suspect::Suspects},
     names::RequestId,
     platform::{Client, InstanceList},
     settings::Settings,
@@ -57,6 +57,7 @@
     demand: digests::Demand,
     drain: drain::Drain,
     retries: Mutex<RetryBudget>,
+    suspects: Mutex<Suspects>,
     requests: AtomicU64,
 }
 
@@ -102,6 +103,7 @@
             demand: digests::Demand::default(),
             drain: drain::Drain::default(),
             retries: Mutex::default(),
+            suspects: Mutex::default(),
             requests: AtomicU64::new(0),
             settings,
         })
@@ -115,6 +117,7 @@
         tasks.spawn(members::run(self.clone()));
         tasks.spawn(shares::run(self.clone()));
         tasks.spawn(steward::run(self.clone()));
+        tasks.spawn(steward::keep_pumping(self.clone()));
         tasks.spawn(once::run(self.clone()));
         tasks.spawn(planner::run(self.clone()));
         tasks.spawn(digests::run(self.clone()));
@@ -131,6 +134,11 @@
         &self.timeline
     }
 
+    /// Returns how many endpoints this node knows by their stewards' digests.
+    pub fn known(&self) -> usize {
+        self.directory.read().len()
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.load_full()
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use super::Suspect;
+
 /// One frame on a link.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
@@ -89,6 +91,9 @@
     /// Number of this heartbeat.
     #[prost(uint64, tag = "8")]
     pub number: u64,
+    /// Requests that crashed endpoints lately.
+    #[prost(message, repeated, tag = "30")]
+    pub suspects: Vec<Suspect>,
     /// Buckets of ids that the sender owns, as a bit mask.
     #[prost(fixed32, tag = "9")]
     pub buckets: u32,
@@ -173,7 +178,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
     /// What is asked.
-    #[prost(oneof = "AskBody", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "AskBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<AskBody>,
 }
 
@@ -198,6 +203,17 @@
     /// Load or unload a model at an endpoint of which the receiver is steward.
     #[prost(message, tag = "6")]
     Move(Move),
+    /// Send the answer of a non-repeatable request that the receiver claimed earlier.
+    #[prost(message, tag = "7")]
+    Kept(KeptAsk),
+}
+
+/// Asks for a kept answer.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct KeptAsk {
+    /// Id of the claim.
+    #[prost(bytes = "vec", tag = "1")]
+    pub claim: Vec<u8>,
 }
 
 /// Loads or unloads a model, as the planner decided.
@@ -307,6 +323,9 @@
     /// Hash of the prompt's prefix, by which caches are found.
     #[prost(fixed64, tag = "19")]
     pub prefix: u64,
+    /// Ids of the crashes at which an earlier attempt was in flight.
+    #[prost(fixed64, repeated, tag = "30")]
+    pub crashes: Vec<u64>,
 }
 
 /// An HTTP header.
@@ -430,6 +449,9 @@
     /// Number of server-sent events up to and with this chunk; zero for other answers.
     #[prost(uint64, tag = "2")]
     pub events: u64,
+    /// Whether this is the event that closes the stream.
+    #[prost(bool, tag = "3")]
+    pub last: bool,
 }
 
 /// End of a streamed answer.
@@ -450,6 +472,9 @@
     /// Requests that run or wait at the endpoint.
     #[prost(uint32, tag = "5")]
     pub load: u32,
+    /// Ids of the crashes at which the request was in flight.
+    #[prost(fixed64, repeated, tag = "30")]
+    pub crashes: Vec<u64>,
 }
 
 /// The asker drops the exchange.
@@ -463,35 +488,3 @@
     #[prost(uint32, tag = "1")]
     pub chunks: u32,
 }
-
-impl End {
-    /// Creates the end of a whole answer.
-    pub fn whole(used: u64) -> Self {
-        Self { used, ..Self::default() }
-    }
-}
-
-impl From<&crate::codes::Refusal> for End {
-    fn from(refusal: &crate::codes::Refusal) -> Self {
-        Self {
-            code: refusal.code.number(),
-            unknown: refusal.run == crate::codes::Run::Unknown,
-            retry_ms: refusal.retry_ms.unwrap_or(0),
-            ..Self::default()
-        }
-    }
-}
-
-impl End {
-    /// Returns the refusal that this end stands for, or `None` for a whole answer.
-    pub fn refusal(&self) -> Option<crate::codes::Refusal> {
-        use crate::codes::{Code, Refusal, Run};
-        if self.code == 0 {
-            return None;
-        }
-        let code = Code::from_number(self.code).unwrap_or(Code::Internal);
-        let run = if self.unknown { Run::Unknown } else { Run::NotRun };
-        let retry_ms = (self.retry_ms > 0).then_some(self.retry_ms);
-        Some(Refusal { code, run, retry_ms })
-    }
-}
--- a/tests/process/once.rs
+++ b/tests/process/once.rs
@@ -20,6 +20,18 @@
     call(Method::POST, address, "/services/ledger/payments", &headers, "{}").await.ok()
 }
 
+/// Waits until the buckets are spread over both instances.
+async fn wait_owned(fleet: &Fleet) {
+    eventually("both instances own buckets", READY, || async {
+        let mut owned = Vec::new();
+        for operator in &fleet.operators {
+            owned.push(fleet.status(*operator).await["buckets"].as_u64().unwrap_or(0));
+        }
+        owned.iter().all(|count| *count > 0) && owned.iter().sum::<u64>() == 32
+    })
+    .await;
+}
+
 fn ids() -> Vec<String> {
     (0..IDS).map(|number| format!("restock-{number}")).collect()
 }
@@ -73,6 +85,28 @@
     });
 }
 
+#[test]
+fn payment_answer_outlives_handover() {
+    block_on(async {
+        let plan = Plan { instances: vec!["dc-a", "dc-b", "dc-b"], ..Plan::default() };
+        let mut fleet = Fleet::start("once-handover", plan).await;
+        fleet.instances[2].kill();
+        let first = pay_all(fleet.caller(0)).await;
+        fleet.instances[2].restart();
+        eventually("the newcomer takes buckets", READY, || async {
+            fleet.status(fleet.operators[2]).await["buckets"].as_u64() > Some(0)
+        })
+        .await;
+        let second = pay_all(fleet.caller(1)).await;
+        for (first, second) in first.iter().zip(&second) {
+            let (first, second) = (first.as_ref().unwrap(), second.as_ref().unwrap());
+            assert_eq!((first.status, second.status), (200, 200), "{}", second.text());
+            assert_eq!(first.body, second.body);
+        }
+        check_runs(&fleet).await;
+    });
+}
+
 #[test]
 fn payment_owner_killed_in_flight() {
     block_on(async {
@@ -110,10 +144,9 @@
 fn payment_platform_down_is_not_run_at_once() {
     block_on(async {
         let fleet = Fleet::start("once-down", Plan::default()).await;
-        eventually("buckets are owned", READY, || async {
-            pay(fleet.caller(0), "warm-up").await.is_some_and(|answer| answer.status == 200)
-        })
-        .await;
+        wait_owned(&fleet).await;
+        let warm_up = pay(fleet.caller(0), "warm-up").await.unwrap();
+        assert_eq!(warm_up.status, 200);
         fleet.set_faults(fleet.platform, json!({ "down": true })).await;
         let start = std::time::Instant::now();
         let refused = pay_all(fleet.caller(0)).await;
@@ -148,3 +181,35 @@
         settle_all(&fleet, fleet.caller(1)).await;
     });
 }
+
+/// Payments of the burst, and the callers that send them.
+const BURST: usize = 600;
+const CALLERS: usize = 60;
+
+#[test]
+fn payment_burst_within_platform_budget() {
+    block_on(async {
+        let fleet = Fleet::start("once-burst", Plan::default()).await;
+        wait_owned(&fleet).await;
+        let before = fleet.read(fleet.platform, "/standin/counts").await;
+        let start = std::time::Instant::now();
+        let callers = (0..CALLERS).map(|caller| {
+            let address = fleet.caller(caller % 2);
+            async move {
+                for number in 0..BURST / CALLERS {
+                    let paid = pay(address, &format!("burst-{caller}-{number}")).await;
+                    let paid = paid.expect("an answer");
+                    assert_eq!(paid.status, 200, "{}", paid.text());
+                }
+            }
+        });
+        join_all(callers).await;
+        let elapsed = start.elapsed();
+        let after = fleet.read(fleet.platform, "/standin/counts").await;
+        let writes = after["txn"].as_u64().unwrap() - before["txn"].as_u64().unwrap();
+        println!("{BURST} payments in {elapsed:?} took {writes} writes");
+        assert!(writes < BURST as u64, "less than one write a payment, took {writes}");
+        let per_second = writes as f64 / elapsed.as_secs_f64();
+        assert!(per_second < 300.0, "within the platform's writes, took {per_second:.0} a second");
+    });
+}
