Make the load and unload matrices harsher

Endpoints ignore fencing unless a fault says otherwise, reports go back by more than the life of an order, and a loaded model is unloaded again so that late copies of its load matter.

--- a/tests/kernel/ledger.rs
+++ b/tests/kernel/ledger.rs
@@ -29,8 +29,9 @@
     OrderMute,
     EngineRestarted,
     ReportsLate,
+    ReportsStale,
     ReportsMissing,
-    FencingIgnored,
+    FencingObeyed,
     /// The planner makes this endpoint the model's keeper, as its protocol allows.
     KeeperMoved,
 }
@@ -47,8 +48,9 @@
     Fault::OrderMute,
     Fault::EngineRestarted,
     Fault::ReportsLate,
+    Fault::ReportsStale,
     Fault::ReportsMissing,
-    Fault::FencingIgnored,
+    Fault::FencingObeyed,
 ];
 
 const UNLOAD_FAULTS: &[Fault] = &[
@@ -62,7 +64,8 @@
     Fault::OrderMute,
     Fault::EngineRestarted,
     Fault::ReportsLate,
-    Fault::FencingIgnored,
+    Fault::ReportsStale,
+    Fault::FencingObeyed,
     Fault::KeeperMoved,
 ];
 
@@ -98,8 +101,9 @@
         Fault::OrderMute => world.fate = Fate::Mute,
         Fault::EngineRestarted => world.restart_engine(),
         Fault::ReportsLate => world.engine.lag = Duration::from_secs(8),
+        Fault::ReportsStale => world.engine.stale = true,
         Fault::ReportsMissing => world.engine.silent = true,
-        Fault::FencingIgnored => world.engine.fencing = false,
+        Fault::FencingObeyed => world.engine.fencing = true,
         Fault::KeeperMoved => {}
     }
 }
@@ -158,8 +162,8 @@
     }
 }
 
-/// Loads `spar` beside `glue`; whenever they may, the stewards also load `twine`, which fits only
-/// where `spar` cannot land any more.
+/// Loads `spar` beside `glue`; whenever they may, the stewards unload it again and load `twine`,
+/// which fits only where no copy of `spar` can land any more.
 struct Load(Ordering);
 
 impl Protocol for Load {
@@ -182,6 +186,7 @@
         let ledger = ordering.world.stewards[0].ledger.as_mut();
         let planned = ledger.map(|ledger| ledger.plan_load(order, "spar".into(), 350));
         assert_eq!(planned, Some(Ok(())));
+        ordering.world.churn = Some("spar".into());
         ordering.world.hunger.push(("twine".into(), 300));
         Self(ordering)
     }
@@ -220,8 +225,8 @@
     }
 }
 
-/// Time for a model to return that was unloaded, in seconds; longer than two lives of an order.
-const RETURN_SECONDS: u64 = 70;
+/// Time for a model to return that was unloaded, in seconds; longer than four lives of an order.
+const RETURN_SECONDS: u64 = 150;
 
 /// Unloads `glue`, which another endpoint keeps at first.
 struct Unload {
@@ -328,10 +333,12 @@
         for _ in 0..RETURN_SECONDS {
             self.ordering.world.advance(Duration::from_secs(1));
             self.move_keeper();
-            if self.check().is_err() {
-                return;
+            if self.keeper == Some(self.ordering.world.engine.incarnation) {
+                break;
             }
         }
+        // What is unloaded from here on stays away.
+        self.ordering.world.hunger.clear();
         self.ordering.world.recover();
     }
 
--- a/tests/kernel/ledger/world.rs
+++ b/tests/kernel/ledger/world.rs
@@ -54,9 +54,14 @@
     pub residents: BTreeMap<Model, u64>,
     history: Vec<(Time, Report)>,
     pub lag: Duration,
+    /// Whether every other report is as old as [`STALE`].
+    pub stale: bool,
     pub silent: bool,
 }
 
+/// Age of a stale report; longer than the life of an order.
+const STALE: Duration = Duration::from_secs(40);
+
 impl Engine {
     fn apply(&mut self, order: &Order) -> Option<OrderReply> {
         if self.fencing && order.fence < self.fence {
@@ -78,7 +83,9 @@
     }
 
     fn report(&self, now: Time) -> Option<Report> {
-        let old = self.history.iter().rev().find(|(at, _)| now.since(*at) >= self.lag);
+        let turn = self.stale && now.0 / 1_000_000 % 2 == 0;
+        let lag = if turn { STALE } else { self.lag };
+        let old = self.history.iter().rev().find(|(at, _)| now.since(*at) >= lag);
         old.map(|(_, report)| report.clone()).filter(|_| !self.silent)
     }
 
@@ -156,6 +163,8 @@
     orders: u64,
     /// What the stewards go on trying to load whenever it fits.
     pub hunger: Vec<(Model, u64)>,
+    /// What they unload once, as soon as it is resident.
+    pub churn: Option<Model>,
 }
 
 impl World {
@@ -166,10 +175,11 @@
             incarnation: 71,
             sequence: 1,
             fence: 0,
-            fencing: true,
+            fencing: false,
             residents,
             history: Vec::new(),
             lag: Duration::ZERO,
+            stale: false,
             silent: false,
         };
         let mut world = Self {
@@ -189,6 +199,7 @@
             violation: None,
             orders: 0,
             hunger: Vec::new(),
+            churn: None,
         };
         world.add_steward();
         world.add_steward();
@@ -561,8 +572,16 @@
         }
     }
 
-    /// Loads what the steward still wants, all steps at once.
+    /// Unloads and loads what the steward still wants, all steps at once.
     fn eat(&mut self, index: usize) {
+        if let Some(model) = self.churn.clone() {
+            let order = self.next_order();
+            let Some(ledger) = &mut self.stewards[index].ledger else { return };
+            if ledger.plan_unload(order.clone(), model).is_ok() {
+                self.churn = None;
+                self.run(index, &order);
+            }
+        }
         for (model, bytes) in self.hunger.clone() {
             let order = self.next_order();
             let Some(ledger) = &mut self.stewards[index].ledger else { return };
@@ -579,6 +598,7 @@
             let Some(ledger) = &mut self.stewards[index].ledger else { return };
             match ledger.next(order, duty, 0) {
                 Step::Write => self.write(index),
+                Step::CheckKeeper => ledger.clear(order),
                 Step::Send(order) => {
                     self.send(index, order);
                     self.deliver_orders();
@@ -654,10 +674,11 @@
         self.end_faults();
         self.advance(LIFE * 3);
         self.engine.lag = Duration::ZERO;
+        self.engine.stale = false;
         self.advance(LIFE);
     }
 
-    /// Ends all faults but the lag of reports.
+    /// Ends all faults but the age of reports.
     pub fn end_faults(&mut self) {
         self.down = false;
         self.engine.silent = false;
