--- a/src/node/peers/outbox.rs
+++ b/src/node/peers/outbox.rs
@@ -46,18 +46,18 @@
     }
 
     /// Queues a frame if there is room for it, or gives it back.
-    pub fn try_send(&self, frame: Frame) -> Result<(), Frame> {
+    pub fn try_send(&self, frame: Frame) -> Result<(), Box<Frame>> {
         let Ok(_bytes) = self.bytes.clone().try_acquire_many_owned(weight(&frame)) else {
-            return Err(frame);
+            return Err(Box::new(frame));
         };
-        self.tx.try_send(Queued { frame, _bytes }).map_err(|err| err.into_inner().frame)
+        self.tx.try_send(Queued { frame, _bytes }).map_err(|err| Box::new(err.into_inner().frame))
     }
 
     /// Queues a frame that must not be lost while the connection lives.
     pub fn send_later(&self, frame: Frame) {
         if let Err(frame) = self.try_send(frame) {
             let outbox = self.clone();
-            tokio::spawn(async move { outbox.send(frame).await });
+            tokio::spawn(async move { outbox.send(*frame).await });
         }
     }
 }
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -264,21 +264,21 @@
     }
 }
 
-/// First of the ports that tests use, all below those that outgoing connections get.
-///
-/// A port of an outgoing connection could be taken while a killed process is away.
+/// First of the ports that tests use.
 const FIRST_PORT: u32 = 10_000;
 
 const PORT_COUNT: u32 = 20_000;
 
-/// Returns a loopback address that was free just now and that no other test of this process gets.
+/// Returns a loopback address that no other test gets.
+///
+/// Each test process has an IP number of its own, made from its process id, so that neither other
+/// processes nor outgoing connections take the port of a process that is away.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let offset = std::process::id().wrapping_mul(509);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
     loop {
-        let number = offset.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed));
-        let port = FIRST_PORT + number % PORT_COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+        let address = SocketAddr::from(([127, 64 + high, middle, low], port as u16));
         if TcpListener::bind(address).is_ok() {
             return address;
         }
