Bound connections and headers, choose addresses, publish metrics

The server library accepts without a limit and never gives up a connection on which nothing is sent, and callers got every instance in list order. Now accepting pauses while three quarters of the file descriptors are in use, a connection whose first headers do not come within 10 s is closed, request lines over 4 KiB and headers over 16 KiB are refused, wrong methods have a code, /v1/models needs a key, and /v1/instances keeps a team on a third of the instances (at least three) in two data centres, and is never empty while one serves. /metrics on the operators' address gives requests by code, platform calls by kind, running and queued work.

Seen to fail first: - input_slow_caller_bounded: with tokio's `readable` in place of `peek` a silent connection stayed open for 25 s and more (ready without data). - input_bad_configuration_refused found a real fault: seen = 2^64-1 overflowed and dropped the connection; it is refused as 1101 now. - input_malformed_request_refused: without the size check the answer is 404 in place of 431. - addresses_team_keeps_to_few without the second data centre, and addresses_leave_out_those_not_serving without the filter.

Left: the library offers no limit for the headers of later requests on a kept connection; the limit of file descriptors is what bounds those.

--- a/src/codes.rs
+++ b/src/codes.rs
@@ -76,6 +76,7 @@
     IdReused = 1108, 422, "The Idempotency-Key was used for another request.";
     BodySlow = 1109, 408, "The body did not arrive in time.";
     MethodNotAllowed = 1110, 405, "The route exists and does not take this method.";
+    HeadersTooLarge = 1111, 431, "The request line or the headers exceed the limit.";
     RateExceeded = 1201, 429, "The team's rate and burst are used up.";
     QueueFull = 1202, 503, "The queue is full.";
     DeadlinePassed = 1203, 504, "The deadline passed before the request could start.";
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,5 +1,7 @@
 //! Small helpers around `volo-http` that the node, the stand-ins and the command line share.
 
+mod incoming;
+
 use std::{
     net::SocketAddr,
     pin::Pin,
@@ -14,7 +16,6 @@
 use http_body_util::BodyExt;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::{net::TcpListener, sync::mpsc};
-use volo::net::incoming::DefaultIncoming;
 use volo_http::{
     body::Body,
     client::{Client, ClientBuilder},
@@ -23,6 +24,7 @@
     server::{Router, Server},
 };
 
+use self::incoming::BoundedIncoming;
 use crate::codes::Refusal;
 
 type BoxError = Box<dyn std::error::Error + Send + Sync>;
@@ -204,8 +206,10 @@
 {
     let router: Router = Router::new().fallback(move |request: Request| handle(request));
     let server = Server::new(router).register_shutdown_hook(move || Box::pin(drain));
-    let incoming = DefaultIncoming::from(listener);
-    server.run(incoming).await.map_err(|err| HttpError::Exchange(err.to_string()))
+    server
+        .run(BoundedIncoming::new(listener))
+        .await
+        .map_err(|err| HttpError::Exchange(err.to_string()))
 }
 
 /// A stream of what an `mpsc` channel receives.
--- a/src/node/admit.rs
+++ b/src/node/admit.rs
@@ -71,6 +71,12 @@
     Ok(known.1.clone())
 }
 
+/// Returns the team of a request's key, where it carries a known one.
+pub fn known_team(config: &Config, headers: &HeaderMap) -> Option<Team> {
+    let key = key_of(headers).ok()?;
+    config.team_of(&key).map(|(_, team)| team.clone())
+}
+
 /// Returns the one key that a request carries.
 fn key_of(headers: &HeaderMap) -> Result<String, Refusal> {
     let text = |value: &http::HeaderValue| value.to_str().ok().map(str::to_owned);
--- a/src/node/operator/apply.rs
+++ b/src/node/operator/apply.rs
@@ -82,7 +82,7 @@
 /// Writes a configuration if the version that the operator saw is still the newest.
 pub async fn apply(node: &Arc<Node>, request: Request) -> Result<Response, Refusal> {
     let apply: Apply = super::read(request).await?;
-    let version = apply.seen + 1;
+    let version = apply.seen.checked_add(1).ok_or(Refusal::not_run(Code::BadRequest))?;
     if let Err(err) = Config::parse(version, &apply.text) {
         return Ok(invalid(&err.to_string()));
     }
--- a/src/node/router.rs
+++ b/src/node/router.rs
@@ -1,22 +1,28 @@
 //! The callers' interface.
 
+mod instances;
+
 use std::sync::Arc;
 
-use http::Method;
+use http::{HeaderMap, Method, Uri};
 use serde_json::json as value;
 use tokio::net::TcpListener;
 use volo_http::{request::Request, response::Response};
 
-use super::{Node, chat, drain, services};
+use super::{Node, admit::identify, chat, drain, services};
 use crate::{
     codes::{Code, Refusal},
     events::Event,
     http::{HttpError, REQUEST_HEADER, json, refuse, serve},
-    kernel::freshness::Freshness,
     names::RequestId,
-    platform::ListedState,
 };
 
+/// Most bytes of a request's path and query.
+const URI_LIMIT: usize = 4 << 10;
+
+/// Most bytes of a request's headers.
+const HEADERS_LIMIT: usize = 16 << 10;
+
 /// Serves callers until the process is told to stop and all work has ended.
 pub async fn run(node: Arc<Node>, listener: TcpListener) -> Result<(), HttpError> {
     let shutdown = drain::run(node.clone());
@@ -27,8 +33,12 @@
 async fn handle(node: Arc<Node>, request: Request) -> Response {
     let id = node.next_request();
     let mut answer = match route(&node, id.clone(), request).await {
-        Ok(answer) => answer,
+        Ok(answer) => {
+            count(0);
+            answer
+        }
         Err(refusal) => {
+            count(refusal.code.number());
             let detail = format!("code={} run={}", refusal.code.number(), refusal.run.as_str());
             node.timeline.record(Event::RequestRefused, id.as_str(), detail);
             refuse(&refusal, id.as_str())
@@ -44,43 +54,43 @@
     answer
 }
 
+/// Counts a request by its result code; zero stands for an answer.
+fn count(code: u32) {
+    metrics::counter!("cardamomshore_requests_total", "code" => code.to_string()).increment(1);
+}
+
 async fn route(node: &Arc<Node>, id: RequestId, request: Request) -> Result<Response, Refusal> {
+    check_size(request.uri(), request.headers())?;
     let path = request.uri().path().to_owned();
     match (request.method(), path.as_str()) {
         (&Method::POST, "/v1/chat/completions" | "/v1/completions") => {
             chat::complete(node, id, request).await
         }
-        (&Method::GET, "/v1/models") => models(node),
-        (&Method::GET, "/v1/instances") => instances(node),
+        (&Method::GET, "/v1/models") => models(node, id, request.headers()),
+        (&Method::GET, "/v1/instances") => instances::instances(node, request.headers()),
         (_, path) if path.starts_with("/services/") => services::call(node, id, request).await,
+        (_, "/v1/chat/completions" | "/v1/completions" | "/v1/models" | "/v1/instances") => {
+            Err(Refusal::not_run(Code::MethodNotAllowed))
+        }
         _ => Err(Refusal::not_run(Code::RouteUnknown)),
     }
 }
 
-fn models(node: &Node) -> Result<Response, Refusal> {
-    let config = node.config().ok_or(Refusal::not_run(Code::NoConfig))?;
-    let models = config.models.keys().map(|name| value!({ "id": name, "object": "model" }));
-    Ok(json(200, &value!({ "object": "list", "data": models.collect::<Vec<_>>() })))
+fn check_size(uri: &Uri, headers: &HeaderMap) -> Result<(), Refusal> {
+    let line = uri.path_and_query().map_or(0, |text| text.as_str().len());
+    let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if line > URI_LIMIT || bytes > HEADERS_LIMIT {
+        return Err(Refusal::not_run(Code::HeadersTooLarge));
+    }
+    Ok(())
 }
 
-/// Time for which a caller may keep the addresses, in milliseconds.
-const KEEP_MS: u64 = 10_000;
-
-fn instances(node: &Node) -> Result<Response, Refusal> {
-    if node.freshness() == Freshness::CutOff {
-        return Err(Refusal::not_run(Code::CutOff));
-    }
-    let list = node.list.load();
-    let usable = list.instances.iter().filter(|instance| {
-        let own = instance.id == node.settings.instance;
-        let beat = node.members.peer(&instance.id).map(|seen| seen.beat);
-        let well = beat.is_some_and(|beat| !beat.leaving && !beat.cut_off);
-        let well = if own { !node.drain.is_draining() } else { well };
-        let data_centre = node.config().is_none_or(|config| config.is_in(&instance.data_centre));
-        instance.state == ListedState::Live && well && data_centre
-    });
-    let usable: Vec<_> = usable
-        .map(|i| value!({ "id": i.id, "address": i.listen, "data_centre": i.data_centre }))
-        .collect();
-    Ok(json(200, &value!({ "instances": usable, "keep_ms": KEEP_MS })))
+/// Lists the models, for callers with a key.
+fn models(node: &Node, id: RequestId, headers: &HeaderMap) -> Result<Response, Refusal> {
+    let caller = identify(node, id, headers, |_| false)?;
+    let models = caller.config.models.keys();
+    let models = models.map(
+        |name| value!({ "id": name, "object": "model", "created": 0, "owned_by": "cardamomshore" }),
+    );
+    Ok(json(200, &value!({ "object": "list", "data": models.collect::<Vec<_>>() })))
 }
--- a/tests/process/operators.rs
+++ b/tests/process/operators.rs
@@ -2,6 +2,7 @@
 
 use std::{path::PathBuf, time::Duration};
 
+use http::Method;
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -10,7 +11,7 @@
     cli::run,
     eventually,
     fleet::{CONFIG, Fleet, KITES_KEY, NUTS_KEY, Plan},
-    http::chat,
+    http::{call, chat},
 };
 use cardamomshore::config::hash_key;
 
@@ -133,6 +134,9 @@
         assert!(all.out.contains("i-0 ") && all.out.contains("i-1 "), "{all:?}");
         let status = run(&["status", "--to", &to]).await;
         assert_eq!(status.out.lines().count(), 3, "{status:?}");
+        let metrics = call(Method::GET, fleet.operators[0], "/metrics", &[], "").await.unwrap();
+        let answered = "cardamomshore_requests_total{code=\"0\"} 1";
+        assert!(metrics.text().contains(answered), "{}", metrics.text());
         let missing = run(&["status", "--to", "127.0.0.1:1", "--to", &to]).await;
         assert_eq!(missing.code, 0, "{missing:?}");
     });
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -1,6 +1,7 @@
 //! Tests of the parts of the product: documents, samples, settings and command line.
 
 mod product {
+    mod addresses;
     mod cli;
     mod config;
     mod docs;
--- a/tests/product/settings.rs
+++ b/tests/product/settings.rs
@@ -1,5 +1,12 @@
 //! Settings of a process.
 
+use std::{
+    io::{BufRead, BufReader},
+    net::TcpListener,
+    path::PathBuf,
+    process::{Command, Stdio},
+};
+
 use cardamomshore::settings::Settings;
 use expect_test::{Expect, expect};
 
@@ -47,3 +54,30 @@
         &expect!["line 7 column 14: expected string scalar"],
     );
 }
+
+#[test]
+fn settings_json_log_lines() {
+    let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("json-log");
+    std::fs::create_dir_all(&dir).expect("a folder is made");
+    let file = dir.join("settings.yaml");
+    let address = || TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let settings = serde_json::json!({
+        "instance": "i-0", "data_centre": "dc-a", "listen": address(), "peer": address(),
+        "operator": address(), "platform": [address()], "list": address(),
+        "log": { "level": "warn, cardamomshore::event=info", "format": "json" },
+    });
+    std::fs::write(&file, settings.to_string()).expect("settings are written");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cardamomshore"))
+        .args(["serve", "--settings", &file.display().to_string()])
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the binary starts");
+    let mut line = String::new();
+    let stderr = child.stderr.take().expect("its log is piped");
+    BufReader::new(stderr).read_line(&mut line).expect("it logs a line");
+    child.kill().expect("it ends");
+    child.wait().expect("it ends");
+    let line: serde_json::Value = serde_json::from_str(&line).expect("the line is JSON");
+    assert_eq!((&line["level"], &line["module"]), (&"INFO".into(), &"cardamomshore::event".into()));
+    assert!(line["message"].as_str().unwrap().starts_with("E2001 InstanceStarted"), "{line}");
+}
