--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -5,6 +5,7 @@
 
 pub mod addresses;
 pub mod dispatch;
+pub mod drain;
 pub mod freshness;
 pub mod ledger;
 pub mod once;
--- a/src/node/once/dispatch.rs
+++ b/src/node/once/dispatch.rs
@@ -18,7 +18,7 @@
 
 /// Dispatches a request, takes in how it ended and answers everybody who waits.
 pub async fn dispatch(node: Arc<Node>, index: u32, id: ClaimId, work: Work) {
-    let _running = node.drain.enter();
+    let _running = node.drain.enter_claim();
     let request = work.request.clone();
     let limit = Duration::from_millis(work.left_ms);
     let result = timeout(limit, send(&node, work)).await;
@@ -80,5 +80,5 @@
     };
     // The endpoint has answered, so whatever fails from here on leaves the outcome unknown.
     let data = gather(exchange).await.map_err(|_| Refusal::unknown(Code::OutcomeUnknown))?;
-    Ok(Kept { head, chunk: Chunk { data, events: 0 } })
+    Ok(Kept { head, chunk: Chunk { data, events: 0, last: false } })
 }
--- a/src/node/steward/duty.rs
+++ b/src/node/steward/duty.rs
@@ -172,6 +172,7 @@
         queue: Default::default(),
         running: 0,
         report: None,
+        flow: Default::default(),
         ledger,
         accepting: true,
         active: HashMap::new(),
