--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+mod measure;
 mod serve;
 mod standin;
 
@@ -20,6 +21,7 @@
 
 Commands:
   serve     Run one instance
+  measure   Measure the policies under seeded demand
   standin   Run a stand-in of the platform, an engine or a service
 
 Options:
@@ -76,6 +78,7 @@
 fn dispatch(command: OsString, parser: Parser) -> Result<(), CliError> {
     match command.string()?.as_str() {
         "serve" => serve::run(parser),
+        "measure" => measure::run(parser),
         "standin" => standin::run(parser),
         other => Err(CliError::Usage(format!("no such command: {other}"))),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod events;
 pub mod http;
 pub mod kernel;
+pub mod measure;
 pub mod names;
 pub mod node;
 pub mod platform;
--- /dev/null
+++ b/src/measure/fleet/endpoint.rs
@@ -0,0 +1,92 @@
+//! An endpoint with the state that its steward holds.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    clock::Time,
+    config::{PoolKind, PoolSpec},
+    kernel::{dispatch::Queue, warmup::Warmth},
+    measure::engine::Engine,
+    names::{DataCentre, EndpointId, Pool},
+    wire::EndpointDigest,
+};
+
+/// An endpoint with the state that its steward holds.
+pub struct Endpoint {
+    /// Name.
+    pub id: EndpointId,
+    /// Pool.
+    pub pool: Pool,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// Position of its steward.
+    pub steward: usize,
+    /// The engine, or one server of a plain service.
+    pub engine: Engine,
+    /// Requests that wait.
+    pub queue: Queue<usize>,
+    /// Requests that run, with the times at which they started.
+    pub running: BTreeMap<usize, Time>,
+    spec: PoolSpec,
+    warmth: Warmth,
+}
+
+impl Endpoint {
+    /// Creates an endpoint that just started.
+    pub fn new(
+        id: &str,
+        pool: &Pool,
+        spec: &PoolSpec,
+        data_centre: &DataCentre,
+        steward: usize,
+    ) -> Self {
+        Self {
+            id: id.into(),
+            pool: pool.clone(),
+            data_centre: data_centre.clone(),
+            steward,
+            engine: Engine::new(spec),
+            queue: Queue::default(),
+            running: BTreeMap::new(),
+            warmth: Warmth::cold(spec),
+            spec: spec.clone(),
+        }
+    }
+
+    /// Returns whether models run on it.
+    pub fn is_engine(&self) -> bool {
+        self.spec.kind == PoolKind::Engine
+    }
+
+    /// Returns whether one more request may start.
+    pub fn bears(&self, now: Time) -> bool {
+        self.engine.back <= now && (self.running.len() as u32) < self.warmth.limit()
+    }
+
+    /// Counts a request that was answered whole.
+    pub fn complete(&mut self) {
+        self.warmth.complete();
+    }
+
+    /// Treats the endpoint as cold.
+    pub fn fall_back(&mut self) {
+        self.warmth.reset();
+    }
+
+    /// Returns what its steward tells the others.
+    pub fn digest(&self) -> EndpointDigest {
+        EndpointDigest {
+            endpoint: self.id.to_string(),
+            fence: 1,
+            pool: self.pool.to_string(),
+            data_centre: self.data_centre.to_string(),
+            models: self.engine.models().map(ToString::to_string).collect(),
+            running: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            limit: self.warmth.limit(),
+            adapters: self.engine.adapters().map(ToString::to_string).collect(),
+            loading: self.engine.loading().map(ToString::to_string).collect(),
+            free: self.engine.free(),
+        }
+    }
+}
--- /dev/null
+++ b/src/measure/score.rs
@@ -0,0 +1,187 @@
+//! What became of the requests, and the figures of a run.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use serde::Serialize;
+
+use super::{Arrival, Options, SAMPLE_PERIOD};
+use crate::{
+    clock::Time,
+    config::Config,
+    kernel::quota::{Bucket, Charge},
+    names::Team,
+};
+
+/// What became of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It met its class's target.
+    Attained,
+    /// It was answered late.
+    Late,
+    /// Its team's share was spent.
+    OverRate,
+    /// It waited until its deadline or found a full queue.
+    Refused,
+    /// Its endpoint failed.
+    Failed,
+}
+
+/// Requests by what became of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Count {
+    /// Requests within their team's rate.
+    pub asked: u64,
+    /// Those that met their target.
+    pub attained: u64,
+}
+
+impl Count {
+    /// Returns the part that met the target; all of none did.
+    pub fn part(self) -> f64 {
+        if self.asked == 0 { 1.0 } else { self.attained as f64 / self.asked as f64 }
+    }
+}
+
+/// Attainment over one period of the run.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Sample {
+    /// Start of the period in seconds since the start of the run.
+    pub secs: u64,
+    /// Part of the requests that met their target.
+    pub part: f64,
+}
+
+/// Figures of one variant.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Row {
+    /// Variant.
+    pub name: String,
+    /// Requests within their team's rate.
+    pub asked: u64,
+    /// Part of them that met their target.
+    pub attainment: f64,
+    /// Requests that met their target, per second and engine.
+    pub per_engine: f64,
+    /// Loads per 1,000 requests that met their target.
+    pub moves: f64,
+    /// Team with the lowest attainment.
+    pub worst_team: String,
+    /// Its attainment.
+    pub worst: f64,
+    /// Attainment of each team.
+    pub teams: BTreeMap<String, f64>,
+    /// Requests refused for their team's rate although the team was within it.
+    pub refused_within: u64,
+    /// Attainment from the order that takes a data centre out until all is settled after its
+    /// return.
+    pub change: f64,
+    /// Background requests.
+    pub background: u64,
+    /// Background requests that did not end by their deadline.
+    pub background_late: u64,
+    /// Requests that met their target over time.
+    pub samples: Vec<Sample>,
+}
+
+/// Counts of a run in progress.
+pub struct Score<'a> {
+    config: &'a Config,
+    options: &'a Options,
+    /// Each team's rate without any division between instances.
+    whole: BTreeMap<Team, Bucket>,
+    all: Count,
+    teams: BTreeMap<Team, Count>,
+    change: Count,
+    background: Count,
+    samples: BTreeMap<u64, Count>,
+    refused_within: u64,
+    loads: u64,
+}
+
+impl<'a> Score<'a> {
+    /// Creates empty counts.
+    pub fn new(config: &'a Config, options: &'a Options) -> Self {
+        let bucket = |rate: u64, burst: u64| Bucket::empty(rate as f64, burst as f64, Time(0));
+        let whole = config.teams.iter().map(|(t, s)| (t.clone(), bucket(s.rate, s.burst)));
+        Self {
+            config,
+            options,
+            whole: whole.collect(),
+            all: Count::default(),
+            teams: BTreeMap::new(),
+            change: Count::default(),
+            background: Count::default(),
+            samples: BTreeMap::new(),
+            refused_within: 0,
+            loads: 0,
+        }
+    }
+
+    /// Returns whether a request lies within its team's rate; asked once, in the order of arrival.
+    pub fn is_within(&mut self, arrival: &Arrival) -> bool {
+        let tokens = arrival.tokens() as f64;
+        let bucket = self.whole.get_mut(&arrival.team);
+        bucket.is_none_or(|bucket| bucket.charge(tokens, arrival.at) == Charge::Taken)
+    }
+
+    /// Counts a load.
+    pub fn load(&mut self, now: Time) {
+        self.loads += u64::from(self.counts(now));
+    }
+
+    /// Counts what became of a request.
+    pub fn note(&mut self, arrival: &Arrival, within: bool, outcome: Outcome) {
+        if !within || !self.counts(arrival.at) {
+            return;
+        }
+        let attained = outcome == Outcome::Attained;
+        self.refused_within += u64::from(outcome == Outcome::OverRate);
+        if self.config.classes[&arrival.class].background {
+            return add(&mut self.background, attained);
+        }
+        add(&mut self.all, attained);
+        add(self.teams.entry(arrival.team.clone()).or_default(), attained);
+        let period = arrival.at.since(Time(0)).as_secs() / SAMPLE_PERIOD.as_secs();
+        add(self.samples.entry(period).or_default(), attained);
+        if self.options.schedule.is_change(arrival.at) {
+            add(&mut self.change, attained);
+        }
+    }
+
+    fn counts(&self, at: Time) -> bool {
+        at.since(Time(0)) >= self.options.schedule.warm_up
+    }
+
+    /// Returns the figures.
+    pub fn row(self, name: &str, engines: usize) -> Row {
+        let schedule = &self.options.schedule;
+        let length = schedule.end.saturating_sub(schedule.warm_up).max(Duration::from_secs(1));
+        let attained = self.all.attained as f64;
+        let worst = self.teams.iter().min_by(|a, b| a.1.part().total_cmp(&b.1.part()));
+        let sample = |(period, count): (&u64, &Count)| Sample {
+            secs: period * SAMPLE_PERIOD.as_secs(),
+            part: count.part(),
+        };
+        Row {
+            name: name.to_owned(),
+            asked: self.all.asked,
+            attainment: self.all.part(),
+            per_engine: attained / length.as_secs_f64() / engines as f64,
+            moves: self.loads as f64 * 1_000.0 / attained.max(1.0),
+            worst_team: worst.map(|(team, _)| team.to_string()).unwrap_or_default(),
+            worst: worst.map_or(1.0, |(_, count)| count.part()),
+            teams: self.teams.iter().map(|(t, count)| (t.to_string(), count.part())).collect(),
+            refused_within: self.refused_within,
+            change: self.change.part(),
+            background: self.background.asked,
+            background_late: self.background.asked - self.background.attained,
+            samples: self.samples.iter().map(sample).collect(),
+        }
+    }
+}
+
+fn add(count: &mut Count, attained: bool) {
+    count.asked += 1;
+    count.attained += u64::from(attained);
+}
--- /dev/null
+++ b/src/measure/table.rs
@@ -0,0 +1,55 @@
+//! Figures as a table for people and as lines of JSON for programs.
+
+use std::fmt::Write;
+
+use super::Row;
+
+const HEAD: [&str; 8] = [
+    "policy",
+    "attained",
+    "per engine/s",
+    "moves/1000",
+    "worst team",
+    "refused within",
+    "change",
+    "background late",
+];
+
+/// Returns the rows as a table.
+pub fn table(rows: &[Row]) -> String {
+    let mut cells = vec![HEAD.map(str::to_owned)];
+    cells.extend(rows.iter().map(cells_of));
+    let widths: Vec<usize> = (0..HEAD.len())
+        .map(|column| cells.iter().map(|row| row[column].len()).max().unwrap_or(0))
+        .collect();
+    let mut text = String::new();
+    for row in &cells {
+        let padded = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        let line = padded.collect::<Vec<_>>().join("  ");
+        let _ = writeln!(text, "{}", line.trim_end());
+    }
+    text
+}
+
+fn cells_of(row: &Row) -> [String; 8] {
+    [
+        row.name.clone(),
+        percent(row.attainment),
+        format!("{:.3}", row.per_engine),
+        format!("{:.2}", row.moves),
+        format!("{} {}", percent(row.worst), row.worst_team),
+        row.refused_within.to_string(),
+        percent(row.change),
+        format!("{} of {}", row.background_late, row.background),
+    ]
+}
+
+fn percent(part: f64) -> String {
+    format!("{:.2}%", part * 100.0)
+}
+
+/// Returns the rows as lines of JSON.
+pub fn json_lines(rows: &[Row]) -> String {
+    let lines = rows.iter().filter_map(|row| serde_json::to_string(row).ok());
+    lines.map(|line| line + "\n").collect()
+}
