--- a/src/node.rs
+++ b/src/node.rs
@@ -6,10 +6,11 @@
 mod digests;
 mod drain;
 mod exchange;
+mod lease;
 mod list_sync;
 mod members;
 mod once;
-mod operator;
+pub mod operator;
 mod peers;
 mod planner;
 mod router;
@@ -47,6 +48,7 @@
     list: ArcSwap<InstanceList>,
     directory: RwLock<Directory>,
     members: members::Members,
+    lease: lease::InstanceLease,
     peers: peers::Peers,
     shares: shares::Shares,
     stewards: steward::Stewards,
@@ -91,6 +93,7 @@
             list: ArcSwap::default(),
             directory: RwLock::default(),
             members: members::Members::default(),
+            lease: lease::InstanceLease::default(),
             peers: peers::Peers::default(),
             shares: shares::Shares::default(),
             stewards: steward::Stewards::default(),
@@ -128,6 +131,11 @@
         &self.timeline
     }
 
+    /// Returns how many endpoints this node knows by their stewards' digests.
+    pub fn known(&self) -> usize {
+        self.directory.read().len()
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.load_full()
