--- a/src/kernel/quota.rs
+++ b/src/kernel/quota.rs
@@ -49,6 +49,12 @@
         self.level = (self.level + tokens).min(self.burst);
     }
 
+    /// Takes tokens out, down to none.
+    pub fn take_out(&mut self, tokens: f64, now: Time) {
+        self.refill(now);
+        self.level = (self.level - tokens).max(0.0);
+    }
+
     /// Changes rate and burst, and never adds tokens.
     pub fn resize(&mut self, rate: f64, burst: f64, now: Time) {
         self.refill(now);
@@ -69,3 +75,27 @@
         self.at = self.at.max(now);
     }
 }
+
+/// Time over which the demand is averaged.
+const DEMAND_WINDOW: Duration = Duration::from_millis(2_000);
+
+/// Tokens a second that were asked for, as a moving average.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Demand {
+    rate: f64,
+    at: Time,
+}
+
+impl Demand {
+    /// Counts the tokens of a request.
+    pub fn add(&mut self, tokens: f64, now: Time) {
+        self.rate = self.rate(now) + tokens / DEMAND_WINDOW.as_secs_f64();
+        self.at = self.at.max(now);
+    }
+
+    /// Returns the average.
+    pub fn rate(&self, now: Time) -> f64 {
+        let passed = now.since(self.at).as_secs_f64();
+        self.rate * (-passed / DEMAND_WINDOW.as_secs_f64()).exp()
+    }
+}
--- a/src/kernel/shares.rs
+++ b/src/kernel/shares.rs
@@ -1,1 +1,17 @@
 //! Escrow of every team's rate and burst over the instances, and loans between them.
+//!
+//! Each instance owns a part of the whole, recorded in one table that only changes by
+//! compare-and-swap. The parts never add up to more than the whole, so the instances admit within
+//! every team's rate and burst without asking anybody while a request waits. Loans move parts
+//! between two instances for a short period where the demand is uneven.
+
+mod custody;
+mod lending;
+
+pub use self::{
+    custody::{
+        CONFIRM_BOUND, Census, Custody, HOLD_OFF, LIST_LAG, Owner, ShareRow, ShareTable, Step,
+        TABLE_KEY,
+    },
+    lending::{DRIFT, Decision, LOAN_PERIOD, Limits, TeamShare, WHOLE},
+};
--- a/tests/kernel/lending.rs
+++ b/tests/kernel/lending.rs
@@ -1,1 +1,601 @@
-//! Shares of rates and loans.
+//! Shares and loans: over every window the admitted tokens stay within rate and burst.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use cardamomshore::{
+    clock::Time,
+    kernel::{
+        quota::{Bucket, Charge},
+        shares::{
+            CONFIRM_BOUND, Census, Custody, Decision, LOAN_PERIOD, Limits, Owner, ShareTable, Step,
+            TeamShare, WHOLE,
+        },
+    },
+    names::InstanceId,
+    wire::{LoanAsk, LoanGrant},
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+use crate::matrix::{Protocol, run_all};
+
+const LIMITS: Limits = Limits { rate: 9_000.0, burst: 18_000.0 };
+const HALVED: Limits = Limits { rate: 4_500.0, burst: 9_000.0 };
+const STEP: Duration = Duration::from_millis(50);
+const COARSE_STEP: Duration = Duration::from_millis(500);
+const BORROW_PERIOD: Duration = Duration::from_millis(250);
+const TEND_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Clock deviation of each node in millionths, with a random start.
+const CLOCKS: [(i64, u64); 3] = [(200, 70_000_000), (-200, 11_000_000), (0, 999_000_000)];
+
+/// One instance; it decides on its own clock.
+struct Node {
+    owner: Owner,
+    clock: (i64, u64),
+    custody: Custody,
+    share: TeamShare,
+    limits: Limits,
+    paused: bool,
+    dead: bool,
+    cut: bool,
+}
+
+/// A message that is under way.
+#[derive(Clone)]
+enum Message {
+    Ask { from: usize, to: usize, ask: LoanAsk },
+    Grant { from: usize, to: usize, incarnation: u64, grant: LoanGrant },
+}
+
+/// Three instances, the platform's table and what was admitted.
+struct World {
+    now: Time,
+    step: Duration,
+    nodes: Vec<Node>,
+    table: (ShareTable, i64),
+    listed: Vec<bool>,
+    down: bool,
+    mail: Vec<(Time, Message)>,
+    lose: bool,
+    double: bool,
+    late: bool,
+    bound: Bucket,
+    admitted: f64,
+    asked: f64,
+    broken: Option<String>,
+}
+
+fn owner(index: usize, incarnation: u64) -> Owner {
+    Owner {
+        instance: InstanceId::from(format!("i-{index}")),
+        incarnation,
+        address: format!("10.0.0.{index}:7000").parse().expect("an address"),
+    }
+}
+
+impl Node {
+    fn new(index: usize, incarnation: u64, now: Time) -> Self {
+        let clock = CLOCKS[index % CLOCKS.len()];
+        let local = local(clock, now);
+        let owner = owner(index, incarnation);
+        Self {
+            custody: Custody::new(owner.clone(), local),
+            owner,
+            clock,
+            share: TeamShare::empty(local),
+            limits: LIMITS,
+            paused: false,
+            dead: false,
+            cut: false,
+        }
+    }
+
+    fn acts(&self) -> bool {
+        !self.paused && !self.dead
+    }
+}
+
+fn local((ppm, start): (i64, u64), now: Time) -> Time {
+    Time((now.0 as i64 + now.0 as i64 * ppm / 1_000_000) as u64 + start)
+}
+
+impl World {
+    fn new(count: usize) -> Self {
+        let now = Time::from_millis(1_000);
+        let mut bound = Bucket::empty(LIMITS.rate, LIMITS.burst, now);
+        bound.give_back(LIMITS.burst, now);
+        Self {
+            now,
+            step: STEP,
+            nodes: (0..count).map(|index| Node::new(index, index as u64 + 1, now)).collect(),
+            table: (ShareTable::default(), 1),
+            listed: vec![true; count],
+            down: false,
+            mail: Vec::new(),
+            lose: false,
+            double: false,
+            late: false,
+            bound,
+            admitted: 0.0,
+            asked: 0.0,
+            broken: None,
+        }
+    }
+
+    fn local(&self, index: usize) -> Time {
+        local(self.nodes[index].clock, self.now)
+    }
+
+    fn census(&self, index: usize) -> Census {
+        let ids = (0..self.nodes.len()).filter(|i| self.listed[*i]);
+        let listed: std::collections::BTreeSet<_> =
+            ids.map(|i| self.nodes[i].owner.instance.clone()).collect();
+        let majority = !self.nodes[index].cut;
+        Census { live: listed.clone(), listed, majority }
+    }
+
+    /// One instance reads the table, writes its next step and follows its part.
+    fn tend(&mut self, index: usize) {
+        if !self.nodes[index].acts() {
+            return;
+        }
+        let now = self.local(index);
+        let reachable = !self.down && !self.nodes[index].cut;
+        if reachable {
+            let (table, revision) = self.table.clone();
+            self.nodes[index].custody.read(table, revision, now, now);
+            let lent = self.nodes[index].share.lent();
+            let census = self.census(index);
+            let step = self.nodes[index].custody.next(&census, lent, now);
+            if step != Step::Keep {
+                self.write(index, &step, now);
+            }
+        }
+        self.follow(index);
+    }
+
+    fn write(&mut self, index: usize, step: &Step, now: Time) {
+        self.nodes[index].custody.begin(step);
+        self.follow(index);
+        let next = self.table.0.after(&self.nodes[index].owner, step);
+        self.table = (next.clone(), self.table.1 + 1);
+        self.nodes[index].custody.read(next, self.table.1, now, now);
+    }
+
+    fn follow(&mut self, index: usize) {
+        let now = self.local(index);
+        // Nobody can write while the service is down; an instance that is cut off cannot know it.
+        let down = self.down && !self.nodes[index].cut;
+        let node = &mut self.nodes[index];
+        let parts = node.custody.parts(down, now);
+        node.share.set(node.limits, parts, now);
+    }
+
+    fn request(&mut self, index: usize, tokens: f64) -> bool {
+        if !self.nodes[index].acts() {
+            return false;
+        }
+        self.follow(index);
+        let now = self.local(index);
+        self.asked += tokens;
+        let share = &mut self.nodes[index].share;
+        share.expect(tokens, now);
+        if share.charge(tokens, now) != Decision::Taken {
+            return false;
+        }
+        self.admitted += tokens;
+        if self.bound.charge(tokens - 1e-3, self.now) != Charge::Taken {
+            let level = self.bound.level(self.now);
+            self.broken = Some(format!("instance {index} admitted {tokens} with {level} left"));
+        }
+        true
+    }
+
+    /// One instance asks all others for what it wants.
+    fn borrow(&mut self, index: usize) {
+        if !self.nodes[index].acts() {
+            return;
+        }
+        let now = self.local(index);
+        let Some(wanted) = self.nodes[index].share.wanted(now) else { return };
+        let others: Vec<usize> = (0..self.nodes.len()).filter(|other| *other != index).collect();
+        for to in &others {
+            let lender = self.nodes[*to].owner.instance.clone();
+            let parts = wanted.div_ceil(others.len() as u32);
+            let ask = self.nodes[index].share.ask(&lender, parts, now);
+            let incarnation = self.nodes[index].owner.incarnation;
+            let ask = LoanAsk { incarnation, ..ask };
+            self.post(Message::Ask { from: index, to: *to, ask });
+        }
+    }
+
+    fn post(&mut self, message: Message) {
+        if self.lose {
+            return;
+        }
+        let delay = if self.late { LOAN_PERIOD.mul_f64(0.9) } else { Duration::from_millis(2) };
+        self.mail.push((self.now + delay, message.clone()));
+        if self.double {
+            self.mail.push((self.now + delay + STEP, message));
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.mail.extract_if(.., |(at, _)| *at <= now).collect();
+        for (_, message) in due {
+            match message {
+                Message::Ask { from, to, ask } => self.answer(from, to, &ask),
+                Message::Grant { from, to, incarnation, grant } => {
+                    self.receive(from, to, incarnation, &grant);
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, from: usize, to: usize, ask: &LoanAsk) {
+        if self.nodes[to].dead || self.nodes[from].cut || self.nodes[to].cut {
+            return;
+        }
+        if self.nodes[to].paused {
+            // What waits in the socket of a paused process is read when it runs again.
+            let message = Message::Ask { from, to, ask: ask.clone() };
+            return self.mail.push((self.now + STEP, message));
+        }
+        self.follow(to);
+        let now = self.local(to);
+        let borrower = self.nodes[from].owner.instance.clone();
+        let grant = self.nodes[to].share.lend(&borrower, ask, now);
+        let incarnation = ask.incarnation;
+        self.post(Message::Grant { from: to, to: from, incarnation, grant });
+    }
+
+    fn receive(&mut self, from: usize, to: usize, incarnation: u64, grant: &LoanGrant) {
+        let node = &self.nodes[to];
+        if node.dead || node.cut || node.owner.incarnation != incarnation {
+            return;
+        }
+        if node.paused {
+            let grant = grant.clone();
+            let message = Message::Grant { from, to, incarnation, grant };
+            return self.mail.push((self.now + STEP, message));
+        }
+        let now = self.local(to);
+        let lender = self.nodes[from].owner.instance.clone();
+        self.nodes[to].share.take(&lender, grant, now);
+    }
+
+    /// Runs for a time; `load` gives each instance's tokens a second in requests of `size`.
+    fn run(&mut self, length: Duration, load: &[f64], size: f64) {
+        let end = self.now + length;
+        let mut due = vec![0.0; self.nodes.len()];
+        let (mut borrowing, mut tending) = (self.now, self.now);
+        while self.now < end {
+            self.now = self.now + self.step;
+            self.deliver();
+            let borrow = self.now.since(borrowing) >= BORROW_PERIOD;
+            let tend = self.now.since(tending) >= TEND_PERIOD;
+            borrowing = if borrow { self.now } else { borrowing };
+            tending = if tend { self.now } else { tending };
+            for index in 0..self.nodes.len() {
+                due[index] += load.get(index).copied().unwrap_or(0.0) * self.step.as_secs_f64();
+                while due[index] >= size {
+                    due[index] -= size;
+                    self.request(index, size);
+                }
+                if borrow {
+                    self.borrow(index);
+                }
+                if tend {
+                    self.tend(index);
+                }
+            }
+        }
+    }
+
+    fn replace(&mut self, index: usize) {
+        let now = self.now;
+        let incarnation = self.nodes[index].owner.incarnation + 100;
+        self.nodes[index] = Node::new(index, incarnation, now);
+    }
+
+    fn check(&self) -> Result<(), String> {
+        match &self.broken {
+            None => Ok(()),
+            Some(reason) => Err(reason.clone()),
+        }
+    }
+}
+
+struct Lending {
+    world: World,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Lost,
+    Twice,
+    Late,
+    BorrowerPaused,
+    LenderKilled,
+    BorrowerReplaced,
+    LenderLeaves,
+    LenderCut,
+    PlatformDown,
+    RateHalved,
+}
+
+impl Protocol for Lending {
+    type Fault = Fault;
+
+    const NAME: &'static str = "lending";
+    const STEPS: &'static [&'static str] =
+        &["taken", "asked", "granted", "used", "expired", "newcomer"];
+    const FAULTS: &'static [Fault] = &[
+        Fault::Lost,
+        Fault::Twice,
+        Fault::Late,
+        Fault::BorrowerPaused,
+        Fault::LenderKilled,
+        Fault::BorrowerReplaced,
+        Fault::LenderLeaves,
+        Fault::LenderCut,
+        Fault::PlatformDown,
+        Fault::RateHalved,
+    ];
+
+    fn start() -> Self {
+        Self { world: World::new(3) }
+    }
+
+    fn begin(&mut self, step: usize) {
+        let world = &mut self.world;
+        match step {
+            0 => (0..3).for_each(|index| world.tend(index)),
+            1 => {
+                world.run(Duration::from_millis(200), &[12_000.0, 500.0], 600.0);
+                world.borrow(0);
+            }
+            2 => {
+                world.now = world.now + Duration::from_millis(5);
+                world.deliver();
+            }
+            3 => world.run(Duration::from_millis(600), &[20_000.0, 500.0, 500.0], 1_000.0),
+            4 => world.run(Duration::from_millis(1_500), &[0.0, 8_000.0, 8_000.0], 800.0),
+            _ => {
+                world.nodes.push(Node::new(3, 400, world.now));
+                world.listed.push(true);
+            }
+        }
+    }
+
+    fn end(&mut self, step: usize) {
+        let world = &mut self.world;
+        match step {
+            5 => world.run(Duration::from_millis(2_000), &[9_000.0, 0.0, 0.0, 9_000.0], 900.0),
+            _ => world.run(Duration::from_millis(400), &[12_000.0, 2_000.0, 4_000.0], 600.0),
+        }
+    }
+
+    fn inject(&mut self, fault: Fault) {
+        let world = &mut self.world;
+        match fault {
+            Fault::Lost => world.lose = true,
+            Fault::Twice => world.double = true,
+            Fault::Late => world.late = true,
+            Fault::BorrowerPaused => world.nodes[0].paused = true,
+            Fault::LenderKilled => world.nodes[1].dead = true,
+            Fault::BorrowerReplaced => world.replace(0),
+            Fault::LenderLeaves => {
+                world.listed[1] = false;
+                world.nodes[1].cut = true;
+            }
+            Fault::LenderCut => world.nodes[1].cut = true,
+            Fault::PlatformDown => world.down = true,
+            Fault::RateHalved => world.nodes[2].limits = HALVED,
+        }
+    }
+
+    fn check(&self) -> Result<(), String> {
+        self.world.check()
+    }
+
+    fn settle(&mut self) {
+        let world = &mut self.world;
+        let load = [12_000.0, 12_000.0, 12_000.0, 12_000.0];
+        world.step = COARSE_STEP;
+        world.run(Duration::from_millis(17_000), &load, 3_000.0);
+        (world.lose, world.double, world.late, world.down) = (false, false, false, false);
+        world.nodes[0].paused = false;
+        world.run(Duration::from_millis(3_000), &load, 3_000.0);
+        world.nodes[1].dead = true;
+        world.replace(1);
+        world.listed[1] = true;
+        world.nodes.iter_mut().for_each(|node| node.limits = LIMITS);
+        world.run(Duration::from_millis(17_000), &load, 3_000.0);
+    }
+
+    fn check_settled(&self) -> Result<(), String> {
+        let rows = &self.world.table.0.rows;
+        let least = rows.values().map(|row| row.parts).min().unwrap_or(0);
+        if rows.len() == 4 && least >= WHOLE / 8 {
+            return Ok(());
+        }
+        Err(format!("parts are {:?}", rows.values().map(|row| row.parts).collect::<Vec<_>>()))
+    }
+}
+
+#[test]
+fn matrix_lending() {
+    run_all::<Lending>();
+}
+
+#[derive(Clone, Debug)]
+enum Action {
+    Run(u64, [u32; 3], u32),
+    Fault(usize, bool),
+    Limits(usize, bool),
+}
+
+fn action() -> impl Strategy<Value = Action> {
+    let load = prop::array::uniform3(0_u32..30_000);
+    prop_oneof![
+        4 => (50_u64..3_000, load, 10_u32..2_000).prop_map(|(ms, l, s)| Action::Run(ms, l, s)),
+        2 => (0_usize..12, any::<bool>()).prop_map(|(fault, on)| Action::Fault(fault, on)),
+        1 => (0_usize..3, any::<bool>()).prop_map(|(node, half)| Action::Limits(node, half)),
+    ]
+}
+
+fn perform(world: &mut World, action: &Action) {
+    match action {
+        Action::Run(ms, load, size) => {
+            let load = load.map(f64::from);
+            world.run(Duration::from_millis(*ms), &load, f64::from(*size));
+        }
+        Action::Fault(fault, on) => {
+            let node = fault % 3;
+            match fault {
+                0 => world.lose = *on,
+                1 => world.double = *on,
+                2 => world.late = *on,
+                3..=5 => world.nodes[node].paused = *on,
+                6..=8 => world.nodes[node].cut = *on,
+                9 => world.down = *on,
+                10 => world.replace(0),
+                _ => world.listed[2] = *on,
+            }
+        }
+        Action::Limits(node, half) => {
+            world.nodes[*node].limits = if *half { HALVED } else { LIMITS };
+        }
+    }
+}
+
+#[test]
+fn lending_every_window_within_rate_and_burst() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Config { cases: 300, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let strategy = prop::collection::vec(action(), 1..40);
+    let result = runner.run(&strategy, |actions| {
+        let mut world = World::new(3);
+        for action in &actions {
+            perform(&mut world, action);
+            prop_assert!(world.check().is_ok(), "{:?}", world.broken);
+        }
+        Ok(())
+    });
+    result.unwrap_or_else(|err| panic!("{err}"));
+}
+
+fn warm_world(count: usize) -> World {
+    let mut world = World::new(count);
+    world.run(Duration::from_millis(8_000), &[], 100.0);
+    world
+}
+
+#[test]
+fn lending_skew_serves_nearly_the_whole_rate() {
+    let mut world = warm_world(9);
+    world.run(Duration::from_millis(3_000), &[0.95 * LIMITS.rate], 100.0);
+    (world.admitted, world.asked) = (0.0, 0.0);
+    world.run(Duration::from_millis(20_000), &[0.95 * LIMITS.rate], 100.0);
+    let served = world.admitted / world.asked;
+    println!("served at one of nine instances within the rate: {:.4}", served);
+    assert!(served > 0.97, "served {served}");
+    world.check().expect("within the bound");
+}
+
+#[test]
+fn lending_moving_skew_recovers_within_seconds() {
+    let mut world = warm_world(9);
+    let mut served = Vec::new();
+    for hot in 0..9 {
+        let mut load = [0.0; 9];
+        load[hot] = 0.8 * LIMITS.rate;
+        world.run(Duration::from_millis(3_000), &load, 100.0);
+        (world.admitted, world.asked) = (0.0, 0.0);
+        world.run(Duration::from_millis(5_000), &load, 100.0);
+        served.push(world.admitted / world.asked);
+    }
+    let least = served.iter().copied().fold(1.0, f64::min);
+    println!("served after the skew moved, least of nine: {least:.4}");
+    assert!(least > 0.97, "served {served:?}");
+    world.check().expect("within the bound");
+}
+
+#[test]
+fn lending_outage_changes_nothing() {
+    let mut world = warm_world(3);
+    world.down = true;
+    world.run(Duration::from_millis(60_000), &[2_900.0, 2_900.0, 2_900.0], 100.0);
+    assert!(world.admitted / world.asked > 0.99, "{} of {}", world.admitted, world.asked);
+    world.check().expect("within the bound");
+}
+
+#[test]
+fn lending_large_request_gathers_the_burst() {
+    let mut world = warm_world(9);
+    world.request(0, 0.7 * LIMITS.burst);
+    world.borrow(0);
+    world.run(Duration::from_millis(100), &[], 100.0);
+    assert!(world.request(0, 0.7 * LIMITS.burst));
+    assert!(!world.request(0, 0.7 * LIMITS.burst));
+    world.check().expect("within the bound");
+}
+
+#[test]
+fn lending_repeated_ask_moves_nothing_twice() {
+    let now = Time::from_millis(5_000);
+    let mut lender = TeamShare::empty(now);
+    lender.set(LIMITS, WHOLE / 2, now);
+    let later = now + Duration::from_millis(2_000);
+    let ask = LoanAsk { parts: 1_000, number: 4, incarnation: 9, ..LoanAsk::default() };
+    let first = lender.lend(&"b".into(), &ask, later);
+    let level = lender.level(later);
+    assert_eq!((first.parts, first.tokens > 0), (1_000, true));
+    assert_eq!(lender.lend(&"b".into(), &ask, later).parts, 0);
+    let older = LoanAsk { number: 3, ..ask };
+    assert_eq!(lender.lend(&"b".into(), &older, later).parts, 0);
+    assert_eq!(lender.level(later), level);
+}
+
+#[test]
+fn lending_late_grant_is_of_no_use() {
+    let now = Time::from_millis(5_000);
+    let mut borrower = TeamShare::empty(now);
+    borrower.set(LIMITS, 0, now);
+    let ask = borrower.ask(&"l".into(), 1_000, now);
+    let grant = LoanGrant { parts: 1_000, tokens: 10, period_ms: 1_000, number: ask.number };
+    assert!(!borrower.take(&"l".into(), &grant, now + LOAN_PERIOD));
+    assert_eq!(borrower.held(now + LOAN_PERIOD), 0);
+}
+
+#[test]
+fn lending_resumed_holder_waits_for_the_table() {
+    let mut world = warm_world(3);
+    let table = world.table.0.clone();
+    assert_eq!(table.free(), WHOLE % 3, "{table:?}");
+    let late = world.local(0) + CONFIRM_BOUND + Duration::from_millis(1_200);
+    let custody = &mut world.nodes[0].custody;
+    assert_eq!(custody.parts(false, late), 0);
+    assert_eq!(custody.parts(true, late), WHOLE / 3);
+    custody.confirm(custody.revision() + 1, late);
+    assert_eq!(custody.parts(true, late), 0);
+}
+
+#[test]
+fn lending_rows_follow_instances() {
+    let mut world = warm_world(3);
+    world.listed[2] = false;
+    world.nodes[2].cut = true;
+    world.run(Duration::from_millis(20_000), &[], 100.0);
+    let parts = |world: &World| -> BTreeMap<String, u32> {
+        world.table.0.rows.iter().map(|(id, row)| (id.to_string(), row.parts)).collect()
+    };
+    let half = WHOLE / 2;
+    assert_eq!(parts(&world), BTreeMap::from([("i-0".into(), half), ("i-1".into(), half)]));
+}
