--- a/src/node/steward.rs
+++ b/src/node/steward.rs
@@ -1,19 +1,33 @@
 //! The endpoints that this node stewards: queues, dispatch, orders and reports.
 
+mod crash;
 mod digest;
 mod duty;
+mod flow;
 mod orders;
+mod registry;
 mod reports;
 mod run;
+mod write;
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
-use self::run::run_work;
 pub use self::{
-    duty::{hand_over, run},
+    duty::{hand_over, run, verify},
     orders::carry_out,
 };
-use super::{Node, exchange::Responder};
+use self::{
+    flow::{Flow, Next, next},
+    run::run_work,
+};
+use super::{Node, drain::Running, exchange::Responder};
 use crate::{
     clock::Time,
     codes::{Code, Refusal},
@@ -21,8 +35,7 @@
     endpoint::{EndpointClient, Report},
     kernel::{
         dispatch::{Queue, Ticket},
-        ledger::EndpointRecord,
-        registry,
+        ledger::{EndpointRecord, Ledger},
         warmup::Warmth,
     },
     names::{EndpointId, Model},
@@ -35,6 +48,15 @@
 #[derive(Default)]
 pub struct Stewards {
     endpoints: Shards<EndpointId, Stewarded>,
+    registry: registry::Registry,
+    leaving: AtomicBool,
+}
+
+impl Stewards {
+    /// Returns whether this node gives its endpoints away and takes none.
+    fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
 }
 
 /// One endpoint.
@@ -48,27 +70,44 @@
     running: u32,
     warmth: Warmth,
     report: Option<Report>,
+    flow: Flow,
+    ledger: Ledger,
+    /// Whether new work is taken.
+    accepting: bool,
+    /// Models of the requests that run, by request id.
+    active: HashMap<String, Model>,
 }
 
 /// A request that waits for its endpoint.
 pub struct Waiting {
     work: Work,
     responder: Responder,
+    /// Keeps a shutdown waiting.
+    running: Running,
 }
 
 impl Stewarded {
-    /// Returns the models that may be dispatched to.
-    fn models(&self) -> BTreeSet<Model> {
-        let residents = self.report.iter().flat_map(|report| &report.residents);
-        residents.filter(|r| r.adapter.is_none()).map(|r| r.model.clone()).collect()
+    /// Returns whether a request may be sent to the endpoint.
+    fn admits(&self, work: &Work) -> bool {
+        let resident = || self.ledger.dispatchable().any(|model| model.as_str() == work.model);
+        self.serves() && (work.model.is_empty() || resident())
     }
 }
 
+/// Refuses what waits, so that the entry instances ask another steward at once.
+fn refuse_queue(stewarded: &mut Stewarded) {
+    flow::refuse_waiting(stewarded, Code::NotSteward);
+}
+
 /// Queues a request at its endpoint.
 pub fn submit(node: &Arc<Node>, work: Work, responder: Responder) {
+    let Some(running) = node.drain.enter_steward() else {
+        return refuse(responder, Refusal::not_run(Code::Draining).retry_after(RETRY_MS));
+    };
+    node.note_crashes(work.fingerprint, &work.crashes);
     let endpoint = EndpointId::from(work.endpoint.as_str());
     let ticket = ticket(node, &work);
-    let mut item = Some(Waiting { work, responder });
+    let mut item = Some(Waiting { work, responder, running });
     let queued = node.stewards.endpoints.with(&endpoint, |stewarded| {
         if let Some(waiting) = item.take()
             && let Err(back) = stewarded.queue.push(ticket, waiting)
@@ -95,6 +134,7 @@
     let deadline = now + Duration::from_millis(work.left_ms);
     let config = node.config();
     let target = config.as_ref().and_then(|c| c.classes.get(work.class.as_str()));
+    let team = config.as_ref().and_then(|c| c.teams.get(work.team.as_str()));
     Ticket {
         team: work.team.as_str().into(),
         class: work.class.as_str().into(),
@@ -103,15 +143,11 @@
         deadline,
         background: target.is_some_and(|target| target.background),
         tokens: work.tokens,
+        part: target.map_or(0.0, |target| target.part),
+        rate: team.map_or(0, |team| team.rate),
     }
 }
 
-/// What to do next at an endpoint.
-enum Next {
-    Run(Ticket, Waiting, Arc<EndpointClient>),
-    Nothing,
-}
-
 /// Starts as many waiting requests as the endpoint bears.
 fn pump(node: &Arc<Node>, endpoint: &EndpointId) {
     loop {
@@ -120,26 +156,21 @@
             Some(Next::Run(ticket, waiting, client)) => {
                 tokio::spawn(run_work(node.clone(), endpoint.clone(), ticket, waiting, client));
             }
+            Some(Next::Again) => {}
             Some(Next::Nothing) | None => return,
         }
     }
 }
 
-fn next(node: &Node, stewarded: &mut Stewarded) -> Next {
-    let now = Time::now();
-    for late in stewarded.queue.expired(now) {
-        refuse(late.responder, Refusal::not_run(Code::DeadlinePassed));
-    }
-    if stewarded.running >= stewarded.warmth.limit() {
-        return Next::Nothing;
-    }
-    let name = node.config().map(|config| config.policy.dispatch.clone()).unwrap_or_default();
-    let policy = registry::dispatch(&name).unwrap_or(&crate::kernel::dispatch::Fifo);
-    match stewarded.queue.pop(policy, now) {
-        Some((ticket, waiting)) => {
-            stewarded.running += 1;
-            Next::Run(ticket, waiting, stewarded.client.clone())
+/// Time between two looks at queues that nothing else moves.
+const PUMP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Looks at every queue again and again, since limits, the list and deadlines change by themselves.
+pub async fn keep_pumping(node: Arc<Node>) {
+    loop {
+        for id in node.stewards.endpoints.keys() {
+            pump(&node, &id);
         }
-        None => Next::Nothing,
+        tokio::time::sleep(PUMP_PERIOD).await;
     }
 }
