--- a/tests/product/cli.rs
+++ b/tests/product/cli.rs
@@ -36,6 +36,7 @@
               data-centre  Take a data centre out of service or return it
               status       Show all instances
               timeline     Show the recent events of all instances
+              measure      Measure the policies under seeded demand
               standin      Run a stand-in of the platform, an engine or a service
 
             Options:
