--- a/tests/process/membership.rs
+++ b/tests/process/membership.rs
@@ -1,1 +1,130 @@
-//! Instances that are cut off, paused or replaced.
+//! Instances that are killed, paused or replaced, and the platform's service down.
+
+use std::time::Duration;
+
+use cardamomshore::kernel::stewardship::LEASE_TTL;
+use rustix::process::Signal;
+use serde_json::json;
+
+use crate::util::{
+    block_on, eventually,
+    fleet::{Fleet, KITES_KEY, Plan, engine_settings},
+    http::chat,
+};
+
+/// Longest time for a lease to lapse and another instance to take over, on a busy machine.
+const TAKE_OVER: Duration = Duration::from_secs(60);
+
+/// Longest time for a handover on a busy machine.
+const HAND_OVER: Duration = Duration::from_secs(20);
+
+fn plan(instances: usize) -> Plan {
+    Plan {
+        instances: vec!["dc-a"; instances],
+        engines: vec![("dc-a", engine_settings())],
+        services: vec![],
+        ..Plan::default()
+    }
+}
+
+async fn assert_serves(fleet: &Fleet, index: usize) {
+    let answer = chat(fleet.caller(index), KITES_KEY, "glue", 4, true).await.expect("an answer");
+    assert_eq!(answer.status, 200, "instance {index}: {}", answer.text());
+}
+
+async fn prints(fleet: &Fleet, index: usize, event: &str) {
+    eventually(event, TAKE_OVER, || async { fleet.instances[index].output().contains(event) })
+        .await;
+}
+
+#[test]
+fn membership_paused_steward_is_replaced_and_stays_out() {
+    block_on(async {
+        let fleet = Fleet::start("membership-paused", plan(3)).await;
+        let former = fleet.steward("engine-0").await.expect("a steward");
+        let before = fleet.record("engine-0").await;
+        fleet.instances[former].signal(Signal::STOP);
+        let next = fleet.next_steward("engine-0", former, TAKE_OVER).await;
+        let after = fleet.record("engine-0").await;
+        assert!(after.fence > before.fence, "{after:?}");
+        fleet.instances[former].signal(Signal::CONT);
+        prints(&fleet, former, "E2302").await;
+        // The work that it takes from callers now goes through the next steward.
+        eventually("the resumed instance serves", TAKE_OVER, || async {
+            let answer = chat(fleet.caller(former), KITES_KEY, "glue", 4, true).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+        assert_serves(&fleet, next).await;
+        let output = fleet.instances[former].output();
+        let resumed = output.rfind("E2302").expect("the loss");
+        assert!(!output[resumed..].contains("E2103"), "dispatched after the loss");
+    });
+}
+
+#[test]
+fn membership_service_down_for_longer_than_every_lease() {
+    block_on(async {
+        let fleet = Fleet::start("membership-down", plan(3)).await;
+        let before = fleet.record("engine-0").await;
+        fleet.set_faults(fleet.platform, json!({ "down": true })).await;
+        let start = std::time::Instant::now();
+        let mut served = 0;
+        while start.elapsed() < LEASE_TTL * 2 {
+            for index in 0..3 {
+                assert_serves(&fleet, index).await;
+                served += 1;
+            }
+        }
+        fleet.set_faults(fleet.platform, json!({})).await;
+        let start = std::time::Instant::now();
+        while start.elapsed() < LEASE_TTL {
+            for index in 0..3 {
+                assert_serves(&fleet, index).await;
+                served += 1;
+            }
+        }
+        let after = fleet.record("engine-0").await;
+        assert_eq!((after.fence, after.holder), (before.fence, before.holder));
+        println!("served {served} requests while the service was down and came back");
+    });
+}
+
+#[test]
+fn membership_leaving_steward_hands_over_before_it_ends() {
+    block_on(async {
+        let mut fleet = Fleet::start("membership-leaving", plan(3)).await;
+        let former = fleet.steward("engine-0").await.expect("a steward");
+        fleet.instances[former].signal(Signal::TERM);
+        let next = fleet.next_steward("engine-0", former, HAND_OVER).await;
+        assert_serves(&fleet, next).await;
+        eventually("the instance ends", HAND_OVER, || {
+            let ended = fleet.instances[former].has_ended();
+            async move { ended }
+        })
+        .await;
+        assert!(fleet.instances[former].output().contains("E2303"));
+    });
+}
+
+#[test]
+fn membership_platform_calls_idle_and_in_recovery() {
+    block_on(async {
+        let mut fleet = Fleet::start("membership-calls", plan(4)).await;
+        let former = fleet.steward("engine-0").await.expect("a steward");
+        let counts = |label: &'static str, before: serde_json::Value, after: &serde_json::Value| {
+            for (kind, count) in after.as_object().expect("counts") {
+                let difference = count.as_u64().unwrap_or(0) - before[kind].as_u64().unwrap_or(0);
+                println!("{label}: {kind} {difference}");
+            }
+        };
+        let start = fleet.read(fleet.platform, "/standin/counts").await;
+        tokio::time::sleep(LEASE_TTL).await;
+        let idle = fleet.read(fleet.platform, "/standin/counts").await;
+        counts("idle for one lease, 4 instances", start, &idle);
+        fleet.instances[former].kill();
+        fleet.next_steward("engine-0", former, TAKE_OVER).await;
+        let after = fleet.read(fleet.platform, "/standin/counts").await;
+        counts("until one of 4 instances is replaced", idle, &after);
+    });
+}
--- a/tests/process/memory.rs
+++ b/tests/process/memory.rs
@@ -1,1 +1,111 @@
-//! Memory of endpoints through a change of steward.
+//! The memory of engines through the death of their steward.
+
+use std::time::Duration;
+
+use cardamomshore::standin::engine::EngineSettings;
+use serde_json::json;
+
+use crate::util::{
+    block_on, eventually,
+    fleet::{CONFIG, Fleet, KITES_KEY, Plan},
+    http::chat,
+};
+
+/// Longest time for a lease to lapse and another instance to take over, on a busy machine.
+const TAKE_OVER: Duration = Duration::from_secs(60);
+
+/// Longest time for an order to end on a busy machine.
+const ORDER: Duration = Duration::from_secs(90);
+
+/// Returns a fleet with one engine of 1,000 MB that ignores fencing and holds 500 MB of `glue`.
+fn plan() -> Plan {
+    let engine = EngineSettings {
+        memory_mb: 1_000,
+        preload: vec![("glue".to_owned(), 500)],
+        fencing: false,
+        ..EngineSettings::default()
+    };
+    let config = CONFIG
+        .replace("fencing: true, memory_mb: 1000,", "memory_mb: 1000, order_ms: 30000,")
+        .replace("glue: { pool: assistant, mb: 100 }", "glue: { pool: assistant, mb: 500 }")
+        .replace(
+            "spar: { pool: assistant, mb: 100 }",
+            "spar: { pool: assistant, mb: 400 }\n  twine: { pool: assistant, mb: 300 }",
+        );
+    Plan {
+        instances: vec!["dc-a", "dc-a", "dc-a"],
+        engines: vec![("dc-a", engine)],
+        services: vec![],
+        config,
+    }
+}
+
+async fn has(fleet: &Fleet, model: &str) -> bool {
+    let report = fleet.read(fleet.endpoint("engine-0"), "/report").await;
+    report["residents"].to_string().contains(&format!("\"{model}\""))
+}
+
+async fn overcommits(fleet: &Fleet) -> u64 {
+    let counts = fleet.read(fleet.endpoint("engine-0"), "/standin/counts").await;
+    counts["overcommits"].as_u64().expect("a count")
+}
+
+#[test]
+fn memory_load_and_refusals_of_a_steward() {
+    block_on(async {
+        let fleet = Fleet::start("memory-load", plan()).await;
+        let steward = fleet.steward("engine-0").await.expect("a steward");
+        eventually("the load is accepted", ORDER, || async {
+            fleet.ask_move(steward, "engine-0", "spar", false).await.accepted
+        })
+        .await;
+        let twice = fleet.ask_move(steward, "engine-0", "spar", false).await;
+        assert!(!twice.accepted, "{twice:?}");
+        let large = fleet.ask_move(steward, "engine-0", "twine", false).await;
+        assert!(!large.accepted && large.reason.contains("free memory"), "{large:?}");
+        let answer = chat(fleet.caller(0), KITES_KEY, "spar", 5, true).await.expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        let kept = fleet.ask_move(steward, "engine-0", "spar", true).await;
+        assert!(!kept.accepted && kept.reason.contains("keeps"), "{kept:?}");
+        assert!(has(&fleet, "spar").await);
+        assert_eq!(overcommits(&fleet).await, 0);
+    });
+}
+
+#[test]
+fn memory_steward_killed_before_its_load_lands() {
+    block_on(async {
+        let mut fleet = Fleet::start("memory-killed", plan()).await;
+        let steward = fleet.steward("engine-0").await.expect("a steward");
+        // The load lands after the next steward took over.
+        let faults = json!({ "late_orders_ms": 20_000 });
+        fleet.set_faults(fleet.endpoint("engine-0"), faults).await;
+        eventually("the load is accepted", ORDER, || async {
+            fleet.ask_move(steward, "engine-0", "spar", false).await.accepted
+        })
+        .await;
+        eventually("the load is sent", ORDER, || async {
+            fleet.instances[steward].output().contains("E2402")
+        })
+        .await;
+        fleet.instances[steward].kill();
+        let next = fleet.next_steward("engine-0", steward, TAKE_OVER).await;
+        fleet.set_faults(fleet.endpoint("engine-0"), json!({})).await;
+        // What the first steward sent may still land, so nothing else fits.
+        eventually("the load lands", ORDER, || async {
+            let moved = fleet.ask_move(next, "engine-0", "twine", false).await;
+            assert!(!moved.accepted, "accepted beside an open load");
+            has(&fleet, "spar").await
+        })
+        .await;
+        let open = fleet.record("engine-0").await;
+        assert_eq!(open.intents.len(), 1, "{open:?}");
+        eventually("the order is closed", ORDER, || async {
+            fleet.record("engine-0").await.intents.is_empty()
+        })
+        .await;
+        let moved = fleet.ask_move(next, "engine-0", "twine", false).await;
+        assert!(!moved.accepted, "{moved:?}");
+        assert_eq!(overcommits(&fleet).await, 0);
+    });
+}
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod http;
 pub mod relay;
+pub mod steward;
 pub mod streaming;
 
 use std::{future::Future, time::Duration};
