--- a/src/measure/fleet/endpoint.rs
+++ b/src/measure/fleet/endpoint.rs
@@ -5,7 +5,7 @@
 use crate::{
     clock::Time,
     config::{PoolKind, PoolSpec},
-    kernel::{dispatch::Queue, warmup::Warmth},
+    kernel::{dispatch::Queue, warmup::{Sign, Warmth}},
     measure::engine::Engine,
     names::{DataCentre, EndpointId, Pool},
     wire::EndpointDigest,
@@ -64,13 +64,13 @@
     }
 
     /// Counts a request that was answered whole.
-    pub fn complete(&mut self) {
-        self.warmth.complete();
+    pub fn complete(&mut self, now: Time) {
+        self.warmth.complete(now);
     }
 
     /// Treats the endpoint as cold.
     pub fn fall_back(&mut self) {
-        self.warmth.reset();
+        self.warmth.fall_back(Sign::Overloaded);
     }
 
     /// Returns what its steward tells the others.
--- a/src/measure/fleet/work.rs
+++ b/src/measure/fleet/work.rs
@@ -218,7 +218,7 @@
         }
         let Some(started) = endpoint.running.remove(&request) else { return };
         endpoint.engine.finish();
-        endpoint.complete();
+        endpoint.complete(self.now);
         let arrival = &self.trace.arrivals[request];
         let target = &self.config.classes[&arrival.class];
         let pace = self.progress[request].pace;
