--- a/src/kernel/stewardship.rs
+++ b/src/kernel/stewardship.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     names::{EndpointId, InstanceId},
-    platform::{InstanceList, ListedEndpoint, ListedState},
+    platform::{InstanceList, ListedEndpoint, ListedInstance, ListedState},
 };
 
 /// Returns the weight of an instance for a subject in rendezvous hashing.
@@ -32,15 +32,30 @@
 ///
 /// Instances in the endpoint's data centre come before all others.
 pub fn ranked(endpoint: &ListedEndpoint, list: &InstanceList) -> Vec<InstanceId> {
-    let live = list.instances.iter().filter(|i| i.state == ListedState::Live);
-    let mut ranked: Vec<_> = live
-        .map(|i| {
-            let away = i.data_centre != endpoint.data_centre;
-            (away, u64::MAX - weight(endpoint.id.as_str(), &i.id), i.id.clone())
-        })
-        .collect();
+    let mut ranked: Vec<_> = live(list).map(|i| (rank(endpoint, i), &i.id)).collect();
     ranked.sort();
-    ranked.into_iter().map(|(_, _, id)| id).collect()
+    ranked.into_iter().map(|(_, id)| id.clone()).collect()
+}
+
+/// Returns the preferred steward of an endpoint among the instances that `may` accepts, without
+/// ranking the others.
+pub fn preferred<'a>(
+    endpoint: &ListedEndpoint,
+    list: &'a InstanceList,
+    may: impl Fn(&InstanceId) -> bool,
+) -> Option<&'a InstanceId> {
+    let first = live(list).filter(|i| may(&i.id)).min_by_key(|i| (rank(endpoint, i), &i.id));
+    first.map(|instance| &instance.id)
+}
+
+fn live(list: &InstanceList) -> impl Iterator<Item = &ListedInstance> {
+    list.instances.iter().filter(|instance| instance.state == ListedState::Live)
+}
+
+/// Returns the rank of an instance for an endpoint; the lowest goes first.
+fn rank(endpoint: &ListedEndpoint, instance: &ListedInstance) -> (bool, u64) {
+    let away = instance.data_centre != endpoint.data_centre;
+    (away, u64::MAX - weight(endpoint.id.as_str(), &instance.id))
 }
 
 /// Prefix of the endpoints' records.
--- a/src/kernel/stewardship/claim.rs
+++ b/src/kernel/stewardship/claim.rs
@@ -137,8 +137,8 @@
     pub listed: bool,
     /// Whether nothing runs, waits or is ordered there.
     pub idle: bool,
-    /// Instances in the order of preference for the endpoint.
-    pub ranked: &'a [InstanceId],
+    /// Preferred instance for the endpoint.
+    pub preferred: Option<&'a InstanceId>,
     /// Instances with a lease.
     pub leases: &'a Leases,
 }
@@ -151,8 +151,7 @@
     if !holding.listed {
         return if holding.idle { Keep::HandOver } else { Keep::Drain };
     }
-    let first = holding.ranked.first();
-    let better =
-        first.is_some_and(|first| first != holding.own && holding.leases.contains_key(first));
+    let leased = |id: &InstanceId| holding.leases.contains_key(id);
+    let better = holding.preferred.is_some_and(|id| id != holding.own && leased(id));
     if better && holding.idle { Keep::HandOver } else { Keep::Keep }
 }
--- a/src/node/steward/duty.rs
+++ b/src/node/steward/duty.rs
@@ -63,19 +63,24 @@
     let Some(config) = node.config() else { return };
     let Some(leases) = node.stewards.registry.leases() else { return };
     let list = node.list.load_full();
-    vacant.retain(|id, _| list.endpoint(id).is_some());
     if node.freshness() != Freshness::Fresh {
         // A lapsed steward may renew first after every outage, so the wait starts again.
         vacant.clear();
         return;
     }
-    if !node.stewards.registry.is_read() || node.stewards.is_leaving() {
+    if node.stewards.is_leaving() {
         return;
     }
-    for endpoint in list.endpoints.iter().filter(|e| e.state == ListedState::Live) {
-        if node.stewards.endpoints.with(&endpoint.id, |_| ()).is_none() {
-            claim(node, &config, &leases, endpoint, vacant).await;
-        }
+    let held = |id: &EndpointId| node.stewards.endpoints.with(id, |_| ()).is_some();
+    let live = list.endpoints.iter().filter(|e| e.state == ListedState::Live && !held(&e.id));
+    let own = (&node.settings.instance, node.incarnation);
+    let free = |record: Option<&EndpointRecord>| {
+        stewardship::vacancy(own, record, &leases) != Vacancy::Held
+    };
+    let free = node.stewards.registry.vacant(live, free);
+    vacant.retain(|id, _| free.iter().any(|(endpoint, _)| endpoint.id == *id));
+    for (endpoint, known) in free {
+        claim(node, &config, &leases, endpoint, known, vacant).await;
     }
 }
 
@@ -84,24 +89,22 @@
     config: &Config,
     leases: &Leases,
     endpoint: &ListedEndpoint,
+    known: Option<Versioned>,
     vacant: &mut Vacant,
 ) {
     let Some(pool) = config.pools.get(&endpoint.pool) else { return };
-    let known = node.stewards.registry.record(&endpoint.id);
     let own = (&node.settings.instance, node.incarnation);
     let record = known.as_ref().map(|known| &known.record);
     let vacancy = stewardship::vacancy(own, record, leases);
-    if vacancy == Vacancy::Held {
-        vacant.remove(&endpoint.id);
-        return;
-    }
     let now = Time::now();
     let since = *vacant.entry(endpoint.id.clone()).or_insert(now);
+    let mut ranked = stewardship::ranked(endpoint, &node.list.load());
+    ranked.retain(|id| !node.is_leaving(id));
     let bid = Bid {
         own: &node.settings.instance,
         leased: node.duty() == Duty::Hold && node.lease.revision().is_some(),
         freshness: node.freshness(),
-        ranked: &ranked(node, endpoint, &node.list.load()),
+        ranked: &ranked,
         leases,
         vacancy: &vacancy,
         vacant: now.since(since),
@@ -111,11 +114,11 @@
     }
 }
 
-/// Returns the instances that may steward an endpoint, without those that shut down.
-fn ranked(node: &Node, endpoint: &ListedEndpoint, list: &InstanceList) -> Vec<InstanceId> {
-    let mut ranked = stewardship::ranked(endpoint, list);
-    ranked.retain(|id| !node.members.peer(id).is_some_and(|seen| seen.beat.leaving));
-    ranked
+impl Node {
+    /// Returns whether another instance says that it shuts down.
+    fn is_leaving(&self, id: &InstanceId) -> bool {
+        self.members.peer(id).is_some_and(|seen| seen.beat.leaving)
+    }
 }
 
 async fn take(
@@ -209,7 +212,7 @@
 
 fn judge(node: &Node, stewarded: &Stewarded, list: &InstanceList, leases: &Leases) -> Keep {
     let listed = list.endpoint(&stewarded.listed.id);
-    let ranked = ranked(node, &stewarded.listed, list);
+    let preferred = stewardship::preferred(&stewarded.listed, list, |id| !node.is_leaving(id));
     let known = node.stewards.registry.record(&stewarded.listed.id);
     let known = known.filter(|known| known.revision >= stewarded.revision);
     stewardship::keep(&Holding {
@@ -220,7 +223,7 @@
             listed.state == ListedState::Live && listed.address == stewarded.listed.address
         }),
         idle: stewarded.is_idle(),
-        ranked: &ranked,
+        preferred,
         leases,
     })
 }
--- a/src/node/steward/registry.rs
+++ b/src/node/steward/registry.rs
@@ -13,7 +13,7 @@
     },
     names::{EndpointId, InstanceId},
     node::{Node, lease::incarnation_of},
-    platform::{Change, Kv, PlatformError},
+    platform::{Change, Kv, ListedEndpoint, PlatformError},
 };
 
 /// Longest wait before the first read, so that a fleet that starts at once is spread.
@@ -37,20 +37,28 @@
 /// Leases and records as last seen; either is empty until it was read once.
 #[derive(Default)]
 pub struct Registry {
-    leases: RwLock<Option<Leases>>,
+    leases: RwLock<Option<Arc<Leases>>>,
     records: RwLock<Option<Records>>,
     changed: Notify,
 }
 
 impl Registry {
     /// Returns the leases, or `None` before the first read.
-    pub fn leases(&self) -> Option<Leases> {
+    pub fn leases(&self) -> Option<Arc<Leases>> {
         self.leases.read().clone()
     }
 
-    /// Returns whether the records were read once.
-    pub fn is_read(&self) -> bool {
-        self.records.read().is_some()
+    /// Returns the endpoints for which `is_vacant` holds, with their records.
+    pub fn vacant<'a>(
+        &self,
+        endpoints: impl Iterator<Item = &'a ListedEndpoint>,
+        is_vacant: impl Fn(Option<&EndpointRecord>) -> bool,
+    ) -> Vec<(&'a ListedEndpoint, Option<Versioned>)> {
+        let records = self.records.read();
+        let Some(records) = records.as_ref() else { return Vec::new() };
+        let known = endpoints.map(|endpoint| (endpoint, records.get(&endpoint.id)));
+        let vacant = known.filter(|(_, known)| is_vacant(known.map(|known| &known.record)));
+        vacant.map(|(endpoint, known)| (endpoint, known.cloned())).collect()
     }
 
     /// Returns the record of an endpoint.
@@ -76,18 +84,22 @@
 
     fn replace_leases(&self, kvs: &[Kv]) {
         let read = kvs.iter().filter_map(lease).collect();
-        *self.leases.write() = Some(read);
+        *self.leases.write() = Some(Arc::new(read));
         self.changed.notify_one();
     }
 
+    fn change_leases(&self, change: impl FnOnce(&mut Leases)) {
+        change(Arc::make_mut(self.leases.write().get_or_insert_default()));
+    }
+
     fn apply(&self, prefix: &'static str, change: &Change) {
         match (prefix, change) {
             (LEASE_PREFIX, Change::Put(kv)) => {
-                self.leases.write().get_or_insert_default().extend(lease(kv));
+                self.change_leases(|leases| leases.extend(lease(kv)));
             }
             (LEASE_PREFIX, Change::Delete(key)) => {
                 let id = key.strip_prefix(LEASE_PREFIX).unwrap_or(key);
-                self.leases.write().get_or_insert_default().remove(id);
+                self.change_leases(|leases| _ = leases.remove(id));
             }
             (_, Change::Put(kv)) => {
                 if let Some((id, versioned)) = versioned(kv) {
--- a/tests/kernel/ledger/world.rs
+++ b/tests/kernel/ledger/world.rs
@@ -320,7 +320,7 @@
             record: self.record.as_ref(),
             listed: true,
             idle: false,
-            ranked: &[],
+            preferred: None,
             leases: &self.leases,
         });
         if kept == Keep::Lost {
--- a/tests/kernel/stewardship.rs
+++ b/tests/kernel/stewardship.rs
@@ -226,7 +226,7 @@
         record: Some(&record),
         listed,
         idle,
-        ranked: &ranked,
+        preferred: ranked.first(),
         leases: &leases,
     })
 }
--- a/tests/process/memory.rs
+++ b/tests/process/memory.rs
@@ -3,11 +3,13 @@
 use std::time::Duration;
 
 use cardamomshore::standin::engine::EngineSettings;
+use http::Method;
+use serde_json::json;
 
 use crate::util::{
     block_on, eventually,
     fleet::{CONFIG, Fleet, KITES_KEY, Plan},
-    http::chat,
+    http::{Answer, call, chat},
 };
 
 /// Longest time for a lease to lapse and another instance to take over, on a busy machine.
@@ -108,3 +110,42 @@
         assert_eq!(overcommits(&fleet).await, 0);
     });
 }
+
+/// Asks for an answer by an adapter of `glue`.
+async fn ask_adapter(fleet: &Fleet, adapter: &str) -> Answer {
+    let body = json!({
+        "model": "glue", "adapter": adapter, "max_tokens": 3,
+        "messages": [{ "role": "user", "content": "Which glue for bamboo spars?" }],
+    });
+    let headers = [("x-api-key", KITES_KEY), ("content-type", "application/json")];
+    let path = "/v1/chat/completions";
+    let answer = call(Method::POST, fleet.caller(0), path, &headers, body.to_string()).await;
+    answer.expect("an answer")
+}
+
+#[test]
+fn memory_adapters_are_loaded_and_evicted_on_demand() {
+    block_on(async {
+        let mut plan = plan();
+        // Two of the three adapters fit; one may go two seconds after it was loaded.
+        plan.config =
+            plan.config.replace("order_ms: 30000,", "order_ms: 2000, adapter_mb: 20,").replace(
+                "glue: { pool: assistant, mb: 500 }",
+                "glue: { pool: assistant, mb: 500, adapters: { kite: 10, reel: 10, tail: 10 } }",
+            );
+        let fleet = Fleet::start("memory-adapters", plan).await;
+        for adapter in ["kite", "reel", "tail", "kite"] {
+            let answer = ask_adapter(&fleet, adapter).await;
+            assert_eq!(answer.status, 200, "{adapter}: {}", answer.text());
+            let report = fleet.read(fleet.endpoint("engine-0"), "/report").await;
+            let residents = report["residents"].as_array().expect("residents").clone();
+            let adapters = residents.iter().filter(|r| !r["adapter"].is_null());
+            let adapters: Vec<_> = adapters.map(|r| r["adapter"].to_string()).collect();
+            assert!(adapters.contains(&format!("\"{adapter}\"")), "{adapters:?}");
+            assert!(adapters.len() <= 2, "{adapters:?}");
+        }
+        let unknown = ask_adapter(&fleet, "string").await;
+        assert!(unknown.is_not_run(), "{}", unknown.text());
+        assert_eq!(overcommits(&fleet).await, 0);
+    });
+}
