--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -9,15 +9,22 @@
 use bytes::{Buf, BytesMut};
 use http::{HeaderMap, Method};
 use http_body_util::BodyExt;
+use parking_lot::Mutex;
 use serde::{Serialize, de::DeserializeOwned};
 use volo_http::body::Body;
 
 use super::{encoding::*, list::InstanceList};
-use crate::http::{HttpError, Limits, call_json, client, send};
+use crate::{
+    http::{HttpError, Limits, call_json, client, send},
+    kernel::retry::RetryBudget,
+};
 
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 const WATCH_IDLE: Duration = Duration::from_secs(15);
 
+/// Longest wait before a read is tried again; the waits of many instances are spread over it.
+const RETRY_WAIT: Duration = Duration::from_millis(200);
+
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum PlatformError {
@@ -117,19 +124,26 @@
     bases: Vec<SocketAddr>,
     list: SocketAddr,
     next: AtomicUsize,
+    retries: Mutex<RetryBudget>,
 }
 
 impl Client {
     /// Creates a client of these servers.
     pub fn new(bases: Vec<SocketAddr>, list: SocketAddr) -> Self {
         let limits = Limits { connect: Duration::from_millis(500), idle: WATCH_IDLE, kept: 8 };
-        Self { http: client(limits), bases, list, next: AtomicUsize::new(0) }
+        Self {
+            http: client(limits),
+            bases,
+            list,
+            next: AtomicUsize::new(0),
+            retries: Mutex::default(),
+        }
     }
 
     /// Reads one record.
     pub async fn get(&self, key: &str) -> Result<Option<Kv>, PlatformError> {
         let request = RangeJson { key: Base64(key.into()), range_end: None };
-        let reply: RangeReply = self.call("range", "/v3/kv/range", &request).await?;
+        let reply = self.read(&request).await?;
         Ok(reply.kvs.into_iter().next().map(kv))
     }
 
@@ -137,7 +151,7 @@
     pub async fn range(&self, prefix: &str) -> Result<Snapshot, PlatformError> {
         let range_end = Some(Base64(range_end(prefix.as_bytes())));
         let request = RangeJson { key: Base64(prefix.into()), range_end };
-        let reply: RangeReply = self.call("range", "/v3/kv/range", &request).await?;
+        let reply = self.read(&request).await?;
         let kvs = reply.kvs.into_iter().map(kv).collect();
         Ok(Snapshot { kvs, revision: reply.header.revision.0 })
     }
@@ -231,6 +245,21 @@
         Ok(call_json(&self.http, Method::GET, &url, &(), CALL_LIMIT).await?)
     }
 
+    /// Reads a range, and once more where the answer is lost and the budget of retries allows it.
+    async fn read(&self, request: &RangeJson) -> Result<RangeReply, PlatformError> {
+        self.retries.lock().first_try();
+        let first = self.call("range", "/v3/kv/range", request).await;
+        if !matches!(first, Err(PlatformError::NotSent(_) | PlatformError::Unknown(_))) {
+            return first;
+        }
+        if !self.retries.lock().take() {
+            return first;
+        }
+        let wait = RETRY_WAIT.mul_f64(rand::random_range(0.1..1.0));
+        tokio::time::sleep(wait).await;
+        self.call("range", "/v3/kv/range", request).await
+    }
+
     async fn call<T: DeserializeOwned>(
         &self,
         kind: &'static str,
