--- /dev/null
+++ b/tests/kernel/ledger/world/service.rs
@@ -0,0 +1,225 @@
+//! Leases, claims and the writes of the record.
+
+use std::time::Duration;
+
+use cardamomshore::{
+    kernel::{
+        freshness::Freshness,
+        ledger::{EndpointRecord, Ledger, LedgerLimits},
+        stewardship::{Bid, Claim, Holding, Keep, LEASE_TTL, Lease, Vacancy, claim, keep, vacancy},
+    },
+    names::InstanceId,
+};
+
+use super::{CAPACITY, LIFE, LateWrite, World, WriteFate};
+
+impl World {
+    pub(super) fn end_leases(&mut self) {
+        let now = self.now;
+        let ends = &self.ends;
+        self.leases.retain(|id, _| ends.get(id).is_some_and(|end| *end > now));
+    }
+
+    pub(super) fn keep_lease(&mut self, index: usize) {
+        if !self.reaches(index) {
+            return;
+        }
+        let (id, incarnation) = (self.stewards[index].id.clone(), self.stewards[index].incarnation);
+        self.ends.insert(id.clone(), self.now + LEASE_TTL);
+        let known = self.leases.insert(id, Lease { incarnation, revision: 1 });
+        if known.is_none() {
+            self.verify(index);
+        }
+        let now = self.now;
+        self.stewards[index].tenure.renew(now);
+    }
+
+    /// Drops the endpoint if another tenure began since.
+    pub fn verify(&mut self, index: usize) {
+        let steward = &mut self.stewards[index];
+        let own = self.record.as_ref().is_some_and(|r| r.is_same_tenure(&steward.record));
+        if !own {
+            steward.ledger = None;
+        }
+    }
+
+    /// Drops the endpoint when the watched record is of another tenure.
+    pub(super) fn keep(&mut self, index: usize) {
+        let steward = &self.stewards[index];
+        if !self.reaches(index) || steward.ledger.is_none() {
+            return;
+        }
+        let kept = keep(&Holding {
+            own: &steward.id,
+            written: &steward.record,
+            record: self.record.as_ref(),
+            listed: true,
+            idle: false,
+            preferred: None,
+            leases: &self.leases,
+        });
+        if kept == Keep::Lost {
+            self.stewards[index].ledger = None;
+        }
+    }
+
+    pub(super) fn claim(&mut self, index: usize) {
+        if self.freshness(index) != Freshness::Fresh {
+            self.stewards[index].vacant = None;
+        }
+        if self.stewards[index].ledger.is_some() || !self.reaches(index) {
+            return;
+        }
+        let own = (&self.stewards[index].id, self.stewards[index].incarnation);
+        let vacancy = vacancy(own, self.record.as_ref(), &self.leases);
+        if vacancy == Vacancy::Held {
+            self.stewards[index].vacant = None;
+            return;
+        }
+        let since = *self.stewards[index].vacant.get_or_insert(self.now);
+        let ranked: Vec<InstanceId> = self.stewards.iter().map(|s| s.id.clone()).collect();
+        let bid = Bid {
+            own: &self.stewards[index].id,
+            leased: self.stewards[index].tenure.is_held(self.now),
+            freshness: self.freshness(index),
+            ranked: &ranked,
+            leases: &self.leases,
+            vacancy: &vacancy,
+            vacant: self.now.since(since),
+        };
+        if claim(&bid) == Claim::Take
+            && let Some(taking) = self.prepare(index)
+        {
+            self.take(index, taking);
+        }
+    }
+
+    /// Builds the record by which a steward takes the endpoint.
+    pub fn prepare(&self, index: usize) -> Option<(EndpointRecord, i64)> {
+        let steward = &self.stewards[index];
+        if !steward.acts() || steward.ledger.is_some() || !steward.tenure.is_held(self.now) {
+            return None;
+        }
+        let previous = self.record.clone().unwrap_or_default();
+        let steward = &self.stewards[index];
+        let record = EndpointRecord {
+            holder: Some(steward.id.clone()),
+            incarnation: steward.incarnation,
+            fence: previous.fence + 1,
+            ..previous
+        };
+        Some((record, self.revision))
+    }
+
+    /// Takes the endpoint if its record is unchanged and nobody holds it.
+    pub fn take(&mut self, index: usize, (record, expected): (EndpointRecord, i64)) {
+        let steward = &self.stewards[index];
+        let own = (&steward.id, steward.incarnation);
+        let held = vacancy(own, self.record.as_ref(), &self.leases) == Vacancy::Held;
+        let leased = self.leases.contains_key(&steward.id);
+        if !self.reaches(index) || held || !leased || !self.commit(expected, record.clone()) {
+            return;
+        }
+        let fate = std::mem::replace(&mut self.write_fate, WriteFate::Answered);
+        if fate == WriteFate::Mute {
+            return;
+        }
+        let limits = LedgerLimits { weights: CAPACITY, adapters: 0, orders: 1, life: LIFE };
+        let mut ledger = Ledger::inherit(limits, &record, self.now);
+        ledger.written(&record);
+        let revision = self.revision;
+        let steward = &mut self.stewards[index];
+        steward.ledger = Some(ledger);
+        steward.record = record;
+        steward.revision = revision;
+        steward.sent.clear();
+        steward.replies.clear();
+    }
+
+    fn commit(&mut self, expected: i64, record: EndpointRecord) -> bool {
+        if expected != self.revision {
+            return false;
+        }
+        self.revision += 1;
+        self.record = Some(record);
+        true
+    }
+
+    pub(super) fn deliver_writes(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.late.extract_if(.., |late| late.due <= now).collect();
+        for late in due {
+            self.commit(late.expected, late.record);
+        }
+    }
+
+    /// Builds the record that a steward writes next.
+    pub fn build(&self, index: usize) -> Option<(EndpointRecord, i64)> {
+        let steward = &self.stewards[index];
+        let ledger = steward.ledger.as_ref()?;
+        Some((ledger.record(&steward.record), steward.revision))
+    }
+
+    /// Lets a write arrive; the steward learns of it unless the answer is lost.
+    pub fn arrive(&mut self, index: usize, record: EndpointRecord, expected: i64) {
+        let fate = std::mem::replace(&mut self.write_fate, WriteFate::Answered);
+        if !self.reaches(index) {
+            return self.write_failed(index);
+        }
+        if fate == WriteFate::Late {
+            let due = self.now + Duration::from_secs(12);
+            self.late.push(LateWrite { due, expected, record });
+            return self.write_failed(index);
+        }
+        let done = self.commit(expected, record.clone());
+        if fate == WriteFate::Mute {
+            return self.write_failed(index);
+        }
+        if done {
+            let revision = self.revision;
+            let steward = &mut self.stewards[index];
+            steward.revision = revision;
+            steward.record = record.clone();
+            if let Some(ledger) = &mut steward.ledger {
+                ledger.written(&record);
+            }
+        } else {
+            self.resolve(index);
+        }
+    }
+
+    /// Reads the record after a failed comparison.
+    fn resolve(&mut self, index: usize) {
+        let steward = &mut self.stewards[index];
+        let current = self.record.clone().unwrap_or_default();
+        let own =
+            current.fence == steward.record.fence && current.holder.as_ref() == Some(&steward.id);
+        if own {
+            steward.revision = self.revision;
+        } else {
+            steward.ledger = None;
+        }
+    }
+
+    fn write_failed(&mut self, index: usize) {
+        let steward = &mut self.stewards[index];
+        let Some(ledger) = &mut steward.ledger else { return };
+        ledger.write_lost();
+        let unsent: Vec<String> = ledger.intents().map(|intent| intent.order.clone()).collect();
+        for order in unsent {
+            ledger.cancel(&order);
+        }
+    }
+
+    /// Writes the record until it is what the ledger knows, at most twice.
+    pub fn write(&mut self, index: usize) {
+        for _ in 0..2 {
+            let dirty = self.stewards[index].ledger.as_ref().is_some_and(Ledger::is_dirty);
+            if !dirty {
+                return;
+            }
+            let Some((record, expected)) = self.build(index) else { return };
+            self.arrive(index, record, expected);
+        }
+    }
+}
