Let the planner of the unload matrix see an old digest

With the plan not read after the intent, matrix_unload now fails (the keeper's copy was unloaded, case 13: KeeperMoved before the first step); before, the planner saw every digest at once and the case passed.

--- a/tests/kernel/ledger.rs
+++ b/tests/kernel/ledger.rs
@@ -236,22 +236,26 @@
     ordering: Ordering,
     /// Incarnation of this endpoint at which it became the keeper.
     keeper: Option<u64>,
+    /// Incarnation in which the digest that the planner saw last shows the model.
+    shown: Option<u64>,
     read: Option<bool>,
 }
 
 impl Unload {
     /// Moves the keeper here in one transaction that expects a record without an intent to unload,
-    /// for a model that the steward's digest shows.
+    /// for a model that the steward's digest showed some time ago.
     fn move_keeper(&mut self) {
         let world = &self.ordering.world;
         let (Some(holder), Some(record)) = (world.holder(), &world.record) else { return };
         let ledger = world.stewards[holder].ledger.as_ref();
-        let shown = ledger.is_some_and(|l| l.dispatchable().any(|m| m.as_str() == "glue"));
+        let shows = ledger.is_some_and(|l| l.dispatchable().any(|m| m.as_str() == "glue"));
+        let incarnation = world.engine.incarnation;
+        let shown = std::mem::replace(&mut self.shown, shows.then_some(incarnation));
         if self.keeper == Some(world.engine.incarnation) {
             return;
         }
-        if !world.down && shown && !record.may_unload(&"glue".into()) {
-            self.keeper = Some(world.engine.incarnation);
+        if !world.down && shown.is_some() && !record.may_unload(&"glue".into()) {
+            self.keeper = shown;
         }
     }
 
@@ -295,7 +299,8 @@
         let ledger = ordering.world.stewards[0].ledger.as_mut();
         let planned = ledger.map(|ledger| ledger.plan_unload(order, "glue".into()));
         assert_eq!(planned, Some(Ok(())));
-        Self { ordering, keeper: None, read: None }
+        let shown = Some(ordering.world.engine.incarnation);
+        Self { ordering, keeper: None, shown, read: None }
     }
 
     fn begin(&mut self, step: usize) {
