--- a/tests/kernel/ledger.rs
+++ b/tests/kernel/ledger.rs
@@ -15,7 +15,7 @@
     names::Model,
 };
 
-use self::world::{Fate, World, WriteFate};
+use self::world::{Fate, LOAD_TIME, World, WriteFate};
 use crate::matrix::{Protocol, run_all};
 
 /// Faults of an order to an endpoint.
@@ -157,7 +157,10 @@
         match step {
             "intent written" if self.acts() => self.end_write(),
             "order sent" => self.world.deliver_orders(),
-            "order answered" if self.acts() => self.world.hear(0),
+            "order answered" if self.acts() => {
+                self.world.advance(LOAD_TIME);
+                self.world.hear(0);
+            }
             "report seen" if self.acts() => self.world.see_report(0),
             "intent closed" if self.acts() => self.world.tend(0),
             _ => {}
--- a/tests/kernel/ledger/world.rs
+++ b/tests/kernel/ledger/world.rs
@@ -18,6 +18,7 @@
 };
 
 use self::engine::Engine;
+pub use self::engine::LOAD_TIME;
 
 pub const CAPACITY: u64 = 1_000;
 pub const LIFE: Duration = Duration::from_secs(30);
@@ -118,6 +119,7 @@
             fence: 0,
             fencing: false,
             residents,
+            loading: Vec::new(),
             history: Vec::new(),
             lag: Duration::ZERO,
             stale: false,
@@ -277,6 +279,7 @@
         self.engine.sequence = 1;
         self.engine.fence = 0;
         self.engine.residents.clear();
+        self.engine.loading.clear();
         self.engine.note(self.now);
     }
 
--- a/tests/kernel/ledger/world/engine.rs
+++ b/tests/kernel/ledger/world/engine.rs
@@ -15,6 +15,8 @@
     pub fence: u64,
     pub fencing: bool,
     pub residents: BTreeMap<Model, u64>,
+    /// Loads in progress, with the steward that awaits the answer.
+    pub(super) loading: Vec<(Time, Order, Option<usize>)>,
     pub(super) history: Vec<(Time, Report)>,
     pub lag: Duration,
     /// Whether every other report is as old as [`STALE`].
@@ -25,24 +27,54 @@
 /// Age of a stale report; longer than the life of an order.
 const STALE: Duration = Duration::from_secs(40);
 
+/// Time that a load takes; its memory is taken from the start.
+pub const LOAD_TIME: Duration = Duration::from_secs(3);
+
 impl Engine {
-    pub(super) fn apply(&mut self, order: &Order) -> Option<OrderReply> {
+    /// Starts an order; only a load that begins now is not answered at once.
+    pub(super) fn apply(
+        &mut self,
+        order: &Order,
+        back: Option<usize>,
+        now: Time,
+    ) -> Option<OrderReply> {
         if self.fencing && order.fence < self.fence {
             return None;
         }
         self.fence = self.fence.max(order.fence);
-        match order.kind {
-            OrderKind::Load => _ = self.residents.insert(order.model.clone(), order.bytes),
-            OrderKind::Unload => _ = self.residents.remove(&order.model),
-            _ => {}
+        let begins = order.kind == OrderKind::Load && !self.residents.contains_key(&order.model);
+        if begins {
+            if !self.loading.iter().any(|(_, other, _)| other.id == order.id) {
+                self.loading.push((now + LOAD_TIME, order.clone(), back));
+            }
+            return None;
         }
+        if order.kind == OrderKind::Unload {
+            self.residents.remove(&order.model);
+        }
+        Some(self.answer(order))
+    }
+
+    /// Ends the loads whose time has come, and returns the answers with who awaits them.
+    pub(super) fn finish(&mut self, now: Time) -> Vec<(OrderReply, usize)> {
+        let due: Vec<_> = self.loading.extract_if(.., |(due, ..)| *due <= now).collect();
+        let ended = due.into_iter().map(|(_, order, back)| {
+            self.residents.insert(order.model.clone(), order.bytes);
+            (self.answer(&order), back)
+        });
+        ended.filter_map(|(reply, back)| Some((reply, back?))).collect()
+    }
+
+    fn answer(&mut self, order: &Order) -> OrderReply {
         self.sequence += 1;
         let (sequence, incarnation) = (self.sequence, self.incarnation);
-        Some(OrderReply { id: order.id.clone(), sequence, incarnation })
+        OrderReply { id: order.id.clone(), sequence, incarnation }
     }
 
+    /// Returns the memory that is taken.
     pub fn memory(&self) -> u64 {
-        self.residents.values().sum()
+        let loading = self.loading.iter().map(|(_, order, _)| order.bytes);
+        self.residents.values().copied().chain(loading).sum()
     }
 
     pub(super) fn report(&self, now: Time) -> Option<Report> {
@@ -62,6 +94,7 @@
             incarnation: self.incarnation,
             sequence: self.sequence,
             residents: residents.collect(),
+            open: self.loading.iter().map(|(_, order, _)| order.id.clone()).collect(),
             ..Report::default()
         };
         if self.history.last().is_none_or(|(_, last)| *last != report) {
--- a/tests/kernel/ledger/world/orders.rs
+++ b/tests/kernel/ledger/world/orders.rs
@@ -39,13 +39,17 @@
             if now.since(sent) >= LIFE {
                 continue;
             }
-            let reply = self.engine.apply(&order);
+            let reply = self.engine.apply(&order, back, now);
             self.engine.note(now);
             self.check_memory(&order);
             if let (Some(reply), Some(index)) = (reply, back) {
                 self.stewards[index].replies.push(reply);
             }
         }
+        for (reply, index) in self.engine.finish(now) {
+            self.stewards[index].replies.push(reply);
+        }
+        self.engine.note(now);
     }
 
     /// Lets a steward hear the answers to its orders, and give up those that stay away.
@@ -73,7 +77,7 @@
         let probe = self.stewards[index].ledger.as_ref();
         let probe = probe.and_then(|ledger| ledger.probe("probe".to_owned(), now));
         if let Some(order) = probe
-            && let Some(reply) = self.engine.apply(&order)
+            && let Some(reply) = self.engine.apply(&order, None, now)
             && let Some(ledger) = &mut self.stewards[index].ledger
         {
             ledger.probed(&reply, now);
