Wait for every copy before a test begins

The status now counts copies and the fleet waits for all that are preloaded. Ruled out: lending (no refusal 1201 in any log).

--- a/src/kernel/routing/directory.rs
+++ b/src/kernel/routing/directory.rs
@@ -79,6 +79,11 @@
         self.claims.len()
     }
 
+    /// Returns the number of copies over all models.
+    pub fn copy_count(&self) -> usize {
+        self.models.values().map(Vec::len).sum()
+    }
+
     /// Returns whether no endpoint is known.
     pub fn is_empty(&self) -> bool {
         self.claims.is_empty()
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -80,6 +80,7 @@
         "buckets": node.once.owned(),
         "planner": node.planner.is_held(),
         "known": node.known(),
+        "copies": node.directory.read().copy_count(),
     })
 }
 
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -163,6 +163,7 @@
     pub engines: Vec<Process>,
     pub services: Vec<Process>,
     pub platform_process: Process,
+    preloaded: usize,
     dir: PathBuf,
 }
 
@@ -196,6 +197,7 @@
             engines,
             services,
             platform_process,
+            preloaded: plan.engines.iter().map(|(_, engine)| engine.preload.len()).sum(),
             dir,
         };
         fleet.publish_list(&fleet.list).await;
@@ -224,13 +226,14 @@
         .await;
     }
 
-    /// Waits until every instance has the version in force and knows every endpoint.
+    /// Waits until every instance has the version in force and knows every copy.
     pub async fn wait_ready(&self, version: u64) {
         for operator in &self.operators {
             eventually("an instance is ready", READY, || async {
                 let status = self.status(*operator).await;
                 status["version"].as_u64() >= Some(version)
                     && status["known"].as_u64() >= Some(self.list.endpoints.len() as u64)
+                    && status["copies"].as_u64() >= Some(self.preloaded as u64)
             })
             .await;
         }
