--- a/src/http.rs
+++ b/src/http.rs
@@ -82,6 +82,9 @@
 }
 
 /// Sends a request with a whole body and returns the answer with its body unread.
+///
+/// The caller bounds the wait: the library sets its read and write limits as socket options, which
+/// sockets that do not block ignore.
 pub async fn send(
     client: &Client,
     method: Method,
