Check names of policies at the operator and say unknown outcomes

A misspelt policy was accepted and fell back to another one without a word. `config check` and apply refuse it now and list the registered names; an instance that takes a version over does not, since an older release must not stay behind for lack of a policy.

Seen to fail first: - config_policy_refused with the check off. - apply_outcome_unknown_said: with a lost write taken for not run, the exit code is 1 in place of 4 while the version comes into force. - data_centre_out_leaves_addresses: with the data centre's state left out of the answer for callers, the addresses never follow.

--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -52,7 +52,7 @@
 
 fn read_checked(path: &str) -> Result<(String, Config), CliError> {
     let text = read(path)?;
-    let config = Config::parse(0, &text);
+    let config = Config::parse_new(0, &text);
     let config = config.map_err(|err| CliError::Failed(format!("{path}: {err}")))?;
     Ok((text, config))
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 mod check;
 mod checked;
 mod keys;
+mod policies;
 mod raw;
 
 pub use self::{
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -47,7 +47,7 @@
 
 impl ConfigError {
     /// Adds the line of the field.
-    fn locate(self, text: &str) -> Self {
+    pub(super) fn locate(self, text: &str) -> Self {
         match self {
             ConfigError::Field { path, reason, .. } => {
                 ConfigError::Field { line: yaml::line_of(text, &path), path, reason }
--- a/src/node/operator/apply.rs
+++ b/src/node/operator/apply.rs
@@ -83,7 +83,7 @@
 pub async fn apply(node: &Arc<Node>, request: Request) -> Result<Response, Refusal> {
     let apply: Apply = super::read(request).await?;
     let version = apply.seen.checked_add(1).ok_or(Refusal::not_run(Code::BadRequest))?;
-    if let Err(err) = Config::parse(version, &apply.text) {
+    if let Err(err) = Config::parse_new(version, &apply.text) {
         return Ok(invalid(&err.to_string()));
     }
     let held = held(node).await?;
--- a/tests/process/operators.rs
+++ b/tests/process/operators.rs
@@ -8,7 +8,7 @@
 
 use crate::util::{
     block_on,
-    cli::run,
+    cli::{run, run_owned},
     eventually,
     fleet::{CONFIG, Fleet, KITES_KEY, NUTS_KEY, Plan},
     http::{call, chat},
@@ -89,6 +89,53 @@
     });
 }
 
+#[test]
+fn apply_outcome_unknown_said() {
+    block_on(async {
+        let fleet = Fleet::start("apply-unknown", Plan::default()).await;
+        let file = document(&fleet, 70_000).display().to_string();
+        let to = fleet.operators[0].to_string();
+        fleet.set_faults(fleet.platform, json!({ "mute": true })).await;
+        let apply = run_owned(&["config", "apply", &file, "--seen", "1", "--to", &to]);
+        eventually("another instance sees the write", IN_FORCE, || async {
+            fleet.status(fleet.operators[1]).await["version"] == 2
+        })
+        .await;
+        fleet.set_faults(fleet.platform, json!({ "mute": true, "down": true })).await;
+        let applied = apply.await.expect("the command ends");
+        assert_eq!(applied.code, 4, "{applied:?}");
+        assert!(applied.err.contains("may have been written"), "{applied:?}");
+        fleet.set_faults(fleet.platform, json!({})).await;
+        fleet.wait_ready(2).await;
+    });
+}
+
+#[test]
+fn data_centre_out_leaves_addresses() {
+    block_on(async {
+        let fleet = Fleet::start("addresses", Plan::default()).await;
+        let to = fleet.operators[0].to_string();
+        let named = async |index: usize| {
+            let answer =
+                call(Method::GET, fleet.caller(index), "/v1/instances", &[], "").await.unwrap();
+            answer.json()["instances"].as_array().map_or(0, Vec::len)
+        };
+        for (command, count) in [("out", 1), ("return", 2)] {
+            let changed = run(&["data-centre", command, "dc-b", "--to", &to]).await;
+            assert_eq!(changed.code, 0, "{changed:?}");
+            for index in 0..2 {
+                eventually("the addresses follow", IN_FORCE, || async {
+                    named(index).await == count
+                })
+                .await;
+            }
+        }
+        let unknown = run(&["data-centre", "out", "dc-z", "--to", &to]).await;
+        assert_eq!(unknown.code, 1, "{unknown:?}");
+        assert!(unknown.err.contains("there is no data centre dc-z, only dc-a, dc-b"));
+    });
+}
+
 #[test]
 fn key_given_then_withdrawn() {
     block_on(async {
--- a/tests/product/config.rs
+++ b/tests/product/config.rs
@@ -154,6 +154,15 @@
     );
 }
 
+#[test]
+fn config_policy_refused() {
+    let text = format!("{GOOD}policy:\n  routing: any-copy\n");
+    assert!(Config::parse(1, &text).is_ok(), "an older release takes it");
+    let error = Config::parse_new(1, &text).expect_err("an operator hears of it").to_string();
+    expect!["line 18: policy.routing: there is no policy any-copy; write one of any, round-robin, two-choices"].assert_eq(&error);
+    assert!(Config::parse_new(1, GOOD).is_ok());
+}
+
 #[test]
 fn config_shape_refused() {
     check("rate: 100,", "rate: much,", &expect!["line 4 column 18: invalid u64"]);
--- a/tests/util/cli.rs
+++ b/tests/util/cli.rs
@@ -12,13 +12,17 @@
 
 /// Runs a command to its end.
 pub async fn run(args: &[&str]) -> Ran {
+    run_owned(args).await.expect("the command runs")
+}
+
+/// Starts a command and returns the task that waits for its end.
+pub fn run_owned(args: &[&str]) -> tokio::task::JoinHandle<Ran> {
     let args: Vec<String> = args.iter().map(|arg| (*arg).to_owned()).collect();
-    let ran = tokio::task::spawn_blocking(move || run_blocking(&args)).await;
-    ran.expect("the command runs")
+    tokio::task::spawn_blocking(move || run_blocking(&args))
 }
 
-/// Runs a command to its end, outside any runtime.
-pub fn run_blocking(args: &[String]) -> Ran {
+/// Runs a command to its end.
+fn run_blocking(args: &[String]) -> Ran {
     let output: Output = Command::new(env!("CARGO_BIN_EXE_cardamomshore"))
         .args(args)
         .stdin(Stdio::null())
