--- a/src/node.rs
+++ b/src/node.rs
@@ -18,9 +18,12 @@
 mod shares;
 mod steward;
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -75,13 +78,18 @@
     /// Binds the addresses of the settings.
     pub async fn bind(settings: &Settings) -> std::io::Result<Self> {
         Ok(Self {
-            callers: TcpListener::bind(settings.listen).await?,
-            peers: TcpListener::bind(settings.peer).await?,
-            operators: TcpListener::bind(settings.operator).await?,
+            callers: bind("listen", settings.listen).await?,
+            peers: bind("peer", settings.peer).await?,
+            operators: bind("operator", settings.operator).await?,
         })
     }
 }
 
+async fn bind(field: &str, address: SocketAddr) -> std::io::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|err| std::io::Error::new(err.kind(), format!("{field} {address}: {err}")))
+}
+
 impl Node {
     /// Creates a node that does nothing yet.
     pub fn new(settings: Settings) -> Arc<Self> {
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -20,12 +20,16 @@
     http::{json, read_body, refuse, serve},
     kernel::{drain::Phase, freshness::Freshness},
     telemetry,
+    timeline::newest_json,
     wire::{Document, Inspect, ReplyBody},
 };
 
 /// Largest body of an operator's request in bytes, within what the platform's service holds.
 const BODY_LIMIT: usize = 700 << 10;
 
+/// Largest document that one instance sends to another, in bytes; a frame holds four times that.
+const DOCUMENT_LIMIT: usize = 1 << 20;
+
 /// Serves operators.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
     let draining = node.clone();
@@ -101,8 +105,8 @@
 /// Answers a peer that gathers documents for operators.
 pub fn inspect(node: &Node, ask: &Inspect) -> ReplyBody {
     let text = match ask.kind.as_str() {
-        "timeline" => serde_json::to_string(&node.timeline.entries(&ask.filter)),
-        _ => serde_json::to_string(&status(node)),
+        "timeline" => newest_json(&node.timeline.entries(&ask.filter), DOCUMENT_LIMIT),
+        _ => status(node).to_string(),
     };
-    ReplyBody::Document(Document { text: text.unwrap_or_default() })
+    ReplyBody::Document(Document { text })
 }
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -16,6 +16,9 @@
 /// Entries that are kept of requests, and as many of everything else.
 const CAPACITY: usize = 4_096;
 
+/// Longest detail of an entry in bytes.
+const DETAIL_LIMIT: usize = 300;
+
 /// Events from this number on, up to [`REQUEST_END`], are about single requests.
 const REQUEST_START: u32 = 2_101;
 
@@ -73,7 +76,7 @@
             event: event.number(),
             name: event.name().to_owned(),
             subject: subject.into(),
-            detail: detail.into(),
+            detail: shortened(detail.into()),
         };
         log::log!(
             target: "cardamomshore::event",
@@ -119,6 +122,26 @@
     all
 }
 
+fn shortened(mut detail: String) -> String {
+    if detail.len() > DETAIL_LIMIT {
+        let end = (0..=DETAIL_LIMIT).rev().find(|end| detail.is_char_boundary(*end));
+        detail.truncate(end.unwrap_or_default());
+    }
+    detail
+}
+
+/// Returns entries as a JSON list of at most `limit` bytes, without the oldest where needed.
+pub fn newest_json(entries: &[Entry], limit: usize) -> String {
+    let mut newest = entries;
+    loop {
+        let text = serde_json::to_string(newest).unwrap_or_default();
+        if text.len() <= limit || newest.is_empty() {
+            return text;
+        }
+        newest = &newest[newest.len().div_ceil(2)..];
+    }
+}
+
 /// Returns an entry as one line of text.
 ///
 /// The order of the lines is that of the clocks; the wall-clock time helps to compare with logs.
--- a/tests/product/timeline.rs
+++ b/tests/product/timeline.rs
@@ -2,7 +2,7 @@
 
 use cardamomshore::{
     events::Event,
-    timeline::{Timeline, line, merge},
+    timeline::{Entry, Timeline, line, merge, newest_json},
 };
 
 #[test]
@@ -43,3 +43,18 @@
         "       1 01:02:03.004 i-a              E2201 ConfigInForce      config-3"
     );
 }
+
+#[test]
+fn timeline_document_bounded() {
+    let timeline = Timeline::new("i-a".into());
+    for number in 0..5_000 {
+        timeline.record(Event::RequestRefused, format!("r-{number}"), "é".repeat(1_000));
+    }
+    let entries = timeline.entries("");
+    assert!(entries.iter().all(|entry| entry.detail.len() <= 300));
+    let text = newest_json(&entries, 100_000);
+    assert!(text.len() <= 100_000);
+    let kept: Vec<Entry> = serde_json::from_str(&text).expect("it is a list");
+    assert_eq!(kept.last(), entries.last());
+    assert_eq!(newest_json(&entries, 1), "[]");
+}
