Test that a version which most instances lack is not called accepted

apply_most_silent_not_accepted stops two of three instances; the command exits with 4 and names them.

--- a/tests/process/operators.rs
+++ b/tests/process/operators.rs
@@ -73,6 +73,24 @@
     });
 }
 
+#[test]
+fn apply_most_silent_not_accepted() {
+    block_on(async {
+        let plan = Plan { instances: vec!["dc-a", "dc-b", "dc-b"], ..Plan::default() };
+        let fleet = Fleet::start("apply-most-silent", plan).await;
+        let stopped = &fleet.instances[1..];
+        stopped.iter().for_each(|instance| instance.signal(Signal::STOP));
+        let file = document(&fleet, 60_000).display().to_string();
+        let to = fleet.operators[0].to_string();
+        let applied = run(&["config", "apply", &file, "--seen", "1", "--to", &to]).await;
+        stopped.iter().for_each(|instance| instance.signal(Signal::CONT));
+        assert_eq!(applied.code, 4, "{applied:?}");
+        assert!(applied.err.contains("only 1 of 3"), "{applied:?}");
+        assert!(applied.err.contains("Not confirmed: i-1, i-2"), "{applied:?}");
+        fleet.wait_ready(2).await;
+    });
+}
+
 #[test]
 fn apply_answer_lost_is_resolved() {
     block_on(async {
