Bound gathered documents together and keep each event on one line

Eight megabytes for all instances together, so that the answer does not grow with the fleet. A rejected document's error has several lines, which split the entry in the log and the time line; control characters become spaces (timeline_document_bounded fails without). Events are counted by name.

--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -28,7 +28,7 @@
 const BODY_LIMIT: usize = 700 << 10;
 
 /// Largest document that one instance sends to another, in bytes; a frame holds four times that.
-const DOCUMENT_LIMIT: usize = 1 << 20;
+const DOCUMENT_LIMIT: u64 = 1 << 20;
 
 /// Serves operators.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
@@ -105,7 +105,10 @@
 /// Answers a peer that gathers documents for operators.
 pub fn inspect(node: &Node, ask: &Inspect) -> ReplyBody {
     let text = match ask.kind.as_str() {
-        "timeline" => newest_json(&node.timeline.entries(&ask.filter), DOCUMENT_LIMIT),
+        "timeline" => {
+            let limit = ask.limit.min(DOCUMENT_LIMIT) as usize;
+            newest_json(&node.timeline.entries(&ask.filter), limit)
+        }
         _ => status(node).to_string(),
     };
     ReplyBody::Document(Document { text })
--- a/src/node/operator/gather.rs
+++ b/src/node/operator/gather.rs
@@ -14,6 +14,9 @@
     wire::{AskBody, Inspect, ReplyBody},
 };
 
+/// Most bytes of all documents together, whatever the number of instances.
+const TOTAL_LIMIT: u64 = 8 << 20;
+
 /// What is gathered.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Gather {
@@ -51,7 +54,8 @@
         peers.push(node.settings.instance.clone());
     }
     peers.sort();
-    let asks = peers.iter().map(|peer| ask(node, peer, &wanted));
+    let limit = TOTAL_LIMIT / peers.len() as u64;
+    let asks = peers.iter().map(|peer| ask(node, peer, &wanted, limit));
     let mut gathered = Gathered::default();
     for (instance, document) in peers.iter().cloned().zip(join_all(asks).await) {
         match document {
@@ -62,8 +66,13 @@
     Ok(json(200, &gathered))
 }
 
-async fn ask(node: &Arc<Node>, peer: &InstanceId, wanted: &Gather) -> Option<serde_json::Value> {
-    let ask = Inspect { kind: wanted.kind.clone(), filter: wanted.filter.clone() };
+async fn ask(
+    node: &Arc<Node>,
+    peer: &InstanceId,
+    wanted: &Gather,
+    limit: u64,
+) -> Option<serde_json::Value> {
+    let ask = Inspect { kind: wanted.kind.clone(), filter: wanted.filter.clone(), limit };
     match node.ask(peer, AskBody::Inspect(ask)).await {
         Ok(ReplyBody::Document(document)) => serde_json::from_str(&document.text).ok(),
         _ => None,
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -84,6 +84,7 @@
             "E{} {} instance={} subject={} {}",
             entry.event, entry.name, entry.instance, entry.subject, entry.detail
         );
+        metrics::counter!("cardamomshore_events_total", "event" => event.name()).increment(1);
         let is_request = (REQUEST_START..REQUEST_END).contains(&entry.event);
         let entries = if is_request { &self.requests } else { &self.others };
         let mut entries = entries.lock();
@@ -122,7 +123,9 @@
     all
 }
 
-fn shortened(mut detail: String) -> String {
+/// Returns a detail as one line of bounded length.
+fn shortened(detail: String) -> String {
+    let mut detail = detail.replace(char::is_control, " ");
     if detail.len() > DETAIL_LIMIT {
         let end = (0..=DETAIL_LIMIT).rev().find(|end| detail.is_char_boundary(*end));
         detail.truncate(end.unwrap_or_default());
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -253,6 +253,9 @@
     /// Text that entries of the time line must contain.
     #[prost(string, tag = "2")]
     pub filter: String,
+    /// Most bytes of the document.
+    #[prost(uint64, tag = "3")]
+    pub limit: u64,
 }
 
 /// A document for operators.
--- a/tests/product/timeline.rs
+++ b/tests/product/timeline.rs
@@ -52,6 +52,9 @@
     }
     let entries = timeline.entries("");
     assert!(entries.iter().all(|entry| entry.detail.len() <= 300));
+    timeline.record(Event::ConfigRejected, "config-3", "line 1:\n  |\r\n2 | x");
+    let line = line(&timeline.entries("config-3")[0]);
+    assert!(line.ends_with("config-3 line 1:   |  2 | x"), "{line}");
     let text = newest_json(&entries, 100_000);
     assert!(text.len() <= 100_000);
     let kept: Vec<Entry> = serde_json::from_str(&text).expect("it is a list");
