--- a/tests/process/input.rs
+++ b/tests/process/input.rs
@@ -98,6 +98,36 @@
     });
 }
 
+#[test]
+fn input_half_closed_caller_ends() {
+    block_on(async {
+        let fleet = Fleet::start("input-half", Plan::default()).await;
+        let body = json!({ "model": "glue", "max_tokens": 10, "stream": true, "messages": [] });
+        let body = body.to_string();
+        let request = format!(
+            "POST /v1/chat/completions HTTP/1.1\r\nhost: x\r\nx-api-key: {KITES_KEY}\r\n\
+             content-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        for _ in 0..10 {
+            let mut stream = TcpStream::connect(fleet.caller(0)).await.unwrap();
+            stream.write_all(request.as_bytes()).await.unwrap();
+            stream.shutdown().await.unwrap();
+            let mut answer = String::new();
+            let read = timeout(LIMIT, stream.read_to_string(&mut answer)).await;
+            // A reset is as good an end as an orderly one.
+            let _ = read.expect("the instance closes the connection");
+            let ended = answer.ends_with("0\r\n\r\n");
+            assert_eq!(ended, answer.contains("data: [DONE]"), "{answer}");
+        }
+        assert_serves(&fleet).await;
+        eventually("nothing is left running", LIMIT, || async {
+            fleet.status(fleet.operators[0]).await["running"] == 0
+        })
+        .await;
+    });
+}
+
 #[test]
 fn input_garbled_peer_frame_dropped() {
     block_on(async {
