Hold the planner's duty by lease and move models

Cause: no instance decided where models are, so a model without a copy stayed unreachable. Keepers move by a transaction that expects the new keeper's record unchanged and without an unload. A new planner counts the loads that records leave open.

--- a/src/kernel/placement/planning.rs
+++ b/src/kernel/placement/planning.rs
@@ -22,10 +22,10 @@
     pending: BTreeMap<Step, Given>,
 }
 
-/// When a step was given out, and the free memory of its endpoint then.
+/// How long a step counts as given, and the free memory of its endpoint when it was.
 #[derive(Clone, Copy, Debug)]
 struct Given {
-    at: Time,
+    until: Time,
     free: u64,
 }
 
@@ -35,6 +35,12 @@
         Self { permits: Permits::new(limits, now), pending: BTreeMap::new() }
     }
 
+    /// Counts loads that an earlier planner left open, for as long as their orders can live.
+    pub fn inherit(&mut self, loads: impl IntoIterator<Item = Step>, until: Time) {
+        let given = Given { until, free: 0 };
+        self.pending.extend(loads.into_iter().map(|step| (step, given)));
+    }
+
     /// Takes over changed limits of the weight store.
     pub fn set_limits(&mut self, limits: WeightStore, now: Time) {
         self.permits.set_limits(limits, now);
@@ -50,7 +56,7 @@
     ) -> Vec<Step> {
         self.forget_shown(view, now);
         let view = self.with_pending(view);
-        let mut open = view.open_loads();
+        let mut open = view.open_loads() + self.unseen(&view);
         let mut steps = Vec::new();
         for step in policy.plan(&view, keepers) {
             if step.is_load() {
@@ -61,7 +67,7 @@
             }
             let (endpoint, _) = step.place();
             let free = view.site(endpoint).map_or(0, |site| site.free);
-            self.pending.insert(step.clone(), Given { at: now, free });
+            self.pending.insert(step.clone(), Given { until: now + PENDING_LIMIT, free });
             steps.push(step);
         }
         steps
@@ -73,9 +79,13 @@
     }
 
     fn forget_shown(&mut self, view: &View, now: Time) {
-        self.pending.retain(|step, given| {
-            now.since(given.at) <= PENDING_LIMIT && !is_shown(view, step, given)
-        });
+        self.pending.retain(|step, given| now <= given.until && !is_shown(view, step, given));
+    }
+
+    /// Returns the given loads at endpoints that no steward describes.
+    fn unseen(&self, view: &View) -> usize {
+        let loads = self.pending.keys().filter(|step| step.is_load());
+        loads.filter(|step| view.site(step.place().0).is_none()).count()
     }
 
     fn with_pending(&self, view: &View) -> View {
@@ -98,6 +108,6 @@
 
 fn is_shown(view: &View, step: &Step, given: &Given) -> bool {
     let (endpoint, model) = step.place();
-    let Some(site) = view.site(endpoint) else { return true };
+    let Some(site) = view.site(endpoint) else { return false };
     if step.is_load() { site.holds(model) } else { !site.holds(model) && site.free > given.free }
 }
--- a/src/kernel/routing/directory.rs
+++ b/src/kernel/routing/directory.rs
@@ -74,6 +74,12 @@
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the steward of an endpoint.
+    pub fn steward(&self, endpoint: &EndpointId) -> Option<InstanceId> {
+        let claims = self.claims.get(endpoint)?;
+        newest(claims).map(|claim| claim.copy.steward.clone())
+    }
+
     /// Returns the number of endpoints.
     pub fn len(&self) -> usize {
         self.claims.len()
--- /dev/null
+++ b/src/node/planner/round.rs
@@ -0,0 +1,131 @@
+//! One round of the planner: keepers first, then permits for moves.
+
+use std::sync::Arc;
+
+use futures_util::future::join_all;
+
+use super::{Duty, Next, own_lease, write};
+use crate::{
+    clock::Time,
+    events::Event,
+    kernel::{
+        ledger::EndpointRecord,
+        placement::{KeeperMove, Marginal, PLAN_KEY, PlanRecord, Step, View, keeper_moves},
+        registry,
+        stewardship::record_key,
+    },
+    names::InstanceId,
+    node::Node,
+    platform::PlatformError,
+    wire::{AskBody, Move, ReplyBody},
+};
+
+/// Keepers that one write moves.
+const KEEPERS_AT_ONCE: usize = 32;
+
+/// Runs one round and returns whether the duty is still held.
+pub async fn round(node: &Arc<Node>, mut duty: Duty) -> Next {
+    if !duty.is_held(node) {
+        return Next::Look;
+    }
+    let Some(config) = node.config() else { return Next::Hold(duty) };
+    let view = View::new(&config, &node.directory.read());
+    match move_keepers(node, &mut duty, &view).await {
+        Ok(true) => {}
+        Ok(false) => return Next::Look,
+        // The service is down: the duty stays, and nothing moves without its record.
+        Err(_) => return Next::Hold(duty),
+    }
+    duty.planning.set_limits(config.store, Time::now());
+    let policy = registry::placement(&config.policy.placement).unwrap_or(&Marginal);
+    let steps = duty.planning.steps(policy, &view, &duty.record.keepers, Time::now());
+    // The lease is checked again, since the process may have been paused since the round began.
+    if !duty.is_held(node) {
+        return Next::Look;
+    }
+    give_out(node, &mut duty, steps).await;
+    Next::Hold(duty)
+}
+
+/// Moves keepers to endpoints that hold their models, and returns whether the duty is still held.
+async fn move_keepers(
+    node: &Arc<Node>,
+    duty: &mut Duty,
+    view: &View,
+) -> Result<bool, PlatformError> {
+    let mut moves = keeper_moves(view, &duty.record.keepers);
+    moves.truncate(KEEPERS_AT_ONCE);
+    if moves.is_empty() {
+        return Ok(true);
+    }
+    let Some(own) = own_lease(node) else { return Ok(false) };
+    let mut expect = vec![(PLAN_KEY.to_owned(), duty.revision), own];
+    let mut record = duty.record.clone();
+    for moved in moves {
+        if let Some(unchanged) = unload_excluded(node, &moved).await? {
+            if !expect.contains(&unchanged) {
+                expect.push(unchanged);
+            }
+            record.keepers.insert(moved.model, moved.to);
+        }
+    }
+    record.version += 1;
+    record.nonce = rand::random();
+    let written = write(node, &record, expect).await?;
+    let Some(revision) = written else { return recheck(node, duty).await };
+    let detail = format!("version={} keepers={}", record.version, record.keepers.len());
+    node.timeline.record(Event::PlanWritten, PLAN_KEY, detail);
+    (duty.record, duty.revision) = (record, revision);
+    Ok(true)
+}
+
+/// Returns whether the record is still this node's after a write that did not happen, since the
+/// record of an endpoint may have changed in its place.
+async fn recheck(node: &Node, duty: &Duty) -> Result<bool, PlatformError> {
+    let current = node.platform.get(PLAN_KEY).await?;
+    Ok(current.is_some_and(|kv| kv.revision == duty.revision))
+}
+
+/// Returns the expectation under which an endpoint cannot unload the model any more without
+/// seeing the new plan, or `None` while an unload may still take effect there.
+async fn unload_excluded(
+    node: &Node,
+    moved: &KeeperMove,
+) -> Result<Option<(String, i64)>, PlatformError> {
+    let key = record_key(&moved.to);
+    let Some(kv) = node.platform.get(&key).await? else { return Ok(None) };
+    let record: EndpointRecord = serde_json::from_slice(&kv.value).unwrap_or_default();
+    Ok((!record.may_unload(&moved.model)).then_some((key, kv.revision)))
+}
+
+/// Asks the stewards to carry the steps out.
+async fn give_out(node: &Arc<Node>, duty: &mut Duty, steps: Vec<Step>) {
+    let asked = steps.into_iter().map(|step| ask(node, &duty.record, step));
+    for (step, accepted) in join_all(asked).await {
+        if !accepted {
+            duty.planning.refused(&step);
+        }
+    }
+}
+
+async fn ask(node: &Arc<Node>, record: &PlanRecord, step: Step) -> (Step, bool) {
+    let (endpoint, model) = step.place();
+    let Some(steward) = node.directory.read().steward(endpoint) else { return (step, false) };
+    let order = Move {
+        endpoint: endpoint.to_string(),
+        model: model.to_string(),
+        unload: !step.is_load(),
+        plan: record.version,
+    };
+    let refused = is_refused(node, &steward, order).await;
+    (step, !refused)
+}
+
+/// Returns whether a steward surely did not accept an order; a lost answer may mean that it did.
+async fn is_refused(node: &Arc<Node>, steward: &InstanceId, order: Move) -> bool {
+    match node.ask(steward, AskBody::Move(order)).await {
+        Ok(ReplyBody::Moved(moved)) => !moved.accepted,
+        Ok(_) => true,
+        Err(refusal) => refusal.run == crate::codes::Run::NotRun,
+    }
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -13,6 +13,7 @@
     mod once;
     mod operators;
     mod path;
+    mod placement;
     mod rate;
     mod shutdown;
     mod streams;
