--- a/src/node/admit.rs
+++ b/src/node/admit.rs
@@ -53,12 +53,9 @@
     headers: &HeaderMap,
     open: impl Fn(&Config) -> bool,
 ) -> Result<Caller, Refusal> {
-    if node.drain.is_draining() {
-        return Err(Refusal::not_run(Code::Draining));
-    }
+    let _running = node.drain.enter().ok_or(Refusal::not_run(Code::Draining))?;
     let config = node.config().ok_or(Refusal::not_run(Code::NoConfig).retry_after(500))?;
     let team = if open(&config) { None } else { Some(authenticate(node, &config, headers)?) };
-    let _running = node.drain.enter();
     Ok(Caller { request, arrived: Time::now(), config, team, _running })
 }
 
@@ -71,6 +68,12 @@
     Ok(known.1.clone())
 }
 
+/// Returns the team of a request's key, where it carries a known one.
+pub fn known_team(config: &Config, headers: &HeaderMap) -> Option<Team> {
+    let key = key_of(headers).ok()?;
+    config.team_of(&key).map(|(_, team)| team.clone())
+}
+
 /// Returns the one key that a request carries.
 fn key_of(headers: &HeaderMap) -> Result<String, Refusal> {
     let text = |value: &http::HeaderValue| value.to_str().ok().map(str::to_owned);
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -18,7 +18,7 @@
 use crate::{
     codes::{Code, Refusal},
     http::{json, read_body, refuse, serve},
-    kernel::freshness::Freshness,
+    kernel::{drain::Phase, freshness::Freshness},
     telemetry,
     wire::{Document, Inspect, ReplyBody},
 };
@@ -28,8 +28,11 @@
 
 /// Serves operators.
 pub async fn run(node: Arc<Node>, listener: TcpListener) {
+    let draining = node.clone();
     let handle = move |request: Request| handle(node.clone(), request);
-    if let Err(err) = serve(listener, handle, async {}).await {
+    // The library ends each of its servers at the signal; this one stays until the work has ended.
+    let drained = async move { draining.drain.reached(Phase::Gone).await };
+    if let Err(err) = serve(listener, handle, drained).await {
         log::error!("operators' interface: {err}");
     }
 }
--- a/src/node/steward/digest.rs
+++ b/src/node/steward/digest.rs
@@ -8,7 +8,7 @@
     pub fn digests(&self) -> Vec<EndpointDigest> {
         let mut digests = Vec::new();
         self.endpoints.for_each(|_, stewarded| {
-            if stewarded.accepting {
+            if stewarded.serves() {
                 digests.push(stewarded.digest());
             }
         });
--- a/src/node/steward/reports.rs
+++ b/src/node/steward/reports.rs
@@ -6,13 +6,8 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
-use super::{orders::next_order, write::write_record};
-use crate::{
-    clock::Time,
-    kernel::{ledger::Sight, stewardship::Duty},
-    names::EndpointId,
-    node::Node,
-};
+use super::{crash, orders::next_order, write::write_record};
+use crate::{clock::Time, kernel::stewardship::Duty, names::EndpointId, node::Node};
 
 const PERIOD: Duration = Duration::from_millis(250);
 
@@ -38,9 +33,7 @@
     let Some(Some(client)) = client else { return };
     if let Ok(report) = client.report().await {
         node.stewards.endpoints.with(id, |stewarded| {
-            if stewarded.ledger.take_report(&report, Time::now()) != Sight::Stale {
-                stewarded.report = Some(report);
-            }
+            crash::take_report(node, stewarded, report);
         });
     }
     if node.duty() != Duty::Hold {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -2,6 +2,8 @@
 
 use bytes::Bytes;
 
+use super::Suspect;
+
 /// One frame on a link.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Frame {
@@ -89,6 +91,9 @@
     /// Number of this heartbeat.
     #[prost(uint64, tag = "8")]
     pub number: u64,
+    /// Requests that crashed endpoints lately.
+    #[prost(message, repeated, tag = "30")]
+    pub suspects: Vec<Suspect>,
     /// Buckets of ids that the sender owns, as a bit mask.
     #[prost(fixed32, tag = "9")]
     pub buckets: u32,
@@ -318,6 +323,9 @@
     /// Hash of the prompt's prefix, by which caches are found.
     #[prost(fixed64, tag = "19")]
     pub prefix: u64,
+    /// Ids of the crashes at which an earlier attempt was in flight.
+    #[prost(fixed64, repeated, tag = "30")]
+    pub crashes: Vec<u64>,
 }
 
 /// An HTTP header.
@@ -331,45 +339,39 @@
     pub value: Bytes,
 }
 
-/// Asks for a loan of rate.
+/// Asks for a loan of a part of a team's rate and burst.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LoanAsk {
     /// Team whose rate is short.
     #[prost(string, tag = "1")]
     pub team: String,
-    /// Tokens that are needed now.
-    #[prost(uint64, tag = "2")]
-    pub tokens: u64,
-    /// Tokens a second that are wanted.
-    #[prost(uint64, tag = "3")]
-    pub rate: u64,
-    /// Number of the loan at the borrower, so that a repeated ask is recognized.
+    /// Parts that are wanted from this lender in all.
+    #[prost(uint32, tag = "2")]
+    pub parts: u32,
+    /// Number of the ask at the borrower, so that a repeated ask is recognized.
     #[prost(uint64, tag = "4")]
     pub number: u64,
-    /// Version of the configuration from which the borrower computes.
-    #[prost(uint64, tag = "5")]
-    pub version: u64,
     /// Incarnation of the borrower.
     #[prost(uint64, tag = "6")]
     pub incarnation: u64,
+    /// Name of the borrower.
+    #[prost(string, tag = "7")]
+    pub instance: String,
 }
 
 /// Answer to a [`LoanAsk`].
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct LoanGrant {
-    /// Tokens a second that are lent.
-    #[prost(uint64, tag = "1")]
-    pub rate: u64,
-    /// Part of the burst that is lent.
-    #[prost(uint64, tag = "2")]
-    pub burst: u64,
+    /// Parts that are lent in all, which replace an earlier loan of the same lender.
+    #[prost(uint32, tag = "1")]
+    pub parts: u32,
     /// Tokens that are handed over at once.
     #[prost(uint64, tag = "3")]
     pub tokens: u64,
     /// Length of the loan in milliseconds, counted from when the borrower asked.
     #[prost(uint64, tag = "4")]
     pub period_ms: u64,
-    /// Number of the loan from the ask.
+    /// Number of the ask.
     #[prost(uint64, tag = "5")]
     pub number: u64,
 }
@@ -441,6 +443,9 @@
     /// Number of server-sent events up to and with this chunk; zero for other answers.
     #[prost(uint64, tag = "2")]
     pub events: u64,
+    /// Whether this is the event that closes the stream.
+    #[prost(bool, tag = "3")]
+    pub last: bool,
 }
 
 /// End of a streamed answer.
@@ -461,6 +466,9 @@
     /// Requests that run or wait at the endpoint.
     #[prost(uint32, tag = "5")]
     pub load: u32,
+    /// Ids of the crashes at which the request was in flight.
+    #[prost(fixed64, repeated, tag = "30")]
+    pub crashes: Vec<u64>,
 }
 
 /// The asker drops the exchange.
@@ -474,35 +482,3 @@
     #[prost(uint32, tag = "1")]
     pub chunks: u32,
 }
-
-impl End {
-    /// Creates the end of a whole answer.
-    pub fn whole(used: u64) -> Self {
-        Self { used, ..Self::default() }
-    }
-}
-
-impl From<&crate::codes::Refusal> for End {
-    fn from(refusal: &crate::codes::Refusal) -> Self {
-        Self {
-            code: refusal.code.number(),
-            unknown: refusal.run == crate::codes::Run::Unknown,
-            retry_ms: refusal.retry_ms.unwrap_or(0),
-            ..Self::default()
-        }
-    }
-}
-
-impl End {
-    /// Returns the refusal that this end stands for, or `None` for a whole answer.
-    pub fn refusal(&self) -> Option<crate::codes::Refusal> {
-        use crate::codes::{Code, Refusal, Run};
-        if self.code == 0 {
-            return None;
-        }
-        let code = Code::from_number(self.code).unwrap_or(Code::Internal);
-        let run = if self.unknown { Run::Unknown } else { Run::NotRun };
-        let retry_ms = (self.retry_ms > 0).then_some(self.retry_ms);
-        Some(Refusal { code, run, retry_ms })
-    }
-}
