--- a/src/codes.rs
+++ b/src/codes.rs
@@ -66,6 +66,7 @@
     KeyUnknown = 1002, 401, "The key is unknown or withdrawn.";
     ClassForbidden = 1003, 403, "The team may not use this class.";
     KeyConflict = 1004, 401, "The request carries more than one key.";
+    KeyMisplaced = 1005, 400, "The key appears outside the headers for keys.";
     BadRequest = 1101, 400, "The request cannot be parsed.";
     BodyTooLarge = 1102, 413, "The body exceeds the limit.";
     ModelUnknown = 1103, 404, "No such model is configured.";
@@ -76,6 +77,7 @@
     IdReused = 1108, 422, "The Idempotency-Key was used for another request.";
     BodySlow = 1109, 408, "The body did not arrive in time.";
     MethodNotAllowed = 1110, 405, "The route exists and does not take this method.";
+    HeadersTooLarge = 1110, 431, "The headers or the path exceed the limit.";
     RateExceeded = 1201, 429, "The team's rate and burst are used up.";
     QueueFull = 1202, 503, "The queue is full.";
     DeadlinePassed = 1203, 504, "The deadline passed before the request could start.";
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -3,6 +3,7 @@
 //! No module below holds a socket, a clock or a random source of its own, so the same code runs in
 //! a node, in property tests and in benchmarks.
 
+pub mod configuration;
 pub mod dispatch;
 pub mod drain;
 pub mod freshness;
--- a/src/kernel/freshness.rs
+++ b/src/kernel/freshness.rs
@@ -1,6 +1,12 @@
 //! Tells an instance that is cut off from one whose platform service is down for everybody.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use super::stewardship::weight;
+use crate::{clock::Time, names::InstanceId};
 
 /// What an instance knows of its contact with the rest.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,3 +43,98 @@
         Freshness::CutOff
     }
 }
+
+/// Heartbeats whose time of sending is remembered.
+const SENT_COUNT: usize = 64;
+
+/// Peers to which an instance sends heartbeats, whatever the size of the fleet.
+pub const PROBE_COUNT: usize = 8;
+
+/// Returns the peers to which an instance sends heartbeats.
+///
+/// Rendezvous hashing spreads them evenly and changes few of them when the list changes.
+pub fn probed(own: &InstanceId, live: &[InstanceId]) -> Vec<InstanceId> {
+    let others = live.iter().filter(|id| *id != own);
+    let mut ranked: Vec<_> = others.map(|id| (weight(own.as_str(), id), id)).collect();
+    ranked.sort_by(|a, b| b.cmp(a));
+    ranked.into_iter().take(PROBE_COUNT).map(|(_, id)| id.clone()).collect()
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Peer {
+    heard: Time,
+    refused: Option<Time>,
+}
+
+/// When an instance was last in contact with the platform's service and with each peer.
+///
+/// What a peer says counts from when the heartbeat that it answers was sent. A message that was
+/// late, or that waited in a socket while the process was paused, therefore never looks younger
+/// than it is, and an age that two instances pass to each other only grows.
+#[derive(Clone, Debug, Default)]
+pub struct Contacts {
+    platform: Time,
+    sent: VecDeque<(u64, Time)>,
+    peers: BTreeMap<InstanceId, Peer>,
+}
+
+impl Contacts {
+    /// Starts a round of heartbeats and returns its number.
+    pub fn begin(&mut self, now: Time) -> u64 {
+        let number = self.sent.back().map_or(1, |(number, _)| number + 1);
+        if self.sent.len() == SENT_COUNT {
+            self.sent.pop_front();
+        }
+        self.sent.push_back((number, now));
+        number
+    }
+
+    /// Notes an answer of the platform's service to a call that was made at `asked`.
+    pub fn contacted(&mut self, asked: Time) {
+        self.platform = self.platform.max(asked);
+    }
+
+    /// Takes in a peer's answer to the heartbeat `echo` and returns when that one was sent.
+    ///
+    /// `age` is the age of the peer's last contact when it answered.
+    pub fn hear(&mut self, peer: &InstanceId, echo: u64, age: Duration) -> Option<Time> {
+        let (_, sent) = *self.sent.iter().find(|(number, _)| *number == echo)?;
+        self.contacted(sent - age);
+        let peer = self.peers.entry(peer.clone()).or_default();
+        peer.heard = peer.heard.max(sent);
+        peer.refused = None;
+        Some(sent)
+    }
+
+    /// Notes that a peer's host refused a connection, so that no process runs there.
+    pub fn refused(&mut self, peer: &InstanceId, now: Time) {
+        self.peers.entry(peer.clone()).or_default().refused = Some(now);
+    }
+
+    /// Returns the age of the last contact with the platform's service.
+    pub fn age(&self, now: Time) -> Duration {
+        now.since(self.platform)
+    }
+
+    /// Returns what an instance knows of its contact, over the live instances that it probes.
+    pub fn contact(&self, own: &InstanceId, live: &[InstanceId], now: Time) -> Contact {
+        let young = |at: Time| now.since(at) <= CONTACT_BOUND;
+        // An instance that is not in its own list, or has none, cannot tell who is there.
+        let heard = usize::from(live.contains(own));
+        let mut contact = Contact { age: self.age(now), listed: 1, heard };
+        for id in probed(own, live) {
+            let peer = self.peers.get(&id).copied().unwrap_or_default();
+            if peer.refused.is_some_and(young) {
+                continue;
+            }
+            contact.listed += 1;
+            contact.heard += usize::from(young(peer.heard));
+        }
+        contact
+    }
+
+    /// Forgets the peers that are not listed.
+    pub fn keep(&mut self, listed: impl Fn(&InstanceId) -> bool) {
+        self.peers.retain(|id, _| listed(id));
+    }
+}
--- a/src/kernel/shares/custody.rs
+++ b/src/kernel/shares/custody.rs
@@ -185,6 +185,16 @@
         self.newest > self.revision
     }
 
+    /// Returns whether parts were given up without a write that is known to have taken effect.
+    pub fn is_pending(&self) -> bool {
+        self.ceiling.is_some()
+    }
+
+    /// Returns the table after a step of this instance.
+    pub fn next_table(&self, step: &Step) -> ShareTable {
+        self.table.after(&self.owner, step)
+    }
+
     /// Returns when the table was last known to have its revision.
     pub fn confirmed(&self) -> Time {
         self.confirmed
--- a/src/node.rs
+++ b/src/node.rs
@@ -31,7 +31,7 @@
     config::Config,
     events::Event,
     http::HttpError,
-    kernel::{retry::RetryBudget, routing::Directory, suspect::Suspects},
+    kernel::{configuration::Versions, retry::RetryBudget, routing::Directory, suspect::Suspects},
     names::RequestId,
     platform::{Client, InstanceList},
     settings::Settings,
@@ -45,6 +45,7 @@
     timeline: Timeline,
     platform: Client,
     config: ArcSwapOption<Config>,
+    versions: Mutex<Versions>,
     list: ArcSwap<InstanceList>,
     directory: RwLock<Directory>,
     members: members::Members,
@@ -85,18 +86,20 @@
 impl Node {
     /// Creates a node that does nothing yet.
     pub fn new(settings: Settings) -> Arc<Self> {
+        let incarnation = rand::random::<u64>() | 1;
         let platform = Client::new(settings.platform.clone(), settings.list);
         Arc::new(Self {
-            incarnation: rand::random::<u64>() | 1,
+            incarnation,
             timeline: Timeline::new(settings.instance.clone()),
             platform,
             config: ArcSwapOption::empty(),
+            versions: Mutex::default(),
             list: ArcSwap::default(),
             directory: RwLock::default(),
             members: members::Members::default(),
             lease: lease::InstanceLease::default(),
             peers: peers::Peers::default(),
-            shares: shares::Shares::default(),
+            shares: shares::Shares::new(&settings, incarnation),
             stewards: steward::Stewards::default(),
             once: once::Claims::default(),
             planner: planner::Planner::default(),
--- a/src/node/admit.rs
+++ b/src/node/admit.rs
@@ -1,16 +1,20 @@
 //! Decides whether a caller's request may run: freshness, key, class and rate.
 
+mod key;
+
 use std::sync::Arc;
 
-use http::HeaderMap;
+use http::{HeaderMap, request::Parts};
 
+use self::key::Key;
 use super::{Node, drain::Running, shares::Charge};
 use crate::{
     clock::Time,
     codes::{Code, Refusal},
     config::{ClassTarget, Config},
+    endpoint::ONCE_HEADER,
     kernel::freshness::Freshness,
-    names::{Class, RequestId, Team},
+    names::{Class, KeyId, RequestId, Team},
     wire::{Header, Work},
 };
 
@@ -20,6 +24,15 @@
 /// Headers that are forwarded to endpoints; all others stay here.
 const FORWARDED: &[&str] = &["accept", "accept-language", "content-type"];
 
+/// Most headers of a request.
+const HEADER_COUNT: usize = 64;
+
+/// Most bytes of the headers of a request together.
+const HEADER_BYTES: usize = 16 << 10;
+
+/// Longest path of a request in bytes.
+const PATH_BYTES: usize = 2 << 10;
+
 /// A caller's request whose key was accepted.
 pub struct Caller {
     /// Id that this instance gave to the request.
@@ -30,6 +43,8 @@
     pub config: Arc<Config>,
     /// Team, or `None` on an open route.
     pub team: Option<Team>,
+    /// The key itself, which never leaves this instance.
+    key: Option<Key>,
     /// Keeps a shutdown waiting.
     pub _running: Running,
 }
@@ -50,47 +65,81 @@
 pub fn identify(
     node: &Node,
     request: RequestId,
-    headers: &HeaderMap,
+    parts: &Parts,
     open: impl Fn(&Config) -> bool,
 ) -> Result<Caller, Refusal> {
     let _running = node.drain.enter().ok_or(Refusal::not_run(Code::Draining))?;
+    check_sizes(parts)?;
     let config = node.config().ok_or(Refusal::not_run(Code::NoConfig).retry_after(500))?;
-    let team = if open(&config) { None } else { Some(authenticate(node, &config, headers)?) };
-    Ok(Caller { request, arrived: Time::now(), config, team, _running })
+    let key = if open(&config) { None } else { Some(Key::of(&parts.headers)?) };
+    let team = key.as_ref().map(|key| authenticate(node, &config, key)).transpose()?;
+    Ok(Caller { request, arrived: Time::now(), config, team, key, _running })
+}
+
+fn check_sizes(parts: &Parts) -> Result<(), Refusal> {
+    let bytes: usize = parts.headers.iter().map(|(k, v)| k.as_str().len() + v.len()).sum();
+    let path = parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    if parts.headers.len() > HEADER_COUNT || bytes > HEADER_BYTES || path > PATH_BYTES {
+        return Err(Refusal::not_run(Code::HeadersTooLarge));
+    }
+    Ok(())
 }
 
-fn authenticate(node: &Node, config: &Config, headers: &HeaderMap) -> Result<Team, Refusal> {
+/// Returns the team of a key where this instance may serve keyed work.
+fn authenticate(node: &Node, config: &Config, key: &Key) -> Result<Team, Refusal> {
     if node.freshness() == Freshness::CutOff {
         return Err(Refusal::not_run(Code::CutOff).retry_after(1_000));
     }
-    let key = key_of(headers)?;
-    let known = config.team_of(&key).ok_or(Refusal::not_run(Code::KeyUnknown))?;
+    let known = config.team_of(key.text()).ok_or(Refusal::not_run(Code::KeyUnknown))?;
     Ok(known.1.clone())
 }
 
-/// Returns the one key that a request carries.
-fn key_of(headers: &HeaderMap) -> Result<String, Refusal> {
-    let text = |value: &http::HeaderValue| value.to_str().ok().map(str::to_owned);
-    let bearer = headers.get_all("authorization").iter().filter_map(text);
-    let bearer = bearer.filter_map(|value| value.strip_prefix("Bearer ").map(str::to_owned));
-    let plain = headers.get_all("x-api-key").iter().filter_map(text);
-    let mut keys: Vec<String> = bearer.chain(plain).collect();
-    keys.dedup();
-    match keys.len() {
-        0 => Err(Refusal::not_run(Code::KeyMissing)),
-        1 => Ok(keys.remove(0)),
-        _ => Err(Refusal::not_run(Code::KeyConflict)),
+/// Checks at the steward that the key of a request that waited was not withdrawn meanwhile.
+pub fn still_allowed(node: &Node, work: &Work) -> Result<(), Refusal> {
+    let Some(config) = node.config().filter(|config| config.version >= work.version) else {
+        return Ok(());
+    };
+    let known = |(handle, team): &(KeyId, Team)| {
+        handle.as_str() == work.handle && team.as_str() == work.team
+    };
+    if work.handle.is_empty() || config.keys.values().any(known) {
+        return Ok(());
     }
+    Err(Refusal::not_run(Code::KeyUnknown))
 }
 
 impl Caller {
+    /// Refuses a request that carries its key where it would be forwarded to an endpoint.
+    pub fn conceal(&self, parts: &Parts, body: &[u8]) -> Result<(), Refusal> {
+        let Some(key) = &self.key else { return Ok(()) };
+        let forwarded = FORWARDED.iter().chain(&[ONCE_HEADER]);
+        let mut values = forwarded.flat_map(|name| parts.headers.get_all(*name));
+        let exposed = key.is_in(parts.uri.path().as_bytes())
+            || key.is_in(body)
+            || values.any(|value| key.is_in(value.as_bytes()));
+        if exposed { Err(Refusal::not_run(Code::KeyMisplaced)) } else { Ok(()) }
+    }
+
+    /// Checks again, since the body and the tokens may have taken their time.
+    fn recheck(&mut self, node: &Node) -> Result<(), Refusal> {
+        let Some(key) = &self.key else { return Ok(()) };
+        let config = node.config().unwrap_or_else(|| self.config.clone());
+        let team = authenticate(node, &config, key)?;
+        if self.team.as_ref() != Some(&team) {
+            return Err(Refusal::not_run(Code::KeyUnknown));
+        }
+        self.config = config;
+        Ok(())
+    }
+
     /// Charges the team and completes the admission.
     pub async fn admit(
-        self,
+        mut self,
         node: &Arc<Node>,
         class: Class,
         tokens: u64,
     ) -> Result<Admitted, Refusal> {
+        self.recheck(node)?;
         let target = self.config.classes.get(&class).cloned();
         let target = target.ok_or(Refusal::not_run(Code::ClassUnknown))?;
         let deadline = self.arrived + target.deadline;
@@ -98,6 +147,7 @@
             Some(team) => node.charge(team, tokens, deadline).await?,
             None => Charge::free(),
         };
+        self.recheck(node).inspect_err(|refusal| charge.refused(refusal))?;
         Ok(Admitted { caller: self, class, target, charge })
     }
 
@@ -131,9 +181,13 @@
     pub fn work(&self, headers: &HeaderMap) -> Work {
         let now = Time::now();
         let team = self.caller.team.as_ref().map(Team::to_string);
+        let key = self.caller.key.as_ref();
+        let known = key.and_then(|key| self.caller.config.team_of(key.text()));
         Work {
             request: self.caller.request.to_string(),
             team: team.unwrap_or_default(),
+            handle: known.map(|(handle, _)| handle.to_string()).unwrap_or_default(),
+            version: self.caller.config.version,
             class: self.class.to_string(),
             headers: forwarded(headers),
             left_ms: self.deadline().since(now).as_millis() as u64,
--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -55,8 +55,9 @@
     request: Request,
 ) -> Result<Response, Refusal> {
     let (parts, body) = request.into_parts();
-    let caller = identify(node, id, &parts.headers, |_| false)?;
+    let caller = identify(node, id, &parts, |_| false)?;
     let body = receive(body).await?;
+    caller.conceal(&parts, &body)?;
     let asked: Asked =
         serde_json::from_slice(&body).map_err(|_| Refusal::not_run(Code::BadRequest))?;
     let spec = caller.config.models.get(&asked.model);
@@ -79,7 +80,8 @@
         tokens,
         ..admitted.work(&parts.headers)
     };
-    serve(node, admitted, work).await
+    let charge = admitted.charge.clone();
+    serve(node, admitted, work).await.inspect_err(|refusal| charge.refused(refusal))
 }
 
 const PREFIX_BYTES: usize = 256;
--- a/src/node/chat/job.rs
+++ b/src/node/chat/job.rs
@@ -67,7 +67,7 @@
     }
 
     /// Settles the charge and records that the caller was answered.
-    pub fn complete(mut self) {
+    pub fn complete(self) {
         self.admitted.charge.settle(self.work.tokens);
         self.node.timeline.record(Event::RequestCompleted, self.work.request, "");
     }
--- a/src/node/config_sync.rs
+++ b/src/node/config_sync.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
@@ -9,7 +10,8 @@
 use crate::{
     config::Config,
     events::Event,
-    platform::{Change, Kv, PlatformError},
+    kernel::configuration::{self, Offer},
+    platform::{Change, InstanceList, Kv, PlatformError},
     wire::{ConfigAsk, ConfigDoc, ReplyBody},
 };
 
@@ -17,6 +19,10 @@
 pub const CONFIG_KEY: &str = "cardamomshore/config";
 
 const RETRY_PERIOD: Duration = Duration::from_millis(500);
+const POLL_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Age of the last contact above which a node that is no watcher reads the record itself.
+const POLL_AGE: Duration = Duration::from_millis(1_500);
 
 /// The configuration as the platform's service keeps it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -29,32 +35,68 @@
     pub nonce: u64,
 }
 
-/// Follows the configuration's record.
+/// Follows the configuration's record and keeps in contact with the platform's service.
 pub async fn run(node: Arc<Node>) {
+    tokio::join!(watch(&node), poll(&node));
+}
+
+/// Watches the record while this node is one of its data centre's watchers.
+async fn watch(node: &Node) {
     loop {
-        if let Err(err) = follow(&node).await {
+        if is_watcher(node)
+            && let Err(err) = follow(node).await
+        {
             log::debug!("configuration watch: {err}");
         }
-        sleep(RETRY_PERIOD).await;
+        sleep(jittered(RETRY_PERIOD)).await;
+    }
+}
+
+/// Reads the record every now and then: watchers always, the others where peers pass no young
+/// contact on.
+async fn poll(node: &Node) {
+    loop {
+        if is_watcher(node) || node.contact().age > POLL_AGE {
+            read(node).await;
+        }
+        sleep(jittered(POLL_PERIOD)).await;
+    }
+}
+
+async fn read(node: &Node) {
+    match node.platform.get(CONFIG_KEY).await {
+        Ok(Some(kv)) => take_record(node, &kv),
+        Ok(None) => {}
+        Err(err) => log::debug!("configuration read: {err}"),
     }
 }
 
+/// Returns whether this node is one of its data centre's watchers.
+pub fn is_watcher(node: &Node) -> bool {
+    let settings = &node.settings;
+    configuration::watches(&settings.instance, &settings.data_centre, &node.list.load())
+}
+
+fn jittered(period: Duration) -> Duration {
+    period.mul_f64(rand::rng().random_range(0.8..1.2))
+}
+
 async fn follow(node: &Node) -> Result<(), PlatformError> {
     let snapshot = node.platform.range(CONFIG_KEY).await?;
-    node.members.contacted();
-    for kv in &snapshot.kvs {
+    for kv in snapshot.kvs.iter().filter(|kv| kv.key == CONFIG_KEY) {
         take_record(node, kv);
     }
     let mut watch = node.platform.watch(CONFIG_KEY, snapshot.revision + 1).await?;
-    loop {
+    while is_watcher(node) {
         let (changes, _) = watch.next().await?;
-        node.members.contacted();
         for change in changes {
-            if let Change::Put(kv) = change {
-                take_record(node, &kv);
+            match change {
+                Change::Put(kv) if kv.key == CONFIG_KEY => take_record(node, &kv),
+                _ => {}
             }
         }
     }
+    Ok(())
 }
 
 fn take_record(node: &Node, kv: &Kv) {
@@ -66,38 +108,49 @@
 
 /// Brings a configuration into force if its version is higher than the one in force.
 pub fn take(node: &Node, version: u64, text: &str) {
-    if node.version() >= version {
+    if !node.versions.lock().wants(version) {
         return;
     }
+    let parsed = Config::parse(version, text);
     let subject = format!("config-{version}");
-    match Config::parse(version, text) {
-        Ok(config) => {
-            let config = Arc::new(config);
-            let newer = |current: &Option<Arc<Config>>| {
-                current.as_ref().is_none_or(|current| current.version < version)
-            };
-            let previous = node
-                .config
-                .rcu(|current| if newer(current) { Some(config.clone()) } else { current.clone() });
-            if newer(&previous) {
-                node.timeline.record(Event::ConfigInForce, subject, "");
-                node.peers.beat_now();
-            }
+    let mut versions = node.versions.lock();
+    match (versions.offer(version, parsed.is_ok()), parsed) {
+        (Offer::Take, Ok(config)) => {
+            // Stored under the lock, so that a lower version cannot be stored after a higher one.
+            node.config.store(Some(Arc::new(config)));
+            drop(versions);
+            node.timeline.record(Event::ConfigInForce, subject, "");
+            node.peers.beat_now();
+        }
+        (Offer::Unreadable, Err(err)) => {
+            node.timeline.record(Event::ConfigRejected, subject, err.to_string());
         }
-        Err(err) => node.timeline.record(Event::ConfigRejected, subject, err.to_string()),
+        _ => {}
     }
 }
 
 /// Answers a peer that asks for the configuration.
 pub fn answer(node: &Node, ask: &ConfigAsk) -> ReplyBody {
-    let doc = match node.config() {
-        Some(config) if config.version > ask.version => ConfigDoc {
-            version: config.version,
-            text: serde_saphyr::to_string(&config.raw).unwrap_or_default(),
-        },
-        _ => ConfigDoc::default(),
-    };
-    ReplyBody::Config(doc)
+    ReplyBody::Config(newer_than(node, ask.version).unwrap_or_default())
+}
+
+/// Returns the configuration in force where it is newer than a version.
+pub fn newer_than(node: &Node, version: u64) -> Option<ConfigDoc> {
+    let config = node.config().filter(|config| config.version > version)?;
+    let text = serde_saphyr::to_string(&config.raw).ok()?;
+    let list = serde_json::to_string(&**node.list.load()).unwrap_or_default();
+    Some(ConfigDoc { version: config.version, text, list })
+}
+
+/// Takes in the configuration that a peer pushed, and its list where this node has none.
+pub fn take_pushed(node: &Arc<Node>, doc: &ConfigDoc) {
+    if node.list.load().instances.is_empty()
+        && let Ok(list) = serde_json::from_str::<InstanceList>(&doc.list)
+    {
+        node.list.store(Arc::new(list));
+        node.peers.follow(node);
+    }
+    take(node, doc.version, &doc.text);
 }
 
 impl Node {
--- a/src/node/drain.rs
+++ b/src/node/drain.rs
@@ -9,7 +9,7 @@
 use parking_lot::Mutex;
 use tokio::{sync::watch, time::sleep};
 
-use super::{Node, once, steward};
+use super::{Node, once, shares, steward};
 use crate::{
     events::Event,
     kernel::drain::{Count, Phase},
@@ -109,6 +109,7 @@
     node.drain.reached(Phase::Closing).await;
     once::hand_over(&node).await;
     steward::hand_over(&node).await;
+    shares::hand_over(&node).await;
     node.drain.hand_over();
     node.drain.reached(Phase::Gone).await;
 }
--- a/src/node/lease.rs
+++ b/src/node/lease.rs
@@ -100,7 +100,6 @@
     let Some(held) = held else { return acquire(node).await };
     let sent = Time::now();
     if node.platform.renew(held.id).await? {
-        node.members.contacted();
         node.lease.tenure.lock().renew(sent);
         return Ok(());
     }
@@ -114,7 +113,6 @@
 async fn acquire(node: &Arc<Node>) -> Result<(), PlatformError> {
     let sent = Time::now();
     let id = node.platform.grant(LEASE_TTL).await?;
-    node.members.contacted();
     let key = lease_key(&node.settings.instance);
     let value = node.incarnation.to_string().into_bytes();
     let put = Put { key: key.clone(), value, lease: id };
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -1,6 +1,12 @@
 //! Who is there: heartbeats of peers, contact with the platform, and whether this node is cut off.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use parking_lot::Mutex;
 use tokio::time::sleep;
@@ -8,21 +14,28 @@
 use super::{Node, config_sync};
 use crate::{
     clock::Time,
-    kernel::freshness::{CONTACT_BOUND, Contact, Freshness, judge},
+    events::Event,
+    kernel::freshness::{CONTACT_BOUND, Contact, Contacts, Freshness, judge},
     names::InstanceId,
     platform::ListedState,
     shards::Shards,
-    wire::{AskBody, Beat, ConfigAsk, ReplyBody},
+    wire::{AskBody, Beat, Body, ConfigAsk, ReplyBody},
 };
 
 /// Time between two heartbeats.
 pub const BEAT_PERIOD: Duration = Duration::from_millis(250);
 
+/// Shortest time between two pushes of the configuration to one peer.
+const PUSH_PERIOD: Duration = Duration::from_millis(1_000);
+
 /// What is known of the other instances.
 #[derive(Default)]
 pub struct Members {
-    contact: Mutex<Time>,
+    contacts: Mutex<Contacts>,
     seen: Shards<InstanceId, Seen>,
+    fetching: AtomicBool,
+    pushed: Shards<InstanceId, Time>,
+    cut_off: AtomicBool,
 }
 
 /// What is known of one peer.
@@ -35,21 +48,18 @@
 }
 
 impl Members {
-    /// Notes a contact with the platform's service that was made just now.
-    pub fn contacted(&self) {
-        self.contacted_at(Time::now());
-    }
-
-    fn contacted_at(&self, at: Time) {
-        let mut contact = self.contact.lock();
-        *contact = contact.max(at);
+    /// Takes in a heartbeat and returns when the one that it answers was sent.
+    pub fn hear(&self, beat: Beat) -> Option<Time> {
+        let id = InstanceId::from(beat.instance.as_str());
+        let age = Duration::from_millis(beat.contact_ms);
+        let sent = self.contacts.lock().hear(&id, beat.echo, age);
+        self.seen.insert(id, Seen { heard: Time::now(), beat });
+        sent
     }
 
-    /// Takes in a heartbeat.
-    pub fn hear(&self, beat: Beat) {
-        let now = Time::now();
-        self.contacted_at(now - Duration::from_millis(beat.contact_ms));
-        self.seen.insert(beat.instance.as_str().into(), Seen { heard: now, beat });
+    /// Notes that a peer's host refused a connection.
+    pub fn refused(&self, peer: &InstanceId) {
+        self.contacts.lock().refused(peer, Time::now());
     }
 
     /// Returns what is known of a peer that was heard within the bound.
@@ -70,40 +80,67 @@
         });
         owner
     }
-
-    fn contact_age(&self) -> Duration {
-        Time::now().since(*self.contact.lock())
-    }
 }
 
 impl Node {
+    /// Takes in a heartbeat with what it passes on.
+    pub fn hear(&self, beat: Beat) {
+        self.push_newer(&beat);
+        let (revision, age) = (beat.shares, Duration::from_millis(beat.shares_ms));
+        if let Some(sent) = self.members.hear(beat) {
+            self.shares.confirm(revision, sent - age);
+        }
+    }
+
+    /// Pushes the configuration to a peer that answered without having it in force.
+    fn push_newer(&self, beat: &Beat) {
+        if beat.echo == 0 || beat.version >= self.version() {
+            return;
+        }
+        let id = InstanceId::from(beat.instance.as_str());
+        let now = Time::now();
+        let due = self.members.pushed.with_or(id.clone(), Time::default, |last| {
+            let due = now.since(*last) >= PUSH_PERIOD;
+            *last = if due { now } else { *last };
+            due
+        });
+        if let Some(doc) = config_sync::newer_than(self, beat.version).filter(|_| due) {
+            self.peers.notify(&id, Body::Config(doc));
+        }
+    }
+
+    /// Returns what this node knows of its contact with the rest.
+    pub fn contact(&self) -> Contact {
+        let list = self.list.load();
+        let live = list.instances.iter().filter(|i| i.state == ListedState::Live);
+        let live: Vec<InstanceId> = live.map(|i| i.id.clone()).collect();
+        let mut contacts = self.members.contacts.lock();
+        contacts.contacted(self.platform.contact());
+        contacts.contact(&self.settings.instance, &live, Time::now())
+    }
+
     /// Judges whether this node may serve keyed work.
     pub fn freshness(&self) -> Freshness {
-        let list = self.list.load();
-        let live = || list.instances.iter().filter(|i| i.state == ListedState::Live);
-        let heard =
-            |id: &InstanceId| *id == self.settings.instance || self.members.peer(id).is_some();
-        let contact = Contact {
-            age: self.members.contact_age(),
-            listed: live().count().max(1),
-            heard: live().filter(|i| heard(&i.id)).count(),
-        };
-        judge(contact)
+        judge(self.contact())
     }
 
     /// Returns this node's heartbeat.
     pub fn beat(&self) -> Beat {
+        let contact = self.contact();
+        let (shares, shares_ms) = self.shares.known();
         Beat {
             instance: self.settings.instance.to_string(),
             incarnation: self.incarnation,
             version: self.version(),
-            contact_ms: self.members.contact_age().as_millis() as u64,
+            contact_ms: contact.age.as_micros().div_ceil(1_000) as u64,
             leaving: self.drain.is_draining(),
-            cut_off: self.freshness() == Freshness::CutOff,
+            cut_off: judge(contact) == Freshness::CutOff,
             echo: 0,
             number: 0,
             suspects: self.suspect_news(),
             buckets: self.once.mask(),
+            shares,
+            shares_ms,
         }
     }
 }
@@ -111,8 +148,11 @@
 /// Sends heartbeats and fetches configurations that peers have and this node misses.
 pub async fn run(node: Arc<Node>) {
     loop {
-        node.peers.beat(&node.beat());
-        fetch_newer(&node).await;
+        let number = node.members.contacts.lock().begin(Time::now());
+        node.peers.beat(&Beat { number, ..node.beat() });
+        note_change(&node);
+        fetch_newer(&node);
+        forget_gone(&node);
         tokio::select! {
             () = sleep(BEAT_PERIOD) => {}
             () = node.peers.beat_wanted() => {}
@@ -120,19 +160,41 @@
     }
 }
 
-async fn fetch_newer(node: &Arc<Node>) {
-    let mine = node.version();
-    let mut ahead = None;
-    node.members.seen.for_each(|id, seen| {
-        if seen.beat.version > mine {
-            ahead = Some(id.clone());
+/// Records when this node is cut off and when it is in contact again.
+fn note_change(node: &Node) {
+    let contact = node.contact();
+    let now = judge(contact) == Freshness::CutOff;
+    if node.members.cut_off.swap(now, Ordering::AcqRel) == now {
+        return;
+    }
+    let event = if now { Event::InstanceCutOff } else { Event::InstanceRejoined };
+    let age = contact.age.as_millis();
+    let detail = format!("age_ms={age} heard={} listed={}", contact.heard, contact.listed);
+    node.timeline.record(event, node.settings.instance.as_str(), detail);
+}
+
+fn forget_gone(node: &Node) {
+    let list = node.list.load();
+    let listed = |id: &InstanceId| list.instance(id).is_some();
+    node.members.contacts.lock().keep(listed);
+    node.members.seen.retain(|id, _| listed(id));
+    node.members.pushed.retain(|id, _| listed(id));
+}
+
+/// Starts a fetch from the peer with the highest version, one at a time.
+fn fetch_newer(node: &Arc<Node>) {
+    let mut peers = Vec::new();
+    node.members.seen.for_each(|id, seen| peers.push((id.clone(), seen.beat.version)));
+    let Some(peer) = node.versions.lock().source(peers) else { return };
+    if node.members.fetching.swap(true, Ordering::AcqRel) {
+        return;
+    }
+    let node = node.clone();
+    tokio::spawn(async move {
+        let ask = AskBody::Config(ConfigAsk { version: node.version() });
+        if let Ok(ReplyBody::Config(doc)) = node.ask(&peer, ask).await {
+            config_sync::take(&node, doc.version, &doc.text);
         }
+        node.members.fetching.store(false, Ordering::Release);
     });
-    let Some(peer) = ahead else { return };
-    let ask = AskBody::Config(ConfigAsk { version: mine });
-    if let Ok(ReplyBody::Config(doc)) = node.ask(&peer, ask).await
-        && doc.version > mine
-    {
-        config_sync::take(node, doc.version, &doc.text);
-    }
 }
--- a/src/node/operator.rs
+++ b/src/node/operator.rs
@@ -74,6 +74,7 @@
         "data_centre": node.settings.data_centre,
         "version": node.version(),
         "freshness": freshness,
+        "parts": node.parts(),
         "draining": node.drain.is_draining(),
         "running": node.drain.running(),
         "stewards": node.stewards.digests().len(),
--- a/src/node/peers.rs
+++ b/src/node/peers.rs
@@ -57,6 +57,13 @@
         self.broadcast(|| Body::Digest(digest.clone()));
     }
 
+    /// Sends a message outside any exchange to one peer if its link works.
+    pub fn notify(&self, peer: &InstanceId, body: Body) {
+        if let Some(link) = self.link(peer) {
+            link.notify(body);
+        }
+    }
+
     fn broadcast(&self, body: impl Fn() -> Body) {
         for link in self.links.lock().values() {
             link.notify(body());
--- a/src/node/peers/inbound.rs
+++ b/src/node/peers/inbound.rs
@@ -12,7 +12,7 @@
 use super::{Outbox, answer::answer, link::SILENCE_LIMIT};
 use crate::{
     codes::{Code, Refusal},
-    node::{Node, digests, exchange::Responder, members::BEAT_PERIOD},
+    node::{Node, config_sync, digests, exchange::Responder, members::BEAT_PERIOD},
     wire::{Ask, AskBody, Body, End, Frame, FrameCodec, WireError},
 };
 
@@ -92,11 +92,12 @@
                 let mut own = self.node.beat();
                 own.echo = beat.number;
                 self.node.hear_suspects(&beat);
-                self.node.members.hear(beat);
+                self.node.hear(beat);
                 let _ =
                     self.tx.try_send(Frame { clock: 0, stream: 0, body: Some(Body::Beat(own)) });
                 self.forget_ended();
             }
+            Some(Body::Config(doc)) => config_sync::take_pushed(&self.node, &doc),
             Some(Body::Digest(digest)) => digests::take(&self.node, digest),
             Some(Body::Ask(Ask { body: Some(ask) })) => {
                 self.open(frame.stream, ask);
--- a/src/node/peers/link.rs
+++ b/src/node/peers/link.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::HashMap,
+    io::ErrorKind::ConnectionRefused,
     net::SocketAddr,
     sync::{
         Arc,
@@ -115,12 +116,17 @@
 
     async fn keep_open(&self, node: Arc<Node>) {
         loop {
-            let connected = timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await;
-            if let Ok(Ok(stream)) = connected {
-                let ended = self.run(&node, stream).await;
-                self.drop_streams();
-                let reason = ended.map_or_else(|err| err.to_string(), |()| "silent".to_owned());
-                node.timeline().record(Event::PeerDown, self.peer.as_str(), reason);
+            match timeout(CONNECT_LIMIT, TcpStream::connect(self.address)).await {
+                Ok(Ok(stream)) => {
+                    let ended = self.run(&node, stream).await;
+                    self.drop_streams();
+                    let reason = ended.map_or_else(|err| err.to_string(), |()| "silent".to_owned());
+                    node.timeline().record(Event::PeerDown, self.peer.as_str(), reason);
+                }
+                Ok(Err(err)) if err.kind() == ConnectionRefused => {
+                    node.members.refused(&self.peer);
+                }
+                _ => {}
             }
             sleep(RECONNECT_PERIOD).await;
         }
@@ -171,7 +177,7 @@
                     node.timeline.record(Event::PeerUp, self.peer.as_str(), "");
                 }
                 node.hear_suspects(&beat);
-                node.members.hear(beat);
+                node.hear(beat);
             }
             Some(body) => self.pass_on(frame.stream, body),
             None => {}
--- a/src/node/services.rs
+++ b/src/node/services.rs
@@ -50,10 +50,11 @@
         Some((spec.clone(), spec.route(&parts.method, path)?.clone()))
     };
     let open = |config: &Config| find(config).is_some_and(|(_, route)| route.open);
-    let caller = identify(node, id, &parts.headers, open)?;
+    let caller = identify(node, id, &parts, open)?;
     let (spec, route) = find(&caller.config).ok_or(Refusal::not_run(Code::RouteUnknown))?;
     let once = once_key(&route, &parts.headers)?;
     let body = receive(body).await?;
+    caller.conceal(&parts, &body)?;
     let admitted = caller.admit(node, route.class.clone(), route.tokens).await?;
     let work = Work {
         service: Service::from(service).to_string(),
@@ -64,11 +65,13 @@
         once,
         ..admitted.work(&parts.headers)
     };
-    if work.once.is_empty() {
+    let charge = admitted.charge.clone();
+    let served = if work.once.is_empty() {
         serve(node, admitted, &spec, work).await
     } else {
         serve_once(node, admitted, work).await
-    }
+    };
+    served.inspect_err(|refusal| charge.refused(refusal))
 }
 
 fn split(path: &str) -> (&str, &str) {
@@ -91,7 +94,7 @@
 /// Sends a request that may be repeated to an endpoint, and to another one when that fails.
 async fn serve(
     node: &Arc<Node>,
-    mut admitted: Admitted,
+    admitted: Admitted,
     spec: &ServiceSpec,
     work: Work,
 ) -> Result<Response, Refusal> {
@@ -123,11 +126,7 @@
 /// Sends a non-repeatable request to the owner of its bucket until one knows the outcome.
 ///
 /// Asking again is safe: the owner recognizes the id.
-async fn serve_once(
-    node: &Arc<Node>,
-    mut admitted: Admitted,
-    work: Work,
-) -> Result<Response, Refusal> {
+async fn serve_once(node: &Arc<Node>, admitted: Admitted, work: Work) -> Result<Response, Refusal> {
     let id = ClaimId::new(&work.team, &work.service, &work.once);
     let until = admitted.deadline().min(Time::now() + OWNER_LIMIT);
     let mut lost = false;
--- a/src/node/shares.rs
+++ b/src/node/shares.rs
@@ -1,110 +1,185 @@
 //! This instance's part of every team's rate.
 
-use std::{sync::Arc, time::Duration};
+mod loans;
+mod table;
 
-use tokio::time::sleep;
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use tokio::{sync::Notify, time::sleep};
 
+pub use self::{
+    loans::answer,
+    table::{hand_over, run},
+};
 use super::Node;
 use crate::{
     clock::Time,
-    codes::{Code, Refusal},
-    kernel::quota::{Bucket, Charge as Decision},
+    codes::{Code, Refusal, Run},
+    kernel::{
+        freshness::Freshness,
+        shares::{Custody, Decision, Limits, Owner, TeamShare},
+    },
     names::Team,
-    platform::ListedState,
+    settings::Settings,
     shards::Shards,
-    wire::{LoanAsk, LoanGrant, ReplyBody},
 };
 
-/// Buckets by team.
-#[derive(Default)]
+/// Longest time for which a request waits for tokens.
+const MAX_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks for tokens.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// Time between two looks at the own part.
+const FOLLOW_PERIOD: Duration = Duration::from_millis(250);
+
+/// Limits of the time after which a refused caller may come back, in milliseconds.
+const RETRY_MS: (u64, u64) = (100, 10_000);
+
+type Teams = Shards<Team, TeamShare>;
+
+/// The own parts by team and the view of the table.
 pub struct Shares {
-    buckets: Arc<Shards<Team, Bucket>>,
+    teams: Arc<Teams>,
+    custody: Mutex<Custody>,
+    followed: AtomicU64,
+    short: Notify,
+}
+
+impl Shares {
+    /// Creates the shares of a process that just started.
+    pub fn new(settings: &Settings, incarnation: u64) -> Self {
+        let owner =
+            Owner { instance: settings.instance.clone(), incarnation, address: settings.peer };
+        Self {
+            teams: Arc::default(),
+            custody: Mutex::new(Custody::new(owner, Time::now())),
+            followed: AtomicU64::new(0),
+            short: Notify::new(),
+        }
+    }
+
+    /// Notes which table a peer knows.
+    pub fn confirm(&self, revision: i64, at: Time) {
+        self.custody.lock().confirm(revision, at);
+    }
+
+    /// Returns the highest known revision of the table and the age of that knowledge.
+    pub fn known(&self) -> (i64, u64) {
+        let custody = self.custody.lock();
+        let stale = custody.is_stale();
+        let age = Time::now().since(custody.confirmed()).as_micros().div_ceil(1_000) as u64;
+        (custody.newest(), if stale { u64::MAX / 2 } else { age })
+    }
 }
 
 /// Tokens that were charged for a request.
+#[derive(Clone)]
 pub struct Charge {
-    buckets: Option<Arc<Shards<Team, Bucket>>>,
-    team: Option<Team>,
-    tokens: u64,
+    paid: Option<Arc<Paid>>,
+}
+
+struct Paid {
+    teams: Arc<Teams>,
+    team: Team,
+    tokens: AtomicU64,
 }
 
 impl Charge {
     /// Creates the charge of a request that costs nothing.
     pub fn free() -> Self {
-        Self { buckets: None, team: None, tokens: 0 }
+        Self { paid: None }
+    }
+
+    fn new(teams: Arc<Teams>, team: Team, tokens: u64) -> Self {
+        Self { paid: Some(Arc::new(Paid { teams, team, tokens: AtomicU64::new(tokens) })) }
+    }
+
+    /// Keeps what was used and gives the rest back, once.
+    pub fn settle(&self, used: u64) {
+        let Some(paid) = &self.paid else { return };
+        let rest = paid.tokens.swap(0, Ordering::AcqRel).saturating_sub(used);
+        if rest > 0 {
+            paid.teams.with(&paid.team, |share| share.give_back(rest as f64, Time::now()));
+        }
     }
 
-    /// Keeps what was used and gives the rest back.
-    pub fn settle(&mut self, used: u64) {
-        let rest = self.tokens.saturating_sub(used);
-        self.tokens = 0;
-        if let (Some(buckets), Some(team)) = (&self.buckets, &self.team) {
-            buckets.with(team, |bucket| bucket.give_back(rest as f64, Time::now()));
+    /// Gives everything back where a refusal says that the request did not run.
+    pub fn refused(&self, refusal: &Refusal) {
+        if refusal.run == Run::NotRun {
+            self.settle(0);
         }
     }
 }
 
 impl Node {
-    /// Charges a team, waiting for tokens up to the deadline where they will come.
+    /// Returns the parts of every team's rate that this instance may use, loans apart.
+    pub fn parts(&self) -> u32 {
+        let down = self.freshness() == Freshness::ServiceDown;
+        self.shares.custody.lock().parts(down, Time::now())
+    }
+
+    /// Charges a team, waiting briefly for tokens or a loan where the own part is spent.
     pub async fn charge(
         &self,
         team: &Team,
         tokens: u64,
         deadline: Time,
     ) -> Result<Charge, Refusal> {
+        let begun = Time::now();
+        let last = deadline.min(begun + MAX_WAIT);
+        self.shares.teams.with(team, |share| share.expect(tokens as f64, begun));
         loop {
-            let now = Time::now();
-            let decision = self
-                .shares
-                .buckets
-                .with(team, |bucket| bucket.charge(tokens as f64, now))
-                .ok_or(Refusal::not_run(Code::RateExceeded).retry_after(500))?;
-            match decision {
+            let wait = match self.try_charge(team, tokens)? {
                 Decision::Taken => {
-                    let buckets = Some(self.shares.buckets.clone());
-                    return Ok(Charge { buckets, team: Some(team.clone()), tokens });
+                    return Ok(Charge::new(self.shares.teams.clone(), team.clone(), tokens));
                 }
-                Decision::Wait(wait) if wait <= MAX_WAIT && now + wait < deadline => {
-                    sleep(wait).await;
-                }
-                Decision::Wait(wait) => {
-                    let refusal = Refusal::not_run(Code::RateExceeded);
-                    return Err(refusal.retry_after(wait.as_millis() as u64));
-                }
-                Decision::Never => return Err(Refusal::not_run(Code::TooLarge)),
+                Decision::TooLarge => return Err(Refusal::not_run(Code::TooLarge)),
+                Decision::Short(wait) => wait,
+            };
+            if Time::now() + LOOK_PERIOD >= last {
+                let retry = (wait.as_millis() as u64).clamp(RETRY_MS.0, RETRY_MS.1);
+                return Err(Refusal::not_run(Code::RateExceeded).retry_after(retry));
             }
+            self.shares.short.notify_one();
+            sleep(LOOK_PERIOD).await;
         }
     }
-}
-
-const MAX_WAIT: Duration = Duration::from_millis(250);
-const RESIZE_PERIOD: Duration = Duration::from_millis(250);
 
-/// Follows the configuration and the list with the sizes of the buckets.
-pub async fn run(node: Arc<Node>) {
-    loop {
-        resize(&node);
-        sleep(RESIZE_PERIOD).await;
+    fn try_charge(&self, team: &Team, tokens: u64) -> Result<Decision, Refusal> {
+        let now = Time::now();
+        // After a pause the own part may have been given to others.
+        if now.since(Time(self.shares.followed.load(Ordering::Acquire))) > FOLLOW_PERIOD * 2 {
+            follow(self);
+        }
+        let decision = self.shares.teams.with(team, |share| share.charge(tokens as f64, now));
+        decision.ok_or(Refusal::not_run(Code::NoConfig).retry_after(RETRY_MS.0))
     }
 }
 
-fn resize(node: &Node) {
+/// Follows the configuration and the table with every team's part.
+fn follow(node: &Node) {
     let Some(config) = node.config() else { return };
-    let list = node.list.load();
-    let live = list.instances.iter().filter(|i| i.state == ListedState::Live).count().max(1);
+    let down = node.freshness() == Freshness::ServiceDown;
     let now = Time::now();
+    let parts = node.shares.custody.lock().parts(down, now);
     for (team, spec) in &config.teams {
-        let rate = spec.rate as f64 / live as f64;
-        let burst = spec.burst as f64 / live as f64;
-        node.shares.buckets.with_or(
-            team.clone(),
-            || Bucket::empty(rate, burst, now),
-            |bucket| bucket.resize(rate, burst, now),
-        );
+        let limits = Limits { rate: spec.rate as f64, burst: spec.burst as f64 };
+        let set = |share: &mut TeamShare| share.set(limits, parts, now);
+        node.shares.teams.with_or(team.clone(), || TeamShare::empty(now), set);
     }
-}
-
-/// Answers a peer that asks for a loan.
-pub fn answer(_: &Node, ask: &LoanAsk) -> ReplyBody {
-    ReplyBody::Loan(LoanGrant { number: ask.number, ..LoanGrant::default() })
+    // A team that is gone keeps its entry, since a part that it lent may still be in use.
+    node.shares.teams.for_each(|team, share| {
+        if !config.teams.contains_key(team) {
+            share.set(Limits::default(), 0, now);
+        }
+    });
+    node.shares.followed.store(now.0, Ordering::Release);
 }
--- a/src/node/steward/duty.rs
+++ b/src/node/steward/duty.rs
@@ -245,7 +245,6 @@
 /// Drops the endpoints whose record names another tenure, before a new lease counts.
 pub async fn verify(node: &Node) -> Result<(), PlatformError> {
     let snapshot = node.platform.range(stewardship::RECORD_PREFIX).await?;
-    node.members.contacted();
     node.stewards.registry.replace_records(&snapshot.kvs);
     for id in node.stewards.endpoints.keys() {
         let known = node.stewards.registry.record(&id);
--- a/src/node/steward/flow.rs
+++ b/src/node/steward/flow.rs
@@ -16,7 +16,7 @@
         suspect::{Gate, Verdict, gate},
         warmup::{Change, Sign},
     },
-    node::Node,
+    node::{Node, admit},
     platform::ListedState,
 };
 
@@ -66,6 +66,10 @@
     if waiting.responder.is_gone() {
         return Next::Again;
     }
+    if let Err(refusal) = admit::still_allowed(node, &waiting.work) {
+        refuse(waiting.responder, refusal);
+        return Next::Again;
+    }
     if ticket.deadline <= now {
         refuse(waiting.responder, Refusal::not_run(Code::DeadlinePassed));
         return Next::Again;
--- a/src/node/steward/registry.rs
+++ b/src/node/steward/registry.rs
@@ -146,7 +146,6 @@
 async fn follow(node: &Node, prefix: &'static str) -> Result<(), PlatformError> {
     let registry = &node.stewards.registry;
     let snapshot = node.platform.range(prefix).await?;
-    node.members.contacted();
     match prefix {
         LEASE_PREFIX => registry.replace_leases(&snapshot.kvs),
         _ => registry.replace_records(&snapshot.kvs),
@@ -154,7 +153,6 @@
     let mut watch = node.platform.watch(prefix, snapshot.revision + 1).await?;
     loop {
         let (changes, _) = watch.next().await?;
-        node.members.contacted();
         for change in &changes {
             registry.apply(prefix, change);
         }
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
     time::Duration,
 };
 
@@ -13,7 +13,10 @@
 use volo_http::body::Body;
 
 use super::{encoding::*, list::InstanceList};
-use crate::http::{HttpError, Limits, call_json, client, send};
+use crate::{
+    clock::Time,
+    http::{HttpError, Limits, call_json, client, send},
+};
 
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
 const WATCH_IDLE: Duration = Duration::from_secs(15);
@@ -117,13 +120,20 @@
     bases: Vec<SocketAddr>,
     list: SocketAddr,
     next: AtomicUsize,
+    contact: AtomicU64,
 }
 
 impl Client {
     /// Creates a client of these servers.
     pub fn new(bases: Vec<SocketAddr>, list: SocketAddr) -> Self {
         let limits = Limits { connect: Duration::from_millis(500), idle: WATCH_IDLE, kept: 8 };
-        Self { http: client(limits), bases, list, next: AtomicUsize::new(0) }
+        Self {
+            http: client(limits),
+            bases,
+            list,
+            next: AtomicUsize::new(0),
+            contact: AtomicU64::new(0),
+        }
     }
 
     /// Reads one record.
@@ -239,13 +249,20 @@
     ) -> Result<T, PlatformError> {
         count(kind);
         let url = format!("{}{path}", self.base());
+        let asked = Time::now();
         let reply = call_json(&self.http, Method::POST, &url, request, CALL_LIMIT).await;
-        if reply.is_err() {
-            self.next.fetch_add(1, Ordering::Relaxed);
-        }
+        match &reply {
+            Ok(_) => self.contact.fetch_max(asked.0, Ordering::Relaxed),
+            Err(_) => self.next.fetch_add(1, Ordering::Relaxed) as u64,
+        };
         Ok(reply?)
     }
 
+    /// Returns when the youngest call was made that the key-value service answered.
+    pub fn contact(&self) -> Time {
+        Time(self.contact.load(Ordering::Relaxed))
+    }
+
     fn base(&self) -> String {
         let next = self.next.load(Ordering::Relaxed);
         crate::http::base_url(self.bases[next % self.bases.len()])
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -14,7 +14,7 @@
     #[prost(uint64, tag = "2")]
     pub stream: u64,
     /// The message.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
     pub body: Option<Body>,
 }
 
@@ -51,6 +51,9 @@
     /// The asker can take more chunks.
     #[prost(message, tag = "19")]
     Credit(Credit),
+    /// The configuration, sent to a peer that was seen to lack it.
+    #[prost(message, tag = "20")]
+    Config(ConfigDoc),
 }
 
 /// First frame of a connection.
@@ -97,6 +100,12 @@
     /// Buckets of ids that the sender owns, as a bit mask.
     #[prost(fixed32, tag = "9")]
     pub buckets: u32,
+    /// Highest revision of the share table that the sender knows of.
+    #[prost(int64, tag = "10")]
+    pub shares: i64,
+    /// Time since the table was last known to have that revision, in milliseconds.
+    #[prost(uint64, tag = "11")]
+    pub shares_ms: u64,
 }
 
 /// What an instance stewards.
@@ -323,6 +332,12 @@
     /// Hash of the prompt's prefix, by which caches are found.
     #[prost(fixed64, tag = "19")]
     pub prefix: u64,
+    /// Operators' handle of the key under which it was admitted; never the key itself.
+    #[prost(string, tag = "31")]
+    pub handle: String,
+    /// Version of the configuration under which it was admitted.
+    #[prost(uint64, tag = "32")]
+    pub version: u64,
     /// Ids of the crashes at which an earlier attempt was in flight.
     #[prost(fixed64, repeated, tag = "30")]
     pub crashes: Vec<u64>,
@@ -393,6 +408,9 @@
     /// The document as YAML.
     #[prost(string, tag = "2")]
     pub text: String,
+    /// The sender's instance list as JSON, for a receiver that has none.
+    #[prost(string, tag = "3")]
+    pub list: String,
 }
 
 /// Ends an exchange with one answer.
--- a/tests/kernel/freshness.rs
+++ b/tests/kernel/freshness.rs
@@ -1,1 +1,179 @@
-//! Cut off or service down.
+//! Cut off, or the service down for everybody: every mix of links, pauses and outages.
+
+use std::time::Duration;
+
+use cardamomshore::{
+    clock::Time,
+    kernel::freshness::{CONTACT_BOUND, Contact, Contacts, Freshness, PROBE_COUNT, judge, probed},
+    names::InstanceId,
+};
+
+const BEAT: Duration = Duration::from_millis(250);
+
+fn ids(count: usize) -> Vec<InstanceId> {
+    (0..count).map(|index| InstanceId::from(format!("i-{index}"))).collect()
+}
+
+/// Instances that exchange heartbeats over links which may be cut.
+struct Fleet {
+    now: Time,
+    ids: Vec<InstanceId>,
+    contacts: Vec<Contacts>,
+    /// Whether each instance reaches the platform's service.
+    platform: Vec<bool>,
+    /// Whether each instance runs.
+    runs: Vec<bool>,
+    /// Whether the link between two instances works.
+    linked: Box<dyn Fn(usize, usize) -> bool>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let mut fleet = Self {
+            now: Time::from_millis(100_000),
+            ids: ids(count),
+            contacts: vec![Contacts::default(); count],
+            platform: vec![true; count],
+            runs: vec![true; count],
+            linked: Box::new(|_, _| true),
+        };
+        fleet.run(Duration::from_secs(1));
+        fleet
+    }
+
+    fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        while self.now < end {
+            self.now = self.now + BEAT;
+            for index in 0..self.ids.len() {
+                self.beat(index);
+            }
+        }
+    }
+
+    fn beat(&mut self, index: usize) {
+        if !self.runs[index] {
+            return;
+        }
+        if self.platform[index] {
+            self.contacts[index].contacted(self.now);
+        }
+        let number = self.contacts[index].begin(self.now);
+        for peer in 0..self.ids.len() {
+            if peer == index || !self.runs[peer] || !(self.linked)(index, peer) {
+                continue;
+            }
+            let age = self.contacts[peer].age(self.now);
+            let id = self.ids[peer].clone();
+            self.contacts[index].hear(&id, number, age);
+        }
+    }
+
+    fn judge(&self, index: usize) -> Freshness {
+        judge(self.contacts[index].contact(&self.ids[index], &self.ids, self.now))
+    }
+}
+
+#[test]
+fn judge_every_small_fleet() {
+    let young = Duration::from_millis(10);
+    let old = CONTACT_BOUND + Duration::from_millis(1);
+    for listed in 1..=9 {
+        for heard in 1..=listed {
+            assert_eq!(judge(Contact { age: young, listed, heard }), Freshness::Fresh);
+            let majority = heard * 2 > listed;
+            let expected = if majority { Freshness::ServiceDown } else { Freshness::CutOff };
+            assert_eq!(judge(Contact { age: old, listed, heard }), expected);
+        }
+    }
+}
+
+#[test]
+fn judge_every_partition_of_five() {
+    for side in 0_u32..32 {
+        for reached in 0_u32..32 {
+            let mut fleet = Fleet::new(5);
+            fleet.platform = (0..5).map(|i| reached & (1 << i) != 0).collect();
+            fleet.linked = Box::new(move |a, b| (side >> a) & 1 == (side >> b) & 1);
+            fleet.run(CONTACT_BOUND * 2);
+            for index in 0..5 {
+                let same = |other: &usize| (side >> other) & 1 == (side >> index) & 1;
+                let members: Vec<usize> = (0..5).filter(same).collect();
+                let expected = if members.iter().any(|member| fleet.platform[*member]) {
+                    Freshness::Fresh
+                } else if members.len() >= 3 {
+                    Freshness::ServiceDown
+                } else {
+                    Freshness::CutOff
+                };
+                assert_eq!(fleet.judge(index), expected, "{side:05b} {reached:05b} {index}");
+            }
+        }
+    }
+}
+
+#[test]
+fn judge_two_cut_off_do_not_keep_each_other_fresh() {
+    let mut fleet = Fleet::new(5);
+    fleet.linked = Box::new(|a, b| (a < 2) == (b < 2));
+    fleet.platform[0] = false;
+    fleet.platform[1] = false;
+    fleet.run(CONTACT_BOUND + BEAT * 2);
+    assert_eq!([fleet.judge(0), fleet.judge(1)], [Freshness::CutOff; 2]);
+    assert_eq!(fleet.judge(2), Freshness::Fresh);
+}
+
+#[test]
+fn judge_resumed_instance_is_cut_off_until_it_hears() {
+    let mut fleet = Fleet::new(5);
+    let before = fleet.contacts[0].begin(fleet.now);
+    fleet.runs[0] = false;
+    fleet.run(Duration::from_secs(10));
+    assert_eq!(fleet.judge(0), Freshness::CutOff);
+    // Answers from before the pause waited in the socket; they say nothing of now.
+    for peer in 1..5 {
+        let id = fleet.ids[peer].clone();
+        fleet.contacts[0].hear(&id, before, Duration::ZERO);
+    }
+    assert_eq!(fleet.judge(0), Freshness::CutOff);
+    fleet.runs[0] = true;
+    fleet.run(BEAT);
+    assert_eq!(fleet.judge(0), Freshness::Fresh);
+}
+
+#[test]
+fn judge_gone_hosts_are_not_silent() {
+    let mut fleet = Fleet::new(5);
+    fleet.platform = vec![false; 5];
+    fleet.runs = vec![true, true, false, false, false];
+    fleet.run(CONTACT_BOUND * 2);
+    assert_eq!(fleet.judge(0), Freshness::CutOff);
+    for gone in 2..5 {
+        let id = fleet.ids[gone].clone();
+        fleet.contacts[0].refused(&id, fleet.now);
+    }
+    assert_eq!(fleet.judge(0), Freshness::ServiceDown);
+    fleet.run(CONTACT_BOUND * 2);
+    assert_eq!(fleet.judge(0), Freshness::CutOff);
+}
+
+#[test]
+fn judge_new_process_waits_for_contact() {
+    let contacts = Contacts::default();
+    let now = Time::from_millis(50_000);
+    let live = ids(3);
+    assert_eq!(judge(contacts.contact(&live[0], &live, now)), Freshness::CutOff);
+}
+
+#[test]
+fn probed_is_bounded_and_stable() {
+    let live = ids(960);
+    let before = probed(&live[0], &live);
+    assert_eq!(before.len(), PROBE_COUNT);
+    assert!(!before.contains(&live[0]));
+    let without: Vec<InstanceId> = live.iter().filter(|id| **id != before[3]).cloned().collect();
+    let after = probed(&live[0], &without);
+    assert_eq!(before.iter().filter(|id| after.contains(id)).count(), PROBE_COUNT - 1);
+    let small = ids(9);
+    assert_eq!(probed(&small[4], &small).len(), 8);
+}
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -167,9 +167,20 @@
         let fleet = Self::start_unconfigured(name, &plan).await;
         fleet.apply(0, &plan.config).await;
         fleet.wait_ready(1).await;
+        fleet.wait_shares().await;
         fleet
     }
 
+    /// Waits until every instance has a part of the teams' rates.
+    pub async fn wait_shares(&self) {
+        for operator in &self.operators {
+            eventually("an instance has its part of the rates", READY, || async {
+                self.status(*operator).await["parts"].as_u64() > Some(0)
+            })
+            .await;
+        }
+    }
+
     /// Starts a fleet without a configuration.
     pub async fn start_unconfigured(name: &str, plan: &Plan) -> Self {
         let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
