--- a/src/codes.rs
+++ b/src/codes.rs
@@ -66,6 +66,7 @@
     KeyUnknown = 1002, 401, "The key is unknown or withdrawn.";
     ClassForbidden = 1003, 403, "The team may not use this class.";
     KeyConflict = 1004, 401, "The request carries more than one key.";
+    KeyMisplaced = 1005, 400, "The key appears outside the headers for keys.";
     BadRequest = 1101, 400, "The request cannot be parsed.";
     BodyTooLarge = 1102, 413, "The body exceeds the limit.";
     ModelUnknown = 1103, 404, "No such model is configured.";
