--- a/src/kernel/routing/directory.rs
+++ b/src/kernel/routing/directory.rs
@@ -74,11 +74,22 @@
         self.pools.get(pool).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the steward of an endpoint.
+    pub fn steward(&self, endpoint: &EndpointId) -> Option<InstanceId> {
+        let claims = self.claims.get(endpoint)?;
+        newest(claims).map(|claim| claim.copy.steward.clone())
+    }
+
     /// Returns the number of endpoints.
     pub fn len(&self) -> usize {
         self.claims.len()
     }
 
+    /// Returns the number of copies over all models.
+    pub fn copy_count(&self) -> usize {
+        self.models.values().map(Vec::len).sum()
+    }
+
     /// Returns whether no endpoint is known.
     pub fn is_empty(&self) -> bool {
         self.claims.is_empty()
--- a/src/node.rs
+++ b/src/node.rs
@@ -18,9 +18,12 @@
 mod shares;
 mod steward;
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -31,7 +34,7 @@
     config::Config,
     events::Event,
     http::HttpError,
-    kernel::{retry::RetryBudget, routing::Directory, suspect::Suspects},
+    kernel::{configuration::Versions, retry::RetryBudget, routing::Directory, suspect::Suspects},
     names::RequestId,
     platform::{Client, InstanceList},
     settings::Settings,
@@ -45,6 +48,7 @@
     timeline: Timeline,
     platform: Client,
     config: ArcSwapOption<Config>,
+    versions: Mutex<Versions>,
     list: ArcSwap<InstanceList>,
     directory: RwLock<Directory>,
     members: members::Members,
@@ -75,28 +79,35 @@
     /// Binds the addresses of the settings.
     pub async fn bind(settings: &Settings) -> std::io::Result<Self> {
         Ok(Self {
-            callers: TcpListener::bind(settings.listen).await?,
-            peers: TcpListener::bind(settings.peer).await?,
-            operators: TcpListener::bind(settings.operator).await?,
+            callers: bind("listen", settings.listen).await?,
+            peers: bind("peer", settings.peer).await?,
+            operators: bind("operator", settings.operator).await?,
         })
     }
 }
 
+async fn bind(field: &str, address: SocketAddr) -> std::io::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|err| std::io::Error::new(err.kind(), format!("{field} {address}: {err}")))
+}
+
 impl Node {
     /// Creates a node that does nothing yet.
     pub fn new(settings: Settings) -> Arc<Self> {
+        let incarnation = rand::random::<u64>() | 1;
         let platform = Client::new(settings.platform.clone(), settings.list);
         Arc::new(Self {
-            incarnation: rand::random::<u64>() | 1,
+            incarnation,
             timeline: Timeline::new(settings.instance.clone()),
             platform,
             config: ArcSwapOption::empty(),
+            versions: Mutex::default(),
             list: ArcSwap::default(),
             directory: RwLock::default(),
             members: members::Members::default(),
             lease: lease::InstanceLease::default(),
             peers: peers::Peers::default(),
-            shares: shares::Shares::default(),
+            shares: shares::Shares::new(&settings, incarnation),
             stewards: steward::Stewards::default(),
             once: once::Claims::default(),
             planner: planner::Planner::default(),
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::atomic::{AtomicUsize, Ordering},
+    sync::atomic::{AtomicU64, AtomicUsize, Ordering},
     time::Duration,
 };
 
@@ -15,6 +15,7 @@
 
 use super::{encoding::*, list::InstanceList};
 use crate::{
+    clock::Time,
     http::{HttpError, Limits, call_json, client, send},
     kernel::retry::RetryBudget,
 };
@@ -125,6 +126,7 @@
     list: SocketAddr,
     next: AtomicUsize,
     retries: Mutex<RetryBudget>,
+    contact: AtomicU64,
 }
 
 impl Client {
@@ -137,6 +139,7 @@
             list,
             next: AtomicUsize::new(0),
             retries: Mutex::default(),
+            contact: AtomicU64::new(0),
         }
     }
 
@@ -268,13 +271,20 @@
     ) -> Result<T, PlatformError> {
         count(kind);
         let url = format!("{}{path}", self.base());
+        let asked = Time::now();
         let reply = call_json(&self.http, Method::POST, &url, request, CALL_LIMIT).await;
-        if reply.is_err() {
-            self.next.fetch_add(1, Ordering::Relaxed);
-        }
+        match &reply {
+            Ok(_) => self.contact.fetch_max(asked.0, Ordering::Relaxed),
+            Err(_) => self.next.fetch_add(1, Ordering::Relaxed) as u64,
+        };
         Ok(reply?)
     }
 
+    /// Returns when the youngest call was made that the key-value service answered.
+    pub fn contact(&self) -> Time {
+        Time(self.contact.load(Ordering::Relaxed))
+    }
+
     fn base(&self) -> String {
         let next = self.next.load(Ordering::Relaxed);
         crate::http::base_url(self.bases[next % self.bases.len()])
--- a/tests/kernel/ledger/world/engine.rs
+++ b/tests/kernel/ledger/world/engine.rs
@@ -78,7 +78,7 @@
     }
 
     pub(super) fn report(&self, now: Time) -> Option<Report> {
-        let turn = self.stale && now.0 / 1_000_000 % 2 == 0;
+        let turn = self.stale && (now.0 / 1_000_000).is_multiple_of(2);
         let lag = if turn { STALE } else { self.lag };
         let old = self.history.iter().rev().find(|(at, _)| now.since(*at) >= lag);
         old.map(|(_, report)| report.clone()).filter(|_| !self.silent)
