--- a/src/node/steward/duty.rs
+++ b/src/node/steward/duty.rs
@@ -228,12 +228,15 @@
     })
 }
 
-/// Drops an endpoint that another instance took; what runs there ends.
+/// Drops an endpoint whose record names another tenure or no steward; what runs there ends.
 fn lose(node: &Node, id: &EndpointId) {
-    if let Some(mut stewarded) = node.stewards.endpoints.remove(id) {
-        super::refuse_queue(&mut stewarded);
-        node.timeline.record(Event::StewardLost, id.as_str(), "");
-    }
+    let Some(mut stewarded) = node.stewards.endpoints.remove(id) else { return };
+    super::refuse_queue(&mut stewarded);
+    let known = node.stewards.registry.record(id).map(|known| known.record);
+    // The watch can show this node's own handover before its write is answered.
+    let given = known.is_some_and(|r| r.holder.is_none() && r.fence == stewarded.record.fence);
+    let event = if given { Event::StewardHandedOver } else { Event::StewardLost };
+    node.timeline.record(event, id.as_str(), "");
 }
 
 /// Hands one endpoint over; its record keeps the orders that may still take effect.
