Dispatch for a steward that ended while the service is down

The preferred of the heard instances dispatches to the warm models with half of the cold limit and orders nothing, once its own lease has lapsed too and the former steward's host refuses connections or another process speaks for it. Before, membership_steward_killed_while_service_is_down could not pass: nobody may take over without the service.

--- a/src/events.rs
+++ b/src/events.rs
@@ -61,6 +61,7 @@
     StewardLost = 2302, Warn, "The instance is no longer steward of an endpoint.";
     StewardHandedOver = 2303, Info, "The instance handed an endpoint over.";
     LeaseRenewFailed = 2304, Warn, "The lease could not be renewed.";
+    StewardSubstituted = 2305, Warn, "The instance dispatches for a steward that ended while the service is down.";
     OrderIntent = 2401, Info, "An order was recorded before it is sent.";
     OrderSent = 2402, Info, "An order was sent to an endpoint.";
     OrderClosed = 2403, Info, "A report confirmed an order.";
--- a/src/kernel/freshness.rs
+++ b/src/kernel/freshness.rs
@@ -111,6 +111,12 @@
         self.peers.entry(peer.clone()).or_default().refused = Some(now);
     }
 
+    /// Returns whether a peer's host refused a connection lately.
+    pub fn is_refused(&self, peer: &InstanceId, now: Time) -> bool {
+        let refused = self.peers.get(peer).and_then(|peer| peer.refused);
+        refused.is_some_and(|at| now.since(at) <= CONTACT_BOUND)
+    }
+
     /// Returns the age of the last contact with the platform's service.
     pub fn age(&self, now: Time) -> Duration {
         now.since(self.platform)
--- a/src/kernel/stewardship.rs
+++ b/src/kernel/stewardship.rs
@@ -5,6 +5,7 @@
 //! incarnation exists.
 
 mod claim;
+mod substitute;
 mod tenure;
 
 pub use self::{
@@ -12,6 +13,7 @@
         Bid, Claim, Holding, Keep, Lease, Leases, RANK_PERIOD, SETTLE_PERIOD, TAKE_GRACE, Vacancy,
         claim, keep, vacancy,
     },
+    substitute::{Outage, substitute_pool, substitutes},
     tenure::{Duty, LEASE_MARGIN, LEASE_TTL, PAUSE_LIMIT, RENEW_PERIOD, RETURN_PERIOD, Tenure},
 };
 
--- a/src/node/lease.rs
+++ b/src/node/lease.rs
@@ -100,6 +100,9 @@
     let Some(held) = held else { return acquire(node).await };
     let sent = Time::now();
     if node.platform.renew(held.id).await? {
+        if !node.lease.is_held() {
+            steward::drop_substitutes(node);
+        }
         node.lease.tenure.lock().renew(sent);
         return Ok(());
     }
--- a/src/node/members.rs
+++ b/src/node/members.rs
@@ -62,6 +62,11 @@
         self.contacts.lock().refused(peer, Time::now());
     }
 
+    /// Returns whether a peer's host refused a connection within the bound.
+    pub fn is_refused(&self, peer: &InstanceId) -> bool {
+        self.contacts.lock().is_refused(peer, Time::now())
+    }
+
     /// Returns what is known of a peer that was heard within the bound.
     pub fn peer(&self, id: &InstanceId) -> Option<Seen> {
         let seen = self.seen.with(id, |seen| seen.clone())?;
--- a/src/node/steward.rs
+++ b/src/node/steward.rs
@@ -9,6 +9,7 @@
 mod registry;
 mod reports;
 mod run;
+mod substitute;
 mod write;
 
 use std::{
@@ -23,6 +24,7 @@
 pub use self::{
     duty::{hand_over, run, verify},
     orders::carry_out,
+    substitute::drop_substitutes,
 };
 use self::{
     flow::{Flow, Next, next},
@@ -73,6 +75,8 @@
     report: Option<Report>,
     flow: Flow,
     ledger: Ledger,
+    /// Whether this node only stands in for a steward that ended.
+    substitute: bool,
     /// Whether new work is taken.
     accepting: bool,
     /// Models of the requests that run, by request id.
--- a/src/node/steward/duty.rs
+++ b/src/node/steward/duty.rs
@@ -9,7 +9,10 @@
 use rand::RngExt;
 use tokio::time::sleep;
 
-use super::{Stewarded, registry, registry::Versioned, reports, write::write_record};
+use super::{
+    Stewarded, registry, registry::Versioned, reports, substitute::substitute_all,
+    write::write_record,
+};
 use crate::{
     clock::Time,
     config::{Config, PoolKind, PoolSpec},
@@ -50,6 +53,7 @@
     let mut vacant = Vacant::new();
     loop {
         keep_all(node).await;
+        substitute_all(node);
         claim_all(node, &mut vacant).await;
         let jitter = rand::rng().random_range(0.8..1.2);
         tokio::select! {
@@ -158,17 +162,23 @@
 
 /// Starts a tenure from cold.
 fn start(node: &Node, endpoint: &ListedEndpoint, pool: &PoolSpec, taken: Versioned) {
-    let weights = pool.memory.saturating_sub(pool.adapter_pool);
+    let detail = format!("fence={} intents={}", taken.record.fence, taken.record.intents.len());
+    node.stewards.endpoints.insert(endpoint.id.clone(), stewarded(endpoint, pool, &taken));
+    node.stewards.registry.put(endpoint.id.clone(), taken);
+    node.timeline.record(Event::StewardTaken, endpoint.id.as_str(), detail);
+}
+
+/// Creates the state of an endpoint of which only the record is known.
+pub fn stewarded(endpoint: &ListedEndpoint, pool: &PoolSpec, taken: &Versioned) -> Stewarded {
     let limits = LedgerLimits {
-        weights,
+        weights: pool.memory.saturating_sub(pool.adapter_pool),
         adapters: pool.adapter_pool,
         orders: pool.adapter_loads as usize,
         life: pool.order_life,
     };
     let mut ledger = Ledger::inherit(limits, &taken.record, Time::now());
     ledger.written(&taken.record);
-    let detail = format!("fence={} intents={}", taken.record.fence, taken.record.intents.len());
-    let stewarded = Stewarded {
+    Stewarded {
         listed: endpoint.clone(),
         client: Arc::new(EndpointClient::new(endpoint.address)),
         warmth: Warmth::cold(pool),
@@ -180,12 +190,10 @@
         report: None,
         flow: Default::default(),
         ledger,
+        substitute: false,
         accepting: true,
         active: HashMap::new(),
-    };
-    node.stewards.registry.put(endpoint.id.clone(), taken);
-    node.stewards.endpoints.insert(endpoint.id.clone(), stewarded);
-    node.timeline.record(Event::StewardTaken, endpoint.id.as_str(), detail);
+    }
 }
 
 async fn keep_all(node: &Arc<Node>) {
@@ -211,6 +219,9 @@
 }
 
 fn judge(node: &Node, stewarded: &Stewarded, list: &InstanceList, leases: &Leases) -> Keep {
+    if stewarded.substitute {
+        return Keep::Keep;
+    }
     let listed = list.endpoint(&stewarded.listed.id);
     let preferred = stewardship::preferred(&stewarded.listed, list, |id| !node.is_leaving(id));
     let known = node.stewards.registry.record(&stewarded.listed.id);
--- a/src/node/steward/write.rs
+++ b/src/node/steward/write.rs
@@ -55,12 +55,15 @@
 async fn try_write(node: &Node, id: &EndpointId, change: &impl Fn(&mut EndpointRecord)) -> Try {
     let Some(lease) = node.lease.revision() else { return Try::Failed(WriteError::NoLease) };
     let built = node.stewards.endpoints.with(id, |stewarded| {
+        if stewarded.substitute {
+            return None;
+        }
         let mut record = stewarded.ledger.record(&stewarded.record);
         record.nonce = rand::random();
         change(&mut record);
-        (record, stewarded.revision)
+        Some((record, stewarded.revision))
     });
-    let Some((record, revision)) = built else { return Try::Failed(WriteError::Lost) };
+    let Some((record, revision)) = built.flatten() else { return Try::Failed(WriteError::Lost) };
     let key = record_key(id);
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let expect = vec![(key.clone(), revision), (lease_key(&node.settings.instance), lease)];
--- a/tests/kernel/stewardship.rs
+++ b/tests/kernel/stewardship.rs
@@ -8,8 +8,8 @@
         freshness::Freshness,
         ledger::EndpointRecord,
         stewardship::{
-            Duty, Holding, Keep, LEASE_MARGIN, LEASE_TTL, Lease, Leases, RETURN_PERIOD, Tenure,
-            keep,
+            Duty, Holding, Keep, LEASE_MARGIN, LEASE_TTL, Lease, Leases, Outage, RETURN_PERIOD,
+            Tenure, keep, substitutes,
         },
     },
     names::InstanceId,
@@ -243,3 +243,21 @@
     assert_eq!(keep_of("i-1", false, false), Keep::Drain);
     assert_eq!(keep_of("i-1", true, false), Keep::HandOver);
 }
+
+#[test]
+fn substitutes_only_without_a_lease_while_the_service_is_down() {
+    let own = InstanceId::from("i-1");
+    let outage = Outage {
+        own: &own,
+        freshness: Freshness::ServiceDown,
+        duty: Duty::DispatchOnly,
+        gone: true,
+        preferred: Some(&own),
+    };
+    assert!(substitutes(&outage));
+    assert!(!substitutes(&Outage { gone: false, ..outage }));
+    assert!(!substitutes(&Outage { duty: Duty::Hold, ..outage }));
+    assert!(!substitutes(&Outage { freshness: Freshness::Fresh, ..outage }));
+    let other = InstanceId::from("i-0");
+    assert!(!substitutes(&Outage { preferred: Some(&other), ..outage }));
+}
--- a/tests/process/membership.rs
+++ b/tests/process/membership.rs
@@ -92,6 +92,30 @@
     });
 }
 
+#[test]
+fn membership_steward_killed_while_service_is_down() {
+    block_on(async {
+        let mut fleet = Fleet::start("membership-substitute", plan(3)).await;
+        let former = fleet.steward("engine-0").await.expect("a steward");
+        fleet.set_faults(fleet.platform, json!({ "down": true })).await;
+        fleet.instances[former].kill();
+        for index in (0..3).filter(|index| *index != former) {
+            eventually("another instance dispatches", TAKE_OVER, || async {
+                let answer = chat(fleet.caller(index), KITES_KEY, "glue", 4, true).await;
+                answer.is_ok_and(|answer| answer.status == 200)
+            })
+            .await;
+        }
+        fleet.set_faults(fleet.platform, json!({})).await;
+        let next = fleet.next_steward("engine-0", former, TAKE_OVER).await;
+        eventually("the next steward serves", TAKE_OVER, || async {
+            let answer = chat(fleet.caller(next), KITES_KEY, "glue", 4, true).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    });
+}
+
 #[test]
 fn membership_leaving_steward_hands_over_before_it_ends() {
     block_on(async {
