--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -92,9 +92,10 @@
     let (text, _) = read_checked(path)?;
     let newest = block_on(remote.show())??;
     let changes = unified((&format!("version {}", newest.seen), &newest.text), (path, &text));
-    match changes.is_empty() {
-        true => println!("no difference to version {}", newest.seen),
-        false => println!("{}", changes.trim_end()),
+    if changes.is_empty() {
+        println!("no difference to version {}", newest.seen);
+    } else {
+        println!("{}", changes.trim_end());
     }
     Ok(())
 }
--- a/src/cli/remote.rs
+++ b/src/cli/remote.rs
@@ -8,6 +8,7 @@
 
 use super::CliError;
 use crate::{
+    codes::Code,
     http::{HttpError, Limits, base_url, call_json, client},
     node::operator::{Apply, Confirmation, Gather, Gathered},
 };
@@ -95,7 +96,7 @@
     pub async fn show(&self) -> Result<Apply, CliError> {
         match self.call(Method::GET, "/config", &()).await {
             Ok(shown) => Ok(shown),
-            Err(HttpError::Status(_, text)) if text.contains("NoConfig") => {
+            Err(HttpError::Status(_, text)) if code_of(&text) == Some(Code::NoConfig) => {
                 Ok(Apply { seen: 0, text: String::new() })
             }
             Err(err) => Err(failed(err)),
@@ -138,6 +139,11 @@
     }
 }
 
+fn code_of(text: &str) -> Option<Code> {
+    let refused: Refused = serde_json::from_str(text).ok()?;
+    Code::from_number(refused.error.code)
+}
+
 fn explain(refused: &Refused) -> String {
     let error = &refused.error;
     format!("{} {}: {}", error.code, error.name, error.message)
--- a/src/kernel/addresses.rs
+++ b/src/kernel/addresses.rs
@@ -29,9 +29,10 @@
 /// are named only when nobody else serves, since a caller without an address is not served at all.
 pub fn choose(candidates: &[Candidate], team: Option<&Team>, draw: u64) -> Vec<InstanceId> {
     let preferred: Vec<&Candidate> = candidates.iter().filter(|c| c.serves && c.is_in).collect();
-    let usable = match preferred.is_empty() {
-        true => candidates.iter().filter(|c| c.serves).collect(),
-        false => preferred,
+    let usable = if preferred.is_empty() {
+        candidates.iter().filter(|c| c.serves).collect()
+    } else {
+        preferred
     };
     match team {
         Some(team) => few(usable, team),
