--- a/src/kernel/placement/marginal.rs
+++ b/src/kernel/placement/marginal.rs
@@ -11,23 +11,26 @@
     names::{EndpointId, Model},
 };
 
-/// Requests a second that a further copy must relieve to be worth a load into free memory.
-const MIN_GAIN: f64 = 0.25;
+/// Tokens a second that a further copy must relieve to be worth a load into free memory.
+const MIN_GAIN: f64 = 20.0;
 
 /// Gain of a new copy over the loss of an old one from which they are exchanged.
 const HYSTERESIS: f64 = 2.0;
 
-/// Requests that an exchange must gain within [`HORIZON_SECS`] to pay for its load.
-const LOAD_PRICE: f64 = 30.0;
+/// Tokens that an exchange must gain within [`HORIZON_SECS`] to pay for its load.
+const LOAD_PRICE: f64 = 6_000.0;
 
 /// Time for which demand is taken to last, in seconds.
 const HORIZON_SECS: f64 = 60.0;
 
 /// Factor on the loss of a copy that is its data centre's only one.
-const LONE_FACTOR: f64 = 4.0;
+const LONE_FACTOR: f64 = 2.0;
 
-/// Exchanges begun in one round.
-const EXCHANGES: usize = 2;
+/// Weight of demand whose copies are idle.
+const IDLE_WEIGHT: f64 = 0.1;
+
+/// Weight of demand whose copies run at their limit, for each limit's worth of requests there.
+const LOADED_WEIGHT: f64 = 4.0;
 
 /// Keeps one copy of each model, then two data centres where memory allows, and gives the rest
 /// of the memory to the copies that relieve most requests per byte.
@@ -40,6 +43,7 @@
         draft.load_lost();
         draft.spread();
         draft.add_copies();
+        draft.exchange();
         draft.steps
     }
 }
@@ -58,7 +62,9 @@
         for (model, need) in lost {
             match self.best_site(&model, &need) {
                 Some(endpoint) => self.load(endpoint, &model),
-                None => self.make_room(&need, f64::INFINITY),
+                None => {
+                    self.make_room(&need, f64::INFINITY);
+                }
             }
         }
     }
@@ -75,27 +81,35 @@
         }
     }
 
-    /// Adds the copies with the highest gain per byte, in free memory or in place of others.
+    /// Adds the copies with the highest gain per byte in free memory.
     fn add_copies(&mut self) {
-        let mut exchanges = 0;
-        for (model, need) in self.by_gain() {
-            let gain = gain(&self.view, &model, &need);
-            if gain < MIN_GAIN {
-                continue;
-            }
-            if let Some(endpoint) = self.best_site(&model, &need) {
+        for (model, need) in self.by_gain(|gain, need| gain / need.bytes.max(1) as f64) {
+            if gain(&self.view, &model, &need) >= MIN_GAIN
+                && let Some(endpoint) = self.best_site(&model, &need)
+            {
                 self.load(endpoint, &model);
-            } else if exchanges < EXCHANGES && self.held_everywhere(&model, &need).is_none() {
-                exchanges += 1;
-                self.make_room(&need, gain);
             }
         }
     }
 
-    /// Returns something only if every endpoint of the pool holds the model.
-    fn held_everywhere(&self, model: &Model, need: &Need) -> Option<()> {
+    /// Begins the exchange of copies that gains most, whatever its size, since exchanges are rarer
+    /// than bytes.
+    fn exchange(&mut self) {
+        if !self.view.exchange {
+            return;
+        }
+        for (model, need) in self.by_gain(|gain, _| gain) {
+            let gain = gain(&self.view, &model, &need);
+            if !self.is_everywhere(&model, &need) && self.make_room(&need, gain) {
+                return;
+            }
+        }
+    }
+
+    /// Returns whether every endpoint of the pool holds the model.
+    fn is_everywhere(&self, model: &Model, need: &Need) -> bool {
         let mut sites = self.view.sites.iter().filter(|s| s.open && s.pool == need.pool);
-        sites.all(|site| site.holds(model)).then_some(())
+        sites.all(|site| site.holds(model))
     }
 
     fn by_need(&self, wanted: impl Fn(&View, &Model) -> bool) -> Vec<(Model, Need)> {
@@ -107,11 +121,13 @@
         needs
     }
 
-    fn by_gain(&self) -> Vec<(Model, Need)> {
-        let mut needs = self.by_need(|view, model| view.holders(model).next().is_some());
-        let per_byte = |(m, n): &(Model, Need)| gain(&self.view, m, n) / n.bytes.max(1) as f64;
-        needs.sort_by(|a, b| per_byte(b).total_cmp(&per_byte(a)));
-        needs
+    /// Returns the models with a copy, those first whose next copy is worth most.
+    fn by_gain(&self, worth: impl Fn(f64, &Need) -> f64) -> Vec<(Model, Need)> {
+        let needs = self.by_need(|view, model| view.holders(model).next().is_some());
+        let worth_of = |(m, n): &(Model, Need)| worth(gain(&self.view, m, n), n);
+        let mut needs: Vec<_> = needs.into_iter().map(|entry| (worth_of(&entry), entry)).collect();
+        needs.sort_by(|a, b| b.0.total_cmp(&a.0));
+        needs.into_iter().map(|(_, entry)| entry).collect()
     }
 
     fn best_site(&self, model: &Model, need: &Need) -> Option<EndpointId> {
@@ -150,17 +166,18 @@
 
     /// Unloads copies at the endpoint where room costs least, if a copy of `gain` pays for it.
     ///
-    /// The load follows in a later round, once the endpoint reports the memory free.
-    fn make_room(&mut self, need: &Need, gain: f64) {
+    /// The load follows in a later round, once the endpoint reports the memory free. Returns
+    /// whether room is being made.
+    fn make_room(&mut self, need: &Need, gain: f64) -> bool {
         if self.wait_for_room(need) {
-            return;
+            return true;
         }
         let sites = self.view.sites.iter().filter(|site| site.open && site.pool == need.pool);
         let rooms = sites.filter_map(|site| self.room(site, need.bytes));
-        let Some(room) = rooms.min_by(|a, b| a.loss.total_cmp(&b.loss)) else { return };
+        let Some(room) = rooms.min_by(|a, b| a.loss.total_cmp(&b.loss)) else { return false };
         let pays = gain > room.loss * HYSTERESIS && (gain - room.loss) * HORIZON_SECS > LOAD_PRICE;
         if !pays {
-            return;
+            return false;
         }
         for model in room.models {
             if let Some(site) = self.view.site_mut(&room.endpoint) {
@@ -169,6 +186,7 @@
             }
             self.steps.push(Step::Unload { endpoint: room.endpoint.clone(), model });
         }
+        true
     }
 
     /// Claims the memory that unloads in progress will free, and returns whether it suffices.
@@ -222,19 +240,33 @@
     loss: f64,
 }
 
-/// Returns the requests a second by which one more copy relieves each of the others.
+/// Returns what one more copy gains: the tokens a second by which it relieves each of the
+/// others, weighted by how loaded they are.
 fn gain(view: &View, model: &Model, need: &Need) -> f64 {
     let copies = view.holders(model).count() as f64;
-    if copies == 0.0 { f64::INFINITY } else { need.demand / (copies * (copies + 1.0)) }
+    if copies == 0.0 {
+        return f64::INFINITY;
+    }
+    need.demand * weight(view, model, None) / (copies * (copies + 1.0))
 }
 
-/// Returns the requests a second that each remaining copy would take over.
+/// Returns what the removal of a copy loses: the tokens a second that each remaining copy would
+/// take over, weighted by how loaded they are.
 fn loss(view: &View, site: &Site, model: &Model) -> f64 {
     let copies = view.residents(model).count() as f64;
     let demand = view.needs.get(model).map_or(0.0, |need| need.demand);
     let near = view.residents(model).filter(|other| other.data_centre == site.data_centre);
     let factor = if near.count() == 1 { LONE_FACTOR } else { 1.0 };
-    demand * factor / (copies * (copies - 1.0)).max(1.0)
+    let weight = weight(view, model, Some(&site.endpoint));
+    demand * weight * factor / (copies * (copies - 1.0)).max(1.0)
+}
+
+/// Returns the weight of a model's demand by the load of its least loaded copy, of which one may
+/// be left out.
+fn weight(view: &View, model: &Model, without: Option<&EndpointId>) -> f64 {
+    let others = view.residents(model).filter(|site| Some(&site.endpoint) != without);
+    let load = others.map(|site| site.load).min().unwrap_or(0) as f64 / 1_000.0;
+    IDLE_WEIGHT + LOADED_WEIGHT * load * load
 }
 
 fn data_centres(view: &View, model: &Model) -> BTreeSet<String> {
--- a/src/kernel/placement/planning.rs
+++ b/src/kernel/placement/planning.rs
@@ -12,6 +12,12 @@
 /// Time after which a step that no digest shows counts as not taken.
 const PENDING_LIMIT: Duration = Duration::from_secs(5);
 
+/// Time constant of the moving averages of the endpoints' loads.
+const LOAD_CONSTANT: Duration = Duration::from_secs(10);
+
+/// Shortest time between two exchanges, so that the loads show what the last one brought.
+const EXCHANGE_PERIOD: Duration = Duration::from_secs(15);
+
 /// The planner's decisions from round to round.
 ///
 /// Digests lag behind orders, so steps that were just given out are added to the view until the
@@ -20,6 +26,9 @@
 pub struct Planning {
     permits: Permits,
     pending: BTreeMap<Step, Given>,
+    loads: BTreeMap<EndpointId, f64>,
+    smoothed: Time,
+    exchanged: Time,
 }
 
 /// How long a step counts as given, and the free memory of its endpoint when it was.
@@ -32,7 +41,13 @@
 impl Planning {
     /// Creates the state of a planner that just took the duty.
     pub fn new(limits: WeightStore, now: Time) -> Self {
-        Self { permits: Permits::new(limits, now), pending: BTreeMap::new() }
+        Self {
+            permits: Permits::new(limits, now),
+            pending: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            smoothed: now,
+            exchanged: now,
+        }
     }
 
     /// Counts loads that an earlier planner left open, for as long as their orders can live.
@@ -55,7 +70,9 @@
         now: Time,
     ) -> Vec<Step> {
         self.forget_shown(view, now);
-        let view = self.with_pending(view);
+        let mut view = self.with_pending(view);
+        self.smooth(&mut view, now);
+        view.exchange = now.since(self.exchanged) >= EXCHANGE_PERIOD;
         let mut open = view.open_loads() + self.unseen(&view);
         let mut steps = Vec::new();
         for step in policy.plan(&view, keepers) {
@@ -64,6 +81,8 @@
                     continue;
                 }
                 open += 1;
+            } else {
+                self.exchanged = now;
             }
             let (endpoint, _) = step.place();
             let free = view.site(endpoint).map_or(0, |site| site.free);
@@ -78,6 +97,22 @@
         self.pending.remove(step);
     }
 
+    /// Replaces the loads of the moment by moving averages.
+    fn smooth(&mut self, view: &mut View, now: Time) {
+        let elapsed = now.since(self.smoothed).as_secs_f64() / LOAD_CONSTANT.as_secs_f64();
+        self.smoothed = now;
+        let kept = (-elapsed).exp();
+        let mut loads = BTreeMap::new();
+        for site in &mut view.sites {
+            let current = site.load as f64;
+            let known = self.loads.get(&site.endpoint).copied().unwrap_or(current);
+            let load = known * kept + current * (1.0 - kept);
+            site.load = load as u64;
+            loads.insert(site.endpoint.clone(), load);
+        }
+        self.loads = loads;
+    }
+
     fn forget_shown(&mut self, view: &View, now: Time) {
         self.pending.retain(|step, given| now <= given.until && !is_shown(view, step, given));
     }
--- a/src/kernel/placement/view.rs
+++ b/src/kernel/placement/view.rs
@@ -8,9 +8,6 @@
     names::{DataCentre, EndpointId, Model, Pool},
 };
 
-/// Thousandths in one request a second, as demand is sent in digests.
-const PER_THOUSAND: f64 = 1_000.0;
-
 /// An endpoint that holds models.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Site {
@@ -48,7 +45,7 @@
     pub pool: Pool,
     /// Size of the weights in bytes.
     pub bytes: u64,
-    /// Requests a second.
+    /// Tokens a second.
     pub demand: f64,
     /// Requests that wait because no copy is resident.
     pub waiting: u32,
@@ -61,15 +58,18 @@
     pub sites: Vec<Site>,
     /// Needs by model.
     pub needs: BTreeMap<Model, Need>,
+    /// Whether copies may be exchanged now.
+    pub exchange: bool,
 }
 
 impl View {
     /// Builds the view from the configuration and what stewards and entries said.
     pub fn new(config: &Config, directory: &Directory) -> Self {
-        let mut view = View { sites: sites(config, directory), needs: needs(config) };
+        let sites = sites(config, directory);
+        let mut view = View { sites, needs: needs(config), exchange: true };
         for demand in directory.digests().flat_map(|digest| &digest.demand) {
             if let Some(need) = view.needs.get_mut(demand.model.as_str()) {
-                need.demand += demand.fast.max(demand.slow) as f64 / PER_THOUSAND;
+                need.demand += demand.fast.max(demand.slow) as f64;
                 need.waiting += demand.waiting;
             }
         }
--- a/src/measure/engine.rs
+++ b/src/measure/engine.rs
@@ -154,7 +154,7 @@
     pub fn start(&mut self, arrival: &Arrival, spec: Option<&ModelSpec>, now: Time) -> Started {
         self.running += 1;
         let cold = self.completed < WARM_AFTER;
-        if cold && self.running > self.cold_limit.saturating_mul(2) {
+        if cold && self.running > self.cold_limit {
             self.crash(now);
             return Started::Crashed;
         }
--- a/src/measure/fleet/digest.rs
+++ b/src/measure/fleet/digest.rs
@@ -47,13 +47,12 @@
     }
 
     fn demand_of(&self, entry: usize, now: Time) -> Vec<ModelDemand> {
-        let thousandths = |rate: f64| (rate * 1_000.0) as u64;
         let mut demand: Vec<ModelDemand> = self.demand[entry]
             .iter()
             .map(|(model, averages)| ModelDemand {
                 model: model.to_string(),
-                fast: thousandths(averages.fast(now)),
-                slow: thousandths(averages.slow(now)),
+                fast: averages.fast(now) as u64,
+                slow: averages.slow(now) as u64,
                 waiting: if entry == 0 { self.waiting.get(model).copied().unwrap_or(0) } else { 0 },
             })
             .collect();
--- a/src/measure/fleet/endpoint.rs
+++ b/src/measure/fleet/endpoint.rs
@@ -1,11 +1,14 @@
 //! An endpoint with the state that its steward holds.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     clock::Time,
     config::{PoolKind, PoolSpec},
-    kernel::{dispatch::Queue, warmup::Warmth},
+    kernel::{
+        dispatch::Queue,
+        warmup::{Sign, Warmth},
+    },
     measure::engine::Engine,
     names::{DataCentre, EndpointId, Pool},
     wire::EndpointDigest,
@@ -60,17 +63,22 @@
 
     /// Returns whether one more request may start.
     pub fn bears(&self, now: Time) -> bool {
-        self.engine.back <= now && (self.running.len() as u32) < self.warmth.limit()
+        self.engine.back <= now && self.warmth.bears(self.running.len() as u32)
+    }
+
+    /// Takes in the time to the first byte of an answer.
+    pub fn first_byte(&mut self, elapsed: Duration) {
+        self.warmth.first_byte(elapsed);
     }
 
     /// Counts a request that was answered whole.
-    pub fn complete(&mut self) {
-        self.warmth.complete();
+    pub fn complete(&mut self, now: Time) {
+        self.warmth.complete(now);
     }
 
     /// Treats the endpoint as cold.
-    pub fn fall_back(&mut self) {
-        self.warmth.reset();
+    pub fn fall_back(&mut self, sign: Sign) {
+        self.warmth.fall_back(sign);
     }
 
     /// Returns what its steward tells the others.
--- a/src/measure/fleet/work.rs
+++ b/src/measure/fleet/work.rs
@@ -8,19 +8,19 @@
     config::ClassTarget,
     kernel::{
         dispatch::Ticket,
-        placement::Averages,
         routing::{Copy, Wish},
+        shares::Decision,
+        warmup::Sign,
     },
     measure::{
         Arrival,
         engine::{Pace, Started},
-        quota::Admission,
         score::Outcome,
     },
 };
 
 /// Longest time for which a request waits for its team's share.
-const SHARE_WAIT: Duration = Duration::from_millis(500);
+const SHARE_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Time between two looks for a copy or for tokens.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
@@ -63,14 +63,14 @@
         self.progress[request].arrived = true;
         let tokens = arrival.tokens();
         match self.quota.charge(arrival.entry, &arrival.team, tokens, self.now) {
-            Admission::Admitted => {
+            Decision::Taken => {
                 self.count_demand(request);
                 self.route(request);
             }
-            Admission::Short(_) if self.now.since(arrival.at) < SHARE_WAIT => {
+            Decision::Short(_) if self.now.since(arrival.at) < SHARE_WAIT => {
                 self.events.add(self.now + LOOK_PERIOD, Event::Admit(request));
             }
-            Admission::Short(_) | Admission::TooLarge => self.close(request, Outcome::OverRate),
+            Decision::Short(_) | Decision::TooLarge => self.close(request, Outcome::OverRate),
         }
     }
 
@@ -78,7 +78,7 @@
         let arrival = &self.trace.arrivals[request];
         if let Some(model) = &arrival.model {
             let demand = &mut self.demand[arrival.entry];
-            demand.entry(model.clone()).or_insert_with(Averages::default).count(self.now);
+            demand.entry(model.clone()).or_default().count(arrival.tokens(), self.now);
         }
     }
 
@@ -188,6 +188,7 @@
         match endpoint.engine.start(arrival, spec, self.now) {
             Started::Running(pace) => {
                 let pace = if spec.is_none() { service_pace() } else { pace };
+                endpoint.first_byte(pace.first);
                 self.progress[request].pace = Some(pace);
                 let event = Event::Finish { endpoint: position, request, incarnation };
                 self.events.add(self.now + pace.total, event);
@@ -198,7 +199,7 @@
 
     /// Sends the requests of a crashed endpoint to other copies.
     fn crash(&mut self, position: usize) {
-        self.endpoints[position].fall_back();
+        self.endpoints[position].fall_back(Sign::Cut);
         let lost = std::mem::take(&mut self.endpoints[position].running);
         for request in lost.into_keys() {
             self.progress[request].starts += 1;
@@ -218,7 +219,7 @@
         }
         let Some(started) = endpoint.running.remove(&request) else { return };
         endpoint.engine.finish();
-        endpoint.complete();
+        endpoint.complete(self.now);
         let arrival = &self.trace.arrivals[request];
         let target = &self.config.classes[&arrival.class];
         let pace = self.progress[request].pace;
--- a/src/measure/quota.rs
+++ b/src/measure/quota.rs
@@ -6,50 +6,96 @@
 use crate::{
     clock::Time,
     config::Config,
-    kernel::quota::{Bucket, Charge},
-    names::Team,
+    kernel::shares::{Decision, Limits, TeamShare, WHOLE},
+    names::{InstanceId, Team},
+    wire::LoanAsk,
 };
 
-/// What to do with a request at its entry.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Admission {
-    /// It goes on.
-    Admitted,
-    /// The share is spent for now.
-    Short(Duration),
-    /// The share can never hold enough.
-    TooLarge,
-}
-
 /// The shares of every team at every entry instance.
 pub struct Quota {
-    equal: Vec<BTreeMap<Team, Bucket>>,
+    entries: Vec<BTreeMap<Team, TeamShare>>,
+    names: Vec<InstanceId>,
+    sharing: Sharing,
+    lent: Time,
+}
+
+/// Shortest time between two rounds of loans where requests wait for one.
+const ROUND_PAUSE: Duration = Duration::from_millis(100);
+
+/// A part that an instance wants to borrow.
+struct Want {
+    entry: usize,
+    team: Team,
+    parts: u32,
 }
 
 impl Quota {
-    /// Creates the shares of instances that just started.
-    pub fn new(config: &Config, _: Sharing) -> Self {
-        let part = 1.0 / ENTRIES as f64;
-        let bucket =
-            |rate: u64, burst: u64| Bucket::empty(rate as f64 * part, burst as f64 * part, Time(0));
-        let teams = config.teams.iter().map(|(team, s)| (team.clone(), bucket(s.rate, s.burst)));
-        let teams: BTreeMap<Team, Bucket> = teams.collect();
-        Self { equal: vec![teams; ENTRIES] }
+    /// Creates the shares of instances that just started and hold equal parts.
+    pub fn new(config: &Config, sharing: Sharing) -> Self {
+        let share = |rate: u64, burst: u64| {
+            let mut share = TeamShare::empty(Time(0));
+            let limits = Limits { rate: rate as f64, burst: burst as f64 };
+            share.set(limits, WHOLE / ENTRIES as u32, Time(0));
+            share
+        };
+        let teams = config.teams.iter().map(|(team, s)| (team.clone(), share(s.rate, s.burst)));
+        let teams: BTreeMap<Team, TeamShare> = teams.collect();
+        let names = (0..ENTRIES).map(|i| format!("i-{i}").into()).collect();
+        Self { entries: vec![teams; ENTRIES], names, sharing, lent: Time(0) }
+    }
+
+    /// Counts a request into the demand at its entry.
+    pub fn expect(&mut self, entry: usize, team: &Team, tokens: u64, now: Time) {
+        if let Some(share) = self.entries[entry].get_mut(team) {
+            share.expect(tokens as f64, now);
+        }
     }
 
     /// Takes a request's tokens.
-    pub fn charge(&mut self, entry: usize, team: &Team, tokens: u64, now: Time) -> Admission {
-        let Some(bucket) = self.equal[entry].get_mut(team) else { return Admission::TooLarge };
-        match bucket.charge(tokens as f64, now) {
-            Charge::Taken => Admission::Admitted,
-            Charge::Wait(wait) => Admission::Short(wait),
-            Charge::Never => Admission::TooLarge,
+    pub fn charge(&mut self, entry: usize, team: &Team, tokens: u64, now: Time) -> Decision {
+        let Some(share) = self.entries[entry].get_mut(team) else { return Decision::TooLarge };
+        let decision = share.charge(tokens as f64, now);
+        let short = matches!(decision, Decision::Short(_));
+        if !short || now.since(self.lent) < ROUND_PAUSE {
+            return decision;
         }
+        self.round(now);
+        let share = self.entries[entry].get_mut(team);
+        share.map_or(decision, |share| share.charge(tokens as f64, now))
     }
 
-    /// Counts a request into the demand at its entry.
-    pub fn expect(&mut self, _: usize, _: &Team, _: u64, _: Time) {}
+    /// Lends between the instances, as they ask each other in one round.
+    pub fn round(&mut self, now: Time) {
+        self.lent = now;
+        if self.sharing == Sharing::Equal {
+            return;
+        }
+        for want in self.wants(now) {
+            // As in a node, every peer is asked for an even part of what is wanted.
+            let each = want.parts.div_ceil(ENTRIES as u32 - 1);
+            for lender in (0..ENTRIES).filter(|lender| *lender != want.entry) {
+                self.borrow(&want, lender, each, now);
+            }
+        }
+    }
 
-    /// Lends between the instances.
-    pub fn round(&mut self, _: Time) {}
+    fn wants(&mut self, now: Time) -> Vec<Want> {
+        let mut wants = Vec::new();
+        for (entry, teams) in self.entries.iter_mut().enumerate() {
+            for (team, share) in teams {
+                let parts = share.wanted(now);
+                wants.extend(parts.map(|parts| Want { entry, team: team.clone(), parts }));
+            }
+        }
+        wants
+    }
+
+    fn borrow(&mut self, want: &Want, lender: usize, parts: u32, now: Time) -> Option<()> {
+        let (borrower, from) = (self.names[want.entry].clone(), self.names[lender].clone());
+        let ask = self.entries[want.entry].get_mut(&want.team)?.ask(&from, parts, now);
+        let ask = LoanAsk { incarnation: 1, ..ask };
+        let grant = self.entries[lender].get_mut(&want.team)?.lend(&borrower, &ask, now);
+        self.entries[want.entry].get_mut(&want.team)?.take(&from, &grant, now);
+        Some(())
+    }
 }
--- a/src/measure/score.rs
+++ b/src/measure/score.rs
@@ -13,7 +13,8 @@
 };
 
 /// What became of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// It met its class's target.
     Attained,
@@ -73,12 +74,14 @@
     pub teams: BTreeMap<String, f64>,
     /// Requests refused for their team's rate although the team was within it.
     pub refused_within: u64,
+    /// Requests by what became of them.
+    pub outcomes: BTreeMap<Outcome, u64>,
     /// Attainment from the order that takes a data centre out until all is settled after its
     /// return.
     pub change: f64,
-    /// Background requests.
+    /// Background requests that were admitted.
     pub background: u64,
-    /// Background requests that did not end by their deadline.
+    /// Those that did not end by their deadline.
     pub background_late: u64,
     /// Requests that met their target over time.
     pub samples: Vec<Sample>,
@@ -95,6 +98,7 @@
     change: Count,
     background: Count,
     samples: BTreeMap<u64, Count>,
+    outcomes: BTreeMap<Outcome, u64>,
     refused_within: u64,
     loads: u64,
 }
@@ -113,6 +117,7 @@
             change: Count::default(),
             background: Count::default(),
             samples: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
             refused_within: 0,
             loads: 0,
         }
@@ -138,8 +143,12 @@
         let attained = outcome == Outcome::Attained;
         self.refused_within += u64::from(outcome == Outcome::OverRate);
         if self.config.classes[&arrival.class].background {
-            return add(&mut self.background, attained);
+            if outcome != Outcome::OverRate {
+                add(&mut self.background, attained);
+            }
+            return;
         }
+        *self.outcomes.entry(outcome).or_default() += 1;
         add(&mut self.all, attained);
         add(self.teams.entry(arrival.team.clone()).or_default(), attained);
         let period = arrival.at.since(Time(0)).as_secs() / SAMPLE_PERIOD.as_secs();
@@ -173,6 +182,7 @@
             worst: worst.map_or(1.0, |(_, count)| count.part()),
             teams: self.teams.iter().map(|(t, count)| (t.to_string(), count.part())).collect(),
             refused_within: self.refused_within,
+            outcomes: self.outcomes,
             change: self.change.part(),
             background: self.background.asked,
             background_late: self.background.asked - self.background.attained,
--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -77,7 +77,7 @@
     let class = caller.class(&parts.headers)?;
     let admitted = caller.admit(node, class, tokens).await?;
     node.timeline.record(Event::RequestAdmitted, admitted.caller.request.as_str(), "");
-    node.demand.count(&asked.model);
+    node.demand.count(&asked.model, tokens);
     let work = Work {
         model: asked.model.to_string(),
         fingerprint: fingerprint(&asked),
--- a/src/node/digests.rs
+++ b/src/node/digests.rs
@@ -25,8 +25,8 @@
 /// Time after which a digest is sent without a change.
 const REFRESH: Duration = Duration::from_secs(2);
 
-/// Requests a second below which a model's demand is not sent.
-const MIN_DEMAND: f64 = 0.001;
+/// Tokens a second below which a model's demand is not sent.
+const MIN_DEMAND: f64 = 1.0;
 
 /// Demand seen by this node as an entry instance.
 #[derive(Default)]
@@ -49,10 +49,11 @@
 }
 
 impl Demand {
-    /// Counts a request for a model.
-    pub fn count(&self, model: &Model) {
+    /// Counts a request of so many tokens for a model.
+    pub fn count(&self, model: &Model, tokens: u64) {
         let now = Time::now();
-        self.models.with_or(model.clone(), Wanted::default, |wanted| wanted.averages.count(now));
+        self.models
+            .with_or(model.clone(), Wanted::default, |wanted| wanted.averages.count(tokens, now));
     }
 
     /// Counts a request as waiting for a copy until the returned guard is dropped.
@@ -69,8 +70,8 @@
             if kept {
                 demand.push(ModelDemand {
                     model: model.to_string(),
-                    fast: thousandths(fast),
-                    slow: thousandths(slow),
+                    fast: fast as u64,
+                    slow: slow as u64,
                     waiting: wanted.waiting,
                 });
             }
@@ -88,10 +89,6 @@
     }
 }
 
-fn thousandths(rate: f64) -> u64 {
-    (rate * 1_000.0) as u64
-}
-
 /// Publishes digests where something changed, and a refresh from time to time.
 pub async fn run(node: Arc<Node>) {
     let mut sent: Vec<EndpointDigest> = Vec::new();
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -125,10 +125,10 @@
     /// Model.
     #[prost(string, tag = "1")]
     pub model: String,
-    /// Requests a second as a fast moving average, in thousandths.
+    /// Tokens a second as a fast moving average.
     #[prost(uint64, tag = "2")]
     pub fast: u64,
-    /// Requests a second as a slow moving average, in thousandths.
+    /// Tokens a second as a slow moving average.
     #[prost(uint64, tag = "3")]
     pub slow: u64,
     /// Requests that wait because no copy is resident.
