Send differing prompts in the test of keys

Eight prompts over two homes. The code of too large headers is 1111 since two lanes' codes became one.

--- a/tests/process/keys.rs
+++ b/tests/process/keys.rs
@@ -45,9 +45,12 @@
             vec![("x-api-key", KITES_KEY), ("x-forwarded-for", KITES_KEY), ("te", KITES_KEY)],
             vec![("x-api-key", KITES_KEY), ("x-request-id", KITES_KEY), ("user-agent", KITES_KEY)],
         ];
-        for headers in &served {
+        for (number, headers) in served.iter().enumerate() {
+            // Each prompt differs, so that no engine is the home of all.
+            let body = BODY.replace("[]", &format!(r#"[{{"role":"user","content":"{number}"}}]"#));
             let headers: Vec<_> = headers.iter().copied().chain([("content-type", json)]).collect();
-            let answer = ask(&fleet, Method::POST, &format!("{CHAT}{query}"), &headers, BODY).await;
+            let path = format!("{CHAT}{query}");
+            let answer = ask(&fleet, Method::POST, &path, &headers, &body).await;
             assert_eq!(answer.status, 200, "{headers:?} {}", answer.text());
             let path = format!("{STOCK}{query}");
             let answer = ask(&fleet, Method::GET, &path, &headers, "").await;
@@ -138,7 +141,7 @@
             [(CHAT, vec![("x-long", long.as_str())]), (CHAT, many), (&*path, vec![])]
         {
             let answer = ask(&fleet, Method::POST, path, &headers, BODY).await;
-            assert_eq!((answer.status, answer.code()), (431, 1110), "{}", answer.text());
+            assert_eq!((answer.status, answer.code()), (431, 1111), "{}", answer.text());
         }
         let key = "k".repeat(600);
         let answer = ask(&fleet, Method::POST, CHAT, &[("x-api-key", &key)], BODY).await;
