--- a/src/cli.rs
+++ b/src/cli.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod diff;
 pub(crate) mod key;
+mod measure;
 pub(crate) mod remote;
 mod serve;
 mod standin;
@@ -42,6 +43,7 @@
   data-centre  Take a data centre out of service or return it
   status       Show all instances
   timeline     Show the recent events of all instances
+  measure      Measure the policies under seeded demand
   standin      Run a stand-in of the platform, an engine or a service
 
 Options:
@@ -119,6 +121,7 @@
 fn dispatch(command: OsString, parser: Parser) -> Result<(), CliError> {
     match command.string()?.as_str() {
         "serve" => serve::run(parser),
+        "measure" => measure::run(parser),
         "demo" => demo::run(parser),
         "config" => config::run(parser),
         "key" => key::run(parser),
--- a/src/node/admit.rs
+++ b/src/node/admit.rs
@@ -24,15 +24,6 @@
 /// Headers that are forwarded to endpoints; all others stay here.
 const FORWARDED: &[&str] = &["accept", "accept-language", "content-type"];
 
-/// Most headers of a request.
-const HEADER_COUNT: usize = 64;
-
-/// Most bytes of the headers of a request together.
-const HEADER_BYTES: usize = 16 << 10;
-
-/// Longest path of a request in bytes.
-const PATH_BYTES: usize = 2 << 10;
-
 /// A caller's request whose key was accepted.
 pub struct Caller {
     /// Id that this instance gave to the request.
@@ -65,26 +56,16 @@
 pub fn identify(
     node: &Node,
     request: RequestId,
-    parts: &Parts,
+    headers: &HeaderMap,
     open: impl Fn(&Config) -> bool,
 ) -> Result<Caller, Refusal> {
     let _running = node.drain.enter().ok_or(Refusal::not_run(Code::Draining))?;
-    check_sizes(parts)?;
     let config = node.config().ok_or(Refusal::not_run(Code::NoConfig).retry_after(500))?;
-    let key = if open(&config) { None } else { Some(Key::of(&parts.headers)?) };
+    let key = if open(&config) { None } else { Some(Key::of(headers)?) };
     let team = key.as_ref().map(|key| authenticate(node, &config, key)).transpose()?;
     Ok(Caller { request, arrived: Time::now(), config, team, key, _running })
 }
 
-fn check_sizes(parts: &Parts) -> Result<(), Refusal> {
-    let bytes: usize = parts.headers.iter().map(|(k, v)| k.as_str().len() + v.len()).sum();
-    let path = parts.uri.path_and_query().map_or(0, |path| path.as_str().len());
-    if parts.headers.len() > HEADER_COUNT || bytes > HEADER_BYTES || path > PATH_BYTES {
-        return Err(Refusal::not_run(Code::HeadersTooLarge));
-    }
-    Ok(())
-}
-
 /// Returns the team of a key where this instance may serve keyed work.
 fn authenticate(node: &Node, config: &Config, key: &Key) -> Result<Team, Refusal> {
     if node.freshness() == Freshness::CutOff {
@@ -94,6 +75,12 @@
     Ok(known.1.clone())
 }
 
+/// Returns the team of a request's key, where it carries a known one.
+pub fn known_team(config: &Config, headers: &HeaderMap) -> Option<Team> {
+    let key = Key::of(headers).ok()?;
+    config.team_of(key.text()).map(|(_, team)| team.clone())
+}
+
 /// Checks at the steward that the key of a request that waited was not withdrawn meanwhile.
 pub fn still_allowed(node: &Node, work: &Work) -> Result<(), Refusal> {
     let Some(config) = node.config().filter(|config| config.version >= work.version) else {
--- a/src/node/services.rs
+++ b/src/node/services.rs
@@ -50,7 +50,7 @@
         Some((spec.clone(), spec.route(&parts.method, path)?.clone()))
     };
     let open = |config: &Config| find(config).is_some_and(|(_, route)| route.open);
-    let caller = identify(node, id, &parts, open)?;
+    let caller = identify(node, id, &parts.headers, open)?;
     let (spec, route) = find(&caller.config).ok_or(Refusal::not_run(Code::RouteUnknown))?;
     let once = once_key(&route, &parts.headers)?;
     let body = receive(body).await?;
