--- a/src/measure/fleet/work.rs
+++ b/src/measure/fleet/work.rs
@@ -78,7 +78,7 @@
         let arrival = &self.trace.arrivals[request];
         if let Some(model) = &arrival.model {
             let demand = &mut self.demand[arrival.entry];
-            demand.entry(model.clone()).or_insert_with(Averages::default).count(self.now);
+            demand.entry(model.clone()).or_default().count(self.now);
         }
     }
 
--- a/src/node/router.rs
+++ b/src/node/router.rs
@@ -23,6 +23,9 @@
 /// Most bytes of a request's headers.
 const HEADERS_LIMIT: usize = 16 << 10;
 
+/// Most headers of a request.
+const HEADER_COUNT: usize = 64;
+
 /// Serves callers until the process is told to stop and all work has ended.
 pub async fn run(node: Arc<Node>, listener: TcpListener) -> Result<(), HttpError> {
     let shutdown = drain::run(node.clone());
@@ -76,13 +79,10 @@
     }
 }
 
-/// Most headers of a request.
-const HEADERS_COUNT: usize = 64;
-
 fn check_size(uri: &Uri, headers: &HeaderMap) -> Result<(), Refusal> {
     let line = uri.path_and_query().map_or(0, |text| text.as_str().len());
     let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
-    if headers.len() > HEADERS_COUNT || line > URI_LIMIT || bytes > HEADERS_LIMIT {
+    if line > URI_LIMIT || bytes > HEADERS_LIMIT || headers.len() > HEADER_COUNT {
         return Err(Refusal::not_run(Code::HeadersTooLarge));
     }
     Ok(())
