Move requests without the retry budget, keep off copies that failed

Cause: a handover or a crash refuses whole queues as not run, and their moves drained the retry budget. A request that failed at its copy was sent to the same copy again while another one was about to be known; answer_crossed_at_one_endpoint failed so (both attempts at engine-0). A whole answer cleared a suspect at the steward only, so its entry instance named it a suspect again.

Moves are bounded by attempts and deadline alone. A copy that failed is taken again only after 500 ms without another one. The entry acquits too.

--- a/src/cli/measure.rs
+++ b/src/cli/measure.rs
@@ -79,7 +79,8 @@
             return Err(CliError::Usage(reason));
         }
     }
-    let rows: Vec<_> = chosen.iter().map(|variant| measure::run(config, &options, variant)).collect();
+    let rows: Vec<_> =
+        chosen.iter().map(|variant| measure::run(config, &options, variant)).collect();
     print!("{}", if args.json { json_lines(&rows) } else { table(&rows) });
     if let Some(path) = &args.svg {
         let drawn = plot(&rows, &options.schedule, path);
--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -43,6 +43,8 @@
 /// How an attempt was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Loss {
+    /// The place to which it was sent serves it no more, and it did not run.
+    Moved,
     /// No byte of the request reached an endpoint.
     NotRun,
     /// The instance that ran it was lost, its endpoint perhaps not.
@@ -96,7 +98,11 @@
             return Retry::Stop;
         }
         let wait = jittered(self.made, draw);
-        if now + wait >= self.deadline || !budget.take() {
+        if now + wait >= self.deadline {
+            return Retry::Stop;
+        }
+        // A move costs the system no second run, and handovers move many requests at once.
+        if loss != Loss::Moved && !budget.take() {
             return Retry::Stop;
         }
         self.made += 1;
--- a/src/measure/fleet/endpoint.rs
+++ b/src/measure/fleet/endpoint.rs
@@ -5,7 +5,10 @@
 use crate::{
     clock::Time,
     config::{PoolKind, PoolSpec},
-    kernel::{dispatch::Queue, warmup::{Sign, Warmth}},
+    kernel::{
+        dispatch::Queue,
+        warmup::{Sign, Warmth},
+    },
     measure::engine::Engine,
     names::{DataCentre, EndpointId, Pool},
     wire::EndpointDigest,
--- a/src/node/chat/job.rs
+++ b/src/node/chat/job.rs
@@ -28,6 +28,9 @@
 /// Time between two looks for a copy.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 
+/// Time to wait for a copy that did not fail the request before.
+const UNTRIED_WAIT: Duration = Duration::from_millis(500);
+
 /// Time that the hop to the steward adds to the bounds of the endpoint's answer.
 const HOP_SLACK: Duration = Duration::from_secs(2);
 
@@ -70,6 +73,9 @@
 
     /// Settles the charge and records that the caller was answered.
     pub fn complete(mut self) {
+        // A whole answer clears the request here too, or this instance would name it a suspect to
+        // the next steward.
+        self.node.suspects.lock().acquit(self.work.fingerprint);
         self.admitted.charge.settle(self.work.tokens);
         self.node.timeline.record(Event::RequestCompleted, self.work.request, "");
     }
@@ -108,6 +114,10 @@
 
     async fn wait(&mut self, failure: Failure) -> Result<(), Refusal> {
         self.ran |= failure.refusal.run == Run::Unknown;
+        if failure.loss == Loss::Route {
+            // The endpoint did not fail; its steward or the link did.
+            self.tried.pop();
+        }
         let draw = rand::random();
         let retry = {
             let mut budget = self.node.retries.lock();
@@ -131,7 +141,7 @@
         let bound = bound + Duration::from_millis(work.left_ms);
         let mut exchange = match self.node.open(&copy.steward, AskBody::Work(work)).await {
             Ok(exchange) => exchange,
-            Err(refusal) => return Ok(Err(Failure { refusal, loss: Loss::NotRun })),
+            Err(refusal) => return Ok(Err(Failure { refusal, loss: Loss::Moved })),
         };
         match timeout(bound, exchange.next()).await {
             Ok(Some(Body::Head(head))) => Ok(Ok((head, exchange))),
@@ -162,6 +172,7 @@
         let crashed = end.crashes.len() > known;
         let refusal = end.refusal().unwrap_or(Refusal::unknown(Code::Internal));
         let loss = match refusal.run {
+            Run::NotRun if is_move(refusal.code) => Loss::Moved,
             Run::NotRun => Loss::NotRun,
             Run::Unknown if crashed => Loss::Crash,
             Run::Unknown => Loss::Cut { progress },
@@ -181,11 +192,15 @@
     }
 
     /// Chooses a copy, and waits for one while the deadline allows it.
+    ///
+    /// A copy that failed before is taken only when no other one appears for some time.
     async fn find_copy(&self) -> Result<Arc<Copy>, Refusal> {
         let model = Model::from(self.work.model.as_str());
+        let started = Time::now();
         let mut waiting = None;
         loop {
-            if let Some(copy) = self.choose() {
+            let patient = Time::now().since(started) < UNTRIED_WAIT;
+            if let Some(copy) = self.choose(patient) {
                 return Ok(copy);
             }
             if Time::now() + LOOK_PERIOD >= self.admitted.deadline() {
@@ -196,7 +211,7 @@
         }
     }
 
-    fn choose(&self) -> Option<Arc<Copy>> {
+    fn choose(&self, untried_only: bool) -> Option<Arc<Copy>> {
         let config = self.node.config()?;
         let model = Model::from(self.work.model.as_str());
         let usable =
@@ -204,7 +219,7 @@
         let copies = self.node.directory.read().copies(&model).to_vec();
         let mut copies: Vec<&Arc<Copy>> = copies.iter().filter(usable).collect();
         let untried = copies.iter().any(|copy| !self.tried.contains(&copy.endpoint));
-        if untried {
+        if untried || untried_only {
             copies.retain(|copy| !self.tried.contains(&copy.endpoint));
         }
         if copies.is_empty() {
@@ -232,3 +247,8 @@
         policy.choose(&refs, &wish)
     }
 }
+
+/// Returns whether a refusal says that the request has to go elsewhere.
+fn is_move(code: Code) -> bool {
+    matches!(code, Code::NotSteward | Code::Draining | Code::NoEndpoint | Code::PeerUnreachable)
+}
--- a/src/standin/engine/answer.rs
+++ b/src/standin/engine/answer.rs
@@ -194,7 +194,9 @@
             };
             let text = serde_json::to_string(&piece).unwrap_or_default();
             send(tx, format!("data: {text}\n\n")).await?;
-            sleep(Duration::from_millis(self.engine.settings.token_ms)).await;
+            if self.engine.settings.token_ms > 0 {
+                sleep(Duration::from_millis(self.engine.settings.token_ms)).await;
+            }
         }
         send(tx, "data: [DONE]\n\n".to_owned()).await
     }
--- a/tests/kernel/retry.rs
+++ b/tests/kernel/retry.rs
@@ -37,6 +37,14 @@
     }
 }
 
+#[test]
+fn lost_moved_spends_no_budget() {
+    let mut budget = RetryBudget::default();
+    while budget.take() {}
+    assert_eq!(retries(Loss::Moved, &mut budget), 5, "bounded by the attempts alone");
+    assert_eq!(retries(Loss::NotRun, &mut budget), 0);
+}
+
 #[test]
 fn lost_past_deadline() {
     let mut tries = Tries::until(deadline());
--- a/tests/util/streaming.rs
+++ b/tests/util/streaming.rs
@@ -51,6 +51,7 @@
             send(&client(limits), Method::POST, &url, headers, body.to_string().into()).await;
         let answer = answer.expect("the instance answers");
         let status = answer.status().as_u16();
+        assert_eq!(status, 200, "the stream was not opened");
         Self { status, body: answer.into_body(), text: String::new() }
     }
 
