--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -4,6 +4,7 @@
 //! a node, in property tests and in benchmarks.
 
 pub mod addresses;
+pub mod configuration;
 pub mod dispatch;
 pub mod drain;
 pub mod freshness;
--- a/src/node/chat/job.rs
+++ b/src/node/chat/job.rs
@@ -72,7 +72,7 @@
     }
 
     /// Settles the charge and records that the caller was answered.
-    pub fn complete(mut self) {
+    pub fn complete(self) {
         // A whole answer clears the request here too, or this instance would name it a suspect to
         // the next steward.
         self.node.suspects.lock().acquit(self.work.fingerprint);
--- a/tests/process/operators.rs
+++ b/tests/process/operators.rs
@@ -8,7 +8,7 @@
 
 use crate::util::{
     block_on,
-    cli::run,
+    cli::{run, run_owned},
     eventually,
     fleet::{CONFIG, Fleet, KITES_KEY, NUTS_KEY, Plan},
     http::{call, chat},
@@ -73,6 +73,24 @@
     });
 }
 
+#[test]
+fn apply_most_silent_not_accepted() {
+    block_on(async {
+        let plan = Plan { instances: vec!["dc-a", "dc-b", "dc-b"], ..Plan::default() };
+        let fleet = Fleet::start("apply-most-silent", plan).await;
+        let stopped = &fleet.instances[1..];
+        stopped.iter().for_each(|instance| instance.signal(Signal::STOP));
+        let file = document(&fleet, 60_000).display().to_string();
+        let to = fleet.operators[0].to_string();
+        let applied = run(&["config", "apply", &file, "--seen", "1", "--to", &to]).await;
+        stopped.iter().for_each(|instance| instance.signal(Signal::CONT));
+        assert_eq!(applied.code, 4, "{applied:?}");
+        assert!(applied.err.contains("only 1 of 3"), "{applied:?}");
+        assert!(applied.err.contains("Not confirmed: i-1, i-2"), "{applied:?}");
+        fleet.wait_ready(2).await;
+    });
+}
+
 #[test]
 fn apply_answer_lost_is_resolved() {
     block_on(async {
@@ -89,6 +107,53 @@
     });
 }
 
+#[test]
+fn apply_outcome_unknown_said() {
+    block_on(async {
+        let fleet = Fleet::start("apply-unknown", Plan::default()).await;
+        let file = document(&fleet, 70_000).display().to_string();
+        let to = fleet.operators[0].to_string();
+        fleet.set_faults(fleet.platform, json!({ "mute": true })).await;
+        let apply = run_owned(&["config", "apply", &file, "--seen", "1", "--to", &to]);
+        eventually("another instance sees the write", IN_FORCE, || async {
+            fleet.status(fleet.operators[1]).await["version"] == 2
+        })
+        .await;
+        fleet.set_faults(fleet.platform, json!({ "mute": true, "down": true })).await;
+        let applied = apply.await.expect("the command ends");
+        assert_eq!(applied.code, 4, "{applied:?}");
+        assert!(applied.err.contains("may have been written"), "{applied:?}");
+        fleet.set_faults(fleet.platform, json!({})).await;
+        fleet.wait_ready(2).await;
+    });
+}
+
+#[test]
+fn data_centre_out_leaves_addresses() {
+    block_on(async {
+        let fleet = Fleet::start("addresses", Plan::default()).await;
+        let to = fleet.operators[0].to_string();
+        let named = async |index: usize| {
+            let answer =
+                call(Method::GET, fleet.caller(index), "/v1/instances", &[], "").await.unwrap();
+            answer.json()["instances"].as_array().map_or(0, Vec::len)
+        };
+        for (command, count) in [("out", 1), ("return", 2)] {
+            let changed = run(&["data-centre", command, "dc-b", "--to", &to]).await;
+            assert_eq!(changed.code, 0, "{changed:?}");
+            for index in 0..2 {
+                eventually("the addresses follow", IN_FORCE, || async {
+                    named(index).await == count
+                })
+                .await;
+            }
+        }
+        let unknown = run(&["data-centre", "out", "dc-z", "--to", &to]).await;
+        assert_eq!(unknown.code, 1, "{unknown:?}");
+        assert!(unknown.err.contains("there is no data centre dc-z, only dc-a, dc-b"));
+    });
+}
+
 #[test]
 fn key_given_then_withdrawn() {
     block_on(async {
