--- a/src/measure/fleet/endpoint.rs
+++ b/src/measure/fleet/endpoint.rs
@@ -1,6 +1,6 @@
 //! An endpoint with the state that its steward holds.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     clock::Time,
@@ -63,7 +63,12 @@
 
     /// Returns whether one more request may start.
     pub fn bears(&self, now: Time) -> bool {
-        self.engine.back <= now && (self.running.len() as u32) < self.warmth.limit()
+        self.engine.back <= now && self.warmth.bears(self.running.len() as u32)
+    }
+
+    /// Takes in the time to the first byte of an answer.
+    pub fn first_byte(&mut self, elapsed: Duration) {
+        self.warmth.first_byte(elapsed);
     }
 
     /// Counts a request that was answered whole.
@@ -72,8 +77,8 @@
     }
 
     /// Treats the endpoint as cold.
-    pub fn fall_back(&mut self) {
-        self.warmth.fall_back(Sign::Overloaded);
+    pub fn fall_back(&mut self, sign: Sign) {
+        self.warmth.fall_back(sign);
     }
 
     /// Returns what its steward tells the others.
