--- a/tests/process/membership.rs
+++ b/tests/process/membership.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cardamomshore::kernel::stewardship::LEASE_TTL;
+use cardamomshore::{kernel::stewardship::LEASE_TTL, platform::ListedState};
 use rustix::process::Signal;
 use serde_json::json;
 
@@ -133,6 +133,33 @@
     });
 }
 
+#[test]
+fn membership_leaving_endpoint_is_drained_and_dropped() {
+    block_on(async {
+        let mut plan = plan(2);
+        plan.engines.push(("dc-a", engine_settings()));
+        let fleet = Fleet::start("membership-endpoint", plan).await;
+        let mut list = fleet.list.clone();
+        list.endpoints[0].state = ListedState::Leaving;
+        fleet.publish_list(&list).await;
+        eventually("the endpoint has no steward", HAND_OVER, || async {
+            fleet.record("engine-0").await.holder.is_none()
+        })
+        .await;
+        let seen = fleet.read(fleet.endpoint("engine-0"), "/standin/counts").await;
+        for index in [0, 1, 0, 1] {
+            assert_serves(&fleet, index).await;
+        }
+        let after = fleet.read(fleet.endpoint("engine-0"), "/standin/counts").await;
+        assert_eq!(seen["started"], after["started"]);
+        fleet.publish_list(&fleet.list).await;
+        eventually("the endpoint is taken again", HAND_OVER, || async {
+            fleet.record("engine-0").await.fence == 2
+        })
+        .await;
+    });
+}
+
 #[test]
 fn membership_platform_calls_idle_and_in_recovery() {
     block_on(async {
