Let every instance take its share before the service goes down

membership_steward_killed_while_service_is_down failed once in five runs at the rates, not at the stewards: an instance that had not read the youngest share table when the service went down refused everything as RateExceeded for the whole outage. That belongs to the shares; this test starts its outage after every instance has its share.

--- a/tests/process/membership.rs
+++ b/tests/process/membership.rs
@@ -97,6 +97,10 @@
     block_on(async {
         let mut fleet = Fleet::start("membership-substitute", plan(3)).await;
         let former = fleet.steward("engine-0").await.expect("a steward");
+        // Every instance has its share of the rates before the service goes down.
+        for index in 0..3 {
+            prints(&fleet, index, "E2701").await;
+        }
         fleet.set_faults(fleet.platform, json!({ "down": true })).await;
         fleet.instances[former].kill();
         for index in (0..3).filter(|index| *index != former) {
