Bound an endpoint's silence by the class and not by one number

Cause: ten seconds to the first event and five between two called an engine broken that rightly lets an audit wait behind chats, ran it again elsewhere and, after two, gave it up. The bounds now follow the class's target for the first token and whether it is background work.

--- a/src/kernel/stream.rs
+++ b/src/kernel/stream.rs
@@ -92,22 +92,35 @@
     }
 }
 
-/// Longest silence between two events of a stream.
-pub const EVENT_IDLE: Duration = Duration::from_secs(5);
+/// Shortest bound on the silence between two events of a stream.
+const EVENT_IDLE: Duration = Duration::from_secs(5);
 
-/// Longest time to the first byte of an answer that its length does not explain.
+/// Bound on that silence for background work, which engines set aside for more urgent work.
+const BACKGROUND_IDLE: Duration = Duration::from_secs(30);
+
+/// Shortest bound on the time to the first byte of an answer that its length does not explain.
 const FIRST_IDLE: Duration = Duration::from_secs(10);
 
 /// Longest time that one token of a whole answer explains.
 const TOKEN_IDLE: Duration = Duration::from_millis(150);
 
+/// Factor over the class's target for the first token after which an endpoint counts as silent.
+const TARGET_FACTOR: u32 = 2;
+
 /// Returns how long an endpoint may stay silent before the first byte of its answer.
 ///
-/// An answer that is not streamed shows nothing until its last token is generated.
-pub fn first_bound(stream: bool, tokens: u64) -> Duration {
+/// An answer that is not streamed shows nothing until its last token is generated. A class whose
+/// target is long runs at a low priority, so that its first token may take long too.
+pub fn first_bound(stream: bool, tokens: u64, target: Duration) -> Duration {
+    let first = FIRST_IDLE.max(target.saturating_mul(TARGET_FACTOR));
     if stream {
-        return FIRST_IDLE;
+        return first;
     }
     let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
-    FIRST_IDLE + TOKEN_IDLE.saturating_mul(tokens)
+    first.saturating_add(TOKEN_IDLE.saturating_mul(tokens))
+}
+
+/// Returns how long an endpoint may stay silent between two events of a stream.
+pub fn event_bound(background: bool) -> Duration {
+    if background { BACKGROUND_IDLE } else { EVENT_IDLE }
 }
--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -128,8 +128,9 @@
 /// Largest answer that is gathered, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
 
-/// Longest silence of a steward within a stream, over its own bound for the endpoint's silence.
-const STREAM_SILENCE: Duration = Duration::from_secs(15);
+/// Longest silence of a steward within a stream, over any bound of its own for the endpoint's
+/// silence; a lost steward shows by its link.
+const STREAM_SILENCE: Duration = Duration::from_secs(300);
 
 /// Longest silence of a steward within an answer that is gathered; the steward's own bound, which
 /// knows the length of the answer, ends before.
--- a/src/node/chat/job.rs
+++ b/src/node/chat/job.rs
@@ -136,7 +136,7 @@
         let copy = self.find_copy().await?;
         self.tried.push(copy.endpoint.clone());
         let work = self.work_for(&copy);
-        let bound = first_bound(work.stream, work.tokens) + HOP_SLACK;
+        let bound = first_bound(work.stream, work.tokens, self.admitted.target.first) + HOP_SLACK;
         // The steward may let the request wait until the deadline before it starts.
         let bound = bound + Duration::from_millis(work.left_ms);
         let mut exchange = match self.node.open(&copy.steward, AskBody::Work(work)).await {
--- a/src/node/steward/run.rs
+++ b/src/node/steward/run.rs
@@ -16,7 +16,7 @@
     events::Event,
     http::HttpError,
     kernel::{
-        stream::{EVENT_IDLE, first_bound},
+        stream::{event_bound, first_bound},
         warmup::Sign,
     },
     names::EndpointId,
@@ -50,14 +50,15 @@
 pub async fn run_work(
     node: Arc<Node>,
     endpoint: EndpointId,
-    _ticket: Ticket,
+    ticket: Ticket,
     waiting: Waiting,
     client: Arc<EndpointClient>,
 ) {
     let Waiting { work, responder, running } = waiting;
     let subject = work.request.clone();
     node.timeline.record(Event::RequestDispatched, &*subject, format!("endpoint={endpoint}"));
-    let outcome = exchange(&node, &endpoint, &work, &responder, &client).await;
+    let bounds = Bounds::of(&work, &ticket);
+    let outcome = exchange(&node, &endpoint, &work, &responder, &client, &bounds).await;
     match outcome {
         _ if work.model.is_empty() => {}
         Outcome::Broken(_) => crash::examine(&node, &endpoint, &work, true, &client).await,
@@ -126,12 +127,34 @@
     }
 }
 
+/// How long an endpoint may stay silent.
+struct Bounds {
+    /// Before the first event of a stream.
+    first: Duration,
+    /// Between two events of a stream.
+    event: Duration,
+    /// Before an answer that is no stream.
+    whole: Duration,
+}
+
+impl Bounds {
+    fn of(work: &Work, ticket: &Ticket) -> Self {
+        let target = ticket.due.since(ticket.arrived);
+        Self {
+            first: first_bound(true, work.tokens, target),
+            event: event_bound(ticket.background),
+            whole: first_bound(false, work.tokens, target),
+        }
+    }
+}
+
 async fn exchange(
     node: &Arc<Node>,
     endpoint: &EndpointId,
     work: &Work,
     responder: &Responder,
     client: &EndpointClient,
+    bounds: &Bounds,
 ) -> Outcome {
     let ready = tokio::select! {
         ready = adapters::ensure(node, endpoint, work) => ready,
@@ -143,7 +166,7 @@
     };
     let started = Instant::now();
     let left = Duration::from_millis(work.left_ms);
-    let bound = left.min(first_bound(work.stream, work.tokens));
+    let bound = left.min(if work.stream { bounds.first } else { bounds.whole });
     let answer = tokio::select! {
         answer = timeout(bound, client.run(work)) => answer,
         () = responder.gone() => return Outcome::CallerLeft,
@@ -162,7 +185,7 @@
     if responder.send(Body::Head(head(&reader))).await.is_err() {
         return Outcome::CallerLeft;
     }
-    relay(work, responder, &mut reader, started).await
+    relay(work, responder, &mut reader, started, bounds).await
 }
 
 /// Judges a status by which an engine passes a request on; a service's status is its answer.
@@ -181,14 +204,15 @@
     responder: &Responder,
     reader: &mut AnswerReader,
     started: Instant,
+    bounds: &Bounds,
 ) -> Outcome {
     let mut events = work.offset;
     let mut first = None;
     loop {
-        let bound = if first.is_none() || !reader.is_stream() {
-            first_bound(reader.is_stream(), work.tokens)
-        } else {
-            EVENT_IDLE
+        let bound = match (reader.is_stream(), first) {
+            (false, _) => bounds.whole,
+            (true, None) => bounds.first,
+            (true, Some(_)) => bounds.event,
         };
         let next = tokio::select! {
             next = timeout(bound, reader.next()) => next,
