Show that late answers reach nobody and a crash spares others

late_answer_reaches_nobody gives four answers up and then asks again; poison_spares_others_in_flight crashes engines under ten streams.

--- a/tests/process/streams.rs
+++ b/tests/process/streams.rs
@@ -190,6 +190,34 @@
     });
 }
 
+#[test]
+fn late_answer_reaches_nobody() {
+    block_on(async {
+        let fleet = Fleet::start("late", Plan::default()).await;
+        fleet.wait_linked().await;
+        for engine in ["engine-0", "engine-1"] {
+            fleet.set_faults(fleet.endpoint(engine), json!({ "late_ms": 1_000 })).await;
+        }
+        for index in [0, 1, 0, 1] {
+            let asked = chat(fleet.caller(index), KITES_KEY, "glue", 4, index == 0);
+            let given_up = tokio::time::timeout(Duration::from_millis(200), asked).await;
+            assert!(given_up.is_err(), "the answer is late");
+        }
+        for index in [0, 1, 0, 1] {
+            let answer = chat(fleet.caller(index), KITES_KEY, "glue", 4, false).await.unwrap();
+            assert_eq!(answer.status, 200, "{}", answer.text());
+            let own = answer.headers["x-request-id"].to_str().unwrap();
+            assert_eq!(answer.json()["id"], own);
+        }
+        for engine in ["engine-0", "engine-1"] {
+            eventually("what was given up ends", READY, || async {
+                fleet.read(fleet.endpoint(engine), "/report").await["running"] == 0
+            })
+            .await;
+        }
+    });
+}
+
 #[test]
 fn refusal_not_run_is_true() {
     block_on(async {
@@ -271,3 +299,42 @@
         .await;
     });
 }
+
+#[test]
+fn poison_spares_others_in_flight() {
+    block_on(async {
+        let engine = EngineSettings { restart_ms: 300, token_ms: 20, ..engine_settings() };
+        let engines = (0..POISONED).map(|i| (["dc-a", "dc-b"][i % 2], engine.clone())).collect();
+        let fleet = Fleet::start("spared", Plan { engines, ..Plan::default() }).await;
+        fleet.wait_linked().await;
+        for i in 0..POISONED {
+            let address = fleet.endpoint(&format!("engine-{i}"));
+            fleet.set_faults(address, json!({ "crash_on": "spider" })).await;
+        }
+        let mut others = Vec::new();
+        for index in 0..10 {
+            let question = format!("Which glue for spar {index}?");
+            let address = fleet.caller(index % 2);
+            let mut stream = Stream::open_with(address, KITES_KEY, "glue", 30, &question).await;
+            stream.read_events(2).await;
+            others.push(stream);
+        }
+        let body = json!({ "model": "glue", "max_tokens": 4,
+            "messages": [{ "role": "user", "content": "spider" }] });
+        let headers = [("x-api-key", KITES_KEY)];
+        for index in [0, 1, 0] {
+            let path = "/v1/chat/completions";
+            let answer =
+                call(Method::POST, fleet.caller(index), path, &headers, body.to_string()).await;
+            assert_ne!(answer.unwrap().status, 200);
+        }
+        for stream in others {
+            assert_eq!(stream.finish().await, whole(30));
+        }
+        let mut crashes = 0;
+        for i in 0..POISONED {
+            crashes += count(&fleet, &format!("engine-{i}"), "crashes").await;
+        }
+        assert!(crashes <= 2, "{crashes} endpoints crashed");
+    });
+}
