Show that a returned data centre's endpoint starts from cold

returned_data_centre_starts_cold takes a data centre with a warm engine out under load, sees no new work there, returns it and waits for the event of the fall back.

--- a/tests/process/cold.rs
+++ b/tests/process/cold.rs
@@ -10,7 +10,7 @@
 
 use crate::util::{
     block_on, eventually,
-    fleet::{Fleet, KITES_KEY, Plan, READY, engine_settings},
+    fleet::{CONFIG, Fleet, KITES_KEY, Plan, READY, engine_settings},
     http::{call, chat},
 };
 use cardamomshore::{
@@ -134,6 +134,44 @@
     });
 }
 
+#[test]
+fn returned_data_centre_starts_cold() {
+    block_on(async {
+        let engines = vec![("dc-a", engine_settings()), ("dc-b", fragile())];
+        let fleet = Fleet::start("returned", Plan { engines, ..Plan::default() }).await;
+        fleet.wait_linked().await;
+        let load = Load::start(&fleet, &[0, 1]);
+        let started = || async {
+            let counts = fleet.read(fleet.endpoint("engine-1"), "/standin/counts").await;
+            counts["started"].as_u64().expect("a count")
+        };
+        let marked = |mark: &'static str| {
+            let operator = fleet.operators[1];
+            async move {
+                let answer = call(Method::GET, operator, "/timeline", &[], "").await;
+                answer.is_ok_and(|answer| answer.text().contains(mark))
+            }
+        };
+        eventually("the engine is warm", READY, || marked("EndpointWarm")).await;
+        fleet.apply(1, &CONFIG.replace("dc-b: {}", "dc-b: { out: true }")).await;
+        eventually("new work stops", READY, || async {
+            let before = started().await;
+            load.wait_for(30).await;
+            started().await == before
+        })
+        .await;
+        let before = started().await;
+        load.wait_for(60).await;
+        assert_eq!(started().await, before);
+        assert!(!marked("sign=returned").await);
+        fleet.apply(2, CONFIG).await;
+        eventually("it starts from cold", READY, || marked("sign=returned")).await;
+        eventually("it serves again", READY, || async { started().await > before + 20 }).await;
+        let counts = fleet.read(fleet.endpoint("engine-1"), "/standin/counts").await;
+        assert_eq!(counts["crashes"], 0);
+    });
+}
+
 #[test]
 fn leaving_engine_gets_no_new_work() {
     block_on(async {
