Suspect a request whose endpoint broke off before a lagging report

Cause: where an engine restarts at once and its reports lag, a crash looked like a cut, the request went on free and each resend cost up to two more endpoints. A connection that breaks before any part of the answer now makes its request, alone, suspect at once; the id is that of the crash, so that a later report adds nothing. Silence does not, since a slow engine would turn all its requests into suspects.

--- a/src/kernel/suspect.rs
+++ b/src/kernel/suspect.rs
@@ -46,6 +46,11 @@
     fn is_alone(self) -> bool {
         self.0 & ALONE_BIT != 0
     }
+
+    /// Returns whether both name one crash, which may be reported once as alone and once not.
+    fn is_same(self, other: CrashId) -> bool {
+        self.0 | ALONE_BIT == other.0 | ALONE_BIT
+    }
 }
 
 /// How a request may run.
@@ -65,6 +70,22 @@
     changed: Time,
 }
 
+impl Record {
+    /// Adds a crash and returns whether that says anything new.
+    fn add(&mut self, crash: CrashId) -> bool {
+        let Some(known) = self.crashes.iter_mut().find(|known| known.is_same(crash)) else {
+            let room = self.crashes.len() < CRASH_LIMIT;
+            if room {
+                self.crashes.push(crash);
+            }
+            return room;
+        };
+        let proves = crash.is_alone() && !known.is_alone();
+        known.0 |= crash.0 & ALONE_BIT;
+        proves
+    }
+}
+
 /// The suspects that an instance knows, by the hash of model and body.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
@@ -86,13 +107,9 @@
         self.make_room(now);
         let fresh = Record { crashes: Vec::new(), changed: now };
         let record = self.records.entry(fingerprint).or_insert(fresh);
-        let mut changed = false;
-        for crash in crashes {
-            if record.crashes.len() < CRASH_LIMIT && !record.crashes.contains(&crash) {
-                record.crashes.push(crash);
-                record.changed = now;
-                changed = true;
-            }
+        let changed = crashes.filter(|crash| record.add(*crash)).count() > 0;
+        if changed {
+            record.changed = now;
         }
         changed
     }
--- a/src/node/steward/crash.rs
+++ b/src/node/steward/crash.rs
@@ -24,14 +24,26 @@
 /// Time for which a cut answer is remembered, since reports lag behind crashes.
 const CUT_MEMORY: Duration = Duration::from_secs(10);
 
-/// Looks at an endpoint that failed a request, which `ran` there or was turned away.
+/// What a failed request has to do with the state of its endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// It was turned away.
+    None,
+    /// It ran when the endpoint went silent or broke off after part of the answer.
+    Ran,
+    /// The endpoint broke off before any of the answer, as it does when the request crashes it.
+    /// Reports lag, so the request is suspect before one confirms the crash.
+    Broke,
+}
+
+/// Looks at an endpoint that failed a request.
 ///
 /// Only engines are examined, since plain services give no reports.
 pub async fn examine(
     node: &Arc<Node>,
     id: &EndpointId,
     work: &Work,
-    ran: bool,
+    part: Part,
     client: &EndpointClient,
 ) {
     let report = client.report().await;
@@ -39,9 +51,12 @@
         let now = Time::now();
         stewarded.flow.cuts.retain(|(_, at)| now.since(*at) < CUT_MEMORY);
         stewarded.flow.flights.remove(&work.request);
-        if ran {
+        if part != Part::None {
             stewarded.flow.cuts.push((work.fingerprint, now));
         }
+        if part == Part::Broke {
+            suspect(node, stewarded, work.fingerprint);
+        }
         match report {
             Ok(report) => take_report(node, stewarded, report),
             Err(_) => crashed(node, stewarded, Sign::Refused),
@@ -49,6 +64,15 @@
     });
 }
 
+/// Makes one request suspect of a crash that no report shows yet.
+fn suspect(node: &Node, stewarded: &Stewarded, fingerprint: u64) {
+    let Some(incarnation) = stewarded.flow.incarnation else { return };
+    let crash = CrashId::of(&stewarded.listed.id, incarnation, stewarded.flow.alone);
+    if node.suspects.lock().note(fingerprint, [crash], Time::now()) {
+        node.peers.beat_now();
+    }
+}
+
 /// Takes in a report unless it is older than what is known.
 pub fn take_report(node: &Node, stewarded: &mut Stewarded, report: Report) {
     match stewarded.ledger.take_report(&report, Time::now()) {
--- a/src/node/steward/run.rs
+++ b/src/node/steward/run.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 use tokio::time::timeout;
 
-use super::{Ticket, Waiting, adapters, crash, flow, pump};
+use super::{Ticket, Waiting, adapters, crash, crash::Part, flow, pump};
 use crate::{
     clock::Time,
     codes::{Code, Refusal},
@@ -40,8 +40,10 @@
     NotSent(Code),
     /// No connection was made.
     Unreached,
-    /// The answer broke off, stalled or named another request.
+    /// The answer stalled, named another request or broke off after part of it.
     Broken(Code),
+    /// The connection broke before any new part of the answer.
+    Dropped,
     /// Nobody waits for the answer any more.
     CallerLeft,
 }
@@ -61,9 +63,10 @@
     let outcome = exchange(&node, &endpoint, &work, &responder, &client, &bounds).await;
     match outcome {
         _ if work.model.is_empty() => {}
-        Outcome::Broken(_) => crash::examine(&node, &endpoint, &work, true, &client).await,
+        Outcome::Broken(_) => crash::examine(&node, &endpoint, &work, Part::Ran, &client).await,
+        Outcome::Dropped => crash::examine(&node, &endpoint, &work, Part::Broke, &client).await,
         Outcome::Unreached | Outcome::Declined(Some(_)) => {
-            crash::examine(&node, &endpoint, &work, false, &client).await;
+            crash::examine(&node, &endpoint, &work, Part::None, &client).await;
         }
         Outcome::Whole { .. }
         | Outcome::NotSent(_)
@@ -93,7 +96,10 @@
         Outcome::NotSent(code) => Err(Refusal::not_run(*code)),
         Outcome::Unreached => Err(Refusal::not_run(Code::NoEndpoint)),
         Outcome::Declined(_) => Err(Refusal::unknown(Code::EndpointFailed)),
-        Outcome::Broken(_) if !work.once.is_empty() => Err(Refusal::unknown(Code::OutcomeUnknown)),
+        Outcome::Broken(_) | Outcome::Dropped if !work.once.is_empty() => {
+            Err(Refusal::unknown(Code::OutcomeUnknown))
+        }
+        Outcome::Dropped => Err(Refusal::unknown(Code::EndpointFailed)),
         Outcome::Broken(code) => Err(Refusal::unknown(*code)),
     }
 }
@@ -112,12 +118,13 @@
             Outcome::Declined(Some(sign)) => flow::note(node, stewarded, *sign),
             Outcome::Unreached => flow::note(node, stewarded, Sign::Refused),
             // Engines show by their incarnation whether they fell back, services do not.
-            Outcome::Broken(_) if work.model.is_empty() => {
+            Outcome::Broken(_) | Outcome::Dropped if work.model.is_empty() => {
                 flow::note(node, stewarded, Sign::Cut);
             }
             Outcome::Declined(None)
             | Outcome::NotSent(_)
             | Outcome::Broken(_)
+            | Outcome::Dropped
             | Outcome::CallerLeft => {}
         }
         flow::finish(stewarded, &work.request)
@@ -174,7 +181,8 @@
     let mut reader = match answer {
         Ok(Ok(reader)) => reader,
         Ok(Err(HttpError::Connect(_))) => return Outcome::Unreached,
-        Ok(Err(_)) | Err(_) => return Outcome::Broken(Code::EndpointFailed),
+        Ok(Err(HttpError::Timeout)) | Err(_) => return Outcome::Broken(Code::EndpointFailed),
+        Ok(Err(_)) => return Outcome::Dropped,
     };
     if reader.is_crossed() {
         return Outcome::Broken(Code::AnswerCrossed);
@@ -231,6 +239,7 @@
             Ok(Ok(AnswerEvent::Comment(_))) => continue,
             Ok(Ok(AnswerEvent::Whole)) => return Outcome::Whole { first },
             Ok(Ok(AnswerEvent::Crossed)) => return Outcome::Broken(Code::AnswerCrossed),
+            Ok(Ok(AnswerEvent::Cut)) if events == work.offset => return Outcome::Dropped,
             Ok(Ok(AnswerEvent::Cut) | Err(_)) | Err(_) => {
                 return Outcome::Broken(Code::EndpointFailed);
             }
--- a/tests/kernel/suspect.rs
+++ b/tests/kernel/suspect.rs
@@ -41,6 +41,17 @@
     assert_eq!(suspects.judge(7, at(1)), Verdict::Refuse);
 }
 
+#[test]
+fn note_one_crash_as_alone_and_not() {
+    let mut suspects = Suspects::default();
+    assert!(suspects.note(7, [ALONE], at(1)));
+    assert!(!suspects.note(7, [CrashId(4)], at(1)), "the same crash, told with less");
+    assert_eq!(suspects.judge(7, at(1)), Verdict::Alone);
+    assert!(suspects.note(8, [CrashId(4)], at(1)));
+    assert!(suspects.note(8, [ALONE], at(1)), "the same crash, told with more");
+    assert_eq!(suspects.crashes(8, at(1)), [ALONE]);
+}
+
 #[test]
 fn crash_id_of_endpoint_and_incarnation() {
     let of = |name: &str, incarnation| CrashId::of(&name.into(), incarnation, false);
--- a/tests/process/streams.rs
+++ b/tests/process/streams.rs
@@ -266,38 +266,47 @@
 
 #[test]
 fn poison_costs_two_endpoints() {
-    block_on(async {
-        let engine = EngineSettings { restart_ms: 300, ..engine_settings() };
-        let engines = (0..POISONED).map(|i| (["dc-a", "dc-b"][i % 2], engine.clone())).collect();
-        let instances = vec!["dc-a", "dc-b", "dc-a", "dc-b"];
-        let fleet = Fleet::start("poison", Plan { engines, instances, ..Plan::default() }).await;
-        fleet.wait_linked().await;
-        for i in 0..POISONED {
-            let address = fleet.endpoint(&format!("engine-{i}"));
-            fleet.set_faults(address, json!({ "crash_on": "spider" })).await;
-        }
-        let mut last = 0;
-        for index in [0, 1, 2, 3, 0, 1, 2, 3] {
-            let body = json!({ "model": "glue", "max_tokens": 4, "stream": index % 2 == 0,
+    let engine = EngineSettings { restart_ms: 300, ..engine_settings() };
+    block_on(poison("poison", engine));
+}
+
+#[test]
+fn poison_costs_two_endpoints_while_reports_lag() {
+    let engine = EngineSettings { restart_ms: 0, lag_ms: 800, ..engine_settings() };
+    block_on(poison("poison-lag", engine));
+}
+
+/// Sends a request that crashes engines again and again to every instance.
+async fn poison(name: &str, engine: EngineSettings) {
+    let engines = (0..POISONED).map(|i| (["dc-a", "dc-b"][i % 2], engine.clone())).collect();
+    let instances = vec!["dc-a", "dc-b", "dc-a", "dc-b"];
+    let fleet = Fleet::start(name, Plan { engines, instances, ..Plan::default() }).await;
+    fleet.wait_linked().await;
+    for i in 0..POISONED {
+        let address = fleet.endpoint(&format!("engine-{i}"));
+        fleet.set_faults(address, json!({ "crash_on": "spider" })).await;
+    }
+    let mut last = 0;
+    for index in [0, 1, 2, 3, 0, 1, 2, 3] {
+        let body = json!({ "model": "glue", "max_tokens": 4, "stream": index % 2 == 0,
                 "messages": [{ "role": "user", "content": "spider" }] });
-            let headers = [("x-api-key", KITES_KEY)];
-            let path = "/v1/chat/completions";
-            let answer =
-                call(Method::POST, fleet.caller(index), path, &headers, body.to_string()).await;
-            last = answer.map_or(0, |answer| answer.code());
-        }
-        assert_eq!(last, 1401, "refused as a suspect");
-        let mut crashes = 0;
-        for i in 0..POISONED {
-            crashes += count(&fleet, &format!("engine-{i}"), "crashes").await;
-        }
-        assert!(crashes <= 2, "{crashes} endpoints crashed");
-        eventually("others are served", Duration::from_secs(20), || async {
-            let answer = chat(fleet.caller(2), KITES_KEY, "glue", 4, false).await.unwrap();
-            answer.status == 200
-        })
-        .await;
-    });
+        let headers = [("x-api-key", KITES_KEY)];
+        let path = "/v1/chat/completions";
+        let answer =
+            call(Method::POST, fleet.caller(index), path, &headers, body.to_string()).await;
+        last = answer.map_or(0, |answer| answer.code());
+    }
+    assert_eq!(last, 1401, "refused as a suspect");
+    let mut crashes = 0;
+    for i in 0..POISONED {
+        crashes += count(&fleet, &format!("engine-{i}"), "crashes").await;
+    }
+    assert!(crashes <= 2, "{crashes} endpoints crashed");
+    eventually("others are served", Duration::from_secs(20), || async {
+        let answer = chat(fleet.caller(2), KITES_KEY, "glue", 4, false).await.unwrap();
+        answer.status == 200
+    })
+    .await;
 }
 
 #[test]
