--- a/tests/process/keys.rs
+++ b/tests/process/keys.rs
@@ -15,6 +15,9 @@
 const OPEN: &str = "/services/ledger/open/hours";
 const BODY: &str = r#"{"model":"glue","max_tokens":3,"messages":[]}"#;
 
+/// A header's name and value.
+type Field<'a> = (&'a str, &'a str);
+
 async fn ask(
     fleet: &Fleet,
     method: Method,
@@ -71,7 +74,7 @@
     let model = BODY.replace("glue", KITES_KEY);
     let path = format!("/services/ledger/stock/{KITES_KEY}");
     let payments = "/services/ledger/payments";
-    let cases: Vec<(Method, &str, Vec<(&str, &str)>, &str)> = vec![
+    let cases: Vec<(Method, &str, Vec<Field>, &str)> = vec![
         (Method::POST, CHAT, vec![key], &body),
         (Method::POST, CHAT, vec![key], &model),
         (Method::POST, CHAT, vec![key, ("accept", bearer)], BODY),
