Let the engine stand-in's reports lag from its first moment

A lag that had not passed once showed the newest state, so that poison_costs_two_endpoints_while_reports_lag passed with the early suspicion switched off. With the first state shown instead it failed so (1502 in place of 1401), and passes with the suspicion on.

--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -122,7 +122,8 @@
         let excess = history.len().saturating_sub(HISTORY_CAPACITY);
         history.drain(..excess);
         let old = history.iter().rev().find(|(at, _)| now.since(*at) >= lag);
-        old.map_or(report, |(_, report)| report.clone())
+        // Before the lag has passed once, the first state is the one that shows.
+        old.or(history.first()).map_or(report, |(_, report)| report.clone())
     }
 
     fn note(&self, request: &Request, body: &Bytes) {
