Escrow rate and burst over the instances and lend parts by demand

Cause: every instance took rate/N for itself from its own copy of the list, so a lagging list broke the bound, and callers of one instance got a ninth of their team's rate.

Parts of a whole are now rows of one table that changes by compare-and-swap only; peers lend parts for a second by demand. Freshness counts from when the heartbeat that is answered was sent, so that messages from before a pause never look young. Bodies get the token bound that was charged.

Ruled out: shares per team in the table (a write for each change of demand), loans in tokens a second (old and new rate add up while a version spreads), and ages by the clock of receipt (a frozen process read its socket and took old heartbeats for new ones).

--- a/src/node/chat.rs
+++ b/src/node/chat.rs
@@ -1,5 +1,6 @@
 //! Model requests at the entry: choice of a copy and relay of the answer.
 
+mod bound;
 mod job;
 mod relay;
 
@@ -12,7 +13,10 @@
 use volo_http::{request::Request, response::Response};
 use xxhash_rust::xxh3::xxh3_64;
 
-use self::job::Job;
+use self::{
+    bound::{Bounded, bound},
+    job::Job,
+};
 use super::{
     Node,
     admit::{Admitted, identify},
@@ -35,15 +39,11 @@
 /// Bytes of a prompt that count as one token where the caller's tokens are estimated.
 const BYTES_PER_TOKEN: u64 = 4;
 
-/// Most tokens of an answer.
-const MAX_TOKENS: u64 = 32_768;
-
 #[derive(Deserialize)]
 struct Asked {
     model: Model,
     #[serde(default)]
     stream: bool,
-    max_tokens: Option<u64>,
     #[serde(default)]
     adapter: String,
     #[serde(default)]
@@ -73,7 +73,7 @@
         serde_json::from_slice(&body).map_err(|_| Refusal::not_run(Code::BadRequest))?;
     let spec = caller.config.models.get(&asked.model);
     let spec = spec.ok_or(Refusal::not_run(Code::ModelUnknown))?;
-    let answer = asked.max_tokens.unwrap_or(u64::from(spec.max_tokens)).min(MAX_TOKENS);
+    let Bounded { body, answer } = bound(body, u64::from(spec.max_tokens))?;
     let tokens = body.len() as u64 / BYTES_PER_TOKEN + answer;
     let class = caller.class(&parts.headers)?;
     let admitted = caller.admit(node, class, tokens).await?;
--- a/tests/kernel/freshness.rs
+++ b/tests/kernel/freshness.rs
@@ -130,6 +130,7 @@
     fleet.runs[0] = false;
     fleet.run(Duration::from_secs(10));
     assert_eq!(fleet.judge(0), Freshness::CutOff);
+    fleet.contacts[0].begin(fleet.now);
     // Answers from before the pause waited in the socket; they say nothing of now.
     for peer in 1..5 {
         let id = fleet.ids[peer].clone();
--- a/tests/kernel/lending.rs
+++ b/tests/kernel/lending.rs
@@ -7,8 +7,8 @@
     kernel::{
         quota::{Bucket, Charge},
         shares::{
-            CONFIRM_BOUND, Census, Custody, Decision, LOAN_PERIOD, Limits, Owner, ShareTable, Step,
-            TeamShare, WHOLE,
+            CONFIRM_BOUND, Census, Custody, Decision, HOLD_OFF, LIST_LAG, LOAN_PERIOD, Limits,
+            Owner, ShareTable, Step, TeamShare, WHOLE,
         },
     },
     names::InstanceId,
@@ -619,3 +619,115 @@
     let half = WHOLE / 2;
     assert_eq!(parts(&world), BTreeMap::from([("i-0".into(), half), ("i-1".into(), half)]));
 }
+
+#[test]
+fn lending_grant_moves_tokens() {
+    let now = Time::from_millis(5_000);
+    let mut lender = TeamShare::empty(now);
+    lender.set(LIMITS, WHOLE / 2, now);
+    let later = now + Duration::from_millis(300);
+    let before = lender.level(later);
+    let ask = LoanAsk { parts: WHOLE / 4, number: 1, incarnation: 9, ..LoanAsk::default() };
+    let grant = lender.lend(&"b".into(), &ask, later);
+    assert_eq!(grant.parts, WHOLE / 4);
+    let after = lender.level(later);
+    assert!(after + grant.tokens as f64 <= before + 1e-6, "{before} {after} {grant:?}");
+}
+
+#[test]
+fn lending_clock_rates_apart() {
+    let (fast, slow) = (CLOCKS[0], CLOCKS[1]);
+    let start = Time::from_millis(5_000);
+    let mut lender = TeamShare::empty(local(fast, start));
+    lender.set(LIMITS, WHOLE, local(fast, start));
+    let mut borrower = TeamShare::empty(local(slow, start));
+    borrower.set(LIMITS, 0, local(slow, start));
+    let ask = borrower.ask(&"l".into(), WHOLE / 2, local(slow, start));
+    let grant = lender.lend(&"b".into(), &ask, local(fast, start));
+    assert!(borrower.take(&"l".into(), &grant, local(slow, start)));
+    for micros in 998_000..1_002_000 {
+        let now = start + Duration::from_micros(micros);
+        let held = lender.held(local(fast, now)) + borrower.held(local(slow, now));
+        assert!(held <= WHOLE, "{held} in use after {micros} us");
+    }
+    let mut alone = TeamShare::empty(local(fast, start));
+    alone.set(LIMITS, WHOLE, local(fast, start));
+    let end = start + Duration::from_secs(1);
+    assert!(alone.level(local(fast, end)) <= LIMITS.rate);
+}
+
+/// One instance's view of a table in which it and another one hold a half each.
+fn halves(now: Time) -> (Custody, ShareTable) {
+    let (me, other) = (owner(0, 1), owner(1, 2));
+    let half = Step::Hold(WHOLE / 2);
+    let table = ShareTable::default().after(&me, &half).after(&other, &half);
+    let mut custody = Custody::new(me, now);
+    custody.read(table.clone(), 5, now, now);
+    (custody, table)
+}
+
+fn census(count: usize) -> Census {
+    let listed: std::collections::BTreeSet<_> =
+        (0..count).map(|index| owner(index, 0).instance).collect();
+    Census { live: listed.clone(), listed, majority: true }
+}
+
+#[test]
+fn parts_given_up_are_out_of_use_before_the_write() {
+    let now = Time::from_millis(9_000);
+    let (mut custody, table) = halves(now);
+    let step = custody.next(&census(3), 0, now);
+    assert_eq!(step, Step::GiveUp(WHOLE / 2 - WHOLE / 3 / 2 - 1));
+    custody.begin(&step);
+    let kept = custody.parts(false, now);
+    assert!(kept < WHOLE / 2);
+    // The write may still arrive while the table shows its old revision.
+    custody.read(table.clone(), 5, now, now);
+    assert_eq!(custody.parts(false, now), kept);
+    custody.read(table, 6, now, now);
+    assert_eq!(custody.parts(false, now), WHOLE / 2);
+}
+
+#[test]
+fn parts_lent_are_not_given_up() {
+    let now = Time::from_millis(9_000);
+    let (mut custody, _) = halves(now);
+    assert_eq!(custody.next(&census(3), WHOLE / 2, now), Step::Keep);
+}
+
+#[test]
+fn parts_of_an_earlier_process_wait_for_its_loans() {
+    let now = Time::from_millis(9_000);
+    let (_, table) = halves(now);
+    for (moved, wait) in [(false, LOAN_PERIOD * 2), (true, HOLD_OFF)] {
+        let mut new = owner(0, 77);
+        if moved {
+            new.address = "10.9.9.9:7000".parse().expect("an address");
+        }
+        let mut custody = Custody::new(new.clone(), now);
+        custody.read(table.clone(), 5, now, now);
+        let step = custody.next(&census(2), 0, now);
+        assert_eq!(step, Step::Hold(WHOLE / 2));
+        custody.begin(&step);
+        custody.read(table.after(&new, &step), 6, now, now);
+        let almost = now + wait - Duration::from_millis(1);
+        assert_eq!([custody.parts(true, almost), custody.parts(true, now + wait)], [0, WHOLE / 2]);
+    }
+}
+
+#[test]
+fn parts_of_a_gone_instance_are_freed_after_the_hold_off() {
+    let now = Time::from_millis(9_000);
+    let (mut custody, table) = halves(now);
+    let gone = owner(1, 2).instance;
+    assert_eq!(custody.next(&census(1), 0, now), Step::Keep);
+    let absent = now + LIST_LAG;
+    let mark = Step::Revoke(gone.clone());
+    assert_eq!(custody.next(&census(1), 0, absent), mark);
+    custody.read(table.after(&owner(0, 1), &mark), 6, absent, absent);
+    let early = absent + HOLD_OFF - Duration::from_millis(1);
+    assert_eq!(custody.next(&census(1), 0, early), Step::Keep);
+    assert_eq!(custody.next(&census(1), 0, absent + HOLD_OFF), Step::Free(gone));
+    let alone = Census { majority: false, ..census(1) };
+    assert_eq!(custody.next(&alone, 0, absent + HOLD_OFF), Step::Keep);
+}
--- a/tests/process/keys.rs
+++ b/tests/process/keys.rs
@@ -71,8 +71,8 @@
     let model = BODY.replace("glue", KITES_KEY);
     let path = format!("/services/ledger/stock/{KITES_KEY}");
     let payments = "/services/ledger/payments";
-    let cases: Vec<(Method, &str, Vec<(&str, &str)>, &str)> = vec![
-        (Method::POST, CHAT, vec![key], &body),
+    let cases = [
+        (Method::POST, CHAT, vec![key], &*body),
         (Method::POST, CHAT, vec![key], &model),
         (Method::POST, CHAT, vec![key, ("accept", bearer)], BODY),
         (Method::POST, CHAT, vec![key, ("content-type", KITES_KEY)], BODY),
--- a/tests/process/rate.rs
+++ b/tests/process/rate.rs
@@ -158,3 +158,32 @@
         load.stop().await;
     });
 }
+
+#[test]
+fn rate_answer_is_bounded_by_the_charge() {
+    block_on(async {
+        let fleet = Fleet::start("rate-answer", Plan::default()).await;
+        let headers = [("x-api-key", KITES_KEY)];
+        let ask = |fields: &str| {
+            let body = format!(r#"{{"model":"glue","messages":[]{fields}}}"#);
+            call(Method::POST, fleet.caller(0), "/v1/chat/completions", &headers, body)
+        };
+        let cases = [
+            (r#","max_completion_tokens":7"#, 7),
+            (r#","max_tokens":9,"max_completion_tokens":5"#, 5),
+            (r#","max_tokens":3"#, 3),
+        ];
+        for (fields, tokens) in cases {
+            let answer = ask(fields).await.unwrap();
+            let text = answer.json()["choices"][0]["message"]["content"].clone();
+            assert_eq!(text, crate::util::http::expected_text(tokens), "{}", answer.text());
+        }
+        let refused = ask(r#","max_tokens":3,"n":1000000"#).await.unwrap();
+        assert_eq!((refused.status, refused.code()), (400, 1101));
+        let large = ask(r#","max_tokens":32768,"n":20"#).await.unwrap();
+        assert_eq!((large.status, large.code()), (400, 1204), "{}", large.text());
+        let seen = fleet.read(fleet.endpoint("engine-0"), "/standin/seen").await.to_string()
+            + &fleet.read(fleet.endpoint("engine-1"), "/standin/seen").await.to_string();
+        assert!(!seen.contains("max_completion_tokens"), "{seen}");
+    });
+}
