--- a/src/kernel/placement/marginal.rs
+++ b/src/kernel/placement/marginal.rs
@@ -2,20 +2,20 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 use super::{Need, PlacementPolicy, Site, Step, View};
 use crate::{
     kernel::registry::PlacementPlugin,
-    names::{EndpointId, Model},
+    names::{DataCentre, EndpointId, Model},
 };
 
 /// Tokens a second that a further copy must relieve to be worth a load into free memory.
 const MIN_GAIN: f64 = 20.0;
 
 /// Gain of a new copy over the loss of an old one from which they are exchanged.
-const HYSTERESIS: f64 = 2.0;
+const HYSTERESIS: f64 = 4.0;
 
 /// Tokens that an exchange must gain within [`HORIZON_SECS`] to pay for its load.
 const LOAD_PRICE: f64 = 6_000.0;
@@ -23,6 +23,9 @@
 /// Time for which demand is taken to last, in seconds.
 const HORIZON_SECS: f64 = 60.0;
 
+/// Models for which room is sought in one round, since each costs a look at every endpoint.
+const EXCHANGE_TRIES: usize = 4;
+
 /// Factor on the loss of a copy that is its data centre's only one.
 const LONE_FACTOR: f64 = 2.0;
 
@@ -39,7 +42,8 @@
 
 impl PlacementPolicy for Marginal {
     fn plan(&self, view: &View, keepers: &BTreeMap<Model, EndpointId>) -> Vec<Step> {
-        let mut draft = Draft { view: view.clone(), keepers, steps: Vec::new() };
+        let holders = holders(view);
+        let mut draft = Draft { view: view.clone(), keepers, holders, steps: Vec::new() };
         draft.load_lost();
         draft.spread();
         draft.add_copies();
@@ -52,13 +56,25 @@
 struct Draft<'a> {
     view: View,
     keepers: &'a BTreeMap<Model, EndpointId>,
+    /// Positions of the open endpoints that hold or load each model.
+    holders: HashMap<Model, Vec<usize>>,
     steps: Vec<Step>,
 }
 
+fn holders(view: &View) -> HashMap<Model, Vec<usize>> {
+    let mut holders: HashMap<Model, Vec<usize>> = HashMap::new();
+    for (position, site) in view.sites.iter().enumerate().filter(|(_, site)| site.open) {
+        for model in site.resident.union(&site.loading) {
+            holders.entry(model.clone()).or_default().push(position);
+        }
+    }
+    holders
+}
+
 impl Draft<'_> {
     /// Loads models without a copy, the most wanted first, and makes room where none is left.
     fn load_lost(&mut self) {
-        let lost = self.by_need(|view, model| view.holders(model).next().is_none());
+        let lost = self.by_need(|draft, model| draft.holders(model).next().is_none());
         for (model, need) in lost {
             match self.best_site(&model, &need) {
                 Some(endpoint) => self.load(endpoint, &model),
@@ -71,10 +87,10 @@
 
     /// Gives models a copy in a second data centre where memory is free.
     fn spread(&mut self) {
-        let single = self.by_need(|view, model| data_centres(view, model).len() == 1);
+        let single = self.by_need(|draft, model| draft.data_centres(model).len() == 1);
         for (model, need) in single {
-            let known = data_centres(&self.view, &model);
-            let elsewhere = |site: &Site| !known.contains(site.data_centre.as_str());
+            let known = self.data_centres(&model);
+            let elsewhere = |site: &Site| !known.contains(&site.data_centre);
             if let Some(endpoint) = self.best_site_where(&model, &need, elsewhere) {
                 self.load(endpoint, &model);
             }
@@ -84,7 +100,7 @@
     /// Adds the copies with the highest gain per byte in free memory.
     fn add_copies(&mut self) {
         for (model, need) in self.by_gain(|gain, need| gain / need.bytes.max(1) as f64) {
-            if gain(&self.view, &model, &need) >= MIN_GAIN
+            if self.gain(&model, &need) >= MIN_GAIN
                 && let Some(endpoint) = self.best_site(&model, &need)
             {
                 self.load(endpoint, &model);
@@ -98,8 +114,11 @@
         if !self.view.exchange {
             return;
         }
-        for (model, need) in self.by_gain(|gain, _| gain) {
-            let gain = gain(&self.view, &model, &need);
+        for (model, need) in self.by_gain(|gain, _| gain).into_iter().take(EXCHANGE_TRIES) {
+            let gain = self.gain(&model, &need);
+            if gain < MIN_GAIN {
+                return;
+            }
             if !self.is_everywhere(&model, &need) && self.make_room(&need, gain) {
                 return;
             }
@@ -112,8 +131,8 @@
         sites.all(|site| site.holds(model))
     }
 
-    fn by_need(&self, wanted: impl Fn(&View, &Model) -> bool) -> Vec<(Model, Need)> {
-        let needs = self.view.needs.iter().filter(|(model, _)| wanted(&self.view, model));
+    fn by_need(&self, wanted: impl Fn(&Self, &Model) -> bool) -> Vec<(Model, Need)> {
+        let needs = self.view.needs.iter().filter(|(model, _)| wanted(self, model));
         let mut needs: Vec<(Model, Need)> = needs.map(|(m, n)| (m.clone(), n.clone())).collect();
         needs.sort_by(|(_, a), (_, b)| {
             b.waiting.cmp(&a.waiting).then(b.demand.total_cmp(&a.demand))
@@ -123,8 +142,8 @@
 
     /// Returns the models with a copy, those first whose next copy is worth most.
     fn by_gain(&self, worth: impl Fn(f64, &Need) -> f64) -> Vec<(Model, Need)> {
-        let needs = self.by_need(|view, model| view.holders(model).next().is_some());
-        let worth_of = |(m, n): &(Model, Need)| worth(gain(&self.view, m, n), n);
+        let needs = self.by_need(|draft, model| draft.holders(model).next().is_some());
+        let worth_of = |(m, n): &(Model, Need)| worth(self.gain(m, n), n);
         let mut needs: Vec<_> = needs.into_iter().map(|entry| (worth_of(&entry), entry)).collect();
         needs.sort_by(|a, b| b.0.total_cmp(&a.0));
         needs.into_iter().map(|(_, entry)| entry).collect()
@@ -146,7 +165,7 @@
         };
         let near = |site: &Site| {
             let same = |other: &&Site| other.data_centre == site.data_centre;
-            self.view.holders(model).filter(same).count()
+            self.holders(model).filter(same).count()
         };
         let sites = self.view.sites.iter().filter(fits).filter(|site| wanted(site));
         let best = sites.min_by_key(|site| {
@@ -157,9 +176,12 @@
 
     fn load(&mut self, endpoint: EndpointId, model: &Model) {
         let bytes = self.view.needs.get(model).map_or(0, |need| need.bytes);
-        if let Some(site) = self.view.site_mut(&endpoint) {
+        let position = self.view.sites.iter().position(|site| site.endpoint == endpoint);
+        if let Some(position) = position {
+            let site = &mut self.view.sites[position];
             site.loading.insert(model.clone());
             site.free = site.free.saturating_sub(bytes);
+            self.holders.entry(model.clone()).or_default().push(position);
         }
         self.steps.push(Step::Load { endpoint, model: model.clone() });
     }
@@ -184,6 +206,10 @@
                 site.resident.remove(&model);
                 site.free = 0;
             }
+            let view = &self.view;
+            if let Some(holders) = self.holders.get_mut(&model) {
+                holders.retain(|position| view.sites[*position].endpoint != room.endpoint);
+            }
             self.steps.push(Step::Unload { endpoint: room.endpoint.clone(), model });
         }
         true
@@ -209,7 +235,7 @@
             .resident
             .iter()
             .filter(|model| self.is_spare(site, model))
-            .map(|model| (loss(&self.view, site, model), model))
+            .map(|model| (self.loss(site, model), model))
             .collect();
         victims.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut room = Room { endpoint: site.endpoint.clone(), models: Vec::new(), loss: 0.0 };
@@ -228,49 +254,58 @@
     /// Returns whether another resident copy remains and the endpoint is not the model's keeper.
     fn is_spare(&self, site: &Site, model: &Model) -> bool {
         let keeper = self.keepers.get(model);
-        let others = self.view.residents(model).filter(|other| other.endpoint != site.endpoint);
+        let others = self.residents(model).filter(|other| other.endpoint != site.endpoint);
         keeper.is_some_and(|keeper| *keeper != site.endpoint) && others.count() > 0
     }
-}
 
-/// Copies to unload at one endpoint.
-struct Room {
-    endpoint: EndpointId,
-    models: Vec<Model>,
-    loss: f64,
-}
+    fn holders<'b>(&'b self, model: &Model) -> impl Iterator<Item = &'b Site> + use<'b> {
+        let positions = self.holders.get(model).map_or(&[][..], Vec::as_slice);
+        positions.iter().map(|position| &self.view.sites[*position])
+    }
 
-/// Returns what one more copy gains: the tokens a second by which it relieves each of the
-/// others, weighted by how loaded they are.
-fn gain(view: &View, model: &Model, need: &Need) -> f64 {
-    let copies = view.holders(model).count() as f64;
-    if copies == 0.0 {
-        return f64::INFINITY;
+    fn residents<'b>(&'b self, model: &'b Model) -> impl Iterator<Item = &'b Site> {
+        self.holders(model).filter(move |site| site.resident.contains(model))
     }
-    need.demand * weight(view, model, None) / (copies * (copies + 1.0))
-}
 
-/// Returns what the removal of a copy loses: the tokens a second that each remaining copy would
-/// take over, weighted by how loaded they are.
-fn loss(view: &View, site: &Site, model: &Model) -> f64 {
-    let copies = view.residents(model).count() as f64;
-    let demand = view.needs.get(model).map_or(0.0, |need| need.demand);
-    let near = view.residents(model).filter(|other| other.data_centre == site.data_centre);
-    let factor = if near.count() == 1 { LONE_FACTOR } else { 1.0 };
-    let weight = weight(view, model, Some(&site.endpoint));
-    demand * weight * factor / (copies * (copies - 1.0)).max(1.0)
-}
+    fn data_centres(&self, model: &Model) -> BTreeSet<DataCentre> {
+        self.holders(model).map(|site| site.data_centre.clone()).collect()
+    }
 
-/// Returns the weight of a model's demand by the load of its least loaded copy, of which one may
-/// be left out.
-fn weight(view: &View, model: &Model, without: Option<&EndpointId>) -> f64 {
-    let others = view.residents(model).filter(|site| Some(&site.endpoint) != without);
-    let load = others.map(|site| site.load).min().unwrap_or(0) as f64 / 1_000.0;
-    IDLE_WEIGHT + LOADED_WEIGHT * load * load
+    /// Returns what one more copy gains: the tokens a second by which it relieves each of the
+    /// others, weighted by how loaded they are.
+    fn gain(&self, model: &Model, need: &Need) -> f64 {
+        let copies = self.holders(model).count() as f64;
+        if copies == 0.0 {
+            return f64::INFINITY;
+        }
+        need.demand * self.weight(model, None) / (copies * (copies + 1.0))
+    }
+
+    /// Returns what the removal of a copy loses: the tokens a second that each remaining copy
+    /// would take over, weighted by how loaded they are.
+    fn loss(&self, site: &Site, model: &Model) -> f64 {
+        let copies = self.residents(model).count() as f64;
+        let demand = self.view.needs.get(model).map_or(0.0, |need| need.demand);
+        let near = self.residents(model).filter(|other| other.data_centre == site.data_centre);
+        let factor = if near.count() == 1 { LONE_FACTOR } else { 1.0 };
+        let weight = self.weight(model, Some(&site.endpoint));
+        demand * weight * factor / (copies * (copies - 1.0)).max(1.0)
+    }
+
+    /// Returns the weight of a model's demand by the load of its least loaded copy, of which one
+    /// may be left out.
+    fn weight(&self, model: &Model, without: Option<&EndpointId>) -> f64 {
+        let others = self.residents(model).filter(|site| Some(&site.endpoint) != without);
+        let load = others.map(|site| site.load).min().unwrap_or(0) as f64 / 1_000.0;
+        IDLE_WEIGHT + LOADED_WEIGHT * load * load
+    }
 }
 
-fn data_centres(view: &View, model: &Model) -> BTreeSet<String> {
-    view.holders(model).map(|site| site.data_centre.to_string()).collect()
+/// Copies to unload at one endpoint.
+struct Room {
+    endpoint: EndpointId,
+    models: Vec<Model>,
+    loss: f64,
 }
 
 inventory::submit! { PlacementPlugin { name: "marginal", policy: &Marginal } }
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -46,7 +46,9 @@
     type Error = WireError;
 
     fn encode(&mut self, frame: Frame, dst: &mut BytesMut) -> Result<(), WireError> {
-        self.0.encode(Bytes::from(frame.encode_to_vec()), dst)?;
+        let bytes = frame.encode_to_vec();
+        metrics::counter!("cardamomshore_link_bytes_total").increment(bytes.len() as u64);
+        self.0.encode(Bytes::from(bytes), dst)?;
         Ok(())
     }
 }
