--- a/src/node/chat/bound.rs
+++ b/src/node/chat/bound.rs
@@ -7,7 +7,7 @@
 use crate::codes::{Code, Refusal};
 
 /// Most tokens of an answer.
-const MAX_TOKENS: u64 = 32_768;
+const MAX_TOKENS: u64 = 131_072;
 
 /// Most answers to one request.
 const MAX_ANSWERS: u64 = 128;
