--- a/src/wire.rs
+++ b/src/wire.rs
@@ -2,11 +2,13 @@
 
 mod codec;
 mod end;
+mod loan;
 mod message;
 mod suspect;
 
 pub use self::{
     codec::{FRAME_LIMIT, FrameCodec, WireError},
+    loan::{LoanAsk, LoanGrant},
     message::*,
     suspect::Suspect,
 };
