Make room only where the wanted model is not resident

Cause: an exchange could free memory at an endpoint that already held the wanted model; two others then took turns in the freed place, one load in 15 s for ever. Ruled out: more hysteresis (HYSTERESIS 4 changed nothing). Exchanges also leave a model in two data centres, except for a lost model.

--- a/src/kernel/placement/marginal.rs
+++ b/src/kernel/placement/marginal.rs
@@ -79,7 +79,7 @@
             match self.best_site(&model, &need) {
                 Some(endpoint) => self.load(endpoint, &model),
                 None => {
-                    self.make_room(&need, f64::INFINITY);
+                    self.make_room(&model, &need, f64::INFINITY);
                 }
             }
         }
@@ -119,7 +119,7 @@
             if gain < MIN_GAIN {
                 return;
             }
-            if !self.is_everywhere(&model, &need) && self.make_room(&need, gain) {
+            if !self.is_everywhere(&model, &need) && self.make_room(&model, &need, gain) {
                 return;
             }
         }
@@ -190,12 +190,14 @@
     ///
     /// The load follows in a later round, once the endpoint reports the memory free. Returns
     /// whether room is being made.
-    fn make_room(&mut self, need: &Need, gain: f64) -> bool {
-        if self.wait_for_room(need) {
+    fn make_room(&mut self, model: &Model, need: &Need, gain: f64) -> bool {
+        if self.wait_for_room(model, need) {
             return true;
         }
-        let sites = self.view.sites.iter().filter(|site| site.open && site.pool == need.pool);
-        let rooms = sites.filter_map(|site| self.room(site, need.bytes));
+        let wanted = |site: &&Site| site.open && site.pool == need.pool && !site.holds(model);
+        let sites = self.view.sites.iter().filter(wanted);
+        let urgent = gain.is_infinite();
+        let rooms = sites.filter_map(|site| self.room(site, need.bytes, urgent));
         let Some(room) = rooms.min_by(|a, b| a.loss.total_cmp(&b.loss)) else { return false };
         let pays = gain > room.loss * HYSTERESIS && (gain - room.loss) * HORIZON_SECS > LOAD_PRICE;
         if !pays {
@@ -216,10 +218,11 @@
     }
 
     /// Claims the memory that unloads in progress will free, and returns whether it suffices.
-    fn wait_for_room(&mut self, need: &Need) -> bool {
+    fn wait_for_room(&mut self, model: &Model, need: &Need) -> bool {
         let fits = |site: &&mut Site| {
             site.open
                 && site.pool == need.pool
+                && !site.holds(model)
                 && site.freeing > 0
                 && site.free + site.freeing >= need.bytes
         };
@@ -230,11 +233,13 @@
     }
 
     /// Returns the copies to unload at an endpoint for `bytes` of free memory, cheapest first.
-    fn room(&self, site: &Site, bytes: u64) -> Option<Room> {
+    fn room(&self, site: &Site, bytes: u64, urgent: bool) -> Option<Room> {
         let mut victims: Vec<(f64, &Model)> = site
             .resident
             .iter()
-            .filter(|model| self.is_spare(site, model))
+            .filter(|model| {
+                self.is_spare(site, model) && (urgent || self.stays_spread(site, model))
+            })
             .map(|model| (self.loss(site, model), model))
             .collect();
         victims.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -251,6 +256,13 @@
         (free >= bytes && !room.models.is_empty()).then_some(room)
     }
 
+    /// Returns whether the copies that remain are in two data centres, so that the next round does
+    /// not load the copy again.
+    fn stays_spread(&self, site: &Site, model: &Model) -> bool {
+        let others = self.residents(model).filter(|other| other.endpoint != site.endpoint);
+        others.map(|other| &other.data_centre).collect::<BTreeSet<_>>().len() > 1
+    }
+
     /// Returns whether another resident copy remains and the endpoint is not the model's keeper.
     fn is_spare(&self, site: &Site, model: &Model) -> bool {
         let keeper = self.keepers.get(model);
