--- a/src/node/steward/run.rs
+++ b/src/node/steward/run.rs
@@ -8,7 +8,7 @@
 use http::StatusCode;
 use tokio::time::timeout;
 
-use super::{Ticket, Waiting, adapters, crash, flow, pump};
+use super::{Ticket, Waiting, adapters, crash, crash::Part, flow, pump};
 use crate::{
     clock::Time,
     codes::{Code, Refusal},
@@ -16,7 +16,7 @@
     events::Event,
     http::HttpError,
     kernel::{
-        stream::{EVENT_IDLE, first_bound},
+        stream::{event_bound, first_bound},
         warmup::Sign,
     },
     names::EndpointId,
@@ -40,8 +40,10 @@
     NotSent(Code),
     /// No connection was made.
     Unreached,
-    /// The answer broke off, stalled or named another request.
+    /// The answer stalled, named another request or broke off after part of it.
     Broken(Code),
+    /// The connection broke before any new part of the answer.
+    Dropped,
     /// Nobody waits for the answer any more.
     CallerLeft,
 }
@@ -50,19 +52,21 @@
 pub async fn run_work(
     node: Arc<Node>,
     endpoint: EndpointId,
-    _ticket: Ticket,
+    ticket: Ticket,
     waiting: Waiting,
     client: Arc<EndpointClient>,
 ) {
     let Waiting { work, responder, running } = waiting;
     let subject = work.request.clone();
     node.timeline.record(Event::RequestDispatched, &*subject, format!("endpoint={endpoint}"));
-    let outcome = exchange(&node, &endpoint, &work, &responder, &client).await;
+    let bounds = Bounds::of(&work, &ticket);
+    let outcome = exchange(&node, &endpoint, &work, &responder, &client, &bounds).await;
     match outcome {
         _ if work.model.is_empty() => {}
-        Outcome::Broken(_) => crash::examine(&node, &endpoint, &work, true, &client).await,
+        Outcome::Broken(_) => crash::examine(&node, &endpoint, &work, Part::Ran, &client).await,
+        Outcome::Dropped => crash::examine(&node, &endpoint, &work, Part::Broke, &client).await,
         Outcome::Unreached | Outcome::Declined(Some(_)) => {
-            crash::examine(&node, &endpoint, &work, false, &client).await;
+            crash::examine(&node, &endpoint, &work, Part::None, &client).await;
         }
         Outcome::Whole { .. }
         | Outcome::NotSent(_)
@@ -92,7 +96,10 @@
         Outcome::NotSent(code) => Err(Refusal::not_run(*code)),
         Outcome::Unreached => Err(Refusal::not_run(Code::NoEndpoint)),
         Outcome::Declined(_) => Err(Refusal::unknown(Code::EndpointFailed)),
-        Outcome::Broken(_) if !work.once.is_empty() => Err(Refusal::unknown(Code::OutcomeUnknown)),
+        Outcome::Broken(_) | Outcome::Dropped if !work.once.is_empty() => {
+            Err(Refusal::unknown(Code::OutcomeUnknown))
+        }
+        Outcome::Dropped => Err(Refusal::unknown(Code::EndpointFailed)),
         Outcome::Broken(code) => Err(Refusal::unknown(*code)),
     }
 }
@@ -111,12 +118,13 @@
             Outcome::Declined(Some(sign)) => flow::note(node, stewarded, *sign),
             Outcome::Unreached => flow::note(node, stewarded, Sign::Refused),
             // Engines show by their incarnation whether they fell back, services do not.
-            Outcome::Broken(_) if work.model.is_empty() => {
+            Outcome::Broken(_) | Outcome::Dropped if work.model.is_empty() => {
                 flow::note(node, stewarded, Sign::Cut);
             }
             Outcome::Declined(None)
             | Outcome::NotSent(_)
             | Outcome::Broken(_)
+            | Outcome::Dropped
             | Outcome::CallerLeft => {}
         }
         flow::finish(stewarded, &work.request)
@@ -126,12 +134,34 @@
     }
 }
 
+/// How long an endpoint may stay silent.
+struct Bounds {
+    /// Before the first event of a stream.
+    first: Duration,
+    /// Between two events of a stream.
+    event: Duration,
+    /// Before an answer that is no stream.
+    whole: Duration,
+}
+
+impl Bounds {
+    fn of(work: &Work, ticket: &Ticket) -> Self {
+        let target = ticket.due.since(ticket.arrived);
+        Self {
+            first: first_bound(true, work.tokens, target),
+            event: event_bound(ticket.background),
+            whole: first_bound(false, work.tokens, target),
+        }
+    }
+}
+
 async fn exchange(
     node: &Arc<Node>,
     endpoint: &EndpointId,
     work: &Work,
     responder: &Responder,
     client: &EndpointClient,
+    bounds: &Bounds,
 ) -> Outcome {
     let ready = tokio::select! {
         ready = adapters::ensure(node, endpoint, work) => ready,
@@ -143,7 +173,7 @@
     };
     let started = Instant::now();
     let left = Duration::from_millis(work.left_ms);
-    let bound = left.min(first_bound(work.stream, work.tokens));
+    let bound = left.min(if work.stream { bounds.first } else { bounds.whole });
     let answer = tokio::select! {
         answer = timeout(bound, client.run(work)) => answer,
         () = responder.gone() => return Outcome::CallerLeft,
@@ -151,7 +181,8 @@
     let mut reader = match answer {
         Ok(Ok(reader)) => reader,
         Ok(Err(HttpError::Connect(_))) => return Outcome::Unreached,
-        Ok(Err(_)) | Err(_) => return Outcome::Broken(Code::EndpointFailed),
+        Ok(Err(HttpError::Timeout)) | Err(_) => return Outcome::Broken(Code::EndpointFailed),
+        Ok(Err(_)) => return Outcome::Dropped,
     };
     if reader.is_crossed() {
         return Outcome::Broken(Code::AnswerCrossed);
@@ -162,7 +193,7 @@
     if responder.send(Body::Head(head(&reader))).await.is_err() {
         return Outcome::CallerLeft;
     }
-    relay(work, responder, &mut reader, started).await
+    relay(work, responder, &mut reader, started, bounds).await
 }
 
 /// Judges a status by which an engine passes a request on; a service's status is its answer.
@@ -181,14 +212,15 @@
     responder: &Responder,
     reader: &mut AnswerReader,
     started: Instant,
+    bounds: &Bounds,
 ) -> Outcome {
     let mut events = work.offset;
     let mut first = None;
     loop {
-        let bound = if first.is_none() || !reader.is_stream() {
-            first_bound(reader.is_stream(), work.tokens)
-        } else {
-            EVENT_IDLE
+        let bound = match (reader.is_stream(), first) {
+            (false, _) => bounds.whole,
+            (true, None) => bounds.first,
+            (true, Some(_)) => bounds.event,
         };
         let next = tokio::select! {
             next = timeout(bound, reader.next()) => next,
@@ -207,6 +239,7 @@
             Ok(Ok(AnswerEvent::Comment(_))) => continue,
             Ok(Ok(AnswerEvent::Whole)) => return Outcome::Whole { first },
             Ok(Ok(AnswerEvent::Crossed)) => return Outcome::Broken(Code::AnswerCrossed),
+            Ok(Ok(AnswerEvent::Cut)) if events == work.offset => return Outcome::Dropped,
             Ok(Ok(AnswerEvent::Cut) | Err(_)) | Err(_) => {
                 return Outcome::Broken(Code::EndpointFailed);
             }
--- a/tests/kernel/lending.rs
+++ b/tests/kernel/lending.rs
@@ -1,17 +1,15 @@
 //! Shares and loans: over every window the admitted tokens stay within rate and burst.
 
+mod world;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use cardamomshore::{
     clock::Time,
-    kernel::{
-        quota::{Bucket, Charge},
-        shares::{
-            CONFIRM_BOUND, Census, Custody, Decision, LOAN_PERIOD, Limits, Owner, ShareTable, Step,
-            TeamShare, WHOLE,
-        },
+    kernel::shares::{
+        CONFIRM_BOUND, Census, Custody, HOLD_OFF, LIST_LAG, LOAN_PERIOD, ShareTable, Step,
+        TeamShare, WHOLE,
     },
-    names::InstanceId,
     wire::{LoanAsk, LoanGrant},
 };
 use proptest::{
@@ -19,298 +17,9 @@
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
 };
 
+use self::world::{CLOCKS, COARSE_STEP, HALVED, LIMITS, MATRIX_STEP, Node, World, local, owner};
 use crate::matrix::{Protocol, run_all};
 
-const LIMITS: Limits = Limits { rate: 9_000.0, burst: 18_000.0 };
-const HALVED: Limits = Limits { rate: 4_500.0, burst: 9_000.0 };
-const STEP: Duration = Duration::from_millis(50);
-const MATRIX_STEP: Duration = Duration::from_millis(100);
-const COARSE_STEP: Duration = Duration::from_millis(1_000);
-const BORROW_PERIOD: Duration = Duration::from_millis(250);
-const TEND_PERIOD: Duration = Duration::from_millis(1_000);
-
-/// Clock deviation of each node in millionths, with a random start.
-const CLOCKS: [(i64, u64); 3] = [(200, 70_000_000), (-200, 11_000_000), (0, 999_000_000)];
-
-/// One instance; it decides on its own clock.
-struct Node {
-    owner: Owner,
-    clock: (i64, u64),
-    custody: Custody,
-    share: TeamShare,
-    limits: Limits,
-    paused: bool,
-    dead: bool,
-    cut: bool,
-}
-
-/// A message that is under way.
-#[derive(Clone)]
-enum Message {
-    Ask { from: usize, to: usize, ask: LoanAsk },
-    Grant { from: usize, to: usize, incarnation: u64, grant: LoanGrant },
-}
-
-/// Three instances, the platform's table and what was admitted.
-struct World {
-    now: Time,
-    step: Duration,
-    nodes: Vec<Node>,
-    table: (ShareTable, i64),
-    listed: Vec<bool>,
-    down: bool,
-    mail: Vec<(Time, Message)>,
-    lose: bool,
-    double: bool,
-    late: bool,
-    bound: Bucket,
-    admitted: f64,
-    asked: f64,
-    broken: Option<String>,
-}
-
-fn owner(index: usize, incarnation: u64) -> Owner {
-    Owner {
-        instance: InstanceId::from(format!("i-{index}")),
-        incarnation,
-        address: format!("10.0.0.{index}:7000").parse().expect("an address"),
-    }
-}
-
-impl Node {
-    fn new(index: usize, incarnation: u64, now: Time) -> Self {
-        let clock = CLOCKS[index % CLOCKS.len()];
-        let local = local(clock, now);
-        let owner = owner(index, incarnation);
-        Self {
-            custody: Custody::new(owner.clone(), local),
-            owner,
-            clock,
-            share: TeamShare::empty(local),
-            limits: LIMITS,
-            paused: false,
-            dead: false,
-            cut: false,
-        }
-    }
-
-    fn acts(&self) -> bool {
-        !self.paused && !self.dead
-    }
-}
-
-fn local((ppm, start): (i64, u64), now: Time) -> Time {
-    Time((now.0 as i64 + now.0 as i64 * ppm / 1_000_000) as u64 + start)
-}
-
-impl World {
-    fn new(count: usize) -> Self {
-        let now = Time::from_millis(1_000);
-        let mut bound = Bucket::empty(LIMITS.rate, LIMITS.burst, now);
-        bound.give_back(LIMITS.burst, now);
-        Self {
-            now,
-            step: STEP,
-            nodes: (0..count).map(|index| Node::new(index, index as u64 + 1, now)).collect(),
-            table: (ShareTable::default(), 1),
-            listed: vec![true; count],
-            down: false,
-            mail: Vec::new(),
-            lose: false,
-            double: false,
-            late: false,
-            bound,
-            admitted: 0.0,
-            asked: 0.0,
-            broken: None,
-        }
-    }
-
-    fn local(&self, index: usize) -> Time {
-        local(self.nodes[index].clock, self.now)
-    }
-
-    fn census(&self, index: usize) -> Census {
-        let ids = (0..self.nodes.len()).filter(|i| self.listed[*i]);
-        let listed: std::collections::BTreeSet<_> =
-            ids.map(|i| self.nodes[i].owner.instance.clone()).collect();
-        let majority = !self.nodes[index].cut;
-        Census { live: listed.clone(), listed, majority }
-    }
-
-    /// One instance reads the table, writes its next step and follows its part.
-    fn tend(&mut self, index: usize) {
-        if !self.nodes[index].acts() {
-            return;
-        }
-        let now = self.local(index);
-        let reachable = !self.down && !self.nodes[index].cut;
-        if reachable {
-            let (table, revision) = self.table.clone();
-            self.nodes[index].custody.read(table, revision, now, now);
-            let lent = self.nodes[index].share.lent();
-            let census = self.census(index);
-            let step = self.nodes[index].custody.next(&census, lent, now);
-            if step != Step::Keep {
-                self.write(index, &step, now);
-            }
-        }
-        self.follow(index);
-    }
-
-    fn write(&mut self, index: usize, step: &Step, now: Time) {
-        self.nodes[index].custody.begin(step);
-        self.follow(index);
-        let next = self.table.0.after(&self.nodes[index].owner, step);
-        self.table = (next.clone(), self.table.1 + 1);
-        self.nodes[index].custody.read(next, self.table.1, now, now);
-    }
-
-    fn follow(&mut self, index: usize) {
-        let now = self.local(index);
-        // Nobody can write while the service is down; an instance that is cut off cannot know it.
-        let down = self.down && !self.nodes[index].cut;
-        let node = &mut self.nodes[index];
-        let parts = node.custody.parts(down, now);
-        node.share.set(node.limits, parts, now);
-    }
-
-    fn request(&mut self, index: usize, tokens: f64) -> bool {
-        if !self.nodes[index].acts() {
-            return false;
-        }
-        self.follow(index);
-        let now = self.local(index);
-        self.asked += tokens;
-        let share = &mut self.nodes[index].share;
-        share.expect(tokens, now);
-        if share.charge(tokens, now) != Decision::Taken {
-            return false;
-        }
-        self.admitted += tokens;
-        if self.bound.charge(tokens - 1e-3, self.now) != Charge::Taken {
-            let level = self.bound.level(self.now);
-            self.broken = Some(format!("instance {index} admitted {tokens} with {level} left"));
-        }
-        true
-    }
-
-    /// One instance asks all others for what it wants.
-    fn borrow(&mut self, index: usize) {
-        if !self.nodes[index].acts() {
-            return;
-        }
-        let now = self.local(index);
-        let Some(wanted) = self.nodes[index].share.wanted(now) else { return };
-        let others: Vec<usize> = (0..self.nodes.len()).filter(|other| *other != index).collect();
-        for to in &others {
-            let lender = self.nodes[*to].owner.instance.clone();
-            let parts = wanted.div_ceil(others.len() as u32);
-            let ask = self.nodes[index].share.ask(&lender, parts, now);
-            let incarnation = self.nodes[index].owner.incarnation;
-            let ask = LoanAsk { incarnation, ..ask };
-            self.post(Message::Ask { from: index, to: *to, ask });
-        }
-    }
-
-    fn post(&mut self, message: Message) {
-        if self.lose {
-            return;
-        }
-        let delay = if self.late { LOAN_PERIOD.mul_f64(0.9) } else { Duration::from_millis(2) };
-        self.mail.push((self.now + delay, message.clone()));
-        if self.double {
-            self.mail.push((self.now + delay + STEP, message));
-        }
-    }
-
-    fn deliver(&mut self) {
-        let now = self.now;
-        let due: Vec<_> = self.mail.extract_if(.., |(at, _)| *at <= now).collect();
-        for (_, message) in due {
-            match message {
-                Message::Ask { from, to, ask } => self.answer(from, to, &ask),
-                Message::Grant { from, to, incarnation, grant } => {
-                    self.receive(from, to, incarnation, &grant);
-                }
-            }
-        }
-    }
-
-    fn answer(&mut self, from: usize, to: usize, ask: &LoanAsk) {
-        if self.nodes[to].dead || self.nodes[from].cut || self.nodes[to].cut {
-            return;
-        }
-        if self.nodes[to].paused {
-            // What waits in the socket of a paused process is read when it runs again.
-            let message = Message::Ask { from, to, ask: ask.clone() };
-            return self.mail.push((self.now + STEP, message));
-        }
-        self.follow(to);
-        let now = self.local(to);
-        let borrower = self.nodes[from].owner.instance.clone();
-        let grant = self.nodes[to].share.lend(&borrower, ask, now);
-        let incarnation = ask.incarnation;
-        self.post(Message::Grant { from: to, to: from, incarnation, grant });
-    }
-
-    fn receive(&mut self, from: usize, to: usize, incarnation: u64, grant: &LoanGrant) {
-        let node = &self.nodes[to];
-        if node.dead || node.cut || node.owner.incarnation != incarnation {
-            return;
-        }
-        if node.paused {
-            let grant = grant.clone();
-            let message = Message::Grant { from, to, incarnation, grant };
-            return self.mail.push((self.now + STEP, message));
-        }
-        let now = self.local(to);
-        let lender = self.nodes[from].owner.instance.clone();
-        self.nodes[to].share.take(&lender, grant, now);
-    }
-
-    /// Runs for a time; `load` gives each instance's tokens a second in requests of `size`.
-    fn run(&mut self, length: Duration, load: &[f64], size: f64) {
-        let end = self.now + length;
-        let mut due = vec![0.0; self.nodes.len()];
-        let (mut borrowing, mut tending) = (self.now, self.now);
-        while self.now < end {
-            self.now = self.now + self.step;
-            self.deliver();
-            let borrow = self.now.since(borrowing) >= BORROW_PERIOD;
-            let tend = self.now.since(tending) >= TEND_PERIOD;
-            borrowing = if borrow { self.now } else { borrowing };
-            tending = if tend { self.now } else { tending };
-            for index in 0..self.nodes.len() {
-                due[index] += load.get(index).copied().unwrap_or(0.0) * self.step.as_secs_f64();
-                while due[index] >= size {
-                    due[index] -= size;
-                    self.request(index, size);
-                }
-                if borrow {
-                    self.borrow(index);
-                }
-                if tend {
-                    self.tend(index);
-                }
-            }
-        }
-    }
-
-    fn replace(&mut self, index: usize) {
-        let now = self.now;
-        let incarnation = self.nodes[index].owner.incarnation + 100;
-        self.nodes[index] = Node::new(index, incarnation, now);
-    }
-
-    fn check(&self) -> Result<(), String> {
-        match &self.broken {
-            None => Ok(()),
-            Some(reason) => Err(reason.clone()),
-        }
-    }
-}
-
 struct Lending {
     world: World,
 }
@@ -333,8 +42,7 @@
     type Fault = Fault;
 
     const NAME: &'static str = "lending";
-    const STEPS: &'static [&'static str] =
-        &["taken", "asked", "granted", "used", "expired", "newcomer"];
+    const STEPS: &'static [&'static str] = &["asked", "granted", "used", "expired", "newcomer"];
     const FAULTS: &'static [Fault] = &[
         Fault::Lost,
         Fault::Twice,
@@ -349,23 +57,24 @@
     ];
 
     fn start() -> Self {
-        Self { world: World { step: MATRIX_STEP, ..World::new(3) } }
+        let mut world = World { step: MATRIX_STEP, ..World::new(3) };
+        (0..3).for_each(|index| world.tend(index));
+        Self { world }
     }
 
     fn begin(&mut self, step: usize) {
         let world = &mut self.world;
         match step {
-            0 => (0..3).for_each(|index| world.tend(index)),
-            1 => {
+            0 => {
                 world.run(Duration::from_millis(200), &[12_000.0, 500.0], 600.0);
                 world.borrow(0);
             }
-            2 => {
+            1 => {
                 world.now = world.now + Duration::from_millis(5);
                 world.deliver();
             }
-            3 => world.run(Duration::from_millis(600), &[20_000.0, 500.0, 500.0], 1_000.0),
-            4 => world.run(Duration::from_millis(1_500), &[0.0, 8_000.0, 8_000.0], 800.0),
+            2 => world.run(Duration::from_millis(600), &[20_000.0, 500.0, 500.0], 1_000.0),
+            3 => world.run(Duration::from_millis(1_500), &[0.0, 8_000.0, 8_000.0], 800.0),
             _ => {
                 world.nodes.push(Node::new(3, 400, world.now));
                 world.listed.push(true);
@@ -376,7 +85,7 @@
     fn end(&mut self, step: usize) {
         let world = &mut self.world;
         match step {
-            5 => world.run(Duration::from_millis(2_000), &[9_000.0, 0.0, 0.0, 9_000.0], 900.0),
+            4 => world.run(Duration::from_millis(2_000), &[9_000.0, 0.0, 0.0, 9_000.0], 900.0),
             _ => world.run(Duration::from_millis(400), &[12_000.0, 2_000.0, 4_000.0], 600.0),
         }
     }
@@ -534,6 +243,15 @@
     world.down = true;
     world.run(Duration::from_millis(60_000), &[2_900.0, 2_900.0, 2_900.0], 100.0);
     assert!(world.admitted / world.asked > 0.99, "{} of {}", world.admitted, world.asked);
+    (world.admitted, world.asked) = (0.0, 0.0);
+    world.down = false;
+    for _ in 0..8 {
+        // The first requests after the return come before the table is read again.
+        world.now = world.now + Duration::from_millis(250);
+        (0..3).for_each(|index| assert!(world.request(index, 100.0)));
+    }
+    world.run(Duration::from_millis(10_000), &[2_900.0, 2_900.0, 2_900.0], 100.0);
+    assert!(world.admitted / world.asked > 0.99, "{} of {}", world.admitted, world.asked);
     world.check().expect("within the bound");
 }
 
@@ -600,3 +318,115 @@
     let half = WHOLE / 2;
     assert_eq!(parts(&world), BTreeMap::from([("i-0".into(), half), ("i-1".into(), half)]));
 }
+
+#[test]
+fn lending_grant_moves_tokens() {
+    let now = Time::from_millis(5_000);
+    let mut lender = TeamShare::empty(now);
+    lender.set(LIMITS, WHOLE / 2, now);
+    let later = now + Duration::from_millis(300);
+    let before = lender.level(later);
+    let ask = LoanAsk { parts: WHOLE / 4, number: 1, incarnation: 9, ..LoanAsk::default() };
+    let grant = lender.lend(&"b".into(), &ask, later);
+    assert_eq!(grant.parts, WHOLE / 4);
+    let after = lender.level(later);
+    assert!(after + grant.tokens as f64 <= before + 1e-6, "{before} {after} {grant:?}");
+}
+
+#[test]
+fn lending_clock_rates_apart() {
+    let (fast, slow) = (CLOCKS[0], CLOCKS[1]);
+    let start = Time::from_millis(5_000);
+    let mut lender = TeamShare::empty(local(fast, start));
+    lender.set(LIMITS, WHOLE, local(fast, start));
+    let mut borrower = TeamShare::empty(local(slow, start));
+    borrower.set(LIMITS, 0, local(slow, start));
+    let ask = borrower.ask(&"l".into(), WHOLE / 2, local(slow, start));
+    let grant = lender.lend(&"b".into(), &ask, local(fast, start));
+    assert!(borrower.take(&"l".into(), &grant, local(slow, start)));
+    for micros in 998_000..1_002_000 {
+        let now = start + Duration::from_micros(micros);
+        let held = lender.held(local(fast, now)) + borrower.held(local(slow, now));
+        assert!(held <= WHOLE, "{held} in use after {micros} us");
+    }
+    let mut alone = TeamShare::empty(local(fast, start));
+    alone.set(LIMITS, WHOLE, local(fast, start));
+    let end = start + Duration::from_secs(1);
+    assert!(alone.level(local(fast, end)) <= LIMITS.rate);
+}
+
+/// One instance's view of a table in which it and another one hold a half each.
+fn halves(now: Time) -> (Custody, ShareTable) {
+    let (me, other) = (owner(0, 1), owner(1, 2));
+    let half = Step::Hold(WHOLE / 2);
+    let table = ShareTable::default().after(&me, &half).after(&other, &half);
+    let mut custody = Custody::new(me, now);
+    custody.read(table.clone(), 5, now, now);
+    (custody, table)
+}
+
+fn census(count: usize) -> Census {
+    let listed: std::collections::BTreeSet<_> =
+        (0..count).map(|index| owner(index, 0).instance).collect();
+    Census { live: listed.clone(), listed, majority: true }
+}
+
+#[test]
+fn parts_given_up_are_out_of_use_before_the_write() {
+    let now = Time::from_millis(9_000);
+    let (mut custody, table) = halves(now);
+    let step = custody.next(&census(3), 0, now);
+    assert_eq!(step, Step::GiveUp(WHOLE / 2 - WHOLE / 3 / 2 - 1));
+    custody.begin(&step);
+    let kept = custody.parts(false, now);
+    assert!(kept < WHOLE / 2);
+    // The write may still arrive while the table shows its old revision.
+    custody.read(table.clone(), 5, now, now);
+    assert_eq!(custody.parts(false, now), kept);
+    custody.read(table, 6, now, now);
+    assert_eq!(custody.parts(false, now), WHOLE / 2);
+}
+
+#[test]
+fn parts_lent_are_not_given_up() {
+    let now = Time::from_millis(9_000);
+    let (mut custody, _) = halves(now);
+    assert_eq!(custody.next(&census(3), WHOLE / 2, now), Step::Keep);
+}
+
+#[test]
+fn parts_of_an_earlier_process_wait_for_its_loans() {
+    let now = Time::from_millis(9_000);
+    let (_, table) = halves(now);
+    for (moved, wait) in [(false, LOAN_PERIOD * 2), (true, HOLD_OFF)] {
+        let mut new = owner(0, 77);
+        if moved {
+            new.address = "10.9.9.9:7000".parse().expect("an address");
+        }
+        let mut custody = Custody::new(new.clone(), now);
+        custody.read(table.clone(), 5, now, now);
+        let step = custody.next(&census(2), 0, now);
+        assert_eq!(step, Step::Hold(WHOLE / 2));
+        custody.begin(&step);
+        custody.read(table.after(&new, &step), 6, now, now);
+        let almost = now + wait - Duration::from_millis(1);
+        assert_eq!([custody.parts(true, almost), custody.parts(true, now + wait)], [0, WHOLE / 2]);
+    }
+}
+
+#[test]
+fn parts_of_a_gone_instance_are_freed_after_the_hold_off() {
+    let now = Time::from_millis(9_000);
+    let (mut custody, table) = halves(now);
+    let gone = owner(1, 2).instance;
+    assert_eq!(custody.next(&census(1), 0, now), Step::Keep);
+    let absent = now + LIST_LAG;
+    let mark = Step::Revoke(gone.clone());
+    assert_eq!(custody.next(&census(1), 0, absent), mark);
+    custody.read(table.after(&owner(0, 1), &mark), 6, absent, absent);
+    let early = absent + HOLD_OFF - Duration::from_millis(1);
+    assert_eq!(custody.next(&census(1), 0, early), Step::Keep);
+    assert_eq!(custody.next(&census(1), 0, absent + HOLD_OFF), Step::Free(gone));
+    let alone = Census { majority: false, ..census(1) };
+    assert_eq!(custody.next(&alone, 0, absent + HOLD_OFF), Step::Keep);
+}
