--- a/tests/kernel/lending/world.rs
+++ b/tests/kernel/lending/world.rs
@@ -275,10 +275,10 @@
             let tend = self.now.since(tending) >= TEND_PERIOD;
             borrowing = if borrow { self.now } else { borrowing };
             tending = if tend { self.now } else { tending };
-            for index in 0..self.nodes.len() {
-                due[index] += load.get(index).copied().unwrap_or(0.0) * self.step.as_secs_f64();
-                while due[index] >= size {
-                    due[index] -= size;
+            for (index, due) in due.iter_mut().enumerate() {
+                *due += load.get(index).copied().unwrap_or(0.0) * self.step.as_secs_f64();
+                while *due >= size {
+                    *due -= size;
                     self.request(index, size);
                 }
                 if borrow {
