Keep parts through an outage that begins before a new table is read

Nobody can have freed its row where all contact with the service ended within 4 s of its last look, since a mark must stand for 8 s. A row that moved to another address must be seen once more after its wait, also in an outage, so that the earlier holder may rely on that.

Ruled out: trusting any stale table in an outage; the row may be freed.

--- a/src/kernel/shares/custody.rs
+++ b/src/kernel/shares/custody.rs
@@ -27,6 +27,10 @@
 /// Time for which an instance goes on after the service came back, to see its row again.
 pub const RETURN_GRACE: Duration = Duration::from_millis(4_000);
 
+/// Time between the last look at the own row and the last contact of anybody with the service,
+/// within which nobody can have freed the row, whatever the table holds now.
+pub const STALE_BOUND: Duration = Duration::from_millis(4_000);
+
 /// Time after which parts of a holder that may still run cannot be in use any more.
 pub const HOLD_OFF: Duration = Duration::from_millis(8_000);
 
@@ -147,6 +151,8 @@
     confirmed: Time,
     usable: Time,
     excused: Time,
+    contact: Time,
+    moved: Time,
     ceiling: Option<(i64, u32)>,
     absent: BTreeMap<InstanceId, Time>,
     marked: BTreeMap<InstanceId, Time>,
@@ -164,6 +170,8 @@
             confirmed: Time::default(),
             usable: Time::default(),
             excused: Time::default(),
+            contact: Time::default(),
+            moved: Time::default(),
             ceiling: None,
             absent: BTreeMap::new(),
             marked: BTreeMap::new(),
@@ -212,6 +220,10 @@
         }
         if let Some(usable) = self.usable_after(&table, now) {
             self.usable = self.usable.max(usable);
+            // An earlier holder elsewhere may still count on its row while the service is down.
+            let same = self.table.rows.get(&self.owner.instance);
+            let same = same.is_some_and(|row| row.address == self.owner.address && !row.revoked);
+            self.moved = if same { self.moved } else { usable };
         }
         self.table = table;
         self.revision = revision;
@@ -235,6 +247,11 @@
         }
     }
 
+    /// Notes the last contact of this or any heard instance with the platform's service.
+    pub fn contacted(&mut self, at: Time) {
+        self.contact = self.contact.max(at);
+    }
+
     /// Returns the parts that may be used; `down` says that nobody can write the table.
     pub fn parts(&mut self, down: bool, now: Time) -> u32 {
         if down {
@@ -242,7 +259,9 @@
         }
         let Some(row) = self.table.rows.get(&self.owner.instance) else { return 0 };
         let mine = row.incarnation == self.owner.incarnation && !row.revoked;
-        let unwritten = now.since(self.excused) <= RETURN_GRACE && !self.is_stale();
+        let young = self.contact.since(self.confirmed) <= STALE_BOUND;
+        let unchanged = (!self.is_stale() || young) && self.confirmed >= self.moved;
+        let unwritten = now.since(self.excused) <= RETURN_GRACE && unchanged;
         let known = unwritten || now.since(self.confirmed) <= CONFIRM_BOUND;
         if !mine || !known || now < self.usable {
             return 0;
--- a/src/node/shares.rs
+++ b/src/node/shares.rs
@@ -169,7 +169,12 @@
     let Some(config) = node.config() else { return };
     let down = node.freshness() == Freshness::ServiceDown;
     let now = Time::now();
-    let parts = node.shares.custody.lock().parts(down, now);
+    let contact = now - node.contact().age;
+    let parts = {
+        let mut custody = node.shares.custody.lock();
+        custody.contacted(contact);
+        custody.parts(down, now)
+    };
     for (team, spec) in &config.teams {
         let limits = Limits { rate: spec.rate as f64, burst: spec.burst as f64 };
         let set = |share: &mut TeamShare| share.set(limits, parts, now);
--- a/tests/kernel/lending.rs
+++ b/tests/kernel/lending.rs
@@ -7,8 +7,8 @@
 use cardamomshore::{
     clock::Time,
     kernel::shares::{
-        CONFIRM_BOUND, Census, Custody, HOLD_OFF, LIST_LAG, LOAN_PERIOD, ShareTable, Step,
-        TeamShare, WHOLE,
+        CONFIRM_BOUND, Census, Custody, HOLD_OFF, LIST_LAG, LOAN_PERIOD, STALE_BOUND, ShareTable,
+        Step, TeamShare, WHOLE,
     },
     wire::{LoanAsk, LoanGrant},
 };
@@ -303,6 +303,10 @@
     assert_eq!(custody.parts(false, late), 0);
     assert_eq!(custody.parts(true, late), WHOLE / 3);
     custody.confirm(custody.revision() + 1, late);
+    // Nobody can have freed the row where all contact ended soon after it was seen.
+    custody.contacted(custody.confirmed() + STALE_BOUND);
+    assert_eq!(custody.parts(true, late), WHOLE / 3);
+    custody.contacted(custody.confirmed() + STALE_BOUND + Duration::from_millis(1));
     assert_eq!(custody.parts(true, late), 0);
 }
 
@@ -410,7 +414,12 @@
         custody.begin(&step);
         custody.read(table.after(&new, &step), 6, now, now);
         let almost = now + wait - Duration::from_millis(1);
-        assert_eq!([custody.parts(true, almost), custody.parts(true, now + wait)], [0, WHOLE / 2]);
+        assert_eq!(custody.parts(true, almost), 0);
+        // A row that moved must be seen once more after the wait; an outage does not replace that.
+        let blind = if moved { 0 } else { WHOLE / 2 };
+        assert_eq!(custody.parts(true, now + wait), blind);
+        custody.confirm(6, now + wait);
+        assert_eq!(custody.parts(true, now + wait), WHOLE / 2);
     }
 }
 
