--- a/src/cli.rs
+++ b/src/cli.rs
@@ -59,7 +59,8 @@
 ";
 
 /// Why a command failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum CliError {
     /// The command line cannot be understood.
     #[error("{0}\nTry `cardamomshore --help`.")]
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -11,9 +11,8 @@
 /// A point on this machine's boot-time clock, in microseconds.
 ///
 /// Two machines' values must never be compared.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Time(pub u64);
 
 impl Time {
--- a/src/codes.rs
+++ b/src/codes.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a refused or failed request can have reached an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Run {
     /// No byte of the request reached an endpoint.
@@ -114,7 +115,8 @@
 }
 
 /// A refusal or failure as the caller sees it.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("{code} ({})", run.as_str())]
 pub struct Refusal {
     /// What went wrong.
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -20,7 +20,8 @@
 const MAX_NAME: usize = 100;
 
 /// Why a configuration was not accepted.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ConfigError {
     /// The text is not YAML of the expected shape.
     #[error("{0}")]
--- a/src/config/raw.rs
+++ b/src/config/raw.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The document as written.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawConfig {
     /// Classes of work by name.
@@ -34,7 +35,8 @@
 }
 
 /// A class of work as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawClass {
     /// Target for the first token or the answer's first byte, in milliseconds.
@@ -52,7 +54,8 @@
 }
 
 /// A team as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawTeam {
     /// Tokens a second over all instances.
@@ -64,7 +67,8 @@
 }
 
 /// A key as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawKey {
     /// Team for which the key speaks.
@@ -74,7 +78,8 @@
 }
 
 /// A data centre as written.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawDataCentre {
     /// Whether operators took the data centre out of service.
@@ -83,7 +88,8 @@
 }
 
 /// A pool of endpoints as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawPool {
     /// `engine` or `service`.
@@ -118,7 +124,8 @@
 }
 
 /// A model as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawModel {
     /// Pool whose engines serve the model.
@@ -138,7 +145,8 @@
 }
 
 /// A plain service as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawService {
     /// Pool whose endpoints serve it.
@@ -151,7 +159,8 @@
 }
 
 /// A route of a plain service as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawRoute {
     /// HTTP method.
@@ -180,7 +189,8 @@
 }
 
 /// Limits of the weight store as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RawStore {
     /// Loads that may start in a second.
@@ -196,7 +206,8 @@
 }
 
 /// Names of the registered policies as written.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RawPolicy {
     /// Order in which a steward dispatches.
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -18,7 +18,8 @@
 const SHOWN_EVENTS: usize = 40;
 
 /// Why the demo could not go on.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum DemoError {
     /// A socket could not be opened.
     #[error("cannot listen: {0}")]
--- a/src/endpoint/order.rs
+++ b/src/endpoint/order.rs
@@ -5,7 +5,8 @@
 use crate::names::{Adapter, Model};
 
 /// What an order asks of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OrderKind {
     /// Load a model's weights.
@@ -19,7 +20,8 @@
 }
 
 /// An order to an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// Id, unique over all instances and time.
     pub id: String,
@@ -37,7 +39,8 @@
 }
 
 /// Answer to an order that took effect.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderReply {
     /// Id of the order.
     pub id: String,
@@ -48,7 +51,8 @@
 }
 
 /// A model or adapter that is resident.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Resident {
     /// Model.
     pub model: Model,
@@ -60,7 +64,8 @@
 }
 
 /// State of an engine at some earlier moment.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Report {
     /// Changes whenever the engine restarts and loses its memory.
     pub incarnation: u64,
--- a/src/http.rs
+++ b/src/http.rs
@@ -38,7 +38,8 @@
 pub const REQUEST_HEADER: &str = "x-request-id";
 
 /// Why an HTTP exchange failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum HttpError {
     /// No connection was made, so nothing was sent.
     #[error("no connection: {0}")]
--- a/src/kernel/ledger.rs
+++ b/src/kernel/ledger.rs
@@ -42,7 +42,8 @@
 }
 
 /// Why an order was not planned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Denial {
     /// No report of the endpoint's present state was seen.
     #[error("memory is not known")]
--- a/src/kernel/ledger/record.rs
+++ b/src/kernel/ledger/record.rs
@@ -8,7 +8,8 @@
 };
 
 /// The record of one endpoint: its steward and the orders that may still take effect.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Steward, or `None` after a handover.
     pub holder: Option<InstanceId>,
@@ -26,7 +27,8 @@
 }
 
 /// An order that may still take effect.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Intent {
     /// Id of the order.
     pub order: String,
@@ -46,7 +48,8 @@
 }
 
 /// A state of an endpoint's memory, ordered within one incarnation.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Mark {
     /// Incarnation of the endpoint; zero while none is known.
     pub incarnation: u64,
--- a/src/kernel/once/record.rs
+++ b/src/kernel/once/record.rs
@@ -53,7 +53,8 @@
 }
 
 /// One claim.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ClaimRecord {
     /// Id.
     #[prost(bytes = "vec", tag = "1")]
@@ -84,7 +85,8 @@
 }
 
 /// A sealed segment and how long it has been kept.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct SegmentAge {
     /// Number of the segment.
     #[prost(uint64, tag = "1")]
@@ -95,7 +97,8 @@
 }
 
 /// The head of a bucket: its owner and the youngest claims.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct HeadRecord {
     /// Owner, or empty after a handover.
     #[prost(string, tag = "1")]
@@ -125,7 +128,8 @@
 }
 
 /// A sealed segment.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct SegmentRecord {
     /// Claims.
     #[prost(message, repeated, tag = "1")]
--- a/src/kernel/placement.rs
+++ b/src/kernel/placement.rs
@@ -32,7 +32,8 @@
 /// the endpoint's record and then reads the plan; the planner moves a keeper by one transaction
 /// that expects the new keeper's record unchanged since it showed no intent to unload. One of the
 /// two always sees the other.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlanRecord {
     /// Version, which only grows.
     pub version: u64,
--- a/src/kernel/shares/custody.rs
+++ b/src/kernel/shares/custody.rs
@@ -44,7 +44,8 @@
 const TRIFLE_DIVISOR: u32 = 16;
 
 /// What the platform's service keeps of the parts.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShareTable {
     /// Rows by instance.
     pub rows: BTreeMap<InstanceId, ShareRow>,
@@ -53,7 +54,8 @@
 }
 
 /// The part of one instance.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ShareRow {
     /// Incarnation of the holder's process.
     pub incarnation: u64,
--- a/src/measure/plot.rs
+++ b/src/measure/plot.rs
@@ -11,7 +11,8 @@
 const LABEL_WIDTH: u32 = 44;
 
 /// The drawing cannot be written.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("cannot draw: {0}")]
 pub struct PlotError(String);
 
--- a/src/measure/score.rs
+++ b/src/measure/score.rs
@@ -13,7 +13,8 @@
 };
 
 /// What became of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// It met its class's target.
@@ -29,7 +30,8 @@
 }
 
 /// Requests by what became of them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Count {
     /// Requests within their team's rate.
     pub asked: u64,
@@ -45,7 +47,8 @@
 }
 
 /// Attainment over one period of the run.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Sample {
     /// Start of the period in seconds since the start of the run.
     pub secs: u64,
@@ -54,7 +57,8 @@
 }
 
 /// Figures of one variant.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Row {
     /// Variant.
     pub name: String,
--- a/src/node/config_sync.rs
+++ b/src/node/config_sync.rs
@@ -25,7 +25,8 @@
 const POLL_AGE: Duration = Duration::from_millis(1_500);
 
 /// The configuration as the platform's service keeps it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigRecord {
     /// Version, which only grows.
     pub version: u64,
--- a/src/node/operator/apply.rs
+++ b/src/node/operator/apply.rs
@@ -28,7 +28,8 @@
 const FOLLOW_PERIOD: Duration = Duration::from_millis(100);
 
 /// A configuration that an operator wants in force.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Apply {
     /// Version that the operator saw; zero where there was none.
     pub seen: u64,
@@ -37,7 +38,8 @@
 }
 
 /// Which of the listed live instances have a version in force.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Confirmation {
     /// Version in force at the instance that was asked.
     pub version: u64,
--- a/src/node/operator/gather.rs
+++ b/src/node/operator/gather.rs
@@ -18,7 +18,8 @@
 const TOTAL_LIMIT: u64 = 8 << 20;
 
 /// What is gathered.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Gather {
     /// Kind of the document: `status` or `timeline`.
     pub kind: String,
@@ -28,7 +29,8 @@
 }
 
 /// The document of one instance.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub struct Answer {
     /// Instance.
     pub instance: InstanceId,
@@ -37,7 +39,8 @@
 }
 
 /// The documents of all instances that answered.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub struct Gathered {
     /// Documents in the order of the instances' names.
     pub answers: Vec<Answer>,
--- a/src/node/steward/orders.rs
+++ b/src/node/steward/orders.rs
@@ -24,7 +24,8 @@
 const DRAIN_PERIOD: Duration = Duration::from_millis(20);
 
 /// Why an order was not accepted.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 enum Rejected {
     #[error("not the steward of this endpoint")]
     NotSteward,
--- a/src/node/steward/write.rs
+++ b/src/node/steward/write.rs
@@ -16,7 +16,8 @@
 const MAX_TRIES: usize = 4;
 
 /// Why a record was not written.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum WriteError {
     /// This node no longer stewards the endpoint.
     #[error("not the steward")]
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -27,7 +27,8 @@
 const RETRY_WAIT: Duration = Duration::from_millis(200);
 
 /// Why a call failed.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum PlatformError {
     /// The call took no effect.
     #[error("platform not reached: {0}")]
--- a/src/platform/encoding.rs
+++ b/src/platform/encoding.rs
@@ -58,7 +58,8 @@
 }
 
 /// A record with its revision.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct KvJson {
     pub key: Base64,
@@ -68,14 +69,16 @@
 }
 
 /// Header of every answer.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct HeaderJson {
     pub revision: Int,
 }
 
 /// Reads a range.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct RangeJson {
     pub key: Base64,
@@ -84,7 +87,8 @@
 }
 
 /// Answer to a range.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct RangeReply {
     pub header: HeaderJson,
@@ -92,7 +96,8 @@
 }
 
 /// Writes a record.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct PutJson {
     pub key: Base64,
@@ -101,14 +106,16 @@
 }
 
 /// Deletes a record.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct DeleteJson {
     pub key: Base64,
 }
 
 /// Compares the revision of a record.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct CompareJson {
     pub key: Base64,
@@ -118,7 +125,8 @@
 }
 
 /// One operation of a transaction.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct OpJson {
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -130,7 +138,8 @@
 }
 
 /// A transaction.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct TxnJson {
     pub compare: Vec<CompareJson>,
@@ -139,7 +148,8 @@
 }
 
 /// Answer of one operation.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct OpReply {
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -147,7 +157,8 @@
 }
 
 /// Answer to a transaction.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct TxnReplyJson {
     pub header: HeaderJson,
@@ -156,7 +167,8 @@
 }
 
 /// Grants, renews or revokes a lease.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, rename_all = "UPPERCASE")]
 pub struct LeaseJson {
     pub id: Int,
@@ -164,21 +176,24 @@
 }
 
 /// Answer of a stream.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct StreamReply<T: Default> {
     pub result: T,
 }
 
 /// Opens a watch.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchJson {
     pub create_request: WatchCreate,
 }
 
 /// What a watch covers.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchCreate {
     pub key: Base64,
@@ -187,7 +202,8 @@
 }
 
 /// One message of a watch.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct WatchReply {
     pub header: HeaderJson,
@@ -197,7 +213,8 @@
 }
 
 /// One change.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct EventJson {
     #[serde(rename = "type")]
--- a/src/platform/list.rs
+++ b/src/platform/list.rs
@@ -7,7 +7,8 @@
 use crate::names::{DataCentre, EndpointId, InstanceId, Pool};
 
 /// The list as the platform gives it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct InstanceList {
     /// Instances that run a node.
     pub instances: Vec<ListedInstance>,
@@ -16,7 +17,8 @@
 }
 
 /// State of a listed machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ListedState {
     /// Runs.
@@ -26,7 +28,8 @@
 }
 
 /// An instance that runs a node.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedInstance {
     /// Name.
     pub id: InstanceId,
@@ -41,7 +44,8 @@
 }
 
 /// An endpoint.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ListedEndpoint {
     /// Name.
     pub id: EndpointId,
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -41,7 +41,8 @@
 }
 
 /// Why settings were not accepted.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum SettingsError {
     /// The file cannot be read.
     #[error("cannot read {path}: {source}")]
--- a/src/settings/raw.rs
+++ b/src/settings/raw.rs
@@ -7,7 +7,8 @@
 use super::{LogSettings, Settings, SettingsError};
 
 /// Settings as written.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RawSettings {
     /// Name of this instance.
@@ -30,7 +31,8 @@
 }
 
 /// Log settings as written.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RawLog {
     /// A `flexi_logger` specification.
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -23,7 +23,8 @@
 };
 
 /// What the stand-in counted.
-#[derive(Clone, Debug, Default, Serialize, serde::Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, serde::Deserialize)]
 pub struct EngineCounts {
     /// Requests that started.
     pub started: u64,
--- a/src/standin/engine/memory.rs
+++ b/src/standin/engine/memory.rs
@@ -13,7 +13,8 @@
 type Key = (Model, Option<Adapter>);
 
 /// Why an order was not carried out.
-#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum Denied {
     /// The fencing number is old.
     #[error("old fencing number")]
--- a/src/standin/engine/settings.rs
+++ b/src/standin/engine/settings.rs
@@ -7,7 +7,8 @@
 use crate::endpoint::OrderKind;
 
 /// What an engine is like.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineSettings {
     /// Memory in megabytes.
@@ -65,7 +66,8 @@
 }
 
 /// Faults of an engine.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EngineFaults {
     /// Refuses everything.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -20,7 +20,8 @@
 };
 
 /// How the stand-in behaves.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
     /// Refuses every call.
--- a/src/standin/service.rs
+++ b/src/standin/service.rs
@@ -14,7 +14,8 @@
 use crate::http::{HttpError, json, read_body, serve};
 
 /// Faults of a service.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ServiceFaults {
     /// Waits before each answer, in milliseconds.
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -26,7 +26,8 @@
 const REQUEST_END: u32 = 2_200;
 
 /// One event of one instance.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Entry {
     /// Lamport clock of the event.
     pub clock: u64,
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -10,7 +10,8 @@
 pub const FRAME_LIMIT: usize = 4 << 20;
 
 /// Why a frame cannot be read or written.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum WireError {
     /// The connection failed or a frame is too long.
     #[error("link: {0}")]
--- a/src/wire/loan.rs
+++ b/src/wire/loan.rs
@@ -1,7 +1,8 @@
 //! Loans of parts of a team's rate and burst.
 
 /// Asks for a loan of a part of a team's rate and burst.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct LoanAsk {
     /// Team whose rate is short.
     #[prost(string, tag = "1")]
@@ -21,7 +22,8 @@
 }
 
 /// Answer to a [`LoanAsk`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct LoanGrant {
     /// Parts that are lent in all, which replace an earlier loan of the same lender.
     #[prost(uint32, tag = "1")]
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -5,7 +5,8 @@
 use super::{LoanAsk, LoanGrant, Suspect};
 
 /// One frame on a link.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Frame {
     /// Lamport clock of the sender.
     #[prost(uint64, tag = "1")]
@@ -19,7 +20,8 @@
 }
 
 /// The message of a frame.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
 pub enum Body {
     /// First frame of a connection in either direction.
     #[prost(message, tag = "10")]
@@ -57,7 +59,8 @@
 }
 
 /// First frame of a connection.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Hello {
     /// Name of the sender.
     #[prost(string, tag = "1")]
@@ -68,7 +71,8 @@
 }
 
 /// Heartbeat.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Beat {
     /// Name of the sender.
     #[prost(string, tag = "1")]
@@ -109,7 +113,8 @@
 }
 
 /// What an instance stewards.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Digest {
     /// Name of the steward.
     #[prost(string, tag = "1")]
@@ -129,7 +134,8 @@
 }
 
 /// Demand for one model at one entry instance.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ModelDemand {
     /// Model.
     #[prost(string, tag = "1")]
@@ -146,7 +152,8 @@
 }
 
 /// State of one endpoint.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct EndpointDigest {
     /// Name of the endpoint.
     #[prost(string, tag = "1")]
@@ -184,7 +191,8 @@
 }
 
 /// Opens an exchange.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Ask {
     /// What is asked.
     #[prost(oneof = "AskBody", tags = "1, 2, 3, 4, 5, 6, 7")]
@@ -192,7 +200,8 @@
 }
 
 /// What an exchange asks.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
 pub enum AskBody {
     /// Run a request at an endpoint of which the receiver is steward.
     #[prost(message, tag = "1")]
@@ -218,7 +227,8 @@
 }
 
 /// Asks for a kept answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct KeptAsk {
     /// Id of the claim.
     #[prost(bytes = "vec", tag = "1")]
@@ -226,7 +236,8 @@
 }
 
 /// Loads or unloads a model, as the planner decided.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Move {
     /// Endpoint.
     #[prost(string, tag = "1")]
@@ -243,7 +254,8 @@
 }
 
 /// Answer to a [`Move`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Moved {
     /// Whether the order's intent was recorded and the order will be sent.
     #[prost(bool, tag = "1")]
@@ -254,7 +266,8 @@
 }
 
 /// Asks for a document for operators.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Inspect {
     /// Kind of the document: `status` or `timeline`.
     #[prost(string, tag = "1")]
@@ -268,7 +281,8 @@
 }
 
 /// A document for operators.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Document {
     /// The document as JSON.
     #[prost(string, tag = "1")]
@@ -276,7 +290,8 @@
 }
 
 /// A request on its way to an endpoint. It names the team and never carries the caller's key.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Work {
     /// Request id.
     #[prost(string, tag = "1")]
@@ -347,7 +362,8 @@
 }
 
 /// An HTTP header.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Header {
     /// Name in lower case.
     #[prost(string, tag = "1")]
@@ -358,7 +374,8 @@
 }
 
 /// Asks for the configuration.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ConfigAsk {
     /// Version that the asker holds; zero for none.
     #[prost(uint64, tag = "1")]
@@ -366,7 +383,8 @@
 }
 
 /// A configuration document.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct ConfigDoc {
     /// Version, or zero when the receiver's is no older.
     #[prost(uint64, tag = "1")]
@@ -380,7 +398,8 @@
 }
 
 /// Ends an exchange with one answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Reply {
     /// The answer.
     #[prost(oneof = "ReplyBody", tags = "1, 2, 3, 4, 5")]
@@ -388,7 +407,8 @@
 }
 
 /// The answer of an exchange.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
 pub enum ReplyBody {
     /// Answer to a loan.
     #[prost(message, tag = "1")]
@@ -408,7 +428,8 @@
 }
 
 /// Status and headers of a streamed answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Head {
     /// HTTP status.
     #[prost(uint32, tag = "1")]
@@ -419,7 +440,8 @@
 }
 
 /// Next bytes of a streamed answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Chunk {
     /// The bytes.
     #[prost(bytes = "bytes", tag = "1")]
@@ -433,7 +455,8 @@
 }
 
 /// End of a streamed answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct End {
     /// Zero for a whole answer, otherwise the number of the result code.
     #[prost(uint32, tag = "1")]
@@ -456,11 +479,13 @@
 }
 
 /// The asker drops the exchange.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Cancel {}
 
 /// The asker can take more chunks.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Credit {
     /// Number of further chunks.
     #[prost(uint32, tag = "1")]
--- a/src/wire/suspect.rs
+++ b/src/wire/suspect.rs
@@ -1,7 +1,8 @@
 //! News of requests that crashed endpoints.
 
 /// A request that was in flight at the crash of an endpoint.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
 pub struct Suspect {
     /// Hash of model and body.
     #[prost(fixed64, tag = "1")]
