--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,14 +1,27 @@
 //! Messages between instances: `prost` structs in length-delimited frames.
+//!
+//! They are written by hand with derives, so that the build needs no generator.
 
+mod answer;
+mod ask;
 mod codec;
 mod end;
+mod frame;
 mod loan;
-mod message;
+mod state;
 mod suspect;
+mod work;
 
 pub use self::{
+    answer::{Chunk, End, Head},
+    ask::{
+        Ask, AskBody, ConfigAsk, ConfigDoc, Document, Inspect, KeptAsk, Move, Moved, Reply,
+        ReplyBody,
+    },
     codec::{FRAME_LIMIT, FrameCodec, WireError},
+    frame::{Body, Cancel, Credit, Frame, Hello},
     loan::{LoanAsk, LoanGrant},
-    message::*,
+    state::{Beat, Digest, EndpointDigest, ModelDemand},
     suspect::Suspect,
+    work::{Header, Work},
 };
--- /dev/null
+++ b/src/wire/frame.rs
@@ -0,0 +1,83 @@
+//! Frames and what controls an exchange.
+
+use super::{Ask, Beat, Chunk, ConfigDoc, Digest, End, Head, Reply};
+
+/// One frame on a link.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct Frame {
+    /// Lamport clock of the sender.
+    #[prost(uint64, tag = "1")]
+    pub clock: u64,
+    /// Number of the exchange on this link, chosen by the caller; zero outside an exchange.
+    #[prost(uint64, tag = "2")]
+    pub stream: u64,
+    /// The message.
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
+    pub body: Option<Body>,
+}
+
+/// The message of a frame.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Oneof)]
+pub enum Body {
+    /// First frame of a connection in either direction.
+    #[prost(message, tag = "10")]
+    Hello(Hello),
+    /// Heartbeat with what the sender knows.
+    #[prost(message, tag = "11")]
+    Beat(Beat),
+    /// What the sender stewards.
+    #[prost(message, tag = "12")]
+    Digest(Digest),
+    /// Opens an exchange.
+    #[prost(message, tag = "13")]
+    Ask(Ask),
+    /// Ends an exchange with one answer.
+    #[prost(message, tag = "14")]
+    Reply(Reply),
+    /// Status and headers of a streamed answer.
+    #[prost(message, tag = "15")]
+    Head(Head),
+    /// Next bytes of a streamed answer.
+    #[prost(message, tag = "16")]
+    Chunk(Chunk),
+    /// End of a streamed answer.
+    #[prost(message, tag = "17")]
+    End(End),
+    /// The asker drops the exchange.
+    #[prost(message, tag = "18")]
+    Cancel(Cancel),
+    /// The asker can take more chunks.
+    #[prost(message, tag = "19")]
+    Credit(Credit),
+    /// The configuration, sent to a peer that was seen to lack it.
+    #[prost(message, tag = "20")]
+    Config(ConfigDoc),
+}
+
+/// First frame of a connection.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct Hello {
+    /// Name of the sender.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Random number drawn when the sender's process started.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+}
+
+/// The asker drops the exchange.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct Cancel {}
+
+/// The asker can take more chunks.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct Credit {
+    /// Number of further chunks.
+    #[prost(uint32, tag = "1")]
+    pub chunks: u32,
+}
--- /dev/null
+++ b/src/wire/state.rs
@@ -0,0 +1,123 @@
+//! What an instance tells the others about itself and its endpoints.
+
+use super::Suspect;
+
+/// Heartbeat.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct Beat {
+    /// Name of the sender.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Incarnation of the sender.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Version of the configuration in force at the sender.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Age of the sender's last contact with the platform's service, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub contact_ms: u64,
+    /// Whether the sender takes no new work.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Whether the sender finds itself cut off.
+    #[prost(bool, tag = "6")]
+    pub cut_off: bool,
+    /// Heartbeat that this one answers, as sent by the other side; zero for none.
+    #[prost(uint64, tag = "7")]
+    pub echo: u64,
+    /// Number of this heartbeat.
+    #[prost(uint64, tag = "8")]
+    pub number: u64,
+    /// Requests that crashed endpoints lately.
+    #[prost(message, repeated, tag = "30")]
+    pub suspects: Vec<Suspect>,
+    /// Buckets of ids that the sender owns, as a bit mask.
+    #[prost(fixed32, tag = "9")]
+    pub buckets: u32,
+    /// Highest revision of the share table that the sender knows of.
+    #[prost(int64, tag = "10")]
+    pub shares: i64,
+    /// Time since the table was last known to have that revision, in milliseconds.
+    #[prost(uint64, tag = "11")]
+    pub shares_ms: u64,
+}
+
+/// What an instance stewards.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct Digest {
+    /// Name of the steward.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Incarnation of the steward.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of this digest; higher ones replace lower ones of the same incarnation.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// Endpoints it stewards.
+    #[prost(message, repeated, tag = "4")]
+    pub endpoints: Vec<EndpointDigest>,
+    /// Demand that the sender saw as an entry instance.
+    #[prost(message, repeated, tag = "5")]
+    pub demand: Vec<ModelDemand>,
+}
+
+/// Demand for one model at one entry instance.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct ModelDemand {
+    /// Model.
+    #[prost(string, tag = "1")]
+    pub model: String,
+    /// Tokens a second as a fast moving average.
+    #[prost(uint64, tag = "2")]
+    pub fast: u64,
+    /// Tokens a second as a slow moving average.
+    #[prost(uint64, tag = "3")]
+    pub slow: u64,
+    /// Requests that wait because no copy is resident.
+    #[prost(uint32, tag = "4")]
+    pub waiting: u32,
+}
+
+/// State of one endpoint.
+#[derive(Clone, PartialEq)]
+#[derive(prost::Message)]
+pub struct EndpointDigest {
+    /// Name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub endpoint: String,
+    /// Fencing number of the steward's tenure.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// Pool of the endpoint.
+    #[prost(string, tag = "3")]
+    pub pool: String,
+    /// Data centre of the endpoint.
+    #[prost(string, tag = "4")]
+    pub data_centre: String,
+    /// Models that are resident and may be dispatched to.
+    #[prost(string, repeated, tag = "5")]
+    pub models: Vec<String>,
+    /// Requests that run there.
+    #[prost(uint32, tag = "6")]
+    pub running: u32,
+    /// Requests that wait for it.
+    #[prost(uint32, tag = "7")]
+    pub queued: u32,
+    /// Requests that it may run at once now.
+    #[prost(uint32, tag = "8")]
+    pub limit: u32,
+    /// Adapters that are resident.
+    #[prost(string, repeated, tag = "9")]
+    pub adapters: Vec<String>,
+    /// Models with an open load.
+    #[prost(string, repeated, tag = "10")]
+    pub loading: Vec<String>,
+    /// Memory for weights that no resident or open load takes, in bytes.
+    #[prost(uint64, tag = "11")]
+    pub free: u64,
+}
