--- a/src/kernel/dispatch/slack.rs
+++ b/src/kernel/dispatch/slack.rs
@@ -6,11 +6,11 @@
 use crate::{clock::Time, kernel::registry::DispatchPlugin};
 
 /// Part of the work that background classes get while any of theirs waits.
-pub const BACKGROUND_PART: f64 = 0.1;
+pub const BACKGROUND_PART: f64 = 0.05;
 
 /// Part of the work that requests get which missed their target, so that they still end by their
 /// deadline.
-pub const LATE_PART: f64 = 0.1;
+pub const LATE_PART: f64 = 0.03;
 
 /// Time before its deadline at which background work competes with all other work.
 pub const BACKGROUND_LEAD: Duration = Duration::from_secs(30);
