Bound the control cost of idle instances; check the proofs' test names

A test compares the names in docs/PROOFS.md with the tests (seen to fail on a made-up name). The three commands with subcommands read them in one place.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -134,6 +134,18 @@
     }
 }
 
+/// Reads the name of a subcommand, or prints the help and returns `None` where there is none.
+fn subcommand(parser: &mut Parser, help: &str) -> Result<Option<String>, CliError> {
+    match parser.next()? {
+        None | Some(Arg::Short('h') | Arg::Long("help")) => {
+            print!("{help}");
+            Ok(None)
+        }
+        Some(Arg::Value(command)) => Ok(Some(command.string()?)),
+        Some(arg) => Err(arg.unexpected().into()),
+    }
+}
+
 /// Runs a future on a runtime with several threads.
 fn block_on<T>(future: impl Future<Output = T>) -> Result<T, CliError> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
--- a/src/cli/config.rs
+++ b/src/cli/config.rs
@@ -1,8 +1,8 @@
 //! `cardamomshore config`: checks, shows, compares and applies the configuration.
 
-use lexopt::{Arg, Parser, ValueExt};
+use lexopt::Parser;
 
-use super::{CliError, args::Args, block_on, change, diff::unified};
+use super::{CliError, args::Args, block_on, change, diff::unified, subcommand};
 use crate::{config::Config, node::operator::Apply};
 
 const HELP: &str = "\
@@ -27,14 +27,7 @@
 
 /// Runs the command.
 pub fn run(mut parser: Parser) -> Result<(), CliError> {
-    let command = match parser.next()? {
-        None | Some(Arg::Short('h') | Arg::Long("help")) => {
-            print!("{HELP}");
-            return Ok(());
-        }
-        Some(Arg::Value(command)) => command.string()?,
-        Some(arg) => return Err(arg.unexpected().into()),
-    };
+    let Some(command) = subcommand(&mut parser, HELP)? else { return Ok(()) };
     let Some(args) = Args::parse(parser, &["seen"], HELP)? else { return Ok(()) };
     match command.as_str() {
         "check" => check(&args),
--- a/src/cli/data_centre.rs
+++ b/src/cli/data_centre.rs
@@ -1,8 +1,8 @@
 //! `cardamomshore data-centre`: takes a data centre out of service and returns it.
 
-use lexopt::{Arg, Parser, ValueExt};
+use lexopt::Parser;
 
-use super::{CliError, args::Args, block_on, change};
+use super::{CliError, args::Args, block_on, change, subcommand};
 use crate::config::RawConfig;
 
 const HELP: &str = "\
@@ -21,17 +21,11 @@
 
 /// Runs the command.
 pub fn run(mut parser: Parser) -> Result<(), CliError> {
-    let out = match parser.next()? {
-        None | Some(Arg::Short('h') | Arg::Long("help")) => {
-            print!("{HELP}");
-            return Ok(());
-        }
-        Some(Arg::Value(command)) => match command.string()?.as_str() {
-            "out" => true,
-            "return" => false,
-            other => return Err(CliError::Usage(format!("no such command: data-centre {other}"))),
-        },
-        Some(arg) => return Err(arg.unexpected().into()),
+    let Some(command) = subcommand(&mut parser, HELP)? else { return Ok(()) };
+    let out = match command.as_str() {
+        "out" => true,
+        "return" => false,
+        other => return Err(CliError::Usage(format!("no such command: data-centre {other}"))),
     };
     let Some(args) = Args::parse(parser, &[], HELP)? else { return Ok(()) };
     let [name] = args.values(["NAME"])?;
--- a/src/cli/key.rs
+++ b/src/cli/key.rs
@@ -1,9 +1,9 @@
 //! `cardamomshore key`: gives keys to teams and withdraws them.
 
 use base64::{Engine, prelude::BASE64_URL_SAFE_NO_PAD};
-use lexopt::{Arg, Parser, ValueExt};
+use lexopt::Parser;
 
-use super::{CliError, args::Args, block_on, change};
+use super::{CliError, args::Args, block_on, change, subcommand};
 use crate::config::{RawConfig, RawKey, hash_key};
 
 const HELP: &str = "\
@@ -26,14 +26,7 @@
 
 /// Runs the command.
 pub fn run(mut parser: Parser) -> Result<(), CliError> {
-    let command = match parser.next()? {
-        None | Some(Arg::Short('h') | Arg::Long("help")) => {
-            print!("{HELP}");
-            return Ok(());
-        }
-        Some(Arg::Value(command)) => command.string()?,
-        Some(arg) => return Err(arg.unexpected().into()),
-    };
+    let Some(command) = subcommand(&mut parser, HELP)? else { return Ok(()) };
     let Some(args) = Args::parse(parser, &["team"], HELP)? else { return Ok(()) };
     match command.as_str() {
         "give" => give(&args),
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -5,6 +5,7 @@
 mod process {
     mod cold;
     mod configuration;
+    mod cost;
     mod input;
     mod keys;
     mod links;
--- a/tests/product/docs.rs
+++ b/tests/product/docs.rs
@@ -1,6 +1,6 @@
 //! Tables of the documents against the code.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, path::Path};
 
 use cardamomshore::{codes::Code, config::Config, events::Event, settings::Settings};
 
@@ -82,3 +82,41 @@
     assert_documented("## Settings of a process", &error("nothing: 1"));
     assert_documented("### log", &error("log: { nothing: 1 }"));
 }
+
+const PROOFS: &str = include_str!("../../docs/PROOFS.md");
+
+/// Returns the names of all functions in the tests' files.
+fn test_names(dir: &Path, names: &mut BTreeSet<String>) {
+    for entry in std::fs::read_dir(dir).expect("a folder of tests") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            test_names(&path, names);
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).expect("a file of tests");
+        let lines = text.lines().filter_map(|line| line.trim().strip_prefix("fn "));
+        names.extend(lines.filter_map(|rest| Some(rest.split_once('(')?.0.to_owned())));
+    }
+}
+
+#[test]
+fn proofs_name_existing_tests() {
+    let mut names = BTreeSet::new();
+    test_names(&Path::new(env!("CARGO_MANIFEST_DIR")).join("tests"), &mut names);
+    let rows =
+        PROOFS.lines().filter(|line| line.starts_with("| ") && !line.starts_with("| Promise"));
+    let mut count = 0;
+    for row in rows {
+        let cell = row.split('|').nth(3).expect("a row has a column of tests");
+        let words = cell.split([',', ':', ';', ' ']).map(str::trim).filter(|w| w.contains('_'));
+        for word in words {
+            let known = match word.strip_suffix('*') {
+                Some(prefix) => names.iter().any(|name| name.starts_with(prefix)),
+                None => names.contains(word),
+            };
+            assert!(known, "no test is named {word}");
+            count += 1;
+        }
+    }
+    assert!(count > 50, "the table names its tests, {count} found");
+}
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -113,6 +113,11 @@
         Self { child, args, log }
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
