--- a/src/cli.rs
+++ b/src/cli.rs
@@ -6,6 +6,7 @@
 mod data_centre;
 mod demo;
 mod diff;
+mod gateway;
 pub(crate) mod key;
 mod measure;
 pub(crate) mod remote;
@@ -37,6 +38,7 @@
 
 Commands:
   serve        Run one instance
+  gateway      Run one entry instance on the users' platform
   demo         Run a small fleet with stand-ins in one process
   config       Check, show, compare and apply the configuration
   key          Give a key to a team or withdraw it
@@ -122,6 +124,7 @@
 fn dispatch(command: OsString, parser: Parser) -> Result<(), CliError> {
     match command.string()?.as_str() {
         "serve" => serve::run(parser),
+        "gateway" => gateway::run(parser),
         "measure" => measure::run(parser),
         "demo" => demo::run(parser),
         "config" => config::run(parser),
--- /dev/null
+++ b/src/gateway/directory.rs
@@ -0,0 +1,49 @@
+//! Tells callers which addresses to use.
+
+use std::{net::SocketAddr, time::Duration};
+
+use http::{Method, Response, StatusCode};
+use rand::seq::SliceRandom;
+use serde::Serialize;
+
+use super::{
+    Gateway,
+    answer::{AnswerBody, json, plain},
+};
+use crate::platform::caller::{READY_PATH, RESOLVE_PATH};
+
+/// Time for which callers may keep an answer: the shorter, the sooner they leave a lost instance.
+const TTL: Duration = Duration::from_secs(2);
+
+/// Most addresses in an answer.
+const ADDRESS_LIMIT: usize = 64;
+
+#[derive(Serialize)]
+struct Addresses {
+    addresses: Vec<SocketAddr>,
+    ttl_s: u64,
+}
+
+/// Answers a caller that asks for addresses.
+pub fn resolve(gateway: &Gateway, method: &Method, path: &str) -> Response<AnswerBody> {
+    if method != Method::GET || path != RESOLVE_PATH {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    let mut addresses = gateway.callers_addresses();
+    if addresses.is_empty() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    addresses.shuffle(&mut rand::rng());
+    addresses.truncate(ADDRESS_LIMIT);
+    let ttl_s = TTL.min(gateway.settings.address_ttl).as_secs();
+    json(StatusCode::OK, &Addresses { addresses, ttl_s })
+}
+
+/// Answers the platform's question whether the instance is ready.
+pub fn ready(gateway: &Gateway, method: &Method, path: &str) -> Response<AnswerBody> {
+    match (method, path) {
+        (&Method::GET, READY_PATH) if gateway.is_ready() => plain(StatusCode::OK),
+        (&Method::GET, READY_PATH) => plain(StatusCode::SERVICE_UNAVAILABLE),
+        _ => plain(StatusCode::NOT_FOUND),
+    }
+}
--- /dev/null
+++ b/src/gateway/grants.rs
@@ -0,0 +1,279 @@
+//! Grants for this instance's requests, from the leader or from its own scheduler.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use tokio::{sync::oneshot, time::sleep};
+
+use super::{
+    Gateway,
+    messages::{AdoptFrame, AskFrame, Content, DoneFrame, GrantFrame, Numbered, RefuseFrame},
+    orders,
+};
+use crate::{
+    clock::Time,
+    kernel::grants::{Action, Ask, Grant, GrantKey, Granted, Outcome, Refusal},
+};
+
+/// Time between two looks at the scheduler while requests wait.
+const BUSY_PERIOD: Duration = Duration::from_millis(5);
+
+/// Time between two looks at the scheduler of the leader.
+const LEADER_PERIOD: Duration = Duration::from_millis(20);
+
+/// Time between two looks at the scheduler of other instances.
+const IDLE_PERIOD: Duration = Duration::from_millis(100);
+
+type Answer = Result<Grant, Refusal>;
+
+enum State {
+    Waiting(oneshot::Sender<Answer>),
+    Running(Arc<str>),
+}
+
+struct Entry {
+    ask: Ask,
+    state: State,
+}
+
+/// This instance's requests that wait for a grant or use one.
+#[derive(Default)]
+pub struct Requests {
+    next: AtomicU64,
+    table: Mutex<HashMap<u64, Entry>>,
+}
+
+impl Requests {
+    /// Returns how many requests wait or run.
+    pub fn count(&self) -> usize {
+        self.table.lock().len()
+    }
+}
+
+/// A grant in use; when it is dropped, the request counts as left by its caller.
+pub struct Permit {
+    gateway: Arc<Gateway>,
+    number: u64,
+    /// The grant.
+    pub grant: Grant,
+}
+
+impl Permit {
+    /// Tells that the first event of the answer has come.
+    pub fn first_event(&self) {
+        let gateway = &self.gateway;
+        gateway.uplink.send(Content::First(Numbered { number: self.number }));
+        gateway.scheduler.lock().first_event(&gateway.key(self.number), Time::now());
+    }
+
+    /// Tells how the request ended.
+    pub fn end(self, outcome: Outcome) {
+        self.gateway.end_request(self.number, outcome);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.gateway.end_request(self.number, Outcome::Left);
+    }
+}
+
+/// Withdraws a request whose caller leaves while it waits.
+struct Withdraw<'a> {
+    gateway: &'a Arc<Gateway>,
+    number: Option<u64>,
+}
+
+impl Drop for Withdraw<'_> {
+    fn drop(&mut self) {
+        if let Some(number) = self.number {
+            self.gateway.end_request(number, Outcome::Left);
+        }
+    }
+}
+
+/// Waits for the grant of a request.
+pub async fn acquire(gateway: &Arc<Gateway>, ask: Ask) -> Result<Permit, Refusal> {
+    let number = gateway.requests.next.fetch_add(1, Ordering::Relaxed);
+    let (tx, rx) = oneshot::channel();
+    let entry = Entry { ask: ask.clone(), state: State::Waiting(tx) };
+    gateway.requests.table.lock().insert(number, entry);
+    let mut withdraw = Withdraw { gateway, number: Some(number) };
+    gateway.pass_on(number, ask);
+    let answer = rx.await;
+    withdraw.number = None;
+    let gateway = gateway.clone();
+    match answer {
+        Ok(Ok(grant)) => Ok(Permit { gateway, number, grant }),
+        Ok(Err(refusal)) => Err(refusal),
+        Err(_) => {
+            log::error!("event=grant_lost number={number}");
+            let reason = crate::kernel::grants::Reason::NoRoom;
+            Err(Refusal { reason, retry: Duration::from_millis(500) })
+        }
+    }
+}
+
+impl Gateway {
+    fn key(&self, number: u64) -> GrantKey {
+        GrantKey { asker: self.settings.instance.clone(), number }
+    }
+
+    /// Asks the leader, or the own scheduler where the leader cannot be asked.
+    fn pass_on(self: &Arc<Self>, number: u64, ask: Ask) {
+        let now = Time::now();
+        if self.uplink.send(Content::Ask(AskFrame::new(number, &ask, now))) {
+            return;
+        }
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.set_mode(self.choose_mode());
+            scheduler.ask(self.key(number), ask, now)
+        };
+        self.carry_out(actions);
+    }
+
+    /// Carries out what a scheduler wants done.
+    pub(super) fn carry_out(self: &Arc<Self>, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Grant(key, grant) if self.is_self(&key.asker) => {
+                    self.answer_ask(key.number, Ok(grant));
+                }
+                Action::Grant(key, grant) => {
+                    let frame = GrantFrame::new(key.number, &grant);
+                    self.peers.send(&key.asker, Content::Grant(frame));
+                }
+                Action::Refuse(key, refusal) if self.is_self(&key.asker) => {
+                    self.answer_ask(key.number, Err(refusal));
+                }
+                Action::Refuse(key, refusal) => {
+                    let frame = RefuseFrame::new(key.number, &refusal);
+                    self.peers.send(&key.asker, Content::Refuse(frame));
+                }
+                Action::Order { endpoint, address, command, expected } => {
+                    let order = orders::Order { endpoint, address, command, expected };
+                    tokio::spawn(orders::send(self.clone(), order));
+                }
+                Action::Report { endpoint, address } => {
+                    tokio::spawn(orders::read(self.clone(), endpoint, address));
+                }
+            }
+        }
+    }
+
+    /// Answers a request that waits; one that runs or is gone stays as it is.
+    fn answer_ask(&self, number: u64, answer: Answer) {
+        let mut table = self.requests.table.lock();
+        let tx = match table.remove(&number) {
+            Some(Entry { ask, state: State::Waiting(tx) }) => {
+                if let Ok(grant) = &answer {
+                    let state = State::Running(grant.endpoint.clone());
+                    table.insert(number, Entry { ask, state });
+                }
+                tx
+            }
+            Some(running) => return drop(table.insert(number, running)),
+            None => return,
+        };
+        drop(table);
+        // A caller that left withdraws its request itself.
+        let _ = tx.send(answer);
+    }
+
+    /// Takes a grant of the leader.
+    pub(super) fn take_grant(&self, number: u64, grant: Grant) {
+        let ask = {
+            let table = self.requests.table.lock();
+            let entry = table.get(&number);
+            entry.filter(|entry| matches!(entry.state, State::Waiting(_))).map(|e| e.ask.clone())
+        };
+        let Some(ask) = ask else {
+            self.uplink.send(Content::Done(DoneFrame::new(number, Outcome::Left)));
+            return;
+        };
+        let granted = Granted { ask, endpoint: grant.endpoint.clone() };
+        self.scheduler.lock().adopt(self.key(number), granted, Time::now());
+        self.answer_ask(number, Ok(grant));
+    }
+
+    /// Takes a refusal of the leader.
+    pub(super) fn take_refusal(&self, number: u64, refusal: Refusal) {
+        self.answer_ask(number, Err(refusal));
+    }
+
+    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome) {
+        if self.requests.table.lock().remove(&number).is_none() {
+            return;
+        }
+        self.uplink.send(Content::Done(DoneFrame::new(number, outcome)));
+        let actions = self.scheduler.lock().done(&self.key(number), outcome, Time::now());
+        self.carry_out(actions);
+    }
+
+    /// Returns the requests that run, for a leader that does not know of them.
+    pub(super) fn running(&self) -> Vec<AdoptFrame> {
+        let now = Time::now();
+        let table = self.requests.table.lock();
+        let running = table.iter().filter_map(|(number, entry)| match &entry.state {
+            State::Running(endpoint) => {
+                let ask = Some(AskFrame::new(*number, &entry.ask, now));
+                Some(AdoptFrame { ask, endpoint: endpoint.to_string() })
+            }
+            State::Waiting(_) => None,
+        });
+        running.collect()
+    }
+
+    /// Asks the own scheduler for what the leader has not answered.
+    pub(super) fn ask_again(self: &Arc<Self>) {
+        let now = Time::now();
+        let waiting: Vec<(u64, Ask)> = {
+            let table = self.requests.table.lock();
+            let waiting = table.iter().filter(|(_, e)| matches!(e.state, State::Waiting(_)));
+            waiting.map(|(number, entry)| (*number, entry.ask.clone())).collect()
+        };
+        for (number, ask) in waiting {
+            let actions = {
+                let mut scheduler = self.scheduler.lock();
+                scheduler.set_mode(self.choose_mode());
+                scheduler.withdraw(&self.key(number));
+                scheduler.ask(self.key(number), ask, now)
+            };
+            self.carry_out(actions);
+        }
+    }
+
+    /// Looks at the queue, the orders and the placement.
+    pub(super) fn look(self: &Arc<Self>) {
+        let mode = self.choose_mode();
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.set_mode(mode);
+            scheduler.tick(Time::now())
+        };
+        self.carry_out(actions);
+    }
+}
+
+/// Looks at the scheduler again and again, since limits and deadlines change by themselves.
+pub async fn keep_looking(gateway: Arc<Gateway>) {
+    gateway.requests.next.store(rand::random::<u32>().into(), Ordering::Relaxed);
+    loop {
+        gateway.look();
+        gateway.pool.prune();
+        let period = match gateway.scheduler.lock().waiting() {
+            0 if gateway.leadership.leads() => LEADER_PERIOD,
+            0 => IDLE_PERIOD,
+            _ => BUSY_PERIOD,
+        };
+        sleep(period).await;
+    }
+}
--- /dev/null
+++ b/src/gateway/leader.rs
@@ -0,0 +1,304 @@
+//! Which instance leads: a record under a lease in the platform's store.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::Gateway;
+use crate::{
+    clock::Time,
+    platform::store::{Event, Item, Put, StoreError, Watched, Written},
+};
+
+/// Prefix of the system's own keys.
+const PREFIX: &str = "cardamomshore/";
+
+/// Record of the leader, which ends with its lease.
+const LEADER_KEY: &str = "cardamomshore/leader";
+
+/// Record of the instance that led last, which stays.
+const LAST_KEY: &str = "cardamomshore/last-leader";
+
+/// Length of the leader's lease.
+const LEASE_TTL: Duration = Duration::from_millis(2_000);
+
+/// Time between two renewals.
+const RENEW_PERIOD: Duration = Duration::from_millis(600);
+
+/// Time by which the holder counts its lease as shorter than the store does.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Longest wait of a watch.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+
+/// Wait before the store is asked again after an error.
+const ERROR_WAIT: Duration = Duration::from_millis(300);
+
+/// Longest wait of a candidate, so that not all write at once.
+const CANDIDATE_WAIT_MS: u64 = 120;
+
+/// Time between two looks of a candidate.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Time by which orders begin later than the platform demands.
+const ORDER_MARGIN: Duration = Duration::from_millis(150);
+
+/// The leader as the store names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    /// Name.
+    pub instance: Arc<str>,
+    /// Address for other instances.
+    pub address: SocketAddr,
+    /// Number that grows with each leader.
+    pub term: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RawLeader {
+    instance: String,
+    address: SocketAddr,
+}
+
+/// This instance's own leadership.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    lease: u64,
+    term: u64,
+    /// When the last successful renewal was sent.
+    renewed: Time,
+    /// From when on engines may be given orders.
+    orders: Time,
+}
+
+#[derive(Default)]
+struct State {
+    known: Option<Leader>,
+    last: Option<Arc<str>>,
+    /// Whether the records were read since the last error.
+    fresh: bool,
+    held: Option<Held>,
+}
+
+/// Who leads, and whether this instance does.
+#[derive(Default)]
+pub struct Leadership {
+    state: Mutex<State>,
+}
+
+impl Leadership {
+    /// Returns the leader that the store named last.
+    pub fn known(&self) -> Option<Leader> {
+        self.state.lock().known.clone()
+    }
+
+    /// Returns whether this instance leads, perhaps with a lease that it could not renew.
+    pub fn leads(&self) -> bool {
+        self.state.lock().held.is_some()
+    }
+
+    /// Returns the term of this instance's leadership.
+    pub fn term(&self) -> u64 {
+        self.state.lock().held.map_or(0, |held| held.term)
+    }
+
+    /// Returns whether the lease is surely still held.
+    pub fn is_held(&self, now: Time) -> bool {
+        self.state.lock().held.is_some_and(|held| held.is_valid(now))
+    }
+
+    /// Returns whether engines may be given orders.
+    pub fn may_order(&self, now: Time) -> bool {
+        let held = self.state.lock().held;
+        held.is_some_and(|held| held.is_valid(now) && now >= held.orders)
+    }
+
+    fn set_record(&self, item: Option<&Item>, own: &str) {
+        let leader = item.and_then(|item| {
+            let raw: RawLeader = serde_json::from_slice(&item.value).ok()?;
+            let term = item.created;
+            Some(Leader { instance: raw.instance.into(), address: raw.address, term })
+        });
+        let mut state = self.state.lock();
+        if state.known != leader {
+            let name = leader.as_ref().map_or("none", |leader| &*leader.instance);
+            let term = leader.as_ref().map_or(0, |leader| leader.term);
+            log::info!("event=leader_known leader={name} term={term}");
+        }
+        let other = leader.as_ref().is_some_and(|leader| &*leader.instance != own);
+        if let Some(held) = state.held
+            && other
+        {
+            log::warn!("event=leadership_lost term={} reason=another", held.term);
+            state.held = None;
+        }
+        state.known = leader;
+    }
+
+    fn step_down(&self, reason: &str) {
+        let mut state = self.state.lock();
+        if let Some(held) = state.held.take() {
+            log::warn!("event=leadership_lost term={} reason={reason}", held.term);
+            state.known = None;
+            state.fresh = false;
+        }
+    }
+}
+
+impl Held {
+    fn is_valid(&self, now: Time) -> bool {
+        now.since(self.renewed) + LEASE_MARGIN < LEASE_TTL
+    }
+}
+
+/// Follows the records of the leader.
+pub async fn watch(gateway: Arc<Gateway>) {
+    loop {
+        if let Err(err) = follow(&gateway).await {
+            log::debug!("event=leader_watch_ended reason={err}");
+            gateway.leadership.state.lock().fresh = false;
+        }
+        sleep(ERROR_WAIT.mul_f64(rand::random_range(0.5..1.5))).await;
+    }
+}
+
+async fn follow(gateway: &Gateway) -> Result<(), StoreError> {
+    let own = &*gateway.settings.instance;
+    let page = gateway.store.range(PREFIX).await?;
+    let find = |key: &str| page.items.iter().find(|item| item.key == key);
+    gateway.leadership.set_record(find(LEADER_KEY), own);
+    {
+        let mut state = gateway.leadership.state.lock();
+        state.last = find(LAST_KEY).map(last_holder);
+        state.fresh = true;
+    }
+    let mut revision = page.revision;
+    loop {
+        match gateway.store.watch(PREFIX, revision, WATCH_WAIT).await? {
+            Watched::Lost => return Ok(()),
+            Watched::Events(events, at) => {
+                events.iter().for_each(|event| note(gateway, event));
+                revision = at.max(revision);
+            }
+        }
+    }
+}
+
+fn last_holder(item: &Item) -> Arc<str> {
+    String::from_utf8_lossy(&item.value).as_ref().into()
+}
+
+fn note(gateway: &Gateway, event: &Event) {
+    let own = &*gateway.settings.instance;
+    match event {
+        Event::Put(item) if item.key == LEADER_KEY => {
+            gateway.leadership.set_record(Some(item), own);
+        }
+        Event::Put(item) if item.key == LAST_KEY => {
+            gateway.leadership.state.lock().last = Some(last_holder(item));
+        }
+        Event::Removed(key) if key == LEADER_KEY => gateway.leadership.set_record(None, own),
+        Event::Put(_) | Event::Removed(_) => {}
+    }
+}
+
+/// What the campaign does next.
+enum Step {
+    Renew(Held),
+    Stand,
+    Wait,
+}
+
+/// Renews the own lease, or stands for leader where there is none.
+pub async fn campaign(gateway: Arc<Gateway>) {
+    loop {
+        match next_step(&gateway) {
+            Step::Renew(held) => renew(&gateway, held).await,
+            Step::Stand => stand(&gateway).await,
+            Step::Wait => {}
+        }
+        sleep(LOOK_PERIOD).await;
+    }
+}
+
+fn next_step(gateway: &Gateway) -> Step {
+    let now = Time::now();
+    let state = gateway.leadership.state.lock();
+    match &state.held {
+        Some(held) if now.since(held.renewed) >= RENEW_PERIOD => Step::Renew(*held),
+        Some(_) => Step::Wait,
+        None if gateway.shutdown.has_begun() => Step::Wait,
+        None if state.known.is_none() && state.fresh => Step::Stand,
+        None => Step::Wait,
+    }
+}
+
+async fn renew(gateway: &Gateway, held: Held) {
+    let sent = Time::now();
+    match gateway.store.renew(held.lease).await {
+        Ok(true) => {
+            let mut state = gateway.leadership.state.lock();
+            if let Some(now) = state.held.as_mut().filter(|now| now.lease == held.lease) {
+                now.renewed = sent;
+            }
+        }
+        Ok(false) => gateway.leadership.step_down("lapsed"),
+        Err(err) => {
+            log::info!("event=lease_not_renewed term={} reason={err}", held.term);
+            sleep(ERROR_WAIT).await;
+        }
+    }
+}
+
+async fn stand(gateway: &Gateway) {
+    let wait = rand::random_range(0..CANDIDATE_WAIT_MS);
+    sleep(Duration::from_millis(wait)).await;
+    if !matches!(next_step(gateway), Step::Stand) {
+        return;
+    }
+    if let Err(err) = try_stand(gateway).await {
+        log::info!("event=candidacy_failed reason={err}");
+        gateway.leadership.state.lock().fresh = false;
+        sleep(ERROR_WAIT).await;
+    }
+}
+
+async fn try_stand(gateway: &Gateway) -> Result<(), StoreError> {
+    let settings = &gateway.settings;
+    let sent = Time::now();
+    let lease = gateway.store.grant(LEASE_TTL).await?;
+    let raw = RawLeader { instance: settings.instance.to_string(), address: settings.peer };
+    let value = serde_json::to_vec(&raw).unwrap_or_default();
+    let puts = [
+        Put { key: LEADER_KEY, value: &value, lease },
+        Put { key: LAST_KEY, value: settings.instance.as_bytes(), lease: 0 },
+    ];
+    match gateway.store.put_if(LEADER_KEY, 0, &puts).await? {
+        Written::Done(term) => {
+            let now = Time::now();
+            let mut state = gateway.leadership.state.lock();
+            // Orders of one machine are orders of one holder, and the first leader follows nobody.
+            let alone = state.last.as_ref().is_none_or(|last| *last == settings.instance);
+            let wait = if alone { Duration::ZERO } else { settings.order_gap + ORDER_MARGIN };
+            state.held = Some(Held { lease, term, renewed: sent, orders: now + wait });
+            state.known =
+                Some(Leader { instance: settings.instance.clone(), address: settings.peer, term });
+            state.last = Some(settings.instance.clone());
+            log::info!("event=leading term={term} orders_in_ms={}", wait.as_millis());
+        }
+        Written::Conflict | Written::NoLease => log::info!("event=candidacy_lost"),
+    }
+    Ok(())
+}
+
+/// Gives the leadership up, so that another instance can lead at once.
+pub async fn resign(gateway: &Gateway) {
+    let held = gateway.leadership.state.lock().held.take();
+    let Some(held) = held else { return };
+    match gateway.store.end(held.lease).await {
+        Ok(()) => log::info!("event=resigned term={}", held.term),
+        Err(err) => log::warn!("event=resign_failed term={} reason={err}", held.term),
+    }
+}
--- /dev/null
+++ b/src/gateway/members.rs
@@ -0,0 +1,62 @@
+//! The instances that serve callers.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use super::{
+    Gateway,
+    messages::{MemberFrame, MembersFrame},
+};
+
+/// An instance that serves callers.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Member {
+    /// Name.
+    pub instance: Arc<str>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+}
+
+/// The instances that serve callers, as the leader last said.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Members {
+    /// Instances in the order of their names.
+    pub list: Vec<Member>,
+}
+
+impl Members {
+    /// Returns the frame for other instances.
+    pub fn frame(&self) -> MembersFrame {
+        let list = self.list.iter().map(|member| MemberFrame {
+            instance: member.instance.to_string(),
+            callers: member.callers.to_string(),
+        });
+        MembersFrame { list: list.collect() }
+    }
+
+    /// Reads the frame of the leader.
+    pub fn read(frame: MembersFrame) -> Self {
+        let list = frame.list.into_iter().filter_map(|member| {
+            let callers = member.callers.parse().ok()?;
+            Some(Member { instance: member.instance.into(), callers })
+        });
+        Self { list: list.collect() }
+    }
+}
+
+impl Gateway {
+    /// Returns this instance as a member.
+    pub(super) fn own_member(&self) -> Member {
+        Member { instance: self.settings.instance.clone(), callers: self.settings.callers }
+    }
+
+    /// Returns the addresses that callers may use: this instance's only while it serves.
+    pub(super) fn callers_addresses(&self) -> Vec<SocketAddr> {
+        let members = self.members.load();
+        let others = members.list.iter().filter(|m| m.instance != self.settings.instance);
+        let mut addresses: Vec<SocketAddr> = others.map(|member| member.callers).collect();
+        if self.is_ready() {
+            addresses.push(self.settings.callers);
+        }
+        addresses
+    }
+}
--- /dev/null
+++ b/src/gateway/orders.rs
@@ -0,0 +1,111 @@
+//! Sends the leader's orders to engines and reads their reports.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::time::timeout;
+
+use super::Gateway;
+use crate::{
+    clock::Time,
+    http::pool::SendError,
+    kernel::grants::{Command, OrderResult},
+    platform::engine::{self, OrderAnswer},
+};
+
+/// Longest time for a connection to an engine to open.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Longest time for an engine to answer to an order or to send its report.
+const CALL_LIMIT: Duration = Duration::from_millis(500);
+
+/// Largest answer in bytes.
+const ANSWER_LIMIT: usize = 1 << 20;
+
+/// Time for which a connection is kept after an order.
+const KEEP_TIME: Duration = Duration::from_secs(3);
+
+/// An order to an engine.
+pub struct Order {
+    /// Engine.
+    pub endpoint: Arc<str>,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The order.
+    pub command: Command,
+    /// Orders that the engine must have taken before.
+    pub expected: u64,
+}
+
+/// Sends an order and takes its result in.
+pub async fn send(gateway: Arc<Gateway>, order: Order) {
+    let Order { endpoint, address, command, expected } = order;
+    let (holder, term) = (&gateway.settings.instance, gateway.leadership.term());
+    let request = engine::order(&endpoint, &command, expected, holder, term);
+    let result = match call(&gateway, address, request).await {
+        Ok((status, _)) => result(status),
+        Err(SendError::NotSent(_)) => OrderResult::Conflict,
+        Err(SendError::Broke(_)) => OrderResult::Lost,
+    };
+    log::info!(
+        "event=order endpoint={endpoint} command={command:?} expected={expected} term={term} \
+         result={result:?}"
+    );
+    gateway.scheduler.lock().order_done(&endpoint, &command, result, Time::now());
+    gateway.look();
+}
+
+fn result(status: StatusCode) -> OrderResult {
+    match OrderAnswer::from(status) {
+        OrderAnswer::Accepted => OrderResult::Accepted,
+        OrderAnswer::Holds => OrderResult::Holds,
+        OrderAnswer::Conflict => OrderResult::Conflict,
+        OrderAnswer::Refused(_) => OrderResult::Refused,
+    }
+}
+
+/// Reads an engine's report and takes it in.
+pub async fn read(gateway: Arc<Gateway>, endpoint: Arc<str>, address: SocketAddr) {
+    let answer = call(&gateway, address, engine::report(&endpoint)).await;
+    let holding = match answer {
+        Ok((StatusCode::OK, body)) => engine::decode_report(&body)
+            .inspect_err(|err| {
+                log::warn!("event=report_unreadable endpoint={endpoint} reason={err}")
+            })
+            .ok(),
+        Ok((status, _)) => {
+            log::info!("event=report_refused endpoint={endpoint} status={status}");
+            None
+        }
+        Err(err) => {
+            log::info!("event=report_failed endpoint={endpoint} reason={err}");
+            None
+        }
+    };
+    gateway.scheduler.lock().report_done(&endpoint, holding, Time::now());
+    gateway.look();
+}
+
+async fn call(
+    gateway: &Gateway,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), SendError> {
+    let exchange = async {
+        let mut connection = gateway.pool.open(address, CONNECT_LIMIT).await?;
+        // The lease may have lapsed while the connection was opened.
+        if !gateway.leadership.may_order(Time::now()) {
+            return Err(SendError::NotSent("not the leader".to_owned()));
+        }
+        let answer = connection.send(request).await?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), ANSWER_LIMIT).collect().await;
+        let body = body.map_err(|err| SendError::Broke(err.to_string()))?.to_bytes();
+        gateway.pool.keep(connection, KEEP_TIME);
+        Ok((status, body))
+    };
+    let timed = timeout(CALL_LIMIT, exchange).await;
+    timed.unwrap_or_else(|_| Err(SendError::Broke("no answer in time".to_owned())))
+}
--- /dev/null
+++ b/src/gateway/peers.rs
@@ -0,0 +1,282 @@
+//! The instances that are linked to this one while it leads.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use futures_util::{SinkExt, StreamExt};
+use parking_lot::Mutex;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+use tokio_util::codec::Framed;
+
+use super::{
+    Gateway,
+    members::{Member, Members},
+    messages::{
+        Content, EndpointFrame, EndpointsFrame, FrameCodec, FrameError, Hello, Ping, Welcome,
+    },
+};
+use crate::{
+    clock::Time,
+    http::pool::watch_silence,
+    kernel::grants::{GrantKey, Granted},
+};
+
+/// Longest time for an instance to introduce itself.
+const HELLO_LIMIT: Duration = Duration::from_millis(500);
+
+/// Time without a frame after which an instance counts as gone.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time between two looks for changed endpoints and members.
+const NEWS_PERIOD: Duration = Duration::from_millis(200);
+
+struct Peer {
+    tx: mpsc::UnboundedSender<Content>,
+    /// Number of its link, so that the end of an old link does not remove a new one.
+    link: u64,
+    member: Member,
+    ready: bool,
+}
+
+/// The linked instances by name.
+#[derive(Default)]
+pub struct Peers {
+    table: Mutex<BTreeMap<Arc<str>, Peer>>,
+    told: Mutex<HashMap<Arc<str>, EndpointFrame>>,
+}
+
+impl Peers {
+    /// Sends a frame to an instance; one that is gone asks again elsewhere.
+    pub fn send(&self, instance: &str, content: Content) {
+        if let Some(peer) = self.table.lock().get(instance) {
+            let _ = peer.tx.send(content);
+        }
+    }
+
+    /// Returns how many instances are linked.
+    pub fn count(&self) -> usize {
+        self.table.lock().len()
+    }
+
+    fn broadcast(&self, content: &Content) {
+        for peer in self.table.lock().values() {
+            let _ = peer.tx.send(content.clone());
+        }
+    }
+}
+
+/// Accepts links of other instances.
+pub async fn run(gateway: Arc<Gateway>, listener: TcpListener) {
+    tokio::spawn(tell_news(gateway.clone()));
+    let mut number = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                number += 1;
+                tokio::spawn(serve(gateway.clone(), stream, number));
+            }
+            Err(err) => {
+                log::warn!("event=accept_failed what=peers reason={err}");
+                sleep(NEWS_PERIOD).await;
+            }
+        }
+    }
+}
+
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream, link: u64) {
+    watch_silence(&stream);
+    let mut wire = Framed::new(stream, FrameCodec::default());
+    let Ok(Some(Ok(Content::Hello(hello)))) = timeout(HELLO_LIMIT, wire.next()).await else {
+        return;
+    };
+    let term = gateway.leadership.term();
+    if !gateway.leadership.leads() || term != hello.term {
+        return;
+    }
+    let Ok(callers) = hello.callers.parse() else {
+        return log::warn!("event=hello_unreadable instance={}", hello.instance);
+    };
+    let instance: Arc<str> = hello.instance.as_str().into();
+    let member = Member { instance: instance.clone(), callers };
+    let (tx, rx) = mpsc::unbounded_channel();
+    let _ = tx.send(Content::Welcome(Welcome { term }));
+    let _ = tx.send(Content::Endpoints(gateway.all_endpoints()));
+    let _ = tx.send(Content::Members(gateway.members.load().frame()));
+    let peer = Peer { tx, link, member, ready: false };
+    gateway.peers.table.lock().insert(instance.clone(), peer);
+    let actions = gateway.scheduler.lock().drop_asker(&instance, Time::now());
+    gateway.carry_out(actions);
+    log::info!("event=instance_joined peer={instance} term={term}");
+    let ended = exchange(&gateway, &hello, wire, rx).await;
+    if let Err(err) = ended {
+        log::info!("event=link_failed peer={instance} reason={err}");
+    }
+    gateway.remove_peer(&instance, link);
+}
+
+async fn exchange(
+    gateway: &Arc<Gateway>,
+    hello: &Hello,
+    wire: Framed<TcpStream, FrameCodec>,
+    mut rx: mpsc::UnboundedReceiver<Content>,
+) -> Result<(), FrameError> {
+    let (mut sink, mut source) = wire.split();
+    loop {
+        tokio::select! {
+            frame = timeout(SILENCE_LIMIT, source.next()) => match frame {
+                Ok(Some(frame)) => take(gateway, &hello.instance, frame?),
+                Ok(None) | Err(_) => return Ok(()),
+            },
+            content = rx.recv() => {
+                let Some(content) = content else { return Ok(()) };
+                sink.feed(content).await?;
+                while let Ok(content) = rx.try_recv() {
+                    sink.feed(content).await?;
+                }
+                sink.flush().await?;
+            }
+        }
+        if !gateway.leadership.leads() || gateway.leadership.term() != hello.term {
+            return Ok(());
+        }
+    }
+}
+
+/// Takes a frame of a linked instance.
+fn take(gateway: &Arc<Gateway>, instance: &str, content: Content) {
+    let now = Time::now();
+    let key = |number| GrantKey { asker: instance.into(), number };
+    match content {
+        Content::Ask(frame) => {
+            let key = key(frame.number);
+            let mode = gateway.choose_mode();
+            let actions = {
+                let mut scheduler = gateway.scheduler.lock();
+                scheduler.set_mode(mode);
+                scheduler.ask(key, frame.ask(now), now)
+            };
+            gateway.carry_out(actions);
+        }
+        Content::First(frame) => gateway.scheduler.lock().first_event(&key(frame.number), now),
+        Content::Done(frame) => {
+            let actions = gateway.scheduler.lock().done(&key(frame.number), frame.ended(), now);
+            gateway.carry_out(actions);
+        }
+        Content::Adopt(frame) => {
+            let Some(ask) = frame.ask else { return };
+            let key = key(ask.number);
+            let granted = Granted { ask: ask.ask(now), endpoint: frame.endpoint.into() };
+            gateway.scheduler.lock().adopt(key, granted, now);
+        }
+        Content::Ping(ping) => gateway.take_ping(instance, &ping),
+        Content::Operator(frame) => gateway.take_operator(frame),
+        Content::Hello(_)
+        | Content::Welcome(_)
+        | Content::Grant(_)
+        | Content::Refuse(_)
+        | Content::Pong(_)
+        | Content::Members(_)
+        | Content::Endpoints(_) => {
+            log::warn!("event=frame_unexpected from={instance}");
+        }
+    }
+}
+
+impl Gateway {
+    fn take_ping(&self, instance: &str, ping: &Ping) {
+        let changed = match self.peers.table.lock().get_mut(instance) {
+            Some(peer) => std::mem::replace(&mut peer.ready, ping.ready) != ping.ready,
+            None => false,
+        };
+        self.peers.send(instance, Content::Pong(self.ping()));
+        if let Some(news) = self.news_for(ping) {
+            self.peers.send(instance, news);
+        }
+        if changed {
+            self.tell_members();
+        }
+    }
+
+    fn remove_peer(self: &Arc<Self>, instance: &str, link: u64) {
+        {
+            let mut table = self.peers.table.lock();
+            if table.get(instance).is_none_or(|peer| peer.link != link) {
+                return;
+            }
+            table.remove(instance);
+        }
+        log::info!("event=instance_left peer={instance}");
+        let actions = self.scheduler.lock().drop_asker(instance, Time::now());
+        self.carry_out(actions);
+        self.tell_members();
+    }
+
+    /// Tells all linked instances who serves callers, where that has changed.
+    fn tell_members(&self) {
+        if !self.leadership.leads() {
+            return;
+        }
+        let mut list: Vec<Member> = {
+            let table = self.peers.table.lock();
+            table.values().filter(|peer| peer.ready).map(|peer| peer.member.clone()).collect()
+        };
+        if self.is_ready() {
+            list.push(self.own_member());
+        }
+        list.sort();
+        let members = Members { list };
+        if **self.members.load() == members {
+            return;
+        }
+        log::info!("event=members_changed count={}", members.list.len());
+        self.peers.broadcast(&Content::Members(members.frame()));
+        self.members.store(Arc::new(members));
+    }
+
+    fn all_endpoints(&self) -> EndpointsFrame {
+        let told = self.peers.told.lock();
+        EndpointsFrame { whole: true, changed: told.values().cloned().collect(), gone: Vec::new() }
+    }
+
+    /// Tells all linked instances which endpoints have changed.
+    fn tell_endpoints(&self) {
+        let now = Time::now();
+        let current: HashMap<Arc<str>, EndpointFrame> = {
+            let scheduler = self.scheduler.lock();
+            let all = scheduler.endpoints().map(|endpoint| endpoint.snapshot(now));
+            all.map(|info| (info.id.clone(), EndpointFrame::from(&info))).collect()
+        };
+        let mut told = self.peers.told.lock();
+        let gone: Vec<String> =
+            told.keys().filter(|id| !current.contains_key(*id)).map(|id| id.to_string()).collect();
+        let changed: Vec<EndpointFrame> = current
+            .iter()
+            .filter(|(id, frame)| told.get(*id) != Some(*frame))
+            .map(|(_, frame)| frame.clone())
+            .collect();
+        *told = current;
+        drop(told);
+        if !changed.is_empty() || !gone.is_empty() {
+            let frame = EndpointsFrame { whole: false, changed, gone };
+            self.peers.broadcast(&Content::Endpoints(frame));
+        }
+    }
+}
+
+/// Tells the linked instances again and again what has changed.
+async fn tell_news(gateway: Arc<Gateway>) {
+    loop {
+        sleep(NEWS_PERIOD).await;
+        if gateway.leadership.leads() {
+            gateway.tell_members();
+            gateway.tell_endpoints();
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/shutdown.rs
@@ -0,0 +1,86 @@
+//! The end of a gateway: callers move away first, then what runs ends.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use tokio::{
+    signal::unix::{Signal, SignalKind, signal},
+    time::sleep,
+};
+
+use super::{Gateway, leader};
+use crate::clock::Time;
+
+/// Part of the time to the end for which new requests are still served, since callers keep the
+/// directory's answer for a while.
+const SERVE_PART: f64 = 0.6;
+
+/// Time kept free before the platform ends the process.
+const END_MARGIN: Duration = Duration::from_millis(600);
+
+/// Time between two looks whether all work has ended.
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+
+/// Whether and since when the process is about to end.
+#[derive(Default)]
+pub struct Shutdown {
+    begun: AtomicU64,
+}
+
+impl Shutdown {
+    /// Returns whether the process is about to end.
+    pub fn has_begun(&self) -> bool {
+        self.begun.load(Ordering::Acquire) > 0
+    }
+
+    fn elapsed(&self) -> Duration {
+        match self.begun.load(Ordering::Acquire) {
+            0 => Duration::ZERO,
+            begun => Time::now().since(Time(begun)),
+        }
+    }
+}
+
+impl Gateway {
+    /// Returns whether new requests are refused because the process is about to end.
+    pub(super) fn refuses_new(&self) -> bool {
+        self.shutdown.has_begun()
+            && self.shutdown.elapsed() > self.settings.stop.mul_f64(SERVE_PART)
+    }
+}
+
+/// Waits for the signal to stop, and for the work to end after it.
+pub async fn wait(gateway: Arc<Gateway>) {
+    wait_for_signal().await;
+    log::info!("event=stopping instance={}", gateway.settings.instance);
+    gateway.shutdown.begun.store(Time::now().0, Ordering::Release);
+    leader::resign(&gateway).await;
+    let last = gateway.settings.stop.saturating_sub(END_MARGIN);
+    while gateway.shutdown.elapsed() < last {
+        if gateway.refuses_new() && gateway.requests.count() == 0 {
+            break;
+        }
+        sleep(LOOK_PERIOD).await;
+    }
+}
+
+/// Waits for SIGTERM or SIGINT. SIGHUP says that the settings have changed, which are read at start.
+async fn wait_for_signal() {
+    let signals = [SignalKind::terminate(), SignalKind::interrupt(), SignalKind::hangup()];
+    let [Ok(mut term), Ok(mut int), Ok(mut hup)] = signals.map(signal) else {
+        log::error!("event=signals_unavailable");
+        return std::future::pending().await;
+    };
+    loop {
+        tokio::select! {
+            _ = Signal::recv(&mut term) => return,
+            _ = Signal::recv(&mut int) => return,
+            _ = Signal::recv(&mut hup) => log::info!("event=settings_signal"),
+        }
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -1,6 +1,7 @@
 //! Small helpers around `volo-http` that the node, the stand-ins and the command line share.
 
 mod incoming;
+pub mod pool;
 
 use std::{
     error::Error,
--- /dev/null
+++ b/src/http/pool.rs
@@ -0,0 +1,171 @@
+//! Connections to endpoints and to the platform's store, kept between requests.
+//!
+//! Nothing is sent twice here: a caller learns whether a failed request can have reached the other
+//! end, and decides by itself.
+
+use std::{collections::HashMap, future::poll_fn, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::{
+    net::TcpStream,
+    task::AbortHandle,
+    time::{Instant, timeout},
+};
+
+/// Time without an acknowledgement of sent bytes after which a connection counts as broken.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Time between two probes of an idle connection.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection counts as broken.
+const PROBE_LIMIT: u32 = 2;
+
+/// Most idle connections that are kept to one address.
+const KEPT_LIMIT: usize = 64;
+
+/// Why a request failed.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum SendError {
+    /// No byte of the request was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The request may have arrived.
+    #[error("connection broke: {0}")]
+    Broke(String),
+}
+
+/// A connection, which is closed when it is dropped.
+pub struct Connection {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    /// Whether no request was sent on it before.
+    fresh: bool,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// Connections by address.
+#[derive(Default)]
+pub struct Pool {
+    idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+}
+
+/// Sets the limits by which a silent connection is noticed.
+pub fn watch_silence(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_PERIOD)
+        .with_interval(PROBE_PERIOD)
+        .with_retries(PROBE_LIMIT);
+    let set = stream.set_nodelay(true);
+    let set = set.and_then(|()| socket.set_tcp_keepalive(&probes));
+    if let Err(err) = set.and_then(|()| socket.set_tcp_user_timeout(Some(SILENCE_LIMIT))) {
+        log::debug!("event=socket_option_failed reason={err}");
+    }
+}
+
+/// Opens a TCP connection within `limit`.
+pub async fn dial(address: SocketAddr, limit: Duration) -> std::io::Result<TcpStream> {
+    let dialed = timeout(limit, TcpStream::connect(address)).await;
+    let stream = dialed.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
+    watch_silence(&stream);
+    Ok(stream)
+}
+
+impl Pool {
+    /// Returns a kept connection, or opens one within `limit`.
+    pub async fn open(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Connection, SendError> {
+        if let Some(connection) = self.kept(address) {
+            return Ok(connection);
+        }
+        let stream = dial(address, limit).await;
+        let stream = stream.map_err(|err| SendError::NotSent(err.to_string()))?;
+        let shaken = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = shaken.map_err(|err| SendError::NotSent(err.to_string()))?;
+        metrics::counter!("cardamomshore_connections_opened_total").increment(1);
+        let task = tokio::spawn(async move {
+            if let Err(err) = driver.await {
+                log::debug!("event=connection_ended address={address} reason={err}");
+            }
+        });
+        Ok(Connection { address, sender, task: task.abort_handle(), fresh: true })
+    }
+
+    fn kept(&self, address: SocketAddr) -> Option<Connection> {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        let list = idle.get_mut(&address)?;
+        list.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        let position = list.iter().rposition(|idle| idle.connection.sender.is_ready())?;
+        Some(list.remove(position).connection)
+    }
+
+    /// Keeps a connection on which a whole answer was read, for at most `time`.
+    pub fn keep(&self, mut connection: Connection, time: Duration) {
+        connection.fresh = false;
+        let mut idle = self.idle.lock();
+        let list = idle.entry(connection.address).or_default();
+        if list.len() < KEPT_LIMIT && !connection.sender.is_closed() {
+            list.push(Idle { connection, until: Instant::now() + time });
+        }
+    }
+
+    /// Closes the idle connections that were kept for long enough.
+    pub fn prune(&self) {
+        let now = Instant::now();
+        let mut idle = self.idle.lock();
+        for list in idle.values_mut() {
+            list.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        }
+        idle.retain(|_, list| !list.is_empty());
+    }
+}
+
+impl Connection {
+    /// Returns whether no request was sent on the connection before.
+    pub fn is_fresh(&self) -> bool {
+        self.fresh
+    }
+
+    /// Sends a request and returns the head of the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let sender = &mut self.sender;
+        let ready = poll_fn(|cx| sender.poll_ready(cx)).await;
+        ready.map_err(|err| SendError::NotSent(err.to_string()))?;
+        self.sender.try_send_request(request).await.map_err(|mut err| {
+            let text = err.error().to_string();
+            match err.take_message() {
+                Some(_) => SendError::NotSent(text),
+                None => SendError::Broke(text),
+            }
+        })
+    }
+}
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod drain;
 pub mod freshness;
+pub mod grants;
 pub mod ledger;
 pub mod once;
 pub mod placement;
--- /dev/null
+++ b/src/kernel/grants/scheduler.rs
@@ -0,0 +1,674 @@
+//! Takes what happens and decides which waiting request goes where.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::{
+    Action, Ask, Bucket, Command, Demand, Endpoint, Grant, GrantKey, Granted, Holding, Incarnation,
+    ModelWork, OrderResult, OrderStep, Outcome, PlanInput, Reason, Refusal, Registration,
+    RepeatBudget, RepeatLimits, choice,
+    choice::{Fit, Terms},
+    endpoint::Run,
+    placement,
+    queue::Waiting,
+};
+use crate::{
+    catalog::{Catalog, EngineSpec, Service},
+    clock::Time,
+    kernel::suspect::{CrashId, Suspects, Verdict},
+    names::EndpointId,
+};
+
+/// Time between two looks at the placement of models.
+const PLAN_PERIOD: Duration = Duration::from_millis(200);
+
+/// Part of a team's burst with which a scheduler begins, since an earlier one may have spent it.
+const FIRST_BURST: f64 = 0.3;
+
+/// Time for which a request waits for an adapter at one engine.
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Expected time from grant to first event beside prefill.
+const FIRST_EVENT: Duration = Duration::from_millis(25);
+
+/// Shortest and longest time after which a refused caller is asked to come back.
+const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(4));
+
+/// Prefill for which the next model request in the queue is expected to wait.
+const QUEUE_STEP: Duration = Duration::from_millis(60);
+
+/// Time for which an endpoint that shed a request is left alone.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Part of a request's time that it may be expected to wait.
+const WAIT_PART: f64 = 0.5;
+
+/// Prefill seconds for which a token of an answer counts, since runs are batched.
+const ANSWER_WORK: Duration = Duration::from_micros(300);
+
+/// Loads from the weight store that may run at once, for each allowed a second.
+const LOADS_AT_ONCE: f64 = 3.0;
+
+/// What a scheduler may do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Mode {
+    /// It decides for the whole fleet; `orders` says whether it may give orders now.
+    Leading {
+        /// Whether engines may be given orders.
+        orders: bool,
+    },
+    /// It decides for one instance alone and may use this part of everything.
+    Alone {
+        /// The part.
+        share: f64,
+    },
+}
+
+/// Limits that the platform sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    /// Repeats for each service.
+    pub repeats: RepeatLimits,
+    /// Window over which loads from the weight store are counted.
+    pub load_window: Duration,
+}
+
+/// Decides which request goes to which endpoint.
+pub struct Scheduler {
+    mode: Mode,
+    limits: Limits,
+    catalog: Arc<Catalog>,
+    evacuated: HashSet<Arc<str>>,
+    endpoints: BTreeMap<Arc<str>, Endpoint>,
+    places: HashMap<GrantKey, Arc<str>>,
+    queue: Vec<Waiting>,
+    buckets: HashMap<Arc<str>, Bucket>,
+    repeats: HashMap<Arc<str>, RepeatBudget>,
+    suspects: Suspects,
+    demand: Demand,
+    paces: HashMap<Arc<str>, f64>,
+    loads: VecDeque<Time>,
+    planned: Time,
+}
+
+/// What became of a request that looked for an endpoint.
+enum Placed {
+    Granted(Grant),
+    Preparing(Arc<str>),
+    /// Endpoints serve such requests but are full.
+    Full,
+    /// The model is on its way to an engine, where it will be at this time.
+    Loading(Time),
+    /// No endpoint holds what it needs.
+    Nowhere,
+}
+
+impl Scheduler {
+    /// Creates a scheduler that knows nothing.
+    pub fn new(limits: Limits, mode: Mode) -> Self {
+        Self {
+            mode,
+            limits,
+            catalog: Arc::default(),
+            evacuated: HashSet::new(),
+            endpoints: BTreeMap::new(),
+            places: HashMap::new(),
+            queue: Vec::new(),
+            buckets: HashMap::new(),
+            repeats: HashMap::new(),
+            suspects: Suspects::default(),
+            demand: Demand::default(),
+            paces: HashMap::new(),
+            loads: VecDeque::new(),
+            planned: Time::default(),
+        }
+    }
+
+    /// Changes what the scheduler may do.
+    pub fn set_mode(&mut self, mode: Mode) {
+        self.mode = mode;
+    }
+
+    /// Puts a catalog in force.
+    pub fn set_catalog(&mut self, catalog: Arc<Catalog>) {
+        self.catalog = catalog;
+    }
+
+    /// Names the data centres whose endpoints get nothing.
+    pub fn set_evacuated(&mut self, evacuated: HashSet<Arc<str>>) {
+        self.evacuated = evacuated;
+    }
+
+    /// Replaces the table of endpoints, each with the time since its entry was read.
+    pub fn set_endpoints(&mut self, entries: Vec<Registration>, now: Time) {
+        let mut old = std::mem::take(&mut self.endpoints);
+        for entry in entries {
+            let known = old.remove(&entry.id);
+            let same = known.filter(|known| {
+                known.info.incarnation == entry.incarnation
+                    && known.info.address == entry.address
+                    && known.info.service == entry.service
+            });
+            let endpoint = match same {
+                Some(mut known) if known.entry != entry => {
+                    known.update(entry, now);
+                    known
+                }
+                Some(known) => known,
+                None => Endpoint::new(entry, now),
+            };
+            self.endpoints.insert(endpoint.info.id.clone(), endpoint);
+        }
+    }
+
+    /// Returns the endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Takes a request in.
+    pub fn ask(&mut self, key: GrantKey, ask: Ask, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        match self.admit(&ask, now) {
+            Ok(()) => self.enter(key, ask, now, &mut actions),
+            Err(refusal) => actions.push(Action::Refuse(key, refusal)),
+        }
+        self.orders(now, &mut actions);
+        actions
+    }
+
+    fn share(&self) -> f64 {
+        match self.mode {
+            Mode::Leading { .. } => 1.0,
+            Mode::Alone { share } => share,
+        }
+    }
+
+    fn may_order(&self) -> bool {
+        matches!(self.mode, Mode::Leading { orders: true })
+    }
+
+    /// Charges a request to its team and to the budget of repeats.
+    fn admit(&mut self, ask: &Ask, now: Time) -> Result<(), Refusal> {
+        let refuse = |reason, retry| Err(Refusal { reason, retry });
+        if self.suspects.judge(ask.fingerprint, now) == Verdict::Refuse {
+            return refuse(Reason::Crashes, RETRY_RANGE.1);
+        }
+        let share = self.share();
+        let limits = self.limits.repeats;
+        let budget = self.repeats.entry(ask.service.clone()).or_default();
+        if ask.again {
+            let within = budget.repeat(&limits, share, now);
+            return if within { Ok(()) } else { refuse(Reason::NoRepeat, Duration::from_secs(1)) };
+        }
+        budget.first(&limits, now);
+        self.charge(ask, share, now)
+            .or_else(|wait| refuse(Reason::OverRate, wait.clamp(RETRY_RANGE.0, RETRY_RANGE.1)))?;
+        if let Some(work) = &ask.work {
+            let reads = work.prompt as f64 / 40.0 / 1e3 * self.pace(&work.model) * 0.5;
+            let cost = Duration::from_secs_f64(reads) + ANSWER_WORK * work.answer as u32;
+            self.demand.note(&work.model, cost, now);
+        }
+        Ok(())
+    }
+
+    fn charge(&mut self, ask: &Ask, share: f64, now: Time) -> Result<(), Duration> {
+        let Some(name) = &ask.team else { return Ok(()) };
+        let teams = self.catalog.keys.values();
+        let Some(team) = teams.into_iter().find(|team| team.name == *name) else { return Ok(()) };
+        let first = || Bucket::new(team, FIRST_BURST * share, now);
+        self.buckets.entry(name.clone()).or_insert_with(first).take(team, share, ask.charge, now)
+    }
+
+    fn give_back(&mut self, ask: &Ask) {
+        let bucket = ask.team.as_ref().and_then(|team| self.buckets.get_mut(team));
+        if let (Some(bucket), false) = (bucket, ask.again) {
+            bucket.give_back(ask.charge);
+        }
+    }
+
+    /// Grants a request, queues it, or refuses it where waiting is of no use.
+    fn enter(&mut self, key: GrantKey, ask: Ask, now: Time, actions: &mut Vec<Action>) {
+        let ahead = self.queue.iter().any(|waiting| {
+            waiting.prepared.is_none()
+                && same_model(&waiting.ask, &ask)
+                && waiting.ask.urgency <= ask.urgency
+                && waiting.ask.goal > now
+        });
+        let placed = if ahead { Placed::Full } else { self.place(&key, &ask, now) };
+        let mut waiting = Waiting { key, ask, since: now, prepared: None };
+        let refusal = match placed {
+            Placed::Granted(grant) => return actions.push(Action::Grant(waiting.key, grant)),
+            Placed::Preparing(endpoint) => {
+                waiting.prepared = Some((endpoint, now));
+                None
+            }
+            Placed::Full => self.judge_wait(&waiting, self.queue_wait(&waiting.ask)),
+            Placed::Loading(ready) => self.judge_wait(&waiting, ready.since(now)),
+            Placed::Nowhere => self.judge_nowhere(&waiting),
+        };
+        match refusal {
+            None => self.queue.push(waiting),
+            Some(refusal) => {
+                self.give_back(&waiting.ask);
+                actions.push(Action::Refuse(waiting.key, refusal));
+            }
+        }
+    }
+
+    /// Estimates how long a request waits behind those like it.
+    fn queue_wait(&self, ask: &Ask) -> Duration {
+        let like = |w: &&Waiting| same_model(&w.ask, ask) && w.ask.urgency <= ask.urgency;
+        let ahead = self.queue.iter().filter(like).count() as u32;
+        let model = ask.work.as_ref().map(|work| &work.model);
+        let serves = |e: &&Endpoint| {
+            e.info.service == ask.service && model.is_none_or(|model| e.holds(model))
+        };
+        let copies = self.endpoints.values().filter(serves).count().max(1) as u32;
+        QUEUE_STEP * ahead / copies
+    }
+
+    /// Refuses a request that would wait for too long.
+    fn judge_wait(&self, waiting: &Waiting, wait: Duration) -> Option<Refusal> {
+        let left = waiting.ask.deadline.since(waiting.since);
+        let retry = wait.clamp(RETRY_RANGE.0, RETRY_RANGE.1);
+        (wait > left.mul_f64(WAIT_PART)).then_some(Refusal { reason: Reason::NoRoom, retry })
+    }
+
+    /// Lets a request wait for a model that can be loaded in time.
+    fn judge_nowhere(&self, waiting: &Waiting) -> Option<Refusal> {
+        let ask = &waiting.ask;
+        let open = |e: &&Endpoint| e.info.service == ask.service && !e.is_leaving();
+        if !self.endpoints.values().any(|e| open(&e)) {
+            return Some(Refusal { reason: Reason::NoEndpoint, retry: Duration::from_millis(500) });
+        }
+        let time = self.shortest_load(ask);
+        let retry = time.unwrap_or(RETRY_RANGE.1).clamp(RETRY_RANGE.0, RETRY_RANGE.1);
+        let refusal = Refusal { reason: Reason::NoModel, retry };
+        match time {
+            Some(time) if self.may_order() => self.judge_wait(waiting, time).map(|_| refusal),
+            _ => Some(refusal),
+        }
+    }
+
+    /// Returns the shortest time in which an engine could load the model of a request.
+    fn shortest_load(&self, ask: &Ask) -> Option<Duration> {
+        let work = ask.work.as_ref()?;
+        let spec = self.spec(&ask.service)?;
+        let engines = self.endpoints.values().filter(|e| e.info.service == ask.service);
+        engines.map(|engine| engine.load_time(spec, &work.model)).min()
+    }
+
+    fn spec(&self, service: &str) -> Option<&EngineSpec> {
+        self.catalog.services.get(service)?.engine.as_ref()
+    }
+
+    fn pace(&self, model: &str) -> f64 {
+        self.paces.get(model).copied().unwrap_or(1.0)
+    }
+
+    /// Looks for an endpoint and begins the run or the load of an adapter there.
+    fn place(&mut self, key: &GrantKey, ask: &Ask, now: Time) -> Placed {
+        let Some(service) = self.catalog.services.get(&ask.service).cloned() else {
+            return Placed::Nowhere;
+        };
+        let pace = ask.work.as_ref().map_or(1.0, |work| self.pace(&work.model));
+        let (orders, share) = (self.may_order(), self.share());
+        let terms = Terms { service: &service, orders, share, pace, now };
+        let mut best: Option<(Duration, bool, Arc<str>)> = None;
+        let mut full = false;
+        for endpoint in self.endpoints.values() {
+            if self.evacuated.contains(&endpoint.info.data_centre) {
+                continue;
+            }
+            let (cost, ready) = match choice::judge(endpoint, ask, &terms) {
+                Fit::Now(cost) => (cost, true),
+                Fit::Adapter(cost) => (cost, false),
+                Fit::Full => {
+                    full = true;
+                    continue;
+                }
+                Fit::Never => continue,
+            };
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, ready, endpoint.info.id.clone()));
+            }
+        }
+        match best {
+            Some((_, true, id)) => self.begin(key, ask, &service, &id, now),
+            Some((_, false, id)) => {
+                self.want(&id, ask);
+                Placed::Preparing(id)
+            }
+            None if full => Placed::Full,
+            None => self.coming(ask).map_or(Placed::Nowhere, Placed::Loading),
+        }
+    }
+
+    /// Returns when a model that is on its way to an engine will be there.
+    fn coming(&self, ask: &Ask) -> Option<Time> {
+        let work = ask.work.as_ref()?;
+        let spec = self.spec(&ask.service)?;
+        let times = self.endpoints.values().filter(|e| e.info.service == ask.service);
+        let times = times.filter_map(|engine| {
+            let loading = engine.loading.as_ref().filter(|(model, _)| *model == work.model);
+            let swap = engine.swap.as_ref().filter(|swap| swap.load == work.model);
+            let later = swap.map(|swap| swap.since + engine.load_time(spec, &work.model));
+            loading.map(|(_, ready)| *ready).or(later)
+        });
+        times.min()
+    }
+
+    fn want(&mut self, id: &str, ask: &Ask) {
+        let Some(ModelWork { model, adapter: Some(adapter), .. }) = &ask.work else { return };
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.want(model, adapter);
+        }
+    }
+
+    fn begin(
+        &mut self,
+        key: &GrantKey,
+        ask: &Ask,
+        service: &Service,
+        id: &Arc<str>,
+        now: Time,
+    ) -> Placed {
+        let pace = ask.work.as_ref().map_or(1.0, |work| self.pace(&work.model));
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return Placed::Nowhere };
+        // An adapter that was ordered a moment ago is there soon.
+        if let Some(state) = ask.work.as_ref().and_then(|work| endpoint.adapter(work))
+            && state.ready > now
+        {
+            return Placed::Preparing(id.clone());
+        }
+        let grant = Grant {
+            endpoint: id.clone(),
+            address: endpoint.info.address,
+            incarnation: endpoint.info.incarnation,
+        };
+        start(endpoint, key, ask, service, pace, now);
+        self.places.insert(key.clone(), id.clone());
+        Placed::Granted(grant)
+    }
+
+    /// Counts a request that was granted by another scheduler.
+    pub fn adopt(&mut self, key: GrantKey, granted: Granted, now: Time) {
+        let Granted { ask, endpoint: id } = granted;
+        let Some(service) = self.catalog.services.get(&ask.service).cloned() else { return };
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        start(endpoint, &key, &ask, &service, 1.0, now);
+        self.places.insert(key, id);
+    }
+
+    /// Notes that the first event of an answer has come.
+    pub fn first_event(&mut self, key: &GrantKey, now: Time) {
+        let Some(endpoint) = self.places.get(key).and_then(|id| self.endpoints.get_mut(id)) else {
+            return;
+        };
+        let Some(run) = endpoint.running.get_mut(key) else { return };
+        if std::mem::replace(&mut run.started, true) {
+            return;
+        }
+        let work = run.ask.work.clone();
+        let (granted, ahead, reads) = (run.granted, run.ahead, run.reads);
+        endpoint.reached();
+        if let Some(work) = work {
+            let pace = self.paces.entry(work.model.clone()).or_insert(1.0);
+            let own = Duration::from_secs_f64(reads as f64 / 4e4 * *pace * endpoint.slowness);
+            let ratio =
+                now.since(granted).as_secs_f64() / (ahead + own + FIRST_EVENT).as_secs_f64();
+            let ratio = ratio.clamp(0.25, 4.0);
+            *pace = (*pace * ratio.powf(0.06)).clamp(0.2, 3.0);
+            endpoint.slowness = (endpoint.slowness * ratio.powf(0.1)).clamp(0.6, 6.0);
+        }
+        settle_prefill(endpoint, &self.paces, now);
+    }
+
+    /// Takes a waiting request back.
+    pub fn withdraw(&mut self, key: &GrantKey) {
+        if let Some(position) = self.queue.iter().position(|waiting| waiting.key == *key) {
+            let waiting = self.queue.swap_remove(position);
+            self.give_back(&waiting.ask);
+        }
+    }
+
+    /// Notes that a granted request has ended, or that its caller left while it waited.
+    pub fn done(&mut self, key: &GrantKey, outcome: Outcome, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.withdraw(key);
+        self.finish(key, outcome, now);
+        self.pump(now, &mut actions);
+        actions
+    }
+
+    fn finish(&mut self, key: &GrantKey, outcome: Outcome, now: Time) {
+        let Some(id) = self.places.remove(key) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        let alone = endpoint.running.len() == 1;
+        let Some(run) = endpoint.running.remove(key) else { return };
+        let place = run.ask.data_centre.clone();
+        match outcome {
+            Outcome::Whole => {
+                endpoint.reached();
+                endpoint.failures.note(&place, false, now);
+                self.suspects.acquit(run.ask.fingerprint);
+            }
+            Outcome::Failed => endpoint.failures.note(&place, true, now),
+            Outcome::Silent => endpoint.failures.note(&place, true, now),
+            Outcome::Broke => {
+                endpoint.failures.note(&place, true, now);
+                let Incarnation(born) = endpoint.info.incarnation;
+                let crash = CrashId::of(&EndpointId::from(&*id), born, alone);
+                self.suspects.note(run.ask.fingerprint, [crash], now);
+            }
+            Outcome::Unreached => endpoint.unreached(now),
+            Outcome::Full => endpoint.paused = endpoint.paused.max(now + FULL_PAUSE),
+            Outcome::Misplaced => endpoint.misplaced(now),
+            Outcome::Left => {}
+        }
+        settle_prefill(endpoint, &self.paces, now);
+        if matches!(outcome, Outcome::Unreached | Outcome::Full | Outcome::Misplaced) {
+            self.give_back(&run.ask);
+        }
+    }
+
+    /// Forgets all requests of an instance that is gone.
+    pub fn drop_asker(&mut self, asker: &str, now: Time) -> Vec<Action> {
+        self.queue.retain(|waiting| &*waiting.key.asker != asker);
+        let gone: Vec<GrantKey> =
+            self.places.keys().filter(|key| &*key.asker == asker).cloned().collect();
+        for key in gone {
+            self.finish(&key, Outcome::Left, now);
+        }
+        self.tick(now)
+    }
+
+    /// Takes the result of an order in.
+    pub fn order_done(&mut self, id: &str, command: &Command, result: OrderResult, now: Time) {
+        let service = self.endpoints.get(id).map(|endpoint| endpoint.info.service.clone());
+        let spec = service.and_then(|service| self.catalog.services.get(&service).cloned());
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let mut ready = now;
+        if let (Command::Load { model }, Some(spec)) = (command, spec.as_ref()) {
+            if let Some(spec) = &spec.engine {
+                ready = now + endpoint.load_time(spec, model);
+            }
+            if matches!(result, OrderResult::Accepted | OrderResult::Lost)
+                && !endpoint.has_copy(model)
+            {
+                self.loads.push_back(now);
+            }
+        }
+        endpoint.order_done(result, ready, now);
+    }
+
+    /// Takes a report in; `None` where none came.
+    pub fn report_done(&mut self, id: &str, holding: Option<Holding>, now: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.report_done(holding, now);
+        }
+    }
+
+    /// Looks at the queue, the orders and the placement again.
+    pub fn tick(&mut self, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.may_order() && now.since(self.planned) >= PLAN_PERIOD {
+            self.planned = now;
+            self.plan(now);
+        }
+        self.pump(now, &mut actions);
+        actions
+    }
+
+    /// Grants as many waiting requests as fit.
+    fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let mut queue = std::mem::take(&mut self.queue);
+        queue.sort_by_cached_key(|waiting| waiting.rank(now));
+        let mut full: HashSet<(Arc<str>, Option<Arc<str>>)> = HashSet::new();
+        let mut left = Vec::new();
+        for mut waiting in queue {
+            let like = kind(&waiting.ask);
+            if let Some((_, since)) = &waiting.prepared {
+                if now.since(*since) > ADAPTER_PATIENCE {
+                    waiting.prepared = None;
+                }
+            } else if full.contains(&like) {
+                self.keep_or_refuse(waiting, now, &mut left, actions);
+                continue;
+            }
+            match self.place(&waiting.key, &waiting.ask, now) {
+                Placed::Granted(grant) => {
+                    actions.push(Action::Grant(waiting.key, grant));
+                    continue;
+                }
+                Placed::Preparing(endpoint) => {
+                    let since = waiting.prepared.map_or(now, |(_, since)| since);
+                    waiting.prepared = Some((endpoint, since));
+                }
+                Placed::Full | Placed::Loading(_) | Placed::Nowhere => {
+                    waiting.prepared = None;
+                    full.insert(like);
+                }
+            }
+            self.keep_or_refuse(waiting, now, &mut left, actions);
+        }
+        self.queue.append(&mut left);
+        self.orders(now, actions);
+    }
+
+    fn keep_or_refuse(
+        &mut self,
+        waiting: Waiting,
+        now: Time,
+        left: &mut Vec<Waiting>,
+        actions: &mut Vec<Action>,
+    ) {
+        if !waiting.is_overdue(now) {
+            return left.push(waiting);
+        }
+        self.give_back(&waiting.ask);
+        let refusal = Refusal { reason: Reason::NoRoom, retry: RETRY_RANGE.0 * 4 };
+        actions.push(Action::Refuse(waiting.key, refusal));
+    }
+
+    /// Collects the next orders of all engines.
+    fn orders(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if !self.may_order() {
+            return;
+        }
+        let catalog = self.catalog.clone();
+        for endpoint in self.endpoints.values_mut() {
+            let service = catalog.services.get(&endpoint.info.service);
+            let Some(spec) = service.and_then(|service| service.engine.as_ref()) else { continue };
+            let (id, address) = (endpoint.info.id.clone(), endpoint.info.address);
+            match endpoint.next_order(spec, now) {
+                OrderStep::Nothing => {}
+                OrderStep::Report => actions.push(Action::Report { endpoint: id, address }),
+                OrderStep::Send(command, expected) => {
+                    actions.push(Action::Order { endpoint: id, address, command, expected });
+                }
+            }
+        }
+    }
+
+    fn plan(&mut self, now: Time) {
+        let window = self.limits.load_window;
+        while self.loads.front().is_some_and(|at| now.since(*at) > window) {
+            self.loads.pop_front();
+        }
+        let mut waiting: HashMap<Arc<str>, usize> = HashMap::new();
+        for work in self.queue.iter().filter_map(|waiting| waiting.ask.work.as_ref()) {
+            *waiting.entry(work.model.clone()).or_default() += 1;
+        }
+        let services: Vec<Arc<Service>> = self.catalog.services.values().cloned().collect();
+        for service in services {
+            let Some(spec) = &service.engine else { continue };
+            let engines = self.endpoints.values().filter(|e| {
+                e.info.service == service.name && !self.evacuated.contains(&e.info.data_centre)
+            });
+            let engines: Vec<&Endpoint> = engines.collect();
+            let coming = engines.iter().filter(|e| e.loading.is_some() || e.swap.is_some()).count();
+            let window = (spec.loads * window.as_secs_f64()) as usize;
+            let at_once = (spec.loads * LOADS_AT_ONCE) as usize;
+            let loads = window.saturating_sub(self.loads.len()).min(at_once.saturating_sub(coming));
+            let input = PlanInput { spec, demand: &self.demand, waiting: &waiting, loads, now };
+            for (id, swap) in placement::plan(engines.into_iter(), &input) {
+                if let Some(endpoint) = self.endpoints.get_mut(&id) {
+                    endpoint.swap = Some(swap);
+                }
+            }
+        }
+    }
+}
+
+fn same_model(a: &Ask, b: &Ask) -> bool {
+    a.service == b.service && kind(a) == kind(b)
+}
+
+/// Returns what distinguishes requests that any endpoint serves alike.
+fn kind(ask: &Ask) -> (Arc<str>, Option<Arc<str>>) {
+    match &ask.work {
+        Some(work) => (work.model.clone(), work.adapter.clone()),
+        None => (ask.service.clone(), None),
+    }
+}
+
+fn start(
+    endpoint: &mut Endpoint,
+    key: &GrantKey,
+    ask: &Ask,
+    service: &Service,
+    pace: f64,
+    now: Time,
+) {
+    let (mut reads, mut room) = (0, 0);
+    let ahead = endpoint.prefill.since(now);
+    if let (Some(work), Some(spec)) = (&ask.work, &service.engine) {
+        let (tokens, reading) = choice::prefill(endpoint, work, pace);
+        reads = tokens;
+        endpoint.prefill = endpoint.prefill.max(now) + reading;
+        room = spec.memory.saturating_sub(endpoint.reserved());
+    }
+    let run = Run { ask: ask.clone(), granted: now, reads, ahead, started: false };
+    endpoint.begin(key.clone(), run, room, now);
+}
+
+/// Corrects the prefill that an engine still has to do by what has not started.
+fn settle_prefill(endpoint: &mut Endpoint, paces: &HashMap<Arc<str>, f64>, now: Time) {
+    let open = endpoint.running.values().filter(|run| !run.started);
+    let open = open.filter_map(|run| run.ask.work.as_ref().map(|work| (work, run.reads)));
+    let seconds: f64 = open
+        .map(|(work, reads)| reads as f64 / 4e4 * paces.get(&work.model).copied().unwrap_or(1.0))
+        .sum();
+    let left = Duration::from_secs_f64(seconds * endpoint.slowness);
+    endpoint.prefill = endpoint.prefill.min(now + left);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! One binary runs on every entry instance. `kernel` holds the decisions and does no input or
 //! output, `node` connects them to sockets, clocks and the platform's key-value service.
 
+pub mod catalog;
 pub mod cli;
 pub mod clock;
 pub mod codes;
@@ -10,6 +11,7 @@
 pub mod demo;
 pub mod endpoint;
 pub mod events;
+pub mod gateway;
 pub mod http;
 pub mod kernel;
 pub mod measure;
--- /dev/null
+++ b/src/platform/catalog.rs
@@ -0,0 +1,243 @@
+//! Decodes the operators' document of the platform's store.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use serde::Deserialize;
+
+use crate::catalog::{CallerLimits, Catalog, EngineSpec, ModelSpec, Repeat, Route, Service, Team};
+
+/// Key of the newest document.
+pub const DOCUMENT: &str = "op/config";
+
+/// Prefix of the operators' keys.
+pub const OPERATOR_PREFIX: &str = "op/";
+
+/// Prefix of the keys that take a data centre out of service.
+pub const EVACUATE_PREFIX: &str = "op/evacuate/";
+
+/// Attempts of a route that names none.
+const DEFAULT_ATTEMPTS: u32 = 1;
+
+/// Why a document cannot be used.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum DocumentError {
+    /// The text is not of the expected shape.
+    #[error("cannot read the operators' document: {0}")]
+    Parse(#[from] serde_json::Error),
+    /// A route's type is not known.
+    #[error("route {route} has the unknown type {kind}")]
+    Kind {
+        /// The route.
+        route: String,
+        /// Its type.
+        kind: String,
+    },
+}
+
+#[derive(Deserialize)]
+struct RawDocument {
+    version: u64,
+    #[serde(default)]
+    routes: Vec<RawRoute>,
+    #[serde(default)]
+    services: Vec<RawService>,
+    #[serde(default)]
+    tenants: Vec<RawTenant>,
+    #[serde(default)]
+    limits: Option<RawLimits>,
+}
+
+#[derive(Deserialize)]
+struct RawRoute {
+    name: String,
+    host: String,
+    path_prefix: String,
+    #[serde(rename = "type")]
+    kind: String,
+    #[serde(default)]
+    timeout_ms: f64,
+    #[serde(default)]
+    target_latency_ms: f64,
+    #[serde(default)]
+    priority: u8,
+    #[serde(default)]
+    service: Option<String>,
+    #[serde(default)]
+    split: Vec<RawSplit>,
+    #[serde(default)]
+    max_attempts: Option<u32>,
+    #[serde(default)]
+    public: bool,
+    #[serde(default)]
+    resumable: bool,
+}
+
+#[derive(Deserialize)]
+struct RawSplit {
+    service: String,
+    #[serde(default)]
+    weight: f64,
+}
+
+#[derive(Deserialize)]
+struct RawService {
+    name: String,
+    #[serde(default)]
+    cold_per_s: f64,
+    #[serde(default)]
+    engine: Option<RawEngine>,
+}
+
+#[derive(Deserialize)]
+struct RawEngine {
+    slots: u32,
+    kv_capacity_tokens: f64,
+    weights_mb: f64,
+    #[serde(default)]
+    adapter_slots: u32,
+    #[serde(default)]
+    loads_per_s: f64,
+    #[serde(default)]
+    models: Vec<RawModel>,
+}
+
+#[derive(Deserialize)]
+struct RawModel {
+    name: String,
+    weights_mb: f64,
+    load_s: f64,
+    #[serde(default)]
+    disk_s: Option<f64>,
+    #[serde(default)]
+    warm_s: Option<f64>,
+    #[serde(default)]
+    adapter_mb: f64,
+}
+
+#[derive(Deserialize)]
+struct RawTenant {
+    name: String,
+    #[serde(default)]
+    api_keys: Vec<String>,
+    #[serde(default)]
+    priority: Option<u8>,
+    #[serde(default)]
+    plain_tokens: u64,
+    #[serde(default)]
+    rate_per_s: f64,
+    #[serde(default)]
+    burst: f64,
+}
+
+#[derive(Deserialize)]
+struct RawLimits {
+    max_header_bytes: usize,
+    max_body_bytes: usize,
+    header_timeout_ms: f64,
+    idle_timeout_ms: f64,
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64((ms / 1_000.0).max(0.0))
+}
+
+/// Decodes a document.
+pub fn decode(text: &[u8]) -> Result<Catalog, DocumentError> {
+    let raw: RawDocument = serde_json::from_slice(text)?;
+    let mut routes: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+    for raw in raw.routes {
+        let host = Arc::from(raw.host.to_ascii_lowercase());
+        routes.entry(host).or_default().push(Arc::new(route(raw)?));
+    }
+    for list in routes.values_mut() {
+        list.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+    }
+    let services = raw.services.into_iter().map(service);
+    let keyed = !raw.tenants.is_empty();
+    let mut keys = HashMap::new();
+    for raw in raw.tenants {
+        let names = raw.api_keys.clone();
+        let team = Arc::new(team(raw));
+        keys.extend(names.into_iter().map(|key| (Arc::from(key), team.clone())));
+    }
+    Ok(Catalog {
+        version: raw.version,
+        routes,
+        services: services.map(|service| (service.name.clone(), Arc::new(service))).collect(),
+        keys,
+        keyed,
+        limits: raw.limits.map(limits).unwrap_or_default(),
+    })
+}
+
+fn route(raw: RawRoute) -> Result<Route, DocumentError> {
+    let repeat = match raw.kind.as_str() {
+        "idempotent" => Repeat::Idempotent,
+        "non_idempotent" => Repeat::Once,
+        "streaming" => Repeat::Stream { resumable: raw.resumable },
+        kind => return Err(DocumentError::Kind { route: raw.name, kind: kind.to_owned() }),
+    };
+    // Weights may be fractions; thousandths keep their ratios.
+    let split = raw.split.iter().map(|s| (Arc::from(&*s.service), (s.weight * 1e3) as u32));
+    let mut targets: Vec<(Arc<str>, u32)> = split.collect();
+    targets.extend(raw.service.map(|service| (Arc::from(service), 1)));
+    Ok(Route {
+        name: raw.name.into(),
+        prefix: raw.path_prefix.into(),
+        targets,
+        repeat,
+        timeout: millis(raw.timeout_ms),
+        goal: millis(raw.target_latency_ms),
+        priority: raw.priority,
+        attempts: raw.max_attempts.unwrap_or(DEFAULT_ATTEMPTS).max(1),
+        open: raw.public,
+    })
+}
+
+fn service(raw: RawService) -> Service {
+    Service {
+        name: raw.name.into(),
+        cold_rate: raw.cold_per_s,
+        engine: raw.engine.map(|engine| EngineSpec {
+            slots: engine.slots,
+            memory: engine.kv_capacity_tokens as u64,
+            weights: engine.weights_mb,
+            adapters: engine.adapter_slots,
+            loads: engine.loads_per_s,
+            models: engine.models.into_iter().map(model).collect(),
+        }),
+    }
+}
+
+fn model(raw: RawModel) -> (Arc<str>, ModelSpec) {
+    let load = Duration::from_secs_f64(raw.load_s.max(0.0));
+    let shorter = |s: Option<f64>| s.map_or(load, |s| Duration::from_secs_f64(s.max(0.0)));
+    let spec = ModelSpec {
+        weights: raw.weights_mb,
+        adapter: raw.adapter_mb,
+        load,
+        disk: shorter(raw.disk_s),
+        warm: shorter(raw.warm_s),
+    };
+    (raw.name.into(), spec)
+}
+
+fn team(raw: RawTenant) -> Team {
+    Team {
+        name: raw.name.into(),
+        rate: raw.rate_per_s,
+        burst: raw.burst,
+        priority: raw.priority,
+        plain: raw.plain_tokens,
+    }
+}
+
+fn limits(raw: RawLimits) -> CallerLimits {
+    CallerLimits {
+        headers: raw.max_header_bytes,
+        body: raw.max_body_bytes,
+        header_time: millis(raw.header_timeout_ms),
+        idle: millis(raw.idle_timeout_ms),
+    }
+}
