--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -479,9 +479,6 @@
     /// Time for which it bears little, in milliseconds.
     #[prost(uint64, tag = "8")]
     pub cold_ms: u64,
-    /// Orders that it has taken.
-    #[prost(uint64, tag = "9")]
-    pub orders: u64,
     /// Models.
     #[prost(message, repeated, tag = "10")]
     pub models: Vec<ModelFrame>,
@@ -529,7 +526,6 @@
             // An endpoint that is removed at short notice takes no new work either.
             draining: info.draining || info.leaves.is_some(),
             cold_ms: info.cold.as_millis() as u64,
-            orders: info.orders,
             models: models.collect(),
             in_memory: strings(&info.in_memory),
             on_disk: strings(&info.on_disk),
@@ -551,7 +547,6 @@
             draining: self.draining,
             leaves: None,
             cold: Duration::from_millis(self.cold_ms),
-            orders: self.orders,
             models: models.collect(),
             in_memory: names(self.in_memory),
             on_disk: names(self.on_disk),
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -38,9 +38,7 @@
     pub leaves: Option<Duration>,
     /// Time for which it bears little, counted from the writing of the entry.
     pub cold: Duration,
-    /// Orders that it has taken since its start.
-    pub orders: u64,
-    /// Models that it holds, with their adapters.
+    /// Models that it holds, with the adapters that it held when the entry was written.
     pub models: Vec<(Arc<str>, Vec<Arc<str>>)>,
     /// Models of which it has a copy in host memory.
     pub in_memory: Vec<Arc<str>>,
@@ -128,6 +126,9 @@
 /// Time within which a cold endpoint's rate is counted.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
+/// Time for which an entry may still show a model that was dropped.
+const ENTRY_LAG: Duration = Duration::from_millis(1_500);
+
 /// First pause after an endpoint could not be reached; it doubles with each further failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 
@@ -153,7 +154,10 @@
     pub(super) failures: Failures,
     pub(super) models: HashMap<Arc<str>, Resident>,
     pub(super) loading: Option<(Arc<str>, Time)>,
+    /// Orders that it has taken since its start, as of the last report or answer.
     pub(super) orders: u64,
+    /// Models that were dropped by an order, with the time.
+    dropped: HashMap<Arc<str>, Time>,
     pub(super) seen: bool,
     pub(super) cache: PromptCache,
     pub(super) prefill: Time,
@@ -178,7 +182,8 @@
             failures: Failures::default(),
             models: HashMap::new(),
             loading: None,
-            orders: info.orders,
+            orders: 0,
+            dropped: HashMap::new(),
             seen: false,
             cache: PromptCache::default(),
             prefill: Time::default(),
@@ -201,20 +206,11 @@
         }
         self.gone = info.leaves.map(|left| now + left).or(self.gone);
         self.entry = info.clone();
-        let newer = info.orders >= self.orders;
-        let known = std::mem::replace(&mut self.info, info);
-        if newer {
-            self.orders = self.info.orders;
-            self.take_models(now);
-        } else {
-            self.info.orders = known.orders;
-            self.info.models = known.models;
-        }
+        self.info = info;
+        self.take_models(now);
     }
 
     /// Returns what is known of it, for instances that do not read the store.
-    ///
-    /// The time for which it is cold is rounded up, so that it does not change with every look.
     pub fn snapshot(&self, now: Time) -> Registration {
         let models = self.models.iter().filter(|(model, _)| self.holds(model));
         let mut models: Vec<(Arc<str>, Vec<Arc<str>>)> = models
@@ -226,24 +222,26 @@
             .collect();
         models.sort();
         let cold = if self.is_cold(now) { self.info.cold } else { Duration::ZERO };
-        Registration { models, orders: self.orders, cold, ..self.info.clone() }
+        Registration { models, cold, ..self.info.clone() }
     }
 
-    /// Makes the models of the entry the resident ones and keeps what is known of their adapters.
+    /// Makes the models of the entry the resident ones.
+    ///
+    /// The entry's adapters count only before the first report, since no entry is written when they
+    /// change. A model that was dropped a moment ago may still stand in the entry.
     fn take_models(&mut self, now: Time) {
-        let listed: HashSet<Arc<str>> =
-            self.info.models.iter().map(|(model, _)| model.clone()).collect();
-        let lost: Vec<Arc<str>> =
-            self.models.keys().filter(|model| !listed.contains(*model)).cloned().collect();
-        for model in lost {
-            self.models.remove(&model);
-            self.cache.drop_model(&model);
-        }
-        for (model, adapters) in self.info.models.clone() {
+        let dropped = |model: &Arc<str>| {
+            self.dropped.get(model).is_some_and(|at| now.since(*at) < ENTRY_LAG)
+        };
+        let listed = self.info.models.iter().filter(|(model, _)| !dropped(model));
+        let listed: Vec<(Arc<str>, Vec<Arc<str>>)> = listed.cloned().collect();
+        self.keep_models(&listed);
+        for (model, adapters) in listed {
+            let fresh = !self.models.contains_key(&model);
             let resident = self.models.entry(model.clone()).or_default();
-            for adapter in adapters {
-                let state = AdapterState { ready: now, used: Time::default() };
-                resident.adapters.entry(adapter).or_insert(state);
+            if !self.seen || fresh {
+                let ready = AdapterState { ready: now, used: Time::default() };
+                resident.adapters.extend(adapters.into_iter().map(|adapter| (adapter, ready)));
             }
             if self.loading.as_ref().is_some_and(|(loading, _)| *loading == model) {
                 self.loading = None;
@@ -251,28 +249,36 @@
         }
     }
 
+    /// Drops the models that are not listed.
+    fn keep_models(&mut self, listed: &[(Arc<str>, Vec<Arc<str>>)]) {
+        let is_listed = |model: &Arc<str>| listed.iter().any(|(name, _)| name == model);
+        let lost = self.models.keys().filter(|model| !is_listed(model)).cloned();
+        for model in lost.collect::<Vec<_>>() {
+            self.models.remove(&model);
+            self.cache.drop_model(&model);
+        }
+    }
+
+    /// Notes that a model was dropped by an order.
+    pub(super) fn drop_model(&mut self, model: &Arc<str>, now: Time) {
+        self.models.remove(model);
+        self.cache.drop_model(model);
+        self.dropped.insert(model.clone(), now);
+    }
+
     /// Takes a report over, which is exact as of the orders that it names.
     pub(super) fn take_report(&mut self, holding: Holding, now: Time) {
-        if holding.orders < self.orders {
-            return;
-        }
         self.seen = true;
         self.orders = holding.orders;
-        self.info.orders = holding.orders;
-        self.info.models = holding.models;
-        self.take_models(now);
-        for (model, resident) in &mut self.models {
-            let listed = self.info.models.iter().find(|(name, _)| name == model);
-            let coming =
-                |adapter: &Arc<str>| holding.coming.iter().any(|(m, a)| m == model && a == adapter);
-            let there = |adapter: &Arc<str>| {
-                listed.is_some_and(|(_, adapters)| adapters.contains(adapter)) || coming(adapter)
-            };
-            resident.adapters.retain(|adapter, _| there(adapter));
-        }
-        for (model, adapter) in holding.coming {
-            if let Some(resident) = self.models.get_mut(&model) {
-                let state = AdapterState { ready: now, used: now };
+        self.keep_models(&holding.models);
+        for (model, adapters) in holding.models {
+            let coming = holding.coming.iter().filter(|(name, _)| *name == model);
+            let there: HashSet<Arc<str>> =
+                adapters.into_iter().chain(coming.map(|(_, adapter)| adapter.clone())).collect();
+            let resident = self.models.entry(model).or_default();
+            resident.adapters.retain(|adapter, _| there.contains(adapter));
+            for adapter in there {
+                let state = AdapterState { ready: now, used: Time::default() };
                 resident.adapters.entry(adapter).or_insert(state);
             }
         }
--- a/src/kernel/grants/orders.rs
+++ b/src/kernel/grants/orders.rs
@@ -214,8 +214,7 @@
                 self.swap = None;
             }
             Command::Unload { model } => {
-                self.models.remove(model);
-                self.cache.drop_model(model);
+                self.drop_model(model, now);
             }
             Command::LoadAdapter { model, adapter } => {
                 let state = AdapterState { ready: now + ADAPTER_TIME, used: now };
@@ -246,7 +245,6 @@
         }
         self.lane.foreign = holding.busy && self.loading.is_none();
         self.lane.unsure = false;
-        self.orders = self.orders.min(holding.orders);
         self.take_report(holding, now);
     }
 }
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -9,6 +9,8 @@
 /// Prefix of the endpoints' keys.
 pub const ENDPOINT_PREFIX: &str = "servers/";
 
+/// An entry as written. Its `seq` counts heartbeats, not orders as that of a report does, and is
+/// left out.
 #[derive(Deserialize)]
 struct RawEntry {
     service: String,
@@ -20,8 +22,6 @@
     #[serde(default)]
     cold_remaining_ms: f64,
     #[serde(default)]
-    seq: u64,
-    #[serde(default)]
     born: u64,
     /// Set where the endpoint is removed at short notice: time until it is gone.
     #[serde(default)]
@@ -81,7 +81,6 @@
         draining,
         leaves: raw.remaining_ms.map(|ms| Duration::from_secs_f64((ms / 1e3).max(0.0))),
         cold: Duration::from_secs_f64((raw.cold_remaining_ms / 1e3).max(0.0)),
-        orders: raw.seq,
         models: raw.models.into_iter().map(RawModel::split).collect(),
         in_memory: names(raw.at_hand.in_memory),
         on_disk: names(raw.at_hand.on_disk),
