--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -386,6 +386,7 @@
 
     /// Keeps a connection on which a whole answer was read, unless the endpoint closes it.
     pub(super) fn keep(&self, connection: Connection, headers: &HeaderMap, head: &AnswerHead) {
+        log::debug!("event=keep time={:?}", head.keep);
         let closes = headers.get(http::header::CONNECTION);
         if closes.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
             return;
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -108,6 +108,7 @@
         let shaken = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = shaken.map_err(|err| SendError::NotSent(err.to_string()))?;
         metrics::counter!("cardamomshore_connections_opened_total").increment(1);
+        log::debug!("event=connection_opened address={address}");
         let task = tokio::spawn(async move {
             if let Err(err) = driver.await {
                 log::debug!("event=connection_ended address={address} reason={err}");
--- a/src/kernel/grants/orders.rs
+++ b/src/kernel/grants/orders.rs
@@ -9,6 +9,9 @@
 use super::{Command, Endpoint, Holding, endpoint::AdapterState};
 use crate::{catalog::EngineSpec, clock::Time};
 
+/// Time that a model takes to be dropped.
+const UNLOAD_TIME: Duration = Duration::from_millis(30);
+
 /// Time after which an adapter that was ordered can be used.
 const ADAPTER_TIME: Duration = Duration::from_millis(12);
 
@@ -61,6 +64,8 @@
     /// Adapters that waiting requests need.
     pub(super) wants: VecDeque<(Arc<str>, Arc<str>)>,
     unsure: bool,
+    /// Conflicts since the last other result.
+    conflicts: u32,
     /// Whether a report showed an order under way that this scheduler did not give.
     foreign: bool,
     next: Time,
@@ -75,8 +80,13 @@
 }
 
 impl Endpoint {
-    /// Returns whether one more adapter fits, after dropping one that is not in use if need be.
+    /// Returns whether one more adapter can be loaded, after dropping one that is not in use if need be.
+    ///
+    /// An engine takes no order while it loads a model.
     pub(super) fn makes_room(&self, spec: &EngineSpec) -> bool {
+        if self.loading.is_some() {
+            return false;
+        }
         let wanted = self.lane.wants.len();
         self.adapters() + wanted < spec.adapters as usize || self.oldest_adapter().is_some()
     }
@@ -139,6 +149,9 @@
     }
 
     fn next_adapter(&mut self, spec: &EngineSpec) -> Option<Command> {
+        if self.loading.is_some() {
+            return None;
+        }
         while let Some((model, adapter)) = self.lane.wants.front().cloned() {
             let resident = self.models.get(&model);
             if resident.is_none_or(|resident| resident.adapters.contains_key(&adapter)) {
@@ -180,6 +193,9 @@
     /// Takes the result of an order in; `ready` is when a load should have ended.
     pub fn order_done(&mut self, result: OrderResult, ready: Time, now: Time) {
         let Some((command, _)) = self.lane.pending.take() else { return };
+        if result != OrderResult::Conflict {
+            self.lane.conflicts = 0;
+        }
         match result {
             OrderResult::Accepted => self.accepted(&command, ready, now),
             // Dropping an adapter takes no time, so that its order holds at once.
@@ -188,7 +204,9 @@
             }
             OrderResult::Holds => self.lane.unsure = true,
             OrderResult::Conflict => {
-                self.lane.unsure = true;
+                // Most often the order before is still under way; only a second one is a doubt.
+                self.lane.unsure = self.lane.conflicts > 0;
+                self.lane.conflicts += 1;
                 self.lane.next = now + CONFLICT_WAIT;
             }
             OrderResult::Lost => {
@@ -215,6 +233,7 @@
             }
             Command::Unload { model } => {
                 self.drop_model(model, now);
+                self.lane.next = now + UNLOAD_TIME;
             }
             Command::LoadAdapter { model, adapter } => {
                 let state = AdapterState { ready: now + ADAPTER_TIME, used: now };
