Divide limits by the recorded size of the fleet, and take the own leadership back after a restart

The leader now records the fleet's size, and an instance renews a record in its own name under a condition.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -86,7 +86,7 @@
             store: Store::new(settings.store, settings.store_limit()),
             catalog: ArcSwapOption::empty(),
             operator: Mutex::default(),
-            scheduler: Mutex::new(Scheduler::new(settings.grant_limits(), alone)),
+            scheduler: Mutex::new(Scheduler::new(settings.grant_limits(), alone, Time::now())),
             requests: grants::Requests::default(),
             leadership: leader::Leadership::default(),
             uplink: link::Uplink::default(),
@@ -111,6 +111,7 @@
         tokio::spawn(registry::run(self.clone()));
         tokio::spawn(leader::watch(self.clone()));
         tokio::spawn(leader::campaign(self.clone()));
+        tokio::spawn(leader::record_size(self.clone()));
         tokio::spawn(link::run(self.clone()));
         tokio::spawn(peers::run(self.clone(), peers));
         tokio::spawn(grants::keep_looking(self.clone()));
@@ -139,8 +140,7 @@
             let orders = self.leadership.may_order(now) && !self.shutdown.has_begun();
             return Mode::Leading { orders };
         }
-        let others = self.members.load().list.len().max(1);
-        Mode::Alone { share: 1.0 / others as f64 }
+        Mode::Alone { share: 1.0 / self.instances() as f64 }
     }
 }
 
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -39,7 +39,7 @@
 const KEEP_TIME: Duration = Duration::from_secs(4);
 
 /// Part of an endpoint's own limit for idle connections that is used.
-const KEEP_PART: f64 = 0.6;
+const KEEP_PART: f64 = 0.9;
 
 /// Largest answer that is gathered, in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
@@ -386,7 +386,6 @@
 
     /// Keeps a connection on which a whole answer was read, unless the endpoint closes it.
     pub(super) fn keep(&self, connection: Connection, headers: &HeaderMap, head: &AnswerHead) {
-        log::debug!("event=keep time={:?}", head.keep);
         let closes = headers.get(http::header::CONNECTION);
         if closes.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close")) {
             return;
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -134,7 +134,7 @@
         }
         let actions = {
             let mut scheduler = self.scheduler.lock();
-            scheduler.set_mode(self.choose_mode());
+            scheduler.set_mode(self.choose_mode(), now);
             scheduler.ask(self.key(number), ask, now)
         };
         self.carry_out(actions);
@@ -243,7 +243,7 @@
         for (number, ask) in waiting {
             let actions = {
                 let mut scheduler = self.scheduler.lock();
-                scheduler.set_mode(self.choose_mode());
+                scheduler.set_mode(self.choose_mode(), now);
                 scheduler.withdraw(&self.key(number));
                 scheduler.ask(self.key(number), ask, now)
             };
@@ -253,11 +253,12 @@
 
     /// Looks at the queue, the orders and the placement.
     pub(super) fn look(self: &Arc<Self>) {
+        let now = Time::now();
         let mode = self.choose_mode();
         let actions = {
             let mut scheduler = self.scheduler.lock();
-            scheduler.set_mode(mode);
-            scheduler.tick(Time::now())
+            scheduler.set_mode(mode, now);
+            scheduler.tick(now)
         };
         self.carry_out(actions);
     }
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -21,6 +21,10 @@
 /// Record of the instance that led last, which stays.
 const LAST_KEY: &str = "cardamomshore/last-leader";
 
+/// Record of the size of the fleet, which stays, so that an instance that starts while there is no
+/// leader knows its part of the limits.
+const SIZE_KEY: &str = "cardamomshore/size";
+
 /// Length of the leader's lease.
 const LEASE_TTL: Duration = Duration::from_millis(2_000);
 
@@ -45,6 +49,12 @@
 /// Time by which orders begin later than the platform demands.
 const ORDER_MARGIN: Duration = Duration::from_millis(150);
 
+/// Time between two looks at the size of the fleet.
+const SIZE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Looks after which a smaller size is recorded.
+const SMALLER_LOOKS: u32 = 60;
+
 /// The leader as the store names it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leader {
@@ -77,6 +87,9 @@
 struct State {
     known: Option<Leader>,
     last: Option<Arc<str>>,
+    size: usize,
+    /// Revision of the leader's record; zero where there is none.
+    revision: u64,
     /// Whether the records were read since the last error.
     fresh: bool,
     held: Option<Held>,
@@ -115,10 +128,15 @@
         held.is_some_and(|held| held.is_valid(now) && now >= held.orders)
     }
 
+    /// Returns the recorded size of the fleet; zero where none is known.
+    pub fn size(&self) -> usize {
+        self.state.lock().size
+    }
+
     fn set_record(&self, item: Option<&Item>, own: &str) {
         let leader = item.and_then(|item| {
             let raw: RawLeader = serde_json::from_slice(&item.value).ok()?;
-            let term = item.created;
+            let term = item.revision;
             Some(Leader { instance: raw.instance.into(), address: raw.address, term })
         });
         let mut state = self.state.lock();
@@ -135,6 +153,7 @@
             state.held = None;
         }
         state.known = leader;
+        state.revision = item.map_or(0, |item| item.revision);
     }
 
     fn step_down(&self, reason: &str) {
@@ -142,7 +161,7 @@
         if let Some(held) = state.held.take() {
             log::warn!("event=leadership_lost term={} reason={reason}", held.term);
             state.known = None;
-            state.fresh = false;
+            state.revision = 0;
         }
     }
 }
@@ -172,6 +191,7 @@
     {
         let mut state = gateway.leadership.state.lock();
         state.last = find(LAST_KEY).map(last_holder);
+        state.size = find(SIZE_KEY).map_or(0, size);
         state.fresh = true;
     }
     let mut revision = page.revision;
@@ -190,6 +210,13 @@
     String::from_utf8_lossy(&item.value).as_ref().into()
 }
 
+fn size(item: &Item) -> usize {
+    String::from_utf8_lossy(&item.value).parse().unwrap_or_else(|err| {
+        log::warn!("event=size_unreadable reason={err}");
+        0
+    })
+}
+
 fn note(gateway: &Gateway, event: &Event) {
     let own = &*gateway.settings.instance;
     match event {
@@ -199,6 +226,9 @@
         Event::Put(item) if item.key == LAST_KEY => {
             gateway.leadership.state.lock().last = Some(last_holder(item));
         }
+        Event::Put(item) if item.key == SIZE_KEY => {
+            gateway.leadership.state.lock().size = size(item);
+        }
         Event::Removed(key) if key == LEADER_KEY => gateway.leadership.set_record(None, own),
         Event::Put(_) | Event::Removed(_) => {}
     }
@@ -207,7 +237,8 @@
 /// What the campaign does next.
 enum Step {
     Renew(Held),
-    Stand,
+    /// Write the record of the leader, which has this revision.
+    Stand(u64),
     Wait,
 }
 
@@ -216,7 +247,7 @@
     loop {
         match next_step(&gateway) {
             Step::Renew(held) => renew(&gateway, held).await,
-            Step::Stand => stand(&gateway).await,
+            Step::Stand(_) => stand(&gateway).await,
             Step::Wait => {}
         }
         sleep(LOOK_PERIOD).await;
@@ -230,8 +261,12 @@
         Some(held) if now.since(held.renewed) >= RENEW_PERIOD => Step::Renew(*held),
         Some(_) => Step::Wait,
         None if gateway.shutdown.has_begun() => Step::Wait,
-        None if state.known.is_none() && state.fresh => Step::Stand,
-        None => Step::Wait,
+        None if !state.fresh => Step::Wait,
+        // A record of this instance that it does not hold is from before its restart.
+        None => match &state.known {
+            Some(leader) if !gateway.is_self(&leader.instance) => Step::Wait,
+            _ => Step::Stand(state.revision),
+        },
     }
 }
 
@@ -255,17 +290,14 @@
 async fn stand(gateway: &Gateway) {
     let wait = rand::random_range(0..CANDIDATE_WAIT_MS);
     sleep(Duration::from_millis(wait)).await;
-    if !matches!(next_step(gateway), Step::Stand) {
-        return;
-    }
-    if let Err(err) = try_stand(gateway).await {
+    let Step::Stand(revision) = next_step(gateway) else { return };
+    if let Err(err) = try_stand(gateway, revision).await {
         log::info!("event=candidacy_failed reason={err}");
-        gateway.leadership.state.lock().fresh = false;
         sleep(ERROR_WAIT).await;
     }
 }
 
-async fn try_stand(gateway: &Gateway) -> Result<(), StoreError> {
+async fn try_stand(gateway: &Gateway, revision: u64) -> Result<(), StoreError> {
     let settings = &gateway.settings;
     let sent = Time::now();
     let lease = gateway.store.grant(LEASE_TTL).await?;
@@ -275,7 +307,7 @@
         Put { key: LEADER_KEY, value: &value, lease },
         Put { key: LAST_KEY, value: settings.instance.as_bytes(), lease: 0 },
     ];
-    match gateway.store.put_if(LEADER_KEY, 0, &puts).await? {
+    match gateway.store.put_if(LEADER_KEY, revision, &puts).await? {
         Written::Done(term) => {
             let now = Time::now();
             let mut state = gateway.leadership.state.lock();
@@ -285,10 +317,15 @@
             state.held = Some(Held { lease, term, renewed: sent, orders: now + wait });
             state.known =
                 Some(Leader { instance: settings.instance.clone(), address: settings.peer, term });
+            state.revision = term;
             state.last = Some(settings.instance.clone());
             log::info!("event=leading term={term} orders_in_ms={}", wait.as_millis());
         }
-        Written::Conflict | Written::NoLease => log::info!("event=candidacy_lost"),
+        Written::Conflict | Written::NoLease => {
+            log::info!("event=candidacy_lost");
+            // The watch brings the record of the one that won.
+            sleep(ERROR_WAIT).await;
+        }
     }
     Ok(())
 }
@@ -302,3 +339,25 @@
         Err(err) => log::warn!("event=resign_failed term={} reason={err}", held.term),
     }
 }
+
+/// Records the size of the fleet where it has grown, or has shrunk for long.
+pub async fn record_size(gateway: Arc<Gateway>) {
+    let mut smaller = 0;
+    loop {
+        sleep(SIZE_PERIOD).await;
+        let (seen, recorded) = (gateway.members.load().list.len(), gateway.leadership.size());
+        smaller = if seen < recorded { smaller + 1 } else { 0 };
+        let changed = seen > recorded || smaller >= SMALLER_LOOKS;
+        if !gateway.leadership.is_held(Time::now()) || !changed || seen == 0 {
+            continue;
+        }
+        let value = seen.to_string();
+        let put = Put { key: SIZE_KEY, value: value.as_bytes(), lease: 0 };
+        let revision = gateway.leadership.state.lock().revision;
+        match gateway.store.put_if(LEADER_KEY, revision, &[put]).await {
+            Ok(Written::Done(_)) => gateway.leadership.state.lock().size = seen,
+            Ok(written) => log::info!("event=size_not_recorded size={seen} answer={written:?}"),
+            Err(err) => log::info!("event=size_not_recorded size={seen} reason={err}"),
+        }
+    }
+}
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -43,7 +43,21 @@
     }
 }
 
+/// Instances that are assumed before the fleet's size is known.
+const UNKNOWN_SIZE: usize = 64;
+
 impl Gateway {
+    /// Returns the size of the fleet, by which an instance that decides alone divides the limits.
+    ///
+    /// Instances that are gone count until the leader records a smaller size.
+    pub(super) fn instances(&self) -> usize {
+        let recorded = self.leadership.size();
+        match recorded.max(self.members.load().list.len()) {
+            0 => UNKNOWN_SIZE,
+            size => size,
+        }
+    }
+
     /// Returns this instance as a member.
     pub(super) fn own_member(&self) -> Member {
         Member { instance: self.settings.instance.clone(), callers: self.settings.callers }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -159,7 +159,7 @@
             let mode = gateway.choose_mode();
             let actions = {
                 let mut scheduler = gateway.scheduler.lock();
-                scheduler.set_mode(mode);
+                scheduler.set_mode(mode, now);
                 scheduler.ask(key, frame.ask(now), now)
             };
             gateway.carry_out(actions);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -38,6 +38,7 @@
     repeat_slack: f64,
     repeat_window_s: f64,
     load_window_s: f64,
+    rate_slack: f64,
     order_gap_ms: f64,
     stop_s: f64,
     address_ttl_s: f64,
@@ -66,6 +67,8 @@
     pub repeats: RepeatLimits,
     /// Window over which loads from the weight store are counted.
     pub load_window: Duration,
+    /// Tokens beyond its rate and burst that a team may use in a window.
+    pub rate_slack: f64,
     /// Least time between the orders of two leaders to one engine.
     pub order_gap: Duration,
     /// Time from the signal to stop to the end of the process.
@@ -92,7 +95,8 @@
 
     /// Returns the limits of the scheduler.
     pub fn grant_limits(&self) -> Limits {
-        Limits { repeats: self.repeats, load_window: self.load_window }
+        let Self { repeats, load_window, rate_slack, .. } = *self;
+        Limits { repeats, load_window, rate_slack }
     }
 
     /// Returns the longest time for a call to the store.
@@ -124,6 +128,7 @@
                 window: seconds("limits.repeat_window_s", limits.repeat_window_s)?,
             },
             load_window: seconds("limits.load_window_s", limits.load_window_s)?,
+            rate_slack: positive("limits.rate_slack", limits.rate_slack)?,
             order_gap: seconds("limits.order_gap_ms", limits.order_gap_ms / 1e3)?,
             stop: seconds("limits.stop_s", limits.stop_s)?,
             address_ttl: seconds("limits.address_ttl_s", limits.address_ttl_s)?,
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -24,6 +24,6 @@
     failures::Failures,
     orders::{OrderResult, OrderStep},
     placement::{Demand, PlanInput, Swap, plan},
-    rate::Bucket,
+    rate::{Bucket, Portion},
     scheduler::{Limits, Mode, Scheduler},
 };
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Action, Ask, Bucket, Command, Demand, Endpoint, Grant, GrantKey, Granted, Holding, Incarnation,
-    ModelWork, OrderResult, OrderStep, Outcome, PlanInput, Reason, Refusal, Registration,
+    ModelWork, OrderResult, OrderStep, Outcome, PlanInput, Portion, Reason, Refusal, Registration,
     RepeatBudget, RepeatLimits, choice,
     choice::{Fit, Terms},
     endpoint::Run,
@@ -16,7 +16,7 @@
     queue::Waiting,
 };
 use crate::{
-    catalog::{Catalog, EngineSpec, Service},
+    catalog::{Catalog, EngineSpec, Service, Team},
     clock::Time,
     kernel::suspect::{CrashId, Suspects, Verdict},
     names::EndpointId,
@@ -74,6 +74,8 @@
     pub repeats: RepeatLimits,
     /// Window over which loads from the weight store are counted.
     pub load_window: Duration,
+    /// Tokens beyond its rate and burst that a team may use in a window.
+    pub rate_slack: f64,
 }
 
 /// Decides which request goes to which endpoint.
@@ -92,6 +94,7 @@
     paces: HashMap<Arc<str>, f64>,
     loads: VecDeque<Time>,
     planned: Time,
+    begun: Time,
 }
 
 /// What became of a request that looked for an endpoint.
@@ -108,7 +111,7 @@
 
 impl Scheduler {
     /// Creates a scheduler that knows nothing.
-    pub fn new(limits: Limits, mode: Mode) -> Self {
+    pub fn new(limits: Limits, mode: Mode, now: Time) -> Self {
         Self {
             mode,
             limits,
@@ -124,11 +127,19 @@
             paces: HashMap::new(),
             loads: VecDeque::new(),
             planned: Time::default(),
+            begun: now,
         }
     }
 
     /// Changes what the scheduler may do.
-    pub fn set_mode(&mut self, mode: Mode) {
+    ///
+    /// A scheduler that begins or ends to decide for the fleet knows nothing of what teams used.
+    pub fn set_mode(&mut self, mode: Mode, now: Time) {
+        let led = matches!(self.mode, Mode::Leading { .. });
+        if led != matches!(mode, Mode::Leading { .. }) {
+            self.buckets.clear();
+            self.begun = now;
+        }
         self.mode = mode;
     }
 
@@ -206,13 +217,15 @@
         let limits = self.limits.repeats;
         let budget = self.repeats.entry(ask.service.clone()).or_default();
         if ask.again {
-            let within = budget.repeat(&limits, share, now);
-            return if within { Ok(()) } else { refuse(Reason::NoRepeat, Duration::from_secs(1)) };
+            if !budget.repeat(&limits, share, now) {
+                return refuse(Reason::NoRepeat, Duration::from_secs(1));
+            }
+        } else {
+            budget.first(&limits, now);
         }
-        budget.first(&limits, now);
-        self.charge(ask, share, now)
+        self.charge(ask, now)
             .or_else(|wait| refuse(Reason::OverRate, wait.clamp(RETRY_RANGE.0, RETRY_RANGE.1)))?;
-        if let Some(work) = &ask.work {
+        if let Some(work) = ask.work.as_ref().filter(|_| !ask.again) {
             let reads = work.prompt as f64 / 40.0 / 1e3 * self.pace(&work.model) * 0.5;
             let cost = Duration::from_secs_f64(reads) + ANSWER_WORK * work.answer as u32;
             self.demand.note(&work.model, cost, now);
@@ -220,17 +233,32 @@
         Ok(())
     }
 
-    fn charge(&mut self, ask: &Ask, share: f64, now: Time) -> Result<(), Duration> {
+    fn charge(&mut self, ask: &Ask, now: Time) -> Result<(), Duration> {
         let Some(name) = &ask.team else { return Ok(()) };
         let teams = self.catalog.keys.values();
         let Some(team) = teams.into_iter().find(|team| team.name == *name) else { return Ok(()) };
-        let first = || Bucket::new(team, FIRST_BURST * share, now);
-        self.buckets.entry(name.clone()).or_insert_with(first).take(team, share, ask.charge, now)
+        let portion = Portion { share: self.share(), slack: self.limits.rate_slack };
+        let part = self.first_burst(team, now);
+        let first = || Bucket::new(team, portion, part, now);
+        let bucket = self.buckets.entry(name.clone()).or_insert_with(first);
+        if ask.again {
+            bucket.owe(team, portion, ask.charge, now);
+            return Ok(());
+        }
+        bucket.take(team, portion, ask.charge, now)
+    }
+
+    /// Returns the part of a team's burst that is there at its first request.
+    ///
+    /// An earlier scheduler may have spent it; it has come back after some time.
+    fn first_burst(&self, team: &Team, now: Time) -> f64 {
+        let since = now.since(self.begun).as_secs_f64();
+        (FIRST_BURST + since * team.rate / team.burst.max(1.0)).min(1.0)
     }
 
     fn give_back(&mut self, ask: &Ask) {
         let bucket = ask.team.as_ref().and_then(|team| self.buckets.get_mut(team));
-        if let (Some(bucket), false) = (bucket, ask.again) {
+        if let Some(bucket) = bucket {
             bucket.give_back(ask.charge);
         }
     }
