--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -136,11 +136,13 @@
     /// Puts the scheduler in the mode that the instance's role allows now.
     fn choose_mode(&self) -> Mode {
         let now = Time::now();
+        let size = self.instances() as f64;
         if self.leadership.leads() && (self.leadership.is_held(now) || self.peers.count() > 0) {
             let orders = self.leadership.may_order(now) && !self.shutdown.has_begun();
-            return Mode::Leading { orders };
+            let linked = (self.peers.count() + 1) as f64;
+            return Mode::Leading { orders, share: (linked / size).min(1.0) };
         }
-        Mode::Alone { share: 1.0 / self.instances() as f64 }
+        Mode::Alone { share: 1.0 / size }
     }
 }
 
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -55,10 +55,12 @@
 /// What a scheduler may do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Mode {
-    /// It decides for the whole fleet; `orders` says whether it may give orders now.
+    /// It decides for the instances that are linked to it.
     Leading {
         /// Whether engines may be given orders.
         orders: bool,
+        /// Part of the fleet that is linked; the others may each use their own part alone.
+        share: f64,
     },
     /// It decides for one instance alone and may use this part of everything.
     Alone {
@@ -196,7 +198,15 @@
         actions
     }
 
+    /// Returns the part of the teams' rates and of the repeats that may be used here.
     fn share(&self) -> f64 {
+        match self.mode {
+            Mode::Leading { share, .. } | Mode::Alone { share } => share,
+        }
+    }
+
+    /// Returns the part of each endpoint that may be filled here.
+    fn fill(&self) -> f64 {
         match self.mode {
             Mode::Leading { .. } => 1.0,
             Mode::Alone { share } => share,
@@ -204,7 +214,7 @@
     }
 
     fn may_order(&self) -> bool {
-        matches!(self.mode, Mode::Leading { orders: true })
+        matches!(self.mode, Mode::Leading { orders: true, .. })
     }
 
     /// Charges a request to its team and to the budget of repeats.
@@ -349,7 +359,7 @@
             return Placed::Nowhere;
         };
         let pace = ask.work.as_ref().map_or(1.0, |work| self.pace(&work.model));
-        let (orders, share) = (self.may_order(), self.share());
+        let (orders, share) = (self.may_order(), self.fill());
         let terms = Terms { service: &service, orders, share, pace, now };
         let mut best: Option<(Duration, bool, Arc<str>)> = None;
         let mut full = false;
