--- a/src/kernel/grants/rate.rs
+++ b/src/kernel/grants/rate.rs
@@ -5,10 +5,19 @@
 use crate::{catalog::Team, clock::Time};
 
 /// Part by which a team's rate is exceeded, so that no request within it is refused.
-const RATE_EXCESS: f64 = 0.03;
+const RATE_EXCESS: f64 = 0.05;
 
 /// Part of the platform's slack that is used.
-const SLACK_PART: f64 = 0.5;
+const SLACK_PART: f64 = 0.4;
+
+/// Seconds of the rate that should be there when a refused caller comes back.
+const READY_PART: f64 = 0.05;
+
+/// Part of a team's burst up to which a request counts as small.
+const SMALL_PART: f64 = 0.004;
+
+/// Part of a team's burst that only small requests may use, which hardly lower it.
+const RESERVE_PART: f64 = 0.15;
 
 /// Tokens that a team may use now.
 #[derive(Clone, Debug)]
@@ -42,7 +51,10 @@
         Self { tokens: team.burst * portion.share * part, at: now }
     }
 
-    /// Takes tokens, or says when they will be there.
+    /// Takes tokens, or says when some will be there.
+    ///
+    /// A request may take more than is there, and later ones wait until that has come back: large
+    /// requests would otherwise lose to small ones wherever a team is near its rate.
     pub fn take(
         &mut self,
         team: &Team,
@@ -53,9 +65,11 @@
         if team.rate <= 0.0 {
             return Ok(());
         }
-        self.fill(team, portion, tokens, now);
-        let missing = tokens as f64 - self.tokens;
-        if missing > 0.0 {
+        self.fill(team, portion, now);
+        let small = (tokens as f64) <= team.burst * SMALL_PART;
+        let floor = if small { -team.burst * portion.share * RESERVE_PART } else { 0.0 };
+        if self.tokens <= floor {
+            let missing = floor - self.tokens + portion.rate(team) * READY_PART;
             return Err(Duration::from_secs_f64(missing / portion.rate(team)));
         }
         self.tokens -= tokens as f64;
@@ -64,15 +78,14 @@
 
     /// Takes the tokens of a request that runs once more, whether they are there or not.
     pub fn owe(&mut self, team: &Team, portion: Portion, tokens: u64, now: Time) {
-        self.fill(team, portion, tokens, now);
+        self.fill(team, portion, now);
         self.tokens -= tokens as f64;
     }
 
-    /// Adds what the rate has brought; a request larger than the burst can still be saved up for.
-    fn fill(&mut self, team: &Team, portion: Portion, tokens: u64, now: Time) {
+    /// Adds what the rate has brought.
+    fn fill(&mut self, team: &Team, portion: Portion, now: Time) {
         let added = portion.rate(team) * now.since(self.at).as_secs_f64();
-        let cap = portion.cap(team).max(tokens as f64);
-        self.tokens = (self.tokens + added).min(cap);
+        self.tokens = (self.tokens + added).min(portion.cap(team));
         self.at = now;
     }
 
