--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,6 +1,6 @@
 //! The instances that serve callers.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{
     Gateway,
@@ -43,6 +43,9 @@
     }
 }
 
+/// Time without the leader after which an instance sends callers to others.
+const ALONE_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Instances that are assumed before the fleet's size is known.
 const UNKNOWN_SIZE: usize = 64;
 
@@ -63,12 +66,17 @@
         Member { instance: self.settings.instance.clone(), callers: self.settings.callers }
     }
 
-    /// Returns the addresses that callers may use: this instance's only while it serves.
+    /// Returns the addresses that callers may use.
+    ///
+    /// An instance that is cut off from the leader serves with a part of the limits and without
+    /// orders to engines, so it names itself only where it knows no other.
     pub(super) fn callers_addresses(&self) -> Vec<SocketAddr> {
         let members = self.members.load();
         let others = members.list.iter().filter(|m| m.instance != self.settings.instance);
         let mut addresses: Vec<SocketAddr> = others.map(|member| member.callers).collect();
-        if self.is_ready() {
+        let joined = self.leadership.leads() && self.peers.count() > 0
+            || self.uplink.silence() < ALONE_AFTER;
+        if self.is_ready() && (joined || addresses.is_empty()) {
             addresses.push(self.settings.callers);
         }
         addresses
