--- a/src/kernel/grants/placement.rs
+++ b/src/kernel/grants/placement.rs
@@ -1,7 +1,7 @@
 //! Which engine loads which model.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -10,16 +10,25 @@
 use crate::{catalog::EngineSpec, clock::Time};
 
 /// Time over which demand is averaged.
-const MEMORY: Duration = Duration::from_secs(3);
+const MEMORY: Duration = Duration::from_millis(2_500);
 
-/// Work in seconds a second that makes one more copy of a model worthwhile.
-const COPY_WORK: f64 = 0.12;
+/// Least fall of the sum of squared loads that makes a load from an engine's own copy worthwhile.
+const LEAST_GAIN: f64 = 0.008;
 
-/// How many times busier a model's copies must be than those of the model that yields.
-const SWAP_GAIN: f64 = 1.8;
+/// Least fall of the sum of squared loads that makes a load from the weight store worthwhile.
+const LEAST_STORED_GAIN: f64 = 0.02;
 
 /// Shortest time between the loads of two models at one engine.
-const SETTLE: Duration = Duration::from_secs(2);
+const SETTLE: Duration = Duration::from_millis(1_200);
+
+/// Changes that one look may bring.
+const CHANGE_LIMIT: usize = 4;
+
+/// Models that one look considers, the most pressed ones.
+const MODEL_LIMIT: usize = 10;
+
+/// Work in seconds a second below which a model counts as not in use.
+const IDLE_WORK: f64 = 0.004;
 
 /// Work that each model asks of its copies, averaged.
 #[derive(Clone, Debug, Default)]
@@ -60,13 +69,6 @@
     }
 }
 
-/// Copies of one model, those on their way included.
-#[derive(Clone, Copy, Default)]
-struct Copies {
-    count: usize,
-    coming: usize,
-}
-
 /// What the planner looks at.
 pub struct PlanInput<'a> {
     /// Make of the engines.
@@ -81,125 +83,227 @@
     pub now: Time,
 }
 
-/// Chooses the next changes, most wanted first.
+/// Chooses the next changes, most useful first.
+///
+/// The load of an engine is the work of its models, each divided by its copies. A change is worth
+/// the fall of the sum of squared loads: copies move from engines that are busy to idle ones. Models
+/// without a copy come first.
 pub fn plan<'a>(
     engines: impl Iterator<Item = &'a Endpoint>,
     input: &PlanInput<'_>,
 ) -> Vec<(Arc<str>, Swap)> {
     let engines: Vec<&Endpoint> = engines.filter(|engine| !engine.is_leaving()).collect();
-    let mut copies = count(&engines);
+    let mut layout = Layout::new(&engines, input);
     let mut changes: Vec<(Arc<str>, Swap)> = Vec::new();
     let mut loads = input.loads;
-    for (model, pressure) in wanted(input, &copies) {
-        let taken = |engine: &&Endpoint| !changes.iter().any(|(id, _)| *id == engine.info.id);
-        let free = engines.iter().copied().filter(taken);
-        let best = free.filter_map(|engine| offer(engine, &model, pressure, &copies, input));
-        let Some(best) = best.min_by(|a, b| a.price.total_cmp(&b.price)) else { continue };
-        if best.stored {
-            if loads == 0 {
-                continue;
-            }
-            loads -= 1;
-        }
-        for name in &best.swap.unload {
-            copies.entry(name.clone()).or_default().count -= 1;
-        }
-        changes.push((best.engine, best.swap));
+    while changes.len() < CHANGE_LIMIT {
+        let models = layout.pressed(input);
+        let offers = models.iter().flat_map(|(model, need)| {
+            let layout = &layout;
+            engines.iter().enumerate().filter_map(move |(at, engine)| {
+                layout.offer(at, engine, model, *need, input)
+            })
+        });
+        let payable = offers.filter(|offer| loads > 0 || !offer.stored);
+        let Some(best) = payable.max_by(|a, b| a.gain.total_cmp(&b.gain)) else { break };
+        loads -= usize::from(best.stored);
+        layout.apply(&best);
+        changes.push((engines[best.at].info.id.clone(), best.swap));
     }
     changes
 }
 
-fn count(engines: &[&Endpoint]) -> BTreeMap<Arc<str>, Copies> {
-    let mut copies: BTreeMap<Arc<str>, Copies> = BTreeMap::new();
-    for engine in engines {
-        for model in engine.models.keys().filter(|model| engine.holds(model)) {
-            copies.entry(model.clone()).or_default().count += 1;
-        }
-        let coming = engine.loading.iter().map(|(model, _)| model);
-        for model in coming.chain(engine.swap.iter().map(|swap| &swap.load)) {
-            copies.entry(model.clone()).or_default().coming += 1;
-        }
-    }
-    copies
+/// Why a model is looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Need {
+    /// Its copies are busy.
+    Busy,
+    /// It has no copy, and nobody asks for it.
+    Reach,
+    /// It has no copy, and it is asked for.
+    Urgent,
 }
 
-/// Returns the models that need a further copy with the work of each copy, the most pressed first.
-fn wanted(input: &PlanInput<'_>, copies: &BTreeMap<Arc<str>, Copies>) -> Vec<(Arc<str>, f64)> {
-    let mut wanted: Vec<(Arc<str>, f64)> = Vec::new();
-    for model in input.spec.models.keys() {
-        let Copies { count, coming } = copies.get(model).copied().unwrap_or_default();
-        let waiting = input.waiting.get(model).copied().unwrap_or(0);
-        let rate = input.demand.rate(model, input.now);
-        let pressure = match count + coming {
-            0 if waiting > 0 => 1e6 + rate,
-            0 => 1e3 + rate,
-            n => rate / n as f64,
-        };
-        if pressure > COPY_WORK && coming < 2 {
-            wanted.push((model.clone(), pressure));
-        }
-    }
-    wanted.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(&b.0)));
-    wanted
+/// Models and loads of the engines, changes under way included.
+struct Layout {
+    /// Engines that hold each model.
+    holders: BTreeMap<Arc<str>, BTreeSet<usize>>,
+    work: HashMap<Arc<str>, f64>,
+    loads: Vec<f64>,
+    /// Engines that a change is under way at.
+    taken: Vec<bool>,
 }
 
 /// A way to load a model.
 struct Offer {
-    engine: Arc<str>,
+    at: usize,
     swap: Swap,
-    price: f64,
+    gain: f64,
     /// Whether the weights come from the weight store.
     stored: bool,
 }
 
-fn offer(
-    engine: &Endpoint,
-    model: &Arc<str>,
-    pressure: f64,
-    copies: &BTreeMap<Arc<str>, Copies>,
-    input: &PlanInput<'_>,
-) -> Option<Offer> {
-    let now = input.now;
-    let settled = engine.settled(now);
-    let busy = engine.loading.is_some() || engine.swap.is_some() || !engine.is_open(now);
-    let urgent = pressure >= 1e6;
-    if busy || engine.models.contains_key(model) || engine.is_cold(now) || !(settled || urgent) {
-        return None;
-    }
-    let size = input.spec.models.get(model)?.weights;
-    let mut room = input.spec.weights - engine.weights(input.spec);
-    let mut unload = Vec::new();
-    let mut loss = 0.0;
-    let mut victims: Vec<(f64, &Arc<str>)> = Vec::new();
-    for name in engine.models.keys() {
-        let left = copies.get(name).map_or(0, |copies| copies.count);
-        let rate = input.demand.rate(name, now);
-        let after = if left > 1 { rate / (left - 1) as f64 } else { 1e4 + rate };
-        victims.push((after, name));
-    }
-    victims.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)));
-    for (after, name) in victims {
-        if room >= size {
-            break;
+impl Layout {
+    fn new(engines: &[&Endpoint], input: &PlanInput<'_>) -> Self {
+        let mut holders: BTreeMap<Arc<str>, BTreeSet<usize>> = BTreeMap::new();
+        for (at, engine) in engines.iter().enumerate() {
+            let there = engine.models.keys().filter(|model| engine.holds(model));
+            let loading = engine.loading.iter().map(|(model, _)| model);
+            let planned = engine.swap.iter().map(|swap| &swap.load);
+            for model in there.chain(loading).chain(planned) {
+                holders.entry(model.clone()).or_default().insert(at);
+            }
+        }
+        let rates = input.spec.models.keys();
+        let work = rates.map(|model| (model.clone(), input.demand.rate(model, input.now)));
+        let mut layout = Self {
+            holders,
+            work: work.collect(),
+            loads: vec![0.0; engines.len()],
+            taken: engines.iter().map(|e| e.loading.is_some() || e.swap.is_some()).collect(),
+        };
+        layout.weigh();
+        layout
+    }
+
+    fn weigh(&mut self) {
+        self.loads.fill(0.0);
+        for (model, holders) in &self.holders {
+            let part = self.work_of(model) / holders.len().max(1) as f64;
+            for at in holders {
+                self.loads[*at] += part;
+            }
+        }
+    }
+
+    fn work_of(&self, model: &str) -> f64 {
+        self.work.get(model).copied().unwrap_or(0.0)
+    }
+
+    fn copies(&self, model: &str) -> usize {
+        self.holders.get(model).map_or(0, BTreeSet::len)
+    }
+
+    /// Returns the models that a further copy would help most.
+    fn pressed(&self, input: &PlanInput<'_>) -> Vec<(Arc<str>, Need)> {
+        let mut models: Vec<(Need, f64, &Arc<str>)> = Vec::new();
+        for model in input.spec.models.keys() {
+            let work = self.work_of(model);
+            let waiting = input.waiting.contains_key(model);
+            match self.copies(model) {
+                0 if waiting || work > IDLE_WORK => models.push((Need::Urgent, work, model)),
+                0 => models.push((Need::Reach, work, model)),
+                copies if work > IDLE_WORK => {
+                    let holders = self.holders.get(model).into_iter().flatten();
+                    let load: f64 = holders.map(|at| self.loads[*at]).sum();
+                    models.push((Need::Busy, load / copies as f64 * work, model));
+                }
+                _ => {}
+            }
         }
-        let last = after >= 1e4;
-        let idle = input.demand.rate(name, now) < COPY_WORK / 10.0;
-        if (last && !(urgent && idle)) || (!last && pressure < after * SWAP_GAIN) {
+        models.sort_by(|a, b| {
+            b.0.cmp(&a.0).then_with(|| b.1.total_cmp(&a.1)).then_with(|| a.2.cmp(b.2))
+        });
+        models.truncate(MODEL_LIMIT);
+        models.into_iter().map(|(need, _, model)| (model.clone(), need)).collect()
+    }
+
+    fn offer(
+        &self,
+        at: usize,
+        engine: &Endpoint,
+        model: &Arc<str>,
+        need: Need,
+        input: &PlanInput<'_>,
+    ) -> Option<Offer> {
+        let now = input.now;
+        let here = self.holders.get(model).is_some_and(|holders| holders.contains(&at));
+        let ready = engine.is_open(now) && (need == Need::Urgent || engine.settled(now));
+        if self.taken[at] || here || !ready {
             return None;
         }
-        room += input.spec.models.get(name).map_or(0.0, |spec| spec.weights);
-        loss += after + engine.runs(name) as f64;
-        unload.push(name.clone());
-    }
-    if room < size {
-        return None;
-    }
-    let stored = !engine.has_copy(model);
-    let load: f64 = engine.models.keys().map(|name| input.demand.rate(name, now)).sum();
-    let slow = engine.load_time(input.spec, model).as_secs_f64();
-    let price = loss * 2.0 + load + slow + engine.running.len() as f64 * 0.02;
-    let swap = Swap { load: model.clone(), unload, since: now };
-    Some(Offer { engine: engine.info.id.clone(), swap, price, stored })
+        let unload = self.victims(engine, model, need, input)?;
+        let fall = self.fall(at, model, &unload);
+        let stored = !engine.has_copy(model);
+        let least = if stored { LEAST_STORED_GAIN } else { LEAST_GAIN };
+        if need == Need::Busy && fall < least {
+            return None;
+        }
+        let time = engine.load_time(input.spec, model).as_secs_f64();
+        let gain = match need {
+            Need::Urgent => 1e6 + fall - time,
+            Need::Reach => 1e-3 + fall.min(0.0) * 1e-3 - time * 1e-6,
+            Need::Busy => fall / (1.0 + time),
+        };
+        let swap = Swap { load: model.clone(), unload, since: now };
+        Some(Offer { at, swap, gain, stored })
+    }
+
+    /// Chooses the models that make way, those first whose other copies are the least busy.
+    fn victims(
+        &self,
+        engine: &Endpoint,
+        model: &Arc<str>,
+        need: Need,
+        input: &PlanInput<'_>,
+    ) -> Option<Vec<Arc<str>>> {
+        let size = input.spec.models.get(model)?.weights;
+        let mut room = input.spec.weights - engine.weights(input.spec);
+        let mut others: Vec<(bool, f64, &Arc<str>)> = Vec::new();
+        for name in engine.models.keys() {
+            let copies = self.copies(name);
+            let harm = self.work_of(name) / copies.saturating_sub(1).max(1) as f64;
+            others.push((copies <= 1, harm + 0.02 * engine.runs(name) as f64, name));
+        }
+        others.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
+        let mut unload = Vec::new();
+        for (last, _, name) in others {
+            if room >= size {
+                break;
+            }
+            let spared = need == Need::Urgent && self.work_of(name) < IDLE_WORK;
+            if last && !spared {
+                return None;
+            }
+            room += input.spec.models.get(name).map_or(0.0, |spec| spec.weights);
+            unload.push(name.clone());
+        }
+        (room >= size).then_some(unload)
+    }
+
+    /// Returns by how much a change lowers the sum of squared loads.
+    fn fall(&self, at: usize, model: &str, unload: &[Arc<str>]) -> f64 {
+        let mut change: BTreeMap<usize, f64> = BTreeMap::new();
+        let (work, copies) = (self.work_of(model), self.copies(model) as f64);
+        let part = work / (copies + 1.0);
+        *change.entry(at).or_default() += part;
+        for holder in self.holders.get(model).into_iter().flatten() {
+            *change.entry(*holder).or_default() += part - work / copies;
+        }
+        for name in unload {
+            let (work, copies) = (self.work_of(name), self.copies(name) as f64);
+            for holder in self.holders.get(name).into_iter().flatten() {
+                let after = if *holder == at { 0.0 } else { work / (copies - 1.0) };
+                *change.entry(*holder).or_default() += after - work / copies;
+            }
+        }
+        let falls = change.into_iter().map(|(holder, change)| {
+            let before = self.loads[holder];
+            before.powi(2) - (before + change).powi(2)
+        });
+        falls.sum()
+    }
+
+    fn apply(&mut self, offer: &Offer) {
+        self.taken[offer.at] = true;
+        for name in &offer.swap.unload {
+            if let Some(holders) = self.holders.get_mut(name) {
+                holders.remove(&offer.at);
+            }
+        }
+        self.holders.entry(offer.swap.load.clone()).or_default().insert(offer.at);
+        self.weigh();
+    }
 }
 
 impl Endpoint {
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -47,7 +47,7 @@
 const WAIT_PART: f64 = 0.5;
 
 /// Prefill seconds for which a token of an answer counts, since runs are batched.
-const ANSWER_WORK: Duration = Duration::from_micros(300);
+const ANSWER_WORK: Duration = Duration::from_micros(80);
 
 /// Loads from the weight store that may run at once, for each allowed a second.
 const LOADS_AT_ONCE: f64 = 3.0;
