--- a/src/kernel/grants/placement.rs
+++ b/src/kernel/grants/placement.rs
@@ -261,8 +261,9 @@
             if room >= size {
                 break;
             }
-            let spared = need == Need::Urgent && self.work_of(name) < IDLE_WORK;
-            if last && !spared {
+            // A model that nobody asks for is loaded again from the engine's own copy within a second.
+            let spared = self.work_of(name) < IDLE_WORK && engine.has_copy(name);
+            if need == Need::Reach || (last && !spared) {
                 return None;
             }
             room += input.spec.models.get(name).map_or(0.0, |spec| spec.weights);
@@ -283,7 +284,7 @@
         for name in unload {
             let (work, copies) = (self.work_of(name), self.copies(name) as f64);
             for holder in self.holders.get(name).into_iter().flatten() {
-                let after = if *holder == at { 0.0 } else { work / (copies - 1.0) };
+                let after = if *holder == at { 0.0 } else { work / (copies - 1.0).max(1.0) };
                 *change.entry(*holder).or_default() += after - work / copies;
             }
         }
