--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -14,6 +14,11 @@
 /// Price of one more running request at an engine, as prefill time.
 const RUN_PRICE: Duration = Duration::from_millis(2);
 
+/// Price of an engine that reads prompts all the time, as prefill time.
+///
+/// Each piece of a prompt delays the next token of everything that runs there.
+const USAGE_PRICE: Duration = Duration::from_millis(300);
+
 /// Price of a load of an adapter, as prefill time.
 const ADAPTER_PRICE: Duration = Duration::from_millis(15);
 
@@ -144,7 +149,8 @@
     }
     let (_, reading) = prefill(endpoint, work, terms.pace);
     let runs = RUN_PRICE * endpoint.running.len() as u32;
-    let cost = ahead + reading + runs + common_price(endpoint, ask, terms);
+    let usage = USAGE_PRICE.mul_f64(endpoint.usage(terms.now));
+    let cost = ahead + reading + runs + usage + common_price(endpoint, ask, terms);
     if present {
         return Fit::Now(cost);
     }
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -129,6 +129,9 @@
 /// Time for which an entry may still show a model that was dropped.
 const ENTRY_LAG: Duration = Duration::from_millis(1_500);
 
+/// Time over which prefill work is averaged.
+const USAGE_MEMORY: Duration = Duration::from_millis(1_500);
+
 /// First pause after an endpoint could not be reached; it doubles with each further failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 
@@ -161,6 +164,8 @@
     pub(super) seen: bool,
     pub(super) cache: PromptCache,
     pub(super) prefill: Time,
+    /// Recent prefill work, in seconds a second, as of a time.
+    usage: (f64, Time),
     /// How much slower than expected the endpoint is, as a factor.
     pub(super) slowness: f64,
     pub(super) swap: Option<Swap>,
@@ -187,6 +192,7 @@
             seen: false,
             cache: PromptCache::default(),
             prefill: Time::default(),
+            usage: (0.0, now),
             slowness: 1.0,
             swap: None,
             lane: super::orders::Lane::default(),
@@ -330,6 +336,19 @@
         self.running.insert(key, run);
     }
 
+    /// Returns the recent prefill work in seconds a second.
+    pub(super) fn usage(&self, now: Time) -> f64 {
+        let (usage, at) = self.usage;
+        usage * (-now.since(at).as_secs_f64() / USAGE_MEMORY.as_secs_f64()).exp()
+    }
+
+    /// Notes prefill work that was given to the engine.
+    pub(super) fn use_prefill(&mut self, work: Duration, now: Time) {
+        let added = work.as_secs_f64() / USAGE_MEMORY.as_secs_f64();
+        self.usage = (self.usage(now) + added, now);
+        self.prefill = self.prefill.max(now) + work;
+    }
+
     /// Notes that the endpoint could not be reached.
     pub(super) fn unreached(&mut self, now: Time) {
         self.paused = now + self.pause;
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -693,7 +693,7 @@
     if let (Some(work), Some(spec)) = (&ask.work, &service.engine) {
         let (tokens, reading) = choice::prefill(endpoint, work, pace);
         reads = tokens;
-        endpoint.prefill = endpoint.prefill.max(now) + reading;
+        endpoint.use_prefill(reading, now);
         room = spec.memory.saturating_sub(endpoint.reserved());
     }
     let run = Run { ask: ask.clone(), granted: now, reads, ahead, started: false };
