--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -106,6 +106,7 @@
         let readiness = bind("readiness", settings.readiness).await?;
         let peers = bind("peers", settings.peer).await?;
         let metrics = bind("metrics", settings.metrics).await?;
+        self.uplink.hear();
         log::info!("event=started instance={} version={}", settings.instance, VERSION);
         tokio::spawn(operator::run(self.clone()));
         tokio::spawn(registry::run(self.clone()));
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -4,7 +4,7 @@
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::Gateway;
 use crate::{
@@ -31,6 +31,12 @@
 /// Time between two renewals.
 const RENEW_PERIOD: Duration = Duration::from_millis(600);
 
+/// Longest time for a renewal.
+const RENEW_LIMIT: Duration = Duration::from_millis(450);
+
+/// Age of the last renewal from which the leader counts as not reaching the store.
+const BLIND_AFTER: Duration = Duration::from_millis(950);
+
 /// Time by which the holder counts its lease as shorter than the store does.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
@@ -43,6 +49,9 @@
 /// Longest wait of a candidate, so that not all write at once.
 const CANDIDATE_WAIT_MS: u64 = 120;
 
+/// Wait of the weakest machine, so that a strong one leads where there is any.
+const WEAK_WAIT: Duration = Duration::from_millis(400);
+
 /// Time between two looks of a candidate.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -122,6 +131,11 @@
         self.state.lock().held.is_some_and(|held| held.is_valid(now))
     }
 
+    /// Returns whether this instance leads and has not reached the store lately.
+    pub fn is_blind(&self, now: Time) -> bool {
+        self.state.lock().held.is_some_and(|held| now.since(held.renewed) > BLIND_AFTER)
+    }
+
     /// Returns whether engines may be given orders.
     pub fn may_order(&self, now: Time) -> bool {
         let held = self.state.lock().held;
@@ -175,11 +189,14 @@
 /// Follows the records of the leader.
 pub async fn watch(gateway: Arc<Gateway>) {
     loop {
-        if let Err(err) = follow(&gateway).await {
-            log::debug!("event=leader_watch_ended reason={err}");
+        if gateway.watches_store() {
+            if let Err(err) = follow(&gateway).await {
+                log::debug!("event=leader_watch_ended reason={err}");
+                sleep(ERROR_WAIT.mul_f64(rand::random_range(0.5..1.5))).await;
+            }
             gateway.leadership.state.lock().fresh = false;
         }
-        sleep(ERROR_WAIT.mul_f64(rand::random_range(0.5..1.5))).await;
+        sleep(LOOK_PERIOD).await;
     }
 }
 
@@ -195,7 +212,7 @@
         state.fresh = true;
     }
     let mut revision = page.revision;
-    loop {
+    while gateway.watches_store() {
         match gateway.store.watch(PREFIX, revision, WATCH_WAIT).await? {
             Watched::Lost => return Ok(()),
             Watched::Events(events, at) => {
@@ -204,6 +221,7 @@
             }
         }
     }
+    Ok(())
 }
 
 fn last_holder(item: &Item) -> Arc<str> {
@@ -272,7 +290,8 @@
 
 async fn renew(gateway: &Gateway, held: Held) {
     let sent = Time::now();
-    match gateway.store.renew(held.lease).await {
+    let renewed = timeout(RENEW_LIMIT, gateway.store.renew(held.lease)).await;
+    match renewed.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".to_owned()))) {
         Ok(true) => {
             let mut state = gateway.leadership.state.lock();
             if let Some(now) = state.held.as_mut().filter(|now| now.lease == held.lease) {
@@ -282,14 +301,13 @@
         Ok(false) => gateway.leadership.step_down("lapsed"),
         Err(err) => {
             log::info!("event=lease_not_renewed term={} reason={err}", held.term);
-            sleep(ERROR_WAIT).await;
         }
     }
 }
 
 async fn stand(gateway: &Gateway) {
-    let wait = rand::random_range(0..CANDIDATE_WAIT_MS);
-    sleep(Duration::from_millis(wait)).await;
+    let wait = Duration::from_millis(rand::random_range(0..CANDIDATE_WAIT_MS));
+    sleep(wait + WEAK_WAIT.mul_f64(gateway.settings.machine.weakness())).await;
     let Step::Stand(revision) = next_step(gateway) else { return };
     if let Err(err) = try_stand(gateway, revision).await {
         log::info!("event=candidacy_failed reason={err}");
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -44,6 +44,8 @@
 pub struct Uplink {
     tx: Mutex<Option<mpsc::UnboundedSender<Content>>>,
     heard: AtomicU64,
+    joined: AtomicBool,
+    blind: AtomicBool,
 }
 
 impl Uplink {
@@ -52,12 +54,23 @@
         self.tx.lock().as_ref().is_some_and(|tx| tx.send(content).is_ok())
     }
 
-    /// Returns the time since the leader was last heard.
+    /// Returns whether there was a link before.
+    pub fn was_joined(&self) -> bool {
+        self.joined.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether the leader says that it does not reach the store.
+    pub fn is_blind(&self) -> bool {
+        self.blind.load(Ordering::Relaxed)
+    }
+
+    /// Returns the time since the leader was last heard, or since the start.
     pub fn silence(&self) -> Duration {
         Time::now().since(Time(self.heard.load(Ordering::Relaxed)))
     }
 
-    fn hear(&self) {
+    /// Notes that the leader was heard, or that the process starts.
+    pub fn hear(&self) {
         self.heard.store(Time::now().0, Ordering::Relaxed);
     }
 }
@@ -104,6 +117,7 @@
         let _ = tx.send(Content::Adopt(running));
     }
     gateway.uplink.hear();
+    gateway.uplink.joined.store(true, Ordering::Relaxed);
     *gateway.uplink.tx.lock() = Some(tx);
     log::info!("event=leader_joined leader={} term={}", leader.instance, leader.term);
     exchange(gateway, leader, wire, rx).await
@@ -156,6 +170,7 @@
         }
         Content::Refuse(frame) => gateway.take_refusal(frame.number, frame.refusal()),
         Content::Pong(ping) => {
+            gateway.uplink.blind.store(ping.blind, Ordering::Relaxed);
             if let Some(frame) = gateway.news_for(&ping) {
                 gateway.uplink.send(frame);
             }
@@ -178,7 +193,13 @@
     pub(super) fn ping(&self) -> Ping {
         let operator = self.operator.lock();
         let term = self.leadership.known().map_or(0, |leader| leader.term);
-        Ping { ready: self.is_ready(), revision: operator.revision, hash: operator.hash, term }
+        Ping {
+            ready: self.is_ready(),
+            revision: operator.revision,
+            hash: operator.hash,
+            term,
+            blind: self.leadership.is_blind(Time::now()),
+        }
     }
 
     /// Returns the operators' records where they are news to an instance.
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -44,7 +44,10 @@
 }
 
 /// Time without the leader after which an instance sends callers to others.
-const ALONE_AFTER: Duration = Duration::from_millis(1_000);
+const ALONE_AFTER: Duration = Duration::from_millis(700);
+
+/// Instances beside the leader that follow the store.
+const DEPUTIES: usize = 2;
 
 /// Instances that are assumed before the fleet's size is known.
 const UNKNOWN_SIZE: usize = 64;
@@ -61,6 +64,22 @@
         }
     }
 
+    /// Returns whether this instance follows the leader's and the operators' records in the store.
+    ///
+    /// Besides the leader two more do, in case it is cut off from the store, and every instance
+    /// without a link to the leader or whose leader says that it does not reach the store.
+    pub(super) fn watches_store(&self) -> bool {
+        let joined = self.uplink.was_joined() && self.uplink.silence() < ALONE_AFTER;
+        if self.leadership.leads() || !joined || self.uplink.is_blind() {
+            return true;
+        }
+        let known = self.leadership.known();
+        let leader = known.as_ref().map(|leader| &*leader.instance);
+        let members = self.members.load();
+        let others = members.list.iter().filter(|m| Some(&*m.instance) != leader);
+        others.take(DEPUTIES).any(|member| member.instance == self.settings.instance)
+    }
+
     /// Returns this instance as a member.
     pub(super) fn own_member(&self) -> Member {
         Member { instance: self.settings.instance.clone(), callers: self.settings.callers }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -413,6 +413,9 @@
     /// Term of the leader that the sender knows.
     #[prost(uint64, tag = "4")]
     pub term: u64,
+    /// Whether the sender leads and does not reach the store, so that others must follow it.
+    #[prost(bool, tag = "5")]
+    pub blind: bool,
 }
 
 /// Instances that serve callers.
@@ -534,6 +537,19 @@
 }
 
 impl EndpointFrame {
+    /// Returns whether another instance should be told of the change to `newer`.
+    pub fn differs(&self, newer: &EndpointFrame, adapters: bool) -> bool {
+        if adapters {
+            return self != newer;
+        }
+        let bare = |frame: &EndpointFrame| {
+            let mut frame = frame.clone();
+            frame.models.iter_mut().for_each(|model| model.adapters.clear());
+            frame
+        };
+        bare(self) != bare(newer)
+    }
+
     /// Returns the endpoint; `None` where the address cannot be read.
     pub fn registration(self) -> Option<Registration> {
         let models = self.models.into_iter().map(|m| (m.model.into(), names(m.adapters)));
@@ -561,7 +577,7 @@
     /// Revision of the store at which it was read.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    /// The document.
+    /// The document, deflated.
     #[prost(bytes = "bytes", tag = "2")]
     pub document: Bytes,
     /// Data centres that are out of service.
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -1,12 +1,21 @@
 //! What operators have put in force: read from the store, and passed on between instances.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::HashSet,
+    io::{Read, Write},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
+use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Gateway, messages::OperatorFrame};
+use super::{
+    Gateway,
+    messages::{Content, OperatorFrame},
+};
 use crate::platform::{
     catalog::{DOCUMENT, EVACUATE_PREFIX, OPERATOR_PREFIX, decode},
     store::{Event, StoreError, Watched},
@@ -15,6 +24,12 @@
 /// Longest wait of a watch.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// Largest document in bytes, which is the largest value of the store.
+const DOCUMENT_LIMIT: u64 = 4 << 20;
+
+/// Time between two looks whether this instance must watch the store.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+
 /// Wait before the store is asked again after an error.
 const ERROR_WAIT: Duration = Duration::from_millis(250);
 
@@ -26,9 +41,24 @@
     /// Hash of their content.
     pub hash: u64,
     document: Bytes,
+    /// The document as it is passed on.
+    deflated: Bytes,
     evacuated: Vec<String>,
 }
 
+fn deflate(document: &[u8]) -> Bytes {
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let written = encoder.write_all(document).and_then(|()| encoder.finish());
+    // Writing to memory cannot fail.
+    written.unwrap_or_default().into()
+}
+
+fn inflate(deflated: &[u8]) -> std::io::Result<Bytes> {
+    let mut document = Vec::new();
+    DeflateDecoder::new(deflated).take(DOCUMENT_LIMIT).read_to_end(&mut document)?;
+    Ok(document.into())
+}
+
 impl OperatorState {
     fn new(revision: u64, document: Bytes, mut evacuated: Vec<String>) -> Self {
         evacuated.sort();
@@ -37,7 +67,8 @@
             content.push(0);
             content.extend_from_slice(zone.as_bytes());
         }
-        Self { revision, hash: xxh3_64(&content), document, evacuated }
+        let deflated = deflate(&document);
+        Self { revision, hash: xxh3_64(&content), document, deflated, evacuated }
     }
 
     /// Returns whether another instance that told its revision and hash needs this state.
@@ -49,7 +80,7 @@
     pub fn frame(&self) -> OperatorFrame {
         OperatorFrame {
             revision: self.revision,
-            document: self.document.clone(),
+            document: self.deflated.clone(),
             evacuated: self.evacuated.clone(),
         }
     }
@@ -58,18 +89,35 @@
 impl Gateway {
     /// Takes what another instance knows.
     pub(super) fn take_operator(&self, frame: OperatorFrame) {
-        self.put_in_force(OperatorState::new(frame.revision, frame.document, frame.evacuated));
+        let document = match inflate(&frame.document) {
+            Ok(document) => document,
+            Err(err) => return log::warn!("event=config_unreadable from=peer reason={err}"),
+        };
+        let state = OperatorState::new(frame.revision, document, frame.evacuated);
+        if self.put_in_force(state) && self.leadership.leads() {
+            self.tell_operator();
+        }
+    }
+
+    /// Tells the other instances: the leader all of them, an instance that watches the leader.
+    fn tell_operator(&self) {
+        let content = Content::Operator(self.operator.lock().frame());
+        if self.leadership.leads() {
+            self.peers.broadcast(&content);
+        } else {
+            self.uplink.send(content);
+        }
     }
 
-    /// Puts newer records in force; older ones change nothing.
-    fn put_in_force(&self, state: OperatorState) {
+    /// Puts newer records in force and returns whether anything changed.
+    fn put_in_force(&self, state: OperatorState) -> bool {
         let mut current = self.operator.lock();
         if state.revision <= current.revision && current.revision > 0 {
-            return;
+            return false;
         }
         if state.hash == current.hash && current.revision > 0 {
             current.revision = state.revision;
-            return;
+            return false;
         }
         let evacuated: HashSet<Arc<str>> =
             state.evacuated.iter().map(|zone| Arc::from(&**zone)).collect();
@@ -85,6 +133,7 @@
             scheduler.set_catalog(catalog);
         }
         *current = state;
+        true
     }
 
     fn apply_document(&self, document: &[u8]) {
@@ -105,6 +154,10 @@
 pub async fn run(gateway: Arc<Gateway>) {
     let mut lost = false;
     loop {
+        if !gateway.watches_store() {
+            sleep(LOOK_PERIOD).await;
+            continue;
+        }
         match follow(&gateway, &mut lost).await {
             Ok(()) => {}
             Err(err) if lost => log::debug!("event=store_lost what=config reason={err}"),
@@ -132,10 +185,12 @@
         }
     }
     let mut revision = page.revision;
-    loop {
+    while gateway.watches_store() {
         if !document.is_empty() {
             let state = OperatorState::new(revision, document.clone(), evacuated.clone());
-            gateway.put_in_force(state);
+            if gateway.put_in_force(state) {
+                gateway.tell_operator();
+            }
         }
         match gateway.store.watch(OPERATOR_PREFIX, revision, WATCH_WAIT).await? {
             Watched::Lost => return Ok(()),
@@ -147,6 +202,7 @@
             }
         }
     }
+    Ok(())
 }
 
 fn note(event: Event, document: &mut Bytes, evacuated: &mut Vec<String>) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -37,6 +37,9 @@
 /// Time between two looks for changed endpoints and members.
 const NEWS_PERIOD: Duration = Duration::from_millis(200);
 
+/// Linked instances up to which a change of an engine's adapters alone is told.
+const ADAPTER_NEWS_LIMIT: usize = 16;
+
 struct Peer {
     tx: mpsc::UnboundedSender<Content>,
     /// Number of its link, so that the end of an old link does not remove a new one.
@@ -65,7 +68,8 @@
         self.table.lock().len()
     }
 
-    fn broadcast(&self, content: &Content) {
+    /// Sends a frame to all linked instances.
+    pub fn broadcast(&self, content: &Content) {
         for peer in self.table.lock().values() {
             let _ = peer.tx.send(content.clone());
         }
@@ -253,15 +257,17 @@
             let all = scheduler.endpoints().map(|endpoint| endpoint.snapshot(now));
             all.map(|info| (info.id.clone(), EndpointFrame::from(&info))).collect()
         };
+        let adapters = self.peers.count() <= ADAPTER_NEWS_LIMIT;
         let mut told = self.peers.told.lock();
         let gone: Vec<String> =
             told.keys().filter(|id| !current.contains_key(*id)).map(|id| id.to_string()).collect();
         let changed: Vec<EndpointFrame> = current
             .iter()
-            .filter(|(id, frame)| told.get(*id) != Some(*frame))
+            .filter(|(id, frame)| told.get(*id).is_none_or(|told| told.differs(frame, adapters)))
             .map(|(_, frame)| frame.clone())
             .collect();
-        *told = current;
+        told.retain(|id, _| current.contains_key(id));
+        told.extend(changed.iter().map(|frame| (frame.id.as_str().into(), frame.clone())));
         drop(told);
         if !changed.is_empty() || !gone.is_empty() {
             let frame = EndpointsFrame { whole: false, changed, gone };
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -32,7 +32,7 @@
 const GATHER_TIME: Duration = Duration::from_millis(40);
 
 /// Time without the leader after which an instance reads the store itself.
-const ALONE_AFTER: Duration = Duration::from_millis(800);
+const ALONE_AFTER: Duration = Duration::from_millis(900);
 
 /// The endpoints as they were last read.
 #[derive(Default)]
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -22,6 +22,7 @@
     peer: String,
     metrics: String,
     store: String,
+    machine: RawMachine,
     limits: RawLimits,
     #[serde(default = "default_log")]
     log: String,
@@ -31,6 +32,13 @@
     "info".to_owned()
 }
 
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct RawMachine {
+    cores: f64,
+    link_mbps: f64,
+}
+
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct RawLimits {
@@ -44,6 +52,30 @@
     address_ttl_s: f64,
 }
 
+/// What the machine has.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Machine {
+    /// Part of a core.
+    pub cores: f64,
+    /// Rate of the link in megabits a second.
+    pub link: f64,
+}
+
+/// Part of a core from which a machine leads a large fleet with ease.
+const STRONG_CORES: f64 = 0.25;
+
+/// Rate of the link from which a machine leads a large fleet with ease, in megabits a second.
+const STRONG_LINK: f64 = 100.0;
+
+impl Machine {
+    /// Returns how far the machine falls short of one that leads a large fleet, from 0 to 1.
+    pub fn weakness(&self) -> f64 {
+        let cores = (self.cores / STRONG_CORES).min(1.0);
+        let link = (self.link / STRONG_LINK).min(1.0);
+        1.0 - cores.min(link)
+    }
+}
+
 /// Checked settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -63,6 +95,8 @@
     pub metrics: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// What the machine has.
+    pub machine: Machine,
     /// Repeats that a service may get.
     pub repeats: RepeatLimits,
     /// Window over which loads from the weight store are counted.
@@ -122,6 +156,10 @@
             peer: address("peer", &raw.peer)?,
             metrics: address("metrics", &raw.metrics)?,
             store: address("store", &raw.store)?,
+            machine: Machine {
+                cores: positive("machine.cores", raw.machine.cores)?,
+                link: positive("machine.link_mbps", raw.machine.link_mbps)?,
+            },
             repeats: RepeatLimits {
                 ratio: positive("limits.repeat_ratio", limits.repeat_ratio)?,
                 slack: positive("limits.repeat_slack", limits.repeat_slack)?,
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -236,9 +236,8 @@
     /// The entry's adapters count only before the first report, since no entry is written when they
     /// change. A model that was dropped a moment ago may still stand in the entry.
     fn take_models(&mut self, now: Time) {
-        let dropped = |model: &Arc<str>| {
-            self.dropped.get(model).is_some_and(|at| now.since(*at) < ENTRY_LAG)
-        };
+        let dropped =
+            |model: &Arc<str>| self.dropped.get(model).is_some_and(|at| now.since(*at) < ENTRY_LAG);
         let listed = self.info.models.iter().filter(|(model, _)| !dropped(model));
         let listed: Vec<(Arc<str>, Vec<Arc<str>>)> = listed.cloned().collect();
         self.keep_models(&listed);
--- a/src/kernel/grants/placement.rs
+++ b/src/kernel/grants/placement.rs
@@ -100,9 +100,10 @@
         let models = layout.pressed(input);
         let offers = models.iter().flat_map(|(model, need)| {
             let layout = &layout;
-            engines.iter().enumerate().filter_map(move |(at, engine)| {
-                layout.offer(at, engine, model, *need, input)
-            })
+            engines
+                .iter()
+                .enumerate()
+                .filter_map(move |(at, engine)| layout.offer(at, engine, model, *need, input))
         });
         let payable = offers.filter(|offer| loads > 0 || !offer.stored);
         let Some(best) = payable.max_by(|a, b| a.gain.total_cmp(&b.gain)) else { break };
