--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -116,6 +116,7 @@
         tokio::spawn(link::run(self.clone()));
         tokio::spawn(peers::run(self.clone(), peers));
         tokio::spawn(grants::keep_looking(self.clone()));
+        tokio::spawn(grants::log_pressure(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
         tokio::spawn(callers::serve(self.clone(), directory, callers::Kind::Directory));
         tokio::spawn(callers::serve(self.clone(), readiness, callers::Kind::Readiness));
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -264,6 +264,31 @@
     }
 }
 
+/// Time between two log lines about waiting requests.
+const PRESSURE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Models in one log line about waiting requests.
+const PRESSURE_LIMIT: usize = 4;
+
+/// Logs for which models requests wait.
+pub async fn log_pressure(gateway: Arc<Gateway>) {
+    loop {
+        sleep(PRESSURE_PERIOD).await;
+        let pressures = gateway.scheduler.lock().pressures(Time::now());
+        for pressure in pressures.iter().take(PRESSURE_LIMIT) {
+            log::info!(
+                "event=waiting model={} waiting={} copies={} coming={} work={:.2} usage={:.2}",
+                pressure.model,
+                pressure.waiting,
+                pressure.copies,
+                pressure.coming,
+                pressure.work,
+                pressure.usage
+            );
+        }
+    }
+}
+
 /// Looks at the scheduler again and again, since limits and deadlines change by themselves.
 pub async fn keep_looking(gateway: Arc<Gateway>) {
     gateway.requests.next.store(rand::random::<u32>().into(), Ordering::Relaxed);
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -25,5 +25,5 @@
     orders::{OrderResult, OrderStep},
     placement::{Demand, PlanInput, Swap, plan},
     rate::{Bucket, Portion},
-    scheduler::{Limits, Mode, Scheduler},
+    scheduler::{Limits, Mode, Pressure, Scheduler},
 };
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -394,6 +394,12 @@
         self.models.contains_key(model) && !yielding
     }
 
+    /// Returns whether a model is on its way here.
+    pub(super) fn is_getting(&self, model: &str) -> bool {
+        let loading = self.loading.as_ref().is_some_and(|(loading, _)| &**loading == model);
+        loading || self.swap.as_ref().is_some_and(|swap| &*swap.load == model)
+    }
+
     /// Returns whether an adapter is there or on its way.
     pub(super) fn adapter(&self, work: &ModelWork) -> Option<AdapterState> {
         let adapter = work.adapter.as_ref()?;
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -99,6 +99,23 @@
     begun: Time,
 }
 
+/// How much a model is asked for while requests for it wait.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pressure {
+    /// Model.
+    pub model: Arc<str>,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Engines that hold it.
+    pub copies: usize,
+    /// Engines that load it or are about to.
+    pub coming: usize,
+    /// Work that is asked of all copies, in seconds a second.
+    pub work: f64,
+    /// Recent prefill work of each copy's engine, in seconds a second.
+    pub usage: f64,
+}
+
 /// What became of a request that looked for an endpoint.
 enum Placed {
     Granted(Grant),
@@ -187,6 +204,29 @@
         self.queue.len()
     }
 
+    /// Returns the models for which requests wait, the most wanted first.
+    pub fn pressures(&self, now: Time) -> Vec<Pressure> {
+        let mut waiting: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for work in self.queue.iter().filter_map(|waiting| waiting.ask.work.as_ref()) {
+            *waiting.entry(work.model.clone()).or_default() += 1;
+        }
+        let pressure = |(model, waiting): (Arc<str>, usize)| {
+            let holders = || self.endpoints.values().filter(|e| e.holds(&model));
+            let coming = self.endpoints.values().filter(|e| e.is_getting(&model)).count();
+            Pressure {
+                waiting,
+                copies: holders().count(),
+                coming,
+                work: self.demand.rate(&model, now),
+                usage: holders().map(|e| e.usage(now)).sum::<f64>() / holders().count().max(1) as f64,
+                model,
+            }
+        };
+        let mut all: Vec<Pressure> = waiting.into_iter().map(pressure).collect();
+        all.sort_by(|a, b| b.waiting.cmp(&a.waiting));
+        all
+    }
+
     /// Takes a request in.
     pub fn ask(&mut self, key: GrantKey, ask: Ask, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
