--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -16,10 +16,10 @@
 };
 
 /// Longest time for a connection to an engine to open.
-const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+const CONNECT_LIMIT: Duration = Duration::from_millis(120);
 
-/// Longest time for an engine to answer to an order or to send its report.
-const CALL_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time for an engine to answer to an order or to send its report; it answers at once.
+const CALL_LIMIT: Duration = Duration::from_millis(150);
 
 /// Largest answer in bytes.
 const ANSWER_LIMIT: usize = 1 << 20;
--- a/src/kernel/grants/orders.rs
+++ b/src/kernel/grants/orders.rs
@@ -9,6 +9,9 @@
 use super::{Command, Endpoint, Holding, endpoint::AdapterState};
 use crate::{catalog::EngineSpec, clock::Time};
 
+/// Time after which a change of models that has not begun to load is given up.
+const SWAP_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// Time that a model takes to be dropped.
 const UNLOAD_TIME: Duration = Duration::from_millis(30);
 
@@ -21,6 +24,9 @@
 /// Wait after an order without an answer, so that a report shows whether it was taken.
 const LOST_WAIT: Duration = Duration::from_millis(350);
 
+/// Lost answers in a row after which a report is read before the next order.
+const LOSS_LIMIT: u32 = 3;
+
 /// Time between two looks at an engine whose load should have ended.
 const LOAD_LOOK: Duration = Duration::from_millis(200);
 
@@ -66,6 +72,8 @@
     unsure: bool,
     /// Conflicts since the last other result.
     conflicts: u32,
+    /// Lost answers since the last other result.
+    losses: u32,
     /// Whether a report showed an order under way that this scheduler did not give.
     foreign: bool,
     next: Time,
@@ -122,7 +130,7 @@
         if self.lane.unsure || !self.seen || self.lane.foreign {
             return self.look(now);
         }
-        if let Some(command) = self.next_adapter(spec).or_else(|| self.next_model(spec)) {
+        if let Some(command) = self.next_adapter(spec).or_else(|| self.next_model(spec, now)) {
             self.lane.pending = Some((command.clone(), now));
             return OrderStep::Send(command, self.orders);
         }
@@ -169,11 +177,16 @@
         None
     }
 
-    fn next_model(&mut self, spec: &EngineSpec) -> Option<Command> {
+    fn next_model(&mut self, spec: &EngineSpec, now: Time) -> Option<Command> {
         if self.loading.is_some() {
             return None;
         }
         let swap = self.swap.clone()?;
+        if now.since(swap.since) > SWAP_LIMIT {
+            // The runs of a yielding model take long; another engine may be faster.
+            self.swap = None;
+            return None;
+        }
         if self.models.contains_key(&swap.load) {
             self.swap = None;
             return None;
@@ -196,6 +209,9 @@
         if result != OrderResult::Conflict {
             self.lane.conflicts = 0;
         }
+        if result != OrderResult::Lost {
+            self.lane.losses = 0;
+        }
         match result {
             OrderResult::Accepted => self.accepted(&command, ready, now),
             // Dropping an adapter takes no time, so that its order holds at once.
@@ -209,9 +225,11 @@
                 self.lane.conflicts += 1;
                 self.lane.next = now + CONFLICT_WAIT;
             }
+            // The same order again excludes the lost one, whichever of them comes first.
             OrderResult::Lost => {
-                self.lane.unsure = true;
-                self.lane.next = now + LOST_WAIT;
+                self.lane.unsure = self.lane.losses >= LOSS_LIMIT;
+                self.lane.losses += 1;
+                self.lane.next = now + CONFLICT_WAIT;
             }
             OrderResult::Refused => {
                 self.lane.unsure = true;
--- a/src/kernel/grants/placement.rs
+++ b/src/kernel/grants/placement.rs
@@ -18,6 +18,12 @@
 /// Least fall of the sum of squared loads that makes a load from the weight store worthwhile.
 const LEAST_STORED_GAIN: f64 = 0.02;
 
+/// Time that the runs of a model that yields are expected to take.
+const RUNS_TIME: Duration = Duration::from_millis(1_500);
+
+/// Price of a second without loads of adapters at an engine, for each part of its load.
+const BLOCK_PRICE: f64 = 0.03;
+
 /// Shortest time between the loads of two models at one engine.
 const SETTLE: Duration = Duration::from_millis(1_200);
 
@@ -129,6 +135,8 @@
 struct Layout {
     /// Engines that hold each model.
     holders: BTreeMap<Arc<str>, BTreeSet<usize>>,
+    /// Engines that hold each model and keep it.
+    usable: BTreeMap<Arc<str>, usize>,
     work: HashMap<Arc<str>, f64>,
     loads: Vec<f64>,
     /// Engines that a change is under way at.
@@ -147,8 +155,12 @@
 impl Layout {
     fn new(engines: &[&Endpoint], input: &PlanInput<'_>) -> Self {
         let mut holders: BTreeMap<Arc<str>, BTreeSet<usize>> = BTreeMap::new();
+        let mut usable: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         for (at, engine) in engines.iter().enumerate() {
             let there = engine.models.keys().filter(|model| engine.holds(model));
+            for model in there.clone() {
+                *usable.entry(model.clone()).or_default() += 1;
+            }
             let loading = engine.loading.iter().map(|(model, _)| model);
             let planned = engine.swap.iter().map(|swap| &swap.load);
             for model in there.chain(loading).chain(planned) {
@@ -159,6 +171,7 @@
         let work = rates.map(|model| (model.clone(), input.demand.rate(model, input.now)));
         let mut layout = Self {
             holders,
+            usable,
             work: work.collect(),
             loads: vec![0.0; engines.len()],
             taken: engines.iter().map(|e| e.loading.is_some() || e.swap.is_some()).collect(),
@@ -230,12 +243,18 @@
         if need == Need::Busy && fall < least {
             return None;
         }
-        let time = engine.load_time(input.spec, model).as_secs_f64();
+        // A load waits for the runs of what yields, and no adapter is loaded meanwhile.
+        let runs = unload.iter().any(|name| engine.runs(name) > 0);
+        let wait = if runs { RUNS_TIME.as_secs_f64() } else { 0.0 };
+        let time = engine.load_time(input.spec, model).as_secs_f64() + wait;
         let gain = match need {
-            Need::Urgent => 1e6 + fall - time,
+            Need::Urgent => 1e6 + fall - time * (1.0 + self.loads[at]),
             Need::Reach => 1e-3 + fall.min(0.0) * 1e-3 - time * 1e-6,
-            Need::Busy => fall / (1.0 + time),
+            Need::Busy => (fall - BLOCK_PRICE * self.loads[at] * time) / (1.0 + time),
         };
+        if need == Need::Busy && gain < least / 2.0 {
+            return None;
+        }
         let swap = Swap { load: model.clone(), unload, since: now };
         Some(Offer { at, swap, gain, stored })
     }
@@ -252,7 +271,7 @@
         let mut room = input.spec.weights - engine.weights(input.spec);
         let mut others: Vec<(bool, f64, &Arc<str>)> = Vec::new();
         for name in engine.models.keys() {
-            let copies = self.copies(name);
+            let copies = self.usable.get(name).copied().unwrap_or(0);
             let harm = self.work_of(name) / copies.saturating_sub(1).max(1) as f64;
             others.push((copies <= 1, harm + 0.02 * engine.runs(name) as f64, name));
         }
@@ -302,6 +321,9 @@
             if let Some(holders) = self.holders.get_mut(name) {
                 holders.remove(&offer.at);
             }
+            if let Some(usable) = self.usable.get_mut(name) {
+                *usable -= 1;
+            }
         }
         self.holders.entry(offer.swap.load.clone()).or_default().insert(offer.at);
         self.weigh();
