--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -154,6 +154,8 @@
     /// No grants before this time.
     pub(super) paused: Time,
     pause: Duration,
+    /// Whether the last connection to it could not be made.
+    lost: bool,
     pub(super) failures: Failures,
     pub(super) models: HashMap<Arc<str>, Resident>,
     pub(super) loading: Option<(Arc<str>, Time)>,
@@ -184,6 +186,7 @@
             cold_starts: VecDeque::new(),
             paused: Time::default(),
             pause: FIRST_PAUSE,
+            lost: false,
             failures: Failures::default(),
             models: HashMap::new(),
             loading: None,
@@ -350,6 +353,7 @@
 
     /// Notes that the endpoint could not be reached.
     pub(super) fn unreached(&mut self, now: Time) {
+        self.lost = true;
         self.paused = now + self.pause;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
     }
@@ -362,9 +366,15 @@
 
     /// Notes that the endpoint answered.
     pub(super) fn reached(&mut self) {
+        self.lost = false;
         self.pause = FIRST_PAUSE;
     }
 
+    /// Returns whether it counts for the placement of models: its entry may outlive it by seconds.
+    pub(super) fn is_serving(&self) -> bool {
+        !self.is_leaving() && !self.lost
+    }
+
     /// Returns the memory in tokens that running requests need at most.
     pub(super) fn reserved(&self) -> u64 {
         let works = self.running.values().filter_map(|run| run.ask.work.as_ref());
--- a/src/kernel/grants/placement.rs
+++ b/src/kernel/grants/placement.rs
@@ -98,7 +98,7 @@
     engines: impl Iterator<Item = &'a Endpoint>,
     input: &PlanInput<'_>,
 ) -> Vec<(Arc<str>, Swap)> {
-    let engines: Vec<&Endpoint> = engines.filter(|engine| !engine.is_leaving()).collect();
+    let engines: Vec<&Endpoint> = engines.filter(|engine| engine.is_serving()).collect();
     let mut layout = Layout::new(&engines, input);
     let mut changes: Vec<(Arc<str>, Swap)> = Vec::new();
     let mut loads = input.loads;
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -211,7 +211,7 @@
             *waiting.entry(work.model.clone()).or_default() += 1;
         }
         let pressure = |(model, waiting): (Arc<str>, usize)| {
-            let holders = || self.endpoints.values().filter(|e| e.holds(&model));
+            let holders = || self.endpoints.values().filter(|e| e.is_serving() && e.holds(&model));
             let coming = self.endpoints.values().filter(|e| e.is_getting(&model)).count();
             Pressure {
                 waiting,
