--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -232,22 +232,16 @@
         running.collect()
     }
 
-    /// Asks the own scheduler for what the leader has not answered.
+    /// Asks again for what waits, after the link to the leader was opened or lost.
     pub(super) fn ask_again(self: &Arc<Self>) {
-        let now = Time::now();
         let waiting: Vec<(u64, Ask)> = {
             let table = self.requests.table.lock();
             let waiting = table.iter().filter(|(_, e)| matches!(e.state, State::Waiting(_)));
             waiting.map(|(number, entry)| (*number, entry.ask.clone())).collect()
         };
         for (number, ask) in waiting {
-            let actions = {
-                let mut scheduler = self.scheduler.lock();
-                scheduler.set_mode(self.choose_mode(), now);
-                scheduler.withdraw(&self.key(number));
-                scheduler.ask(self.key(number), ask, now)
-            };
-            self.carry_out(actions);
+            self.scheduler.lock().withdraw(&self.key(number));
+            self.pass_on(number, ask);
         }
     }
 
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -119,6 +119,7 @@
     gateway.uplink.hear();
     gateway.uplink.joined.store(true, Ordering::Relaxed);
     *gateway.uplink.tx.lock() = Some(tx);
+    gateway.ask_again();
     log::info!("event=leader_joined leader={} term={}", leader.instance, leader.term);
     exchange(gateway, leader, wire, rx).await
 }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -34,6 +34,9 @@
 /// Time without the leader after which an instance reads the store itself.
 const ALONE_AFTER: Duration = Duration::from_millis(900);
 
+/// Time after the start for which an instance waits for the leader's table.
+const START_WAIT: Duration = Duration::from_millis(200);
+
 /// The endpoints as they were last read.
 #[derive(Default)]
 pub struct Registry {
@@ -72,7 +75,8 @@
     }
 
     fn must_read(&self) -> bool {
-        self.leadership.leads() || self.uplink.silence() > ALONE_AFTER
+        let alone = if self.uplink.was_joined() { ALONE_AFTER } else { START_WAIT };
+        self.leadership.leads() || self.uplink.silence() > alone
     }
 }
 
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -22,6 +22,12 @@
     names::EndpointId,
 };
 
+/// Time in which an instance that has just started learns of the endpoints.
+const START_WAIT: Duration = Duration::from_millis(400);
+
+/// Time after which engines can be given orders again while there is no leader.
+const LEADER_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Time between two looks at the placement of models.
 const PLAN_PERIOD: Duration = Duration::from_millis(200);
 
@@ -364,6 +370,9 @@
     /// Lets a request wait for a model that can be loaded in time.
     fn judge_nowhere(&self, waiting: &Waiting) -> Option<Refusal> {
         let ask = &waiting.ask;
+        if self.endpoints.is_empty() {
+            return self.judge_wait(waiting, START_WAIT);
+        }
         let open = |e: &&Endpoint| e.info.service == ask.service && !e.is_leaving();
         if !self.endpoints.values().any(|e| open(&e)) {
             return Some(Refusal { reason: Reason::NoEndpoint, retry: Duration::from_millis(500) });
@@ -371,9 +380,10 @@
         let time = self.shortest_load(ask);
         let retry = time.unwrap_or(RETRY_RANGE.1).clamp(RETRY_RANGE.0, RETRY_RANGE.1);
         let refusal = Refusal { reason: Reason::NoModel, retry };
+        let pause = if self.may_order() { Duration::ZERO } else { LEADER_WAIT };
         match time {
-            Some(time) if self.may_order() => self.judge_wait(waiting, time).map(|_| refusal),
-            _ => Some(refusal),
+            Some(time) => self.judge_wait(waiting, time + pause).map(|_| refusal),
+            None => Some(refusal),
         }
     }
 
