--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -26,16 +26,16 @@
 const SIZE_KEY: &str = "cardamomshore/size";
 
 /// Length of the leader's lease.
-const LEASE_TTL: Duration = Duration::from_millis(2_000);
+const LEASE_TTL: Duration = Duration::from_millis(1_500);
 
 /// Time between two renewals.
-const RENEW_PERIOD: Duration = Duration::from_millis(600);
+const RENEW_PERIOD: Duration = Duration::from_millis(350);
 
 /// Longest time for a renewal.
-const RENEW_LIMIT: Duration = Duration::from_millis(450);
+const RENEW_LIMIT: Duration = Duration::from_millis(400);
 
 /// Age of the last renewal from which the leader counts as not reaching the store.
-const BLIND_AFTER: Duration = Duration::from_millis(950);
+const BLIND_AFTER: Duration = Duration::from_millis(850);
 
 /// Time by which the holder counts its lease as shorter than the store does.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
--- a/src/kernel/grants/rate.rs
+++ b/src/kernel/grants/rate.rs
@@ -5,10 +5,13 @@
 use crate::{catalog::Team, clock::Time};
 
 /// Part by which a team's rate is exceeded, so that no request within it is refused.
-const RATE_EXCESS: f64 = 0.05;
+const RATE_EXCESS: f64 = 0.08;
 
-/// Part of the platform's slack that is used.
-const SLACK_PART: f64 = 0.4;
+/// Part by which a team's burst is exceeded.
+const BURST_EXCESS: f64 = 0.05;
+
+/// Part of the platform's slack that is used; the rest covers one large request.
+const SLACK_PART: f64 = 0.6;
 
 /// Seconds of the rate that should be there when a refused caller comes back.
 const READY_PART: f64 = 0.05;
@@ -41,7 +44,7 @@
     }
 
     fn cap(&self, team: &Team) -> f64 {
-        (team.burst + self.slack * SLACK_PART) * self.share
+        (team.burst * (1.0 + BURST_EXCESS) + self.slack * SLACK_PART) * self.share
     }
 }
 
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -32,7 +32,7 @@
 const PLAN_PERIOD: Duration = Duration::from_millis(200);
 
 /// Part of a team's burst with which a scheduler begins, since an earlier one may have spent it.
-const FIRST_BURST: f64 = 0.3;
+const FIRST_BURST: f64 = 0.2;
 
 /// Time for which a request waits for an adapter at one engine.
 const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
