--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{
@@ -29,6 +29,12 @@
 /// Time for which a caller waits that names none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(10);
 
+/// Time for which a request waits on an instance that knows nothing yet.
+const CATALOG_WAIT: Duration = Duration::from_millis(300);
+
+/// Time between two looks whether anything is known.
+const CATALOG_LOOK: Duration = Duration::from_millis(5);
+
 /// Time that a request takes on its way, which the caller counts already.
 const WAY_TIME: Duration = Duration::from_millis(4);
 
@@ -155,7 +161,7 @@
     head: CallerHead,
     body: Incoming,
 ) -> Result<Job, Rejection> {
-    let catalog = gateway.catalog.load_full().ok_or(Rejection::NoCatalog)?;
+    let catalog = await_catalog(gateway).await.ok_or(Rejection::NoCatalog)?;
     if gateway.refuses_new() {
         return Err(Rejection::Stopping);
     }
@@ -190,6 +196,19 @@
     })
 }
 
+/// Returns what is in force; an instance that has just started learns it within milliseconds.
+async fn await_catalog(gateway: &Gateway) -> Option<Arc<Catalog>> {
+    let mut waited = Duration::ZERO;
+    loop {
+        let catalog = gateway.catalog.load_full();
+        if catalog.is_some() || waited >= CATALOG_WAIT {
+            return catalog;
+        }
+        sleep(CATALOG_LOOK).await;
+        waited += CATALOG_LOOK;
+    }
+}
+
 /// Finds the route of a request and the team of its key.
 fn allow(
     catalog: &Catalog,
