--- a/src/kernel/grants/orders.rs
+++ b/src/kernel/grants/orders.rs
@@ -278,10 +278,14 @@
         if holding.orders < self.orders && old {
             // The report is from before the last order, which the engine is known to have taken.
             self.lane.unsure = false;
+            self.lane.next = now;
             return;
         }
         self.lane.foreign = holding.busy && self.loading.is_none();
         self.lane.unsure = false;
         self.take_report(holding, now);
+        if !self.lane.foreign && self.loading.is_none() {
+            self.lane.next = now;
+        }
     }
 }
--- a/src/kernel/grants/placement.rs
+++ b/src/kernel/grants/placement.rs
@@ -120,6 +120,9 @@
     changes
 }
 
+/// Work in seconds a second from which a model was asked for lately.
+const ASKED_WORK: f64 = 0.000_2;
+
 /// Why a model is looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Need {
@@ -205,7 +208,7 @@
             let work = self.work_of(model);
             let waiting = input.waiting.contains_key(model);
             match self.copies(model) {
-                0 if waiting || work > IDLE_WORK => models.push((Need::Urgent, work, model)),
+                0 if waiting || work > ASKED_WORK => models.push((Need::Urgent, work, model)),
                 0 => models.push((Need::Reach, work, model)),
                 copies if work > IDLE_WORK => {
                     let holders = self.holders.get(model).into_iter().flatten();
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -224,7 +224,8 @@
                 copies: holders().count(),
                 coming,
                 work: self.demand.rate(&model, now),
-                usage: holders().map(|e| e.usage(now)).sum::<f64>() / holders().count().max(1) as f64,
+                usage: holders().map(|e| e.usage(now)).sum::<f64>()
+                    / holders().count().max(1) as f64,
                 model,
             }
         };
@@ -391,6 +392,7 @@
     fn shortest_load(&self, ask: &Ask) -> Option<Duration> {
         let work = ask.work.as_ref()?;
         let spec = self.spec(&ask.service)?;
+        spec.models.get(&work.model)?;
         let engines = self.endpoints.values().filter(|e| e.info.service == ask.service);
         engines.map(|engine| engine.load_time(spec, &work.model)).min()
     }
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -6,6 +6,7 @@
     mod configuration;
     mod dispatch;
     mod freshness;
+    mod grants;
     mod ledger;
     mod lending;
     mod once;
--- /dev/null
+++ b/tests/kernel/grants/fleet.rs
@@ -0,0 +1,182 @@
+//! A small fleet for the tests of the scheduler.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use cardamomshore::{
+    catalog::{Catalog, EngineSpec, ModelSpec, Service, Team},
+    clock::Time,
+    kernel::grants::{
+        Action, Ask, Grant, GrantKey, Holding, Incarnation, Limits, Mode, ModelWork, OrderResult,
+        Outcome, Refusal, Registration, RepeatLimits, Scheduler,
+    },
+};
+
+pub const START: Time = Time::from_millis(100_000);
+
+pub const LEADING: Mode = Mode::Leading { orders: true, share: 1.0 };
+
+/// What the tests' limits are, as on the users' platform.
+pub fn limits() -> Limits {
+    Limits {
+        repeats: RepeatLimits { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) },
+        load_window: Duration::from_secs(5),
+        rate_slack: 110_000.0,
+    }
+}
+
+fn model(weights: f64) -> ModelSpec {
+    ModelSpec {
+        weights,
+        adapter: 66.0,
+        load: Duration::from_secs(4),
+        disk: Duration::from_millis(800),
+        warm: Duration::from_millis(400),
+    }
+}
+
+/// Returns a catalog with engines for models `m0` to `m5`, a plain service and one team.
+pub fn catalog(rate: f64) -> Arc<Catalog> {
+    let models = (0..6).map(|n| (Arc::from(format!("m{n}")), model(70_000.0)));
+    let engine = EngineSpec {
+        slots: 64,
+        memory: 200_000,
+        weights: 200_000.0,
+        adapters: 2,
+        loads: 2.0,
+        models: models.collect(),
+    };
+    let engines = Service { name: "llm".into(), cold_rate: 6.0, engine: Some(engine) };
+    let desk = Service { name: "desk".into(), cold_rate: 0.0, engine: None };
+    let team = Team { name: "shop".into(), rate, burst: rate, priority: None, plain: 200 };
+    let services = [engines, desk].map(|service| (service.name.clone(), Arc::new(service)));
+    Arc::new(Catalog {
+        version: 1,
+        services: services.into_iter().collect(),
+        keys: HashMap::from([("key".into(), Arc::new(team))]),
+        keyed: true,
+        ..Catalog::default()
+    })
+}
+
+/// Returns the entry of an engine that holds `models`.
+pub fn engine(id: &str, models: &[&str]) -> Registration {
+    Registration {
+        id: id.into(),
+        incarnation: Incarnation(1),
+        service: "llm".into(),
+        address: "10.0.0.1:8000".parse().expect("an address"),
+        data_centre: "a".into(),
+        slots: 64,
+        draining: false,
+        leaves: None,
+        cold: Duration::ZERO,
+        models: models.iter().map(|model| (Arc::from(*model), Vec::new())).collect(),
+        in_memory: Vec::new(),
+        on_disk: models.iter().map(|model| Arc::from(*model)).collect(),
+    }
+}
+
+/// Returns the entry of an endpoint of the plain service.
+pub fn desk(id: &str) -> Registration {
+    Registration { service: "desk".into(), slots: 6, ..engine(id, &[]) }
+}
+
+/// Returns a scheduler in a mode that knows these endpoints.
+pub fn scheduler(mode: Mode, entries: Vec<Registration>) -> Scheduler {
+    let mut scheduler = Scheduler::new(limits(), mode, START - Duration::from_secs(60));
+    scheduler.set_catalog(catalog(100_000.0));
+    scheduler.set_endpoints(entries, START);
+    scheduler
+}
+
+pub fn key(number: u64) -> GrantKey {
+    GrantKey { asker: "entry".into(), number }
+}
+
+/// Returns a request for a model with a prompt of `tokens`.
+pub fn ask(model: &str, tokens: u32, now: Time) -> Ask {
+    let work = ModelWork {
+        model: model.into(),
+        adapter: None,
+        parts: vec![(u64::from(tokens), tokens)],
+        prompt: tokens.into(),
+        answer: 50,
+    };
+    Ask {
+        service: "llm".into(),
+        data_centre: "a".into(),
+        team: Some("shop".into()),
+        charge: u64::from(tokens) + 50,
+        urgency: 1,
+        goal: now + Duration::from_millis(800),
+        deadline: now + Duration::from_secs(5),
+        work: Some(work),
+        tried: Vec::new(),
+        again: false,
+        fingerprint: 0,
+    }
+}
+
+/// Returns a request for the plain service.
+pub fn plain(now: Time) -> Ask {
+    Ask { service: "desk".into(), work: None, charge: 200, ..ask("m0", 1, now) }
+}
+
+pub fn granted(actions: &[Action]) -> Option<&Grant> {
+    actions.iter().find_map(|action| match action {
+        Action::Grant(_, grant) => Some(grant),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> Option<Refusal> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse(_, refusal) => Some(*refusal),
+        _ => None,
+    })
+}
+
+/// Carries one action out: reports say what the entries say, orders are accepted.
+///
+/// Returns the order, where it was one.
+fn carry_out(scheduler: &mut Scheduler, action: Action, now: Time) -> Option<Action> {
+    match &action {
+        Action::Report { endpoint, .. } => {
+            let known = scheduler.endpoints().find(|known| known.info.id == *endpoint);
+            let models = known.map(|known| known.snapshot(now).models).unwrap_or_default();
+            let holding = Holding { models, ..Holding::default() };
+            scheduler.report_done(endpoint, Some(holding), now);
+            None
+        }
+        Action::Order { endpoint, command, .. } => {
+            scheduler.order_done(endpoint, command, OrderResult::Accepted, now);
+            Some(action)
+        }
+        Action::Grant(..) | Action::Refuse(..) => None,
+    }
+}
+
+/// Answers the first reports, so that orders can begin.
+pub fn answer_reports(scheduler: &mut Scheduler, now: Time) {
+    for action in scheduler.tick(now) {
+        carry_out(scheduler, action, now);
+    }
+}
+
+/// Ticks for `time` and accepts every order at once; returns the orders.
+pub fn accept_orders(scheduler: &mut Scheduler, from: Time, time: Duration) -> Vec<Action> {
+    let mut orders = Vec::new();
+    let mut now = from;
+    while now < from + time {
+        for action in scheduler.tick(now) {
+            orders.extend(carry_out(scheduler, action, now));
+        }
+        now = now + Duration::from_millis(20);
+    }
+    orders
+}
+
+/// Ends a request.
+pub fn done(scheduler: &mut Scheduler, number: u64, outcome: Outcome, now: Time) -> Vec<Action> {
+    scheduler.done(&key(number), outcome, now)
+}
--- /dev/null
+++ b/tests/kernel/grants/orders.rs
@@ -0,0 +1,138 @@
+//! Orders to engines: one at a time, never beyond what an engine holds, safe against lost answers.
+
+use std::{sync::Arc, time::Duration};
+
+use cardamomshore::kernel::grants::{Action, Command, Holding, Mode, OrderResult};
+
+use super::fleet::{
+    LEADING, START, accept_orders, answer_reports, ask, engine, granted, key, scheduler,
+};
+
+fn with_adapter(name: &str, now: cardamomshore::clock::Time) -> cardamomshore::kernel::grants::Ask {
+    let mut ask = ask("m0", 100, now);
+    if let Some(work) = &mut ask.work {
+        work.adapter = Some(name.into());
+    }
+    ask
+}
+
+fn order(actions: &[Action]) -> Option<(&Command, u64)> {
+    actions.iter().find_map(|action| match action {
+        Action::Order { command, expected, .. } => Some((command, *expected)),
+        _ => None,
+    })
+}
+
+#[test]
+fn adapter_loaded_then_granted() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0", "m1"])]);
+    answer_reports(&mut scheduler, START);
+    let actions = scheduler.ask(key(1), with_adapter("a1", START), START);
+    let (command, expected) = order(&actions).expect("the adapter is ordered at once");
+    assert_eq!(*command, Command::LoadAdapter { model: "m0".into(), adapter: "a1".into() });
+    assert_eq!(expected, 0);
+    scheduler.order_done("e1", &command.clone(), OrderResult::Accepted, START);
+    assert!(granted(&scheduler.tick(START)).is_none(), "it is on its way");
+    let later = START + Duration::from_millis(15);
+    assert!(granted(&scheduler.tick(later)).is_some());
+}
+
+#[test]
+fn adapter_slots_never_exceeded() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0", "m1"])]);
+    answer_reports(&mut scheduler, START);
+    let mut held: Vec<Arc<str>> = Vec::new();
+    let mut now = START;
+    for number in 0..12 {
+        let name = format!("a{number}");
+        let mut actions = scheduler.ask(key(number), with_adapter(&name, now), now);
+        for _ in 0..20 {
+            for action in &actions {
+                let Action::Order { endpoint, command, .. } = action else { continue };
+                match command {
+                    Command::LoadAdapter { adapter, .. } => held.push(adapter.clone()),
+                    Command::UnloadAdapter { adapter, .. } => held.retain(|a| a != adapter),
+                    other => panic!("unexpected {other:?}"),
+                }
+                assert!(held.len() <= 2, "{held:?}");
+                scheduler.order_done(endpoint, command, OrderResult::Accepted, now);
+            }
+            now = now + Duration::from_millis(20);
+            actions = scheduler.tick(now);
+        }
+        scheduler.done(&key(number), cardamomshore::kernel::grants::Outcome::Whole, now);
+    }
+}
+
+#[test]
+fn lost_order_repeated_with_same_count() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0", "m1"])]);
+    answer_reports(&mut scheduler, START);
+    let actions = scheduler.ask(key(1), with_adapter("a1", START), START);
+    let (command, expected) = order(&actions).expect("ordered");
+    let command = command.clone();
+    scheduler.order_done("e1", &command, OrderResult::Lost, START);
+    let later = START + Duration::from_millis(60);
+    let actions = scheduler.tick(later);
+    assert_eq!(order(&actions), Some((&command, expected)), "either copy excludes the other");
+}
+
+#[test]
+fn conflict_twice_reads_report() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0", "m1"])]);
+    answer_reports(&mut scheduler, START);
+    let actions = scheduler.ask(key(1), with_adapter("a1", START), START);
+    let command = order(&actions).expect("ordered").0.clone();
+    scheduler.order_done("e1", &command, OrderResult::Conflict, START);
+    let later = START + Duration::from_millis(60);
+    assert!(order(&scheduler.tick(later)).is_some(), "the order before may just have ended");
+    scheduler.order_done("e1", &command, OrderResult::Conflict, later);
+    let later = later + Duration::from_millis(60);
+    let actions = scheduler.tick(later);
+    assert!(actions.iter().any(|action| matches!(action, Action::Report { .. })), "{actions:?}");
+    let holding = Holding {
+        orders: 4,
+        models: vec![("m0".into(), Vec::new()), ("m1".into(), Vec::new())],
+        ..Holding::default()
+    };
+    scheduler.report_done("e1", Some(holding), later);
+    let later = later + Duration::from_millis(250);
+    assert_eq!(order(&scheduler.tick(later)).expect("ordered").1, 4);
+}
+
+#[test]
+fn no_order_without_duty() {
+    let alone = Mode::Alone { share: 0.2 };
+    for mode in [alone, Mode::Leading { orders: false, share: 1.0 }] {
+        let mut scheduler = scheduler(mode, vec![engine("e1", &["m0", "m1"])]);
+        let mut actions = scheduler.ask(key(1), with_adapter("a1", START), START);
+        for step in 0..50 {
+            actions.extend(scheduler.tick(START + Duration::from_millis(20) * step));
+        }
+        assert!(actions.iter().all(|a| matches!(a, Action::Refuse(..))), "{mode:?}: {actions:?}");
+    }
+}
+
+#[test]
+fn weights_never_exceeded() {
+    // Each engine holds two of six models; all six are asked for.
+    let engines = vec![engine("e1", &["m0", "m1"]), engine("e2", &["m2", "m3"])];
+    let mut scheduler = scheduler(LEADING, engines);
+    answer_reports(&mut scheduler, START);
+    for (number, model) in ["m4", "m5", "m4", "m5"].iter().enumerate() {
+        scheduler.ask(key(number as u64), ask(model, 100, START), START);
+    }
+    let orders = accept_orders(&mut scheduler, START, Duration::from_secs(3));
+    let mut held = std::collections::HashMap::from([("e1", 2_i32), ("e2", 2)]);
+    for order in &orders {
+        let Action::Order { endpoint, command, .. } = order else { continue };
+        let count = held.get_mut(&**endpoint).expect("an engine");
+        match command {
+            Command::Load { .. } => *count += 1,
+            Command::Unload { .. } => *count -= 1,
+            other => panic!("unexpected {other:?}"),
+        }
+        assert!(*count <= 2, "{orders:?}");
+    }
+    assert!(!orders.is_empty());
+}
--- /dev/null
+++ b/tests/kernel/grants/placement.rs
@@ -0,0 +1,108 @@
+//! Models move to where they are asked for.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use cardamomshore::{
+    clock::Time,
+    kernel::grants::{Demand, Endpoint, Outcome, PlanInput, Registration, Swap, plan},
+};
+
+use super::fleet::{
+    LEADING, START, accept_orders, answer_reports, ask, catalog, done, engine, key, scheduler,
+};
+
+fn planned(
+    entries: &[Registration],
+    busy: &[(&str, f64)],
+    waiting: &[&str],
+    loads: usize,
+) -> Vec<(Arc<str>, Swap)> {
+    let catalog = catalog(1.0);
+    let spec = catalog.services["llm"].engine.as_ref().expect("engines");
+    let engines: Vec<Endpoint> =
+        entries.iter().map(|entry| Endpoint::new(entry.clone(), Time::default())).collect();
+    let mut demand = Demand::default();
+    for (model, work) in busy {
+        demand.note(&Arc::from(*model), Duration::from_secs_f64(work * 2.5), START);
+    }
+    let waiting: HashMap<Arc<str>, usize> =
+        waiting.iter().map(|model| (Arc::from(*model), 1)).collect();
+    let input = PlanInput { spec, demand: &demand, waiting: &waiting, loads, now: START };
+    plan(engines.iter(), &input)
+}
+
+#[test]
+fn plan_waiting_model_comes_first() {
+    let entries = [engine("e1", &["m0", "m1"]), engine("e2", &["m0", "m2"])];
+    let changes = planned(&entries, &[("m0", 0.9)], &["m4"], 1);
+    assert_eq!(&*changes.first().expect("a change").1.load, "m4", "{changes:?}");
+}
+
+#[test]
+fn plan_busy_model_goes_to_idle_engine() {
+    let entries = [engine("e1", &["m0"]), engine("e2", &["m1"]), engine("e3", &["m2"])];
+    let changes = planned(&entries, &[("m0", 0.8), ("m1", 0.4)], &[], 1);
+    let (id, swap) = changes.first().expect("a change");
+    assert_eq!((&**id, &*swap.load), ("e3", "m0"), "{changes:?}");
+}
+
+#[test]
+fn plan_idle_fleet_keeps_still() {
+    let entries = [engine("e1", &["m0", "m1"]), engine("e2", &["m2", "m3"])];
+    let all = [engine("e3", &["m4", "m5"])];
+    let entries: Vec<Registration> = entries.into_iter().chain(all).collect();
+    assert!(planned(&entries, &[("m0", 0.02), ("m2", 0.02)], &[], 5).is_empty());
+}
+
+#[test]
+fn plan_keeps_last_copy_in_use() {
+    let entries = [engine("e1", &["m0", "m1"]), engine("e2", &["m2", "m3"])];
+    let busy = [("m0", 0.2), ("m1", 0.2), ("m2", 0.2), ("m3", 0.2)];
+    assert!(planned(&entries, &busy, &["m4"], 5).is_empty(), "all copies are the last ones");
+}
+
+#[test]
+fn plan_spent_weight_store_loads_own_copies_only() {
+    let mut spare = engine("e2", &[]);
+    spare.on_disk = vec!["m1".into()];
+    let entries = [engine("e1", &["m2"]), spare];
+    let changes = planned(&entries, &[], &["m1", "m4"], 0);
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    assert_eq!(&*changes[0].1.load, "m1");
+}
+
+#[test]
+fn shift_new_busy_model_gets_copies() {
+    // The demand of a model with one copy rises; the load is what one engine cannot serve.
+    let engines = vec![
+        engine("e1", &["m0", "m1"]),
+        engine("e2", &["m0", "m2"]),
+        engine("e3", &["m0", "m3"]),
+        engine("e4", &["m0", "m4"]),
+    ];
+    let mut scheduler = scheduler(LEADING, engines);
+    answer_reports(&mut scheduler, START);
+    let mut now = START;
+    let mut loads = 0;
+    for number in 0..400 {
+        scheduler.ask(key(number), ask("m1", 6_000 + number as u32, now), now);
+        loads += accept_orders(&mut scheduler, now, Duration::from_millis(20)).len();
+        now = now + Duration::from_millis(20);
+        if number >= 10 {
+            done(&mut scheduler, number - 10, Outcome::Whole, now);
+        }
+    }
+    assert!(loads >= 2, "{loads} orders for a model that one engine cannot serve");
+}
+
+#[test]
+fn unreachable_engine_is_no_copy() {
+    let mut scheduler =
+        scheduler(LEADING, vec![engine("e1", &["m0", "m3"]), engine("e2", &["m1", "m2"])]);
+    answer_reports(&mut scheduler, START);
+    scheduler.ask(key(1), ask("m0", 100, START), START);
+    done(&mut scheduler, 1, Outcome::Unreached, START);
+    scheduler.ask(key(2), ask("m0", 100, START), START);
+    let orders = accept_orders(&mut scheduler, START, Duration::from_secs(1));
+    assert!(!orders.is_empty(), "the model is loaded elsewhere while e1's entry is still there");
+}
--- /dev/null
+++ b/tests/kernel/grants/rate.rs
@@ -0,0 +1,127 @@
+//! Teams' rates and the budget of repeats.
+
+use std::time::Duration;
+
+use cardamomshore::{
+    catalog::Team,
+    clock::Time,
+    kernel::grants::{Bucket, Mode, Portion, Reason, RepeatBudget},
+};
+
+use super::fleet::{START, ask, engine, granted, key, limits, plain, refused, scheduler};
+
+const WINDOW: Duration = Duration::from_secs(8);
+
+fn team(rate: f64) -> Team {
+    Team { name: "shop".into(), rate, burst: rate, priority: None, plain: 200 }
+}
+
+/// What the platform tolerates in a window.
+fn bound(rate: f64) -> f64 {
+    (rate * WINDOW.as_secs_f64() + rate) * 1.1 + 110_000.0
+}
+
+/// Returns the most tokens that a flood of requests takes in any window.
+fn flood(rate: f64, shares: &[f64], tokens: u64) -> f64 {
+    let team = team(rate);
+    let portion = |share| Portion { share, slack: 110_000.0 };
+    let mut buckets: Vec<Bucket> =
+        shares.iter().map(|share| Bucket::new(&team, portion(*share), 1.0, START)).collect();
+    let mut taken: Vec<(Time, u64)> = Vec::new();
+    for step in 0..3_000 {
+        let now = START + Duration::from_millis(10) * step;
+        for (bucket, share) in buckets.iter_mut().zip(shares) {
+            while bucket.take(&team, portion(*share), tokens, now).is_ok() {
+                taken.push((now, tokens));
+            }
+        }
+    }
+    let (mut most, mut sum, mut first) = (0, 0, 0);
+    for (at, tokens) in &taken {
+        sum += tokens;
+        while at.since(taken[first].0) >= WINDOW {
+            sum -= taken[first].1;
+            first += 1;
+        }
+        most = most.max(sum);
+    }
+    most as f64
+}
+
+#[test]
+fn bucket_flood_stays_within_tolerance() {
+    for rate in [29_000.0, 93_000.0, 166_000.0] {
+        for tokens in [200, 1_100, 9_200, 39_000] {
+            let most = flood(rate, &[1.0], tokens);
+            assert!(most <= bound(rate), "rate {rate}, tokens {tokens}: {most}");
+        }
+    }
+}
+
+#[test]
+fn bucket_divided_flood_stays_within_tolerance() {
+    // Three of eight instances are cut off, each with its own part.
+    let most = flood(121_000.0, &[0.625, 0.125, 0.125, 0.125], 9_200);
+    assert!(most <= bound(121_000.0), "{most}");
+}
+
+#[test]
+fn bucket_large_request_not_starved() {
+    let (team, portion) = (team(100_000.0), Portion { share: 1.0, slack: 0.0 });
+    let mut bucket = Bucket::new(&team, portion, 0.0, START);
+    let later = START + Duration::from_millis(10);
+    assert!(bucket.take(&team, portion, 39_000, later).is_ok(), "some tokens are there");
+    assert!(bucket.take(&team, portion, 9_000, later).is_err(), "they are spent");
+}
+
+#[test]
+fn bucket_small_request_has_reserve() {
+    let (team, portion) = (team(100_000.0), Portion { share: 1.0, slack: 0.0 });
+    let mut bucket = Bucket::new(&team, portion, 0.05, START);
+    assert!(bucket.take(&team, portion, 9_000, START).is_ok());
+    assert!(bucket.take(&team, portion, 9_000, START).is_err());
+    assert!(bucket.take(&team, portion, 200, START).is_ok(), "a payment still fits");
+}
+
+#[test]
+fn ask_over_rate_refused_at_once() {
+    let mut scheduler = scheduler(Mode::Alone { share: 0.01 }, vec![engine("e1", &["m0"])]);
+    let mut number = 0;
+    let refusal = loop {
+        number += 1;
+        let actions = scheduler.ask(key(number), ask("m0", 900, START), START);
+        if let Some(refusal) = refused(&actions) {
+            break refusal;
+        }
+        assert!(number < 100, "a flood is refused");
+    };
+    assert_eq!(refusal.reason, Reason::OverRate);
+    assert!(refusal.retry >= Duration::from_millis(150), "{:?}", refusal.retry);
+}
+
+#[test]
+fn ask_again_charged_but_not_refused() {
+    let mut scheduler = scheduler(Mode::Alone { share: 1.0 }, vec![super::fleet::desk("d1")]);
+    let mut again = plain(START);
+    again.again = true;
+    again.charge = 300_000;
+    assert!(granted(&scheduler.ask(key(1), again, START)).is_some());
+    let mut next = plain(START);
+    next.charge = 9_000;
+    let refusal = refused(&scheduler.ask(key(2), next, START)).expect("the tokens are owed");
+    assert_eq!(refusal.reason, Reason::OverRate);
+}
+
+#[test]
+fn repeat_budget_bounded() {
+    let limits = limits().repeats;
+    let mut budget = RepeatBudget::default();
+    for _ in 0..100 {
+        budget.first(&limits, START);
+    }
+    let allowed = (0..1_000).filter(|_| budget.repeat(&limits, 1.0, START)).count() as f64;
+    assert!(allowed <= limits.ratio * 100.0 + limits.slack, "{allowed}");
+    assert!(allowed >= 50.0, "{allowed}");
+    let later = START + Duration::from_secs(11);
+    assert!(budget.repeat(&limits, 1.0, later), "the window has passed");
+}
