Split the scheduler and the messages by what they are for

No change of behaviour: admission, waiting and upkeep of the scheduler, and frames about requests, endpoints and their coding, have files of their own.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -130,12 +130,12 @@
 
 async fn run(mut job: Job) -> Response<AnswerBody> {
     let id = job.head.request.clone();
-    let arrived = job.deadline;
+    let deadline = job.deadline;
     let served = match job.route.repeat.is_stream() {
         true => stream::run(job).await,
         false => job.run_whole().await,
     };
-    let left = arrived.since(Time::now()).as_millis();
+    let left = deadline.since(Time::now()).as_millis();
     match served {
         Ok(answer) => {
             count(answer.status());
@@ -355,7 +355,6 @@
     fn request(&self, permit: &Permit, after: Option<u64>) -> Request<Full<Bytes>> {
         let model = self.head.model.is_some();
         let sending = Sending {
-            address: permit.grant.address,
             endpoint: &permit.grant.endpoint,
             team: self.team.as_ref().map(|team| &*team.name),
             left: self.left(),
@@ -423,7 +422,7 @@
             match self.try_whole(permit, &mut failed).await {
                 Next::Return(answer) => return Ok(answer),
                 Next::Again => {}
-                Next::Reject(rejection) => return failed.map_or(Err(rejection), Ok),
+                Next::Reject(rejection) => return failed.ok_or(rejection),
             }
         }
     }
--- /dev/null
+++ b/src/gateway/messages/codec.rs
@@ -0,0 +1,58 @@
+//! Length-delimited frames.
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use super::{Content, Frame};
+
+/// Largest frame in bytes; the operators' document is the largest content.
+const FRAME_LIMIT: usize = 4 << 20;
+
+/// Why a frame cannot be read or written.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum FrameError {
+    /// The connection failed or a frame is too long.
+    #[error("link: {0}")]
+    Io(#[from] std::io::Error),
+    /// A frame is garbled.
+    #[error("garbled frame: {0}")]
+    Garbled(#[from] prost::DecodeError),
+}
+
+/// Reads and writes frames.
+#[derive(Debug)]
+pub struct FrameCodec(LengthDelimitedCodec);
+
+impl Default for FrameCodec {
+    fn default() -> Self {
+        Self(LengthDelimitedCodec::builder().max_frame_length(FRAME_LIMIT).new_codec())
+    }
+}
+
+impl Decoder for FrameCodec {
+    type Item = Content;
+    type Error = FrameError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Content>, FrameError> {
+        while let Some(bytes) = self.0.decode(src)? {
+            // A frame of a newer release may have a content that is unknown here.
+            if let Some(content) = Frame::decode(bytes)?.content {
+                return Ok(Some(content));
+            }
+        }
+        Ok(None)
+    }
+}
+
+impl Encoder<Content> for FrameCodec {
+    type Error = FrameError;
+
+    fn encode(&mut self, content: Content, dst: &mut BytesMut) -> Result<(), FrameError> {
+        let bytes = Frame { content: Some(content) }.encode_to_vec();
+        metrics::counter!("cardamomshore_link_bytes_total").increment(bytes.len() as u64);
+        self.0.encode(Bytes::from(bytes), dst)?;
+        Ok(())
+    }
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -118,7 +118,7 @@
         match start(&mut job, permit, None).await {
             Start::Started(started) => return Ok(pass_on(job, started)),
             Start::Else(Next::Again) => {}
-            Start::Else(Next::Reject(rejection)) => return failed.map_or(Err(rejection), Ok),
+            Start::Else(Next::Reject(rejection)) => return failed.ok_or(rejection),
             Start::Else(Next::Return(answer)) if job.may_rerun() => failed = Some(answer),
             Start::Else(Next::Return(answer)) => return Ok(answer),
         }
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -1,5 +1,11 @@
 //! Takes what happens and decides which waiting request goes where.
 
+mod admission;
+mod upkeep;
+mod waiting;
+
+pub use self::upkeep::Pressure;
+
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     sync::Arc,
@@ -8,56 +14,30 @@
 
 use super::{
     Action, Ask, Bucket, Command, Demand, Endpoint, Grant, GrantKey, Granted, Holding, Incarnation,
-    ModelWork, OrderResult, OrderStep, Outcome, PlanInput, Portion, Reason, Refusal, Registration,
-    RepeatBudget, RepeatLimits, choice,
+    ModelWork, OrderResult, Outcome, Refusal, Registration, RepeatBudget, RepeatLimits, choice,
     choice::{Fit, Terms},
     endpoint::Run,
-    placement,
     queue::Waiting,
 };
 use crate::{
-    catalog::{Catalog, EngineSpec, Service, Team},
+    catalog::{Catalog, EngineSpec, Service},
     clock::Time,
-    kernel::suspect::{CrashId, Suspects, Verdict},
+    kernel::suspect::{CrashId, Suspects},
     names::EndpointId,
 };
 
-/// Time in which an instance that has just started learns of the endpoints.
-const START_WAIT: Duration = Duration::from_millis(400);
-
-/// Time after which engines can be given orders again while there is no leader.
-const LEADER_WAIT: Duration = Duration::from_millis(1_500);
-
 /// Time between two looks at the placement of models.
 const PLAN_PERIOD: Duration = Duration::from_millis(200);
 
-/// Part of a team's burst with which a scheduler begins, since an earlier one may have spent it.
-const FIRST_BURST: f64 = 0.2;
-
-/// Time for which a request waits for an adapter at one engine.
-const ADAPTER_PATIENCE: Duration = Duration::from_millis(400);
-
 /// Expected time from grant to first event beside prefill.
 const FIRST_EVENT: Duration = Duration::from_millis(25);
 
 /// Shortest and longest time after which a refused caller is asked to come back.
 const RETRY_RANGE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_secs(4));
 
-/// Prefill for which the next model request in the queue is expected to wait.
-const QUEUE_STEP: Duration = Duration::from_millis(60);
-
 /// Time for which an endpoint that shed a request is left alone.
 const FULL_PAUSE: Duration = Duration::from_millis(60);
 
-/// Part of a request's time that it may be expected to wait.
-const WAIT_PART: f64 = 0.5;
-
-/// Prefill seconds for which a token of an answer counts, since runs are batched.
-const ANSWER_WORK: Duration = Duration::from_micros(80);
-
-/// Loads from the weight store that may run at once, for each allowed a second.
-const LOADS_AT_ONCE: f64 = 3.0;
-
 /// What a scheduler may do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Mode {
@@ -105,23 +85,6 @@
     begun: Time,
 }
 
-/// How much a model is asked for while requests for it wait.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Pressure {
-    /// Model.
-    pub model: Arc<str>,
-    /// Requests that wait.
-    pub waiting: usize,
-    /// Engines that hold it.
-    pub copies: usize,
-    /// Engines that load it or are about to.
-    pub coming: usize,
-    /// Work that is asked of all copies, in seconds a second.
-    pub work: f64,
-    /// Recent prefill work of each copy's engine, in seconds a second.
-    pub usage: f64,
-}
-
 /// What became of a request that looked for an endpoint.
 enum Placed {
     Granted(Grant),
@@ -210,30 +173,6 @@
         self.queue.len()
     }
 
-    /// Returns the models for which requests wait, the most wanted first.
-    pub fn pressures(&self, now: Time) -> Vec<Pressure> {
-        let mut waiting: BTreeMap<Arc<str>, usize> = BTreeMap::new();
-        for work in self.queue.iter().filter_map(|waiting| waiting.ask.work.as_ref()) {
-            *waiting.entry(work.model.clone()).or_default() += 1;
-        }
-        let pressure = |(model, waiting): (Arc<str>, usize)| {
-            let holders = || self.endpoints.values().filter(|e| e.is_serving() && e.holds(&model));
-            let coming = self.endpoints.values().filter(|e| e.is_getting(&model)).count();
-            Pressure {
-                waiting,
-                copies: holders().count(),
-                coming,
-                work: self.demand.rate(&model, now),
-                usage: holders().map(|e| e.usage(now)).sum::<f64>()
-                    / holders().count().max(1) as f64,
-                model,
-            }
-        };
-        let mut all: Vec<Pressure> = waiting.into_iter().map(pressure).collect();
-        all.sort_by(|a, b| b.waiting.cmp(&a.waiting));
-        all
-    }
-
     /// Takes a request in.
     pub fn ask(&mut self, key: GrantKey, ask: Ask, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
@@ -264,62 +203,6 @@
         matches!(self.mode, Mode::Leading { orders: true, .. })
     }
 
-    /// Charges a request to its team and to the budget of repeats.
-    fn admit(&mut self, ask: &Ask, now: Time) -> Result<(), Refusal> {
-        let refuse = |reason, retry| Err(Refusal { reason, retry });
-        if self.suspects.judge(ask.fingerprint, now) == Verdict::Refuse {
-            return refuse(Reason::Crashes, RETRY_RANGE.1);
-        }
-        let share = self.share();
-        let limits = self.limits.repeats;
-        let budget = self.repeats.entry(ask.service.clone()).or_default();
-        if ask.again {
-            if !budget.repeat(&limits, share, now) {
-                return refuse(Reason::NoRepeat, Duration::from_secs(1));
-            }
-        } else {
-            budget.first(&limits, now);
-        }
-        self.charge(ask, now)
-            .or_else(|wait| refuse(Reason::OverRate, wait.clamp(RETRY_RANGE.0, RETRY_RANGE.1)))?;
-        if let Some(work) = ask.work.as_ref().filter(|_| !ask.again) {
-            let reads = work.prompt as f64 / 40.0 / 1e3 * self.pace(&work.model) * 0.5;
-            let cost = Duration::from_secs_f64(reads) + ANSWER_WORK * work.answer as u32;
-            self.demand.note(&work.model, cost, now);
-        }
-        Ok(())
-    }
-
-    fn charge(&mut self, ask: &Ask, now: Time) -> Result<(), Duration> {
-        let Some(name) = &ask.team else { return Ok(()) };
-        let teams = self.catalog.keys.values();
-        let Some(team) = teams.into_iter().find(|team| team.name == *name) else { return Ok(()) };
-        let portion = Portion { share: self.share(), slack: self.limits.rate_slack };
-        let part = self.first_burst(team, now);
-        let first = || Bucket::new(team, portion, part, now);
-        let bucket = self.buckets.entry(name.clone()).or_insert_with(first);
-        if ask.again {
-            bucket.owe(team, portion, ask.charge, now);
-            return Ok(());
-        }
-        bucket.take(team, portion, ask.charge, now)
-    }
-
-    /// Returns the part of a team's burst that is there at its first request.
-    ///
-    /// An earlier scheduler may have spent it; it has come back after some time.
-    fn first_burst(&self, team: &Team, now: Time) -> f64 {
-        let since = now.since(self.begun).as_secs_f64();
-        (FIRST_BURST + since * team.rate / team.burst.max(1.0)).min(1.0)
-    }
-
-    fn give_back(&mut self, ask: &Ask) {
-        let bucket = ask.team.as_ref().and_then(|team| self.buckets.get_mut(team));
-        if let Some(bucket) = bucket {
-            bucket.give_back(ask.charge);
-        }
-    }
-
     /// Grants a request, queues it, or refuses it where waiting is of no use.
     fn enter(&mut self, key: GrantKey, ask: Ask, now: Time, actions: &mut Vec<Action>) {
         let ahead = self.queue.iter().any(|waiting| {
@@ -349,54 +232,6 @@
         }
     }
 
-    /// Estimates how long a request waits behind those like it.
-    fn queue_wait(&self, ask: &Ask) -> Duration {
-        let like = |w: &&Waiting| same_model(&w.ask, ask) && w.ask.urgency <= ask.urgency;
-        let ahead = self.queue.iter().filter(like).count() as u32;
-        let model = ask.work.as_ref().map(|work| &work.model);
-        let serves = |e: &&Endpoint| {
-            e.info.service == ask.service && model.is_none_or(|model| e.holds(model))
-        };
-        let copies = self.endpoints.values().filter(serves).count().max(1) as u32;
-        QUEUE_STEP * ahead / copies
-    }
-
-    /// Refuses a request that would wait for too long.
-    fn judge_wait(&self, waiting: &Waiting, wait: Duration) -> Option<Refusal> {
-        let left = waiting.ask.deadline.since(waiting.since);
-        let retry = wait.clamp(RETRY_RANGE.0, RETRY_RANGE.1);
-        (wait > left.mul_f64(WAIT_PART)).then_some(Refusal { reason: Reason::NoRoom, retry })
-    }
-
-    /// Lets a request wait for a model that can be loaded in time.
-    fn judge_nowhere(&self, waiting: &Waiting) -> Option<Refusal> {
-        let ask = &waiting.ask;
-        if self.endpoints.is_empty() {
-            return self.judge_wait(waiting, START_WAIT);
-        }
-        let open = |e: &&Endpoint| e.info.service == ask.service && !e.is_leaving();
-        if !self.endpoints.values().any(|e| open(&e)) {
-            return Some(Refusal { reason: Reason::NoEndpoint, retry: Duration::from_millis(500) });
-        }
-        let time = self.shortest_load(ask);
-        let retry = time.unwrap_or(RETRY_RANGE.1).clamp(RETRY_RANGE.0, RETRY_RANGE.1);
-        let refusal = Refusal { reason: Reason::NoModel, retry };
-        let pause = if self.may_order() { Duration::ZERO } else { LEADER_WAIT };
-        match time {
-            Some(time) => self.judge_wait(waiting, time + pause).map(|_| refusal),
-            None => Some(refusal),
-        }
-    }
-
-    /// Returns the shortest time in which an engine could load the model of a request.
-    fn shortest_load(&self, ask: &Ask) -> Option<Duration> {
-        let work = ask.work.as_ref()?;
-        let spec = self.spec(&ask.service)?;
-        spec.models.get(&work.model)?;
-        let engines = self.endpoints.values().filter(|e| e.info.service == ask.service);
-        engines.map(|engine| engine.load_time(spec, &work.model)).min()
-    }
-
     fn spec(&self, service: &str) -> Option<&EngineSpec> {
         self.catalog.services.get(service)?.engine.as_ref()
     }
@@ -618,106 +453,6 @@
         self.pump(now, &mut actions);
         actions
     }
-
-    /// Grants as many waiting requests as fit.
-    fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_cached_key(|waiting| waiting.rank(now));
-        let mut full: HashSet<(Arc<str>, Option<Arc<str>>)> = HashSet::new();
-        let mut left = Vec::new();
-        for mut waiting in queue {
-            let like = kind(&waiting.ask);
-            if let Some((_, since)) = &waiting.prepared {
-                if now.since(*since) > ADAPTER_PATIENCE {
-                    waiting.prepared = None;
-                }
-            } else if full.contains(&like) {
-                self.keep_or_refuse(waiting, now, &mut left, actions);
-                continue;
-            }
-            match self.place(&waiting.key, &waiting.ask, now) {
-                Placed::Granted(grant) => {
-                    actions.push(Action::Grant(waiting.key, grant));
-                    continue;
-                }
-                Placed::Preparing(endpoint) => {
-                    let since = waiting.prepared.map_or(now, |(_, since)| since);
-                    waiting.prepared = Some((endpoint, since));
-                }
-                Placed::Full | Placed::Loading(_) | Placed::Nowhere => {
-                    waiting.prepared = None;
-                    full.insert(like);
-                }
-            }
-            self.keep_or_refuse(waiting, now, &mut left, actions);
-        }
-        self.queue.append(&mut left);
-        self.orders(now, actions);
-    }
-
-    fn keep_or_refuse(
-        &mut self,
-        waiting: Waiting,
-        now: Time,
-        left: &mut Vec<Waiting>,
-        actions: &mut Vec<Action>,
-    ) {
-        if !waiting.is_overdue(now) {
-            return left.push(waiting);
-        }
-        self.give_back(&waiting.ask);
-        let refusal = Refusal { reason: Reason::NoRoom, retry: RETRY_RANGE.0 * 4 };
-        actions.push(Action::Refuse(waiting.key, refusal));
-    }
-
-    /// Collects the next orders of all engines.
-    fn orders(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if !self.may_order() {
-            return;
-        }
-        let catalog = self.catalog.clone();
-        for endpoint in self.endpoints.values_mut() {
-            let service = catalog.services.get(&endpoint.info.service);
-            let Some(spec) = service.and_then(|service| service.engine.as_ref()) else { continue };
-            let (id, address) = (endpoint.info.id.clone(), endpoint.info.address);
-            match endpoint.next_order(spec, now) {
-                OrderStep::Nothing => {}
-                OrderStep::Report => actions.push(Action::Report { endpoint: id, address }),
-                OrderStep::Send(command, expected) => {
-                    actions.push(Action::Order { endpoint: id, address, command, expected });
-                }
-            }
-        }
-    }
-
-    fn plan(&mut self, now: Time) {
-        let window = self.limits.load_window;
-        while self.loads.front().is_some_and(|at| now.since(*at) > window) {
-            self.loads.pop_front();
-        }
-        let mut waiting: HashMap<Arc<str>, usize> = HashMap::new();
-        for work in self.queue.iter().filter_map(|waiting| waiting.ask.work.as_ref()) {
-            *waiting.entry(work.model.clone()).or_default() += 1;
-        }
-        let services: Vec<Arc<Service>> = self.catalog.services.values().cloned().collect();
-        for service in services {
-            let Some(spec) = &service.engine else { continue };
-            let engines = self.endpoints.values().filter(|e| {
-                e.info.service == service.name && !self.evacuated.contains(&e.info.data_centre)
-            });
-            let engines: Vec<&Endpoint> = engines.collect();
-            let coming = engines.iter().filter(|e| e.loading.is_some() || e.swap.is_some()).count();
-            let window = (spec.loads * window.as_secs_f64()) as usize;
-            let at_once = (spec.loads * LOADS_AT_ONCE) as usize;
-            let loads = window.saturating_sub(self.loads.len()).min(at_once.saturating_sub(coming));
-            let input = PlanInput { spec, demand: &self.demand, waiting: &waiting, loads, now };
-            for (id, swap) in placement::plan(engines.into_iter(), &input) {
-                if let Some(endpoint) = self.endpoints.get_mut(&id) {
-                    endpoint.swap = Some(swap);
-                }
-            }
-        }
-    }
 }
 
 fn same_model(a: &Ask, b: &Ask) -> bool {
--- /dev/null
+++ b/src/kernel/grants/scheduler/upkeep.rs
@@ -0,0 +1,108 @@
+//! Orders to engines, the placement of models, and what is told of both.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use super::Scheduler;
+use crate::{
+    catalog::Service,
+    clock::Time,
+    kernel::grants::{Action, Endpoint, OrderStep, PlanInput, placement},
+};
+
+/// Loads from the weight store that may run at once, for each allowed a second.
+const LOADS_AT_ONCE: f64 = 3.0;
+
+/// How much a model is asked for while requests for it wait.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pressure {
+    /// Model.
+    pub model: Arc<str>,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Engines that hold it.
+    pub copies: usize,
+    /// Engines that load it or are about to.
+    pub coming: usize,
+    /// Work that is asked of all copies, in seconds a second.
+    pub work: f64,
+    /// Recent prefill work of each copy's engine, in seconds a second.
+    pub usage: f64,
+}
+
+impl Scheduler {
+    /// Returns the models for which requests wait, the most wanted first.
+    pub fn pressures(&self, now: Time) -> Vec<Pressure> {
+        let mut waiting: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for work in self.queue.iter().filter_map(|waiting| waiting.ask.work.as_ref()) {
+            *waiting.entry(work.model.clone()).or_default() += 1;
+        }
+        let pressure = |(model, waiting): (Arc<str>, usize)| {
+            let holders = || self.endpoints.values().filter(|e| e.is_serving() && e.holds(&model));
+            let coming = self.endpoints.values().filter(|e| e.is_getting(&model)).count();
+            Pressure {
+                waiting,
+                copies: holders().count(),
+                coming,
+                work: self.demand.rate(&model, now),
+                usage: holders().map(|e| e.usage(now)).sum::<f64>()
+                    / holders().count().max(1) as f64,
+                model,
+            }
+        };
+        let mut all: Vec<Pressure> = waiting.into_iter().map(pressure).collect();
+        all.sort_by_key(|pressure| std::cmp::Reverse(pressure.waiting));
+        all
+    }
+
+    /// Collects the next orders of all engines.
+    pub(super) fn orders(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if !self.may_order() {
+            return;
+        }
+        let catalog = self.catalog.clone();
+        for endpoint in self.endpoints.values_mut() {
+            let service = catalog.services.get(&endpoint.info.service);
+            let Some(spec) = service.and_then(|service| service.engine.as_ref()) else { continue };
+            let (id, address) = (endpoint.info.id.clone(), endpoint.info.address);
+            match endpoint.next_order(spec, now) {
+                OrderStep::Nothing => {}
+                OrderStep::Report => actions.push(Action::Report { endpoint: id, address }),
+                OrderStep::Send(command, expected) => {
+                    actions.push(Action::Order { endpoint: id, address, command, expected });
+                }
+            }
+        }
+    }
+
+    pub(super) fn plan(&mut self, now: Time) {
+        let window = self.limits.load_window;
+        while self.loads.front().is_some_and(|at| now.since(*at) > window) {
+            self.loads.pop_front();
+        }
+        let mut waiting: HashMap<Arc<str>, usize> = HashMap::new();
+        for work in self.queue.iter().filter_map(|waiting| waiting.ask.work.as_ref()) {
+            *waiting.entry(work.model.clone()).or_default() += 1;
+        }
+        let services: Vec<Arc<Service>> = self.catalog.services.values().cloned().collect();
+        for service in services {
+            let Some(spec) = &service.engine else { continue };
+            let engines = self.endpoints.values().filter(|e| {
+                e.info.service == service.name && !self.evacuated.contains(&e.info.data_centre)
+            });
+            let engines: Vec<&Endpoint> = engines.collect();
+            let coming = engines.iter().filter(|e| e.loading.is_some() || e.swap.is_some()).count();
+            let window = (spec.loads * window.as_secs_f64()) as usize;
+            let at_once = (spec.loads * LOADS_AT_ONCE) as usize;
+            let loads = window.saturating_sub(self.loads.len()).min(at_once.saturating_sub(coming));
+            let input = PlanInput { spec, demand: &self.demand, waiting: &waiting, loads, now };
+            for (id, swap) in placement::plan(engines.into_iter(), &input) {
+                if let Some(endpoint) = self.endpoints.get_mut(&id) {
+                    endpoint.swap = Some(swap);
+                }
+            }
+        }
+    }
+}
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -1,6 +1,6 @@
 //! Headers of callers' requests and of the answers that they get.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use http::{HeaderMap, HeaderName, HeaderValue, header, request::Parts};
 
@@ -125,8 +125,6 @@
 
 /// What the system adds to a request that it sends to an endpoint.
 pub struct Sending<'a> {
-    /// Address of the endpoint.
-    pub address: SocketAddr,
     /// Endpoint that is meant, since addresses are used again.
     pub endpoint: &'a str,
     /// Team of the caller's key.
