--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Action, Ask, Bucket, Command, Demand, Endpoint, Grant, GrantKey, Granted, Holding, Incarnation,
-    ModelWork, OrderResult, Outcome, Refusal, Registration, RepeatBudget, RepeatLimits, choice,
+    ModelWork, OrderResult, Outcome, Registration, RepeatBudget, RepeatLimits, choice,
     choice::{Fit, Terms},
     endpoint::Run,
     queue::Waiting,
