Let instances that have just restarted stand for leader first

Ruled out: the store, which answered. The wait of a candidate now depends on the age of its process. Tests: candidate_*, and the adapter's decoding with them.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -51,6 +51,7 @@
     members: ArcSwap<members::Members>,
     registry: registry::Registry,
     shutdown: shutdown::Shutdown,
+    started: Time,
 }
 
 /// Why a gateway cannot run.
@@ -94,6 +95,7 @@
             members: ArcSwap::default(),
             registry: registry::Registry::default(),
             shutdown: shutdown::Shutdown::default(),
+            started: Time::now(),
             settings,
         })
     }
@@ -131,6 +133,11 @@
         self.catalog.load().is_some() && self.registry.is_known() && !self.shutdown.has_begun()
     }
 
+    /// Returns the time since the start of the process.
+    fn age(&self) -> std::time::Duration {
+        Time::now().since(self.started)
+    }
+
     fn is_self(&self, instance: &str) -> bool {
         &*self.settings.instance == instance
     }
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -9,6 +9,7 @@
 use super::Gateway;
 use crate::{
     clock::Time,
+    kernel::candidacy::candidate_wait,
     platform::store::{Event, Item, Put, StoreError, Watched, Written},
 };
 
@@ -46,12 +47,6 @@
 /// Wait before the store is asked again after an error.
 const ERROR_WAIT: Duration = Duration::from_millis(300);
 
-/// Longest wait of a candidate, so that not all write at once.
-const CANDIDATE_WAIT_MS: u64 = 120;
-
-/// Wait of the weakest machine, so that a strong one leads where there is any.
-const WEAK_WAIT: Duration = Duration::from_millis(400);
-
 /// Time between two looks of a candidate.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -306,8 +301,8 @@
 }
 
 async fn stand(gateway: &Gateway) {
-    let wait = Duration::from_millis(rand::random_range(0..CANDIDATE_WAIT_MS));
-    sleep(wait + WEAK_WAIT.mul_f64(gateway.settings.machine.weakness())).await;
+    let (weakness, age) = (gateway.settings.machine.weakness(), gateway.age());
+    sleep(candidate_wait(weakness, age, rand::random())).await;
     let Step::Stand(revision) = next_step(gateway) else { return };
     if let Err(err) = try_stand(gateway, revision).await {
         log::info!("event=candidacy_failed reason={err}");
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -5,6 +5,7 @@
 
 pub mod addresses;
 pub mod admission;
+pub mod candidacy;
 pub mod configuration;
 pub mod dispatch;
 pub mod drain;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -3,6 +3,7 @@
 mod matrix;
 
 mod kernel {
+    mod candidacy;
     mod configuration;
     mod dispatch;
     mod freshness;
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -6,6 +6,7 @@
     mod config;
     mod docs;
     mod measure;
+    mod platform;
     mod settings;
     mod timeline;
 }
--- /dev/null
+++ b/tests/product/platform.rs
@@ -0,0 +1,210 @@
+//! What the adapter makes of the platform's texts.
+
+use std::time::Duration;
+
+use cardamomshore::{
+    catalog::Repeat,
+    gateway::settings::GatewaySettings,
+    platform::{caller, catalog, engine, registration},
+};
+use http::{HeaderMap, HeaderValue, Request, StatusCode};
+
+const DOCUMENT: &str = r#"{"version":7,"routes":[
+    {"name":"r1","host":"Shop.example","path_prefix":"/a/","type":"streaming","timeout_ms":5000,
+     "target_latency_ms":800,"priority":1,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+     "max_attempts":2,"public":false,"resumable":true},
+    {"name":"r2","host":"shop.example","path_prefix":"/a/b/","type":"non_idempotent","timeout_ms":600,
+     "target_latency_ms":100,"priority":2,"service":"s2","max_attempts":1,"public":true}],
+  "services":[{"name":"s1","health_path":"/h","max_conns":9,"cold_start_s":3.0,"cold_per_s":6.5,
+     "engine":{"slots":64,"kv_capacity_tokens":232000,"weights_mb":200000.0,"adapter_slots":8,"loads_per_s":2.1,
+     "models":[{"name":"m","weights_mb":65100.0,"load_s":3.8,"adapters":3,"adapter_mb":12.0,"warm_s":0.38}]}}],
+  "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"unit":"tokens","plain_tokens":200,
+     "rate_per_s":1000,"burst":500}],
+  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+
+#[test]
+fn document_decoded() {
+    let catalog = catalog::decode(DOCUMENT.as_bytes()).expect("a document");
+    assert_eq!(catalog.version, 7);
+    let long = catalog.route("shop.example", "/a/b/c").expect("a route");
+    assert_eq!((&*long.name, long.repeat), ("r2", Repeat::Once), "the longest prefix wins");
+    let short = catalog.route("shop.example", "/a/c").expect("a route");
+    assert_eq!(short.repeat, Repeat::Stream { resumable: true });
+    assert_eq!(short.goal, Duration::from_millis(800));
+    assert!(catalog.route("shop.example", "/b/").is_none());
+    assert_eq!(&*catalog.keys["k2"].name, "t");
+    let engine = catalog.services["s1"].engine.as_ref().expect("engines");
+    assert_eq!(engine.models["m"].disk, Duration::from_millis(3_800), "no disk time is named");
+    assert_eq!(engine.models["m"].warm, Duration::from_millis(380));
+}
+
+#[test]
+fn document_split_follows_weights() {
+    let catalog = catalog::decode(DOCUMENT.as_bytes()).expect("a document");
+    let route = catalog.route("shop.example", "/a/c").expect("a route");
+    let first = (0..100_000).filter(|draw| route.target(*draw).is_some_and(|s| &**s == "s1"));
+    assert_eq!(first.count(), 90_000);
+}
+
+#[test]
+fn document_garbled_rejected() {
+    assert!(catalog::decode(b"{").is_err());
+    let unknown = DOCUMENT.replace("\"streaming\"", "\"magic\"");
+    assert!(catalog::decode(unknown.as_bytes()).is_err());
+}
+
+const ENTRY: &str = r#"{"service":"s1","address":"10.0.0.9:80","zone":"a","slots":64,"state":"ready",
+    "cold_remaining_ms":1500,"seq":9,"born":1700000000000,
+    "models":[{"name":"m","version":1,"adapters":["a1"]}],"at_hand":{"in_memory":["m"],"on_disk":[]}}"#;
+
+#[test]
+fn entry_decoded() {
+    let entry = registration::decode("i-1", ENTRY.as_bytes()).expect("an entry");
+    assert_eq!(entry.cold, Duration::from_millis(1_500));
+    assert_eq!(entry.incarnation.0, 1_700_000_000_000);
+    assert_eq!(entry.models, [("m".into(), vec!["a1".into()])]);
+    assert!(!entry.draining);
+}
+
+#[test]
+fn entry_nonsense_names_no_endpoint() {
+    let cases = [
+        "not json".to_owned(),
+        "{}".to_owned(),
+        ENTRY.replace("\"ready\"", "\"haunted\""),
+        ENTRY.replace("\"10.0.0.9:80\"", "12"),
+        ENTRY.replace("\"born\":1700000000000", "\"born\":\"x\""),
+    ];
+    for case in cases {
+        assert_eq!(registration::decode("i-1", case.as_bytes()), None, "{case}");
+    }
+}
+
+fn head(headers: &[(&'static str, &str)]) -> http::request::Parts {
+    let mut request = Request::builder().uri("/a/x?q=1");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(()).expect("a request").into_parts().0
+}
+
+#[test]
+fn caller_head_decoded() {
+    let parts = head(&[
+        ("host", "Shop.example:8221"),
+        ("x-request-id", "9c41"),
+        ("x-model", "m/a3"),
+        ("x-token-count", "1460,80"),
+        ("x-prompt-prefix", "5c1e07a2:800,91bd3f06:410"),
+        ("x-deadline-ms", "4000"),
+        ("authorization", "Token k1"),
+    ]);
+    let head = caller::decode(&parts);
+    assert_eq!(head.host, "shop.example");
+    assert_eq!((head.model.as_deref(), head.adapter.as_deref()), (Some("m"), Some("a3")));
+    assert_eq!(head.tokens, Some((1_460, 80)));
+    assert_eq!(head.parts, [(0x5c1e_07a2, 800), (0x91bd_3f06, 410)]);
+    assert_eq!(head.patience, Some(Duration::from_secs(4)));
+    assert_eq!(head.key.as_deref(), Some("k1"));
+}
+
+#[test]
+fn forward_shows_no_key_and_nothing_forged() {
+    let parts = head(&[
+        ("host", "shop.example"),
+        ("authorization", "Token k1"),
+        ("x-tenant", "forged"),
+        ("x-hold", "1"),
+        ("x-pin-ms", "4000"),
+        ("x-kv-backup", "10.0.0.1:1"),
+        ("kv-from", "10.0.0.1:1/x"),
+        ("kv-fetch", "10.0.0.1:1"),
+        ("x-request-priority", "0"),
+        ("connection", "x-hop, keep-alive"),
+        ("x-hop", "1"),
+        ("x-kept", "1"),
+    ]);
+    let sending = caller::Sending {
+        endpoint: "i-1",
+        team: Some("t"),
+        left: Duration::from_millis(900),
+        priority: None,
+        after: Some(12),
+    };
+    let headers = caller::forward(&parts.headers, &sending);
+    let mut names: Vec<&str> = headers.keys().map(|name| name.as_str()).collect();
+    names.sort_unstable();
+    let expected =
+        ["host", "last-event-id", "x-deadline-ms", "x-expect-instance", "x-kept", "x-tenant"];
+    assert_eq!(names, expected);
+    assert_eq!(headers["x-tenant"], "t");
+    assert_eq!(headers["x-deadline-ms"], "900");
+}
+
+#[test]
+fn answer_head_not_run() {
+    let mut headers = HeaderMap::new();
+    assert!(caller::answer_head(StatusCode::MISDIRECTED_REQUEST, &headers).not_run);
+    assert!(!caller::answer_head(StatusCode::SERVICE_UNAVAILABLE, &headers).not_run);
+    headers.insert("x-not-executed", HeaderValue::from_static("1"));
+    headers.insert("keep-alive", HeaderValue::from_static("timeout=10, max=5"));
+    headers.insert("x-server-load", HeaderValue::from_static("3,1,8"));
+    let head = caller::answer_head(StatusCode::SERVICE_UNAVAILABLE, &headers);
+    assert!(head.not_run);
+    assert_eq!((head.load, head.keep), (Some((3, 1)), Some(Duration::from_secs(10))));
+}
+
+#[test]
+fn report_decoded() {
+    let text = br#"{"stage":"unified","models":[{"name":"m","version":1,"adapters":["a1"]}],"busy":true,
+        "seq":4,"queued_requests":1,"running":12,"kv_used":41000,"kv_total":90000,"coming":["m/a2@1"]}"#;
+    let holding = engine::decode_report(text).expect("a report");
+    assert_eq!((holding.orders, holding.busy), (4, true));
+    assert_eq!(holding.coming, [("m".into(), "a2".into())]);
+}
+
+/// Fills the template in as the platform does.
+fn filled() -> String {
+    let values = [
+        ("node", "edge-1"),
+        ("zone", "a"),
+        ("ip", "10.0.0.1"),
+        ("listen.front", "10.0.0.1:1"),
+        ("listen.directory", "10.0.0.1:2"),
+        ("listen.ready", "10.0.0.1:3"),
+        ("internal_ports.0", "7600"),
+        ("internal_ports.1", "7615"),
+        ("platform.address", "10.0.0.9:4"),
+        ("limits.cpu_share", "0.25"),
+        ("limits.link_mbps", "1000.0"),
+        ("bounds.retry_budget_ratio", "0.2"),
+        ("bounds.retry_slack", "58"),
+        ("bounds.budget_window_s", "10"),
+        ("bounds.ceiling_window_s", "5"),
+        ("bounds.quota_slack", "110000"),
+        ("bounds.lease_ms", "3000"),
+        ("bounds.grace_s", "8"),
+        ("bounds.ttl_max_s", "5"),
+    ];
+    let mut text = include_str!("../../deploy/gateway.yaml").to_owned();
+    for (name, value) in values {
+        text = text.replace(&format!("{{{{{name}}}}}"), value);
+    }
+    text
+}
+
+#[test]
+fn template_gives_settings() {
+    let settings = GatewaySettings::parse(&filled()).expect("settings");
+    assert_eq!(&*settings.instance, "edge-1");
+    assert_eq!(settings.metrics.port(), 7_615);
+    assert_eq!(settings.order_gap, Duration::from_secs(3));
+    assert_eq!(settings.machine.weakness(), 0.0);
+}
+
+#[test]
+fn settings_name_the_wrong_field() {
+    let text = filled().replace("10.0.0.9:4", "nowhere");
+    let error = GatewaySettings::parse(&text).expect_err("no address").to_string();
+    assert!(error.contains("store"), "{error}");
+}
