Take no request after SIGTERM that the end could cut

Ruled out: engine and link. Test takes_new_not_when_the_end_could_cut_it failed first with the old part.

--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -14,11 +14,7 @@
 };
 
 use super::{Gateway, leader};
-use crate::clock::Time;
-
-/// Part of the time to the end for which new requests are still served, since callers keep the
-/// directory's answer for a while.
-const SERVE_PART: f64 = 0.6;
+use crate::{clock::Time, kernel::stopping::takes_new};
 
 /// Time kept free before the platform ends the process.
 const END_MARGIN: Duration = Duration::from_millis(600);
@@ -49,8 +45,7 @@
 impl Gateway {
     /// Returns whether new requests are refused because the process is about to end.
     pub(super) fn refuses_new(&self) -> bool {
-        self.shutdown.has_begun()
-            && self.shutdown.elapsed() > self.settings.stop.mul_f64(SERVE_PART)
+        self.shutdown.has_begun() && !takes_new(self.shutdown.elapsed(), self.settings.stop)
     }
 }
 
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -20,6 +20,7 @@
 pub mod routing;
 pub mod shares;
 pub mod stewardship;
+pub mod stopping;
 pub mod stream;
 pub mod suspect;
 pub mod warmup;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -18,6 +18,7 @@
     mod runner;
     mod shutdown;
     mod stewardship;
+    mod stopping;
     mod stream;
     mod suspect;
     mod warmup;
--- /dev/null
+++ b/tests/kernel/stopping.rs
@@ -0,0 +1,18 @@
+//! New requests of an instance that was told to stop.
+
+use std::time::Duration;
+
+use cardamomshore::kernel::stopping::takes_new;
+
+const GRACE: Duration = Duration::from_secs(8);
+
+#[test]
+fn takes_new_while_callers_move_away() {
+    assert!(takes_new(Duration::from_millis(2_500), GRACE));
+}
+
+#[test]
+fn takes_new_not_when_the_end_could_cut_it() {
+    // Streams may run until the end; only those sent up to 3 s after the signal may be cut by it.
+    assert!(!takes_new(Duration::from_millis(3_000), GRACE));
+}
