Expect the gateway command in the help

help_lists_every_command failed since the command was added: the expected text lacked the new line, which is as strict as before with it.

--- a/tests/product/cli.rs
+++ b/tests/product/cli.rs
@@ -30,6 +30,7 @@
 
             Commands:
               serve        Run one instance
+              gateway      Run one entry instance on the users' platform
               demo         Run a small fleet with stand-ins in one process
               config       Check, show, compare and apply the configuration
               key          Give a key to a team or withdraw it
