Let an entry drop no model that a report showed

Cause: an engine's entry in the store that was written before a load, and read after the report that showed the loaded model, made Endpoint::take_models drop the model.

Ruled out by the code: an order beyond room from a lost answer (the same number of orders excludes it).

Now such an entry only casts doubt, and a report is read before the next order. As followers read no reports, an instance that begins or ends to give orders forgets that it has seen one.

--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -234,16 +234,29 @@
         Registration { models, cold, ..self.info.clone() }
     }
 
+    /// Forgets what only the instance that gives orders knows, since another one may give them now.
+    pub(super) fn hand_over(&mut self) {
+        self.seen = false;
+        self.swap = None;
+        self.lane = super::orders::Lane::default();
+    }
+
     /// Makes the models of the entry the resident ones.
     ///
     /// The entry's adapters count only before the first report, since no entry is written when they
-    /// change. A model that was dropped a moment ago may still stand in the entry.
+    /// change. A model that was dropped a moment ago may still stand in the entry. After a report an
+    /// entry that lacks a model drops nothing, since it may be the older of the two; the next report
+    /// decides.
     fn take_models(&mut self, now: Time) {
         let dropped =
             |model: &Arc<str>| self.dropped.get(model).is_some_and(|at| now.since(*at) < ENTRY_LAG);
         let listed = self.info.models.iter().filter(|(model, _)| !dropped(model));
         let listed: Vec<(Arc<str>, Vec<Arc<str>>)> = listed.cloned().collect();
-        self.keep_models(&listed);
+        if !self.seen {
+            self.keep_models(&listed);
+        } else if !self.agrees(&listed) {
+            self.lane.doubt();
+        }
         for (model, adapters) in listed {
             let fresh = !self.models.contains_key(&model);
             let resident = self.models.entry(model.clone()).or_default();
@@ -257,6 +270,13 @@
         }
     }
 
+    /// Returns whether an entry lists what is known to be here, a model on its way or not.
+    fn agrees(&self, listed: &[(Arc<str>, Vec<Arc<str>>)]) -> bool {
+        let is_listed = |model: &Arc<str>| listed.iter().any(|(name, _)| name == model);
+        let is_known = |model: &Arc<str>| self.models.contains_key(model) || self.is_getting(model);
+        self.models.keys().all(is_listed) && listed.iter().all(|(model, _)| is_known(model))
+    }
+
     /// Drops the models that are not listed.
     fn keep_models(&mut self, listed: &[(Arc<str>, Vec<Arc<str>>)]) {
         let is_listed = |model: &Arc<str>| listed.iter().any(|(name, _)| name == model);
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -128,7 +128,11 @@
             self.buckets.clear();
             self.begun = now;
         }
+        let ordered = self.may_order();
         self.mode = mode;
+        if ordered != self.may_order() {
+            self.endpoints.values_mut().for_each(Endpoint::hand_over);
+        }
     }
 
     /// Puts a catalog in force.
--- a/tests/kernel/grants/orders.rs
+++ b/tests/kernel/grants/orders.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cardamomshore::kernel::grants::{Action, Command, Holding, Mode, OrderResult};
+use cardamomshore::kernel::grants::{Action, Command, Holding, Mode, OrderResult, Registration};
 
 use super::fleet::{
     LEADING, START, accept_orders, answer_reports, ask, engine, granted, key, scheduler,
@@ -136,3 +136,28 @@
     }
     assert!(!orders.is_empty());
 }
+
+#[test]
+fn older_entry_drops_no_model() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"])]);
+    let actions = scheduler.tick(START);
+    assert!(actions.iter().any(|action| matches!(action, Action::Report { .. })), "{actions:?}");
+    let models = vec![("m0".into(), Vec::new()), ("m1".into(), Vec::new())];
+    let holding = Holding { orders: 1, models, ..Holding::default() };
+    scheduler.report_done("e1", Some(holding.clone()), START);
+
+    // This entry was written before m1 was loaded.
+    let older = engine("e1", &["m0"]);
+    scheduler.set_endpoints(vec![Registration { in_memory: vec!["m0".into()], ..older }], START);
+    let now = START + Duration::from_millis(20);
+    let mut actions = scheduler.ask(key(1), ask("m4", 100, now), now);
+    actions.extend(scheduler.tick(now + Duration::from_millis(250)));
+    assert!(order(&actions).is_none(), "nothing is known for sure: {actions:?}");
+    assert!(actions.iter().any(|action| matches!(action, Action::Report { .. })), "{actions:?}");
+
+    let now = now + Duration::from_millis(250);
+    scheduler.report_done("e1", Some(holding), now);
+    let orders = accept_orders(&mut scheduler, now, Duration::from_secs(1));
+    let first = order(&orders).expect("an order").0;
+    assert!(matches!(first, Command::Unload { .. }), "three models do not fit: {first:?}");
+}
