Judge only endpoints that may run a request, and the queue only where room came

Now an index by model names the endpoints to judge, an ended request looks only at what could run at its endpoint, orders are looked for at one engine, or at all in a tick; ticks are rarer while more than 64 wait.

--- /dev/null
+++ b/benches/grants.rs
@@ -0,0 +1,159 @@
+//! Cost of the leader's decisions over the size of the fleet and the length of its queue.
+
+use std::{collections::HashMap, hint::black_box, sync::Arc, time::Duration};
+
+use cardamomshore::{
+    catalog::{Catalog, EngineSpec, ModelSpec, Service},
+    clock::Time,
+    kernel::grants::{
+        Action, Ask, GrantKey, Holding, Incarnation, Limits, Mode, ModelWork, Outcome,
+        Registration, RepeatLimits, Scheduler,
+    },
+};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+
+const START: Time = Time::from_millis(100_000);
+const MODELS: usize = 240;
+
+fn catalog() -> Arc<Catalog> {
+    let spec = ModelSpec {
+        weights: 70_000.0,
+        adapter: 66.0,
+        load: Duration::from_secs(4),
+        disk: Duration::from_millis(800),
+        warm: Duration::from_millis(400),
+    };
+    let engine = EngineSpec {
+        slots: 48,
+        memory: 196_000,
+        weights: 200_000.0,
+        adapters: 8,
+        loads: 20.0,
+        models: (0..MODELS).map(|number| (model(number), spec.clone())).collect(),
+    };
+    let service = Service { name: "llm".into(), cold_rate: 6.0, engine: Some(engine) };
+    let services = HashMap::from([(service.name.clone(), Arc::new(service))]);
+    Arc::new(Catalog { version: 1, services, keyed: true, ..Catalog::default() })
+}
+
+fn model(number: usize) -> Arc<str> {
+    format!("model-{number:03}").into()
+}
+
+fn engine(number: usize) -> Registration {
+    let models: Vec<Arc<str>> = (0..2).map(|i| model((number * 2 + i) % MODELS)).collect();
+    Registration {
+        id: format!("engine-{number:04}").into(),
+        incarnation: Incarnation(1),
+        service: "llm".into(),
+        address: "10.0.0.1:8000".parse().expect("an address"),
+        data_centre: format!("dc-{}", number % 4).into(),
+        slots: 48,
+        draining: false,
+        leaves: None,
+        cold: Duration::ZERO,
+        models: models.iter().map(|model| (model.clone(), Vec::new())).collect(),
+        in_memory: Vec::new(),
+        on_disk: models,
+    }
+}
+
+fn ask(number: u64, now: Time) -> Ask {
+    let work = ModelWork {
+        model: model(number as usize % MODELS),
+        adapter: number.is_multiple_of(2).then(|| format!("adapter-{}", number % 600).into()),
+        parts: vec![(number % 977, 2_500), (number, 3_800)],
+        prompt: 9_190,
+        answer: 50,
+    };
+    Ask {
+        service: "llm".into(),
+        data_centre: "dc-1".into(),
+        team: None,
+        charge: 10_000,
+        urgency: 1,
+        goal: now + Duration::from_millis(800),
+        deadline: now + Duration::from_secs(50),
+        work: Some(work),
+        tried: Vec::new(),
+        again: false,
+        fingerprint: number,
+    }
+}
+
+fn key(number: u64) -> GrantKey {
+    GrantKey { asker: "entry".into(), number }
+}
+
+/// Returns a leader of a fleet that has as many requests waiting, with the keys of those that run.
+fn leader(engines: usize, waiting: usize) -> (Scheduler, Vec<GrantKey>, u64) {
+    let limits = Limits {
+        repeats: RepeatLimits { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) },
+        load_window: Duration::from_secs(5),
+        rate_slack: 110_000.0,
+    };
+    let mut scheduler = Scheduler::new(limits, Mode::Leading { orders: true, share: 1.0 }, START);
+    scheduler.set_catalog(catalog());
+    scheduler.set_endpoints((0..engines).map(engine).collect(), START);
+    for action in scheduler.tick(START) {
+        let Action::Report { endpoint, .. } = action else { continue };
+        let known = scheduler.endpoints().find(|known| known.info.id == endpoint);
+        let models = known.map(|known| known.snapshot(START).models).unwrap_or_default();
+        scheduler.report_done(&endpoint, Some(Holding { models, ..Holding::default() }), START);
+    }
+    let mut running = Vec::new();
+    let mut number = 0;
+    while scheduler.waiting() < waiting && number < 20_000 {
+        number += 1;
+        for action in scheduler.ask(key(number), ask(number, START), START) {
+            if let Action::Grant(key, _) = action {
+                running.push(key);
+            }
+        }
+    }
+    (scheduler, running, number)
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("grants");
+    for (engines, waiting) in [(140, 0), (140, 100), (140, 400), (1_200, 400)] {
+        let name = format!("{engines} engines, {waiting} waiting");
+        let (mut scheduler, mut running, mut number) = leader(engines, waiting);
+        let mut now = START + Duration::from_millis(1);
+        group.bench_function(BenchmarkId::new("ask and done", &name), |bencher| {
+            bencher.iter(|| {
+                number += 1;
+                now = now + Duration::from_micros(2);
+                let mut actions = scheduler.ask(key(number), ask(number, now), now);
+                if let Some(key) = running.pop() {
+                    actions.extend(scheduler.done(&key, Outcome::Whole, now));
+                }
+                for action in black_box(actions) {
+                    if let Action::Grant(key, _) = action {
+                        running.push(key);
+                    }
+                }
+                if scheduler.waiting() > waiting {
+                    scheduler.withdraw(&key(number));
+                }
+            });
+        });
+        group.bench_function(BenchmarkId::new("tick", &name), |bencher| {
+            bencher.iter(|| black_box(scheduler.tick(now)));
+        });
+        group.bench_function(BenchmarkId::new("tick with plan", &name), |bencher| {
+            bencher.iter(|| {
+                now = now + Duration::from_millis(200);
+                black_box(scheduler.tick(now))
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(10).measurement_time(Duration::from_secs(1)).warm_up_time(Duration::from_millis(200));
+    targets = decisions
+}
+criterion_main!(benches);
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -25,6 +25,12 @@
 /// Time between two looks at the scheduler while requests wait.
 const BUSY_PERIOD: Duration = Duration::from_millis(5);
 
+/// Time between two looks at the scheduler while many requests wait.
+const CROWDED_PERIOD: Duration = Duration::from_millis(15);
+
+/// Waiting requests from which a look takes noticeable processor time.
+const CROWD: usize = 64;
+
 /// Time between two looks at the scheduler of the leader.
 const LEADER_PERIOD: Duration = Duration::from_millis(20);
 
@@ -292,7 +298,8 @@
         let period = match gateway.scheduler.lock().waiting() {
             0 if gateway.leadership.leads() => LEADER_PERIOD,
             0 => IDLE_PERIOD,
-            _ => BUSY_PERIOD,
+            1..CROWD => BUSY_PERIOD,
+            _ => CROWDED_PERIOD,
         };
         sleep(period).await;
     }
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -10,6 +10,7 @@
 mod choice;
 mod endpoint;
 mod failures;
+mod index;
 mod orders;
 mod placement;
 mod queue;
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -17,6 +17,7 @@
     ModelWork, OrderResult, Outcome, Registration, RepeatBudget, RepeatLimits, choice,
     choice::{Fit, Terms},
     endpoint::Run,
+    index::Index,
     queue::Waiting,
 };
 use crate::{
@@ -73,6 +74,7 @@
     catalog: Arc<Catalog>,
     evacuated: HashSet<Arc<str>>,
     endpoints: BTreeMap<Arc<str>, Endpoint>,
+    index: Index,
     places: HashMap<GrantKey, Arc<str>>,
     queue: Vec<Waiting>,
     buckets: HashMap<Arc<str>, Bucket>,
@@ -91,8 +93,6 @@
     Preparing(Arc<str>),
     /// Endpoints serve such requests but are full.
     Full,
-    /// The model is on its way to an engine, where it will be at this time.
-    Loading(Time),
     /// No endpoint holds what it needs.
     Nowhere,
 }
@@ -106,6 +106,7 @@
             catalog: Arc::default(),
             evacuated: HashSet::new(),
             endpoints: BTreeMap::new(),
+            index: Index::default(),
             places: HashMap::new(),
             queue: Vec::new(),
             buckets: HashMap::new(),
@@ -165,6 +166,7 @@
             };
             self.endpoints.insert(endpoint.info.id.clone(), endpoint);
         }
+        self.index.expire();
     }
 
     /// Returns the endpoints.
@@ -184,7 +186,6 @@
             Ok(()) => self.enter(key, ask, now, &mut actions),
             Err(refusal) => actions.push(Action::Refuse(key, refusal)),
         }
-        self.orders(now, &mut actions);
         actions
     }
 
@@ -211,7 +212,7 @@
     fn enter(&mut self, key: GrantKey, ask: Ask, now: Time, actions: &mut Vec<Action>) {
         let ahead = self.queue.iter().any(|waiting| {
             waiting.prepared.is_none()
-                && same_model(&waiting.ask, &ask)
+                && same_kind(&waiting.ask, &ask)
                 && waiting.ask.urgency <= ask.urgency
                 && waiting.ask.goal > now
         });
@@ -220,12 +221,15 @@
         let refusal = match placed {
             Placed::Granted(grant) => return actions.push(Action::Grant(waiting.key, grant)),
             Placed::Preparing(endpoint) => {
+                self.order_at(&endpoint, now, actions);
                 waiting.prepared = Some((endpoint, now));
                 None
             }
             Placed::Full => self.judge_wait(&waiting, self.queue_wait(&waiting.ask)),
-            Placed::Loading(ready) => self.judge_wait(&waiting, ready.since(now)),
-            Placed::Nowhere => self.judge_nowhere(&waiting),
+            Placed::Nowhere => match self.coming(&waiting.ask) {
+                Some(ready) => self.judge_wait(&waiting, ready.since(now)),
+                None => self.judge_nowhere(&waiting),
+            },
         };
         match refusal {
             None => self.queue.push(waiting),
@@ -254,7 +258,9 @@
         let terms = Terms { service: &service, orders, share, pace, now };
         let mut best: Option<(Duration, bool, Arc<str>)> = None;
         let mut full = false;
-        for endpoint in self.endpoints.values() {
+        self.index.refresh(&self.endpoints);
+        for id in self.index.candidates(ask) {
+            let Some(endpoint) = self.endpoints.get(id) else { continue };
             if self.evacuated.contains(&endpoint.info.data_centre) {
                 continue;
             }
@@ -278,7 +284,7 @@
                 Placed::Preparing(id)
             }
             None if full => Placed::Full,
-            None => self.coming(ask).map_or(Placed::Nowhere, Placed::Loading),
+            None => Placed::Nowhere,
         }
     }
 
@@ -374,16 +380,18 @@
     pub fn done(&mut self, key: &GrantKey, outcome: Outcome, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
         self.withdraw(key);
-        self.finish(key, outcome, now);
-        self.pump(now, &mut actions);
+        if let Some(endpoint) = self.finish(key, outcome, now) {
+            self.pump_at(&endpoint, now, &mut actions);
+        }
         actions
     }
 
-    fn finish(&mut self, key: &GrantKey, outcome: Outcome, now: Time) {
-        let Some(id) = self.places.remove(key) else { return };
-        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+    /// Returns the endpoint that has room again.
+    fn finish(&mut self, key: &GrantKey, outcome: Outcome, now: Time) -> Option<Arc<str>> {
+        let id = self.places.remove(key)?;
+        let endpoint = self.endpoints.get_mut(&id)?;
         let alone = endpoint.running.len() == 1;
-        let Some(run) = endpoint.running.remove(key) else { return };
+        let run = endpoint.running.remove(key)?;
         let place = run.ask.data_centre.clone();
         match outcome {
             Outcome::Whole => {
@@ -408,6 +416,7 @@
         if matches!(outcome, Outcome::Unreached | Outcome::Full | Outcome::Misplaced) {
             self.give_back(&run.ask);
         }
+        Some(id)
     }
 
     /// Forgets all requests of an instance that is gone.
@@ -438,12 +447,16 @@
             }
         }
         endpoint.order_done(result, ready, now);
+        if matches!(command, Command::Load { .. } | Command::Unload { .. }) {
+            self.index.expire();
+        }
     }
 
     /// Takes a report in; `None` where none came.
     pub fn report_done(&mut self, id: &str, holding: Option<Holding>, now: Time) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.report_done(holding, now);
+            self.index.expire();
         }
     }
 
@@ -455,20 +468,18 @@
             self.plan(now);
         }
         self.pump(now, &mut actions);
+        self.orders(now, &mut actions);
         actions
     }
 }
 
-fn same_model(a: &Ask, b: &Ask) -> bool {
-    a.service == b.service && kind(a) == kind(b)
-}
-
-/// Returns what distinguishes requests that any endpoint serves alike.
-fn kind(ask: &Ask) -> (Arc<str>, Option<Arc<str>>) {
-    match &ask.work {
-        Some(work) => (work.model.clone(), work.adapter.clone()),
-        None => (ask.service.clone(), None),
-    }
+fn same_kind(a: &Ask, b: &Ask) -> bool {
+    a.service == b.service
+        && match (&a.work, &b.work) {
+            (Some(a), Some(b)) => a.model == b.model && a.adapter == b.adapter,
+            (None, None) => true,
+            _ => false,
+        }
 }
 
 fn start(
--- a/src/kernel/grants/scheduler/upkeep.rs
+++ b/src/kernel/grants/scheduler/upkeep.rs
@@ -7,7 +7,7 @@
 
 use super::Scheduler;
 use crate::{
-    catalog::Service,
+    catalog::{Catalog, Service},
     clock::Time,
     kernel::grants::{Action, Endpoint, OrderStep, PlanInput, placement},
 };
@@ -62,18 +62,18 @@
         if !self.may_order() {
             return;
         }
-        let catalog = self.catalog.clone();
         for endpoint in self.endpoints.values_mut() {
-            let service = catalog.services.get(&endpoint.info.service);
-            let Some(spec) = service.and_then(|service| service.engine.as_ref()) else { continue };
-            let (id, address) = (endpoint.info.id.clone(), endpoint.info.address);
-            match endpoint.next_order(spec, now) {
-                OrderStep::Nothing => {}
-                OrderStep::Report => actions.push(Action::Report { endpoint: id, address }),
-                OrderStep::Send(command, expected) => {
-                    actions.push(Action::Order { endpoint: id, address, command, expected });
-                }
-            }
+            actions.extend(next_order(&self.catalog, endpoint, now));
+        }
+    }
+
+    /// Collects the next order of one engine.
+    pub(super) fn order_at(&mut self, id: &str, now: Time, actions: &mut Vec<Action>) {
+        if !self.may_order() {
+            return;
+        }
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            actions.extend(next_order(&self.catalog, endpoint, now));
         }
     }
 
@@ -106,3 +106,16 @@
         }
     }
 }
+
+fn next_order(catalog: &Catalog, endpoint: &mut Endpoint, now: Time) -> Option<Action> {
+    let spec = catalog.services.get(&endpoint.info.service)?.engine.as_ref()?;
+    let step = endpoint.next_order(spec, now);
+    let (id, address) = (&endpoint.info.id, endpoint.info.address);
+    match step {
+        OrderStep::Nothing => None,
+        OrderStep::Report => Some(Action::Report { endpoint: id.clone(), address }),
+        OrderStep::Send(command, expected) => {
+            Some(Action::Order { endpoint: id.clone(), address, command, expected })
+        }
+    }
+}
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use super::{Placed, RETRY_RANGE, Scheduler, kind, same_model};
+use super::{Placed, RETRY_RANGE, Scheduler, same_kind};
 use crate::{
     clock::Time,
     kernel::grants::{Action, Ask, Endpoint, Reason, Refusal, queue::Waiting},
@@ -23,16 +23,31 @@
 /// Part of a request's time that it may be expected to wait.
 const WAIT_PART: f64 = 0.5;
 
+/// What distinguishes requests that any endpoint serves alike.
+#[derive(PartialEq, Eq, Hash)]
+struct Kind {
+    service: Arc<str>,
+    model: Option<Arc<str>>,
+    adapter: Option<Arc<str>>,
+}
+
+impl Kind {
+    fn of(ask: &Ask) -> Self {
+        let work = ask.work.as_ref();
+        Self {
+            service: ask.service.clone(),
+            model: work.map(|work| work.model.clone()),
+            adapter: work.and_then(|work| work.adapter.clone()),
+        }
+    }
+}
+
 impl Scheduler {
     /// Estimates how long a request waits behind those like it.
     pub(super) fn queue_wait(&self, ask: &Ask) -> Duration {
-        let like = |w: &&Waiting| same_model(&w.ask, ask) && w.ask.urgency <= ask.urgency;
+        let like = |w: &&Waiting| same_kind(&w.ask, ask) && w.ask.urgency <= ask.urgency;
         let ahead = self.queue.iter().filter(like).count() as u32;
-        let model = ask.work.as_ref().map(|work| &work.model);
-        let serves = |e: &&Endpoint| {
-            e.info.service == ask.service && model.is_none_or(|model| e.holds(model))
-        };
-        let copies = self.endpoints.values().filter(serves).count().max(1) as u32;
+        let copies = self.index.candidates(ask).len().max(1) as u32;
         QUEUE_STEP * ahead / copies
     }
 
@@ -74,18 +89,33 @@
 
     /// Grants as many waiting requests as fit.
     pub(super) fn pump(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let mut queue = std::mem::take(&mut self.queue);
-        queue.sort_by_cached_key(|waiting| waiting.rank(now));
-        let mut full: HashSet<(Arc<str>, Option<Arc<str>>)> = HashSet::new();
-        let mut left = Vec::new();
-        for mut waiting in queue {
-            let like = kind(&waiting.ask);
+        let queue = std::mem::take(&mut self.queue);
+        self.serve(queue, now, actions);
+    }
+
+    /// Grants waiting requests that an endpoint, which has room again, could run.
+    pub(super) fn pump_at(&mut self, id: &str, now: Time, actions: &mut Vec<Action>) {
+        let Some(endpoint) = self.endpoints.get(id) else { return };
+        let picked = self.queue.extract_if(.., |waiting| {
+            waiting.ask.service == endpoint.info.service
+                && waiting.ask.work.as_ref().is_none_or(|work| endpoint.holds(&work.model))
+        });
+        let picked = picked.collect();
+        self.serve(picked, now, actions);
+    }
+
+    /// Grants what fits of some requests, in their order, and queues the others again.
+    fn serve(&mut self, mut picked: Vec<Waiting>, now: Time, actions: &mut Vec<Action>) {
+        picked.sort_by_cached_key(|waiting| waiting.rank(now));
+        let mut full: HashSet<Kind> = HashSet::new();
+        for mut waiting in picked {
+            let kind = Kind::of(&waiting.ask);
             if let Some((_, since)) = &waiting.prepared {
                 if now.since(*since) > ADAPTER_PATIENCE {
                     waiting.prepared = None;
                 }
-            } else if full.contains(&like) {
-                self.keep_or_refuse(waiting, now, &mut left, actions);
+            } else if full.contains(&kind) {
+                self.keep_or_refuse(waiting, now, actions);
                 continue;
             }
             match self.place(&waiting.key, &waiting.ask, now) {
@@ -94,29 +124,22 @@
                     continue;
                 }
                 Placed::Preparing(endpoint) => {
+                    self.order_at(&endpoint, now, actions);
                     let since = waiting.prepared.map_or(now, |(_, since)| since);
                     waiting.prepared = Some((endpoint, since));
                 }
-                Placed::Full | Placed::Loading(_) | Placed::Nowhere => {
+                Placed::Full | Placed::Nowhere => {
                     waiting.prepared = None;
-                    full.insert(like);
+                    full.insert(kind);
                 }
             }
-            self.keep_or_refuse(waiting, now, &mut left, actions);
+            self.keep_or_refuse(waiting, now, actions);
         }
-        self.queue.append(&mut left);
-        self.orders(now, actions);
     }
 
-    fn keep_or_refuse(
-        &mut self,
-        waiting: Waiting,
-        now: Time,
-        left: &mut Vec<Waiting>,
-        actions: &mut Vec<Action>,
-    ) {
+    fn keep_or_refuse(&mut self, waiting: Waiting, now: Time, actions: &mut Vec<Action>) {
         if !waiting.is_overdue(now) {
-            return left.push(waiting);
+            return self.queue.push(waiting);
         }
         self.give_back(&waiting.ask);
         let refusal = Refusal { reason: Reason::NoRoom, retry: RETRY_RANGE.0 * 4 };
