Load the hottest absent model first, and let models that nobody asks for yield

Three faults of the placement: among models without a copy the one with the least work went first, since the fall of squared loads was all that ranked them; loads of models that nobody asked for took all the places at the weight store; and a last copy never made way unless its engine had a copy of its own, so that two thirds of the places of a shrunken fleet were held by models out of use.

Ruled out: adapters and memory (the two copies' engines were idle, usage 0.05), orders (none was given).

Now the price of dropping a last copy depends on its work, models out of use are cheap, urgent ones rank by their work, at most a quarter of the loads at once is for models that nobody asks for, and each need has places of its own on the list of models to look at. A report shows that an engine is reached.

Tests plan_hot_model_takes_place_of_last_copies and plan_hottest_absent_model_is_loaded_first failed first.

--- a/src/kernel/grants/orders.rs
+++ b/src/kernel/grants/orders.rs
@@ -274,6 +274,7 @@
             self.lane.next = now + LOST_WAIT;
             return;
         };
+        self.reached();
         let old = now.since(self.lane.accepted) < REPORT_AGE;
         if holding.orders < self.orders && old {
             // The report is from before the last order, which the engine is known to have taken.
--- a/src/kernel/grants/placement.rs
+++ b/src/kernel/grants/placement.rs
@@ -30,8 +30,8 @@
 /// Changes that one look may bring.
 const CHANGE_LIMIT: usize = 4;
 
-/// Models that one look considers, the most pressed ones.
-const MODEL_LIMIT: usize = 10;
+/// Models that one look considers for each need, the most pressed ones.
+const MODEL_LIMIT: usize = 6;
 
 /// Work in seconds a second below which a model counts as not in use.
 const IDLE_WORK: f64 = 0.004;
@@ -85,6 +85,8 @@
     pub waiting: &'a HashMap<Arc<str>, usize>,
     /// Loads from the weight store that may start now.
     pub loads: usize,
+    /// Those of them that may be for models that nobody asks for.
+    pub reach: usize,
     /// Present time.
     pub now: Time,
 }
@@ -101,7 +103,7 @@
     let engines: Vec<&Endpoint> = engines.filter(|engine| engine.is_serving()).collect();
     let mut layout = Layout::new(&engines, input);
     let mut changes: Vec<(Arc<str>, Swap)> = Vec::new();
-    let mut loads = input.loads;
+    let (mut loads, mut reach) = (input.loads, input.reach);
     while changes.len() < CHANGE_LIMIT {
         let models = layout.pressed(input);
         let offers = models.iter().flat_map(|(model, need)| {
@@ -111,9 +113,14 @@
                 .enumerate()
                 .filter_map(move |(at, engine)| layout.offer(at, engine, model, *need, input))
         });
-        let payable = offers.filter(|offer| loads > 0 || !offer.stored);
+        let payable = offers.filter(|offer| match offer.need {
+            _ if !offer.stored => true,
+            Need::Reach => loads.min(reach) > 0,
+            Need::Busy | Need::Urgent => loads > 0,
+        });
         let Some(best) = payable.max_by(|a, b| a.gain.total_cmp(&b.gain)) else { break };
         loads -= usize::from(best.stored);
+        reach -= usize::from(best.stored && best.need == Need::Reach);
         layout.apply(&best);
         changes.push((engines[best.at].info.id.clone(), best.swap));
     }
@@ -123,6 +130,27 @@
 /// Work in seconds a second from which a model was asked for lately.
 const ASKED_WORK: f64 = 0.000_2;
 
+/// Squared load that a run of a model that yields counts for, since the load waits for its end.
+const RUN_HARM: f64 = 0.02;
+
+/// Squared load that each second a second of work counts for while its model has no copy.
+const ABSENCE_PRICE: f64 = 4.0;
+
+/// Squared load that the load of an absent model from an engine's own copy counts for.
+const OWN_LOAD_PRICE: f64 = 0.005;
+
+/// Squared load that the load of an absent model from the weight store counts for.
+const LOAD_PRICE: f64 = 0.02;
+
+/// Squared load for which the last copy of a model that is asked for is dropped.
+const ASKED_PRICE: f64 = 0.15;
+
+/// Rank of a model without a copy that is asked for, above all gains of other loads.
+const URGENT_RANK: f64 = 1e6;
+
+/// Squared load that others may lose for a model without a copy that is asked for.
+const URGENT_WORTH: f64 = 0.1;
+
 /// Why a model is looked at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Need {
@@ -149,6 +177,7 @@
 /// A way to load a model.
 struct Offer {
     at: usize,
+    need: Need,
     swap: Swap,
     gain: f64,
     /// Whether the weights come from the weight store.
@@ -221,7 +250,12 @@
         models.sort_by(|a, b| {
             b.0.cmp(&a.0).then_with(|| b.1.total_cmp(&a.1)).then_with(|| a.2.cmp(b.2))
         });
-        models.truncate(MODEL_LIMIT);
+        let mut counts: BTreeMap<Need, usize> = BTreeMap::new();
+        models.retain(|(need, ..)| {
+            let count = counts.entry(*need).or_default();
+            *count += 1;
+            *count <= MODEL_LIMIT
+        });
         models.into_iter().map(|(need, _, model)| (model.clone(), need)).collect()
     }
 
@@ -240,7 +274,7 @@
             return None;
         }
         let unload = self.victims(engine, model, need, input)?;
-        let fall = self.fall(at, model, &unload);
+        let fall = self.fall(at, engine, model, &unload);
         let stored = !engine.has_copy(model);
         let least = if stored { LEAST_STORED_GAIN } else { LEAST_GAIN };
         if need == Need::Busy && fall < least {
@@ -251,7 +285,11 @@
         let wait = if runs { RUNS_TIME.as_secs_f64() } else { 0.0 };
         let time = engine.load_time(input.spec, model).as_secs_f64() + wait;
         let gain = match need {
-            Need::Urgent => 1e6 + fall - time * (1.0 + self.loads[at]),
+            Need::Urgent => {
+                // What is asked for most comes first, each at the engine where it does least harm.
+                let rank = URGENT_RANK * (1.0 + self.work_of(model));
+                rank + fall - time * (1.0 + self.loads[at])
+            }
             Need::Reach => 1e-3 + fall.min(0.0) * 1e-3 - time * 1e-6,
             Need::Busy => (fall - BLOCK_PRICE * self.loads[at] * time) / (1.0 + time),
         };
@@ -259,10 +297,10 @@
             return None;
         }
         let swap = Swap { load: model.clone(), unload, since: now };
-        Some(Offer { at, swap, gain, stored })
+        Some(Offer { at, need, swap, gain, stored })
     }
 
-    /// Chooses the models that make way, those first whose other copies are the least busy.
+    /// Chooses the models that make way, those first that are missed the least.
     fn victims(
         &self,
         engine: &Endpoint,
@@ -272,31 +310,58 @@
     ) -> Option<Vec<Arc<str>>> {
         let size = input.spec.models.get(model)?.weights;
         let mut room = input.spec.weights - engine.weights(input.spec);
-        let mut others: Vec<(bool, f64, &Arc<str>)> = Vec::new();
-        for name in engine.models.keys() {
-            let copies = self.usable.get(name).copied().unwrap_or(0);
-            let harm = self.work_of(name) / copies.saturating_sub(1).max(1) as f64;
-            others.push((copies <= 1, harm + 0.02 * engine.runs(name) as f64, name));
+        if need == Need::Reach {
+            return (room >= size).then(Vec::new);
         }
-        others.sort_by(|a, b| a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1)));
+        let harms = engine.models.keys().map(|name| {
+            let harm = self.harm(engine, name) + RUN_HARM * engine.runs(name) as f64;
+            (harm, name)
+        });
+        let mut others: Vec<(f64, &Arc<str>)> = harms.collect();
+        others.sort_by(|a, b| a.0.total_cmp(&b.0));
         let mut unload = Vec::new();
-        for (last, _, name) in others {
+        let mut harm = 0.0;
+        for (each, name) in others {
             if room >= size {
                 break;
             }
-            // A model that nobody asks for is loaded again from the engine's own copy within a second.
-            let spared = self.work_of(name) < IDLE_WORK && engine.has_copy(name);
-            if need == Need::Reach || (last && !spared) {
-                return None;
-            }
+            harm += each;
             room += input.spec.models.get(name).map_or(0.0, |spec| spec.weights);
             unload.push(name.clone());
         }
-        (room >= size).then_some(unload)
+        let bearable =
+            need == Need::Busy || harm <= URGENT_WORTH + ABSENCE_PRICE * self.work_of(model);
+        (room >= size && bearable).then_some(unload)
+    }
+
+    /// Returns what it costs that an engine drops a model, in squared loads.
+    fn harm(&self, engine: &Endpoint, name: &str) -> f64 {
+        let work = self.work_of(name);
+        let copies = self.usable.get(name).copied().unwrap_or(0) as f64;
+        if copies > 1.0 {
+            return work.powi(2) / (copies * (copies - 1.0));
+        }
+        self.absence(engine, name)
+    }
+
+    /// Returns what it costs that the last copy of a model is dropped.
+    ///
+    /// What nobody asks for, or what is there again within a second, is hardly missed. The price of
+    /// other models is above what an urgent one may cost, so that two do not replace each other in
+    /// turns.
+    fn absence(&self, engine: &Endpoint, name: &str) -> f64 {
+        let work = self.work_of(name);
+        let own = engine.has_copy(name);
+        let price = match () {
+            () if own && work < IDLE_WORK => OWN_LOAD_PRICE,
+            () if work <= ASKED_WORK => LOAD_PRICE,
+            () => ASKED_PRICE,
+        };
+        price + ABSENCE_PRICE * work
     }
 
     /// Returns by how much a change lowers the sum of squared loads.
-    fn fall(&self, at: usize, model: &str, unload: &[Arc<str>]) -> f64 {
+    fn fall(&self, at: usize, engine: &Endpoint, model: &str, unload: &[Arc<str>]) -> f64 {
         let mut change: BTreeMap<usize, f64> = BTreeMap::new();
         let (work, copies) = (self.work_of(model), self.copies(model) as f64);
         let part = work / (copies + 1.0);
@@ -315,7 +380,9 @@
             let before = self.loads[holder];
             before.powi(2) - (before + change).powi(2)
         });
-        falls.sum()
+        let last = |name: &&Arc<str>| self.usable.get(*name).is_none_or(|copies| *copies <= 1);
+        let absences = unload.iter().filter(last).map(|name| self.absence(engine, name));
+        falls.sum::<f64>() - absences.sum::<f64>()
     }
 
     fn apply(&mut self, offer: &Offer) {
--- a/src/kernel/grants/scheduler/upkeep.rs
+++ b/src/kernel/grants/scheduler/upkeep.rs
@@ -15,6 +15,9 @@
 /// Loads from the weight store that may run at once, for each allowed a second.
 const LOADS_AT_ONCE: f64 = 3.0;
 
+/// Part of the loads at once, as a divisor, up to which models are loaded that nobody asks for.
+const REACH_PART: usize = 4;
+
 /// How much a model is asked for while requests for it wait.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pressure {
@@ -97,7 +100,9 @@
             let window = (spec.loads * window.as_secs_f64()) as usize;
             let at_once = (spec.loads * LOADS_AT_ONCE) as usize;
             let loads = window.saturating_sub(self.loads.len()).min(at_once.saturating_sub(coming));
-            let input = PlanInput { spec, demand: &self.demand, waiting: &waiting, loads, now };
+            let reach = (at_once / REACH_PART).saturating_sub(coming);
+            let (demand, waiting) = (&self.demand, &waiting);
+            let input = PlanInput { spec, demand, waiting, loads, reach, now };
             for (id, swap) in placement::plan(engines.into_iter(), &input) {
                 if let Some(endpoint) = self.endpoints.get_mut(&id) {
                     endpoint.swap = Some(swap);
--- a/tests/kernel/grants/placement.rs
+++ b/tests/kernel/grants/placement.rs
@@ -27,7 +27,8 @@
     }
     let waiting: HashMap<Arc<str>, usize> =
         waiting.iter().map(|model| (Arc::from(*model), 1)).collect();
-    let input = PlanInput { spec, demand: &demand, waiting: &waiting, loads, now: START };
+    let (demand, waiting) = (&demand, &waiting);
+    let input = PlanInput { spec, demand, waiting, loads, reach: loads, now: START };
     plan(engines.iter(), &input)
 }
 
@@ -106,3 +107,41 @@
     let orders = accept_orders(&mut scheduler, START, Duration::from_secs(1));
     assert!(!orders.is_empty(), "the model is loaded elsewhere while e1's entry is still there");
 }
+
+/// Returns the entries of engines without copies of their own.
+fn bare(engines: &[(&str, [&str; 2])]) -> Vec<Registration> {
+    let entries = engines.iter().map(|(id, models)| engine(id, models));
+    entries.map(|entry| Registration { on_disk: Vec::new(), ..entry }).collect()
+}
+
+#[test]
+fn plan_hot_model_takes_place_of_last_copies() {
+    // A third of the models is in use, and every engine is full of last copies.
+    let entries = [("e1", ["m0", "m1"]), ("e2", ["m2", "m3"]), ("e3", ["m4", "m5"])];
+    let entries =
+        entries.map(|(id, models)| Registration { on_disk: Vec::new(), ..engine(id, &models) });
+    let changes = planned(&entries, &[("m0", 3.0), ("m1", 0.05)], &[], 5);
+    assert!(!changes.is_empty(), "three engines' worth of work on one copy");
+    assert!(changes.iter().all(|(_, swap)| &*swap.load == "m0"), "{changes:?}");
+}
+
+#[test]
+fn plan_hot_model_absent_is_loaded() {
+    let entries = bare(&[("e1", ["m1", "m2"]), ("e2", ["m3", "m4"])]);
+    let changes = planned(&entries, &[("m0", 8.0), ("m1", 0.05), ("m3", 0.05)], &["m0"], 5);
+    assert_eq!(&*changes.first().expect("a change").1.load, "m0", "{changes:?}");
+}
+
+#[test]
+fn plan_rare_models_do_not_replace_each_other() {
+    let entries = [engine("e1", &["m1", "m2"]), engine("e2", &["m3", "m4"])];
+    let busy = [("m0", 0.01), ("m1", 0.01), ("m2", 0.01), ("m3", 0.01), ("m4", 0.01)];
+    assert!(planned(&entries, &busy, &["m0"], 5).is_empty());
+}
+
+#[test]
+fn plan_hottest_absent_model_is_loaded_first() {
+    let entries = bare(&[("e1", ["m4", "m5"]), ("e2", ["m4", "m5"]), ("e3", ["m4", "m5"])]);
+    let changes = planned(&entries, &[("m0", 0.01), ("m1", 8.0), ("m2", 0.3)], &["m0"], 1);
+    assert_eq!(&*changes.first().expect("a change").1.load, "m1", "{changes:?}");
+}
