End watches when a store that was silent answers again

Ruled out: a change of the leader (none between 13.7 and 35.0), and the links (grants came through).

Both new tests in tests/product/store.rs failed first.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,13 +1,20 @@
 //! Client of the platform's metadata store.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use tokio::time::timeout;
+use tokio::{sync::watch, time::timeout};
 
 use crate::http::pool::{Pool, SendError};
 
@@ -83,7 +90,7 @@
 pub enum Watched {
     /// Changes, perhaps none, up to this revision.
     Events(Vec<Event>, u64),
-    /// The history was dropped; everything must be read again.
+    /// Changes may have been missed; everything must be read again.
     Lost,
 }
 
@@ -193,18 +200,36 @@
     pool: Arc<Pool>,
     address: SocketAddr,
     limit: Duration,
+    /// Whether the last call got no answer of use.
+    away: AtomicBool,
+    /// Counts how often the store answered again.
+    returns: watch::Sender<u64>,
+}
+
+/// Notes that the store is away unless an answer comes, also where the caller stops waiting.
+struct Unanswered<'a> {
+    away: Option<&'a AtomicBool>,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if let Some(away) = self.away {
+            away.store(true, Ordering::Relaxed);
+        }
+    }
 }
 
 impl Store {
     /// Creates a client whose calls, watches aside, take at most `limit`.
     pub fn new(address: SocketAddr, limit: Duration) -> Self {
-        Self { pool: Arc::default(), address, limit }
+        let (returns, _) = watch::channel(0);
+        Self { pool: Arc::default(), address, limit, away: AtomicBool::new(false), returns }
     }
 
     /// Reads one record.
     pub async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
         let path = format!("/api/kv-key?key={}", escape(key));
-        match self.call::<RawItem>(Method::GET, &path, Bytes::new(), self.limit).await {
+        match self.call::<RawItem>(Method::GET, &path, Bytes::new()).await {
             Ok(raw) => raw.try_into().map(Some),
             Err(StoreError::Refused(StatusCode::NOT_FOUND)) => Ok(None),
             Err(err) => Err(err),
@@ -223,7 +248,7 @@
             if !after.is_empty() {
                 path = format!("{path}&after={}", escape(&after));
             }
-            let page: RawPage = self.call(Method::GET, &path, Bytes::new(), self.limit).await?;
+            let page: RawPage = self.call(Method::GET, &path, Bytes::new()).await?;
             if all.revision == 0 {
                 all.revision = page.as_of;
             }
@@ -238,6 +263,9 @@
     }
 
     /// Waits for changes of records whose key begins with `prefix`.
+    ///
+    /// A store that was away may have forgotten its watches, so they end once another call shows
+    /// that it is back.
     pub async fn watch(
         &self,
         prefix: &str,
@@ -246,8 +274,13 @@
     ) -> Result<Watched, StoreError> {
         let (prefix, wait_ms) = (escape(prefix), wait.as_millis());
         let path = format!("/api/kv-watch?path_prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let mut returns = self.returns.subscribe();
         let limit = wait + WATCH_MARGIN;
-        match self.call::<RawEvents>(Method::GET, &path, Bytes::new(), limit).await {
+        let answer = tokio::select! {
+            answer = self.attempt(Method::GET, &path, Bytes::new(), limit) => answer,
+            _ = returns.changed() => return Ok(Watched::Lost),
+        };
+        match answer.and_then(|(status, body)| parse::<RawEvents>(status, &body)) {
             Ok(raw) => {
                 let events = raw.events.into_iter().map(|raw| match raw.removed {
                     true => Ok(Event::Removed(raw.key)),
@@ -278,7 +311,7 @@
             delete: Vec::new(),
         };
         let body = serde_json::to_vec(&txn).unwrap_or_default().into();
-        let written = self.call(Method::POST, "/api/kv-txn", body, self.limit).await;
+        let written = self.call(Method::POST, "/api/kv-txn", body).await;
         match written {
             Ok(RawRevision { revision }) => Ok(Written::Done(revision)),
             Err(StoreError::Refused(StatusCode::PRECONDITION_FAILED)) => Ok(Written::Conflict),
@@ -291,14 +324,14 @@
     pub async fn grant(&self, ttl: Duration) -> Result<u64, StoreError> {
         let body = serde_json::to_vec(&RawTtl { ttl_ms: ttl.as_millis() as u64 });
         let body = body.unwrap_or_default().into();
-        let raw: RawLease = self.call(Method::POST, "/api/kv-lease", body, self.limit).await?;
+        let raw: RawLease = self.call(Method::POST, "/api/kv-lease", body).await?;
         Ok(raw.lease)
     }
 
     /// Renews a lease and returns whether it still exists.
     pub async fn renew(&self, lease: u64) -> Result<bool, StoreError> {
         let path = format!("/api/kv-keep/{lease}");
-        match self.call::<serde_json::Value>(Method::POST, &path, Bytes::new(), self.limit).await {
+        match self.call::<serde_json::Value>(Method::POST, &path, Bytes::new()).await {
             Ok(_) => Ok(true),
             Err(StoreError::Refused(StatusCode::NOT_FOUND)) => Ok(false),
             Err(err) => Err(err),
@@ -308,7 +341,7 @@
     /// Ends a lease and removes the records that are attached to it.
     pub async fn end(&self, lease: u64) -> Result<(), StoreError> {
         let path = format!("/api/kv-lease-end/{lease}");
-        let ended = self.exchange(Method::DELETE, &path, Bytes::new(), self.limit).await;
+        let ended = self.exchange(Method::DELETE, &path, Bytes::new()).await;
         ended.map(|_| ())
     }
 
@@ -317,20 +350,34 @@
         method: Method,
         path: &str,
         body: Bytes,
-        limit: Duration,
     ) -> Result<T, StoreError> {
-        let (status, body) = self.exchange(method, path, body, limit).await?;
-        if !status.is_success() {
-            return Err(StoreError::Refused(status));
-        }
-        serde_json::from_slice(&body).map_err(|err| StoreError::Parse(err.to_string()))
+        let (status, body) = self.exchange(method, path, body).await?;
+        parse(status, &body)
     }
 
+    /// Calls the store and notes whether it is there.
     async fn exchange(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
+    ) -> Result<(StatusCode, Bytes), StoreError> {
+        let mut unanswered = Unanswered { away: Some(&self.away) };
+        let answer = self.attempt(method, path, body, self.limit).await?;
+        if !answer.0.is_server_error() {
+            unanswered.away = None;
+            if self.away.swap(false, Ordering::Relaxed) {
+                self.returns.send_modify(|count| *count += 1);
+            }
+        }
+        Ok(answer)
+    }
+
+    async fn attempt(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         metrics::counter!("cardamomshore_store_calls_total").increment(1);
@@ -361,6 +408,13 @@
     }
 }
 
+fn parse<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, StoreError> {
+    if !status.is_success() {
+        return Err(StoreError::Refused(status));
+    }
+    serde_json::from_slice(body).map_err(|err| StoreError::Parse(err.to_string()))
+}
+
 /// Escapes what a query cannot hold.
 fn escape(text: &str) -> String {
     let mut escaped = String::with_capacity(text.len());
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -8,5 +8,6 @@
     mod measure;
     mod platform;
     mod settings;
+    mod store;
     mod timeline;
 }
