Log to standard output through a bounded queue

Now a thread of its own writes them, from a queue of 4,096 lines; what finds no room is dropped and counted (cardamomshore_log_lines_dropped_total). The demo, which reports on standard output, logs to standard error as before.

settings_json_log_lines now reads standard output. It then failed once: a task that serve had started before its own first line logged E2004 before E2001.

Test log_blocked_reader_holds_nothing_up (not seen to fail first: there was no queue).

--- a/src/cli/demo.rs
+++ b/src/cli/demo.rs
@@ -32,7 +32,8 @@
         }
     }
     let log = LogSettings { spec: LOG_SPEC.to_owned(), json: false };
-    let _logger = telemetry::start_log(&log).map_err(|err| CliError::Failed(err.to_string()))?;
+    let _logger = telemetry::start_log(&log, std::io::stderr())
+        .map_err(|err| CliError::Failed(err.to_string()))?;
     telemetry::start_metrics();
     match block_on(demo::run(keep))? {
         Ok(true) => Ok(()),
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -40,7 +40,8 @@
     let path = path.ok_or_else(|| CliError::Usage("gateway needs --settings FILE".to_owned()))?;
     let failed = |err: &dyn std::fmt::Display| CliError::Failed(err.to_string());
     let settings = GatewaySettings::load(&path).map_err(|err| failed(&err))?;
-    let _logger = telemetry::start_log(&settings.log).map_err(|err| failed(&err))?;
+    let _logger =
+        telemetry::start_log(&settings.log, std::io::stdout()).map_err(|err| failed(&err))?;
     telemetry::start_metrics();
     // The entry instances have a part of one core, so a second thread would only cost switches.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -36,7 +36,7 @@
     }
     let path = path.ok_or_else(|| CliError::Usage("serve needs --settings FILE".to_owned()))?;
     let settings = Settings::load(&path).map_err(|err| CliError::Failed(err.to_string()))?;
-    let _logger = telemetry::start_log(&settings.log)
+    let _logger = telemetry::start_log(&settings.log, std::io::stdout())
         .map_err(|err| CliError::Failed(format!("log.level: {err}")))?;
     telemetry::start_metrics();
     block_on(async {
--- a/src/node.rs
+++ b/src/node.rs
@@ -122,6 +122,8 @@
 
     /// Runs the node until the process is told to stop and all work has ended.
     pub async fn run(self: Arc<Self>, listeners: Listeners) -> Result<(), HttpError> {
+        // The tasks log at once, and the start comes before all that they tell.
+        self.timeline.record(Event::InstanceStarted, self.settings.instance.as_str(), "");
         let mut tasks = JoinSet::new();
         tasks.spawn(list_sync::run(self.clone()));
         tasks.spawn(config_sync::run(self.clone()));
@@ -134,7 +136,6 @@
         tasks.spawn(digests::run(self.clone()));
         tasks.spawn(peers::listen(self.clone(), listeners.peers));
         tasks.spawn(operator::run(self.clone(), listeners.operators));
-        self.timeline.record(Event::InstanceStarted, self.settings.instance.as_str(), "");
         let served = router::run(self.clone(), listeners.callers).await;
         self.timeline.record(Event::InstanceStopped, self.settings.instance.as_str(), "");
         served
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -1,8 +1,12 @@
 //! Logs and metrics of the process.
 
+mod queue;
+
+pub use self::queue::LineQueue;
+
 use std::{io::Write, sync::OnceLock};
 
-use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use flexi_logger::{DeferredNow, FlexiLoggerError, FormatFunction, Logger, LoggerHandle};
 use log::Record;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use serde_json::json;
@@ -14,10 +18,17 @@
 /// Format of a time in the log.
 const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
 
-/// Starts the log; it ends when the handle is dropped.
-pub fn start_log(settings: &LogSettings) -> Result<LoggerHandle, FlexiLoggerError> {
-    let format = if settings.json { json_line } else { plain_line };
-    Logger::try_with_str(&settings.spec)?.use_utc().format(format).start()
+/// Lines that may wait for a slow reader of the log, about 1 MB.
+const QUEUE_LINES: usize = 4_096;
+
+/// Starts the log on a stream; it ends when the handle is dropped.
+pub fn start_log(
+    settings: &LogSettings,
+    out: impl Write + Send + 'static,
+) -> Result<LoggerHandle, FlexiLoggerError> {
+    let format: FormatFunction = if settings.json { json_line } else { plain_line };
+    let queue = LineQueue::new(out, format, QUEUE_LINES)?;
+    Logger::try_with_str(&settings.spec)?.use_utc().log_to_writer(Box::new(queue)).start()
 }
 
 /// Starts to collect metrics; later calls change nothing.
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -9,5 +9,6 @@
     mod platform;
     mod settings;
     mod store;
+    mod telemetry;
     mod timeline;
 }
--- a/tests/product/settings.rs
+++ b/tests/product/settings.rs
@@ -69,12 +69,12 @@
     std::fs::write(&file, settings.to_string()).expect("settings are written");
     let mut child = Command::new(env!("CARGO_BIN_EXE_cardamomshore"))
         .args(["serve", "--settings", &file.display().to_string()])
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .expect("the binary starts");
     let mut line = String::new();
-    let stderr = child.stderr.take().expect("its log is piped");
-    BufReader::new(stderr).read_line(&mut line).expect("it logs a line");
+    let stdout = child.stdout.take().expect("its log is piped");
+    BufReader::new(stdout).read_line(&mut line).expect("it logs a line");
     child.kill().expect("it ends");
     child.wait().expect("it ends");
     let line: serde_json::Value = serde_json::from_str(&line).expect("the line is JSON");
