--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -112,7 +112,12 @@
         }
     };
     let mut answer = match admit(&gateway, arrived, parts, head, body).await {
-        Ok(job) => run(job).await,
+        Ok(job) => {
+            let answer = run(job).await;
+            let time = Time::now().since(arrived).as_secs_f64();
+            metrics::histogram!("cardamomshore_answer_seconds").record(time);
+            answer
+        }
         Err(rejection) => {
             log::info!("event=rejected request={id} status={}", rejection.status().as_u16());
             count(rejection.status());
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -113,7 +113,10 @@
     gateway.requests.table.lock().insert(number, entry);
     let mut withdraw = Withdraw { gateway, number: Some(number) };
     gateway.pass_on(number, ask);
+    let asked = Time::now();
     let answer = rx.await;
+    let wait = Time::now().since(asked).as_secs_f64();
+    metrics::histogram!("cardamomshore_grant_wait_seconds").record(wait);
     withdraw.number = None;
     let gateway = gateway.clone();
     match answer {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -18,6 +18,9 @@
 /// Format of a time in the log.
 const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
 
+/// Upper ends of the buckets of latency histograms, in seconds.
+const LATENCY_BUCKETS: [f64; 11] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0];
+
 /// Lines that may wait for a slow reader of the log, about 1 MB.
 const QUEUE_LINES: usize = 4_096;
 
@@ -34,7 +37,9 @@
 /// Starts to collect metrics; later calls change nothing.
 pub fn start_metrics() {
     METRICS.get_or_init(|| {
-        let recorder = PrometheusBuilder::new().build_recorder();
+        let builder = PrometheusBuilder::new();
+        let builder = builder.set_buckets(&LATENCY_BUCKETS).expect("there are buckets");
+        let recorder = builder.build_recorder();
         let handle = recorder.handle();
         // Another recorder can stand in its place only in tests, which then read none of these.
         let _ = metrics::set_global_recorder(recorder);
