--- a/tests/product/store.rs
+++ b/tests/product/store.rs
@@ -16,6 +16,10 @@
     time::timeout,
 };
 
+fn block_on(test: impl Future<Output = ()>) {
+    tokio::runtime::Runtime::new().expect("a runtime").block_on(test);
+}
+
 const LIMIT: Duration = Duration::from_millis(200);
 
 /// A store that answers reads unless it is silent, and never answers watches.
@@ -47,37 +51,50 @@
     address
 }
 
-#[tokio::test]
-async fn watch_ends_when_silent_store_answers_again() {
-    let silent = Arc::new(AtomicBool::new(false));
-    let store = Arc::new(Store::new(start(silent.clone()).await, LIMIT));
-    let watching = store.clone();
-    let watch =
-        tokio::spawn(async move { watching.watch("servers/", 1, Duration::from_secs(25)).await });
-    store.range("servers/").await.expect("the store answers");
-    assert!(!watch.is_finished(), "nothing has happened yet");
+#[test]
+fn watch_ends_when_silent_store_answers_again() {
+    block_on(async {
+        let silent = Arc::new(AtomicBool::new(false));
+        let store = Arc::new(Store::new(start(silent.clone()).await, LIMIT));
+        let watching = store.clone();
+        let watch =
+            tokio::spawn(
+                async move { watching.watch("servers/", 1, Duration::from_secs(25)).await },
+            );
+        store.range("servers/").await.expect("the store answers");
+        assert!(!watch.is_finished(), "nothing has happened yet");
 
-    silent.store(true, Ordering::Relaxed);
-    store.range("servers/").await.expect_err("the store is silent");
-    silent.store(false, Ordering::Relaxed);
-    store.range("servers/").await.expect("the store answers again");
-    let ended = timeout(Duration::from_secs(1), watch).await;
-    let watched = ended.expect("the watch may have been forgotten").expect("it runs to its end");
-    assert_eq!(watched.expect("not a failure"), Watched::Lost);
+        silent.store(true, Ordering::Relaxed);
+        store.range("servers/").await.expect_err("the store is silent");
+        silent.store(false, Ordering::Relaxed);
+        store.range("servers/").await.expect("the store answers again");
+        let ended = timeout(Duration::from_secs(1), watch).await;
+        let watched =
+            ended.expect("the watch may have been forgotten").expect("it runs to its end");
+        assert_eq!(watched.expect("not a failure"), Watched::Lost);
+    });
 }
 
-#[tokio::test]
-async fn watch_ends_after_call_that_its_caller_gave_up() {
-    let silent = Arc::new(AtomicBool::new(false));
-    let store = Arc::new(Store::new(start(silent.clone()).await, Duration::from_secs(5)));
-    let watching = store.clone();
-    let watch =
-        tokio::spawn(async move { watching.watch("servers/", 1, Duration::from_secs(25)).await });
-    store.range("servers/").await.expect("the store answers");
+#[test]
+fn watch_ends_after_call_that_its_caller_gave_up() {
+    block_on(async {
+        let silent = Arc::new(AtomicBool::new(false));
+        let store = Arc::new(Store::new(start(silent.clone()).await, Duration::from_secs(5)));
+        let watching = store.clone();
+        let watch =
+            tokio::spawn(
+                async move { watching.watch("servers/", 1, Duration::from_secs(25)).await },
+            );
+        store.range("servers/").await.expect("the store answers");
 
-    silent.store(true, Ordering::Relaxed);
-    timeout(LIMIT, store.range("servers/")).await.expect_err("the store is silent");
-    silent.store(false, Ordering::Relaxed);
-    store.range("servers/").await.expect("the store answers again");
-    timeout(Duration::from_secs(1), watch).await.expect("the watch ends").expect("no panic").ok();
+        silent.store(true, Ordering::Relaxed);
+        timeout(LIMIT, store.range("servers/")).await.expect_err("the store is silent");
+        silent.store(false, Ordering::Relaxed);
+        store.range("servers/").await.expect("the store answers again");
+        timeout(Duration::from_secs(1), watch)
+            .await
+            .expect("the watch ends")
+            .expect("no panic")
+            .ok();
+    });
 }
