Let one member of each data centre watch the store, and a new leader announce itself

Cause: every instance read and watched the leader's, the operators' and the endpoints' records as soon as it had no link, so each change of the leader cost the store about six calls for each instance, and any of them could be a candidate.

Ruled out: renewals of the lease (about 200 of these calls).

Change: the strongest member of each data centre watches besides the leader (kernel/membership). The others wait 2.2 s for the announcement of the new leader, which the leader sends to all members it knows. A follower takes an announcement only of a later term. An instance that has just started gets the operators' records and the endpoints from the leader before it reads the store. A silent leader's table is relied on for half of the drain time, which is now a setting. A candidate waits by its strength against the strongest member, not against a fixed figure. The flag store_lost of heartbeats is gone, since the watchers see a lost lease themselves. The tag of frames that no content used is in use now (a frame with it would have panicked).

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -5,14 +5,20 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use futures_util::{SinkExt, StreamExt};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
 
-use super::Gateway;
+use super::{
+    Gateway,
+    messages::{Announcement, Content, EncodedFrame, FrameCodec},
+};
 use crate::{
     clock::Time,
-    kernel::candidacy::candidate_wait,
+    http::pool::connect,
+    kernel::{candidacy::candidate_wait, membership::weakness},
     platform::store::{Event, Item, Put, PutResult, StoreError, WatchResult},
 };
 
@@ -38,8 +44,15 @@
 /// Timeout of one renewal.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Age of the last renewal from which the leader reports that it has lost the store.
-const MAX_RENEWAL_AGE: Duration = Duration::from_millis(850);
+/// Time for which an instance that has read the leader's record expects a link to the leader before
+/// it watches the record.
+const JOIN_WAIT: Duration = Duration::from_millis(600);
+
+/// Timeout of the announcement of this leader to one instance.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Announcements that are sent at once.
+const CONCURRENT_ANNOUNCEMENTS: usize = 16;
 
 /// Time before the end of the lease in the store at which the leader stops relying on it.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
@@ -100,6 +113,8 @@
 #[derive(Default)]
 struct State {
     leader: Option<Leader>,
+    /// Latest term of a leader that this instance has known.
+    latest_term: u64,
     /// Name of the instance that led last.
     last_leader: Option<Arc<str>>,
     /// Name of the instance that led before this one, while this instance leads.
@@ -114,6 +129,25 @@
     held: Option<HeldLease>,
 }
 
+impl State {
+    /// Sets the leader. Another leader ends this instance's leadership.
+    fn set_leader(&mut self, leader: Option<Leader>, own_name: &str) {
+        let name = leader.as_ref().map(|leader| &*leader.instance);
+        let term = leader.as_ref().map_or(0, |leader| leader.term);
+        if self.leader != leader {
+            log::info!("event=leader_known leader={} term={term}", name.unwrap_or("none"));
+        }
+        if let Some(held) = self.held
+            && name.is_some_and(|name| name != own_name)
+        {
+            log::warn!("event=leadership_lost term={} reason=another", held.term);
+            self.held = None;
+        }
+        self.latest_term = self.latest_term.max(term);
+        self.leader = leader;
+    }
+}
+
 /// The leader that this instance knows, and this instance's own lease while it leads.
 #[derive(Default)]
 pub struct Leadership {
@@ -142,11 +176,6 @@
         self.state.lock().held.is_some_and(|held| held.is_valid(now))
     }
 
-    /// Returns whether this instance leads but could not renew its lease lately.
-    pub fn is_store_lost(&self, now: Time) -> bool {
-        self.state.lock().held.is_some_and(|held| now.since(held.renewed_at) > MAX_RENEWAL_AGE)
-    }
-
     /// Returns whether this instance leads and may give orders to engines.
     pub fn may_order(&self, now: Time) -> bool {
         let held = self.state.lock().held;
@@ -175,22 +204,18 @@
             Some(Leader { instance: record.instance.into(), address: record.address, term })
         });
         let mut state = self.state.lock();
-        if state.leader != leader {
-            let name = leader.as_ref().map_or("none", |leader| &*leader.instance);
-            let term = leader.as_ref().map_or(0, |leader| leader.term);
-            log::info!("event=leader_known leader={name} term={term}");
-        }
-        let is_other = leader.as_ref().is_some_and(|leader| &*leader.instance != own_name);
-        if let Some(held) = state.held
-            && is_other
-        {
-            log::warn!("event=leadership_lost term={} reason=another", held.term);
-            state.held = None;
-        }
-        state.leader = leader;
+        state.set_leader(leader, own_name);
         state.revision = item.map_or(0, |item| item.revision);
     }
 
+    /// Applies the announcement of a new leader, unless this instance knows a later one.
+    fn apply_announcement(&self, leader: Leader, own_name: &str) {
+        let mut state = self.state.lock();
+        if leader.term > state.latest_term {
+            state.set_leader(Some(leader), own_name);
+        }
+    }
+
     /// Ends this instance's leadership for the given reason.
     fn step_down(&self, reason: &str) {
         let mut state = self.state.lock();
@@ -235,6 +260,7 @@
         state.fleet_size = find(SIZE_KEY).map_or(0, parse_fleet_size);
         state.synced = true;
     }
+    wait_for_link(gateway).await;
     let mut revision = page.revision;
     while gateway.watches_store() {
         match gateway.store.watch(PREFIX, revision, WATCH_TIMEOUT).await? {
@@ -248,6 +274,20 @@
     Ok(())
 }
 
+/// Waits for the link to the leader that was read from the store, if this instance has none. The
+/// leader may have ended, so the wait is limited.
+async fn wait_for_link(gateway: &Gateway) {
+    let read_at = Time::now();
+    let has_other_leader = || {
+        let leader = gateway.leadership.leader();
+        leader.is_some_and(|leader| !gateway.is_self(&leader.instance))
+    };
+    while Time::now().since(read_at) < JOIN_WAIT && has_other_leader() && !gateway.uplink.is_open()
+    {
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
 /// Returns the name in the record of the last leader.
 fn parse_last_leader(item: &Item) -> Arc<str> {
     String::from_utf8_lossy(&item.value).as_ref().into()
@@ -338,9 +378,9 @@
 }
 
 /// Waits as long as [`candidate_wait`] says, then tries to become leader if there still is none.
-async fn acquire(gateway: &Gateway) {
-    let (shortfall, uptime) = (gateway.settings.resources.shortfall(), gateway.uptime());
-    sleep(candidate_wait(shortfall, uptime, rand::random())).await;
+async fn acquire(gateway: &Arc<Gateway>) {
+    let weakness = weakness(gateway.settings.resources.strength(), &gateway.members.load().list);
+    sleep(candidate_wait(weakness, gateway.uptime(), rand::random())).await;
     let Step::Acquire(revision) = next_step(gateway) else { return };
     if let Err(err) = try_acquire(gateway, revision).await {
         log::info!("event=candidacy_failed reason={err}");
@@ -349,7 +389,7 @@
 }
 
 /// Writes the leader's record under a new lease, unless another instance has written it first.
-async fn try_acquire(gateway: &Gateway, revision: u64) -> Result<(), StoreError> {
+async fn try_acquire(gateway: &Arc<Gateway>, revision: u64) -> Result<(), StoreError> {
     let settings = &gateway.settings;
     let sent_at = Time::now();
     let lease = gateway.store.grant(LEASE_TTL).await?;
@@ -374,7 +414,10 @@
             state.leader =
                 Some(Leader { instance: settings.instance.clone(), address: settings.peer, term });
             state.revision = term;
+            state.latest_term = term;
             state.last_leader = Some(settings.instance.clone());
+            drop(state);
+            tokio::spawn(announce(gateway.clone(), term));
             log::info!("event=leading term={term} orders_in_ms={}", delay.as_millis());
         }
         PutResult::Conflict | PutResult::NoLease => {
@@ -386,6 +429,47 @@
     Ok(())
 }
 
+/// Announces this leader to the members that it knows, which then open their links.
+async fn announce(gateway: Arc<Gateway>, term: u64) {
+    let members = gateway.members.load_full();
+    let others = members.list.iter().filter(|member| !gateway.is_self(&member.instance));
+    let addresses: Vec<SocketAddr> = others.map(|member| member.peer).collect();
+    let announcement = Announcement {
+        instance: gateway.settings.instance.to_string(),
+        address: gateway.settings.peer.to_string(),
+        term,
+    };
+    let frame = EncodedFrame::from(Content::Announcement(announcement));
+    let sends = addresses.into_iter().map(|address| send_frame(address, frame.clone()));
+    let sends = futures_util::stream::iter(sends).buffer_unordered(CONCURRENT_ANNOUNCEMENTS);
+    sends.for_each(|()| async {}).await;
+}
+
+/// Sends a frame to an instance on a connection of its own. An instance that cannot be reached finds
+/// the leader in the store.
+async fn send_frame(address: SocketAddr, frame: EncodedFrame) {
+    let send = async {
+        let stream = connect(address, ANNOUNCE_TIMEOUT).await?;
+        let mut wire = Framed::new(stream, FrameCodec::default());
+        wire.send(frame).await
+    };
+    if let Ok(Err(err)) = timeout(ANNOUNCE_TIMEOUT, send).await {
+        log::debug!("event=announcement_failed address={address} reason={err}");
+    }
+}
+
+impl Gateway {
+    /// Handles the announcement of a new leader.
+    pub(super) fn handle_announcement(&self, frame: &Announcement) {
+        let Ok(address) = frame.address.parse() else {
+            return log::warn!("event=announcement_unreadable leader={}", frame.instance);
+        };
+        let instance = frame.instance.as_str().into();
+        let leader = Leader { instance, address, term: frame.term };
+        self.leadership.apply_announcement(leader, &self.settings.instance);
+    }
+}
+
 /// Revokes the lease of this instance, so that another instance can lead at once.
 pub async fn resign(gateway: &Gateway) {
     let held = gateway.leadership.state.lock().held.take();
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -26,8 +26,7 @@
 use super::{
     Gateway,
     leader::Leader,
-    members::Members,
-    messages::{Content, FrameCodec, FrameError, Heartbeat, Hello, Welcome},
+    messages::{Content, FrameCodec, FrameError, Heartbeat, Hello, MemberFrame, Welcome},
 };
 use crate::{clock::Time, http::pool::connect};
 
@@ -58,8 +57,6 @@
     last_frame: AtomicU64,
     /// Whether there has been a link since the process started.
     linked: AtomicBool,
-    /// Whether the leader reported that it has lost the store.
-    store_lost: AtomicBool,
 }
 
 impl Uplink {
@@ -68,16 +65,16 @@
         self.tx.lock().as_ref().is_some_and(|tx| tx.send(content).is_ok())
     }
 
+    /// Returns whether there is a link.
+    pub fn is_open(&self) -> bool {
+        self.tx.lock().is_some()
+    }
+
     /// Returns whether there has been a link since the process started.
     pub fn was_linked(&self) -> bool {
         self.linked.load(Ordering::Relaxed)
     }
 
-    /// Returns whether the leader reported that it has lost the store.
-    pub fn is_store_lost(&self) -> bool {
-        self.store_lost.load(Ordering::Relaxed)
-    }
-
     /// Returns the time since the last frame of a leader, or since the process started.
     pub fn frame_age(&self) -> Duration {
         Time::now().since(Time(self.last_frame.load(Ordering::Relaxed)))
@@ -120,11 +117,7 @@
 async fn join_leader(gateway: &Arc<Gateway>, leader: &Leader) -> Result<(), FrameError> {
     let stream = connect(leader.address, OPEN_TIMEOUT).await?;
     let mut wire = Framed::new(stream, FrameCodec::default());
-    let hello = Hello {
-        instance: gateway.settings.instance.to_string(),
-        callers: gateway.settings.callers.to_string(),
-        term: leader.term,
-    };
+    let hello = Hello { member: Some(MemberFrame::from(&gateway.own_member())), term: leader.term };
     wire.send(Content::Hello(hello)).await?;
     let first_frame = timeout(OPEN_TIMEOUT, wire.next()).await;
     match first_frame {
@@ -220,19 +213,18 @@
         }
         Content::Refuse(frame) => gateway.handle_refusal(frame.number, frame.to_refusal()),
         Content::HeartbeatReply(heartbeat) => {
-            gateway.uplink.store_lost.store(heartbeat.store_lost, Ordering::Relaxed);
             if let Some(frame) = gateway.operator_update(&heartbeat) {
                 gateway.uplink.send(frame);
             }
         }
-        Content::Members(frame) => gateway.members.store(Arc::new(Members::from_frame(frame))),
-        Content::MemberChanges(frame) => {
+        Content::Members(frame) => {
             let members = gateway.members.load().with_changes(frame);
             gateway.members.store(Arc::new(members));
         }
         Content::Endpoints(frame) => gateway.handle_endpoints(frame),
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Hello(_)
+        | Content::Announcement(_)
         | Content::Welcome(_)
         | Content::GrantRequest(_)
         | Content::FirstEvent(_)
@@ -247,13 +239,7 @@
     pub(super) fn heartbeat(&self) -> Heartbeat {
         let operator = self.operator.lock();
         let term = self.leadership.leader().map_or(0, |leader| leader.term);
-        Heartbeat {
-            ready: self.is_ready(),
-            revision: operator.revision,
-            hash: operator.hash,
-            term,
-            store_lost: self.leadership.is_store_lost(Time::now()),
-        }
+        Heartbeat { ready: self.is_ready(), revision: operator.revision, hash: operator.hash, term }
     }
 
     /// Returns the operators' records if they are newer than those of the instance that sent
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -4,9 +4,9 @@
 
 use super::{
     Gateway,
-    messages::{MemberChanges, MemberFrame, MembersFrame},
+    messages::{MemberFrame, MembersFrame},
 };
-use crate::kernel::membership::Member;
+use crate::kernel::membership::{Member, store_watchers};
 
 /// All members, as the leader reported them last.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -16,36 +16,39 @@
 }
 
 impl Members {
-    /// Creates the members from the leader's frame, without those whose address cannot be parsed.
-    pub fn from_frame(frame: MembersFrame) -> Self {
-        Self::from_list(frame.list.into_iter().filter_map(MemberFrame::into_member).collect())
-    }
-
     /// Returns the members after the changes in the leader's frame.
-    pub fn with_changes(&self, frame: MemberChanges) -> Self {
-        let changed: Vec<Member> =
-            frame.changed.into_iter().filter_map(MemberFrame::into_member).collect();
-        let is_replaced = |member: &&Member| {
-            frame.removed.iter().any(|name| **name == *member.instance)
-                || changed.iter().any(|newer| newer.instance == member.instance)
+    pub fn with_changes(&self, frame: MembersFrame) -> Self {
+        let changed: Vec<Member> = frame.changed.into_iter().filter_map(parse_member).collect();
+        let is_kept = |member: &&Member| {
+            !frame.full
+                && frame.removed.iter().all(|name| **name != *member.instance)
+                && changed.iter().all(|newer| newer.instance != member.instance)
         };
-        let kept: Vec<Member> =
-            self.list.iter().filter(|member| !is_replaced(member)).cloned().collect();
-        Self::from_list([kept, changed].concat())
-    }
-
-    fn from_list(mut list: Vec<Member>) -> Self {
+        let mut list: Vec<Member> = self.list.iter().filter(is_kept).cloned().collect();
+        list.extend(changed);
         list.sort();
         Self { list }
     }
 }
 
-/// Time since the leader's last frame after which an instance reads the store itself and leaves its
-/// own address out of the directory.
+/// Returns the member of a frame; logs why there is none.
+fn parse_member(frame: MemberFrame) -> Option<Member> {
+    let member = Member::try_from(frame);
+    member.inspect_err(|err| log::warn!("event=member_unreadable reason={err}")).ok()
+}
+
+/// Time since the leader's last frame after which an instance leaves its own address out of the
+/// directory.
 const MAX_FRAME_AGE: Duration = Duration::from_millis(700);
 
-/// Members besides the leader that watch the leader's and the operators' records in the store.
-const EXTRA_WATCHERS: usize = 2;
+/// Time since the leader's last frame after which an instance that watches no records reads them.
+/// Until then it expects the announcement of a new leader, which is elected when the lease of the
+/// old one ends.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(2_200);
+
+/// Time after the start for which an instance expects the leader's records and endpoints before it
+/// reads them from the store.
+pub(super) const START_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Number of instances that is assumed while none is known.
 const DEFAULT_FLEET_SIZE: usize = 64;
@@ -62,25 +65,42 @@
         }
     }
 
-    /// Returns whether this instance watches the leader's and the operators' records in the store.
+    /// Returns whether this instance watches the leader's record in the store.
     ///
-    /// Besides the leader, two members do, in case the leader loses the store. An instance also
-    /// does if it has no link to the leader, or if the leader reports that it has lost the store.
+    /// Besides the leader, one member of each data centre does, in case the leader is lost. Another
+    /// instance does until its first link to a leader, and if it has no link for a long time.
     pub(super) fn watches_store(&self) -> bool {
-        let linked = self.uplink.was_linked() && self.uplink.frame_age() < MAX_FRAME_AGE;
-        if self.leadership.leads() || !linked || self.uplink.is_store_lost() {
+        if self.leadership.leads() || !self.uplink.was_linked() {
             return true;
         }
+        self.is_watcher() || self.uplink.frame_age() > ANNOUNCEMENT_TIMEOUT
+    }
+
+    /// Returns whether this instance watches the operators' records in the store. An instance that
+    /// has just started gets them from the leader, if there is one.
+    pub(super) fn watches_operator(&self) -> bool {
+        let starting = !self.uplink.was_linked() && self.uplink.frame_age() < START_TIMEOUT;
+        self.watches_store() && (self.leadership.leads() || !starting)
+    }
+
+    /// Returns whether this instance is one of the members that watch the store for all others.
+    fn is_watcher(&self) -> bool {
         let leader = self.leadership.leader();
-        let name = leader.as_ref().map(|leader| &*leader.instance);
         let members = self.members.load();
-        let others = members.list.iter().filter(|member| Some(&*member.instance) != name);
-        others.take(EXTRA_WATCHERS).any(|member| member.instance == self.settings.instance)
+        let watchers = store_watchers(&members.list, leader.as_ref().map(|l| &*l.instance));
+        watchers.iter().any(|member| self.is_self(&member.instance))
     }
 
     /// Returns this instance as a member.
     pub(super) fn own_member(&self) -> Member {
-        Member { instance: self.settings.instance.clone(), callers: self.settings.callers }
+        let settings = &self.settings;
+        Member {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            callers: settings.callers,
+            peer: settings.peer,
+            strength: settings.resources.strength(),
+        }
     }
 
     /// Returns the addresses that callers may use.
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -11,7 +11,7 @@
 pub use self::{
     codec::{EncodedFrame, FrameCodec, FrameError},
     endpoints::{EndpointFrame, EndpointsFrame, ModelFrame},
-    members::{MemberChanges, MemberFrame, MembersFrame},
+    members::{Announcement, Hello, MemberFrame, MembersFrame},
     requests::{AdoptFrame, EndFrame, GrantFrame, GrantRequestFrame, RefuseFrame, RequestRef},
 };
 
@@ -20,7 +20,7 @@
 #[derive(Message)]
 pub struct Frame {
     /// Content of the frame; `None` if this release does not know it.
-    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 15")]
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub content: Option<Content>,
 }
 
@@ -58,7 +58,7 @@
     /// Reply of the leader to a heartbeat.
     #[prost(message, tag = "10")]
     HeartbeatReply(Heartbeat),
-    /// Leader to instance: the instances that serve callers.
+    /// Leader to instance: changes of the instances that serve callers.
     #[prost(message, tag = "11")]
     Members(MembersFrame),
     /// Leader to instance: endpoints that have changed.
@@ -67,24 +67,9 @@
     /// In both directions: the operators' records.
     #[prost(message, tag = "13")]
     Operator(OperatorFrame),
-    /// Leader to instance: instances that serve callers, or no longer do.
-    #[prost(message, tag = "15")]
-    MemberChanges(MemberChanges),
-}
-
-/// Introduces an instance to the leader.
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
-pub struct Hello {
-    /// Name of the instance.
-    #[prost(string, tag = "1")]
-    pub instance: String,
-    /// Address at which the instance serves callers.
-    #[prost(string, tag = "2")]
-    pub callers: String,
-    /// Term in which the sender expects the receiver to lead.
-    #[prost(uint64, tag = "3")]
-    pub term: u64,
+    /// First frame of a new leader to an instance that is not linked to it.
+    #[prost(message, tag = "14")]
+    Announcement(Announcement),
 }
 
 /// Accepts the link of an instance.
@@ -112,10 +97,6 @@
     /// Term of the leader that the sender knows.
     #[prost(uint64, tag = "4")]
     pub term: u64,
-    /// Whether the sender leads but has lost the store. The receiver must then watch the store
-    /// itself.
-    #[prost(bool, tag = "5")]
-    pub store_lost: bool,
 }
 
 /// The operators' records: the configuration document and the data centres out of service.
--- a/src/gateway/messages/members.rs
+++ b/src/gateway/messages/members.rs
@@ -1,27 +1,51 @@
-//! Frames in which the leader sends the members to other instances.
+//! Frames that describe instances: a new link, a new leader and the members.
+
+use std::net::SocketAddr;
 
 use prost::Message;
 
 use crate::kernel::{membership::Member, versioned::Changes};
 
-/// All instances that serve callers.
+/// First frame of an instance to the leader.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
-pub struct MembersFrame {
-    /// The instances, in any order.
-    #[prost(message, repeated, tag = "1")]
-    pub list: Vec<MemberFrame>,
+pub struct Hello {
+    /// The instance.
+    #[prost(message, optional, tag = "1")]
+    pub member: Option<MemberFrame>,
+    /// Term in which the sender expects the receiver to lead.
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
+/// First frame of a new leader to an instance that is not linked to it yet. The leader closes the
+/// connection after it.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct Announcement {
+    /// Name of the leader.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Address at which the leader accepts links.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Term of the leader.
+    #[prost(uint64, tag = "3")]
+    pub term: u64,
 }
 
 /// Changes of the instances that serve callers.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
-pub struct MemberChanges {
+pub struct MembersFrame {
+    /// Whether the frame holds all members, so that the receiver removes all others.
+    #[prost(bool, tag = "1")]
+    pub full: bool,
     /// Instances that are new or have changed.
-    #[prost(message, repeated, tag = "1")]
+    #[prost(message, repeated, tag = "2")]
     pub changed: Vec<MemberFrame>,
     /// Names of the instances that no longer serve callers.
-    #[prost(string, repeated, tag = "2")]
+    #[prost(string, repeated, tag = "3")]
     pub removed: Vec<String>,
 }
 
@@ -32,34 +56,63 @@
     /// Name of the instance.
     #[prost(string, tag = "1")]
     pub instance: String,
-    /// Address at which the instance serves callers.
+    /// Data centre in which the instance runs.
     #[prost(string, tag = "2")]
+    pub data_centre: String,
+    /// Address at which the instance serves callers.
+    #[prost(string, tag = "3")]
     pub callers: String,
+    /// Address at which the instance accepts links of other instances.
+    #[prost(string, tag = "4")]
+    pub peer: String,
+    /// Resources of the instance, in thousandths of those that suffice to lead many instances.
+    #[prost(uint32, tag = "5")]
+    pub strength: u32,
+}
+
+/// Why a frame describes no member.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+#[error("an address of instance {instance} cannot be parsed: {source}")]
+pub struct MemberError {
+    instance: String,
+    source: std::net::AddrParseError,
 }
 
 impl From<&Member> for MemberFrame {
     fn from(member: &Member) -> Self {
-        Self { instance: member.instance.to_string(), callers: member.callers.to_string() }
+        Self {
+            instance: member.instance.to_string(),
+            data_centre: member.data_centre.to_string(),
+            callers: member.callers.to_string(),
+            peer: member.peer.to_string(),
+            strength: member.strength,
+        }
     }
 }
 
-impl MemberFrame {
-    /// Returns the member; `None` if its address cannot be parsed.
-    pub fn into_member(self) -> Option<Member> {
-        let callers = self.callers.parse().ok()?;
-        Some(Member { instance: self.instance.into(), callers })
-    }
-}
+impl TryFrom<MemberFrame> for Member {
+    type Error = MemberError;
 
-impl From<&Changes<Member>> for MembersFrame {
-    fn from(changes: &Changes<Member>) -> Self {
-        Self { list: changes.changed.iter().map(MemberFrame::from).collect() }
+    fn try_from(frame: MemberFrame) -> Result<Self, MemberError> {
+        let parse = |text: &str| {
+            let address: Result<SocketAddr, _> = text.parse();
+            address.map_err(|source| MemberError { instance: frame.instance.clone(), source })
+        };
+        Ok(Member {
+            callers: parse(&frame.callers)?,
+            peer: parse(&frame.peer)?,
+            strength: frame.strength,
+            data_centre: frame.data_centre.into(),
+            instance: frame.instance.into(),
+        })
     }
 }
 
-impl From<&Changes<Member>> for MemberChanges {
-    fn from(changes: &Changes<Member>) -> Self {
+impl From<Changes<Member>> for MembersFrame {
+    fn from(changes: Changes<Member>) -> Self {
         Self {
+            full: changes.full,
             changed: changes.changed.iter().map(MemberFrame::from).collect(),
             removed: changes.removed.iter().map(|name| name.to_string()).collect(),
         }
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -165,7 +165,7 @@
 pub async fn run(gateway: Arc<Gateway>) {
     let mut store_lost = false;
     loop {
-        if !gateway.watches_store() {
+        if !gateway.watches_operator() {
             sleep(POLL_INTERVAL).await;
             continue;
         }
@@ -197,7 +197,7 @@
         }
     }
     let mut revision = page.revision;
-    while gateway.watches_store() {
+    while gateway.watches_operator() {
         if !document.is_empty() {
             let state = OperatorState::new(revision, document.clone(), evacuated.clone());
             if gateway.apply_state(state) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -123,23 +123,31 @@
     }
 }
 
-/// Serves a link from its first frame to its end. The link is refused if this instance does not
-/// lead in the term that the peer expects.
+/// Serves a connection of another instance: its link while this instance leads, or the announcement
+/// of a new leader.
 async fn serve(gateway: Arc<Gateway>, stream: TcpStream, link: u64) {
     set_socket_options(&stream);
     let mut wire = Framed::new(stream, FrameCodec::default());
-    let Ok(Some(Ok(Content::Hello(hello)))) = timeout(HELLO_TIMEOUT, wire.next()).await else {
-        return;
-    };
+    match timeout(HELLO_TIMEOUT, wire.next()).await {
+        Ok(Some(Ok(Content::Hello(hello)))) => serve_link(&gateway, hello, wire, link).await,
+        Ok(Some(Ok(Content::Announcement(frame)))) => gateway.handle_announcement(&frame),
+        _ => {}
+    }
+}
+
+/// Serves a link from its first frame to its end. The link is refused if this instance does not
+/// lead in the term that the peer expects.
+async fn serve_link(gateway: &Arc<Gateway>, hello: Hello, mut wire: Wire, link: u64) {
     let term = gateway.leadership.term();
     if !gateway.leadership.leads() || term != hello.term {
         return;
     }
-    let Ok(callers) = hello.callers.parse() else {
-        return log::warn!("event=hello_unreadable instance={}", hello.instance);
+    let member = match hello.member.unwrap_or_default().try_into() {
+        Ok(member) => member,
+        Err(err) => return log::warn!("event=hello_unreadable reason={err}"),
     };
-    let instance: Arc<str> = hello.instance.as_str().into();
-    let member = Member { instance: instance.clone(), callers };
+    let member: Member = member;
+    let instance = member.instance.clone();
     let welcome = EncodedFrame::from(Content::Welcome(Welcome { term }));
     if !matches!(timeout(HELLO_TIMEOUT, wire.send(welcome)).await, Ok(Ok(()))) {
         return;
@@ -150,7 +158,7 @@
     let actions = gateway.scheduler.lock().remove_instance(&instance, Time::now());
     gateway.apply_actions(actions);
     log::info!("event=instance_joined peer={instance} term={term}");
-    let result = exchange_frames(&gateway, &hello, wire, rx).await;
+    let result = exchange_frames(gateway, &instance, term, wire, rx).await;
     if let Err(err) = result {
         log::info!("event=link_failed peer={instance} reason={err}");
     }
@@ -161,7 +169,8 @@
 /// slowly, or this instance no longer leads in the same term.
 async fn exchange_frames(
     gateway: &Arc<Gateway>,
-    hello: &Hello,
+    instance: &str,
+    term: u64,
     wire: Wire,
     rx: mpsc::Receiver<Content>,
 ) -> Result<(), FrameError> {
@@ -169,20 +178,21 @@
     // Reading goes on while a write is blocked, or two instances that write to each other could
     // both wait forever.
     tokio::select! {
-        result = read_frames(gateway, hello, source) => result,
-        result = write_frames(gateway, hello.term, sink, rx) => result,
+        result = read_frames(gateway, instance, term, source) => result,
+        result = write_frames(gateway, term, sink, rx) => result,
     }
 }
 
 /// Reads and handles the frames of a peer.
 async fn read_frames(
     gateway: &Arc<Gateway>,
-    hello: &Hello,
+    instance: &str,
+    term: u64,
     mut source: SplitStream<Wire>,
 ) -> Result<(), FrameError> {
-    while gateway.leadership.leads() && gateway.leadership.term() == hello.term {
+    while gateway.leadership.leads() && gateway.leadership.term() == term {
         match timeout(PEER_TIMEOUT, source.next()).await {
-            Ok(Some(frame)) => handle_frame(gateway, &hello.instance, frame?),
+            Ok(Some(frame)) => handle_frame(gateway, instance, frame?),
             Ok(None) | Err(_) => return Ok(()),
         }
     }
@@ -270,12 +280,12 @@
         Content::Heartbeat(heartbeat) => gateway.handle_heartbeat(instance, &heartbeat),
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Hello(_)
+        | Content::Announcement(_)
         | Content::Welcome(_)
         | Content::Grant(_)
         | Content::Refuse(_)
         | Content::HeartbeatReply(_)
         | Content::Members(_)
-        | Content::MemberChanges(_)
         | Content::Endpoints(_) => {
             log::warn!("event=frame_unexpected from={instance}");
         }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
-use super::{Gateway, messages::EndpointsFrame};
+use super::{Gateway, members::START_TIMEOUT, messages::EndpointsFrame};
 use crate::{
     clock::Time,
     kernel::grants::EndpointEntry,
@@ -35,11 +35,9 @@
 /// Wait after each watch call, so that the next one returns several changes at once.
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 
-/// Time since the leader's last frame after which an instance reads the store itself.
-const MAX_FRAME_AGE: Duration = Duration::from_millis(900);
-
-/// Time after the start for which an instance waits for the leader's table.
-const START_TIMEOUT: Duration = Duration::from_millis(200);
+/// Fraction of the drain time for which an instance relies on the table of a leader that is silent.
+/// The rest is for reading the store.
+const TABLE_AGE_FRACTION: f64 = 0.5;
 
 /// The table of endpoints, as read last from the store or from the leader.
 #[derive(Default)]
@@ -84,7 +82,8 @@
     /// Returns whether this instance must read the endpoints from the store: it leads, or has
     /// received no frame from a leader for too long.
     fn must_watch_endpoints(&self) -> bool {
-        let max_age = if self.uplink.was_linked() { MAX_FRAME_AGE } else { START_TIMEOUT };
+        let max_table_age = self.settings.drain_time.mul_f64(TABLE_AGE_FRACTION);
+        let max_age = if self.uplink.was_linked() { max_table_age } else { START_TIMEOUT };
         self.leadership.leads() || self.uplink.frame_age() > max_age
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -51,6 +51,7 @@
     order_gap_ms: f64,
     stop_s: f64,
     address_ttl_s: f64,
+    drain_ms: f64,
 }
 
 /// Resources of the host on which the instance runs.
@@ -69,12 +70,10 @@
 const LEADER_LINK_MBPS: f64 = 100.0;
 
 impl Resources {
-    /// Returns how far the resources fall short of those that suffice to lead many instances: from
-    /// 0, not at all, to 1.
-    pub fn shortfall(&self) -> f64 {
-        let cores = (self.cores / LEADER_CORES).min(1.0);
-        let link = (self.link_mbps / LEADER_LINK_MBPS).min(1.0);
-        1.0 - cores.min(link)
+    /// Returns the resources in thousandths of those that suffice to lead many instances.
+    pub fn strength(&self) -> u32 {
+        let fraction = (self.cores / LEADER_CORES).min(self.link_mbps / LEADER_LINK_MBPS);
+        (fraction * 1e3) as u32
     }
 }
 
@@ -111,6 +110,8 @@
     pub stop_timeout: Duration,
     /// Longest TTL of the addresses in callers' caches.
     pub address_ttl: Duration,
+    /// Time after which an endpoint that drains must receive no more requests.
+    pub drain_time: Duration,
     /// Log settings.
     pub log: LogSettings,
 }
@@ -174,6 +175,7 @@
             order_gap: parse_seconds("limits.order_gap_ms", limits.order_gap_ms / 1e3)?,
             stop_timeout: parse_seconds("limits.stop_s", limits.stop_s)?,
             address_ttl: parse_seconds("limits.address_ttl_s", limits.address_ttl_s)?,
+            drain_time: parse_seconds("limits.drain_ms", limits.drain_ms / 1e3)?,
             log: LogSettings { spec: raw.log, json: true },
         })
     }
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -15,7 +15,7 @@
 use super::{
     Gateway,
     members::Members,
-    messages::{Content, EncodedFrame, EndpointFrame, EndpointsFrame, MemberChanges, MembersFrame},
+    messages::{Content, EncodedFrame, EndpointFrame, EndpointsFrame, MembersFrame},
 };
 use crate::{
     clock::Time,
@@ -161,11 +161,7 @@
             Content::Endpoints(EndpointsFrame::from(it))
         });
         let members = encode_once(encoded, Table::Members, &self.members, members, |it| {
-            if it.full {
-                Content::Members(MembersFrame::from(&it))
-            } else {
-                Content::MemberChanges(MemberChanges::from(&it))
-            }
+            Content::Members(MembersFrame::from(it))
         });
         endpoints.into_iter().chain(members).collect()
     }
--- a/tests/product/platform.rs
+++ b/tests/product/platform.rs
@@ -190,6 +190,7 @@
         ("bounds.lease_ms", "3000"),
         ("bounds.grace_s", "8"),
         ("bounds.ttl_max_s", "5"),
+        ("bounds.drain_ms", "2000"),
     ];
     let mut text = include_str!("../../deploy/gateway.yaml").to_owned();
     for (name, value) in values {
@@ -204,7 +205,7 @@
     assert_eq!(&*settings.instance, "edge-1");
     assert_eq!(settings.metrics.port(), 7_615);
     assert_eq!(settings.order_gap, Duration::from_secs(3));
-    assert_eq!(settings.resources.shortfall(), 0.0);
+    assert_eq!(settings.resources.strength(), 1_000);
 }
 
 #[test]
--- a/tests/product/updates.rs
+++ b/tests/product/updates.rs
@@ -20,7 +20,9 @@
 
 fn member(number: u32) -> Member {
     let callers = SocketAddr::from(([10, 1, (number >> 8) as u8, number as u8], 8_000));
-    Member { instance: format!("edge-data-centre-a-{number}").into(), callers }
+    let instance = format!("edge-data-centre-a-{number}").into();
+    let data_centre = "data-centre-a".into();
+    Member { instance, data_centre, callers, peer: callers, strength: 1_000 }
 }
 
 fn endpoint(number: u32, models: u32) -> EndpointFrame {
