Name as many members to callers as the demand needs, and divide the rates without a leader among these

Without a leader each instance had one part in 195 of every team's rate and of each engine.

Ruled out: longer keeping of idle connections; the engines state the time, and most requests came more than that apart.

Change: the leader names members in each data centre, the strongest first, until they have four times the capacity for the peak demand of the last minute; at least three each, itself last, and no fewer than its predecessor in its first minute. Without a leader the named members have 85 % of the rates between them. The shares of all still add up to one.

Tests: kernel/membership (named_*, lone_share_*) and kernel/request_rate, written with the code; not seen to fail first, since there was no such decision before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -167,13 +167,13 @@
     /// that does not lead has only its own share.
     fn scheduler_mode(&self) -> Mode {
         let now = Time::now();
-        let fleet_size = self.fleet_size() as f64;
         if self.leadership.leads() && (self.leadership.holds_lease(now) || self.peers.count() > 0) {
             let orders = self.leadership.may_order(now) && !self.shutdown.has_begun();
             let linked = (self.peers.count() + 1) as f64;
-            return Mode::Leading { may_order: orders, share: (linked / fleet_size).min(1.0) };
+            let share = (linked / self.fleet_size() as f64).min(1.0);
+            return Mode::Leading { may_order: orders, share };
         }
-        Mode::Alone { share: 1.0 / fleet_size }
+        Mode::Alone { share: self.lone_share() }
     }
 }
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -6,7 +6,7 @@
     Gateway,
     messages::{MemberFrame, MembersFrame},
 };
-use crate::kernel::membership::{Member, store_watchers};
+use crate::kernel::membership::{Member, lone_share, store_watchers};
 
 /// All members, as the leader reported them last.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -54,6 +54,11 @@
 const DEFAULT_FLEET_SIZE: usize = 64;
 
 impl Gateway {
+    /// Returns the share of all limits that this instance has without a leader.
+    pub(super) fn lone_share(&self) -> f64 {
+        lone_share(&self.settings.instance, &self.members.load().list, self.fleet_size())
+    }
+
     /// Returns the number of instances, by which an instance without a leader divides the limits.
     ///
     /// Lost instances count until the leader records a smaller number.
@@ -100,6 +105,7 @@
             callers: settings.callers,
             peer: settings.peer,
             strength: settings.resources.strength(),
+            named: false,
         }
     }
 
@@ -109,13 +115,22 @@
     /// engines. It therefore names itself only if it knows no other member.
     pub(super) fn caller_addresses(&self) -> Vec<SocketAddr> {
         let members = self.members.load();
-        let others = members.list.iter().filter(|member| member.instance != self.settings.instance);
-        let mut addresses: Vec<SocketAddr> = others.map(|member| member.callers).collect();
         let linked = self.leadership.leads() && self.peers.count() > 0
             || self.uplink.frame_age() < MAX_FRAME_AGE;
-        if self.is_ready() && (linked || addresses.is_empty()) {
-            addresses.push(self.settings.callers);
+        let is_usable = |member: &&Member| match self.is_self(&member.instance) {
+            true => linked && self.is_ready(),
+            false => true,
+        };
+        let usable = members.list.iter().filter(is_usable);
+        let named = usable.clone().filter(|member| member.named).map(|member| member.callers);
+        let named: Vec<SocketAddr> = named.collect();
+        if !named.is_empty() {
+            return named;
+        }
+        let all: Vec<SocketAddr> = usable.map(|member| member.callers).collect();
+        match all.is_empty() && self.is_ready() {
+            true => vec![self.settings.callers],
+            false => all,
         }
-        addresses
     }
 }
--- a/src/gateway/messages/members.rs
+++ b/src/gateway/messages/members.rs
@@ -68,6 +68,9 @@
     /// Resources of the instance, in thousandths of those that suffice to lead many instances.
     #[prost(uint32, tag = "5")]
     pub strength: u32,
+    /// Whether callers are told to connect to the instance.
+    #[prost(bool, tag = "6")]
+    pub named: bool,
 }
 
 /// Why a frame describes no member.
@@ -87,6 +90,7 @@
             callers: member.callers.to_string(),
             peer: member.peer.to_string(),
             strength: member.strength,
+            named: member.named,
         }
     }
 }
@@ -103,6 +107,7 @@
             callers: parse(&frame.callers)?,
             peer: parse(&frame.peer)?,
             strength: frame.strength,
+            named: frame.named,
             data_centre: frame.data_centre.into(),
             instance: frame.instance.into(),
         })
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -20,7 +20,7 @@
 use crate::{
     clock::Time,
     kernel::{
-        membership::{LinkedInstance, Member, current_members},
+        membership::{LinkedInstance, Member, current_members, name_members},
         pacing::OutputPacer,
         versioned::{Changes, Version, VersionedTable},
     },
@@ -188,8 +188,14 @@
     fn collect_members(&self) -> Vec<Member> {
         let mut linked = self.peers.linked_instances();
         linked.push(LinkedInstance { member: self.own_member(), ready: self.is_ready() });
-        let (former, led_for) = self.leadership.succession(Time::now());
-        current_members(&linked, &self.members.load().list, former.as_deref(), led_for)
+        let now = Time::now();
+        let (former, led_for) = self.leadership.succession(now);
+        let known = self.members.load();
+        let mut members = current_members(&linked, &known.list, former.as_deref(), led_for);
+        let peak_rate = self.scheduler.lock().peak_request_rate(now);
+        let leader = &self.settings.instance;
+        name_members(&mut members, &known.list, peak_rate, leader, led_for);
+        members
     }
 
     /// Sends the members and the endpoints that have changed to all peers.
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -19,6 +19,7 @@
 pub mod placement;
 pub mod quota;
 pub mod registry;
+pub mod request_rate;
 pub mod retry;
 pub mod routing;
 pub mod shares;
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -23,7 +23,7 @@
 use crate::{
     catalog::{Catalog, EngineSpec, Service},
     clock::Time,
-    kernel::suspect::Suspects,
+    kernel::{request_rate::RequestRate, suspect::Suspects},
 };
 
 /// Interval between rounds of placement planning.
@@ -82,6 +82,8 @@
     demand: Demand,
     /// Ratio of the measured to the expected time to the first event, by model.
     slowdowns: HashMap<Arc<str>, f64>,
+    /// Rate of the requests that arrive.
+    request_rate: RequestRate,
     /// When loads from the weight store were ordered.
     store_loads: VecDeque<Time>,
     /// When the placement was last planned.
@@ -119,6 +121,7 @@
             suspects: Suspects::default(),
             demand: Demand::default(),
             slowdowns: HashMap::new(),
+            request_rate: RequestRate::default(),
             store_loads: VecDeque::new(),
             planned_at: Time::default(),
             started_at: now,
@@ -186,6 +189,11 @@
         self.queue.len()
     }
 
+    /// Returns the peak of the rate at which requests have arrived lately, a second.
+    pub fn peak_request_rate(&mut self, now: Time) -> f64 {
+        self.request_rate.peak(now)
+    }
+
     /// Grants, queues or refuses a new request.
     pub fn handle_request(
         &mut self,
@@ -193,6 +201,7 @@
         request: GrantRequest,
         now: Time,
     ) -> Vec<Action> {
+        self.request_rate.record(now);
         let mut actions = Vec::new();
         match self.admit(&request, now) {
             Ok(()) => self.grant_or_queue(key, request, now, &mut actions),
--- a/src/kernel/membership.rs
+++ b/src/kernel/membership.rs
@@ -12,6 +12,24 @@
 /// Strength of an instance that can lead many others.
 const SUFFICIENT_STRENGTH: u32 = 1_000;
 
+/// Requests a second that an instance of [`SUFFICIENT_STRENGTH`] serves with ease.
+const EASY_REQUEST_RATE: f64 = 100.0;
+
+/// Capacity of the named members, as a multiple of the peak of the demand. Demand may rise several
+/// times before callers learn of further members.
+const CAPACITY_FACTOR: f64 = 4.0;
+
+/// Fewest members that are named in each data centre, so that a loss of some is borne.
+const MIN_NAMED_PER_DATA_CENTRE: usize = 3;
+
+/// Time after the election for which a new leader names no fewer members than the former one, since
+/// it has not measured the demand for long.
+const DEMAND_UNKNOWN_TIME: Duration = Duration::from_secs(60);
+
+/// Fraction of a team's rate that the named members have without a leader. All members share the
+/// rest, since some callers keep old addresses.
+const NAMED_RATE_FRACTION: f64 = 0.85;
+
 /// A member: an instance that is ready to serve callers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Member {
@@ -25,6 +43,8 @@
     pub peer: SocketAddr,
     /// Resources of the instance, in thousandths of those that suffice to lead many instances.
     pub strength: u32,
+    /// Whether callers are told to connect to the instance.
+    pub named: bool,
 }
 
 /// An instance that is linked to the leader, or the leader itself.
@@ -83,3 +103,59 @@
     let reference = strongest.unwrap_or(SUFFICIENT_STRENGTH).max(1);
     1.0 - (f64::from(strength) / f64::from(reference)).min(1.0)
 }
+
+/// Names the members to which callers should connect: so many in each data centre that together they
+/// have several times the capacity for `peak_rate` requests a second.
+///
+/// A connection to an endpoint serves the requests of one instance only. Where each of many
+/// instances serves few requests, most of them need a new connection. `known` are the members
+/// before, and the leader was elected `led_for` ago. The leader itself is named only if its data
+/// centre has too few others, since it decides on all requests.
+pub fn name_members(
+    members: &mut [Member],
+    known: &[Member],
+    peak_rate: f64,
+    leader: &str,
+    led_for: Duration,
+) {
+    let is_new = led_for < DEMAND_UNKNOWN_TIME;
+    let min_total = if is_new { known.iter().filter(|member| member.named).count() } else { 0 };
+    let mut data_centres: BTreeMap<Arc<str>, Vec<&mut Member>> = BTreeMap::new();
+    for member in members {
+        member.named = false;
+        data_centres.entry(member.data_centre.clone()).or_default().push(member);
+    }
+    let count = data_centres.len().max(1);
+    let min_named = MIN_NAMED_PER_DATA_CENTRE.max(min_total.div_ceil(count));
+    let needed_rate = peak_rate * CAPACITY_FACTOR / count as f64;
+    for members in data_centres.values_mut() {
+        members.sort_by_key(|member| {
+            (&*member.instance == leader, Reverse(member.strength), member.instance.clone())
+        });
+        let mut rate = 0.0;
+        for (index, member) in members.iter_mut().enumerate() {
+            if index >= min_named && rate >= needed_rate {
+                break;
+            }
+            member.named = true;
+            rate += EASY_REQUEST_RATE * f64::from(member.strength) / f64::from(SUFFICIENT_STRENGTH);
+        }
+    }
+}
+
+/// Returns the share of the teams' rates and of the endpoints' capacity that an instance has while it
+/// is without a leader. The shares of all instances of a fleet add up to at most 1.
+///
+/// Most of it goes to the named members, since the requests arrive there.
+pub fn lone_share(instance: &str, members: &[Member], fleet_size: usize) -> f64 {
+    let fleet_size = fleet_size.max(members.len()).max(1) as f64;
+    let named = members.iter().filter(|member| member.named);
+    let is_named = named.clone().any(|member| *member.instance == *instance);
+    match named.count() {
+        0 => 1.0 / fleet_size,
+        count if is_named => {
+            NAMED_RATE_FRACTION / count as f64 + (1.0 - NAMED_RATE_FRACTION) / fleet_size
+        }
+        _ => (1.0 - NAMED_RATE_FRACTION) / fleet_size,
+    }
+}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -15,6 +15,7 @@
     mod pacing;
     mod placement;
     mod quota;
+    mod request_rate;
     mod retry;
     mod routing;
     mod runner;
