--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -211,7 +211,8 @@
         let term = self.leadership.term();
         self.updates.replace(term, &members, endpoints, include_adapters);
         if self.members.load().list != members {
-            log::info!("event=members_changed count={}", members.len());
+            let named = members.iter().filter(|member| member.named).count();
+            log::info!("event=members_changed count={} named={named}", members.len());
             self.members.store(Arc::new(Members { list: members }));
         }
     }
