--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -11,20 +11,22 @@
     time::Duration,
 };
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{
+    SinkExt, StreamExt,
+    stream::{SplitSink, SplitStream},
+};
 use parking_lot::Mutex;
 use tokio::{
     net::TcpStream,
     sync::mpsc,
-    time::{interval, sleep, timeout},
+    time::{MissedTickBehavior, interval, sleep, timeout},
 };
 use tokio_util::codec::Framed;
 
 use super::{
     Gateway,
     leader::Leader,
-    members::Members,
-    messages::{Content, FrameCodec, FrameError, Heartbeat, Hello, Welcome},
+    messages::{Content, FrameCodec, FrameError, Heartbeat, Hello, MemberFrame, Welcome},
 };
 use crate::{clock::Time, http::pool::connect};
 
@@ -37,6 +39,9 @@
 /// Longest time without a frame before the leader counts as lost.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// Interval at which an instance checks whether its leader is lost.
+const LOSS_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Wait before the link is opened again, and interval at which a new leader is looked for.
 const RECONNECT_BACKOFF: Duration = Duration::from_millis(60);
 
@@ -52,8 +57,6 @@
     last_frame: AtomicU64,
     /// Whether there has been a link since the process started.
     linked: AtomicBool,
-    /// Whether the leader reported that it has lost the store.
-    store_lost: AtomicBool,
 }
 
 impl Uplink {
@@ -62,16 +65,16 @@
         self.tx.lock().as_ref().is_some_and(|tx| tx.send(content).is_ok())
     }
 
+    /// Returns whether there is a link.
+    pub fn is_open(&self) -> bool {
+        self.tx.lock().is_some()
+    }
+
     /// Returns whether there has been a link since the process started.
     pub fn was_linked(&self) -> bool {
         self.linked.load(Ordering::Relaxed)
     }
 
-    /// Returns whether the leader reported that it has lost the store.
-    pub fn is_store_lost(&self) -> bool {
-        self.store_lost.load(Ordering::Relaxed)
-    }
-
     /// Returns the time since the last frame of a leader, or since the process started.
     pub fn frame_age(&self) -> Duration {
         Time::now().since(Time(self.last_frame.load(Ordering::Relaxed)))
@@ -114,11 +117,7 @@
 async fn join_leader(gateway: &Arc<Gateway>, leader: &Leader) -> Result<(), FrameError> {
     let stream = connect(leader.address, OPEN_TIMEOUT).await?;
     let mut wire = Framed::new(stream, FrameCodec::default());
-    let hello = Hello {
-        instance: gateway.settings.instance.to_string(),
-        callers: gateway.settings.callers.to_string(),
-        term: leader.term,
-    };
+    let hello = Hello { member: Some(MemberFrame::from(&gateway.own_member())), term: leader.term };
     wire.send(Content::Hello(hello)).await?;
     let first_frame = timeout(OPEN_TIMEOUT, wire.next()).await;
     match first_frame {
@@ -144,33 +143,60 @@
     gateway: &Arc<Gateway>,
     leader: &Leader,
     wire: Wire,
+    rx: mpsc::UnboundedReceiver<Content>,
+) -> Result<(), FrameError> {
+    let (sink, source) = wire.split();
+    // Reading goes on while a write is blocked, or two instances that write to each other could
+    // both wait forever.
+    tokio::select! {
+        result = read_frames(gateway, source) => result,
+        result = write_frames(gateway, sink, rx) => result,
+        () = wait_for_loss(gateway, leader) => Ok(()),
+    }
+}
+
+/// Reads and handles the leader's frames.
+async fn read_frames(
+    gateway: &Arc<Gateway>,
+    mut source: SplitStream<Wire>,
+) -> Result<(), FrameError> {
+    while let Some(frame) = source.next().await {
+        gateway.uplink.record_frame();
+        handle_frame(gateway, frame?);
+    }
+    Ok(())
+}
+
+/// Writes queued frames and heartbeats to the leader.
+async fn write_frames(
+    gateway: &Arc<Gateway>,
+    mut sink: SplitSink<Wire, Content>,
     mut rx: mpsc::UnboundedReceiver<Content>,
 ) -> Result<(), FrameError> {
-    let (mut sink, mut source) = wire.split();
     let mut heartbeats = interval(HEARTBEAT_INTERVAL);
+    heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            frame = source.next() => match frame {
-                Some(frame) => {
-                    gateway.uplink.record_frame();
-                    handle_frame(gateway, frame?);
-                }
-                None => return Ok(()),
-            },
             Some(content) = rx.recv() => {
                 sink.feed(content).await?;
                 while let Ok(content) = rx.try_recv() {
                     sink.feed(content).await?;
                 }
-                sink.flush().await?;
-            }
-            _ = heartbeats.tick() => {
-                let superseded = gateway.leadership.leader().is_some_and(|l| l.term > leader.term);
-                if gateway.uplink.frame_age() > LEADER_TIMEOUT || superseded {
-                    return Ok(());
-                }
-                sink.send(Content::Heartbeat(gateway.heartbeat())).await?;
             }
+            _ = heartbeats.tick() => sink.feed(Content::Heartbeat(gateway.heartbeat())).await?,
+        }
+        sink.flush().await?;
+    }
+}
+
+/// Waits until the leader is silent for too long, or another one leads in a later term.
+async fn wait_for_loss(gateway: &Gateway, leader: &Leader) {
+    let mut checks = interval(LOSS_CHECK_INTERVAL);
+    loop {
+        checks.tick().await;
+        let superseded = gateway.leadership.leader().is_some_and(|l| l.term > leader.term);
+        if superseded || gateway.uplink.frame_age() > LEADER_TIMEOUT {
+            return;
         }
     }
 }
@@ -187,15 +213,18 @@
         }
         Content::Refuse(frame) => gateway.handle_refusal(frame.number, frame.to_refusal()),
         Content::HeartbeatReply(heartbeat) => {
-            gateway.uplink.store_lost.store(heartbeat.store_lost, Ordering::Relaxed);
             if let Some(frame) = gateway.operator_update(&heartbeat) {
                 gateway.uplink.send(frame);
             }
         }
-        Content::Members(frame) => gateway.members.store(Arc::new(Members::from_frame(frame))),
+        Content::Members(frame) => {
+            let members = gateway.members.load().with_changes(frame);
+            gateway.members.store(Arc::new(members));
+        }
         Content::Endpoints(frame) => gateway.handle_endpoints(frame),
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Hello(_)
+        | Content::Announcement(_)
         | Content::Welcome(_)
         | Content::GrantRequest(_)
         | Content::FirstEvent(_)
@@ -210,13 +239,7 @@
     pub(super) fn heartbeat(&self) -> Heartbeat {
         let operator = self.operator.lock();
         let term = self.leadership.leader().map_or(0, |leader| leader.term);
-        Heartbeat {
-            ready: self.is_ready(),
-            revision: operator.revision,
-            hash: operator.hash,
-            term,
-            store_lost: self.leadership.is_store_lost(Time::now()),
-        }
+        Heartbeat { ready: self.is_ready(), revision: operator.revision, hash: operator.hash, term }
     }
 
     /// Returns the operators' records if they are newer than those of the instance that sent
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -1,20 +1,12 @@
 //! The members: instances that serve callers.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use super::{
     Gateway,
     messages::{MemberFrame, MembersFrame},
 };
-
-/// A member: an instance that is ready to serve callers.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Member {
-    /// Name of the instance.
-    pub instance: Arc<str>,
-    /// Address at which the instance serves callers.
-    pub callers: SocketAddr,
-}
+use crate::kernel::membership::{Member, lone_share, store_watchers};
 
 /// All members, as the leader reported them last.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -24,36 +16,49 @@
 }
 
 impl Members {
-    /// Returns the frame that lists the members for other instances.
-    pub fn to_frame(&self) -> MembersFrame {
-        let members = self.list.iter().map(|member| MemberFrame {
-            instance: member.instance.to_string(),
-            callers: member.callers.to_string(),
-        });
-        MembersFrame { list: members.collect() }
+    /// Returns the members after the changes in the leader's frame.
+    pub fn with_changes(&self, frame: MembersFrame) -> Self {
+        let changed: Vec<Member> = frame.changed.into_iter().filter_map(parse_member).collect();
+        let is_kept = |member: &&Member| {
+            !frame.full
+                && frame.removed.iter().all(|name| **name != *member.instance)
+                && changed.iter().all(|newer| newer.instance != member.instance)
+        };
+        let mut list: Vec<Member> = self.list.iter().filter(is_kept).cloned().collect();
+        list.extend(changed);
+        list.sort();
+        Self { list }
     }
+}
 
-    /// Creates the members from the leader's frame, without those whose address cannot be parsed.
-    pub fn from_frame(frame: MembersFrame) -> Self {
-        let members = frame.list.into_iter().filter_map(|member| {
-            let callers = member.callers.parse().ok()?;
-            Some(Member { instance: member.instance.into(), callers })
-        });
-        Self { list: members.collect() }
-    }
+/// Returns the member of a frame; logs why there is none.
+fn parse_member(frame: MemberFrame) -> Option<Member> {
+    let member = Member::try_from(frame);
+    member.inspect_err(|err| log::warn!("event=member_unreadable reason={err}")).ok()
 }
 
-/// Time since the leader's last frame after which an instance reads the store itself and leaves its
-/// own address out of the directory.
+/// Time since the leader's last frame after which an instance leaves its own address out of the
+/// directory.
 const MAX_FRAME_AGE: Duration = Duration::from_millis(700);
 
-/// Members besides the leader that watch the leader's and the operators' records in the store.
-const EXTRA_WATCHERS: usize = 2;
+/// Time since the leader's last frame after which an instance that watches no records reads them.
+/// Until then it expects the announcement of a new leader, which is elected when the lease of the
+/// old one ends.
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(2_200);
+
+/// Time after the start for which an instance expects the leader's records and endpoints before it
+/// reads them from the store.
+pub(super) const START_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Number of instances that is assumed while none is known.
 const DEFAULT_FLEET_SIZE: usize = 64;
 
 impl Gateway {
+    /// Returns the share of all limits that this instance has without a leader.
+    pub(super) fn lone_share(&self) -> f64 {
+        lone_share(&self.settings.instance, &self.members.load().list, self.fleet_size())
+    }
+
     /// Returns the number of instances, by which an instance without a leader divides the limits.
     ///
     /// Lost instances count until the leader records a smaller number.
@@ -65,25 +70,43 @@
         }
     }
 
-    /// Returns whether this instance watches the leader's and the operators' records in the store.
+    /// Returns whether this instance watches the leader's record in the store.
     ///
-    /// Besides the leader, two members do, in case the leader loses the store. An instance also
-    /// does if it has no link to the leader, or if the leader reports that it has lost the store.
+    /// Besides the leader, one member of each data centre does, in case the leader is lost. Another
+    /// instance does until its first link to a leader, and if it has no link for a long time.
     pub(super) fn watches_store(&self) -> bool {
-        let linked = self.uplink.was_linked() && self.uplink.frame_age() < MAX_FRAME_AGE;
-        if self.leadership.leads() || !linked || self.uplink.is_store_lost() {
+        if self.leadership.leads() || !self.uplink.was_linked() {
             return true;
         }
+        self.is_watcher() || self.uplink.frame_age() > ANNOUNCEMENT_TIMEOUT
+    }
+
+    /// Returns whether this instance watches the operators' records in the store. An instance that
+    /// has just started gets them from the leader, if there is one.
+    pub(super) fn watches_operator(&self) -> bool {
+        let starting = !self.uplink.was_linked() && self.uplink.frame_age() < START_TIMEOUT;
+        self.watches_store() && (self.leadership.leads() || !starting)
+    }
+
+    /// Returns whether this instance is one of the members that watch the store for all others.
+    fn is_watcher(&self) -> bool {
         let leader = self.leadership.leader();
-        let name = leader.as_ref().map(|leader| &*leader.instance);
         let members = self.members.load();
-        let others = members.list.iter().filter(|member| Some(&*member.instance) != name);
-        others.take(EXTRA_WATCHERS).any(|member| member.instance == self.settings.instance)
+        let watchers = store_watchers(&members.list, leader.as_ref().map(|l| &*l.instance));
+        watchers.iter().any(|member| self.is_self(&member.instance))
     }
 
     /// Returns this instance as a member.
     pub(super) fn own_member(&self) -> Member {
-        Member { instance: self.settings.instance.clone(), callers: self.settings.callers }
+        let settings = &self.settings;
+        Member {
+            instance: settings.instance.clone(),
+            data_centre: settings.data_centre.clone(),
+            callers: settings.callers,
+            peer: settings.peer,
+            strength: settings.resources.strength(),
+            named: false,
+        }
     }
 
     /// Returns the addresses that callers may use.
@@ -92,13 +115,22 @@
     /// engines. It therefore names itself only if it knows no other member.
     pub(super) fn caller_addresses(&self) -> Vec<SocketAddr> {
         let members = self.members.load();
-        let others = members.list.iter().filter(|member| member.instance != self.settings.instance);
-        let mut addresses: Vec<SocketAddr> = others.map(|member| member.callers).collect();
         let linked = self.leadership.leads() && self.peers.count() > 0
             || self.uplink.frame_age() < MAX_FRAME_AGE;
-        if self.is_ready() && (linked || addresses.is_empty()) {
-            addresses.push(self.settings.callers);
+        let is_usable = |member: &&Member| match self.is_self(&member.instance) {
+            true => linked && self.is_ready(),
+            false => true,
+        };
+        let usable = members.list.iter().filter(is_usable);
+        let named = usable.clone().filter(|member| member.named).map(|member| member.callers);
+        let named: Vec<SocketAddr> = named.collect();
+        if !named.is_empty() {
+            return named;
+        }
+        let all: Vec<SocketAddr> = usable.map(|member| member.callers).collect();
+        match all.is_empty() && self.is_ready() {
+            true => vec![self.settings.callers],
+            false => all,
         }
-        addresses
     }
 }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -2,14 +2,16 @@
 
 mod codec;
 mod endpoints;
+mod members;
 mod requests;
 
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
 pub use self::{
-    codec::{FrameCodec, FrameError},
-    endpoints::{EndpointFrame, EndpointsFrame},
+    codec::{EncodedFrame, FrameCodec, FrameError},
+    endpoints::{EndpointFrame, EndpointsFrame, ModelFrame},
+    members::{Announcement, Hello, MemberFrame, MembersFrame},
     requests::{AdoptFrame, EndFrame, GrantFrame, GrantRequestFrame, RefuseFrame, RequestRef},
 };
 
@@ -56,7 +58,7 @@
     /// Reply of the leader to a heartbeat.
     #[prost(message, tag = "10")]
     HeartbeatReply(Heartbeat),
-    /// Leader to instance: the instances that serve callers.
+    /// Leader to instance: changes of the instances that serve callers.
     #[prost(message, tag = "11")]
     Members(MembersFrame),
     /// Leader to instance: endpoints that have changed.
@@ -65,21 +67,9 @@
     /// In both directions: the operators' records.
     #[prost(message, tag = "13")]
     Operator(OperatorFrame),
-}
-
-/// Introduces an instance to the leader.
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
-pub struct Hello {
-    /// Name of the instance.
-    #[prost(string, tag = "1")]
-    pub instance: String,
-    /// Address at which the instance serves callers.
-    #[prost(string, tag = "2")]
-    pub callers: String,
-    /// Term in which the sender expects the receiver to lead.
-    #[prost(uint64, tag = "3")]
-    pub term: u64,
+    /// First frame of a new leader to an instance that is not linked to it.
+    #[prost(message, tag = "14")]
+    Announcement(Announcement),
 }
 
 /// Accepts the link of an instance.
@@ -107,31 +97,6 @@
     /// Term of the leader that the sender knows.
     #[prost(uint64, tag = "4")]
     pub term: u64,
-    /// Whether the sender leads but has lost the store. The receiver must then watch the store
-    /// itself.
-    #[prost(bool, tag = "5")]
-    pub store_lost: bool,
-}
-
-/// The instances that serve callers.
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
-pub struct MembersFrame {
-    /// Instances in the order of their names.
-    #[prost(message, repeated, tag = "1")]
-    pub list: Vec<MemberFrame>,
-}
-
-/// An instance that serves callers.
-#[derive(Clone, PartialEq)]
-#[derive(Message)]
-pub struct MemberFrame {
-    /// Name of the instance.
-    #[prost(string, tag = "1")]
-    pub instance: String,
-    /// Address at which the instance serves callers.
-    #[prost(string, tag = "2")]
-    pub callers: String,
 }
 
 /// The operators' records: the configuration document and the data centres out of service.
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -10,9 +10,12 @@
     mod grants;
     mod ledger;
     mod lending;
+    mod membership;
     mod once;
+    mod pacing;
     mod placement;
     mod quota;
+    mod request_rate;
     mod retry;
     mod routing;
     mod runner;
@@ -21,6 +24,7 @@
     mod stopping;
     mod stream;
     mod suspect;
+    mod versioned;
     mod warmup;
     mod withdrawal;
 }
