Void the orders of an earlier term, and move what is known of the leader to the kernel

Cause (found by reading, after the operators' report of a paused process that acted on a permission which had run out): an order took its term when its task began, but only asked whether this instance may give orders at all when it was sent. A process that was paused in between, lost its lease and led again without a wait (it was the last leader itself) would send the order with its old term after newer ones. A store read that was slower than an announcement also put the older leader back.

Ruled out: orders in a pause without re-election; the lease's own time stops these.

An order is sent only in the term in which it was decided.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -35,7 +35,10 @@
     catalog::Catalog,
     clock::Time,
     http::pool::Pool,
-    kernel::grants::{Mode, Scheduler},
+    kernel::{
+        grants::{Mode, Scheduler},
+        leadership::Leadership,
+    },
     platform::store::Store,
 };
 
@@ -51,7 +54,7 @@
     scheduler: Mutex<Scheduler>,
     /// This instance's requests that wait for a grant or use one.
     requests: grants::Requests,
-    leadership: leader::Leadership,
+    leadership: Mutex<Leadership>,
     /// Link to the leader.
     uplink: link::Uplink,
     /// Instances that are linked to this one while it leads.
@@ -101,7 +104,7 @@
             operator: Mutex::default(),
             scheduler: Mutex::new(Scheduler::new(settings.grant_limits(), mode, Time::now())),
             requests: grants::Requests::default(),
-            leadership: leader::Leadership::default(),
+            leadership: Mutex::new(Leadership::new(settings.instance.clone())),
             uplink: link::Uplink::default(),
             peers: peers::Peers::default(),
             updates: updates::Updates::new(settings.resources.link_mbps),
@@ -167,8 +170,8 @@
     /// that does not lead has only its own share.
     fn scheduler_mode(&self) -> Mode {
         let now = Time::now();
-        if self.leadership.leads() && (self.leadership.holds_lease(now) || self.peers.count() > 0) {
-            let orders = self.leadership.may_order(now) && !self.shutdown.has_begun();
+        if self.leads() && (self.leadership.lock().holds_lease(now) || self.peers.count() > 0) {
+            let orders = self.leadership.lock().may_order(now) && !self.shutdown.has_begun();
             let linked = (self.peers.count() + 1) as f64;
             let share = (linked / self.fleet_size() as f64).min(1.0);
             return Mode::Leading { may_order: orders, share };
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -319,7 +319,7 @@
         gateway.tick_scheduler();
         gateway.pool.remove_expired();
         let interval = match gateway.scheduler.lock().queue_len() {
-            0 if gateway.leadership.leads() => LEADER_INTERVAL,
+            0 if gateway.leads() => LEADER_INTERVAL,
             0 => IDLE_INTERVAL,
             1..CROWDED_QUEUE_LEN => BUSY_INTERVAL,
             _ => CROWDED_INTERVAL,
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -25,10 +25,9 @@
 
 use super::{
     Gateway,
-    leader::Leader,
     messages::{Content, FrameCodec, FrameError, Heartbeat, Hello, MemberFrame, Welcome},
 };
-use crate::{clock::Time, http::pool::connect};
+use crate::{clock::Time, http::pool::connect, kernel::leadership::Leader};
 
 /// Timeout of opening the link: for the connection, and again for the leader's welcome.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
@@ -89,10 +88,10 @@
 /// Maintains a link to the leader while another instance leads.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
-        let leader = gateway.leadership.leader();
+        let leader = gateway.leader();
         let other_leader = leader.filter(|leader| !gateway.is_self(&leader.instance));
         if let Some(leader) = other_leader
-            && !gateway.leadership.leads()
+            && !gateway.leads()
         {
             let result = join_leader(&gateway, &leader).await;
             if gateway.uplink.tx.lock().take().is_some() {
@@ -194,7 +193,7 @@
     let mut checks = interval(LOSS_CHECK_INTERVAL);
     loop {
         checks.tick().await;
-        let superseded = gateway.leadership.leader().is_some_and(|l| l.term > leader.term);
+        let superseded = gateway.leader().is_some_and(|l| l.term > leader.term);
         if superseded || gateway.uplink.frame_age() > LEADER_TIMEOUT {
             return;
         }
@@ -238,7 +237,7 @@
     /// Returns the heartbeat of this instance.
     pub(super) fn heartbeat(&self) -> Heartbeat {
         let operator = self.operator.lock();
-        let term = self.leadership.leader().map_or(0, |leader| leader.term);
+        let term = self.leader().map_or(0, |leader| leader.term);
         Heartbeat { ready: self.is_ready(), revision: operator.revision, hash: operator.hash, term }
     }
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -63,7 +63,7 @@
     ///
     /// Lost instances count until the leader records a smaller number.
     pub(super) fn fleet_size(&self) -> usize {
-        let recorded = self.leadership.fleet_size();
+        let recorded = self.leadership.lock().fleet_size;
         match recorded.max(self.members.load().list.len()) {
             0 => DEFAULT_FLEET_SIZE,
             size => size,
@@ -75,7 +75,7 @@
     /// Besides the leader, one member of each data centre does, in case the leader is lost. Another
     /// instance does until its first link to a leader, and if it has no link for a long time.
     pub(super) fn watches_store(&self) -> bool {
-        if self.leadership.leads() || !self.uplink.was_linked() {
+        if self.leads() || !self.uplink.was_linked() {
             return true;
         }
         self.is_watcher() || self.uplink.frame_age() > ANNOUNCEMENT_TIMEOUT
@@ -85,12 +85,12 @@
     /// has just started gets them from the leader, if there is one.
     pub(super) fn watches_operator(&self) -> bool {
         let starting = !self.uplink.was_linked() && self.uplink.frame_age() < START_TIMEOUT;
-        self.watches_store() && (self.leadership.leads() || !starting)
+        self.watches_store() && (self.leads() || !starting)
     }
 
     /// Returns whether this instance is one of the members that watch the store for all others.
     fn is_watcher(&self) -> bool {
-        let leader = self.leadership.leader();
+        let leader = self.leader();
         let members = self.members.load();
         let watchers = store_watchers(&members.list, leader.as_ref().map(|l| &*l.instance));
         watchers.iter().any(|member| self.is_self(&member.instance))
@@ -115,8 +115,8 @@
     /// engines. It therefore names itself only if it knows no other member.
     pub(super) fn caller_addresses(&self) -> Vec<SocketAddr> {
         let members = self.members.load();
-        let linked = self.leadership.leads() && self.peers.count() > 0
-            || self.uplink.frame_age() < MAX_FRAME_AGE;
+        let linked =
+            self.leads() && self.peers.count() > 0 || self.uplink.frame_age() < MAX_FRAME_AGE;
         let is_usable = |member: &&Member| match self.is_self(&member.instance) {
             true => linked && self.is_ready(),
             false => true,
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -102,7 +102,7 @@
             Err(err) => return log::warn!("event=config_unreadable from=peer reason={err}"),
         };
         let state = OperatorState::new(frame.revision, document, frame.evacuated);
-        if self.apply_state(state) && self.leadership.leads() {
+        if self.apply_state(state) && self.leads() {
             self.send_operator();
         }
     }
@@ -111,7 +111,7 @@
     /// leader.
     fn send_operator(&self) {
         let content = Content::Operator(self.operator.lock().to_frame());
-        if self.leadership.leads() {
+        if self.leads() {
             self.peers.broadcast(&content);
         } else {
             self.uplink.send(content);
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -42,9 +42,9 @@
 /// Sends an order and passes its result to the scheduler.
 pub async fn send(gateway: Arc<Gateway>, order: Order) {
     let Order { endpoint, address, command, expected } = order;
-    let (holder, term) = (&gateway.settings.instance, gateway.leadership.term());
+    let (holder, term) = (&gateway.settings.instance, gateway.leadership.lock().term());
     let request = engine::order_request(&endpoint, &command, expected, holder, term);
-    let result = match call(&gateway, address, request).await {
+    let result = match call(&gateway, term, address, request).await {
         Ok((status, _)) => order_result(status),
         Err(SendError::NotSent(_)) => OrderResult::Conflict,
         Err(SendError::Unknown(_)) => OrderResult::Lost,
@@ -69,7 +69,8 @@
 
 /// Fetches the report of an engine and passes it to the scheduler.
 pub async fn fetch_report(gateway: Arc<Gateway>, endpoint: Arc<str>, address: SocketAddr) {
-    let result = call(&gateway, address, engine::report_request(&endpoint)).await;
+    let term = gateway.leadership.lock().term();
+    let result = call(&gateway, term, address, engine::report_request(&endpoint)).await;
     let report = match result {
         Ok((StatusCode::OK, body)) => engine::decode_report(&body)
             .inspect_err(|err| {
@@ -89,17 +90,18 @@
     gateway.tick_scheduler();
 }
 
-/// Sends a request to an engine and reads the whole response. Nothing is sent if this instance may
-/// give no orders.
+/// Sends a request that was decided in `term` to an engine and reads the whole response. Nothing is
+/// sent if this instance may give no orders in that term.
 async fn call(
     gateway: &Gateway,
+    term: u64,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), SendError> {
     let exchange = async {
         let mut connection = gateway.pool.acquire(address, CONNECT_TIMEOUT).await?;
-        // The lease may have ended while the connection was opened.
-        if !gateway.leadership.may_order(Time::now()) {
+        // The lease may have ended while the connection was opened or the process was paused.
+        if !gateway.leadership.lock().may_order_in(term, Time::now()) {
             return Err(SendError::NotSent("not the leader, or may give no orders yet".to_owned()));
         }
         let response = connection.send(request).await?;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -138,8 +138,8 @@
 /// Serves a link from its first frame to its end. The link is refused if this instance does not
 /// lead in the term that the peer expects.
 async fn serve_link(gateway: &Arc<Gateway>, hello: Hello, mut wire: Wire, link: u64) {
-    let term = gateway.leadership.term();
-    if !gateway.leadership.leads() || term != hello.term {
+    let term = gateway.leadership.lock().term();
+    if !gateway.leads() || term != hello.term {
         return;
     }
     let member = match hello.member.unwrap_or_default().try_into() {
@@ -190,7 +190,7 @@
     term: u64,
     mut source: SplitStream<Wire>,
 ) -> Result<(), FrameError> {
-    while gateway.leadership.leads() && gateway.leadership.term() == term {
+    while gateway.leads() && gateway.leadership.lock().term() == term {
         match timeout(PEER_TIMEOUT, source.next()).await {
             Ok(Some(frame)) => handle_frame(gateway, instance, frame?),
             Ok(None) | Err(_) => return Ok(()),
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -84,7 +84,7 @@
     fn must_watch_endpoints(&self) -> bool {
         let max_table_age = self.settings.drain_time.mul_f64(TABLE_AGE_FRACTION);
         let max_age = if self.uplink.was_linked() { max_table_age } else { START_TIMEOUT };
-        self.leadership.leads() || self.uplink.frame_age() > max_age
+        self.leads() || self.uplink.frame_age() > max_age
     }
 }
 
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -189,7 +189,7 @@
         let mut linked = self.peers.linked_instances();
         linked.push(LinkedInstance { member: self.own_member(), ready: self.is_ready() });
         let now = Time::now();
-        let (former, led_for) = self.leadership.succession(now);
+        let (former, led_for) = self.leadership.lock().succession(now);
         let known = self.members.load();
         let mut members = current_members(&linked, &known.list, former.as_deref(), led_for);
         let peak_rate = self.scheduler.lock().peak_request_rate(now);
@@ -208,7 +208,7 @@
         };
         let members = self.collect_members();
         let include_adapters = self.peers.count() <= MAX_ADAPTER_PEERS;
-        let term = self.leadership.term();
+        let term = self.leadership.lock().term();
         self.updates.replace(term, &members, endpoints, include_adapters);
         if self.members.load().list != members {
             let named = members.iter().filter(|member| member.named).count();
@@ -224,7 +224,7 @@
     loop {
         let _ = timeout(ROUND_INTERVAL, gateway.updates.members_changed.notified()).await;
         sleep(COLLECT_TIME_PER_PEER * gateway.peers.count() as u32).await;
-        if gateway.leadership.leads() {
+        if gateway.leads() {
             gateway.send_updates();
         }
     }
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -12,6 +12,7 @@
 pub mod drain;
 pub mod freshness;
 pub mod grants;
+pub mod leadership;
 pub mod ledger;
 pub mod membership;
 pub mod once;
--- /dev/null
+++ b/src/kernel/leadership.rs
@@ -0,0 +1,235 @@
+//! What an instance knows of the leader, and the lease by which it leads itself.
+//!
+//! The leader holds the lease of a record in the platform's store. Its term is the revision of that
+//! record, so it grows with each leader. A process that was paused may find that its lease has ended
+//! meanwhile, or that it leads again in a later term; whatever it decided before is void then.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use crate::clock::Time;
+
+/// TTL of the leader's lease.
+pub const LEASE_TTL: Duration = Duration::from_millis(1_500);
+
+/// Interval of the lease's renewals.
+const RENEW_INTERVAL: Duration = Duration::from_millis(350);
+
+/// Time before the end of the lease in the store at which the leader stops relying on it.
+const LEASE_MARGIN: Duration = Duration::from_millis(300);
+
+/// A leader of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Address at which the leader accepts links of other instances.
+    pub address: SocketAddr,
+    /// Revision of the leader's record, which grows with each leader.
+    pub term: u64,
+}
+
+/// The lease by which this instance leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldLease {
+    /// Number of the lease in the store.
+    pub lease: u64,
+    /// Term of this leader.
+    pub term: u64,
+    /// When the last successful renewal was sent; the lease lasts at least [`LEASE_TTL`] from then
+    /// on.
+    pub renewed_at: Time,
+    /// When this leader may give its first order to an engine.
+    pub orders_from: Time,
+    /// When this instance was elected.
+    pub elected_at: Time,
+}
+
+impl HeldLease {
+    /// Returns whether the store still holds the lease at `now`, with [`LEASE_MARGIN`] to spare.
+    fn is_valid(&self, now: Time) -> bool {
+        now.since(self.renewed_at) + LEASE_MARGIN < LEASE_TTL
+    }
+}
+
+/// What an instance does next about the lease.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeaseStep {
+    /// Renew this lease.
+    Renew(HeldLease),
+    /// Write the leader's record in place of the one with this revision; zero if there is none.
+    Acquire(u64),
+    /// Do nothing.
+    Wait,
+}
+
+/// What has changed with a record or an announcement of a leader.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LeaderChange {
+    /// Whether another leader is known now, or none.
+    pub is_new: bool,
+    /// Term that this instance led in until another leader was known.
+    pub lost_term: Option<u64>,
+}
+
+/// What is known of the records in the store, and the lease of this instance.
+#[derive(Clone, Debug)]
+pub struct Leadership {
+    /// Name of this instance.
+    own_name: Arc<str>,
+    leader: Option<Leader>,
+    /// Latest term of a leader that this instance has known.
+    latest_term: u64,
+    /// Name of the instance that led last.
+    pub last_leader: Option<Arc<str>>,
+    /// Name of the instance that led before this one, while this instance leads.
+    former_leader: Option<Arc<str>>,
+    /// Recorded number of instances; zero where none is known.
+    pub fleet_size: usize,
+    /// Revision of the leader's record; zero if there is none.
+    revision: u64,
+    /// Whether the records have been read since the last error.
+    pub synced: bool,
+    /// Lease of this instance; `None` if it does not lead.
+    held: Option<HeldLease>,
+}
+
+impl Leadership {
+    /// Creates the state of the instance `own_name`, which knows no leader yet.
+    pub fn new(own_name: Arc<str>) -> Self {
+        Self {
+            own_name,
+            leader: None,
+            latest_term: 0,
+            last_leader: None,
+            former_leader: None,
+            fleet_size: 0,
+            revision: 0,
+            synced: false,
+            held: None,
+        }
+    }
+
+    /// Returns the leader that is known.
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the revision of the leader's record; zero if there is none.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns whether this instance leads. Its lease may have ended if the store cannot be
+    /// reached.
+    pub fn leads(&self) -> bool {
+        self.held.is_some()
+    }
+
+    /// Returns the term of this instance as leader; zero if it does not lead.
+    pub fn term(&self) -> u64 {
+        self.held.map_or(0, |held| held.term)
+    }
+
+    /// Returns whether this instance leads and certainly still has the lease.
+    pub fn holds_lease(&self, now: Time) -> bool {
+        self.held.is_some_and(|held| held.is_valid(now))
+    }
+
+    /// Returns whether this instance leads and may give orders to engines.
+    pub fn may_order(&self, now: Time) -> bool {
+        self.held.is_some_and(|held| held.is_valid(now) && now >= held.orders_from)
+    }
+
+    /// Returns whether an order that was decided in `term` may still be given. The decision of an
+    /// earlier term is void, even if this instance leads again.
+    pub fn may_order_in(&self, term: u64, now: Time) -> bool {
+        self.term() == term && self.may_order(now)
+    }
+
+    /// Returns the name of the instance that led before this one, if it is known, and the time since
+    /// this instance was elected.
+    pub fn succession(&self, now: Time) -> (Option<Arc<str>>, Duration) {
+        let led_for = self.held.map_or(Duration::ZERO, |held| now.since(held.elected_at));
+        (self.former_leader.clone(), led_for)
+    }
+
+    /// Applies the leader's record of the store; `None` if there is none. A record that is older
+    /// than the leader which this instance knows from an announcement does not replace it.
+    pub fn apply_record(&mut self, leader: Option<Leader>) -> LeaderChange {
+        self.revision = leader.as_ref().map_or(0, |leader| leader.term);
+        match leader {
+            Some(leader) if leader.term < self.latest_term => LeaderChange::default(),
+            leader => self.set_leader(leader),
+        }
+    }
+
+    /// Applies the announcement of a new leader, unless this instance knows a later one.
+    pub fn apply_announcement(&mut self, leader: Leader) -> LeaderChange {
+        match leader.term > self.latest_term {
+            true => self.set_leader(Some(leader)),
+            false => LeaderChange::default(),
+        }
+    }
+
+    /// Sets the leader. Another leader ends this instance's leadership.
+    fn set_leader(&mut self, leader: Option<Leader>) -> LeaderChange {
+        let is_other = leader.as_ref().is_some_and(|leader| leader.instance != self.own_name);
+        let lost = if is_other { self.held.take() } else { None };
+        self.latest_term = leader.as_ref().map_or(0, |leader| leader.term).max(self.latest_term);
+        let is_new = self.leader != leader;
+        self.leader = leader;
+        LeaderChange { is_new, lost_term: lost.map(|held| held.term) }
+    }
+
+    /// Records that this instance was elected: it has written the leader's record in the term of
+    /// `held`, with its own `address`.
+    pub fn elect(&mut self, held: HeldLease, address: SocketAddr) {
+        let instance = self.own_name.clone();
+        self.former_leader = self.last_leader.replace(instance.clone());
+        self.leader = Some(Leader { instance, address, term: held.term });
+        self.revision = held.term;
+        self.latest_term = held.term;
+        self.held = Some(held);
+    }
+
+    /// Returns whether this instance led last, or no instance did. Such a leader need not wait before
+    /// its first order.
+    pub fn led_last(&self) -> bool {
+        self.last_leader.as_ref().is_none_or(|last| *last == self.own_name)
+    }
+
+    /// Records that the renewal of `lease` that was sent at `sent_at` succeeded.
+    pub fn renew(&mut self, lease: u64, sent_at: Time) {
+        if let Some(held) = self.held.as_mut().filter(|held| held.lease == lease) {
+            held.renewed_at = sent_at;
+        }
+    }
+
+    /// Ends this instance's leadership after its lease has ended. Returns the term in which it led.
+    pub fn step_down(&mut self) -> Option<u64> {
+        let held = self.held.take()?;
+        self.leader = None;
+        self.revision = 0;
+        Some(held.term)
+    }
+
+    /// Ends this instance's leadership and returns its lease, which is to be revoked.
+    pub fn resign(&mut self) -> Option<HeldLease> {
+        self.held.take()
+    }
+
+    /// Decides what to do with the lease now.
+    pub fn next_step(&self, stopping: bool, now: Time) -> LeaseStep {
+        match (&self.held, &self.leader) {
+            (Some(held), _) if now.since(held.renewed_at) >= RENEW_INTERVAL => {
+                LeaseStep::Renew(*held)
+            }
+            (Some(_), _) => LeaseStep::Wait,
+            (None, _) if stopping || !self.synced => LeaseStep::Wait,
+            (None, Some(leader)) if leader.instance != self.own_name => LeaseStep::Wait,
+            // If the record names this instance, which holds no lease, it was written before a
+            // restart.
+            (None, _) => LeaseStep::Acquire(self.revision),
+        }
+    }
+}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -8,6 +8,7 @@
     mod dispatch;
     mod freshness;
     mod grants;
+    mod leadership;
     mod ledger;
     mod lending;
     mod membership;
