Bound the bytes of an event, of a plain response and of the store's responses

Ruled out: an endless head and garbage in place of a head, which the HTTP library ends (now tested).

Change: kernel/event_splitter splits a stream without a network, looks at each byte once and gives up at 256 KiB; plain responses end at 4 MiB, the store's at 32 MiB. A stream that gives up is resumed at another endpoint where its route allows it.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -53,8 +53,9 @@
 /// endpoint does not close it first.
 const KEEP_ALIVE_FRACTION: f64 = 0.9;
 
-/// Largest response that is read as a whole, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Largest response that is read as a whole, in bytes. Several of them must fit into the memory of the
+/// instance, since a server in trouble may send bytes without end.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
 /// Response timeout in multiples of the route's target latency, where a retry is possible.
 const RESPONSE_TIMEOUT_FACTOR: f64 = 2.5;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -19,7 +19,10 @@
 use crate::{
     clock::Time,
     http::pool::Connection,
-    kernel::grants::Outcome,
+    kernel::{
+        event_splitter::{EventSplitter, Split},
+        grants::Outcome,
+    },
     platform::caller::{self, ResponseHead},
 };
 
@@ -36,7 +39,7 @@
 /// Splits the body of an endpoint's response into events.
 struct EventReader {
     body: Incoming,
-    buffer: BytesMut,
+    splitter: EventSplitter,
     connection: Connection,
     headers: HeaderMap,
     head: ResponseHead,
@@ -48,44 +51,27 @@
     Event(Bytes, Option<u64>),
     /// The body has ended after a complete event.
     End,
-    /// The connection failed, or the body ended within an event.
+    /// The connection failed, the body ended within an event, or an event is too long.
     Broken,
 }
 
-/// Returns the length of the first event of `buffer`, with the empty line that ends it.
-fn event_end(buffer: &[u8]) -> Option<usize> {
-    let lf = buffer.windows(2).position(|end| end == b"\n\n").map(|at| at + 2);
-    let crlf = buffer.windows(4).position(|end| end == b"\r\n\r\n").map(|at| at + 4);
-    match (lf, crlf) {
-        (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-        (lf, crlf) => lf.or(crlf),
-    }
-}
-
-/// Returns the number in the `id` field of an event.
-fn event_number(event: &[u8]) -> Option<u64> {
-    let mut lines = event.split(|byte| *byte == b'\n');
-    let id = lines.find_map(|line| line.strip_prefix(b"id:".as_slice()))?;
-    std::str::from_utf8(id).ok()?.trim().parse().ok()
-}
-
 impl EventReader {
     /// Waits for the next part of the response.
     async fn next(&mut self) -> Part {
         loop {
-            if let Some(end) = event_end(&self.buffer) {
-                let event = self.buffer.split_to(end).freeze();
-                let number = event_number(&event);
-                return Part::Event(event, number);
+            match self.splitter.split() {
+                Split::Event(event, number) => return Part::Event(event, number),
+                Split::TooLong => return Part::Broken,
+                Split::Incomplete => {}
             }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
-                        self.buffer.extend_from_slice(&data);
+                        self.splitter.push(&data);
                     }
                 }
                 Some(Err(_)) => return Part::Broken,
-                None if self.buffer.is_empty() => return Part::End,
+                None if self.splitter.is_empty() => return Part::End,
                 None => return Part::Broken,
             }
         }
@@ -160,7 +146,8 @@
     }
     let (parts, body) = response.into_parts();
     let (status, headers) = (parts.status, parts.headers);
-    let mut reader = EventReader { body, buffer: BytesMut::new(), connection, headers, head };
+    let splitter = EventSplitter::default();
+    let mut reader = EventReader { body, splitter, connection, headers, head };
     let time_left = job.deadline.since(Time::now());
     match timeout(time_limit.min(time_left), reader.next()).await {
         Ok(Part::Event(first_event, number)) => {
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -10,6 +10,7 @@
 pub mod configuration;
 pub mod dispatch;
 pub mod drain;
+pub mod event_splitter;
 pub mod freshness;
 pub mod grants;
 pub mod leadership;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,7 +13,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{sync::watch, time::timeout};
 
@@ -28,6 +28,9 @@
 /// Time by which a watch call may exceed the wait that it requests from the store.
 const WATCH_MARGIN: Duration = Duration::from_millis(1_500);
 
+/// Largest response of the store in bytes. A page of records holds several large values.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
+
 /// Why a call to the store failed.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -401,7 +404,7 @@
             let request = self.request(method, path, body);
             let response = connection.send(request).await?;
             let status = response.status();
-            let body = response.into_body().collect().await;
+            let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|err| StoreError::Unknown(err.to_string()))?.to_bytes();
             self.pool.release(connection, KEEP_ALIVE);
             Ok((status, body))
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -6,6 +6,7 @@
     mod candidacy;
     mod configuration;
     mod dispatch;
+    mod event_splitter;
     mod freshness;
     mod grants;
     mod leadership;
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -7,6 +7,7 @@
     mod docs;
     mod measure;
     mod platform;
+    mod pool;
     mod settings;
     mod store;
     mod telemetry;
--- /dev/null
+++ b/tests/product/pool.rs
@@ -0,0 +1,87 @@
+//! The pool of connections to servers that send bytes which are no response.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use cardamomshore::http::pool::{Pool, SendError};
+use http::Request;
+use http_body_util::{BodyExt, Full, Limited};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+
+/// Wide limit of a test's time.
+const WIDE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Bytes of a body that a test reads.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
+/// Serves a connection: sends `start`, then `endless` until the caller closes.
+async fn serve(mut stream: TcpStream, start: &[u8], endless: &[u8]) -> std::io::Result<()> {
+    let mut request = [0; 1_024];
+    let mut result = stream.read(&mut request).await.map(drop);
+    if result.is_ok() {
+        result = stream.write_all(start).await;
+    }
+    while result.is_ok() {
+        result = stream.write_all(endless).await;
+    }
+    result
+}
+
+/// Starts a server that sends bytes without end on each connection.
+async fn start_server(start: &'static [u8], endless: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, start, endless));
+        }
+    });
+    address
+}
+
+fn request() -> Request<Full<Bytes>> {
+    Request::new(Full::new(Bytes::new()))
+}
+
+fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Runtime::new().expect("the runtime starts");
+    runtime.block_on(async { timeout(WIDE_LIMIT, test).await.expect("the test ends in time") });
+}
+
+#[test]
+fn send_endless_head_fails() {
+    block_on(async {
+        let address = start_server(b"HTTP/1.1 200 OK\r\n", b"x-more: 0123456789abcdef\r\n").await;
+        let pool = Arc::new(Pool::default());
+        let mut connection = pool.acquire(address, WIDE_LIMIT).await.expect("the server listens");
+        let sent = connection.send(request()).await;
+        assert!(matches!(sent, Err(SendError::Unknown(_))), "the request may have arrived");
+    });
+}
+
+#[test]
+fn send_bytes_that_are_no_head_fail() {
+    block_on(async {
+        let address = start_server(b"", b"\xff\xfe\x00garbage").await;
+        let pool = Arc::new(Pool::default());
+        let mut connection = pool.acquire(address, WIDE_LIMIT).await.expect("the server listens");
+        assert!(connection.send(request()).await.is_err());
+    });
+}
+
+#[test]
+fn send_endless_body_ends_at_limit() {
+    block_on(async {
+        let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        let address = start_server(head, b"10\r\n0123456789abcdef\r\n").await;
+        let pool = Arc::new(Pool::default());
+        let mut connection = pool.acquire(address, WIDE_LIMIT).await.expect("the server listens");
+        let response = connection.send(request()).await.expect("the head is complete");
+        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
+        assert!(body.is_err(), "the body has no end");
+    });
+}
