Hand what was left of the teams' rates without a leader to the new one

Ruled out: returning callers beyond their rate (the refusals end as soon as the bucket has filled).

Change: an instance starts its share from nothing when it loses its leader, and hands what is left of it, or its debt, to the next one when it joins. The leader keeps its own rest. No token is made or lost.

Tests: rates_unused_without_leader_serve_returning_callers (0 tokens without the hand-over, one burst now), rates_used_without_leader_not_granted_again, rates_of_lost_leader_not_used_twice.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -25,7 +25,9 @@
 
 use super::{
     Gateway,
-    messages::{Content, FrameCodec, FrameError, Heartbeat, Hello, MemberFrame, Welcome},
+    messages::{
+        Content, FrameCodec, FrameError, Heartbeat, Hello, MemberFrame, RatesFrame, Welcome,
+    },
 };
 use crate::{clock::Time, http::pool::connect, kernel::leadership::Leader};
 
@@ -100,6 +102,7 @@
                     leader.instance,
                     describe_end(&result)
                 );
+                gateway.scheduler.lock().restart_rates(Time::now());
                 gateway.resubmit_waiting();
             }
         }
@@ -128,6 +131,8 @@
     for frame in gateway.running_requests() {
         let _ = tx.send(Content::Adopt(frame));
     }
+    let unused = gateway.scheduler.lock().release_rates(Time::now());
+    let _ = tx.send(Content::Rates(RatesFrame::from(unused)));
     gateway.uplink.record_frame();
     gateway.uplink.linked.store(true, Ordering::Relaxed);
     *gateway.uplink.tx.lock() = Some(tx);
@@ -229,6 +234,7 @@
         | Content::FirstEvent(_)
         | Content::Ended(_)
         | Content::Adopt(_)
+        | Content::Rates(_)
         | Content::Heartbeat(_) => log::warn!("event=frame_unexpected from=leader"),
     }
 }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -12,7 +12,9 @@
     codec::{EncodedFrame, FrameCodec, FrameError},
     endpoints::{EndpointFrame, EndpointsFrame, ModelFrame},
     members::{Announcement, Hello, MemberFrame, MembersFrame},
-    requests::{AdoptFrame, EndFrame, GrantFrame, GrantRequestFrame, RefuseFrame, RequestRef},
+    requests::{
+        AdoptFrame, EndFrame, GrantFrame, GrantRequestFrame, RatesFrame, RefuseFrame, RequestRef,
+    },
 };
 
 /// A frame as it is encoded on the link.
@@ -20,7 +22,7 @@
 #[derive(Message)]
 pub struct Frame {
     /// Content of the frame; `None` if this release does not know it.
-    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub content: Option<Content>,
 }
 
@@ -70,6 +72,9 @@
     /// First frame of a new leader to an instance that is not linked to it.
     #[prost(message, tag = "14")]
     Announcement(Announcement),
+    /// Instance to leader: what the instance has left of the teams' rates.
+    #[prost(message, tag = "15")]
+    Rates(RatesFrame),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/messages/requests.rs
+++ b/src/gateway/messages/requests.rs
@@ -7,7 +7,9 @@
 
 use crate::{
     clock::Time,
-    kernel::grants::{Grant, GrantRequest, Incarnation, ModelWork, Outcome, Reason, Refusal},
+    kernel::grants::{
+        Grant, GrantRequest, Incarnation, ModelWork, Outcome, Reason, Refusal, UnusedRate,
+    },
 };
 
 /// Refers to a request of the sending instance.
@@ -315,3 +317,40 @@
     #[prost(string, tag = "2")]
     pub endpoint: String,
 }
+
+/// What an instance has left of its share of the teams' rates from the time without a leader.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct RatesFrame {
+    /// The rest for each team.
+    #[prost(message, repeated, tag = "1")]
+    pub teams: Vec<TeamRateFrame>,
+}
+
+/// What is left of the rate of one team.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct TeamRateFrame {
+    /// Name of the team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Number of tokens; negative for a debt.
+    #[prost(double, tag = "2")]
+    pub tokens: f64,
+}
+
+impl From<Vec<UnusedRate>> for RatesFrame {
+    fn from(unused: Vec<UnusedRate>) -> Self {
+        let teams = unused
+            .into_iter()
+            .map(|unused| TeamRateFrame { team: unused.team.to_string(), tokens: unused.tokens });
+        Self { teams: teams.collect() }
+    }
+}
+
+impl From<RatesFrame> for Vec<UnusedRate> {
+    fn from(frame: RatesFrame) -> Self {
+        let teams = frame.teams.into_iter().filter(|team| team.tokens.is_finite());
+        teams.map(|team| UnusedRate { team: team.team.into(), tokens: team.tokens }).collect()
+    }
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -26,7 +26,7 @@
     clock::Time,
     http::pool::set_socket_options,
     kernel::{
-        grants::{ActiveGrant, GrantKey},
+        grants::{ActiveGrant, GrantKey, UnusedRate},
         membership::{LinkedInstance, Member},
     },
 };
@@ -277,6 +277,10 @@
                 ActiveGrant { request: request.into_request(now), endpoint: frame.endpoint.into() };
             gateway.scheduler.lock().adopt(key, active, now);
         }
+        Content::Rates(frame) => {
+            let unused: Vec<UnusedRate> = frame.into();
+            gateway.scheduler.lock().add_rates(&unused, now);
+        }
         Content::Heartbeat(heartbeat) => gateway.handle_heartbeat(instance, &heartbeat),
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Hello(_)
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -28,5 +28,5 @@
     request::{
         Action, ActiveGrant, Grant, GrantKey, GrantRequest, ModelWork, Outcome, Reason, Refusal,
     },
-    scheduler::{Mode, ModelBacklog, Scheduler, SchedulerLimits},
+    scheduler::{Mode, ModelBacklog, Scheduler, SchedulerLimits, UnusedRate},
 };
--- a/src/kernel/grants/rate.rs
+++ b/src/kernel/grants/rate.rs
@@ -59,6 +59,22 @@
         Self { tokens: team.burst * share.fraction * fraction, updated_at: now }
     }
 
+    /// Creates a bucket that holds these tokens; negative for a debt.
+    pub fn with_tokens(tokens: f64, now: Time) -> Self {
+        Self { tokens, updated_at: now }
+    }
+
+    /// Returns the available tokens; negative while a debt is repaid.
+    pub fn balance(&mut self, team: &Team, share: RateShare, now: Time) -> f64 {
+        self.refill(team, share, 0.0, now);
+        self.tokens
+    }
+
+    /// Adds tokens that another scheduler had and did not use; negative for its debt.
+    pub fn add(&mut self, tokens: f64) {
+        self.tokens += tokens;
+    }
+
     /// Takes tokens, or returns the time until they are available.
     ///
     /// With the whole rate, a request may take more tokens than are available, and later requests
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -5,7 +5,7 @@
 mod runs;
 mod waiting;
 
-pub use self::planning::ModelBacklog;
+pub use self::{admission::UnusedRate, planning::ModelBacklog};
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -130,13 +130,17 @@
 
     /// Changes what the scheduler may decide.
     ///
-    /// The token buckets are reset when it starts or stops leading, since it does not know how much
-    /// the teams have used by then.
+    /// When it starts to lead, it has what is left of its own share of the teams' rates, and the
+    /// others add theirs. When it stops, it starts from nothing.
     pub fn set_mode(&mut self, mode: Mode, now: Time) {
         let was_leading = matches!(self.mode, Mode::Leading { .. });
-        if was_leading != matches!(mode, Mode::Leading { .. }) {
-            self.buckets.clear();
-            self.started_at = now;
+        match (was_leading, matches!(mode, Mode::Leading { .. })) {
+            (false, true) => {
+                let unused = self.release_rates(now);
+                self.add_rates(&unused, now);
+            }
+            (true, false) => self.restart_rates(now),
+            _ => {}
         }
         let could_order = self.may_order();
         self.mode = mode;
--- a/src/kernel/grants/scheduler/admission.rs
+++ b/src/kernel/grants/scheduler/admission.rs
@@ -1,6 +1,6 @@
 //! Admission: the teams' rates, the retry budgets and the requests that crash endpoints.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{RETRY_AFTER_RANGE, Scheduler};
 use crate::{
@@ -18,7 +18,55 @@
 /// Engine time counted for each output token; it is short because engines run requests in batches.
 const OUTPUT_TOKEN_WORK: Duration = Duration::from_micros(80);
 
+/// Tokens of a team's rate that a scheduler did not use while it decided alone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UnusedRate {
+    /// Name of the team.
+    pub team: Arc<str>,
+    /// Number of tokens; negative for a debt.
+    pub tokens: f64,
+}
+
 impl Scheduler {
+    /// Returns what is left of this scheduler's share of the teams' rates. The scheduler starts from
+    /// nothing then, so that a leader can add these tokens to its own.
+    ///
+    /// Callers that were refused without a leader return together when there is one. The tokens that
+    /// no instance could use meanwhile are for them.
+    pub fn release_rates(&mut self, now: Time) -> Vec<UnusedRate> {
+        let share = RateShare { fraction: self.rate_share(), slack: self.limits.rate_slack };
+        let mut buckets = std::mem::take(&mut self.buckets);
+        let catalog = self.catalog.clone();
+        let teams = catalog.keys.values().filter(|team| team.rate > 0.0);
+        let teams: BTreeMap<&Arc<str>, &Arc<Team>> = teams.map(|t| (&t.name, t)).collect();
+        let unused = teams.into_iter().map(|(name, team)| {
+            let bucket = buckets.remove(name).unwrap_or_else(|| {
+                TokenBucket::new(team, share, self.initial_burst(team, now), now)
+            });
+            let tokens = { bucket }.balance(team, share, now);
+            UnusedRate { team: name.clone(), tokens }
+        });
+        let unused: Vec<UnusedRate> = unused.collect();
+        self.restart_rates(now);
+        let names = unused.iter().map(|unused| unused.team.clone());
+        self.buckets.extend(names.map(|team| (team, TokenBucket::with_tokens(0.0, now))));
+        unused
+    }
+
+    /// Starts from nothing, after the loss of a leader that has used the teams' rates until now.
+    pub fn restart_rates(&mut self, now: Time) {
+        self.buckets.clear();
+        self.started_at = now;
+    }
+
+    /// Adds the tokens that other schedulers did not use.
+    pub fn add_rates(&mut self, unused: &[UnusedRate], now: Time) {
+        for UnusedRate { team, tokens } in unused {
+            let bucket = self.buckets.entry(team.clone());
+            bucket.or_insert_with(|| TokenBucket::with_tokens(0.0, now)).add(*tokens);
+        }
+    }
+
     /// Charges a request to its team and to the retry budget; fails if it must be refused.
     pub(super) fn admit(&mut self, request: &GrantRequest, now: Time) -> Result<(), Refusal> {
         let refuse = |reason, retry| Err(Refusal { reason, retry });
--- a/tests/kernel/grants/rate.rs
+++ b/tests/kernel/grants/rate.rs
@@ -5,16 +5,21 @@
 use cardamomshore::{
     catalog::Team,
     clock::Time,
-    kernel::grants::{Mode, RateShare, Reason, RetryBudget, TokenBucket},
+    kernel::grants::{
+        GrantRequest, Mode, Outcome, RateShare, Reason, RetryBudget, Scheduler, TokenBucket,
+    },
 };
 
 use super::fleet::{
-    START, engine, granted, key, limits, model_request, plain_request, refused, scheduler,
+    LEADING, START, engine, granted, key, limits, model_request, plain_request, refused, scheduler,
 };
 
 /// Window over which the platform counts a team's tokens.
 const WINDOW: Duration = Duration::from_secs(8);
 
+/// Interval between the requests of a flood.
+const STEP: Duration = Duration::from_millis(10);
+
 fn team(rate: f64) -> Team {
     Team { name: "shop".into(), rate, burst: rate, priority: None, default_tokens: 200 }
 }
@@ -91,6 +96,77 @@
     assert!(bucket.take(&team, share, 200, START).is_ok(), "small requests have a reserve");
 }
 
+/// Returns the tokens that a scheduler grants at `now` to requests of 1,000 tokens each.
+fn grant_all(scheduler: &mut Scheduler, from: u64, now: Time) -> u64 {
+    let mut tokens = 0;
+    for number in from..from + 1_000 {
+        let request = GrantRequest { charge: 1_000, ..plain_request(now) };
+        let actions = scheduler.handle_request(key(number), request, now);
+        if granted(&actions).is_none() {
+            break;
+        }
+        tokens += 1_000;
+        scheduler.handle_outcome(&key(number), Outcome::Whole, now);
+    }
+    tokens
+}
+
+/// Returns a scheduler that decides alone for one of `count` instances and has just lost its leader.
+fn lone_scheduler(count: u32) -> Scheduler {
+    let share = 1.0 / f64::from(count);
+    let mut scheduler = scheduler(Mode::Alone { share }, vec![super::fleet::desk("d1")]);
+    scheduler.restart_rates(START);
+    scheduler
+}
+
+#[test]
+fn rates_unused_without_leader_serve_returning_callers() {
+    // For 1.5 s there is no leader and hardly a request is served. All callers return to the next.
+    let elected = START + Duration::from_millis(1_500);
+    let mut leader = lone_scheduler(24);
+    leader.set_mode(LEADING, elected);
+    for _ in 1..24 {
+        let unused = lone_scheduler(24).release_rates(elected);
+        leader.add_rates(&unused, elected);
+    }
+    let tokens = grant_all(&mut leader, 0, elected) as f64;
+    assert!(tokens >= 0.95 * 100_000.0, "{tokens} tokens are granted at once");
+    assert!(tokens <= 1.2 * 100_000.0, "no more than the burst and a rest: {tokens}");
+}
+
+#[test]
+fn rates_used_without_leader_not_granted_again() {
+    let elected = START + Duration::from_millis(1_500);
+    let mut leader = lone_scheduler(4);
+    leader.set_mode(LEADING, elected);
+    let mut total = 0;
+    for number in 1..4 {
+        let mut other = lone_scheduler(4);
+        for step in 0..150 {
+            total += grant_all(
+                &mut other,
+                number * 1_000_000 + step * 1_000,
+                START + STEP * step as u32,
+            );
+        }
+        leader.add_rates(&other.release_rates(elected), elected);
+        assert_eq!(grant_all(&mut other, 1, elected), 0, "its share is with the leader now");
+    }
+    total += grant_all(&mut leader, 0, elected);
+    let bound = 100_000.0 * 1.5 * 1.08 + 0.2 * 100_000.0;
+    assert!((total as f64) <= bound, "{total} tokens, {bound} at most");
+}
+
+#[test]
+fn rates_of_lost_leader_not_used_twice() {
+    // While there was a leader, the instance's own share must not have grown.
+    let mut follower = lone_scheduler(4);
+    let lost = START + Duration::from_secs(60);
+    follower.restart_rates(lost);
+    let tokens = grant_all(&mut follower, 0, lost) as f64;
+    assert!(tokens <= 0.25 * 0.2 * 100_000.0, "{tokens} tokens are granted at once");
+}
+
 #[test]
 fn request_over_rate_refused_at_once() {
     let mut scheduler = scheduler(Mode::Alone { share: 0.01 }, vec![engine("e1", &["m0"])]);
