End the wait for a first link when an attempt to open it fails

Change: a failed attempt to open the link ends the wait, and the operators' records and the endpoints are then read from the store at once; without a failed attempt after 0.5 s, not 1 s.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -169,14 +169,18 @@
 }
 
 /// Waits for the link to the leader that was read from the store, if this instance has none. The
-/// leader may have ended, so the wait is limited.
+/// leader may have ended, so the wait ends when an attempt to open the link fails.
 async fn wait_for_link(gateway: &Gateway) {
     let read_at = Time::now();
+    let failed_attempts = gateway.uplink.failed_attempts();
     let has_other_leader = || {
         let leader = gateway.leader();
         leader.is_some_and(|leader| !gateway.is_self(&leader.instance))
     };
-    while Time::now().since(read_at) < JOIN_WAIT && has_other_leader() && !gateway.uplink.is_open()
+    while Time::now().since(read_at) < JOIN_WAIT
+        && has_other_leader()
+        && !gateway.uplink.is_open()
+        && gateway.uplink.failed_attempts() == failed_attempts
     {
         sleep(POLL_INTERVAL).await;
     }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -58,6 +58,8 @@
     last_frame: AtomicU64,
     /// Whether there has been a link since the process started.
     linked: AtomicBool,
+    /// Attempts to open a link that failed.
+    failed_attempts: AtomicU64,
 }
 
 impl Uplink {
@@ -76,6 +78,11 @@
         self.linked.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of attempts to open a link that failed.
+    pub fn failed_attempts(&self) -> u64 {
+        self.failed_attempts.load(Ordering::Relaxed)
+    }
+
     /// Returns the time since the last frame of a leader, or since the process started.
     pub fn frame_age(&self) -> Duration {
         Time::now().since(Time(self.last_frame.load(Ordering::Relaxed)))
@@ -104,6 +111,8 @@
                 );
                 gateway.scheduler.lock().restart_rates(Time::now());
                 gateway.resubmit_waiting();
+            } else {
+                gateway.uplink.failed_attempts.fetch_add(1, Ordering::Relaxed);
             }
         }
         sleep(RECONNECT_BACKOFF).await;
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -46,9 +46,9 @@
 /// old one ends.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(2_200);
 
-/// Time after the start for which an instance expects the leader's records and endpoints before it
-/// reads them from the store.
-pub(super) const START_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time after the start for which an instance expects a link to the leader before it reads the
+/// operators' records and the endpoints from the store.
+const START_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Number of instances that is assumed while none is known.
 const DEFAULT_FLEET_SIZE: usize = 64;
@@ -84,8 +84,16 @@
     /// Returns whether this instance watches the operators' records in the store. An instance that
     /// has just started gets them from the leader, if there is one.
     pub(super) fn watches_operator(&self) -> bool {
-        let starting = !self.uplink.was_linked() && self.uplink.frame_age() < START_TIMEOUT;
-        self.watches_store() && (self.leads() || !starting)
+        self.watches_store() && !self.expects_first_link()
+    }
+
+    /// Returns whether this instance has just started and may soon have a link to the leader. It has
+    /// none soon if the leader ended at the same time, which shows when a first attempt fails.
+    pub(super) fn expects_first_link(&self) -> bool {
+        !self.leads()
+            && !self.uplink.was_linked()
+            && self.uplink.failed_attempts() == 0
+            && self.uplink.frame_age() < START_TIMEOUT
     }
 
     /// Returns whether this instance is one of the members that watch the store for all others.
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
-use super::{Gateway, members::START_TIMEOUT, messages::EndpointsFrame};
+use super::{Gateway, messages::EndpointsFrame};
 use crate::{
     clock::Time,
     kernel::grants::EndpointEntry,
@@ -83,8 +83,11 @@
     /// received no frame from a leader for too long.
     fn must_watch_endpoints(&self) -> bool {
         let max_table_age = self.settings.drain_time.mul_f64(TABLE_AGE_FRACTION);
-        let max_age = if self.uplink.was_linked() { max_table_age } else { START_TIMEOUT };
-        self.leads() || self.uplink.frame_age() > max_age
+        let is_lost = match self.uplink.was_linked() {
+            true => self.uplink.frame_age() > max_table_age,
+            false => !self.expects_first_link(),
+        };
+        self.leads() || is_lost
     }
 }
 
