--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -25,10 +25,11 @@
 
 use super::{
     Gateway,
-    leader::Leader,
-    messages::{Content, FrameCodec, FrameError, Heartbeat, Hello, MemberFrame, Welcome},
+    messages::{
+        Content, FrameCodec, FrameError, Heartbeat, Hello, MemberFrame, RatesFrame, Welcome,
+    },
 };
-use crate::{clock::Time, http::pool::connect};
+use crate::{clock::Time, http::pool::connect, kernel::leadership::Leader};
 
 /// Timeout of opening the link: for the connection, and again for the leader's welcome.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(400);
@@ -57,6 +58,8 @@
     last_frame: AtomicU64,
     /// Whether there has been a link since the process started.
     linked: AtomicBool,
+    /// Attempts to open a link that failed.
+    failed_attempts: AtomicU64,
 }
 
 impl Uplink {
@@ -75,6 +78,11 @@
         self.linked.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of attempts to open a link that failed.
+    pub fn failed_attempts(&self) -> u64 {
+        self.failed_attempts.load(Ordering::Relaxed)
+    }
+
     /// Returns the time since the last frame of a leader, or since the process started.
     pub fn frame_age(&self) -> Duration {
         Time::now().since(Time(self.last_frame.load(Ordering::Relaxed)))
@@ -89,10 +97,10 @@
 /// Maintains a link to the leader while another instance leads.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
-        let leader = gateway.leadership.leader();
+        let leader = gateway.leader();
         let other_leader = leader.filter(|leader| !gateway.is_self(&leader.instance));
         if let Some(leader) = other_leader
-            && !gateway.leadership.leads()
+            && !gateway.leads()
         {
             let result = join_leader(&gateway, &leader).await;
             if gateway.uplink.tx.lock().take().is_some() {
@@ -101,7 +109,10 @@
                     leader.instance,
                     describe_end(&result)
                 );
+                gateway.scheduler.lock().restart_rates(Time::now());
                 gateway.resubmit_waiting();
+            } else {
+                gateway.uplink.failed_attempts.fetch_add(1, Ordering::Relaxed);
             }
         }
         sleep(RECONNECT_BACKOFF).await;
@@ -129,6 +140,8 @@
     for frame in gateway.running_requests() {
         let _ = tx.send(Content::Adopt(frame));
     }
+    let unused = gateway.scheduler.lock().release_rates(Time::now());
+    let _ = tx.send(Content::Rates(RatesFrame::from(unused)));
     gateway.uplink.record_frame();
     gateway.uplink.linked.store(true, Ordering::Relaxed);
     *gateway.uplink.tx.lock() = Some(tx);
@@ -194,7 +207,7 @@
     let mut checks = interval(LOSS_CHECK_INTERVAL);
     loop {
         checks.tick().await;
-        let superseded = gateway.leadership.leader().is_some_and(|l| l.term > leader.term);
+        let superseded = gateway.leader().is_some_and(|l| l.term > leader.term);
         if superseded || gateway.uplink.frame_age() > LEADER_TIMEOUT {
             return;
         }
@@ -230,6 +243,7 @@
         | Content::FirstEvent(_)
         | Content::Ended(_)
         | Content::Adopt(_)
+        | Content::Rates(_)
         | Content::Heartbeat(_) => log::warn!("event=frame_unexpected from=leader"),
     }
 }
@@ -238,7 +252,7 @@
     /// Returns the heartbeat of this instance.
     pub(super) fn heartbeat(&self) -> Heartbeat {
         let operator = self.operator.lock();
-        let term = self.leadership.leader().map_or(0, |leader| leader.term);
+        let term = self.leader().map_or(0, |leader| leader.term);
         Heartbeat { ready: self.is_ready(), revision: operator.revision, hash: operator.hash, term }
     }
 
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -6,8 +6,10 @@
     mod candidacy;
     mod configuration;
     mod dispatch;
+    mod event_splitter;
     mod freshness;
     mod grants;
+    mod leadership;
     mod ledger;
     mod lending;
     mod membership;
