--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 
 mod callers;
 mod directory;
+mod entry;
 mod forward;
 mod grants;
 mod leader;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -25,7 +25,7 @@
 };
 
 use super::{
-    Gateway, directory, forward,
+    Gateway, directory, entry,
     response::{ResponseBody, empty_response},
 };
 use crate::{http::pool::set_socket_options, telemetry};
@@ -123,7 +123,7 @@
     match kind {
         Kind::Requests => {
             let stopping = gateway.shutdown.has_begun();
-            let mut response = forward::serve(gateway, request).await;
+            let mut response = entry::serve(gateway, request).await;
             if stopping {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- /dev/null
+++ b/src/gateway/entry.rs
@@ -0,0 +1,197 @@
+//! Serves a caller's request: finds its route, checks its key, reads its body, and returns the response
+//! of the endpoint that ran it.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::{sleep, timeout};
+use xxhash_rust::xxh3::Xxh3;
+
+use super::{
+    Gateway,
+    forward::Job,
+    response::{Rejection, ResponseBody},
+    stream,
+};
+use crate::{
+    catalog::{Catalog, Route, Team},
+    clock::Time,
+    platform::caller::{self, CallerHead},
+};
+
+/// Timeout of a request whose caller names none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time for which a request waits for the configuration if the instance has just started.
+const CATALOG_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Interval at which a waiting request checks for the configuration.
+const CATALOG_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// Time that a request takes from the caller to this instance; it counts against the caller's
+/// timeout.
+const TRANSIT_TIME: Duration = Duration::from_millis(4);
+
+/// Serves a caller's request and returns the response. The response carries the request's id.
+pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
+    let arrived_at = Time::now();
+    let (parts, body) = request.into_parts();
+    let head = caller::decode(&parts);
+    let id = head.request.clone();
+    let set_request_id = |response: &mut Response<ResponseBody>| {
+        if let Ok(value) = http::HeaderValue::from_str(&id) {
+            response.headers_mut().entry(caller::request_id_header()).or_insert(value);
+        }
+    };
+    let mut response = match admit(&gateway, arrived_at, parts, head, body).await {
+        Ok(job) => {
+            let response = run(job).await;
+            let elapsed = Time::now().since(arrived_at).as_secs_f64();
+            metrics::histogram!("cardamomshore_answer_seconds").record(elapsed);
+            response
+        }
+        Err(rejection) => {
+            log::info!("event=rejected request={id} status={}", rejection.status().as_u16());
+            count_response(rejection.status());
+            rejection.response()
+        }
+    };
+    set_request_id(&mut response);
+    response
+}
+
+/// Counts a response by its status.
+fn count_response(status: StatusCode) {
+    let status = status.as_str().to_owned();
+    metrics::counter!("cardamomshore_answers_total", "status" => status).increment(1);
+}
+
+/// Runs an admitted request and logs its end.
+async fn run(mut job: Job) -> Response<ResponseBody> {
+    let id = job.head.request.clone();
+    let deadline = job.deadline;
+    let result = match job.route.retry.is_stream() {
+        true => stream::run(job).await,
+        false => job.run_buffered().await,
+    };
+    let time_left = deadline.since(Time::now()).as_millis();
+    match result {
+        Ok(response) => {
+            count_response(response.status());
+            log::debug!(
+                "event=answered request={id} status={} left_ms={time_left}",
+                response.status()
+            );
+            response
+        }
+        Err(rejection) => {
+            let status = rejection.status().as_u16();
+            log::info!(
+                "event=refused request={id} status={status} why={rejection:?} left_ms={time_left}"
+            );
+            count_response(rejection.status());
+            rejection.response()
+        }
+    }
+}
+
+/// Admits a request: checks its route and its key and reads its body.
+async fn admit(
+    gateway: &Arc<Gateway>,
+    arrived_at: Time,
+    parts: http::request::Parts,
+    head: CallerHead,
+    body: Incoming,
+) -> Result<Job, Rejection> {
+    let catalog = wait_for_catalog(gateway).await.ok_or(Rejection::NoCatalog)?;
+    if gateway.refuses_requests() {
+        return Err(Rejection::Stopping);
+    }
+    let (route, team) = authorize(&catalog, &head, parts.uri.path())?;
+    let draw = rand::random::<u32>();
+    let service = route.choose_service(draw).cloned().ok_or(Rejection::NoRoute)?;
+    let caller_timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).saturating_sub(TRANSIT_TIME);
+    let time_limit =
+        if route.timeout.is_zero() { caller_timeout } else { caller_timeout.min(route.timeout) };
+    let deadline = arrived_at + time_limit;
+    let body = read_body(body, catalog.limits.max_body, time_limit).await?;
+    // The key may have been withdrawn while the body arrived.
+    if let Some(catalog) = gateway.catalog.load_full() {
+        authorize(&catalog, &head, parts.uri.path())?;
+    }
+    let fingerprint = fingerprint(&parts, &head, &body);
+    Ok(Job {
+        gateway: gateway.clone(),
+        due: arrived_at + route.target_latency,
+        deadline,
+        service,
+        team,
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        fingerprint,
+        tried: Vec::new(),
+        attempts: 0,
+        runs: 0,
+        route,
+        head,
+    })
+}
+
+/// Returns the configuration, for which it waits briefly: an instance that has just started reads
+/// it within milliseconds.
+async fn wait_for_catalog(gateway: &Gateway) -> Option<Arc<Catalog>> {
+    let mut waited = Duration::ZERO;
+    loop {
+        let catalog = gateway.catalog.load_full();
+        if catalog.is_some() || waited >= CATALOG_TIMEOUT {
+            return catalog;
+        }
+        sleep(CATALOG_POLL_INTERVAL).await;
+        waited += CATALOG_POLL_INTERVAL;
+    }
+}
+
+/// Returns the route of a request and the team of its key. Fails if no route matches, or if the
+/// route needs a key and the request has no valid one.
+fn authorize(
+    catalog: &Catalog,
+    head: &CallerHead,
+    path: &str,
+) -> Result<(Arc<Route>, Option<Arc<Team>>), Rejection> {
+    let route = catalog.route(&head.host, path).ok_or(Rejection::NoRoute)?;
+    let team = head.key.as_deref().and_then(|key| catalog.keys.get(key));
+    if team.is_none() && catalog.keys_required && !route.is_public {
+        return Err(Rejection::NoKey);
+    }
+    Ok((route.clone(), team.cloned()))
+}
+
+/// Reads the body of a caller's request, which fails if it is larger than `max_bytes` or slower
+/// than `time_limit`.
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    time_limit: Duration,
+) -> Result<Bytes, Rejection> {
+    match timeout(time_limit, Limited::new(body, max_bytes).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Rejection::TooLarge),
+        Ok(Err(_)) => Err(Rejection::BadBody),
+        Err(_) => Err(Rejection::TimedOut),
+    }
+}
+
+/// Returns a hash of the request, by which the scheduler recognizes a request that crashes
+/// endpoints when its caller retries it.
+fn fingerprint(parts: &http::request::Parts, head: &CallerHead, body: &[u8]) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(parts.uri.to_string().as_bytes());
+    hash.update(head.key.as_deref().unwrap_or_default().as_bytes());
+    hash.update(body);
+    hash.digest()
+}
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -127,8 +127,8 @@
         Some(PendingUpdate { frames, send_at: Instant::now() + wait })
     }
 
-    /// Replaces the content of both tables in `term`. Adapters of an endpoint alone count as a change only if
-    /// `include_adapters` is set.
+    /// Replaces the content of both tables in `term`. Adapters of an endpoint alone count as a change
+    /// only if `include_adapters` is set.
     pub fn replace(
         &self,
         term: u64,
--- a/src/kernel/dispatch.rs
+++ b/src/kernel/dispatch.rs
@@ -4,9 +4,9 @@
 //! steward takes the one that the configured policy picks.
 
 mod fifo;
+mod history;
 mod queue;
 mod slack;
-mod standing;
 
 use crate::{
     clock::Time,
@@ -15,9 +15,9 @@
 
 pub use self::{
     fifo::Fifo,
+    history::DispatchHistory,
     queue::{MAX_TEAM_QUEUE, Queue},
     slack::{BACKGROUND_FRACTION, BACKGROUND_LEAD, LATE_FRACTION, Slack},
-    standing::DispatchHistory,
 };
 
 /// Attributes of a waiting request by which a dispatch policy chooses.
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -10,6 +10,7 @@
 mod endpoint;
 mod failures;
 mod index;
+mod order_state;
 mod orders;
 mod placement;
 mod queue;
@@ -22,7 +23,7 @@
     cache::KvCache,
     endpoint::{Command, Endpoint, EndpointEntry, EngineReport, Incarnation},
     failures::FailureRates,
-    orders::{OrderResult, OrderStep},
+    order_state::{OrderResult, OrderStep},
     placement::{Demand, PlanInput, Swap, plan},
     rate::{RateShare, TokenBucket},
     request::{
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -185,7 +185,7 @@
     /// Planned change of the models, until the engine has accepted its load.
     pub(super) swap: Option<Swap>,
     /// State of the orders to the engine.
-    pub(super) order_state: super::orders::OrderState,
+    pub(super) order_state: super::order_state::OrderState,
     /// Expected end of the last model load.
     pub(super) last_load: Time,
     /// When the endpoint will be removed, if that is known.
@@ -213,7 +213,7 @@
             usage: (0.0, now),
             slowdown: 1.0,
             swap: None,
-            order_state: super::orders::OrderState::default(),
+            order_state: super::order_state::OrderState::default(),
             last_load: Time::default(),
             entry: info.clone(),
             removed_at: info.removed_in.map(|time| now + time),
@@ -255,7 +255,7 @@
     pub(super) fn reset_orders(&mut self) {
         self.reported = false;
         self.swap = None;
-        self.order_state = super::orders::OrderState::default();
+        self.order_state = super::order_state::OrderState::default();
     }
 
     /// Adds a replica for each model of the entry.
--- a/src/kernel/grants/orders.rs
+++ b/src/kernel/grants/orders.rs
@@ -4,9 +4,13 @@
 //! response is lost can therefore take effect only while the engine is in the state that the order
 //! was made for, and the next order with the same number excludes it.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use super::{Command, Endpoint, EngineReport, endpoint::AdapterState};
+use super::{
+    Command, Endpoint, EngineReport,
+    endpoint::AdapterState,
+    order_state::{OrderResult, OrderStep},
+};
 use crate::{catalog::EngineSpec, clock::Time};
 
 /// Time after which a swap whose load has not been ordered is abandoned.
@@ -37,62 +41,6 @@
 /// Time after which an order or a report without a result counts as lost.
 const PENDING_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// How an order ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderResult {
-    /// The engine is carrying out the order.
-    Accepted,
-    /// The engine was already in the ordered state.
-    Holds,
-    /// Another order is being carried out, or the engine has accepted orders unknown to the sender.
-    Conflict,
-    /// The engine refused the order, and a retry is of no use.
-    Refused,
-    /// No response arrived; the order may still be carried out.
-    Lost,
-}
-
-/// What to do next at an engine.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum OrderStep {
-    /// Do nothing.
-    Nothing,
-    /// Send an order that takes effect only after exactly this number of orders.
-    Send(Command, u64),
-    /// Read the engine's report.
-    Report,
-}
-
-/// State of the orders to one engine.
-#[derive(Clone, Debug, Default)]
-pub struct OrderState {
-    /// Order whose result is pending, and when it was sent.
-    pending: Option<(Command, Time)>,
-    /// When the pending report was requested.
-    report_since: Option<Time>,
-    /// Adapters that queued requests need.
-    pub(super) wanted_adapters: VecDeque<(Arc<str>, Arc<str>)>,
-    /// Whether a report must be read before the next order.
-    needs_report: bool,
-    /// Consecutive conflicts.
-    conflicts: u32,
-    /// Consecutive lost responses.
-    lost_responses: u32,
-    /// Whether a report showed an order being carried out that this scheduler did not send.
-    foreign_order: bool,
-    /// No order is sent and no report read before this time.
-    next_at: Time,
-    /// When the last order was accepted.
-    accepted_at: Time,
-}
-
-impl OrderState {
-    /// Requires a report before the next order, since the engine is not in the expected state.
-    pub(super) fn require_report(&mut self) {
-        self.needs_report = true;
-    }
-}
-
 impl Endpoint {
     /// Returns whether an adapter can be loaded, possibly after unloading one that is not in use.
     ///
--- a/src/kernel/shares.rs
+++ b/src/kernel/shares.rs
@@ -7,13 +7,13 @@
 //! together admit no more than a team's rate and burst. Where demand is uneven, instances lend
 //! each other parts for a short time.
 
-mod custody;
 mod lending;
+mod table;
 
 pub use self::{
-    custody::{
+    lending::{ChargeOutcome, LOAN_TTL, MAX_CLOCK_DRIFT, TOTAL_PARTS, TeamLimits, TeamShare},
+    table::{
         MAX_STALENESS, Membership, Owner, RETURN_GRACE, REUSE_DELAY, REVOKE_DELAY, ROW_TTL,
         ShareRow, ShareTable, ShareTableView, Step, TABLE_KEY,
     },
-    lending::{ChargeOutcome, LOAN_TTL, MAX_CLOCK_DRIFT, TOTAL_PARTS, TeamLimits, TeamShare},
 };
--- a/src/kernel/stewardship.rs
+++ b/src/kernel/stewardship.rs
@@ -5,19 +5,19 @@
 //! steward and is not attached to the lease, so it remains when the lease ends. The steward holds
 //! the endpoint as long as the lease of the incarnation named in the record exists.
 
+mod authority;
 mod claim;
 mod substitute;
-mod tenure;
 
 pub use self::{
+    authority::{
+        Authority, LEASE_MARGIN, LEASE_TTL, LeaseTracker, MAX_PAUSE, RENEW_INTERVAL, RETURN_GRACE,
+    },
     claim::{
         KeepContext, KeepDecision, Lease, Leases, NEW_ENDPOINT_GRACE, RANK_DELAY, TAKEOVER_GRACE,
         Takeover, TakeoverContext, Vacancy, decide_keep, decide_takeover, vacancy,
     },
     substitute::{SubstituteContext, may_substitute, substitute_pool},
-    tenure::{
-        Authority, LEASE_MARGIN, LEASE_TTL, LeaseTracker, MAX_PAUSE, RENEW_INTERVAL, RETURN_GRACE,
-    },
 };
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
