Announce a new leader to all data centres at once

Cause (found by reading): 16 announcements at a time, in the order of names, so the instances of a data centre without power, whose connections time out after 400 ms, held the announcements to the others up for more than a second; these would turn to the store after 2.2 s.

Change: up to 256 at a time, in random order.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -6,6 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use futures_util::{SinkExt, StreamExt};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
@@ -48,8 +49,9 @@
 /// Timeout of the announcement of this leader to one instance.
 const ANNOUNCE_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Announcements that are sent at once.
-const CONCURRENT_ANNOUNCEMENTS: usize = 16;
+/// Announcements that are sent at once. Those to instances of a data centre that has lost power get no
+/// answer until their timeout, and must not delay the others.
+const CONCURRENT_ANNOUNCEMENTS: usize = 256;
 
 /// Longest wait of one watch call to the store.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
@@ -299,7 +301,9 @@
 async fn announce(gateway: Arc<Gateway>, term: u64) {
     let members = gateway.members.load_full();
     let others = members.list.iter().filter(|member| !gateway.is_self(&member.instance));
-    let addresses: Vec<SocketAddr> = others.map(|member| member.peer).collect();
+    let mut addresses: Vec<SocketAddr> = others.map(|member| member.peer).collect();
+    // The members are in the order of their names, so those of one data centre follow each other.
+    addresses.shuffle(&mut rand::rng());
     let announcement = Announcement {
         instance: gateway.settings.instance.to_string(),
         address: gateway.settings.peer.to_string(),
