Log the fingerprint and the prompt's parts of a request that an endpoint did not serve

The logs could not tell whether the requests that break at the engines have one part in common and different fingerprints, or whether a known fingerprint is granted all the same.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -177,11 +177,22 @@
         permit
     }
 
+    /// Returns the hashes of the prompt's parts, separated by commas, for the log.
+    fn part_list(&self) -> String {
+        let parts = self.head.parts.iter().map(|(hash, _)| format!("{hash:x}"));
+        parts.collect::<Vec<_>>().join(",")
+    }
+
     /// Records that an attempt failed, releases the grant and excludes the endpoint from further
     /// attempts.
     pub(super) fn record_failure(&mut self, permit: Permit, outcome: Outcome) {
         let (request, endpoint) = (&self.head.request, &permit.grant.endpoint);
-        log::info!("event=offer_failed request={request} endpoint={endpoint} outcome={outcome:?}");
+        log::info!(
+            "event=offer_failed request={request} endpoint={endpoint} outcome={outcome:?} \
+             fingerprint={:016x} parts={}",
+            self.fingerprint,
+            self.part_list()
+        );
         self.tried.push(endpoint.clone());
         permit.end(outcome);
     }
