Add a failing test: a part of prompts that crashes engines is granted without end

Engines crash under each request with one part, no two alike, while sound requests with the same first part are served.

--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -2,6 +2,7 @@
 //! placement.
 
 mod choice;
+mod crashes;
 mod fleet;
 mod orders;
 mod placement;
