Refuse a part of prompts that crashes engines, and let all instances know it

Callers saw engines crash one after the other under requests with one part in their prompts, no two alike; their sound requests lost their engines.

Cause: the scheduler blamed whole requests, by a hash of path, key and body, so each request counted anew. It also called a request the only one at a crash when its run was the last to be reported, and forgot all with a change of leader or a restart.

Now each request, and each part of its prompt but the last, is a possible cause of the crash that ended its run. A complete run clears what it holds. What was in three crashes since is refused, also in the queue; if two causes were in the same crashes, requests with only one of them are tried one at a time. Runs that break count only once the endpoint proves to be down, so that reset connections are no crashes. The leader sends the refused causes to its peers and records them in the store; a peer tells a new leader what it knows.

Ruled out: that a known fingerprint was granted all the same; no fingerprint was in three crashes.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 //! grants its own requests, within its share of the limits.
 
 mod callers;
+mod crashes;
 mod directory;
 mod entry;
 mod forward;
@@ -136,6 +137,7 @@
         tokio::spawn(link::run(self.clone()));
         tokio::spawn(peers::run(self.clone(), peers));
         tokio::spawn(updates::run(self.clone()));
+        tokio::spawn(crashes::run(self.clone()));
         tokio::spawn(grants::run_scheduler(self.clone()));
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -222,7 +222,9 @@
                 // The endpoint may have closed an idle connection before the request was sent on
                 // it.
                 Err(SendError::NotSent(_)) if !connection.is_fresh() => {}
-                Err(SendError::NotSent(_)) => return AttemptResult::NotRun(Outcome::Unreached),
+                Err(SendError::NotSent(_) | SendError::Refused) => {
+                    return AttemptResult::NotRun(Outcome::Unreached);
+                }
                 Err(SendError::Unknown(reason)) => {
                     log::debug!(
                         "event=exchange_broke request={} reason={reason}",
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -27,10 +27,10 @@
 };
 
 /// Prefix of the keys that belong to this system.
-const PREFIX: &str = "cardamomshore/";
+pub(super) const PREFIX: &str = "cardamomshore/";
 
 /// Key of the record that names the leader. The record ends with the leader's lease.
-const LEADER_KEY: &str = "cardamomshore/leader";
+pub(super) const LEADER_KEY: &str = "cardamomshore/leader";
 
 /// Key of the record that names the instance which led last. The record has no lease.
 const LAST_LEADER_KEY: &str = "cardamomshore/last-leader";
@@ -150,6 +150,7 @@
     let page = gateway.store.range(PREFIX).await?;
     let find = |key: &str| page.items.iter().find(|item| item.key == key);
     gateway.apply_leader_record(find(LEADER_KEY));
+    page.items.iter().for_each(|item| gateway.apply_crashes_record(item));
     {
         let mut state = gateway.leadership.lock();
         state.last_leader = find(LAST_LEADER_KEY).map(parse_last_leader);
@@ -212,7 +213,8 @@
             gateway.leadership.lock().fleet_size = parse_fleet_size(item);
         }
         Event::Removed(key) if key == LEADER_KEY => gateway.apply_leader_record(None),
-        Event::Put(_) | Event::Removed(_) => {}
+        Event::Put(item) => gateway.apply_crashes_record(item),
+        Event::Removed(_) => {}
     }
 }
 
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -142,6 +142,9 @@
     }
     let unused = gateway.scheduler.lock().release_rates(Time::now());
     let _ = tx.send(Content::Rates(RatesFrame::from(unused)));
+    if let Some(content) = gateway.crashes_handover() {
+        let _ = tx.send(content);
+    }
     gateway.uplink.record_frame();
     gateway.uplink.linked.store(true, Ordering::Relaxed);
     *gateway.uplink.tx.lock() = Some(tx);
@@ -236,6 +239,7 @@
         }
         Content::Endpoints(frame) => gateway.handle_endpoints(frame),
         Content::Operator(frame) => gateway.handle_operator(frame),
+        Content::Crashes(frame) => gateway.handle_crashes(frame),
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -1,6 +1,7 @@
 //! Frames that are exchanged on the link between an instance and the leader.
 
 mod codec;
+mod crashes;
 mod endpoints;
 mod members;
 mod requests;
@@ -10,6 +11,7 @@
 
 pub use self::{
     codec::{EncodedFrame, FrameCodec, FrameError},
+    crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
     endpoints::{EndpointFrame, EndpointsFrame, ModelFrame},
     members::{Announcement, Hello, MemberFrame, MembersFrame},
     requests::{
@@ -22,7 +24,7 @@
 #[derive(Message)]
 pub struct Frame {
     /// Content of the frame; `None` if this release does not know it.
-    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub content: Option<Content>,
 }
 
@@ -75,6 +77,10 @@
     /// Instance to leader: what the instance has left of the teams' rates.
     #[prost(message, tag = "15")]
     Rates(RatesFrame),
+    /// Leader to instance: the causes of crashes that are refused. Instance to leader: what the
+    /// instance knows of causes.
+    #[prost(message, tag = "16")]
+    Crashes(CrashesFrame),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -46,6 +46,10 @@
     let request = engine::order_request(&endpoint, &command, expected, holder, term);
     let result = match call(&gateway, term, address, request).await {
         Ok((status, _)) => order_result(status),
+        Err(SendError::Refused) => {
+            gateway.scheduler.lock().handle_unreachable(&endpoint, Time::now());
+            OrderResult::Conflict
+        }
         Err(SendError::NotSent(_)) => OrderResult::Conflict,
         Err(SendError::Unknown(_)) => OrderResult::Lost,
     };
@@ -83,6 +87,9 @@
         }
         Err(err) => {
             log::info!("event=report_failed endpoint={endpoint} reason={err}");
+            if let SendError::Refused = err {
+                gateway.scheduler.lock().handle_unreachable(&endpoint, Time::now());
+            }
             None
         }
     };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -153,7 +153,10 @@
         return;
     }
     let (tx, rx) = mpsc::channel(MAX_QUEUED_FRAMES);
-    let peer = Peer { tx: Some(tx), link, member, ready: false };
+    let mut peer = Peer { tx: Some(tx), link, member, ready: false };
+    if gateway.scheduler.lock().crash_version() > 0 {
+        peer.send(gateway.crashes_content());
+    }
     gateway.peers.table.lock().insert(instance.clone(), peer);
     let actions = gateway.scheduler.lock().remove_instance(&instance, Time::now());
     gateway.apply_actions(actions);
@@ -283,6 +286,7 @@
         }
         Content::Heartbeat(heartbeat) => gateway.handle_heartbeat(instance, &heartbeat),
         Content::Operator(frame) => gateway.handle_operator(frame),
+        Content::Crashes(frame) => gateway.merge_crashes(frame),
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -3,7 +3,10 @@
 //! The pool never retries. A [`SendError`] says whether the failed request may have reached the
 //! other side, and the caller decides about a retry.
 
-use std::{collections::HashMap, future::poll_fn, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap, future::poll_fn, io::ErrorKind, net::SocketAddr, sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -37,6 +40,9 @@
 #[derive(Debug)]
 #[derive(thiserror::Error)]
 pub enum SendError {
+    /// The other side accepts no connections, so nothing was sent.
+    #[error("not sent: connection refused")]
+    Refused,
     /// Nothing of the request was sent.
     #[error("not sent: {0}")]
     NotSent(String),
@@ -107,7 +113,10 @@
             return Ok(connection);
         }
         let stream = connect(address, time_limit).await;
-        let stream = stream.map_err(|err| SendError::NotSent(err.to_string()))?;
+        let stream = stream.map_err(|err| match err.kind() {
+            ErrorKind::ConnectionRefused => SendError::Refused,
+            _ => SendError::NotSent(err.to_string()),
+        })?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|err| SendError::NotSent(err.to_string()))?;
         metrics::counter!("cardamomshore_connections_opened_total").increment(1);
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod cache;
 mod choice;
+mod crash_causes;
 mod endpoint;
 mod failures;
 mod index;
@@ -21,6 +22,7 @@
 pub use self::{
     budget::{RetryBudget, RetryLimits},
     cache::KvCache,
+    crash_causes::{Cause, CrashRecord},
     endpoint::{Command, Endpoint, EndpointEntry, EngineReport, Incarnation},
     failures::FailureRates,
     order_state::{OrderResult, OrderStep},
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -7,7 +7,9 @@
     time::Duration,
 };
 
-use super::{FailureRates, GrantKey, GrantRequest, KvCache, ModelWork, Swap};
+use super::{
+    FailureRates, GrantKey, GrantRequest, KvCache, ModelWork, Swap, scheduler::CrashState,
+};
 use crate::{
     catalog::{EngineSpec, Service},
     clock::Time,
@@ -190,6 +192,8 @@
     pub(super) last_load: Time,
     /// When the endpoint will be removed, if that is known.
     removed_at: Option<Time>,
+    /// Whether the endpoint has crashed.
+    pub(super) crash_state: CrashState,
 }
 
 impl Endpoint {
@@ -217,12 +221,20 @@
             last_load: Time::default(),
             entry: info.clone(),
             removed_at: info.removed_in.map(|time| now + time),
+            crash_state: CrashState::default(),
             info,
         };
         endpoint.apply_entry_models(now);
         endpoint
     }
 
+    /// Returns whether an entry is of this incarnation of the endpoint.
+    pub(super) fn is_incarnation(&self, entry: &EndpointEntry) -> bool {
+        self.info.incarnation == entry.incarnation
+            && self.info.address == entry.address
+            && self.info.service == entry.service
+    }
+
     /// Applies a newer entry of the same incarnation.
     pub fn update(&mut self, info: EndpointEntry, now: Time) {
         if info.cold_remaining != self.entry.cold_remaining {
--- a/src/kernel/grants/request.rs
+++ b/src/kernel/grants/request.rs
@@ -103,6 +103,11 @@
     pub retry: Duration,
 }
 
+impl Refusal {
+    /// The refusal of a request that crashes endpoints. An early retry is of no use.
+    pub const CRASHES: Self = Self { reason: Reason::Crashes, retry: Duration::from_secs(4) };
+}
+
 /// How a granted request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -1,10 +1,12 @@
 //! The scheduler: handles events and decides which request is sent to which endpoint.
 
 mod admission;
+mod crashes;
 mod planning;
 mod runs;
 mod waiting;
 
+pub(in crate::kernel::grants) use self::crashes::CrashState;
 pub use self::{admission::UnusedRate, planning::ModelBacklog};
 
 use std::{
@@ -17,13 +19,14 @@
     Action, Command, Demand, Endpoint, EndpointEntry, EngineReport, Grant, GrantKey, GrantRequest,
     ModelWork, OrderResult, RetryBudget, RetryLimits, TokenBucket, choice,
     choice::{Fit, FitContext},
+    crash_causes::{CrashCauses, CrashCheck, possible_causes},
     index::Index,
     queue::QueuedRequest,
 };
 use crate::{
     catalog::{Catalog, EngineSpec, Service},
     clock::Time,
-    kernel::{request_rate::RequestRate, suspect::Suspects},
+    kernel::request_rate::RequestRate,
 };
 
 /// Interval between rounds of placement planning.
@@ -78,7 +81,9 @@
     buckets: HashMap<Arc<str>, TokenBucket>,
     /// Retry budget of each service.
     retry_budgets: HashMap<Arc<str>, RetryBudget>,
-    suspects: Suspects,
+    crash_causes: CrashCauses,
+    /// Endpoints at which a run broke, with the time of the first one; the oldest come first.
+    broken: VecDeque<(Time, Arc<str>)>,
     demand: Demand,
     /// Ratio of the measured to the expected time to the first event, by model.
     slowdowns: HashMap<Arc<str>, f64>,
@@ -98,6 +103,8 @@
     Granted(Grant),
     /// The endpoint first has to load the adapter.
     LoadingAdapter(Arc<str>),
+    /// The request may cause a crash, and waits for the end of a run that shows whether it does.
+    AwaitsTrial,
     /// Endpoints serve such requests but are full.
     Full,
     /// No endpoint has what the request needs.
@@ -118,7 +125,8 @@
             queue: Vec::new(),
             buckets: HashMap::new(),
             retry_budgets: HashMap::new(),
-            suspects: Suspects::default(),
+            crash_causes: CrashCauses::default(),
+            broken: VecDeque::new(),
             demand: Demand::default(),
             slowdowns: HashMap::new(),
             request_rate: RequestRate::default(),
@@ -165,12 +173,11 @@
         let mut old = std::mem::take(&mut self.endpoints);
         for entry in entries {
             let known = old.remove(&entry.id);
-            let same = known.filter(|known| {
-                known.info.incarnation == entry.incarnation
-                    && known.info.address == entry.address
-                    && known.info.service == entry.service
-            });
-            let endpoint = match same {
+            let endpoint = match known {
+                Some(known) if !known.is_incarnation(&entry) => {
+                    self.record_loss(known, now);
+                    Endpoint::new(entry, now)
+                }
                 Some(mut known) if known.entry != entry => {
                     known.update(entry, now);
                     known
@@ -180,6 +187,9 @@
             };
             self.endpoints.insert(endpoint.info.id.clone(), endpoint);
         }
+        for lost in old.into_values() {
+            self.record_loss(lost, now);
+        }
         self.index.invalidate();
     }
 
@@ -206,6 +216,7 @@
         now: Time,
     ) -> Vec<Action> {
         self.request_rate.record(now);
+        self.confirm_silent_crashes(now);
         let mut actions = Vec::new();
         match self.admit(&request, now) {
             Ok(()) => self.grant_or_queue(key, request, now, &mut actions),
@@ -258,6 +269,7 @@
                 queued.adapter_load = Some((endpoint, now));
                 None
             }
+            Selection::AwaitsTrial => None,
             Selection::Full => self.refuse_long_wait(&queued, self.expected_wait(&queued.request)),
             Selection::Unavailable => match self.loaded_at(&queued.request) {
                 Some(ready) => self.refuse_long_wait(&queued, ready.since(now)),
@@ -284,6 +296,9 @@
     /// Selects the endpoint with the lowest cost and starts the run or the load of the adapter
     /// there.
     fn select_endpoint(&mut self, key: &GrantKey, request: &GrantRequest, now: Time) -> Selection {
+        if self.check_crashes(request, now) == CrashCheck::Wait {
+            return Selection::AwaitsTrial;
+        }
         let Some(service) = self.catalog.services.get(&request.service).cloned() else {
             return Selection::Unavailable;
         };
@@ -372,6 +387,7 @@
         };
         runs::start_run(endpoint, key, request, service, model_slowdown, now);
         self.endpoint_of.insert(key.clone(), id.clone());
+        self.crash_causes.record_grant(&possible_causes(request), now);
         Selection::Granted(grant)
     }
 
@@ -405,15 +421,20 @@
 
     /// Applies the report of an engine, or `None` if none arrived.
     pub fn handle_report(&mut self, id: &str, report: Option<EngineReport>, now: Time) {
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.handle_report(report, now);
-            self.index.invalidate();
+        let Some(endpoint) = self.endpoints.get_mut(id) else { return };
+        let requested_at = endpoint.order_state.report_since.unwrap_or_default();
+        let has_report = report.is_some();
+        endpoint.handle_report(report, now);
+        self.index.invalidate();
+        if has_report {
+            self.record_response(id, requested_at);
         }
     }
 
     /// Grants queued requests and returns the next orders; the leader also plans the placement.
     pub fn tick(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
+        self.confirm_silent_crashes(now);
         if self.may_order() && now.since(self.planned_at) >= PLAN_INTERVAL {
             self.planned_at = now;
             self.plan(now);
--- a/src/kernel/grants/scheduler/admission.rs
+++ b/src/kernel/grants/scheduler/admission.rs
@@ -6,9 +6,8 @@
 use crate::{
     catalog::Team,
     clock::Time,
-    kernel::{
-        grants::{GrantRequest, RateShare, Reason, Refusal, TokenBucket},
-        suspect::RunMode,
+    kernel::grants::{
+        GrantRequest, RateShare, Reason, Refusal, TokenBucket, crash_causes::CrashCheck,
     },
 };
 
@@ -70,8 +69,8 @@
     /// Charges a request to its team and to the retry budget; fails if it must be refused.
     pub(super) fn admit(&mut self, request: &GrantRequest, now: Time) -> Result<(), Refusal> {
         let refuse = |reason, retry| Err(Refusal { reason, retry });
-        if self.suspects.run_mode(request.fingerprint, now) == RunMode::Refuse {
-            return refuse(Reason::Crashes, RETRY_AFTER_RANGE.1);
+        if self.check_crashes(request, now) == CrashCheck::Refuse {
+            return Err(Refusal::CRASHES);
         }
         let share = self.rate_share();
         let limits = self.limits.retries;
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -6,14 +6,9 @@
 use crate::{
     catalog::Service,
     clock::Time,
-    kernel::{
-        grants::{
-            Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Incarnation, Outcome, choice,
-            endpoint::ActiveRun,
-        },
-        suspect::CrashId,
+    kernel::grants::{
+        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, choice, endpoint::ActiveRun,
     },
-    names::EndpointId,
 };
 
 /// Expected time from the grant to the first event, without the prefill.
@@ -34,10 +29,8 @@
 
     /// Records that the first event of a response has arrived.
     pub fn record_first_event(&mut self, key: &GrantKey, now: Time) {
-        let Some(endpoint) = self.endpoint_of.get(key).and_then(|id| self.endpoints.get_mut(id))
-        else {
-            return;
-        };
+        let Some(id) = self.endpoint_of.get(key).cloned() else { return };
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         let Some(run) = endpoint.running.get_mut(key) else { return };
         if std::mem::replace(&mut run.started, true) {
             return;
@@ -58,6 +51,7 @@
             endpoint.slowdown = (endpoint.slowdown * ratio.powf(0.1)).clamp(0.6, 6.0);
         }
         correct_prefill(endpoint, &self.slowdowns, now);
+        self.record_response(&id, granted);
     }
 
     /// Removes a queued request and refunds its tokens.
@@ -82,22 +76,15 @@
     fn end_run(&mut self, key: &GrantKey, outcome: Outcome, now: Time) -> Option<Arc<str>> {
         let id = self.endpoint_of.remove(key)?;
         let endpoint = self.endpoints.get_mut(&id)?;
-        let ran_alone = endpoint.running.len() == 1;
         let run = endpoint.running.remove(key)?;
         let data_centre = run.request.data_centre.clone();
         match outcome {
             Outcome::Whole => {
                 endpoint.record_reachable();
                 endpoint.failures.record(&data_centre, false, now);
-                self.suspects.clear(run.request.fingerprint);
             }
-            Outcome::Failed => endpoint.failures.record(&data_centre, true, now),
-            Outcome::Silent => endpoint.failures.record(&data_centre, true, now),
-            Outcome::Broke => {
+            Outcome::Failed | Outcome::Silent | Outcome::Broke => {
                 endpoint.failures.record(&data_centre, true, now);
-                let Incarnation(incarnation) = endpoint.info.incarnation;
-                let crash = CrashId::of(&EndpointId::from(&*id), incarnation, ran_alone);
-                self.suspects.record_crashes(run.request.fingerprint, [crash], now);
             }
             Outcome::Unreached => endpoint.record_unreachable(now),
             Outcome::Full => endpoint.paused_until = endpoint.paused_until.max(now + FULL_BACKOFF),
@@ -105,6 +92,7 @@
             Outcome::Left => {}
         }
         correct_prefill(endpoint, &self.slowdowns, now);
+        self.record_crash_evidence(&id, &run, outcome, now);
         if matches!(outcome, Outcome::Unreached | Outcome::Full | Outcome::Misplaced) {
             self.refund(&run.request);
         }
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -5,7 +5,10 @@
 use super::{RETRY_AFTER_RANGE, Scheduler, Selection, is_same_kind};
 use crate::{
     clock::Time,
-    kernel::grants::{Action, Endpoint, GrantRequest, Reason, Refusal, queue::QueuedRequest},
+    kernel::grants::{
+        Action, Endpoint, GrantRequest, Reason, Refusal, crash_causes::CrashCheck,
+        queue::QueuedRequest,
+    },
 };
 
 /// Expected time until a newly started instance knows the endpoints.
@@ -133,6 +136,11 @@
                 self.requeue_or_refuse(queued, now, actions);
                 continue;
             }
+            if self.check_crashes(&queued.request, now) == CrashCheck::Refuse {
+                self.refund(&queued.request);
+                actions.push(Action::Refuse(queued.key, Refusal::CRASHES));
+                continue;
+            }
             match self.select_endpoint(&queued.key, &queued.request, now) {
                 Selection::Granted(grant) => {
                     actions.push(Action::Grant(queued.key, grant));
@@ -143,6 +151,7 @@
                     let since = queued.adapter_load.map_or(now, |(_, since)| since);
                     queued.adapter_load = Some((endpoint, since));
                 }
+                Selection::AwaitsTrial => queued.adapter_load = None,
                 Selection::Full | Selection::Unavailable => {
                     queued.adapter_load = None;
                     full_kinds.insert(kind);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -52,6 +52,7 @@
 impl From<SendError> for StoreError {
     fn from(err: SendError) -> Self {
         match err {
+            SendError::Refused => StoreError::NotSent(err.to_string()),
             SendError::NotSent(text) => StoreError::NotSent(text),
             SendError::Unknown(text) => StoreError::Unknown(text),
         }
