Log the request rates that endpoints name as their limits

Logs and metrics did not say which limits an instance knows, so that it could not be told whether the limit is read at all. An entry instance reads it now and logs each change; no decision depends on it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 mod operator;
 mod orders;
 mod peers;
+mod rate_limits;
 mod registry;
 mod response;
 pub mod settings;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -218,7 +218,7 @@
                 return AttemptResult::NotRun(Outcome::Unreached);
             };
             match connection.send(self.endpoint_request(permit, after)).await {
-                Ok(response) => return self.classify_response(response, connection),
+                Ok(response) => return self.classify_response(permit, response, connection),
                 // The endpoint may have closed an idle connection before the request was sent on
                 // it.
                 Err(SendError::NotSent(_)) if !connection.is_fresh() => {}
@@ -256,6 +256,7 @@
     /// Returns the result of an attempt, by the head of the endpoint's response.
     fn classify_response(
         &self,
+        permit: &Permit,
         response: Response<Incoming>,
         connection: Connection,
     ) -> AttemptResult {
@@ -266,8 +267,11 @@
             log::info!("event=answer_crossed request={}", self.head.request);
             return AttemptResult::Unknown(Outcome::Broke);
         }
+        let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
+        if !misdirected {
+            self.gateway.record_rate_limit(&permit.grant, head.rate_limit);
+        }
         if head.not_run {
-            let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
             return AttemptResult::NotRun(if misdirected {
                 Outcome::Misplaced
             } else {
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -192,6 +192,9 @@
     pub(super) last_load: Time,
     /// When the endpoint will be removed, if that is known.
     removed_at: Option<Time>,
+    /// Requests a second that the endpoint takes from all instances together; `None` if it names no
+    /// limit.
+    pub(super) rate_limit: Option<f64>,
     /// Whether the endpoint has crashed.
     pub(super) crash_state: CrashState,
 }
@@ -221,6 +224,7 @@
             last_load: Time::default(),
             entry: info.clone(),
             removed_at: info.removed_in.map(|time| now + time),
+            rate_limit: None,
             crash_state: CrashState::default(),
             info,
         };
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod crashes;
 mod planning;
+mod rate_limits;
 mod runs;
 mod waiting;
 
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -17,6 +17,7 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const STAMP: HeaderName = HeaderName::from_static("x-server-stamp");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
 /// Scheme of the `Authorization` header.
 const KEY_SCHEME: &str = "Token ";
@@ -191,7 +192,7 @@
 }
 
 /// The headers of an endpoint's response that this system reads.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Whether the endpoint has certainly not run the request.
     pub not_run: bool,
@@ -201,6 +202,9 @@
     pub request: Option<String>,
     /// Requests that run at the endpoint, and that wait there.
     pub load: Option<(u32, u32)>,
+    /// Requests a second that the endpoint takes from all instances together; `None` if it names no
+    /// limit.
+    pub rate_limit: Option<f64>,
     /// Longest time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
 }
@@ -223,10 +227,16 @@
         stamped: headers.contains_key(STAMP),
         request: header_text(headers, &REQUEST_ID).map(str::to_owned),
         load,
+        rate_limit: header_text(headers, &LIMIT).and_then(parse_rate_limit),
         keep_alive,
     }
 }
 
+/// Parses a number of requests a second, which is not negative.
+fn parse_rate_limit(value: &str) -> Option<f64> {
+    value.trim().parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0)
+}
+
 /// Returns the headers of an endpoint's response that are passed on to the caller.
 pub fn response_headers(headers: &HeaderMap) -> HeaderMap {
     let kept = headers.iter().filter(|(name, _)| !CONNECTION_ONLY.contains(&name.as_str()));
