--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -7,4 +7,5 @@
 mod orders;
 mod placement;
 mod rate;
+mod rate_limits;
 mod recovery;
