Keep to the request rates that endpoints name, over all instances together

Callers saw late answers from engines in need: an engine that takes one request a second got 14 in 4 s.

Now the entry instance that sees a limit tells the leader, which keeps to it with a token bucket for each endpoint. Its peers know the limits too: without a leader each keeps to its share, and hands them over to the next one. A success without a limit ends it, unless its request was sent before the limit was known. What would wait too long for its turn is refused at once with the time of its turn. Placement counts a replica at such an engine only for a model with little demand, and loads nothing there while others can.

Ruled out: a change of leader as the cause, since both cases lie before it; the limit is held across one now.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -139,6 +139,7 @@
         tokio::spawn(peers::run(self.clone(), peers));
         tokio::spawn(updates::run(self.clone()));
         tokio::spawn(crashes::run(self.clone()));
+        tokio::spawn(rate_limits::run(self.clone()));
         tokio::spawn(grants::run_scheduler(self.clone()));
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -217,8 +217,11 @@
             let Ok(mut connection) = acquired else {
                 return AttemptResult::NotRun(Outcome::Unreached);
             };
+            let sent_at = Time::now();
             match connection.send(self.endpoint_request(permit, after)).await {
-                Ok(response) => return self.classify_response(permit, response, connection),
+                Ok(response) => {
+                    return self.classify_response(permit, response, connection, sent_at);
+                }
                 // The endpoint may have closed an idle connection before the request was sent on
                 // it.
                 Err(SendError::NotSent(_)) if !connection.is_fresh() => {}
@@ -259,6 +262,7 @@
         permit: &Permit,
         response: Response<Incoming>,
         connection: Connection,
+        sent_at: Time,
     ) -> AttemptResult {
         let head = caller::response_head(response.status(), response.headers());
         if head.request.as_deref().is_some_and(|id| id != &*self.head.request) {
@@ -268,8 +272,10 @@
             return AttemptResult::Unknown(Outcome::Broke);
         }
         let misdirected = response.status() == StatusCode::MISDIRECTED_REQUEST;
-        if !misdirected {
-            self.gateway.record_rate_limit(&permit.grant, head.rate_limit);
+        let is_own_success = response.status().is_success() && head.stamped;
+        // Only the endpoint's own success shows that it no longer names a limit.
+        if !misdirected && (head.rate_limit.is_some() || is_own_success) {
+            self.gateway.record_rate_limit(&permit.grant, head.rate_limit, sent_at);
         }
         if head.not_run {
             return AttemptResult::NotRun(if misdirected {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -145,6 +145,9 @@
     if let Some(content) = gateway.crashes_handover() {
         let _ = tx.send(content);
     }
+    if gateway.scheduler.lock().limit_version() > 0 {
+        let _ = tx.send(gateway.rate_limits_content());
+    }
     gateway.uplink.record_frame();
     gateway.uplink.linked.store(true, Ordering::Relaxed);
     *gateway.uplink.tx.lock() = Some(tx);
@@ -240,6 +243,7 @@
         Content::Endpoints(frame) => gateway.handle_endpoints(frame),
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Crashes(frame) => gateway.handle_crashes(frame),
+        Content::RateLimits(frame) => gateway.handle_rate_limits(frame),
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod endpoints;
 mod members;
+mod rate_limits;
 mod requests;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
     endpoints::{EndpointFrame, EndpointsFrame, ModelFrame},
     members::{Announcement, Hello, MemberFrame, MembersFrame},
+    rate_limits::{RateLimitFrame, RateLimitsFrame},
     requests::{
         AdoptFrame, EndFrame, GrantFrame, GrantRequestFrame, RatesFrame, RefuseFrame, RequestRef,
     },
@@ -24,7 +26,7 @@
 #[derive(Message)]
 pub struct Frame {
     /// Content of the frame; `None` if this release does not know it.
-    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
     pub content: Option<Content>,
 }
 
@@ -81,6 +83,10 @@
     /// instance knows of causes.
     #[prost(message, tag = "16")]
     Crashes(CrashesFrame),
+    /// Leader to instance: all limits of the request rate that endpoints have named. Instance to
+    /// leader: limits that the instance has seen.
+    #[prost(message, tag = "17")]
+    RateLimits(RateLimitsFrame),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -157,6 +157,9 @@
     if gateway.scheduler.lock().crash_version() > 0 {
         peer.send(gateway.crashes_content());
     }
+    if gateway.scheduler.lock().limit_version() > 0 {
+        peer.send(gateway.rate_limits_content());
+    }
     gateway.peers.table.lock().insert(instance.clone(), peer);
     let actions = gateway.scheduler.lock().remove_instance(&instance, Time::now());
     gateway.apply_actions(actions);
@@ -287,6 +290,7 @@
         Content::Heartbeat(heartbeat) => gateway.handle_heartbeat(instance, &heartbeat),
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Crashes(frame) => gateway.merge_crashes(frame),
+        Content::RateLimits(frame) => gateway.merge_rate_limits(frame),
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -17,6 +17,7 @@
 mod queue;
 mod rate;
 mod request;
+mod request_limit;
 mod scheduler;
 
 pub use self::{
@@ -29,7 +30,9 @@
     placement::{Demand, PlanInput, Swap, plan},
     rate::{RateShare, TokenBucket},
     request::{
-        Action, ActiveGrant, Grant, GrantKey, GrantRequest, ModelWork, Outcome, Reason, Refusal,
+        Action, ActiveGrant, EndpointLimit, Grant, GrantKey, GrantRequest, ModelWork, Outcome,
+        Reason, Refusal,
     },
+    request_limit::RequestLimit,
     scheduler::{Mode, ModelBacklog, Scheduler, SchedulerLimits, UnusedRate},
 };
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -73,6 +73,8 @@
     pub may_order: bool,
     /// Fraction of each endpoint's capacity that this scheduler may use.
     pub fill_fraction: f64,
+    /// Fraction of the rates that endpoints name which this scheduler may use.
+    pub rate_share: f64,
     /// Ratio of the model's measured time to the first event to the expected time.
     pub model_slowdown: f64,
     /// Current time.
@@ -118,6 +120,7 @@
     if full
         || !endpoint.accepts_requests(context.now)
         || !endpoint.has_cold_capacity(context.service, context.now)
+        || !endpoint.is_within_limit(context.rate_share, context.now)
     {
         return Fit::Full;
     }
@@ -164,6 +167,7 @@
         || (queued_prefill > limit && !idle)
         || !endpoint.accepts_requests(context.now)
         || !endpoint.has_cold_capacity(context.service, context.now)
+        || !endpoint.is_within_limit(context.rate_share, context.now)
     {
         return Fit::Full;
     }
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -8,7 +8,8 @@
 };
 
 use super::{
-    FailureRates, GrantKey, GrantRequest, KvCache, ModelWork, Swap, scheduler::CrashState,
+    FailureRates, GrantKey, GrantRequest, KvCache, ModelWork, RequestLimit, Swap,
+    scheduler::CrashState,
 };
 use crate::{
     catalog::{EngineSpec, Service},
@@ -192,9 +193,8 @@
     pub(super) last_load: Time,
     /// When the endpoint will be removed, if that is known.
     removed_at: Option<Time>,
-    /// Requests a second that the endpoint takes from all instances together; `None` if it names no
-    /// limit.
-    pub(super) rate_limit: Option<f64>,
+    /// Limit of the request rate; `None` if the endpoint names none.
+    pub(super) rate_limit: Option<RequestLimit>,
     /// Whether the endpoint has crashed.
     pub(super) crash_state: CrashState,
 }
@@ -374,6 +374,12 @@
         (recent as f64) + 1.0 <= service.cold_rate.max(1.0)
     }
 
+    /// Returns whether a `share` of the instances may send a request without exceeding the rate that
+    /// the endpoint has named.
+    pub(super) fn is_within_limit(&self, share: f64, now: Time) -> bool {
+        self.rate_limit.is_none_or(|limit| limit.allows(share, now))
+    }
+
     /// Records that a request was granted.
     pub(super) fn record_grant(
         &mut self,
--- a/src/kernel/grants/placement/layout.rs
+++ b/src/kernel/grants/placement/layout.rs
@@ -76,6 +76,8 @@
     utilization: Vec<f64>,
     /// Engines at which a change is planned or ongoing.
     changing: Vec<bool>,
+    /// Engines that take few requests, while others take as many as they can.
+    limited: Vec<bool>,
 }
 
 /// A possible load of a model at an engine.
@@ -92,13 +94,25 @@
     pub from_store: bool,
 }
 
+/// Returns which engines take fewer requests than the others, because they have named a limit.
+///
+/// A replica at such an engine counts only for a model with little demand. If all engines have
+/// named a limit, none is worse than the others.
+fn limited_engines(engines: &[&Endpoint]) -> Vec<bool> {
+    let all = engines.iter().all(|engine| engine.rate_limit.is_some());
+    engines.iter().map(|engine| !all && engine.rate_limit.is_some()).collect()
+}
+
 impl Layout {
     /// Creates the layout of the engines with their ongoing and planned changes.
     pub fn new(engines: &[&Endpoint], input: &PlanInput<'_>) -> Self {
         let mut replicas: BTreeMap<Arc<str>, BTreeSet<usize>> = BTreeMap::new();
         let mut usable_replicas: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        let demand_of = |model: &str| input.demand.rate(model, input.now);
+        let limited = limited_engines(engines);
         for (index, engine) in engines.iter().enumerate() {
             let served = engine.replicas.keys().filter(|model| engine.can_serve(model));
+            let served = served.filter(|model| !limited[index] || demand_of(model) <= IDLE_DEMAND);
             for model in served.clone() {
                 *usable_replicas.entry(model.clone()).or_default() += 1;
             }
@@ -109,13 +123,14 @@
             }
         }
         let models = input.spec.models.keys();
-        let demand = models.map(|model| (model.clone(), input.demand.rate(model, input.now)));
+        let demand = models.map(|model| (model.clone(), demand_of(model)));
         let mut layout = Self {
             replicas,
             usable_replicas,
             demand: demand.collect(),
             utilization: vec![0.0; engines.len()],
             changing: engines.iter().map(|e| e.loading.is_some() || e.swap.is_some()).collect(),
+            limited,
         };
         layout.update_utilization();
         layout
@@ -188,7 +203,7 @@
             self.replicas.get(model).is_some_and(|replicas| replicas.contains(&index));
         let ready =
             engine.accepts_requests(now) && (need == Need::Urgent || engine.may_change_models(now));
-        if self.changing[index] || has_replica || !ready {
+        if self.changing[index] || self.limited[index] || has_replica || !ready {
             return None;
         }
         let unload = self.models_to_unload(engine, model, need, input)?;
--- a/src/kernel/grants/request.rs
+++ b/src/kernel/grants/request.rs
@@ -68,6 +68,17 @@
     pub incarnation: Incarnation,
 }
 
+/// The limit of the request rate that an endpoint names.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointLimit {
+    /// Name of the endpoint.
+    pub endpoint: Arc<str>,
+    /// Incarnation that named the limit.
+    pub incarnation: Incarnation,
+    /// Requests a second from all instances together; `None` if it names no limit.
+    pub rate: Option<f64>,
+}
+
 /// A granted request that is still running, as an instance reports it to a new leader.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ActiveGrant {
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -85,6 +85,8 @@
     crash_causes: CrashCauses,
     /// Endpoints at which a run broke, with the time of the first one; the oldest come first.
     broken: VecDeque<(Time, Arc<str>)>,
+    /// Grows with each change of the rates that endpoints name.
+    limit_version: u64,
     demand: Demand,
     /// Ratio of the measured to the expected time to the first event, by model.
     slowdowns: HashMap<Arc<str>, f64>,
@@ -128,6 +130,7 @@
             retry_budgets: HashMap::new(),
             crash_causes: CrashCauses::default(),
             broken: VecDeque::new(),
+            limit_version: 0,
             demand: Demand::default(),
             slowdowns: HashMap::new(),
             request_rate: RequestRate::default(),
@@ -271,7 +274,9 @@
                 None
             }
             Selection::AwaitsTrial => None,
-            Selection::Full => self.refuse_long_wait(&queued, self.expected_wait(&queued.request)),
+            Selection::Full => {
+                self.refuse_long_wait(&queued, self.expected_wait(&queued.request, now))
+            }
             Selection::Unavailable => match self.loaded_at(&queued.request) {
                 Some(ready) => self.refuse_long_wait(&queued, ready.since(now)),
                 None => self.refuse_unloadable(&queued),
@@ -306,8 +311,15 @@
         let model_slowdown =
             request.work.as_ref().map_or(1.0, |work| self.model_slowdown(&work.model));
         let (may_order, fill_fraction) = (self.may_order(), self.fill_fraction());
-        let context =
-            FitContext { service: &service, may_order, fill_fraction, model_slowdown, now };
+        let rate_share = self.rate_share();
+        let context = FitContext {
+            service: &service,
+            may_order,
+            fill_fraction,
+            rate_share,
+            model_slowdown,
+            now,
+        };
         let mut best: Option<(Duration, bool, Arc<str>)> = None;
         let mut full = false;
         self.index.refresh(&self.endpoints);
@@ -387,6 +399,7 @@
             incarnation: endpoint.info.incarnation,
         };
         runs::start_run(endpoint, key, request, service, model_slowdown, now);
+        self.count_request(id, now);
         self.endpoint_of.insert(key.clone(), id.clone());
         self.crash_causes.record_grant(&possible_causes(request), now);
         Selection::Granted(grant)
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -24,6 +24,7 @@
         let Some(service) = self.catalog.services.get(&request.service).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
         start_run(endpoint, &key, &request, &service, 1.0, now);
+        self.count_request(&id, now);
         self.endpoint_of.insert(key, id);
     }
 
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -20,8 +20,8 @@
 /// Time for which a request waits for an engine to load its adapter.
 const ADAPTER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Expected wait for each request ahead in the queue of a model with one replica.
-const WAIT_PER_REQUEST: Duration = Duration::from_millis(60);
+/// Expected rate at which an endpoint without a limit takes queued requests, a second.
+const MAX_GRANT_RATE: f64 = 1.0 / 0.06;
 
 /// Fraction of the time until its deadline for which a request may be expected to wait.
 const MAX_EXPECTED_WAIT_FRACTION: f64 = 0.5;
@@ -47,13 +47,33 @@
 
 impl Scheduler {
     /// Returns how long a request is expected to wait behind others of its kind.
-    pub(super) fn expected_wait(&self, request: &GrantRequest) -> Duration {
+    pub(super) fn expected_wait(&self, request: &GrantRequest, now: Time) -> Duration {
         let same_kind = |w: &&QueuedRequest| {
             is_same_kind(&w.request, request) && w.request.priority <= request.priority
         };
-        let ahead = self.queue.iter().filter(same_kind).count() as u32;
-        let replicas = self.index.candidates(request).len().max(1) as u32;
-        WAIT_PER_REQUEST * ahead / replicas
+        let ahead = self.queue.iter().filter(same_kind).count();
+        let candidates = self.index.candidates(request).iter();
+        let candidates: Vec<&Endpoint> =
+            candidates.filter_map(|id| self.endpoints.get(id)).collect();
+        let rate = match candidates.is_empty() {
+            true => MAX_GRANT_RATE,
+            false => candidates.iter().map(|endpoint| self.grant_rate(endpoint)).sum(),
+        };
+        let behind_others = Duration::try_from_secs_f64(ahead as f64 / rate);
+        let limit_waits = candidates.iter().map(|endpoint| self.limit_wait(endpoint, now));
+        let limit_wait = limit_waits.min().unwrap_or_default();
+        behind_others.unwrap_or(Duration::MAX).saturating_add(limit_wait)
+    }
+
+    /// Returns the time until an endpoint that names a limit takes the next request.
+    fn limit_wait(&self, endpoint: &Endpoint, now: Time) -> Duration {
+        endpoint.rate_limit.map_or(Duration::ZERO, |limit| limit.wait(self.rate_share(), now))
+    }
+
+    /// Returns the expected rate at which an endpoint takes queued requests, a second.
+    fn grant_rate(&self, endpoint: &Endpoint) -> f64 {
+        let limit = endpoint.rate_limit.map(|limit| limit.usable_rate(self.rate_share()));
+        limit.unwrap_or(MAX_GRANT_RATE).min(MAX_GRANT_RATE)
     }
 
     /// Returns a refusal if the request would wait too long.
--- a/tests/kernel/grants/rate_limits.rs
+++ b/tests/kernel/grants/rate_limits.rs
@@ -4,10 +4,16 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::grants::{Outcome, Scheduler},
+    kernel::grants::{
+        Action, Command, EndpointEntry, EndpointLimit, Grant, Incarnation, Mode, Outcome, Refusal,
+        Scheduler,
+    },
 };
 
-use super::fleet::{LEADING, START, end_request, engine, granted, key, model_request, scheduler};
+use super::fleet::{
+    LEADING, START, accept_orders, deliver_reports, end_request, engine, granted, key,
+    model_request, refused, scheduler,
+};
 
 /// Window in which the platform counts the requests that an endpoint gets.
 const WINDOW: Duration = Duration::from_secs(4);
@@ -23,6 +29,11 @@
     (1.5 * limit * WINDOW.as_secs_f64() + 5.0) as usize
 }
 
+/// Returns the limit that a response to a granted request names.
+fn named(grant: &Grant, rate: Option<f64>) -> EndpointLimit {
+    EndpointLimit { endpoint: grant.endpoint.clone(), incarnation: grant.incarnation, rate }
+}
+
 /// Grants requests for a `length` of time, which all complete at once. The responses of `e1` name
 /// `limit`. Returns when `e1` got requests.
 fn play(scheduler: &mut Scheduler, from: Time, length: Duration, limit: Option<f64>) -> Vec<Time> {
@@ -36,7 +47,7 @@
         if let Some(grant) = granted(&actions).cloned() {
             if &*grant.endpoint == "e1" {
                 times.push(now);
-                scheduler.record_rate_limit(&grant, limit);
+                scheduler.record_rate_limit(&named(&grant, limit), now);
             }
             end_request(scheduler, number, Outcome::Whole, now);
         }
@@ -64,3 +75,113 @@
     assert!(most <= tolerated(1.0), "{most} requests in a window, {} tolerated", tolerated(1.0));
     assert!(times.len() >= 10, "the endpoint gets what it takes: {}", times.len());
 }
+
+#[test]
+fn endpoint_limit_held_after_change_of_leader() {
+    let engines = vec![engine("e1", &["m0"]), engine("e2", &["m0"])];
+    let mut first = scheduler(LEADING, engines.clone());
+    let mut times = play(&mut first, START, CONTACT_TIME, Some(1.0));
+    let mut next = scheduler(LEADING, engines);
+    let now = START + CONTACT_TIME;
+    for limit in first.rate_limits() {
+        next.record_rate_limit(&limit, now);
+    }
+    times.extend(play(&mut next, now, Duration::from_secs(10), Some(1.0)));
+    times.retain(|at| *at >= START + Duration::from_secs(2));
+    assert!(max_in_window(&times) <= tolerated(1.0), "{}", max_in_window(&times));
+}
+
+#[test]
+fn endpoint_limit_shared_without_leader() {
+    let engines = vec![engine("e1", &["m0"]), engine("e2", &["m0"])];
+    let mut times = Vec::new();
+    for _ in 0..8 {
+        let mut alone = scheduler(Mode::Alone { share: 0.125 }, engines.clone());
+        play(&mut alone, START, Duration::from_millis(100), Some(1.0));
+        let now = START + CONTACT_TIME;
+        times.extend(play(&mut alone, now, Duration::from_secs(20), Some(1.0)));
+    }
+    assert!(max_in_window(&times) <= 8 + 4, "{}", max_in_window(&times));
+}
+
+#[test]
+fn endpoint_limit_ends_with_later_response() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"])]);
+    let actions = scheduler.handle_request(key(1), model_request("m0", 100, START), START);
+    let grant = granted(&actions).expect("nothing else runs").clone();
+    let later = START + Duration::from_secs(1);
+    scheduler.observe_rate_limit(&named(&grant, Some(1.0)), START, later);
+    assert!(
+        !scheduler.observe_rate_limit(&named(&grant, None), START, later),
+        "the response may be older than the limit"
+    );
+    assert!(scheduler.observe_rate_limit(&named(&grant, None), later, later));
+    assert!(scheduler.rate_limits().is_empty());
+}
+
+#[test]
+fn endpoint_limit_ends_with_incarnation() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"])]);
+    play(&mut scheduler, START, Duration::from_millis(50), Some(1.0));
+    assert_eq!(scheduler.rate_limits().len(), 1);
+    let restarted = EndpointEntry { incarnation: Incarnation(2), ..engine("e1", &["m0"]) };
+    scheduler.set_endpoints(vec![restarted], START);
+    assert!(scheduler.rate_limits().is_empty());
+}
+
+#[test]
+fn endpoint_limit_unknown_to_leader_is_removed() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"])]);
+    play(&mut scheduler, START, Duration::from_millis(50), Some(1.0));
+    scheduler.replace_rate_limits(&[], START);
+    assert!(scheduler.rate_limits().is_empty());
+}
+
+#[test]
+fn request_beyond_limit_of_only_endpoint_refused_at_once() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"])]);
+    play(&mut scheduler, START, Duration::from_millis(50), Some(1.0));
+    let refusals = (0..10).filter_map(|number| {
+        refused(&scheduler.handle_request(key(number), model_request("m0", 100, START), START))
+    });
+    let refusals: Vec<Refusal> = refusals.collect();
+    assert!((7..=9).contains(&refusals.len()), "two or three fit into half of five seconds");
+    assert!(refusals.iter().all(|refusal| refusal.retry >= Duration::from_secs(2)));
+}
+
+#[test]
+fn request_waits_for_turn_at_limited_endpoint() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"])]);
+    play(&mut scheduler, START, Duration::from_millis(50), Some(1.0));
+    let actions = scheduler.handle_request(key(1), model_request("m0", 100, START), START);
+    assert!(actions.is_empty(), "the request fits into the limit a second later");
+    let later = START + Duration::from_millis(1_100);
+    assert!(granted(&scheduler.tick(later)).is_some());
+}
+
+#[test]
+fn busy_model_of_limited_engine_loaded_elsewhere() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"]), engine("e2", &["m1"])]);
+    deliver_reports(&mut scheduler, START);
+    play(&mut scheduler, START, Duration::from_secs(1), Some(1.0));
+    let orders = accept_orders(&mut scheduler, START + Duration::from_secs(1), WINDOW);
+    let is_load = |order: &Action| {
+        matches!(order, Action::Order { endpoint, command: Command::Load { model }, .. }
+            if &**endpoint == "e2" && &**model == "m0")
+    };
+    assert!(orders.iter().any(is_load), "{orders:?}");
+}
+
+#[test]
+fn limited_engines_alone_still_load_models() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"]), engine("e2", &["m0"])]);
+    deliver_reports(&mut scheduler, START);
+    for id in ["e1", "e2"] {
+        let (endpoint, incarnation) = (id.into(), Incarnation(1));
+        let limit = EndpointLimit { endpoint, incarnation, rate: Some(1.0) };
+        scheduler.record_rate_limit(&limit, START);
+    }
+    scheduler.handle_request(key(1), model_request("m3", 100, START), START);
+    let orders = accept_orders(&mut scheduler, START, WINDOW);
+    assert!(!orders.is_empty(), "the model is loaded at one of them");
+}
