Hand the use of the retry budgets over to a new leader

Each service may have a number of retries in a window over all instances. A new leader, and an instance that had lost its leader, began with a fresh budget, so that a change of leader under failures allowed half as many again.

Each instance counts the granted requests and retries of its own callers now. It reports them to a new leader, and goes on from them without one. What a former leader granted to others is counted by these.

Evidence: with the handover switched off, retries_across_change_of_leader_within_budget sees 99 retries of 64 tolerated, retries_after_loss_of_leader_within_budget 98 of 66; both hold now.

--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -120,6 +120,7 @@
     let number = gateway.requests.next_number.fetch_add(1, Ordering::Relaxed);
     let (tx, rx) = oneshot::channel();
     let entry = Entry { request: request.clone(), state: State::Waiting(tx) };
+    let (service, is_retry) = (request.service.clone(), request.is_retry);
     gateway.requests.table.lock().insert(number, entry);
     let mut guard = WithdrawGuard { gateway, number: Some(number) };
     gateway.submit(number, request);
@@ -130,7 +131,10 @@
     guard.number = None;
     let gateway = gateway.clone();
     match result {
-        Ok(Ok(grant)) => Ok(Permit { gateway, number, grant }),
+        Ok(Ok(grant)) => {
+            gateway.scheduler.lock().record_own_grant(service, is_retry, Time::now());
+            Ok(Permit { gateway, number, grant })
+        }
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => {
             log::error!("event=grant_lost number={number}");
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -109,7 +109,11 @@
                     leader.instance,
                     describe_end(&result)
                 );
-                gateway.scheduler.lock().restart_rates(Time::now());
+                {
+                    let mut scheduler = gateway.scheduler.lock();
+                    scheduler.restart_rates(Time::now());
+                    scheduler.restart_retries();
+                }
                 gateway.resubmit_waiting();
             } else {
                 gateway.uplink.failed_attempts.fetch_add(1, Ordering::Relaxed);
@@ -142,6 +146,8 @@
     }
     let unused = gateway.scheduler.lock().release_rates(Time::now());
     let _ = tx.send(Content::Rates(RatesFrame::from(unused)));
+    let retries = gateway.scheduler.lock().retry_usage(Time::now());
+    let _ = tx.send(Content::Retries(retries.into()));
     if let Some(content) = gateway.crashes_handover() {
         let _ = tx.send(content);
     }
@@ -252,6 +258,7 @@
         | Content::Ended(_)
         | Content::Adopt(_)
         | Content::Rates(_)
+        | Content::Retries(_)
         | Content::Heartbeat(_) => log::warn!("event=frame_unexpected from=leader"),
     }
 }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -6,6 +6,7 @@
 mod members;
 mod rate_limits;
 mod requests;
+mod retries;
 
 use bytes::Bytes;
 use prost::{Message, Oneof};
@@ -19,6 +20,7 @@
     requests::{
         AdoptFrame, EndFrame, GrantFrame, GrantRequestFrame, RatesFrame, RefuseFrame, RequestRef,
     },
+    retries::{RetriesFrame, RetryStepFrame, RetryUsageFrame},
 };
 
 /// A frame as it is encoded on the link.
@@ -26,7 +28,10 @@
 #[derive(Message)]
 pub struct Frame {
     /// Content of the frame; `None` if this release does not know it.
-    #[prost(oneof = "Content", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(
+        oneof = "Content",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+    )]
     pub content: Option<Content>,
 }
 
@@ -87,6 +92,9 @@
     /// leader: limits that the instance has seen.
     #[prost(message, tag = "17")]
     RateLimits(RateLimitsFrame),
+    /// Instance to leader: what the instance has used of the retry budgets.
+    #[prost(message, tag = "18")]
+    Retries(RetriesFrame),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -291,6 +291,9 @@
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Crashes(frame) => gateway.merge_crashes(frame),
         Content::RateLimits(frame) => gateway.merge_rate_limits(frame),
+        Content::Retries(frame) => {
+            gateway.scheduler.lock().add_retry_usage(frame.into(), now);
+        }
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -21,7 +21,7 @@
 mod scheduler;
 
 pub use self::{
-    budget::{RetryBudget, RetryLimits},
+    budget::{RetryBudget, RetryLimits, RetryStep},
     cache::KvCache,
     crash_causes::{Cause, CrashRecord},
     endpoint::{Command, Endpoint, EndpointEntry, EngineReport, Incarnation},
@@ -34,5 +34,5 @@
         Reason, Refusal,
     },
     request_limit::RequestLimit,
-    scheduler::{Mode, ModelBacklog, Scheduler, SchedulerLimits, UnusedRate},
+    scheduler::{Mode, ModelBacklog, RetryUsage, Scheduler, SchedulerLimits, UnusedRate},
 };
--- a/src/kernel/grants/budget.rs
+++ b/src/kernel/grants/budget.rs
@@ -22,6 +22,17 @@
 /// Number of steps into which a window is divided for counting.
 const WINDOW_STEPS: u32 = 20;
 
+/// Requests and retries that were counted in a step of the window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryStep {
+    /// Time since the step began.
+    pub age: Duration,
+    /// First attempts of requests.
+    pub requests: u32,
+    /// Retries.
+    pub retries: u32,
+}
+
 /// Counts the requests and retries of one service.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
@@ -29,6 +40,11 @@
     steps: VecDeque<(u64, u32, u32)>,
 }
 
+/// Returns the length of a step in microseconds.
+fn step_length(limits: &RetryLimits) -> u64 {
+    (limits.window.as_micros() as u64 / u64::from(WINDOW_STEPS)).max(1)
+}
+
 impl RetryBudget {
     /// Counts the first attempt of a request.
     pub fn record_request(&mut self, limits: &RetryLimits, now: Time) {
@@ -48,10 +64,36 @@
         true
     }
 
+    /// Counts a retry that another scheduler has granted.
+    pub fn record_retry(&mut self, limits: &RetryLimits, now: Time) {
+        self.current_step(limits, now).2 += 1;
+    }
+
+    /// Returns the steps of the window in which something was counted.
+    pub fn steps(&self, limits: &RetryLimits, now: Time) -> Vec<RetryStep> {
+        let steps = self.steps.iter().map(|(number, requests, retries)| RetryStep {
+            age: now.since(Time(number * step_length(limits))),
+            requests: *requests,
+            retries: *retries,
+        });
+        steps.filter(|step| step.age <= limits.window).collect()
+    }
+
+    /// Adds what was counted elsewhere.
+    pub fn add(&mut self, step: RetryStep, limits: &RetryLimits, now: Time) {
+        let number = (now - step.age).0 / step_length(limits);
+        let position = self.steps.partition_point(|known| known.0 < number);
+        if self.steps.get(position).is_none_or(|known| known.0 != number) {
+            self.steps.insert(position, (number, 0, 0));
+        }
+        let known = &mut self.steps[position];
+        known.1 += step.requests;
+        known.2 += step.retries;
+    }
+
     /// Returns the step of the current time and removes those that lie before the window.
     fn current_step(&mut self, limits: &RetryLimits, now: Time) -> &mut (u64, u32, u32) {
-        let length = (limits.window.as_micros() as u64 / u64::from(WINDOW_STEPS)).max(1);
-        let number = now.0 / length;
+        let number = now.0 / step_length(limits);
         // Keeps one step more than the window, since the oldest step is only partly outside it.
         while self.steps.front().is_some_and(|step| step.0 + u64::from(WINDOW_STEPS) < number) {
             self.steps.pop_front();
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -4,11 +4,12 @@
 mod crashes;
 mod planning;
 mod rate_limits;
+mod retries;
 mod runs;
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
-pub use self::{admission::UnusedRate, planning::ModelBacklog};
+pub use self::{admission::UnusedRate, planning::ModelBacklog, retries::RetryUsage};
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -82,6 +83,8 @@
     buckets: HashMap<Arc<str>, TokenBucket>,
     /// Retry budget of each service.
     retry_budgets: HashMap<Arc<str>, RetryBudget>,
+    /// Granted requests and retries of this instance alone, by service.
+    own_retries: HashMap<Arc<str>, RetryBudget>,
     crash_causes: CrashCauses,
     /// Endpoints at which a run broke, with the time of the first one; the oldest come first.
     broken: VecDeque<(Time, Arc<str>)>,
@@ -128,6 +131,7 @@
             queue: Vec::new(),
             buckets: HashMap::new(),
             retry_budgets: HashMap::new(),
+            own_retries: HashMap::new(),
             crash_causes: CrashCauses::default(),
             broken: VecDeque::new(),
             limit_version: 0,
@@ -146,7 +150,8 @@
     /// others add theirs. When it stops, it starts from nothing.
     pub fn set_mode(&mut self, mode: Mode, now: Time) {
         let was_leading = matches!(self.mode, Mode::Leading { .. });
-        match (was_leading, matches!(mode, Mode::Leading { .. })) {
+        let leads = matches!(mode, Mode::Leading { .. });
+        match (was_leading, leads) {
             (false, true) => {
                 let unused = self.release_rates(now);
                 self.add_rates(&unused, now);
@@ -154,6 +159,9 @@
             (true, false) => self.restart_rates(now),
             _ => {}
         }
+        if was_leading != leads {
+            self.restart_retries();
+        }
         let could_order = self.may_order();
         self.mode = mode;
         if could_order != self.may_order() {
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -9,3 +9,4 @@
 mod rate;
 mod rate_limits;
 mod recovery;
+mod retries;
