Add the soak: gateway processes under faults, checked by what callers and endpoints saw

The soak starts several with a stand-in for the platform's store, whose addresses can be cut off one by one, and stand-ins for its endpoints. Faults come in series and overlap, from a seed; callers keep connections until the process is gone.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,6 +11,7 @@
 mod measure;
 pub(crate) mod remote;
 mod serve;
+mod soak;
 mod standin;
 mod status;
 mod timeline;
@@ -46,6 +47,7 @@
   status       Show all instances
   timeline     Show the recent events of all instances
   measure      Measure the policies under seeded demand
+  soak         Run gateways under load and faults and check their promises
   standin      Run a stand-in of the platform, an engine or a service
 
 Options:
@@ -135,6 +137,7 @@
         "data-centre" => data_centre::run(parser),
         "status" => status::run(parser),
         "timeline" => timeline::run(parser),
+        "soak" => soak::run(parser),
         "standin" => standin::run(parser),
         other => Err(CliError::Usage(format!("no such command: {other}"))),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod platform;
 pub mod settings;
 pub mod shards;
+pub mod soak;
 pub mod standin;
 pub mod telemetry;
 pub mod timeline;
--- /dev/null
+++ b/src/soak/callers.rs
@@ -0,0 +1,288 @@
+//! The callers of a soak. They keep connections open, and use them until the gateway is gone.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use parking_lot::Mutex;
+use rand::{RngExt, seq::IndexedRandom};
+use serde::Deserialize;
+use tokio::{
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use super::fleet::{FATAL_PART, Fleet, HOST, KEY, MODELS, WITHDRAWN_KEY};
+use crate::{clock::Time, http::pool::Pool};
+
+/// Callers that send requests one after the other.
+const CALLERS: usize = 10;
+
+/// Bounds of the pause of a caller between two requests, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 5..60;
+
+/// Pause between two requests that crash endpoints.
+const FATAL_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time for which a caller keeps the addresses of the directory.
+const ADDRESS_TTL: Duration = Duration::from_secs(2);
+
+/// Timeout of opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time for which a caller waits for a response.
+const TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time for which a caller keeps an idle connection.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
+
+/// What a request is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A stream of events, which may be resumed.
+    Chat,
+    /// A request that must not run twice.
+    Payment,
+    /// A request that may run twice.
+    Lookup,
+    /// A stream whose prompt crashes the engine that runs it.
+    Fatal,
+}
+
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub enum Ending {
+    /// A whole response has arrived.
+    Whole {
+        /// Status of the response.
+        status: u16,
+        /// The stamp of the endpoint; `None` if the gateway itself has responded.
+        stamp: Option<String>,
+        /// Body of the response.
+        body: Bytes,
+    },
+    /// The head of a response has arrived, and the body has not ended.
+    Partial {
+        /// Status of the response.
+        status: u16,
+    },
+    /// The connection ended without a response.
+    Broken,
+    /// Nothing arrived in time.
+    TimedOut,
+    /// No connection could be opened, or nothing was sent on it.
+    NotSent,
+}
+
+/// A request and its end.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Id of the request.
+    pub request: String,
+    /// What it was for.
+    pub kind: Kind,
+    /// Gateway to which it was sent.
+    pub gateway: usize,
+    /// Whether it had the key that is withdrawn at times.
+    pub has_withdrawn_key: bool,
+    /// When it was sent.
+    pub sent_at: Time,
+    /// When it ended.
+    pub ended_at: Time,
+    /// How it ended.
+    pub ending: Ending,
+}
+
+impl Attempt {
+    /// Returns the status of the response; `None` if none has arrived.
+    pub fn status(&self) -> Option<u16> {
+        match &self.ending {
+            Ending::Whole { status, .. } | Ending::Partial { status } => Some(*status),
+            Ending::Broken | Ending::TimedOut | Ending::NotSent => None,
+        }
+    }
+
+    /// Returns whether the request was answered with success.
+    pub fn is_served(&self) -> bool {
+        matches!(self.ending, Ending::Whole { status: 200, .. })
+    }
+}
+
+/// What all callers share.
+struct Shared {
+    /// Addresses for callers and of the directory, by gateway.
+    gateways: Vec<(SocketAddr, SocketAddr)>,
+    attempts: Mutex<Vec<Attempt>>,
+    next_id: AtomicU64,
+    is_fatal: AtomicBool,
+    is_over: AtomicBool,
+}
+
+/// The callers of a soak.
+pub struct Callers {
+    shared: Arc<Shared>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+#[derive(Deserialize)]
+struct RawAddresses {
+    addresses: Vec<SocketAddr>,
+}
+
+impl Callers {
+    /// Starts the callers.
+    pub fn start(fleet: &Fleet) -> Self {
+        let gateways = fleet.gateways.iter().map(|gateway| (gateway.callers, gateway.directory));
+        let shared = Arc::new(Shared {
+            gateways: gateways.collect(),
+            attempts: Mutex::default(),
+            next_id: AtomicU64::new(1),
+            is_fatal: AtomicBool::new(false),
+            is_over: AtomicBool::new(false),
+        });
+        let mut tasks: Vec<JoinHandle<()>> =
+            (0..CALLERS).map(|_| tokio::spawn(call_repeatedly(shared.clone()))).collect();
+        tasks.push(tokio::spawn(call_fatally(shared.clone())));
+        Self { shared, tasks }
+    }
+
+    /// Starts or ends the requests that crash endpoints.
+    pub fn set_fatal(&self, is_fatal: bool) {
+        self.shared.is_fatal.store(is_fatal, Ordering::Relaxed);
+    }
+
+    /// Ends the callers and returns their requests.
+    pub async fn stop(self) -> Vec<Attempt> {
+        self.shared.is_over.store(true, Ordering::Relaxed);
+        for task in self.tasks {
+            let _ = task.await;
+        }
+        std::mem::take(&mut *self.shared.attempts.lock())
+    }
+}
+
+/// Sends requests one after the other to gateways that the directory names.
+async fn call_repeatedly(shared: Arc<Shared>) {
+    let pool: Arc<Pool> = Arc::default();
+    let mut addresses: Vec<SocketAddr> = Vec::new();
+    let mut resolved_at = Time::default();
+    while !shared.is_over.load(Ordering::Relaxed) {
+        if Time::now().since(resolved_at) > ADDRESS_TTL || addresses.is_empty() {
+            resolved_at = Time::now();
+            addresses = resolve(&shared).await.unwrap_or(addresses);
+        }
+        let (kind, pause) = {
+            let mut rng = rand::rng();
+            let kinds = [Kind::Chat, Kind::Chat, Kind::Payment, Kind::Lookup];
+            (kinds[rng.random_range(0..kinds.len())], rng.random_range(PAUSE_MS))
+        };
+        let address = addresses.choose(&mut rand::rng()).copied();
+        let known = |address| shared.gateways.iter().position(|(callers, _)| *callers == address);
+        if let Some(gateway) = address.and_then(known) {
+            call(&shared, &pool, gateway, kind).await;
+        }
+        sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+/// Sends requests that crash endpoints to any gateway, while that is wanted.
+async fn call_fatally(shared: Arc<Shared>) {
+    while !shared.is_over.load(Ordering::Relaxed) {
+        sleep(FATAL_PAUSE).await;
+        if shared.is_fatal.load(Ordering::Relaxed) {
+            let gateway = rand::rng().random_range(0..shared.gateways.len());
+            let shared = shared.clone();
+            tokio::spawn(async move { call(&shared, &Arc::default(), gateway, Kind::Fatal).await });
+        }
+    }
+}
+
+/// Asks the directory of a random gateway for addresses.
+async fn resolve(shared: &Shared) -> Option<Vec<SocketAddr>> {
+    let gateway = rand::rng().random_range(0..shared.gateways.len());
+    let request = Request::get(format!("/api/resolve?name={HOST}&region=r&zone=dc-a"));
+    let request = request.header("host", "directory").body(Full::default()).ok()?;
+    let exchange = async {
+        let pool: Arc<Pool> = Arc::default();
+        let mut connection =
+            pool.acquire(shared.gateways[gateway].1, CONNECT_TIMEOUT).await.ok()?;
+        let response = connection.send(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice::<RawAddresses>(&body).ok()
+    };
+    timeout(CONNECT_TIMEOUT, exchange).await.ok()?.map(|raw| raw.addresses)
+}
+
+/// Sends a request and records its end.
+async fn call(shared: &Shared, pool: &Arc<Pool>, gateway: usize, kind: Kind) {
+    let number = shared.next_id.fetch_add(1, Ordering::Relaxed);
+    let has_withdrawn_key = kind != Kind::Fatal && number.is_multiple_of(5);
+    let request = format!("{number:016x}");
+    let sent_at = Time::now();
+    let message = message(&request, number, kind, has_withdrawn_key);
+    let exchange = exchange(pool, shared.gateways[gateway].0, message);
+    let ending = timeout(TIMEOUT, exchange).await.unwrap_or(Ending::TimedOut);
+    let ended_at = Time::now();
+    let attempt = Attempt { request, kind, gateway, has_withdrawn_key, sent_at, ended_at, ending };
+    shared.attempts.lock().push(attempt);
+}
+
+/// Returns the request as it is sent to a gateway.
+fn message(
+    request: &str,
+    number: u64,
+    kind: Kind,
+    has_withdrawn_key: bool,
+) -> Request<Full<Bytes>> {
+    let path = match kind {
+        Kind::Chat | Kind::Fatal => format!("/chat/{number}"),
+        Kind::Payment => format!("/pay/{number}"),
+        Kind::Lookup => format!("/look/{number}"),
+    };
+    let key = if has_withdrawn_key { WITHDRAWN_KEY } else { KEY };
+    let mut builder = Request::post(path)
+        .header("host", HOST)
+        .header("x-request-id", request)
+        .header("x-deadline-ms", TIMEOUT.as_millis().to_string())
+        .header("authorization", format!("Token {key}"));
+    if matches!(kind, Kind::Chat | Kind::Fatal) {
+        let model = MODELS[number as usize % MODELS.len()];
+        let part = if kind == Kind::Fatal { FATAL_PART } else { "5afe" };
+        builder = builder
+            .header("x-model", model)
+            .header("x-token-count", "120,20")
+            .header("x-prompt-prefix", format!("aa:50,{part}:40,{number:x}:30"));
+    }
+    let body = Full::new(Bytes::from(format!("body of {request}")));
+    builder.body(body).expect("the names and values are valid")
+}
+
+/// Sends a request and reads the whole response.
+async fn exchange(pool: &Arc<Pool>, address: SocketAddr, request: Request<Full<Bytes>>) -> Ending {
+    let Ok(mut connection) = pool.acquire(address, CONNECT_TIMEOUT).await else {
+        return Ending::NotSent;
+    };
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        Err(crate::http::pool::SendError::Unknown(_)) => return Ending::Broken,
+        Err(_) => return Ending::NotSent,
+    };
+    let status = response.status().as_u16();
+    let stamp = response.headers().get("x-server-stamp");
+    let stamp = stamp.and_then(|stamp| stamp.to_str().ok()).map(str::to_owned);
+    match response.into_body().collect().await {
+        Ok(body) => {
+            pool.release(connection, KEEP_ALIVE);
+            Ending::Whole { status, stamp, body: body.to_bytes() }
+        }
+        Err(_) => Ending::Partial { status },
+    }
+}
--- /dev/null
+++ b/src/soak/plan.rs
@@ -0,0 +1,131 @@
+//! The faults of a soak, drawn from its seed. They come in series and overlap.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
+
+use super::Options;
+use crate::standin::{metadata::StoreFaults, worker::WorkerFaults};
+
+/// Mean time between two faults, for a fleet of any size.
+const FAULT_INTERVAL: Duration = Duration::from_millis(900);
+
+/// Longest series of the same fault.
+const MAX_SERIES: u32 = 3;
+
+/// Time between the faults of a series.
+const SERIES_INTERVAL: Duration = Duration::from_millis(400);
+
+/// A fault.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// A gateway is killed and started again.
+    Kill(usize),
+    /// A gateway is stopped by SIGSTOP for a while.
+    Pause(usize, Duration),
+    /// A gateway gets SIGTERM, and is started again once it has ended.
+    Stop(usize),
+    /// All gateways are killed at once.
+    KillAll,
+    /// One gateway's calls to the store fail for a while.
+    StoreCut(usize, StoreFaults, Duration),
+    /// All calls to the store fail for a while.
+    StoreDown(StoreFaults, Duration),
+    /// The store forgets its history.
+    ForgetHistory,
+    /// An endpoint crashes.
+    Crash(usize),
+    /// An endpoint drains and leaves.
+    Leave(usize),
+    /// An endpoint has faults for a while.
+    Unsound(usize, WorkerFaults, Duration),
+    /// A key is withdrawn for a while.
+    WithdrawKey(Duration),
+    /// Callers send requests that crash endpoints for a while.
+    FatalRequests(Duration),
+}
+
+/// A fault and its time.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    /// Time since the begin of the soak.
+    pub at: Duration,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// Draws the faults between `from` and `to`.
+pub fn plan(options: &Options, from: Duration, to: Duration) -> Vec<Step> {
+    let mut rng = StdRng::seed_from_u64(options.seed);
+    let mut steps = Vec::new();
+    let mut at = from;
+    while at < to {
+        let fault = draw(&mut rng, options);
+        let series = match fault {
+            Fault::Kill(_) | Fault::Stop(_) | Fault::Crash(_) | Fault::Pause(..) => {
+                rng.random_range(1..=MAX_SERIES)
+            }
+            _ => 1,
+        };
+        for number in 0..series {
+            let fault = if number == 0 { fault } else { move_on(fault, number, options) };
+            steps.push(Step { at: at + SERIES_INTERVAL * number, fault });
+        }
+        at += FAULT_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+    }
+    steps.retain(|step| step.at < to);
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// Returns the same fault at the next gateway or endpoint.
+fn move_on(fault: Fault, number: u32, options: &Options) -> Fault {
+    let next = |index: usize, count: usize| (index + number as usize) % count;
+    match fault {
+        Fault::Kill(index) => Fault::Kill(next(index, options.gateways)),
+        Fault::Stop(index) => Fault::Stop(next(index, options.gateways)),
+        Fault::Pause(index, length) => Fault::Pause(next(index, options.gateways), length),
+        Fault::Crash(index) => Fault::Crash(next(index, options.engines)),
+        other => other,
+    }
+}
+
+fn draw(rng: &mut impl Rng, options: &Options) -> Fault {
+    let gateway = rng.random_range(0..options.gateways);
+    let engine = rng.random_range(0..options.engines);
+    let length = Duration::from_millis(rng.random_range(300..4_000));
+    match rng.random_range(0..16) {
+        0 | 1 => Fault::Kill(gateway),
+        2 | 3 => Fault::Pause(gateway, length),
+        4 | 5 => Fault::Stop(gateway),
+        6 => Fault::KillAll,
+        7 => Fault::StoreCut(gateway, draw_store_faults(rng), length),
+        8 | 9 => Fault::StoreDown(draw_store_faults(rng), length),
+        10 => Fault::ForgetHistory,
+        11 => Fault::Crash(engine),
+        12 => Fault::Leave(engine),
+        13 => Fault::Unsound(engine, draw_worker_faults(rng), length * 2),
+        14 => Fault::WithdrawKey(length * 2),
+        _ => Fault::FatalRequests(length * 2),
+    }
+}
+
+fn draw_store_faults(rng: &mut impl Rng) -> StoreFaults {
+    let sound = StoreFaults::default();
+    match rng.random_range(0..4) {
+        0 => StoreFaults { silent: true, ..sound },
+        1 => StoreFaults { refusing: true, ..sound },
+        2 => StoreFaults { lost: 0.4, ..sound },
+        _ => StoreFaults { delay: Duration::from_millis(250), ..sound },
+    }
+}
+
+fn draw_worker_faults(rng: &mut impl Rng) -> WorkerFaults {
+    let sound = WorkerFaults::default();
+    match rng.random_range(0..4) {
+        0 => WorkerFaults { failing: 0.4, ..sound },
+        1 => WorkerFaults { breaking: 0.4, ..sound },
+        2 => WorkerFaults { endless: 0.2, ..sound },
+        _ => WorkerFaults { limit: Some(1.0), ..sound },
+    }
+}
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -2,8 +2,11 @@
 //! the demo use.
 
 pub mod engine;
+pub mod http1;
+pub mod metadata;
 pub mod platform;
 pub mod service;
+pub mod worker;
 
 /// Largest request body that a stand-in reads, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 << 20;
--- /dev/null
+++ b/src/standin/metadata.rs
@@ -0,0 +1,233 @@
+//! Stand-in for the metadata store of the users' platform: records with revisions, conditional
+//! writes, leases, watches and faults.
+
+mod calls;
+
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use http::StatusCode;
+use parking_lot::Mutex;
+use rand::RngExt;
+use tokio::{sync::watch, time::sleep};
+
+use super::http1::{Broken, Server};
+use crate::clock::Time;
+
+/// Changes that are remembered for watches.
+const MAX_LOG_LEN: usize = 4_096;
+
+/// Interval at which ended leases are looked for.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// How a store treats the calls that arrive at one of its addresses.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StoreFaults {
+    /// Whether calls get no response, and are not carried out.
+    pub silent: bool,
+    /// Whether calls are refused with status 503.
+    pub refusing: bool,
+    /// Fraction of the writes that are carried out and get no response.
+    pub lost: f64,
+    /// Time that each call takes.
+    pub delay: Duration,
+}
+
+/// A record.
+#[derive(Clone, Debug)]
+struct Record {
+    value: String,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+/// A lease.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Duration,
+    ends_at: Time,
+}
+
+/// A change of a record; `None` if it was deleted.
+#[derive(Clone, Debug)]
+struct Change {
+    revision: u64,
+    key: String,
+    record: Option<Record>,
+}
+
+/// Records, leases and changes.
+#[derive(Debug, Default)]
+struct State {
+    records: BTreeMap<String, Record>,
+    leases: HashMap<u64, Lease>,
+    changes: VecDeque<Change>,
+    /// Revision of the latest change that is forgotten.
+    forgotten: u64,
+    revision: u64,
+    last_lease: u64,
+}
+
+impl State {
+    /// Writes a record; returns the revision.
+    fn put(&mut self, key: &str, value: String, lease: u64) {
+        let created = self.records.get(key).map_or(self.revision, |record| record.created);
+        let record = Record { value, revision: self.revision, created, lease };
+        self.records.insert(key.to_owned(), record.clone());
+        self.record_change(key, Some(record));
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.records.remove(key).is_some() {
+            self.record_change(key, None);
+        }
+    }
+
+    fn record_change(&mut self, key: &str, record: Option<Record>) {
+        let change = Change { revision: self.revision, key: key.to_owned(), record };
+        self.changes.push_back(change);
+        while self.changes.len() > MAX_LOG_LEN {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some(change) = self.changes.pop_front() {
+            self.forgotten = change.revision;
+        }
+    }
+
+    /// Deletes the records of leases that have ended.
+    fn end_leases(&mut self, now: Time) {
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.ends_at <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        ended.iter().for_each(|id| self.end_lease(*id));
+    }
+
+    fn end_lease(&mut self, id: u64) {
+        self.leases.remove(&id);
+        self.revision += 1;
+        let held = self.records.iter().filter(|(_, record)| record.lease == id);
+        let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.delete(key));
+    }
+}
+
+/// A store that runs in this process.
+pub struct MetadataStore {
+    state: Mutex<State>,
+    /// Revision of the last change, for watches.
+    changed: watch::Sender<u64>,
+}
+
+impl MetadataStore {
+    /// Creates an empty store, and starts the task that ends its leases.
+    pub fn start() -> Arc<Self> {
+        let store = Arc::new(Self { state: Mutex::default(), changed: watch::Sender::new(0) });
+        let weak = Arc::downgrade(&store);
+        tokio::spawn(async move {
+            while let Some(store) = weak.upgrade() {
+                store.update(|state| state.end_leases(Time::now()));
+                drop(store);
+                sleep(LEASE_CHECK_INTERVAL).await;
+            }
+        });
+        store
+    }
+
+    /// Changes the state and notifies the watches of changes.
+    fn update<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = self.state.lock();
+        let before = state.revision;
+        let result = change(&mut state);
+        let revision = state.revision;
+        drop(state);
+        if revision != before {
+            self.changed.send_replace(revision);
+        }
+        result
+    }
+
+    /// Writes a record, as the operator or an endpoint does.
+    pub fn put(&self, key: &str, value: &str) {
+        use base64::{Engine, engine::general_purpose::STANDARD};
+        self.update(|state| {
+            state.revision += 1;
+            state.put(key, STANDARD.encode(value), 0);
+        });
+    }
+
+    /// Deletes a record.
+    pub fn delete(&self, key: &str) {
+        self.update(|state| {
+            state.revision += 1;
+            state.delete(key);
+        });
+    }
+
+    /// Forgets all changes, so that watches must read everything again.
+    pub fn forget_history(&self) {
+        self.update(|state| {
+            while !state.changes.is_empty() {
+                state.forget_oldest();
+            }
+        });
+    }
+}
+
+/// An address of a store, with faults of its own, so that single instances can be cut off.
+pub struct StoreAddress {
+    /// Address at which the store is served.
+    pub address: SocketAddr,
+    faults: Arc<Mutex<StoreFaults>>,
+    _server: Server,
+}
+
+impl StoreAddress {
+    /// Serves a store at `address`.
+    pub fn start(store: Arc<MetadataStore>, address: SocketAddr) -> io::Result<Self> {
+        let faults: Arc<Mutex<StoreFaults>> = Arc::default();
+        let shared = faults.clone();
+        let server = Server::start(address, move |request| {
+            let (store, faults) = (store.clone(), *shared.lock());
+            async move { respond(&store, faults, request).await }
+        })?;
+        Ok(Self { address, faults, _server: server })
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: StoreFaults) {
+        *self.faults.lock() = faults;
+    }
+}
+
+/// Carries out a call, subject to the faults of its address.
+async fn respond(
+    store: &MetadataStore,
+    faults: StoreFaults,
+    request: http::Request<hyper::body::Incoming>,
+) -> Result<http::Response<super::http1::Body>, Broken> {
+    sleep(faults.delay).await;
+    if faults.silent {
+        return std::future::pending().await;
+    }
+    if faults.refusing {
+        return Ok(super::http1::whole_response(StatusCode::SERVICE_UNAVAILABLE, "{}"));
+    }
+    let is_lost = request.method() == http::Method::POST && rand::rng().random_bool(faults.lost);
+    let response = store.call(request).await?;
+    if is_lost {
+        return std::future::pending().await;
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/src/standin/worker.rs
@@ -0,0 +1,241 @@
+//! Stand-in for an endpoint of the users' platform: an engine, or a server of a plain service. It
+//! registers in the stand-in for the store and restarts under another name after a crash.
+
+mod answer;
+mod record;
+
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use tokio::{sync::Notify, task::AbortHandle, time::sleep};
+
+pub use self::{
+    answer::{LAST_EVENT, event_text, plain_body},
+    record::{Mark, Order, Run, WorkerLog},
+};
+use super::{http1::Server, metadata::MetadataStore};
+use crate::clock::{Time, wall_millis};
+
+/// Time from a crash until the endpoint's entry is removed.
+const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_400);
+
+/// Time from a crash to the next start.
+const RESTART_TIME: Duration = Duration::from_millis(3_000);
+
+/// Time for which an endpoint that drains goes on serving.
+const DRAIN_TIME: Duration = Duration::from_secs(5);
+
+/// Time that an engine needs to load a model.
+const LOAD_TIME: Duration = Duration::from_millis(300);
+
+/// What an endpoint is like.
+#[derive(Clone, Debug)]
+pub struct WorkerSettings {
+    /// Name of the service.
+    pub service: String,
+    /// Data centre of the endpoint.
+    pub data_centre: String,
+    /// Address at which it serves.
+    pub address: SocketAddr,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Models that are loaded at the start; empty for a plain service.
+    pub models: Vec<String>,
+    /// Models for which it has room.
+    pub model_slots: usize,
+    /// Hash of a prompt part that crashes it.
+    pub fatal_part: String,
+}
+
+/// Faults of an endpoint that is up.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkerFaults {
+    /// Fraction of the requests that fail with status 500.
+    pub failing: f64,
+    /// Fraction of the responses that are broken off.
+    pub breaking: f64,
+    /// Fraction of the streams that send bytes without end.
+    pub endless: f64,
+    /// Limit of the request rate that its responses name.
+    pub limit: Option<f64>,
+}
+
+/// State of one incarnation.
+#[derive(Debug)]
+struct State {
+    id: Arc<str>,
+    /// Wall-clock time of the start in milliseconds, which is the incarnation.
+    born: u64,
+    is_draining: bool,
+    models: BTreeSet<String>,
+    /// Orders accepted since the start.
+    order_count: u64,
+    /// Until when an order is being carried out.
+    busy_until: Time,
+    running: u32,
+}
+
+impl State {
+    fn new(settings: &WorkerSettings, models: BTreeSet<String>) -> Self {
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        Self {
+            id: format!("{}-{number}", settings.service).into(),
+            // Each start is a new incarnation, also two in the same millisecond.
+            born: wall_millis() + number,
+            is_draining: false,
+            models,
+            order_count: 0,
+            busy_until: Time::default(),
+            running: 0,
+        }
+    }
+
+    fn models_json(&self) -> Value {
+        let models = self.models.iter();
+        models.map(|name| json!({ "name": name, "version": 1, "adapters": [] })).collect()
+    }
+}
+
+/// An endpoint, with what its tasks share.
+struct Shared {
+    settings: WorkerSettings,
+    store: Arc<MetadataStore>,
+    log: Arc<WorkerLog>,
+    state: Mutex<State>,
+    faults: Mutex<WorkerFaults>,
+    crash: Notify,
+    leave: Notify,
+}
+
+/// An endpoint that runs in this process until it is dropped.
+pub struct Worker {
+    shared: Arc<Shared>,
+    task: AbortHandle,
+}
+
+impl Drop for Worker {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Worker {
+    /// Starts an endpoint that registers in `store` and records its runs in `log`.
+    pub fn start(settings: WorkerSettings, store: Arc<MetadataStore>, log: Arc<WorkerLog>) -> Self {
+        let models = settings.models.iter().cloned().collect();
+        let shared = Arc::new(Shared {
+            state: Mutex::new(State::new(&settings, models)),
+            settings,
+            store,
+            log,
+            faults: Mutex::default(),
+            crash: Notify::new(),
+            leave: Notify::new(),
+        });
+        let task = tokio::spawn(supervise(shared.clone()));
+        Self { shared, task: task.abort_handle() }
+    }
+
+    /// Crashes the endpoint, which starts again after a while.
+    pub fn crash(&self) {
+        self.shared.crash.notify_one();
+    }
+
+    /// Lets the endpoint drain and leave; another one takes its place.
+    pub fn leave(&self) {
+        self.shared.leave.notify_one();
+    }
+
+    /// Replaces the faults.
+    pub fn set_faults(&self, faults: WorkerFaults) {
+        let limit = faults.limit;
+        let old = std::mem::replace(&mut *self.shared.faults.lock(), faults);
+        if old.limit != limit {
+            let id = self.shared.state.lock().id.clone();
+            self.shared.log.record_limit(id, limit);
+        }
+    }
+}
+
+/// Runs one incarnation after the other.
+async fn supervise(shared: Arc<Shared>) {
+    loop {
+        let server = loop {
+            let handler = shared.clone();
+            let address = shared.settings.address;
+            match Server::start(address, move |request| answer::respond(handler.clone(), request)) {
+                Ok(server) => break server,
+                Err(err) => {
+                    log::warn!("event=standin_not_started address={address} reason={err}");
+                    sleep(Duration::from_millis(100)).await;
+                }
+            }
+        };
+        shared.register();
+        let has_crashed = tokio::select! {
+            () = shared.crash.notified() => true,
+            () = shared.drain() => false,
+        };
+        drop(server);
+        let id = shared.state.lock().id.clone();
+        shared.log.record_end(id.clone());
+        if has_crashed {
+            sleep(ENTRY_TIMEOUT).await;
+        }
+        shared.store.delete(&entry_key(&id));
+        sleep(RESTART_TIME - ENTRY_TIMEOUT).await;
+        *shared.state.lock() = State::new(&shared.settings, BTreeSet::new());
+    }
+}
+
+/// Returns the key of an endpoint's entry.
+fn entry_key(id: &str) -> String {
+    format!("servers/{id}")
+}
+
+impl Shared {
+    /// Writes the endpoint's entry.
+    fn register(&self) {
+        let (key, entry) = {
+            let state = self.state.lock();
+            let entry = json!({
+                "service": self.settings.service,
+                "address": self.settings.address,
+                "zone": self.settings.data_centre,
+                "version": 1,
+                "slots": self.settings.slots,
+                "state": if state.is_draining { "draining" } else { "ready" },
+                "cold_remaining_ms": 0,
+                "seq": state.order_count,
+                "born": state.born,
+                "models": state.models_json(),
+                "at_hand": { "in_memory": self.settings.models, "on_disk": [] },
+            });
+            (entry_key(&state.id), entry)
+        };
+        self.store.put(&key, &entry.to_string());
+    }
+
+    /// Waits until the endpoint must leave, drains it, and returns when it may end.
+    async fn drain(&self) {
+        self.leave.notified().await;
+        let id = {
+            let mut state = self.state.lock();
+            state.is_draining = true;
+            state.id.clone()
+        };
+        self.register();
+        self.log.record_drain(id);
+        sleep(DRAIN_TIME).await;
+    }
+}
--- /dev/null
+++ b/src/standin/worker/answer.rs
@@ -0,0 +1,240 @@
+//! Responses of the stand-in for an endpoint: answers, streams, reports and orders.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request::Parts};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use rand::RngExt;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::sleep;
+
+use super::{LOAD_TIME, Order, Run, Shared, WorkerFaults};
+use crate::{
+    clock::Time,
+    standin::http1::{Body, Broken, PartSender, streamed_response, whole_response},
+};
+
+/// Number of the last event of each stream.
+pub const LAST_EVENT: u64 = 12;
+
+/// Time between two events.
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+
+/// Time that a plain request takes.
+const PLAIN_TIME: Duration = Duration::from_millis(10);
+
+/// Time from the begin of a run that crashes the endpoint to the crash.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+
+/// Size of each part of a body without end.
+const ENDLESS_PART_BYTES: usize = 64 << 10;
+
+#[derive(Deserialize)]
+struct RawOrder {
+    operation: String,
+    model: String,
+    #[serde(default)]
+    precondition: Option<u64>,
+    holder: String,
+}
+
+/// Counts a request as running until it is dropped.
+struct Running(Arc<Shared>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut state = self.0.state.lock();
+        state.running = state.running.saturating_sub(1);
+    }
+}
+
+/// Returns the whole body that the endpoint `endpoint` gives to a plain request.
+pub fn plain_body(request: &str, endpoint: &str) -> String {
+    format!("answer to {request} from {endpoint}")
+}
+
+/// Returns an event of the stream of a request.
+pub fn event_text(request: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {request} {number}\n\n")
+}
+
+fn header<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
+    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+}
+
+/// Responds to a request.
+pub(super) async fn respond(
+    shared: Arc<Shared>,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, Broken> {
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
+    let expected = header(&parts.headers, "x-expect-instance");
+    if !expected.is_empty() && *expected != *shared.state.lock().id {
+        return Ok(not_run(StatusCode::MISDIRECTED_REQUEST));
+    }
+    match parts.uri.path() {
+        "/api/report" => Ok(report(&shared)),
+        "/api/order" => Ok(carry_out(&shared, &body)),
+        _ => run(shared, parts).await,
+    }
+}
+
+/// Returns a response that says that the request has not run.
+fn not_run(status: StatusCode) -> Response<Body> {
+    let mut response = whole_response(status, Bytes::new());
+    response.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
+    response
+}
+
+fn report(shared: &Shared) -> Response<Body> {
+    let state = shared.state.lock();
+    let body = json!({
+        "stage": "unified", "models": state.models_json(), "busy": state.busy_until > Time::now(),
+        "seq": state.order_count, "queued_requests": 0, "running": state.running,
+        "kv_used": 0, "kv_total": 100_000, "handles": 0, "born": state.born,
+    });
+    whole_response(StatusCode::OK, body.to_string())
+}
+
+/// Carries out an order.
+fn carry_out(shared: &Arc<Shared>, body: &Bytes) -> Response<Body> {
+    let Ok(order) = serde_json::from_slice::<RawOrder>(body) else {
+        return whole_response(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    let now = Time::now();
+    let mut state = shared.state.lock();
+    let is_stale = order.precondition.is_some_and(|count| count != state.order_count);
+    if state.busy_until > now || is_stale {
+        return whole_response(StatusCode::CONFLICT, Bytes::new());
+    }
+    let is_load = order.operation == "load";
+    if state.models.contains(&order.model) == is_load {
+        return whole_response(StatusCode::OK, Bytes::new());
+    }
+    let fits = !is_load || state.models.len() < shared.settings.model_slots;
+    state.order_count += 1;
+    state.busy_until = now + LOAD_TIME;
+    let endpoint = state.id.clone();
+    shared.log.record_order(Order { endpoint, holder: order.holder, at: now, fits });
+    if is_load {
+        tokio::spawn(finish_load(shared.clone(), state.born, order.model));
+    } else {
+        state.models.remove(&order.model);
+        state.busy_until = now;
+        drop(state);
+        shared.register();
+    }
+    whole_response(StatusCode::ACCEPTED, Bytes::new())
+}
+
+/// Adds a model once it is loaded, unless the endpoint has restarted meanwhile.
+async fn finish_load(shared: Arc<Shared>, born: u64, model: String) {
+    sleep(LOAD_TIME).await;
+    {
+        let mut state = shared.state.lock();
+        if state.born != born {
+            return;
+        }
+        state.models.insert(model);
+    }
+    shared.register();
+}
+
+/// Runs a caller's request.
+async fn run(shared: Arc<Shared>, parts: Parts) -> Result<Response<Body>, Broken> {
+    let headers = &parts.headers;
+    let model = header(headers, "x-model");
+    let (endpoint, running) = {
+        let mut state = shared.state.lock();
+        if !model.is_empty() && !state.models.contains(model) {
+            return Ok(not_run(StatusCode::MISDIRECTED_REQUEST));
+        }
+        if state.running >= shared.settings.slots {
+            return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        state.running += 1;
+        (state.id.clone(), Running(shared.clone()))
+    };
+    let request = header(headers, "x-request-id").to_owned();
+    let fatal_part = &shared.settings.fatal_part;
+    let prompt = header(headers, "x-prompt-prefix").split(',');
+    let is_fatal = prompt.map(|part| part.split(':').next()).any(|hash| hash == Some(fatal_part));
+    shared.log.record_run(Run {
+        request: request.clone(),
+        endpoint: endpoint.clone(),
+        at: Time::now(),
+        team: headers.get("x-tenant").map(|_| header(headers, "x-tenant").to_owned()),
+        shows_key: headers.contains_key("authorization"),
+        is_fatal,
+    });
+    let faults = *shared.faults.lock();
+    if is_fatal {
+        sleep(CRASH_DELAY).await;
+        shared.crash.notify_one();
+        return std::future::pending().await;
+    }
+    let mut response = if rand::rng().random_bool(faults.failing) {
+        whole_response(StatusCode::INTERNAL_SERVER_ERROR, "failed")
+    } else if model.is_empty() {
+        sleep(PLAIN_TIME).await;
+        if rand::rng().random_bool(faults.breaking) {
+            return Err(Broken);
+        }
+        whole_response(StatusCode::OK, plain_body(&request, &endpoint))
+    } else {
+        let after = header(headers, "last-event-id").parse().unwrap_or(0);
+        let (tx, response) = streamed_response(StatusCode::OK);
+        tokio::spawn(send_events(tx, request.clone(), after, faults, running));
+        response
+    };
+    add_headers(response.headers_mut(), &request, &endpoint, &faults);
+    Ok(response)
+}
+
+fn add_headers(headers: &mut HeaderMap, request: &str, endpoint: &str, faults: &WorkerFaults) {
+    let mut insert = |name, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    insert("x-request-id", request);
+    insert("x-server-stamp", &format!("stamp.{endpoint}"));
+    if let Some(limit) = faults.limit {
+        insert("server-limit", &limit.to_string());
+    }
+}
+
+/// Sends the events of a stream after the event `after`.
+async fn send_events(
+    tx: PartSender,
+    request: String,
+    after: u64,
+    faults: WorkerFaults,
+    _running: Running,
+) {
+    let (is_endless, breaks) = {
+        let mut rng = rand::rng();
+        (rng.random_bool(faults.endless), rng.random_bool(faults.breaking))
+    };
+    for number in after + 1..=LAST_EVENT {
+        sleep(EVENT_INTERVAL).await;
+        if breaks && number == LAST_EVENT / 2 {
+            let _ = tx.send(Err(Broken)).await;
+            return;
+        }
+        let event = Bytes::from(event_text(&request, number));
+        if tx.send(Ok(event)).await.is_err() {
+            return;
+        }
+        while is_endless && number > LAST_EVENT / 2 {
+            let part = Bytes::from(vec![b'x'; ENDLESS_PART_BYTES]);
+            if tx.send(Ok(part)).await.is_err() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/worker/record.rs
@@ -0,0 +1,114 @@
+//! What the endpoints of a trial have seen.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use crate::clock::Time;
+
+/// A request that an endpoint has begun to run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Id of the request.
+    pub request: String,
+    /// Endpoint that ran it.
+    pub endpoint: Arc<str>,
+    /// When it began.
+    pub at: Time,
+    /// Team that the request was sent for.
+    pub team: Option<String>,
+    /// Whether the endpoint was shown a key.
+    pub shows_key: bool,
+    /// Whether the run crashes the endpoint.
+    pub is_fatal: bool,
+}
+
+/// An order that an endpoint has accepted.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Endpoint that accepted it.
+    pub endpoint: Arc<str>,
+    /// Instance that gave it.
+    pub holder: String,
+    /// When it was accepted.
+    pub at: Time,
+    /// Whether the endpoint had room for what it was ordered to load.
+    pub fits: bool,
+}
+
+/// An event in the life of an endpoint.
+#[derive(Clone, Debug)]
+pub struct Mark<T> {
+    /// The endpoint.
+    pub endpoint: Arc<str>,
+    /// When it happened.
+    pub at: Time,
+    /// What has changed.
+    pub value: T,
+}
+
+/// What the endpoints have seen, in the order of time.
+#[derive(Debug, Default)]
+pub struct WorkerLog {
+    runs: Mutex<Vec<Run>>,
+    orders: Mutex<Vec<Order>>,
+    drains: Mutex<Vec<Mark<()>>>,
+    ends: Mutex<Vec<Mark<()>>>,
+    limits: Mutex<Vec<Mark<Option<f64>>>>,
+}
+
+fn mark<T>(endpoint: Arc<str>, value: T) -> Mark<T> {
+    Mark { endpoint, at: Time::now(), value }
+}
+
+impl WorkerLog {
+    /// Records a run.
+    pub fn record_run(&self, run: Run) {
+        self.runs.lock().push(run);
+    }
+
+    /// Records an order.
+    pub fn record_order(&self, order: Order) {
+        self.orders.lock().push(order);
+    }
+
+    /// Records that an endpoint drains.
+    pub fn record_drain(&self, endpoint: Arc<str>) {
+        self.drains.lock().push(mark(endpoint, ()));
+    }
+
+    /// Records that an endpoint has ended.
+    pub fn record_end(&self, endpoint: Arc<str>) {
+        self.ends.lock().push(mark(endpoint, ()));
+    }
+
+    /// Records the limit that an endpoint names from now on.
+    pub fn record_limit(&self, endpoint: Arc<str>, limit: Option<f64>) {
+        self.limits.lock().push(mark(endpoint, limit));
+    }
+
+    /// Returns the runs.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().clone()
+    }
+
+    /// Returns the orders.
+    pub fn orders(&self) -> Vec<Order> {
+        self.orders.lock().clone()
+    }
+
+    /// Returns when endpoints began to drain.
+    pub fn drains(&self) -> Vec<Mark<()>> {
+        self.drains.lock().clone()
+    }
+
+    /// Returns when endpoints ended.
+    pub fn ends(&self) -> Vec<Mark<()>> {
+        self.ends.lock().clone()
+    }
+
+    /// Returns when endpoints changed the limits that they name.
+    pub fn limits(&self) -> Vec<Mark<Option<f64>>> {
+        self.limits.lock().clone()
+    }
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -17,5 +17,6 @@
     mod placement;
     mod rate;
     mod shutdown;
+    mod soak;
     mod streams;
 }
