Hash the incarnation into a crash's id, not as a seed

The id of a crash was a hash of the endpoint's name with the incarnation as seed. For names of a few bytes the seed cancels out: the second start of e00 and the first of e01 had the same id, so two crashes counted as one, and what caused them was refused later.

Evidence: crash_id_short_names_differ failed on the old code at e01, start 1. Not seen with the platform's names and starts, which are longer.

--- a/src/kernel/suspect.rs
+++ b/src/kernel/suspect.rs
@@ -8,6 +8,8 @@
 
 use std::{collections::HashMap, time::Duration};
 
+use xxhash_rust::xxh3::Xxh3;
+
 use crate::{clock::Time, names::EndpointId};
 
 /// Number of crashes after which a request is refused even if it never ran alone.
@@ -40,8 +42,12 @@
     ///
     /// `alone` says whether a suspect was the only request that ran there.
     pub fn of(endpoint: &EndpointId, incarnation: u64, alone: bool) -> Self {
-        let hash = xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.as_str().as_bytes(), incarnation);
-        Self(hash & !ALONE_BIT | u64::from(alone))
+        // The incarnation is hashed like the name. As a seed, it would cancel out differences between
+        // short names.
+        let mut hash = Xxh3::new();
+        hash.update(endpoint.as_str().as_bytes());
+        hash.update(&incarnation.to_le_bytes());
+        Self(hash.digest() & !ALONE_BIT | u64::from(alone))
     }
 
     /// Returns whether a suspect was the only request that ran.
--- a/tests/kernel/suspect.rs
+++ b/tests/kernel/suspect.rs
@@ -1,11 +1,15 @@
 //! Tests that a request that crashes endpoints costs at most two of them, and that no other request
 //! is refused in its place.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::Duration,
+};
 
 use cardamomshore::{
     clock::Time,
     kernel::suspect::{CrashId, RunMode, StartDecision, Suspects, decide_start, replica_index},
+    names::EndpointId,
 };
 
 use crate::matrix::{Protocol, run_all};
@@ -348,3 +352,12 @@
 fn matrix_suspect() {
     run_all::<Fleet>();
 }
+
+#[test]
+fn crash_id_short_names_differ() {
+    let mut ids = HashSet::new();
+    for (name, incarnation) in (0..40).flat_map(|name| (1..40).map(move |number| (name, number))) {
+        let endpoint = EndpointId::from(&*format!("e{name:02}"));
+        assert!(ids.insert(CrashId::of(&endpoint, incarnation, false)), "e{name:02} {incarnation}");
+    }
+}
