Refuse no part that most prompts have for the crashes of another

Callers saw half of the requests refused for the rest of the run: every prompt begins with the same part, and that part was refused as the cause of crashes.

Cause: five engines crashed within 0.4 s under requests with a fatal part. The first part of all prompts was in the same crashes and in one older crash, and no run was complete in between. It reached three crashes first, and then took the crashes of the fatal part, as explained by it. No request without it existed that could be tried.

A part that was in a complete run in the last ten minutes is refused only after eight crashes now. A refused cause takes the crashes from all causes that are not refused. It is tried again after two seconds, then after four times that, in place of a minute: refusing a harmless part costs more than a crash, and a fatal part still meets the platform's limit.

--- a/src/kernel/grants/crash_causes.rs
+++ b/src/kernel/grants/crash_causes.rs
@@ -3,8 +3,10 @@
 //! Whatever the runs that a crash ended hold is a possible cause of it: each request as a whole, and
 //! each part of its prompt but the last, which belongs to the request alone. A run that completes
 //! shows that what it holds is harmless. What was in [`CRASH_LIMIT`] crashes and in no complete run
-//! since is refused. If something that a request does not hold was in all the same crashes, either may
-//! be the cause; such requests are tried one at a time, which shows which of the two it is.
+//! since is refused, and what was complete lately only after [`SOUND_CRASH_LIMIT`] crashes: a part that
+//! most prompts have is in most crashes, whatever causes them. If something that a request does not
+//! hold was in all the same crashes, either may be the cause; such requests are tried one at a time,
+//! which shows which of the two it is.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -14,6 +16,15 @@
 /// Crashes after which a cause is refused.
 const CRASH_LIMIT: usize = 3;
 
+/// Crashes after which a part is refused that was in a complete run lately.
+const SOUND_CRASH_LIMIT: usize = 8;
+
+/// Time for which a complete run counts in favour of the parts of its prompt.
+const SOUND_TTL: Duration = Duration::from_secs(600);
+
+/// Parts that are remembered because they were in a complete run.
+const MAX_SOUND_PARTS: usize = 8_192;
+
 /// Crashes that are remembered of one cause.
 const MAX_CRASHES: usize = 16;
 
@@ -30,8 +41,12 @@
 /// of an older crash may have been in complete runs elsewhere since.
 const RECENT_AGE: Duration = Duration::from_secs(10);
 
-/// Time after which a refused cause is tried again; it doubles with each further crash.
-const MIN_TRIAL_BACKOFF: Duration = Duration::from_secs(60);
+/// Time after which a refused cause is tried again. It is short, since refusing a harmless part that
+/// many prompts have costs more than a crash.
+const MIN_TRIAL_BACKOFF: Duration = Duration::from_secs(2);
+
+/// Factor by which that time grows with each further crash.
+const TRIAL_BACKOFF_FACTOR: u32 = 4;
 
 /// Upper bound of the time after which a refused cause is tried again.
 const MAX_TRIAL_BACKOFF: Duration = Duration::from_secs(3_600);
@@ -76,11 +91,13 @@
     crashed_at: Time,
     /// When the running trial was granted.
     trial_since: Option<Time>,
+    /// Crashes after which the cause is refused.
+    limit: usize,
 }
 
 impl Entry {
     fn is_refused(&self) -> bool {
-        self.record.crashes.len() >= CRASH_LIMIT
+        self.record.crashes.len() >= self.limit
     }
 
     fn add_crash(&mut self, crash: CrashId, now: Time) -> bool {
@@ -98,8 +115,9 @@
 
     /// Returns the time after the last crash at which a refused cause is tried again.
     fn trial_backoff(&self) -> Duration {
-        let doublings = self.record.crashes.len().saturating_sub(CRASH_LIMIT) as u32;
-        (MIN_TRIAL_BACKOFF * 2u32.saturating_pow(doublings)).min(MAX_TRIAL_BACKOFF)
+        let trials = self.record.crashes.len().saturating_sub(self.limit) as u32;
+        let factor = TRIAL_BACKOFF_FACTOR.saturating_pow(trials);
+        MIN_TRIAL_BACKOFF.saturating_mul(factor).min(MAX_TRIAL_BACKOFF)
     }
 
     /// Returns whether the cause was in all crashes of another one.
@@ -116,6 +134,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashCauses {
     entries: HashMap<Cause, Entry>,
+    /// When parts of prompts were last in a complete run.
+    sound: HashMap<u64, Time>,
     /// Grows with each change of the refused causes.
     version: u64,
 }
@@ -182,17 +202,42 @@
     }
 
     /// Records that a run with these causes was complete, which clears them.
-    pub fn record_complete(&mut self, causes: &[Cause]) {
+    pub fn record_complete(&mut self, causes: &[Cause], now: Time) {
         for cause in causes {
+            if let Cause::PromptPart(hash) = cause {
+                self.sound.insert(*hash, now);
+            }
             let entry = self.entries.remove(cause);
             if entry.is_some_and(|entry| entry.is_refused()) {
                 self.version += 1;
             }
         }
+        if self.sound.len() > MAX_SOUND_PARTS {
+            self.forget_sound_parts(now);
+        }
+    }
+
+    /// Forgets the older half of the parts that were in complete runs.
+    fn forget_sound_parts(&mut self, now: Time) {
+        let mut ages: Vec<Duration> = self.sound.values().map(|at| now.since(*at)).collect();
+        let middle = ages.len() / 2;
+        let (_, median, _) = ages.select_nth_unstable(middle);
+        let median = *median;
+        self.sound.retain(|_, at| now.since(*at) < median);
+    }
+
+    /// Returns the number of crashes after which a cause is refused.
+    fn crash_limit(&self, cause: Cause, now: Time) -> usize {
+        let Cause::PromptPart(hash) = cause else { return CRASH_LIMIT };
+        match self.sound.get(&hash) {
+            Some(at) if now.since(*at) < SOUND_TTL => SOUND_CRASH_LIMIT,
+            _ => CRASH_LIMIT,
+        }
     }
 
     /// Records a crash that ended runs, each with its possible causes.
     pub fn record_crash(&mut self, crash: CrashId, runs: &[Vec<Cause>], now: Time) {
+        println!("[DBG crash {crash:?} {runs:?} {now:?}");
         for causes in runs {
             self.record_end(causes);
             for cause in causes {
@@ -205,10 +250,12 @@
 
     /// Adds crashes to a cause.
     fn record(&mut self, cause: Cause, crashes: &[CrashId], now: Time) {
+        let limit = self.crash_limit(cause, now);
         let new = || Entry {
             record: CrashRecord { cause, crashes: Vec::new() },
             crashed_at: now,
             trial_since: None,
+            limit,
         };
         let entry = self.entries.entry(cause).or_insert_with(new);
         let added = crashes.iter().filter(|crash| entry.add_crash(**crash, now)).count();
@@ -217,7 +264,7 @@
         }
     }
 
-    /// Takes the crashes of a refused cause from the causes that have fewer.
+    /// Takes the crashes of a refused cause from the causes that are not refused, or have fewer.
     ///
     /// A stream that a crash breaks off goes on at another endpoint, often beside the request that
     /// crashed the first one, and would soon be blamed as well.
@@ -227,7 +274,7 @@
             refused.map(|entry| entry.record.crashes.clone()).collect();
         for known in refused {
             for entry in self.entries.values_mut() {
-                if entry.record.crashes.len() < known.len() {
+                if !entry.is_refused() || entry.record.crashes.len() < known.len() {
                     entry.record.crashes.retain(|crash| !known.contains(crash));
                 }
             }
--- a/src/kernel/grants/scheduler/crashes.rs
+++ b/src/kernel/grants/scheduler/crashes.rs
@@ -11,7 +11,7 @@
     clock::Time,
     kernel::{
         grants::{
-            CrashRecord, Endpoint, GrantRequest, Incarnation, Outcome,
+            CrashRecord, Endpoint, GrantRequest, Incarnation, Mode, Outcome,
             crash_causes::{Cause, CrashCheck, possible_causes},
             endpoint::ActiveRun,
         },
@@ -53,7 +53,8 @@
     /// Returns whether a request may run, by the causes of crashes.
     pub(super) fn check_crashes(&self, request: &GrantRequest, now: Time) -> CrashCheck {
         // Only one scheduler tries a refused cause again, or each would crash an endpoint.
-        self.crash_causes.check(&possible_causes(request), self.may_order(), now)
+        let leads = matches!(self.mode, Mode::Leading { .. });
+        self.crash_causes.check(&possible_causes(request), leads, now)
     }
 
     /// Records what the end of a run shows about the causes of crashes.
@@ -72,7 +73,7 @@
         match outcome {
             Outcome::Whole => {
                 self.record_response(id, run.granted_at);
-                self.crash_causes.record_complete(&causes);
+                self.crash_causes.record_complete(&causes, now);
             }
             Outcome::Failed | Outcome::Full => self.record_response(id, run.granted_at),
             Outcome::Broke => self.record_broken_run(id, causes, now),
