--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -230,11 +230,14 @@
         if tx.send(Ok(event)).await.is_err() {
             return;
         }
-        while is_endless && number > LAST_EVENT / 2 {
-            let part = Bytes::from(vec![b'x'; ENDLESS_PART_BYTES]);
-            if tx.send(Ok(part)).await.is_err() {
-                return;
-            }
+        if is_endless && number > LAST_EVENT / 2 {
+            return send_endlessly(&tx).await;
         }
     }
 }
+
+/// Sends bytes that are no event until the receiver leaves.
+async fn send_endlessly(tx: &PartSender) {
+    let part = Bytes::from(vec![b'x'; ENDLESS_PART_BYTES]);
+    while tx.send(Ok(part.clone())).await.is_ok() {}
+}
