--- a/src/kernel/grants/crash_causes.rs
+++ b/src/kernel/grants/crash_causes.rs
@@ -159,6 +159,9 @@
     /// Returns whether a request with these causes may run. A refused cause is tried again after a
     /// while only if `may_retry` is set.
     pub fn check(&self, causes: &[Cause], may_retry: bool, now: Time) -> CrashCheck {
+        if self.entries.is_empty() {
+            return CrashCheck::Run;
+        }
         let refused = causes.iter().filter_map(|cause| self.entries.get(cause));
         let mut check = CrashCheck::Run;
         for entry in refused.filter(|entry| entry.is_refused()) {
--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -14,14 +14,23 @@
 use http_body_util::{BodyExt, Full};
 use parking_lot::Mutex;
 use rand::{RngExt, seq::IndexedRandom};
-use serde::Deserialize;
 use tokio::{
     task::JoinHandle,
     time::{sleep, timeout},
 };
 
 use super::fleet::{FATAL_PART, Fleet, HOST, KEY, MODELS, WITHDRAWN_KEY};
-use crate::{clock::Time, http::pool::Pool};
+use crate::{
+    clock::Time,
+    http::pool::{Pool, SendError},
+    standin::caller::{CallerRequest, Prompt, decode_addresses, resolve_request, stamped_endpoint},
+};
+
+/// First part of all prompts.
+const FIRST_PART: &str = "aa";
+
+/// Second part of the prompts that crash nothing.
+const SOUND_PART: &str = "5afe";
 
 /// Callers that send requests one after the other.
 const CALLERS: usize = 10;
@@ -64,8 +73,8 @@
     Whole {
         /// Status of the response.
         status: u16,
-        /// The stamp of the endpoint; `None` if the gateway itself has responded.
-        stamp: Option<String>,
+        /// Endpoint that made the response; `None` if the gateway itself has responded.
+        endpoint: Option<String>,
         /// Body of the response.
         body: Bytes,
     },
@@ -132,11 +141,6 @@
     tasks: Vec<JoinHandle<()>>,
 }
 
-#[derive(Deserialize)]
-struct RawAddresses {
-    addresses: Vec<SocketAddr>,
-}
-
 impl Callers {
     /// Starts the callers.
     pub fn start(fleet: &Fleet) -> Self {
@@ -208,17 +212,14 @@
 /// Asks the directory of a random gateway for addresses.
 async fn resolve(shared: &Shared) -> Option<Vec<SocketAddr>> {
     let gateway = rand::rng().random_range(0..shared.gateways.len());
-    let request = Request::get(format!("/api/resolve?name={HOST}&region=r&zone=dc-a"));
-    let request = request.header("host", "directory").body(Full::default()).ok()?;
     let exchange = async {
         let pool: Arc<Pool> = Arc::default();
         let mut connection =
             pool.acquire(shared.gateways[gateway].1, CONNECT_TIMEOUT).await.ok()?;
-        let response = connection.send(request).await.ok()?;
-        let body = response.into_body().collect().await.ok()?.to_bytes();
-        serde_json::from_slice::<RawAddresses>(&body).ok()
+        let response = connection.send(resolve_request(HOST)).await.ok()?;
+        decode_addresses(&response.into_body().collect().await.ok()?.to_bytes())
     };
-    timeout(CONNECT_TIMEOUT, exchange).await.ok()?.map(|raw| raw.addresses)
+    timeout(CONNECT_TIMEOUT, exchange).await.ok()?
 }
 
 /// Sends a request and records its end.
@@ -228,7 +229,7 @@
     let request = format!("{number:016x}");
     let sent_at = Time::now();
     let message = message(&request, number, kind, has_withdrawn_key);
-    let exchange = exchange(pool, shared.gateways[gateway].0, message);
+    let exchange = exchange(pool, shared.gateways[gateway].0, message.to_http());
     let ending = timeout(TIMEOUT, exchange).await.unwrap_or(Ending::TimedOut);
     let ended_at = Time::now();
     let attempt = Attempt { request, kind, gateway, has_withdrawn_key, sent_at, ended_at, ending };
@@ -236,33 +237,23 @@
 }
 
 /// Returns the request as it is sent to a gateway.
-fn message(
-    request: &str,
-    number: u64,
-    kind: Kind,
-    has_withdrawn_key: bool,
-) -> Request<Full<Bytes>> {
+fn message(request: &str, number: u64, kind: Kind, has_withdrawn_key: bool) -> CallerRequest {
     let path = match kind {
         Kind::Chat | Kind::Fatal => format!("/chat/{number}"),
         Kind::Payment => format!("/pay/{number}"),
         Kind::Lookup => format!("/look/{number}"),
     };
-    let key = if has_withdrawn_key { WITHDRAWN_KEY } else { KEY };
-    let mut builder = Request::post(path)
-        .header("host", HOST)
-        .header("x-request-id", request)
-        .header("x-deadline-ms", TIMEOUT.as_millis().to_string())
-        .header("authorization", format!("Token {key}"));
-    if matches!(kind, Kind::Chat | Kind::Fatal) {
-        let model = MODELS[number as usize % MODELS.len()];
-        let part = if kind == Kind::Fatal { FATAL_PART } else { "5afe" };
-        builder = builder
-            .header("x-model", model)
-            .header("x-token-count", "120,20")
-            .header("x-prompt-prefix", format!("aa:50,{part}:40,{number:x}:30"));
+    let part = if kind == Kind::Fatal { FATAL_PART } else { SOUND_PART };
+    let parts = [FIRST_PART.to_owned(), part.to_owned(), format!("{number:x}")];
+    let prompt = Prompt { model: MODELS[number as usize % MODELS.len()], parts: parts.into() };
+    CallerRequest {
+        id: request.to_owned(),
+        host: HOST,
+        path,
+        key: if has_withdrawn_key { WITHDRAWN_KEY } else { KEY },
+        timeout: TIMEOUT,
+        prompt: matches!(kind, Kind::Chat | Kind::Fatal).then_some(prompt),
     }
-    let body = Full::new(Bytes::from(format!("body of {request}")));
-    builder.body(body).expect("the names and values are valid")
 }
 
 /// Sends a request and reads the whole response.
@@ -272,16 +263,15 @@
     };
     let response = match connection.send(request).await {
         Ok(response) => response,
-        Err(crate::http::pool::SendError::Unknown(_)) => return Ending::Broken,
+        Err(SendError::Unknown(_)) => return Ending::Broken,
         Err(_) => return Ending::NotSent,
     };
     let status = response.status().as_u16();
-    let stamp = response.headers().get("x-server-stamp");
-    let stamp = stamp.and_then(|stamp| stamp.to_str().ok()).map(str::to_owned);
+    let endpoint = stamped_endpoint(response.headers());
     match response.into_body().collect().await {
         Ok(body) => {
             pool.release(connection, KEEP_ALIVE);
-            Ending::Whole { status, stamp, body: body.to_bytes() }
+            Ending::Whole { status, endpoint, body: body.to_bytes() }
         }
         Err(_) => Ending::Partial { status },
     }
--- a/src/soak/check.rs
+++ b/src/soak/check.rs
@@ -151,9 +151,8 @@
     /// A success is the whole answer of an endpoint to this request.
     fn check_answers(&self, all: &mut Vec<Violation>) {
         for attempt in self.attempts {
-            let Ending::Whole { status: 200, stamp, body } = &attempt.ending else { continue };
-            let endpoint = stamp.as_deref().and_then(|stamp| stamp.strip_prefix("stamp."));
-            let expected = endpoint.map(|endpoint| match attempt.kind {
+            let Ending::Whole { status: 200, endpoint, body } = &attempt.ending else { continue };
+            let expected = endpoint.as_deref().map(|endpoint| match attempt.kind {
                 Kind::Payment | Kind::Lookup => plain_body(&attempt.request, endpoint),
                 Kind::Chat | Kind::Fatal => {
                     (1..=LAST_EVENT).map(|number| event_text(&attempt.request, number)).collect()
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -14,7 +14,7 @@
 };
 
 use rustix::process::{Pid, Signal, kill_process};
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::time::sleep;
 
 use super::{
@@ -24,8 +24,11 @@
 };
 use crate::{
     clock::Time,
+    http::pool::Pool,
     standin::{
+        caller::ready_request,
         metadata::{MetadataStore, StoreAddress, StoreFaults},
+        operator::Document,
         worker::{Worker, WorkerFaults, WorkerLog, WorkerSettings},
     },
 };
@@ -66,6 +69,9 @@
 /// Longest wait for the fleet to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Timeout of opening a connection for a readiness check.
+const READY_POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Interval at which faults are looked for that must begin or end.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -199,36 +205,10 @@
     move |source| FleetError::Io { what, source }
 }
 
-/// Returns the operators' document.
-fn document(version: u64, has_second_key: bool) -> Value {
+/// Returns the operators' document, with or without the key that is withdrawn at times.
+fn document(version: u64, has_second_key: bool) -> Document {
     let keys = if has_second_key { vec![KEY, WITHDRAWN_KEY] } else { vec![KEY] };
-    let models = MODELS
-        .map(|name| json!({ "name": name, "weights_mb": 60_000.0, "load_s": 0.3, "adapters": 0 }));
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, priority: u32| {
-        json!({
-            "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "type": kind,
-            "timeout_ms": 5_000, "target_latency_ms": 500, "priority": priority,
-            "service": service, "max_attempts": attempts, "resumable": kind == "streaming",
-        })
-    };
-    json!({
-        "version": version,
-        "routes": [
-            route("chat", "streaming", "engines", 3, 1),
-            route("pay", "non_idempotent", "desk", 2, 0),
-            route("look", "idempotent", "desk", 2, 2),
-        ],
-        "services": [
-            { "name": "engines", "health_path": "/h", "max_conns": 400, "engine": {
-                "slots": 32, "kv_capacity_tokens": 200_000, "weights_mb": 200_000.0,
-                "adapter_slots": 4, "loads_per_s": 4.0, "models": models } },
-            { "name": "desk", "health_path": "/h", "max_conns": 200 },
-        ],
-        "tenants": [{ "name": TEAM, "api_keys": keys, "unit": "tokens", "plain_tokens": 10,
-            "rate_per_s": 10_000_000, "burst": 10_000_000 }],
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
-            "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
-    })
+    Document { version, host: HOST, models: &MODELS, team: TEAM, keys }
 }
 
 impl Fleet {
@@ -237,7 +217,7 @@
         std::fs::create_dir_all(&options.folder).map_err(io_error("cannot create the folder"))?;
         let store = MetadataStore::start();
         let log = Arc::new(WorkerLog::default());
-        store.put("op/config", &document(1, true).to_string());
+        store.put(Document::key(), &document(1, true).to_text());
         let worker = |service: &str, index: usize, models: Vec<String>| {
             let settings = WorkerSettings {
                 service: service.to_owned(),
@@ -397,7 +377,7 @@
     /// Writes a new version of the operators' document, with or without the second key.
     fn set_key(&mut self, is_valid: bool) {
         self.version += 1;
-        self.store.put("op/config", &document(self.version, is_valid).to_string());
+        self.store.put(Document::key(), &document(self.version, is_valid).to_text());
         self.key_changes.push(KeyChange { at: Time::now(), is_valid });
     }
 
@@ -428,13 +408,9 @@
 
 /// Returns whether a gateway says that it is ready.
 async fn is_ready(address: SocketAddr) -> bool {
-    let request = http::Request::get("/api/readyz").header("host", "soak");
-    let Ok(request) = request.body(http_body_util::Full::default()) else { return false };
-    let pool: Arc<crate::http::pool::Pool> = Arc::default();
-    let Ok(mut connection) = pool.acquire(address, Duration::from_millis(500)).await else {
-        return false;
-    };
-    connection.send(request).await.is_ok_and(|response| response.status().is_success())
+    let pool: Arc<Pool> = Arc::default();
+    let Ok(mut connection) = pool.acquire(address, READY_POLL_TIMEOUT).await else { return false };
+    connection.send(ready_request()).await.is_ok_and(|response| response.status().is_success())
 }
 
 /// Writes the settings of a gateway and starts it.
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,9 +1,11 @@
 //! Small stand-ins for the platform, for engines and for plain services, which only the tests and
 //! the demo use.
 
+pub mod caller;
 pub mod engine;
 pub mod http1;
 pub mod metadata;
+pub mod operator;
 pub mod platform;
 pub mod service;
 pub mod worker;
--- /dev/null
+++ b/src/standin/operator.rs
@@ -0,0 +1,70 @@
+//! The operators' document, in the format of the users' platform.
+
+use serde_json::{Value, json};
+
+use crate::platform::catalog::DOCUMENT_KEY;
+
+/// Weights of each model in megabytes.
+const MODEL_MB: f64 = 60_000.0;
+
+/// Weights for which an engine has room, in megabytes.
+const ENGINE_MB: f64 = 200_000.0;
+
+/// Tokens a second of the team, which no trial reaches.
+const TEAM_RATE: u64 = 10_000_000;
+
+/// A configuration with three routes, engines, a plain service and one team.
+#[derive(Clone, Debug)]
+pub struct Document {
+    /// Version of the configuration.
+    pub version: u64,
+    /// Host of all routes.
+    pub host: &'static str,
+    /// Models of the engines.
+    pub models: &'static [&'static str],
+    /// Name of the team.
+    pub team: &'static str,
+    /// Keys of the team.
+    pub keys: Vec<&'static str>,
+}
+
+impl Document {
+    /// Returns the key of the record in the store.
+    pub fn key() -> &'static str {
+        DOCUMENT_KEY
+    }
+
+    /// Returns the value of the record in the store.
+    pub fn to_text(&self) -> String {
+        let models = self.models.iter().map(
+            |name| json!({ "name": name, "weights_mb": MODEL_MB, "load_s": 0.3, "adapters": 0 }),
+        );
+        let document = json!({
+            "version": self.version,
+            "routes": [
+                self.route("chat", "streaming", "engines", 3, 1),
+                self.route("pay", "non_idempotent", "desk", 2, 0),
+                self.route("look", "idempotent", "desk", 2, 2),
+            ],
+            "services": [
+                { "name": "engines", "health_path": "/h", "max_conns": 400, "engine": {
+                    "slots": 32, "kv_capacity_tokens": 200_000, "weights_mb": ENGINE_MB,
+                    "adapter_slots": 4, "loads_per_s": 4.0, "models": models.collect::<Value>() } },
+                { "name": "desk", "health_path": "/h", "max_conns": 200 },
+            ],
+            "tenants": [{ "name": self.team, "api_keys": self.keys, "unit": "tokens",
+                "plain_tokens": 10, "rate_per_s": TEAM_RATE, "burst": TEAM_RATE }],
+            "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
+        });
+        document.to_string()
+    }
+
+    fn route(&self, name: &str, kind: &str, service: &str, attempts: u32, priority: u32) -> Value {
+        json!({
+            "name": name, "host": self.host, "path_prefix": format!("/{name}/"), "type": kind,
+            "timeout_ms": 5_000, "target_latency_ms": 500, "priority": priority,
+            "service": service, "max_attempts": attempts, "resumable": kind == "streaming",
+        })
+    }
+}
