Collect what an instance hands over to a new leader, and wait before the causes of crashes are recorded again

The frames of a handover stood in four places of join_leader. A leader whose record the store refuses wrote it ten times a second. The help of the command line names the soak, and its test with it.

--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -26,13 +26,18 @@
 /// Interval at which the causes are compared with those that were shared last.
 const SHARE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Wait before the causes are recorded again, after the store has not recorded them.
+const RECORD_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Versions of the causes that were shared last.
 #[derive(Default)]
 struct Shared {
-    /// Version that the peers were sent.
-    sent: u64,
+    /// Version that was logged, and sent to the peers if this instance led.
+    seen: u64,
     /// Version that the store has.
     recorded: u64,
+    /// When the causes may be recorded again.
+    record_from: Time,
 }
 
 /// Shares the causes after each change while this instance leads, and logs the changes.
@@ -42,15 +47,20 @@
     loop {
         sleep(SHARE_INTERVAL).await;
         let version = gateway.scheduler.lock().crash_version();
-        if version != shared.sent {
+        if version != shared.seen {
             log_changes(&gateway, &mut logged);
             if gateway.leads() {
                 gateway.peers.broadcast(&gateway.crashes_content());
             }
-            shared.sent = version;
+            shared.seen = version;
+        }
+        let is_due = version != shared.recorded && Time::now() >= shared.record_from;
+        if !is_due || !gateway.leads() {
+            continue;
         }
-        if version != shared.recorded && gateway.leads() && record(&gateway).await {
-            shared.recorded = version;
+        match record(&gateway).await {
+            true => shared.recorded = version,
+            false => shared.record_from = Time::now() + RECORD_BACKOFF,
         }
     }
 }
@@ -111,13 +121,6 @@
         Content::Crashes(self.scheduler.lock().refused_causes().into())
     }
 
-    /// Returns the content of a frame with what a new leader must know of causes; `None` if this
-    /// instance knows nothing.
-    pub(super) fn crashes_handover(&self) -> Option<Content> {
-        let records = self.scheduler.lock().crash_handover(Time::now());
-        (!records.is_empty()).then(|| Content::Crashes(records.into()))
-    }
-
     /// Adds the causes that a peer knows.
     pub(super) fn merge_crashes(&self, frame: CrashesFrame) {
         self.scheduler.lock().merge_crashes(frame.into(), Time::now());
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -141,19 +141,9 @@
         _ => return Ok(()),
     }
     let (tx, rx) = mpsc::unbounded_channel();
-    for frame in gateway.running_requests() {
-        let _ = tx.send(Content::Adopt(frame));
-    }
-    let unused = gateway.scheduler.lock().release_rates(Time::now());
-    let _ = tx.send(Content::Rates(RatesFrame::from(unused)));
-    let retries = gateway.scheduler.lock().retry_usage(Time::now());
-    let _ = tx.send(Content::Retries(retries.into()));
-    if let Some(content) = gateway.crashes_handover() {
+    for content in handover(gateway) {
         let _ = tx.send(content);
     }
-    if gateway.scheduler.lock().limit_version() > 0 {
-        let _ = tx.send(gateway.rate_limits_content());
-    }
     gateway.uplink.record_frame();
     gateway.uplink.linked.store(true, Ordering::Relaxed);
     *gateway.uplink.tx.lock() = Some(tx);
@@ -162,6 +152,26 @@
     exchange_frames(gateway, leader, wire, rx).await
 }
 
+/// Returns what a new leader must know of this instance: its running requests, what it has left of the
+/// teams' rates, what it has used of the retry budgets, and what it knows of endpoints.
+fn handover(gateway: &Gateway) -> Vec<Content> {
+    let now = Time::now();
+    let mut contents: Vec<Content> =
+        gateway.running_requests().into_iter().map(Content::Adopt).collect();
+    let mut scheduler = gateway.scheduler.lock();
+    contents.push(Content::Rates(RatesFrame::from(scheduler.release_rates(now))));
+    contents.push(Content::Retries(scheduler.retry_usage(now).into()));
+    let crashes = scheduler.crash_handover(now);
+    if !crashes.is_empty() {
+        contents.push(Content::Crashes(crashes.into()));
+    }
+    let limits = scheduler.rate_limits();
+    if !limits.is_empty() {
+        contents.push(Content::RateLimits(limits.as_slice().into()));
+    }
+    contents
+}
+
 /// Exchanges frames with the leader until the connection fails, the leader falls silent, or another
 /// leader follows.
 async fn exchange_frames(
--- a/src/kernel/grants/crash_causes.rs
+++ b/src/kernel/grants/crash_causes.rs
@@ -162,9 +162,9 @@
         if self.entries.is_empty() {
             return CrashCheck::Run;
         }
-        let refused = causes.iter().filter_map(|cause| self.entries.get(cause));
+        let known = causes.iter().filter_map(|cause| self.entries.get(cause));
         let mut check = CrashCheck::Run;
-        for entry in refused.filter(|entry| entry.is_refused()) {
+        for entry in known.filter(|entry| entry.is_refused()) {
             let is_due = may_retry && now.since(entry.crashed_at) >= entry.trial_backoff();
             if !is_due && !self.may_be_harmless(entry, causes) {
                 return CrashCheck::Refuse;
--- a/tests/product/cli.rs
+++ b/tests/product/cli.rs
@@ -39,6 +39,7 @@
               status       Show all instances
               timeline     Show the recent events of all instances
               measure      Measure the policies under seeded demand
+              soak         Run gateways under load and faults and check their promises
               standin      Run a stand-in of the platform, an engine or a service
 
             Options:
