Play faults of the plain service in the soak, and soaks with few faults

Faults came so densely that hardly a gateway was in contact, and never to the plain service's servers. The seed chooses one of three densities now, all endpoints have faults, and limits are named more often and for longer.

The stand-in for an engine says that it loads nothing only once the model is loaded; before, it could say so a moment sooner.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -41,6 +41,16 @@
     pub folder: PathBuf,
 }
 
+/// Number of servers of the plain service.
+const PLAIN_SERVERS: usize = 3;
+
+impl Options {
+    /// Returns the number of endpoints: the engines, and the servers of the plain service.
+    fn endpoints(&self) -> usize {
+        self.engines + PLAIN_SERVERS
+    }
+}
+
 /// What a soak has shown.
 #[derive(Clone, Debug)]
 pub struct Report {
--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -33,7 +33,7 @@
 const SOUND_PART: &str = "5afe";
 
 /// Callers that send requests one after the other.
-const CALLERS: usize = 10;
+const CALLERS: usize = 16;
 
 /// Bounds of the pause of a caller between two requests, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 5..60;
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -18,7 +18,7 @@
 use tokio::time::sleep;
 
 use super::{
-    Options,
+    Options, PLAIN_SERVERS,
     callers::Callers,
     plan::{Fault, Step},
 };
@@ -42,9 +42,6 @@
 /// Models for which an engine has room.
 const MODEL_SLOTS: usize = 3;
 
-/// Number of servers of the plain service.
-const PLAIN_SERVERS: usize = 2;
-
 /// Hash of the part of prompts that crashes engines.
 pub const FATAL_PART: &str = "fa7a1";
 
@@ -186,8 +183,8 @@
     pub log: Arc<WorkerLog>,
     /// When endpoints were disturbed on purpose.
     pub worker_faults: Vec<Time>,
-    engines: Vec<Worker>,
-    _servers: Vec<Worker>,
+    /// The engines, and then the servers of the plain service.
+    workers: Vec<Worker>,
     store: Arc<MetadataStore>,
     binary: PathBuf,
     version: u64,
@@ -234,8 +231,8 @@
             let models = [MODELS[index % MODELS.len()], MODELS[(index + 1) % MODELS.len()]];
             worker("engines", index, models.map(str::to_owned).to_vec())
         });
-        let engines = engines.collect();
-        let servers = (0..PLAIN_SERVERS).map(|index| worker("desk", index, Vec::new())).collect();
+        let servers = (0..PLAIN_SERVERS).map(|index| worker("desk", index, Vec::new()));
+        let workers = engines.chain(servers).collect();
         let gateways = (0..options.gateways).map(|index| start_gateway(options, index, &store));
         let gateways = gateways.collect::<Result<_, _>>()?;
         Ok(Self {
@@ -244,8 +241,7 @@
             key_changes: Vec::new(),
             worker_faults: Vec::new(),
             log,
-            engines,
-            _servers: servers,
+            workers,
             store,
             binary: options.binary.clone(),
             version: 1,
@@ -312,12 +308,12 @@
             Fault::ForgetHistory => self.store.forget_history(),
             Fault::Crash(index) => {
                 self.worker_faults.push(now);
-                self.engines[index].crash();
+                self.workers[index].crash();
             }
-            Fault::Leave(index) => self.engines[index].leave(),
+            Fault::Leave(index) => self.workers[index].leave(),
             Fault::Unsound(index, faults, length) => {
                 self.worker_faults.push(now);
-                self.engines[index].set_faults(faults);
+                self.workers[index].set_faults(faults);
                 return Some((now + length, Undo::MendWorker(index)));
             }
             Fault::WithdrawKey(length) => {
@@ -347,7 +343,7 @@
             }
             Undo::MendWorker(index) => {
                 self.worker_faults.push(now);
-                self.engines[index].set_faults(WorkerFaults::default());
+                self.workers[index].set_faults(WorkerFaults::default());
             }
             Undo::ReturnKey => self.set_key(true),
             Undo::StopFatal => {
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -7,8 +7,10 @@
 use super::Options;
 use crate::standin::{metadata::StoreFaults, worker::WorkerFaults};
 
-/// Mean time between two faults, for a fleet of any size.
-const FAULT_INTERVAL: Duration = Duration::from_millis(900);
+/// Mean times between two faults; the seed chooses one. Promises with a time limit hold only for gateways
+/// that were not disturbed for a while, so some soaks have few faults.
+const FAULT_INTERVALS: [Duration; 3] =
+    [Duration::from_millis(900), Duration::from_millis(2_500), Duration::from_millis(5_000)];
 
 /// Longest series of the same fault.
 const MAX_SERIES: u32 = 3;
@@ -16,6 +18,10 @@
 /// Time between the faults of a series.
 const SERIES_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Least time for which an endpoint has faults. It is longer than the time after which its limit must
+/// be kept.
+const UNSOUND_TIME: Duration = Duration::from_secs(7);
+
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -57,6 +63,7 @@
 /// Draws the faults between `from` and `to`.
 pub fn plan(options: &Options, from: Duration, to: Duration) -> Vec<Step> {
     let mut rng = StdRng::seed_from_u64(options.seed);
+    let interval = FAULT_INTERVALS[(options.seed % FAULT_INTERVALS.len() as u64) as usize];
     let mut steps = Vec::new();
     let mut at = from;
     while at < to {
@@ -71,7 +78,7 @@
             let fault = if number == 0 { fault } else { move_on(fault, number, options) };
             steps.push(Step { at: at + SERIES_INTERVAL * number, fault });
         }
-        at += FAULT_INTERVAL.mul_f64(rng.random_range(0.1..1.9));
+        at += interval.mul_f64(rng.random_range(0.1..1.9));
     }
     steps.retain(|step| step.at < to);
     steps.sort_by_key(|step| step.at);
@@ -85,16 +92,16 @@
         Fault::Kill(index) => Fault::Kill(next(index, options.gateways)),
         Fault::Stop(index) => Fault::Stop(next(index, options.gateways)),
         Fault::Pause(index, length) => Fault::Pause(next(index, options.gateways), length),
-        Fault::Crash(index) => Fault::Crash(next(index, options.engines)),
+        Fault::Crash(index) => Fault::Crash(next(index, options.endpoints())),
         other => other,
     }
 }
 
 fn draw(rng: &mut impl Rng, options: &Options) -> Fault {
     let gateway = rng.random_range(0..options.gateways);
-    let engine = rng.random_range(0..options.engines);
+    let endpoint = rng.random_range(0..options.endpoints());
     let length = Duration::from_millis(rng.random_range(300..4_000));
-    match rng.random_range(0..16) {
+    match rng.random_range(0..18) {
         0 | 1 => Fault::Kill(gateway),
         2 | 3 => Fault::Pause(gateway, length),
         4 | 5 => Fault::Stop(gateway),
@@ -102,10 +109,10 @@
         7 => Fault::StoreCut(gateway, draw_store_faults(rng), length),
         8 | 9 => Fault::StoreDown(draw_store_faults(rng), length),
         10 => Fault::ForgetHistory,
-        11 => Fault::Crash(engine),
-        12 => Fault::Leave(engine),
-        13 => Fault::Unsound(engine, draw_worker_faults(rng), length * 2),
-        14 => Fault::WithdrawKey(length * 2),
+        11 => Fault::Crash(endpoint),
+        12 | 13 => Fault::Leave(endpoint),
+        14 | 15 => Fault::Unsound(endpoint, draw_worker_faults(rng), UNSOUND_TIME + length),
+        16 => Fault::WithdrawKey(length * 2),
         _ => Fault::FatalRequests(length * 2),
     }
 }
@@ -122,7 +129,7 @@
 
 fn draw_worker_faults(rng: &mut impl Rng) -> WorkerFaults {
     let sound = WorkerFaults::default();
-    match rng.random_range(0..4) {
+    match rng.random_range(0..5) {
         0 => WorkerFaults { failing: 0.4, ..sound },
         1 => WorkerFaults { breaking: 0.4, ..sound },
         2 => WorkerFaults { endless: 0.2, ..sound },
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -23,7 +23,7 @@
     record::{Mark, Order, Run, WorkerLog},
 };
 use super::{http1::Server, metadata::MetadataStore};
-use crate::clock::{Time, wall_millis};
+use crate::clock::wall_millis;
 
 /// Time from a crash until the endpoint's entry is removed.
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_400);
@@ -79,8 +79,8 @@
     models: BTreeSet<String>,
     /// Orders accepted since the start.
     order_count: u64,
-    /// Until when an order is being carried out.
-    busy_until: Time,
+    /// Whether a model is being loaded. It counts as loaded from the same moment on.
+    is_loading: bool,
     running: u32,
 }
 
@@ -95,7 +95,7 @@
             is_draining: false,
             models,
             order_count: 0,
-            busy_until: Time::default(),
+            is_loading: false,
             running: 0,
         }
     }
--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -93,7 +93,7 @@
 fn report(shared: &Shared) -> Response<Body> {
     let state = shared.state.lock();
     let body = json!({
-        "stage": "unified", "models": state.models_json(), "busy": state.busy_until > Time::now(),
+        "stage": "unified", "models": state.models_json(), "busy": state.is_loading,
         "seq": state.order_count, "queued_requests": 0, "running": state.running,
         "kv_used": 0, "kv_total": 100_000, "handles": 0, "born": state.born,
     });
@@ -108,7 +108,7 @@
     let now = Time::now();
     let mut state = shared.state.lock();
     let is_stale = order.precondition.is_some_and(|count| count != state.order_count);
-    if state.busy_until > now || is_stale {
+    if state.is_loading || is_stale {
         return whole_response(StatusCode::CONFLICT, Bytes::new());
     }
     let is_load = order.operation == "load";
@@ -117,14 +117,13 @@
     }
     let fits = !is_load || state.models.len() < shared.settings.model_slots;
     state.order_count += 1;
-    state.busy_until = now + LOAD_TIME;
+    state.is_loading = is_load;
     let endpoint = state.id.clone();
     shared.log.record_order(Order { endpoint, holder: order.holder, at: now, fits });
     if is_load {
         tokio::spawn(finish_load(shared.clone(), state.born, order.model));
     } else {
         state.models.remove(&order.model);
-        state.busy_until = now;
         drop(state);
         shared.register();
     }
@@ -140,6 +139,7 @@
             return;
         }
         state.models.insert(model);
+        state.is_loading = false;
     }
     shared.register();
 }
