--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -123,6 +123,10 @@
     fn apply_state(&self, state: OperatorState) -> bool {
         let mut current = self.operator.lock();
         if state.revision <= current.revision && current.revision > 0 {
+            if state.hash != current.hash {
+                let (revision, known) = (state.revision, current.revision);
+                log::warn!("event=records_ignored revision={revision} known={known}");
+            }
             return false;
         }
         if state.hash == current.hash && current.revision > 0 {
@@ -205,7 +209,10 @@
             }
         }
         match gateway.store.watch(OPERATOR_PREFIX, revision, WATCH_TIMEOUT).await? {
-            WatchResult::Missed => return Ok(()),
+            WatchResult::Missed => {
+                log::info!("event=watch_restarted what=config revision={revision}");
+                return Ok(());
+            }
             WatchResult::Events(events, newest) => {
                 for event in events {
                     apply_event(event, &mut document, &mut evacuated);
