Add a failing test: a change is lost after the store returned from an older copy

The stand-in for the store names its era in all responses and can return to a copy: revisions and lease numbers are given out again, waiting watches are cut, a watch from a revision that it does not have gets 410, and endpoints write their entries again after a heartbeat. The test starts two gateways, adds a route, lets the store return to a copy from before, and adds another route: no gateway serves it within 2 s ('expected within 2s: the later change in force').

For this the gateway processes of the soak have moved to a module of their own, soak/process, which tests can start too; soak/fleet is 130 lines shorter.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -8,15 +8,12 @@
 mod check;
 mod fleet;
 mod plan;
+pub mod process;
 
 use std::{path::PathBuf, time::Duration};
 
 pub use self::check::Violation;
-use self::{
-    callers::Callers,
-    check::Evidence,
-    fleet::{Fleet, FleetError},
-};
+use self::{callers::Callers, check::Evidence, fleet::Fleet, process::ProcessError};
 
 /// Time without faults at the begin of a soak, in which the gateways elect their leader.
 const WARM_UP: Duration = Duration::from_secs(4);
@@ -65,7 +62,7 @@
 }
 
 /// Runs a soak. Fails if the fleet cannot be started.
-pub async fn run(options: &Options) -> Result<Report, FleetError> {
+pub async fn run(options: &Options) -> Result<Report, ProcessError> {
     let mut fleet = Fleet::start(options)?;
     fleet.wait_ready().await?;
     let steps = plan::plan(options, WARM_UP, options.length.saturating_sub(CALM));
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -1,33 +1,20 @@
 //! The processes and stand-ins of a soak, and the faults that are played on them.
 
-use std::{
-    fs::File,
-    io,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
-    sync::{
-        Arc,
-        atomic::{AtomicU32, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use rustix::process::{Pid, Signal, kill_process};
-use serde_json::json;
+use rustix::process::Signal;
 use tokio::time::sleep;
 
 use super::{
     Options, PLAIN_SERVERS,
     callers::Callers,
     plan::{Fault, Step},
+    process::{GatewayProcess, ProcessError, STOP_TIMEOUT, free_address},
 };
 use crate::{
     clock::Time,
-    http::pool::Pool,
     standin::{
-        caller::ready_request,
-        metadata::{MetadataStore, StoreAddress, StoreFaults},
+        metadata::{MetadataStore, StoreFaults},
         operator::Document,
         worker::{Worker, WorkerFaults, WorkerLog, WorkerSettings},
     },
@@ -57,47 +44,12 @@
 /// Host of all routes.
 pub const HOST: &str = "soak.example";
 
-/// Time from SIGTERM to SIGKILL.
-const STOP_TIMEOUT: Duration = Duration::from_secs(8);
-
 /// Wait before a gateway that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
-/// Longest wait for the fleet to become ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Timeout of opening a connection for a readiness check.
-const READY_POLL_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Interval at which faults are looked for that must begin or end.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Lowest port of the fleet.
-const FIRST_PORT: u32 = 10_000;
-
-/// Number of ports of the fleet.
-const PORT_COUNT: u32 = 20_000;
-
-/// Why a fleet cannot run.
-#[derive(Debug)]
-#[derive(thiserror::Error)]
-pub enum FleetError {
-    /// A file or a process failed.
-    #[error("{what}: {source}")]
-    Io {
-        /// What was done.
-        what: &'static str,
-        /// The error of the operating system.
-        source: io::Error,
-    },
-    /// A gateway did not become ready.
-    #[error("{name} is not ready after {READY_TIMEOUT:?}")]
-    NotReady {
-        /// Name of the gateway.
-        name: String,
-    },
-}
-
 /// A span of time in which gateways were disturbed.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -120,48 +72,6 @@
     pub is_valid: bool,
 }
 
-/// A gateway process.
-pub struct GatewayProcess {
-    /// Name of the instance.
-    pub name: String,
-    /// Address for callers.
-    pub callers: SocketAddr,
-    /// Address for questions about addresses.
-    pub directory: SocketAddr,
-    readiness: SocketAddr,
-    store: StoreAddress,
-    settings: PathBuf,
-    log: PathBuf,
-    child: Child,
-    /// When SIGTERM was sent, if the process has not ended since.
-    stopped_at: Option<Time>,
-    /// When a process that has ended is started again.
-    restart_at: Option<Time>,
-}
-
-impl Drop for GatewayProcess {
-    fn drop(&mut self) {
-        self.signal(Signal::CONT);
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl GatewayProcess {
-    fn signal(&self, signal: Signal) {
-        let _ = kill_process(Pid::from_child(&self.child), signal);
-    }
-
-    /// Returns the resident memory in bytes; zero if the process has ended.
-    pub fn resident_bytes(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
-        let status = status.unwrap_or_default();
-        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = resident.and_then(|text| text.trim().trim_end_matches(" kB").parse::<u64>().ok());
-        kib.unwrap_or(0) << 10
-    }
-}
-
 /// Something that must be undone after a while.
 enum Undo {
     Resume(usize),
@@ -171,10 +81,21 @@
     StopFatal,
 }
 
+/// What has happened to a gateway process.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lifecycle {
+    /// When SIGTERM was sent, if the process has not ended since.
+    stopped_at: Option<Time>,
+    /// When a process that has ended is started again.
+    restart_at: Option<Time>,
+}
+
 /// The processes and stand-ins of a soak.
 pub struct Fleet {
     /// The gateways.
     pub gateways: Vec<GatewayProcess>,
+    /// What has happened to the gateways, in the same order.
+    lifecycles: Vec<Lifecycle>,
     /// Spans in which gateways were disturbed.
     pub disturbances: Vec<Disturbance>,
     /// Changes of the key that is withdrawn at times.
@@ -186,32 +107,18 @@
     /// The engines, and then the servers of the plain service.
     workers: Vec<Worker>,
     store: Arc<MetadataStore>,
-    binary: PathBuf,
     version: u64,
 }
 
-/// Returns a loopback address that nothing else uses. The IP address holds the id of this process.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let [_, high, middle, low] = std::process::id().to_be_bytes();
-    let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
-    SocketAddr::from(([127, 64 + high, middle, low], port as u16))
-}
-
-fn io_error(what: &'static str) -> impl Fn(io::Error) -> FleetError {
-    move |source| FleetError::Io { what, source }
-}
-
 /// Returns the operators' document, with or without the key that is withdrawn at times.
 fn document(version: u64, has_second_key: bool) -> Document {
     let keys = if has_second_key { vec![KEY, WITHDRAWN_KEY] } else { vec![KEY] };
-    Document { version, host: HOST, models: &MODELS, team: TEAM, keys }
+    Document { version, host: HOST, models: &MODELS, team: TEAM, keys, added: Vec::new() }
 }
 
 impl Fleet {
     /// Starts the stand-ins and the gateways.
-    pub fn start(options: &Options) -> Result<Self, FleetError> {
-        std::fs::create_dir_all(&options.folder).map_err(io_error("cannot create the folder"))?;
+    pub fn start(options: &Options) -> Result<Self, ProcessError> {
         let store = MetadataStore::start();
         let log = Arc::new(WorkerLog::default());
         store.put(Document::key(), &document(1, true).to_text());
@@ -233,9 +140,15 @@
         });
         let servers = (0..PLAIN_SERVERS).map(|index| worker("desk", index, Vec::new()));
         let workers = engines.chain(servers).collect();
-        let gateways = (0..options.gateways).map(|index| start_gateway(options, index, &store));
-        let gateways = gateways.collect::<Result<_, _>>()?;
+        let start = |index: usize| {
+            let (name, data_centre) =
+                (format!("g{index:03}"), DATA_CENTRES[index % DATA_CENTRES.len()]);
+            let (binary, folder) = (&options.binary, &options.folder);
+            GatewayProcess::start(binary, folder, name, data_centre, store.clone())
+        };
+        let gateways = (0..options.gateways).map(start).collect::<Result<Vec<_>, _>>()?;
         Ok(Self {
+            lifecycles: vec![Lifecycle::default(); gateways.len()],
             gateways,
             disturbances: Vec::new(),
             key_changes: Vec::new(),
@@ -243,21 +156,14 @@
             log,
             workers,
             store,
-            binary: options.binary.clone(),
             version: 1,
         })
     }
 
     /// Waits until all gateways are ready.
-    pub async fn wait_ready(&self) -> Result<(), FleetError> {
-        let started_at = Time::now();
+    pub async fn wait_ready(&self) -> Result<(), ProcessError> {
         for gateway in &self.gateways {
-            while !is_ready(gateway.readiness).await {
-                if Time::now().since(started_at) > READY_TIMEOUT {
-                    return Err(FleetError::NotReady { name: gateway.name.clone() });
-                }
-                sleep(STEP_INTERVAL).await;
-            }
+            gateway.wait_ready().await?;
         }
         Ok(())
     }
@@ -358,15 +264,13 @@
     }
 
     fn kill(&mut self, index: usize, now: Time) {
-        let gateway = &mut self.gateways[index];
-        let _ = gateway.child.kill();
+        self.gateways[index].kill();
         self.disturb(Some(index), now, now + RESTART_DELAY, false);
     }
 
     fn stop(&mut self, index: usize, now: Time) {
-        let gateway = &mut self.gateways[index];
-        gateway.signal(Signal::TERM);
-        gateway.stopped_at.get_or_insert(now);
+        self.gateways[index].signal(Signal::TERM);
+        self.lifecycles[index].stopped_at.get_or_insert(now);
         self.disturb(Some(index), now, now + STOP_TIMEOUT, true);
     }
 
@@ -380,19 +284,16 @@
     /// Kills gateways that take too long to stop, and starts those again that have ended.
     fn tend_processes(&mut self, now: Time) {
         for index in 0..self.gateways.len() {
-            let gateway = &mut self.gateways[index];
-            if gateway.stopped_at.is_some_and(|at| now.since(at) > STOP_TIMEOUT) {
-                let _ = gateway.child.kill();
+            let (gateway, lifecycle) = (&mut self.gateways[index], &mut self.lifecycles[index]);
+            if lifecycle.stopped_at.is_some_and(|at| now.since(at) > STOP_TIMEOUT) {
+                gateway.kill();
             }
-            let has_ended = matches!(gateway.child.try_wait(), Ok(Some(_)));
-            match gateway.restart_at {
-                None if has_ended => gateway.restart_at = Some(now + RESTART_DELAY),
+            match lifecycle.restart_at {
+                None if gateway.has_ended() => lifecycle.restart_at = Some(now + RESTART_DELAY),
                 Some(at) if at <= now => {
-                    gateway.restart_at = None;
-                    gateway.stopped_at = None;
-                    match spawn(&self.binary, &gateway.settings, &gateway.log) {
-                        Ok(child) => gateway.child = child,
-                        Err(err) => log::error!("event=soak_restart_failed reason={err}"),
+                    *lifecycle = Lifecycle::default();
+                    if let Err(err) = gateway.restart() {
+                        log::error!("event=soak_restart_failed reason={err}");
                     }
                     self.disturb(Some(index), now, now, false);
                 }
@@ -401,60 +302,3 @@
         }
     }
 }
-
-/// Returns whether a gateway says that it is ready.
-async fn is_ready(address: SocketAddr) -> bool {
-    let pool: Arc<Pool> = Arc::default();
-    let Ok(mut connection) = pool.acquire(address, READY_POLL_TIMEOUT).await else { return false };
-    connection.send(ready_request()).await.is_ok_and(|response| response.status().is_success())
-}
-
-/// Writes the settings of a gateway and starts it.
-fn start_gateway(
-    options: &Options,
-    index: usize,
-    store: &Arc<MetadataStore>,
-) -> Result<GatewayProcess, FleetError> {
-    let name = format!("g{index:03}");
-    let [callers, directory, readiness, peer, metrics] = std::array::from_fn(|_| free_address());
-    let store = StoreAddress::start(store.clone(), free_address());
-    let store = store.map_err(io_error("cannot serve the store"))?;
-    let settings = json!({
-        "instance": name, "data_centre": DATA_CENTRES[index % DATA_CENTRES.len()],
-        "callers": callers, "directory": directory, "readiness": readiness, "peer": peer,
-        "metrics": metrics, "store": store.address,
-        "machine": { "cores": 0.25, "link_mbps": 1_000.0 },
-        "limits": {
-            "repeat_ratio": 0.2, "repeat_slack": 50.0, "repeat_window_s": 10.0,
-            "load_window_s": 5.0, "rate_slack": 100_000.0, "order_gap_ms": 3_000.0,
-            "stop_s": STOP_TIMEOUT.as_secs_f64(), "address_ttl_s": 5.0, "drain_ms": 2_000.0,
-        },
-        "log": "info",
-    });
-    let path = options.folder.join(format!("{name}.yaml"));
-    let log = options.folder.join(format!("{name}.log"));
-    std::fs::write(&path, settings.to_string()).map_err(io_error("cannot write the settings"))?;
-    let _ = std::fs::remove_file(&log);
-    let child = spawn(&options.binary, &path, &log).map_err(io_error("cannot start a gateway"))?;
-    Ok(GatewayProcess {
-        name,
-        callers,
-        directory,
-        readiness,
-        store,
-        settings: path,
-        log,
-        child,
-        stopped_at: None,
-        restart_at: None,
-    })
-}
-
-/// Starts a gateway process, which appends its output to `log`.
-fn spawn(binary: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
-    let out = File::options().create(true).append(true).open(log)?;
-    let err = out.try_clone()?;
-    let mut command = Command::new(binary);
-    command.arg("gateway").arg("--settings").arg(settings);
-    command.stdin(Stdio::null()).stdout(out).stderr(err).spawn()
-}
--- a/src/standin/metadata.rs
+++ b/src/standin/metadata.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use http::StatusCode;
+use http::{HeaderName, HeaderValue, StatusCode};
 use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::{sync::watch, time::sleep};
@@ -25,6 +25,9 @@
 /// Interval at which ended leases are looked for.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Header of all responses that carries the era.
+const ERA_HEADER: &str = "store-era";
+
 /// How a store treats the calls that arrive at one of its addresses.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct StoreFaults {
@@ -63,7 +66,7 @@
 }
 
 /// Records, leases and changes.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct State {
     records: BTreeMap<String, Record>,
     leases: HashMap<u64, Lease>,
@@ -74,6 +77,10 @@
     last_lease: u64,
 }
 
+/// A copy of a store, from which the store may return.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(State);
+
 impl State {
     /// Writes a record; returns the revision.
     fn put(&mut self, key: &str, value: String, lease: u64) {
@@ -128,12 +135,18 @@
     state: Mutex<State>,
     /// Revision of the last change, for watches.
     changed: watch::Sender<u64>,
+    /// Era of the store, which grows with each return from a copy.
+    era: watch::Sender<u64>,
 }
 
 impl MetadataStore {
     /// Creates an empty store, and starts the task that ends its leases.
     pub fn start() -> Arc<Self> {
-        let store = Arc::new(Self { state: Mutex::default(), changed: watch::Sender::new(0) });
+        let store = Arc::new(Self {
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+            era: watch::Sender::new(1),
+        });
         let weak = Arc::downgrade(&store);
         tokio::spawn(async move {
             while let Some(store) = weak.upgrade() {
@@ -175,6 +188,26 @@
         });
     }
 
+    /// Returns a copy of the records, the leases and the changes.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().clone())
+    }
+
+    /// Returns to an earlier copy, in a new era: what was written since is lost, and revisions and
+    /// the numbers of leases are given out again. The leases of the copy begin anew.
+    pub fn restore(&self, copy: StoreCopy) {
+        let now = Time::now();
+        let StoreCopy(mut state) = copy;
+        state.leases.values_mut().for_each(|lease| lease.ends_at = now + lease.ttl);
+        *self.state.lock() = state;
+        self.era.send_modify(|era| *era += 1);
+    }
+
+    /// Returns a receiver of the era.
+    pub fn era(&self) -> watch::Receiver<u64> {
+        self.era.subscribe()
+    }
+
     /// Forgets all changes, so that watches must read everything again.
     pub fn forget_history(&self) {
         self.update(|state| {
@@ -225,7 +258,9 @@
         return Ok(super::http1::whole_response(StatusCode::SERVICE_UNAVAILABLE, "{}"));
     }
     let is_lost = request.method() == http::Method::POST && rand::rng().random_bool(faults.lost);
-    let response = store.call(request).await?;
+    let mut response = store.call(request).await?;
+    let era = HeaderValue::from(*store.era.borrow());
+    response.headers_mut().insert(HeaderName::from_static(ERA_HEADER), era);
     if is_lost {
         return std::future::pending().await;
     }
--- a/src/standin/metadata/calls.rs
+++ b/src/standin/metadata/calls.rs
@@ -85,7 +85,14 @@
         let reply = match (&parts.method, path) {
             (&Method::GET, "/api/kv-key") => self.read(query),
             (&Method::GET, "/api/kv-range") => self.range(query),
-            (&Method::GET, "/api/kv-watch") => self.watch(query).await,
+            (&Method::GET, "/api/kv-watch") => {
+                let mut era = self.era();
+                tokio::select! {
+                    reply = self.watch(query) => reply,
+                    // A store that returns from a copy cuts its watches.
+                    _ = era.changed() => return Err(Broken),
+                }
+            }
             (&Method::POST, "/api/kv-txn") => self.transact(&body),
             (&Method::POST, "/api/kv-lease") => self.grant(&body),
             (&Method::POST, path) if path.starts_with("/api/kv-keep/") => self.renew(id()),
@@ -136,7 +143,7 @@
     /// none yet.
     fn events_after(&self, prefix: &str, after: u64) -> Option<Reply> {
         let state = self.state.lock();
-        if after < state.forgotten {
+        if after < state.forgotten || after > state.revision {
             return Some(Reply::error(StatusCode::GONE));
         }
         let changes = state.changes.iter().filter(|change| change.revision > after);
--- a/src/standin/operator.rs
+++ b/src/standin/operator.rs
@@ -13,7 +13,7 @@
 /// Tokens a second of the team, which no trial reaches.
 const TEAM_RATE: u64 = 10_000_000;
 
-/// A configuration with three routes, engines, a plain service and one team.
+/// A configuration with three routes and some that were added, engines, a plain service and one team.
 #[derive(Clone, Debug)]
 pub struct Document {
     /// Version of the configuration.
@@ -26,6 +26,8 @@
     pub team: &'static str,
     /// Keys of the team.
     pub keys: Vec<&'static str>,
+    /// Names of further routes to the plain service.
+    pub added: Vec<String>,
 }
 
 impl Document {
@@ -39,13 +41,15 @@
         let models = self.models.iter().map(
             |name| json!({ "name": name, "weights_mb": MODEL_MB, "load_s": 0.3, "adapters": 0 }),
         );
+        let mut routes = vec![
+            self.route("chat", "streaming", "engines", 3, 1),
+            self.route("pay", "non_idempotent", "desk", 2, 0),
+            self.route("look", "idempotent", "desk", 2, 2),
+        ];
+        routes.extend(self.added.iter().map(|name| self.route(name, "idempotent", "desk", 2, 2)));
         let document = json!({
             "version": self.version,
-            "routes": [
-                self.route("chat", "streaming", "engines", 3, 1),
-                self.route("pay", "non_idempotent", "desk", 2, 0),
-                self.route("look", "idempotent", "desk", 2, 2),
-            ],
+            "routes": routes,
             "services": [
                 { "name": "engines", "health_path": "/h", "max_conns": 400, "engine": {
                     "slots": 32, "kv_capacity_tokens": 200_000, "weights_mb": ENGINE_MB,
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -25,6 +25,9 @@
 use super::{http1::Server, metadata::MetadataStore};
 use crate::clock::wall_millis;
 
+/// Interval of the endpoint's heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(800);
+
 /// Time from a crash until the endpoint's entry is removed.
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_400);
 
@@ -185,6 +188,7 @@
         let has_crashed = tokio::select! {
             () = shared.crash.notified() => true,
             () = shared.drain() => false,
+            () = shared.register_after_returns() => false,
         };
         drop(server);
         let id = shared.state.lock().id.clone();
@@ -226,6 +230,16 @@
         self.store.put(&key, &entry.to_string());
     }
 
+    /// Writes the endpoint's entry again each time that the store has returned from a copy. Does not
+    /// end.
+    async fn register_after_returns(&self) {
+        let mut era = self.store.era();
+        while era.changed().await.is_ok() {
+            sleep(HEARTBEAT_INTERVAL).await;
+            self.register();
+        }
+    }
+
     /// Waits until the endpoint must leave, drains it, and returns when it may end.
     async fn drain(&self) {
         self.leave.notified().await;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -16,6 +16,7 @@
     mod path;
     mod placement;
     mod rate;
+    mod returns;
     mod shutdown;
     mod soak;
     mod streams;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -3,6 +3,7 @@
 
 pub mod cli;
 pub mod fleet;
+pub mod gateways;
 pub mod http;
 pub mod relay;
 pub mod steward;
