--- a/src/kernel/grants/crash_causes.rs
+++ b/src/kernel/grants/crash_causes.rs
@@ -240,7 +240,6 @@
 
     /// Records a crash that ended runs, each with its possible causes.
     pub fn record_crash(&mut self, crash: CrashId, runs: &[Vec<Cause>], now: Time) {
-        println!("[DBG crash {crash:?} {runs:?} {now:?}");
         for causes in runs {
             self.record_end(causes);
             for cause in causes {
