--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -131,7 +131,9 @@
         self.uplink.record_frame();
         log::info!("event=started instance={} version={}", settings.instance, VERSION);
         tokio::spawn(operator::run(self.clone()));
+        tokio::spawn(operator::end_evacuations(self.clone()));
         tokio::spawn(registry::run(self.clone()));
+        tokio::spawn(registry::settle(self.clone()));
         tokio::spawn(leader::watch(self.clone()));
         tokio::spawn(leader::maintain_lease(self.clone()));
         tokio::spawn(leader::record_fleet_size(self.clone()));
--- a/src/gateway/crashes.rs
+++ b/src/gateway/crashes.rs
@@ -34,8 +34,8 @@
 struct Shared {
     /// Version that was logged, and sent to the peers if this instance led.
     seen: u64,
-    /// Version that the store has.
-    recorded: u64,
+    /// Version that the store has, and the era in which it was recorded.
+    recorded: (u64, u64),
     /// When the causes may be recorded again.
     record_from: Time,
 }
@@ -54,12 +54,14 @@
             }
             shared.seen = version;
         }
-        let is_due = version != shared.recorded && Time::now() >= shared.record_from;
+        // A new era of the store may have lost the record.
+        let current = (version, gateway.store.era());
+        let is_due = version > 0 && current != shared.recorded && Time::now() >= shared.record_from;
         if !is_due || !gateway.leads() {
             continue;
         }
         match record(&gateway).await {
-            true => shared.recorded = version,
+            true => shared.recorded = current,
             false => shared.record_from = Time::now() + RECORD_BACKOFF,
         }
     }
@@ -104,7 +106,7 @@
     let records = gateway.scheduler.lock().refused_causes();
     let value = CrashesFrame::from(records).encode_to_vec();
     let key = causes_key();
-    let put = Put { key: &key, value: &value, lease: 0 };
+    let put = Put { key: &key, value: &value, lease: None };
     match gateway.store.put_if(LEADER_KEY, revision, &[put]).await {
         Ok(PutResult::Done(_)) => true,
         Ok(PutResult::Conflict | PutResult::NoLease) => false,
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -1,7 +1,7 @@
 //! Elects the leader: the instance that holds the lease of a record in the platform's store.
 //!
-//! The leader grants all instances' requests and gives orders to engines. Its term is the revision
-//! of its record, so it grows with each leader.
+//! The leader grants all instances' requests and gives orders to engines. Its term is the ordinal of the
+//! revision of its record, so it grows with each leader.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -20,8 +20,9 @@
     http::pool::connect,
     kernel::{
         candidacy::candidate_wait,
-        leadership::{HeldLease, LEASE_TTL, Leader, LeaderChange, LeaseStep},
+        leadership::{HeldLease, LEASE_TTL, LastLeader, Leader, LeaderChange, LeaseStep},
         membership::weakness,
+        revision::Revision,
     },
     platform::store::{Event, Item, Put, PutResult, StoreError, WatchResult},
 };
@@ -85,11 +86,35 @@
         let record: Self = serde_json::from_slice(&item.value)
             .inspect_err(|err| log::warn!("event=leader_unreadable reason={err}"))
             .ok()?;
-        let term = item.revision;
+        let term = item.revision.ordinal();
         Some(Leader { instance: record.instance.into(), address: record.address, term })
     }
 }
 
+/// The value of the record that names the last leader.
+#[derive(Serialize, Deserialize)]
+struct RawLastLeader {
+    instance: String,
+    /// Era of the store in which the record was written.
+    era: u64,
+}
+
+impl RawLastLeader {
+    /// Returns the last leader of a record. An earlier release wrote the name alone.
+    fn parse(item: &Item) -> LastLeader {
+        match serde_json::from_slice::<Self>(&item.value) {
+            Ok(record) => LastLeader {
+                instance: record.instance.into(),
+                is_current: record.era == item.revision.era(),
+            },
+            Err(_) => LastLeader {
+                instance: String::from_utf8_lossy(&item.value).as_ref().into(),
+                is_current: false,
+            },
+        }
+    }
+}
+
 impl Gateway {
     /// Returns the leader that is known.
     pub(super) fn leader(&self) -> Option<Leader> {
@@ -153,8 +178,9 @@
     page.items.iter().for_each(|item| gateway.apply_crashes_record(item));
     {
         let mut state = gateway.leadership.lock();
-        state.last_leader = find(LAST_LEADER_KEY).map(parse_last_leader);
-        state.fleet_size = find(SIZE_KEY).map_or(0, parse_fleet_size);
+        state.last_leader = find(LAST_LEADER_KEY).map(RawLastLeader::parse);
+        let size = find(SIZE_KEY).map_or(0, parse_fleet_size);
+        state.apply_fleet_size(size, page.revision.era());
         state.synced = true;
     }
     wait_for_link(gateway).await;
@@ -189,11 +215,6 @@
     }
 }
 
-/// Returns the name in the record of the last leader.
-fn parse_last_leader(item: &Item) -> Arc<str> {
-    String::from_utf8_lossy(&item.value).as_ref().into()
-}
-
 /// Returns the number of instances in its record; zero if it cannot be parsed.
 fn parse_fleet_size(item: &Item) -> usize {
     String::from_utf8_lossy(&item.value).parse().unwrap_or_else(|err| {
@@ -207,10 +228,11 @@
     match event {
         Event::Put(item) if item.key == LEADER_KEY => gateway.apply_leader_record(Some(item)),
         Event::Put(item) if item.key == LAST_LEADER_KEY => {
-            gateway.leadership.lock().last_leader = Some(parse_last_leader(item));
+            gateway.leadership.lock().last_leader = Some(RawLastLeader::parse(item));
         }
         Event::Put(item) if item.key == SIZE_KEY => {
-            gateway.leadership.lock().fleet_size = parse_fleet_size(item);
+            let (size, era) = (parse_fleet_size(item), item.revision.era());
+            gateway.leadership.lock().apply_fleet_size(size, era);
         }
         Event::Removed(key) if key == LEADER_KEY => gateway.apply_leader_record(None),
         Event::Put(item) => gateway.apply_crashes_record(item),
@@ -245,6 +267,11 @@
                 log::warn!("event=leadership_lost term={term} reason=lapsed");
             }
         }
+        Err(StoreError::Returned) => {
+            if let Some(term) = gateway.leadership.lock().step_down_after_return(Time::now()) {
+                log::warn!("event=leadership_lost term={term} reason=store_returned");
+            }
+        }
         Err(err) => {
             log::info!("event=lease_not_renewed term={} reason={err}", held.term);
         }
@@ -263,23 +290,25 @@
 }
 
 /// Writes the leader's record under a new lease, unless another instance has written it first.
-async fn try_acquire(gateway: &Arc<Gateway>, revision: u64) -> Result<(), StoreError> {
+async fn try_acquire(gateway: &Arc<Gateway>, revision: Revision) -> Result<(), StoreError> {
     let settings = &gateway.settings;
     let sent_at = Time::now();
     let lease = gateway.store.grant(LEASE_TTL).await?;
     let record = RawLeader { instance: settings.instance.to_string(), address: settings.peer };
     let value = serde_json::to_vec(&record).unwrap_or_default();
+    let last_leader = RawLastLeader { instance: record.instance, era: lease.era };
+    let last_leader = serde_json::to_vec(&last_leader).unwrap_or_default();
     let puts = [
-        Put { key: LEADER_KEY, value: &value, lease },
-        Put { key: LAST_LEADER_KEY, value: settings.instance.as_bytes(), lease: 0 },
+        Put { key: LEADER_KEY, value: &value, lease: Some(lease) },
+        Put { key: LAST_LEADER_KEY, value: &last_leader, lease: None },
     ];
     match gateway.store.put_if(LEADER_KEY, revision, &puts).await? {
-        PutResult::Done(term) => {
+        PutResult::Done(revision) => {
+            let term = revision.ordinal();
             let now = Time::now();
-            // The platform demands a gap only between orders of different leaders. The first
-            // leader, and one that led last itself, need not wait.
+            // The platform demands a gap only between orders of different leaders.
             let mut leadership = gateway.leadership.lock();
-            let delay = match leadership.led_last() {
+            let delay = match leadership.ordered_last(settings.order_gap, now) {
                 true => Duration::ZERO,
                 false => settings.order_gap + ORDER_MARGIN,
             };
@@ -346,20 +375,24 @@
     let mut smaller_checks = 0;
     loop {
         sleep(SIZE_INTERVAL).await;
-        let (seen, recorded) =
-            (gateway.members.load().list.len(), gateway.leadership.lock().fleet_size);
+        let seen = gateway.members.load().list.len();
+        let (recorded, is_lost, revision, holds_lease) = {
+            let state = gateway.leadership.lock();
+            let holds_lease = state.holds_lease(Time::now());
+            (state.fleet_size(), state.is_size_lost(), state.revision(), holds_lease)
+        };
         smaller_checks = if seen < recorded { smaller_checks + 1 } else { 0 };
-        let changed = seen > recorded || smaller_checks >= SHRINK_CHECKS;
-        if !gateway.leadership.lock().holds_lease(Time::now()) || !changed || seen == 0 {
+        let is_smaller = smaller_checks >= SHRINK_CHECKS;
+        if !holds_lease || seen == 0 || !(seen > recorded || is_smaller || is_lost) {
             continue;
         }
-        let value = seen.to_string();
-        let put = Put { key: SIZE_KEY, value: value.as_bytes(), lease: 0 };
-        let revision = gateway.leadership.lock().revision();
+        let size = if is_smaller { seen } else { seen.max(recorded) };
+        let value = size.to_string();
+        let put = Put { key: SIZE_KEY, value: value.as_bytes(), lease: None };
         match gateway.store.put_if(LEADER_KEY, revision, &[put]).await {
-            Ok(PutResult::Done(_)) => gateway.leadership.lock().fleet_size = seen,
-            Ok(written) => log::info!("event=size_not_recorded size={seen} answer={written:?}"),
-            Err(err) => log::info!("event=size_not_recorded size={seen} reason={err}"),
+            Ok(PutResult::Done(_)) => gateway.leadership.lock().set_fleet_size(size),
+            Ok(written) => log::info!("event=size_not_recorded size={size} answer={written:?}"),
+            Err(err) => log::info!("event=size_not_recorded size={size} reason={err}"),
         }
     }
 }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -277,15 +277,12 @@
     /// Returns the heartbeat of this instance.
     pub(super) fn heartbeat(&self) -> Heartbeat {
         let operator = self.operator.lock();
-        let term = self.leader().map_or(0, |leader| leader.term);
-        Heartbeat { ready: self.is_ready(), revision: operator.revision, hash: operator.hash, term }
-    }
-
-    /// Returns the operators' records if they are newer than those of the instance that sent
-    /// `heartbeat`.
-    pub(super) fn operator_update(&self, heartbeat: &Heartbeat) -> Option<Content> {
-        let operator = self.operator.lock();
-        let is_newer = operator.is_newer_than(heartbeat.revision, heartbeat.hash);
-        is_newer.then(|| Content::Operator(operator.to_frame()))
+        Heartbeat {
+            ready: self.is_ready(),
+            revision: operator.revision(),
+            hash: operator.hash(),
+            term: self.leader().map_or(0, |leader| leader.term),
+            version: operator.version(),
+        }
     }
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -63,7 +63,7 @@
     ///
     /// Lost instances count until the leader records a smaller number.
     pub(super) fn fleet_size(&self) -> usize {
-        let recorded = self.leadership.lock().fleet_size;
+        let recorded = self.leadership.lock().fleet_size();
         match recorded.max(self.members.load().list.len()) {
             0 => DEFAULT_FLEET_SIZE,
             size => size,
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -113,22 +113,25 @@
     /// Whether the sender is ready to serve callers.
     #[prost(bool, tag = "1")]
     pub ready: bool,
-    /// Revision of the store at which the sender's operators' records were read.
+    /// Ordinal of the store's revision at which the sender's operators' records were read.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// Hash of the sender's operators' records.
+    /// Hash of those of the sender's operators' records that have no version.
     #[prost(fixed64, tag = "3")]
     pub hash: u64,
     /// Term of the leader that the sender knows.
     #[prost(uint64, tag = "4")]
     pub term: u64,
+    /// Version of the sender's configuration; zero if it has none.
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
 }
 
 /// The operators' records: the configuration document and the data centres out of service.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
 pub struct OperatorFrame {
-    /// Revision of the store at which the records were read.
+    /// Ordinal of the store's revision at which the records were read.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     /// The configuration document, compressed.
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -4,7 +4,7 @@
 //! cannot reach the store still gets them.
 
 use std::{
-    collections::HashSet,
+    collections::BTreeSet,
     io::{Read, Write},
     sync::Arc,
     time::Duration,
@@ -13,15 +13,20 @@
 use bytes::Bytes;
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
 use super::{
     Gateway,
-    messages::{Content, OperatorFrame},
+    messages::{Content, Heartbeat, OperatorFrame},
 };
-use crate::platform::{
-    catalog::{DOCUMENT_KEY, EVACUATE_PREFIX, OPERATOR_PREFIX, decode},
-    store::{Event, StoreError, WatchResult},
+use crate::{
+    catalog::Catalog,
+    clock::Time,
+    kernel::{evacuation::Evacuations, revision::Revision},
+    platform::{
+        catalog::{DOCUMENT_KEY, EVACUATE_PREFIX, OPERATOR_PREFIX, decode},
+        store::{Event, StoreError, WatchResult},
+    },
 };
 
 /// Longest wait of one watch call to the store.
@@ -37,18 +42,31 @@
 const ERROR_BACKOFF: Duration = Duration::from_millis(250);
 
 /// The operators' records, as read last.
-#[derive(Clone, Debug, Default)]
+///
+/// The documents are ordered by the version that the operators give them: the store may return from
+/// an older copy, whose document is an older one. Other records have no version and are ordered by
+/// the revision at which they were read.
+#[derive(Debug, Default)]
 pub struct OperatorState {
-    /// Revision of the store at which the records were read; zero before the first read.
-    pub revision: u64,
-    /// Hash of the records.
-    pub hash: u64,
+    /// Version of the document; zero before the first one.
+    version: u64,
     /// The configuration document.
     document: Bytes,
     /// The document as it is sent to other instances.
     deflated: Bytes,
-    /// Data centres that are out of service, in the order of their names.
-    evacuated: Vec<String>,
+    evacuations: Evacuations,
+    /// Data centres that the scheduler was told are out of service.
+    applied: BTreeSet<String>,
+}
+
+/// Records that were read together, from the store or from another instance.
+struct Records {
+    /// Revision of the store at which they were read.
+    revision: Revision,
+    /// The configuration document; empty if there is none.
+    document: Bytes,
+    /// Data centres that are out of service.
+    evacuated: BTreeSet<String>,
 }
 
 /// Compresses the document for other instances.
@@ -67,30 +85,62 @@
 }
 
 impl OperatorState {
-    fn new(revision: u64, document: Bytes, mut evacuated: Vec<String>) -> Self {
-        evacuated.sort();
-        let mut content = document.to_vec();
-        for data_centre in &evacuated {
-            content.push(0);
-            content.extend_from_slice(data_centre.as_bytes());
+    /// Returns the version of the document; zero before the first one.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the ordinal of the revision at which the records were read.
+    pub fn revision(&self) -> u64 {
+        self.evacuations.revision().ordinal()
+    }
+
+    /// Returns the hash of the records that have no version.
+    pub fn hash(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        for data_centre in self.evacuations.listed() {
+            hash.update(data_centre.as_bytes());
+            hash.update(&[0]);
         }
-        let deflated = deflate(&document);
-        Self { revision, hash: xxh3_64(&content), document, deflated, evacuated }
+        hash.digest()
     }
 
-    /// Returns whether this state must be sent to an instance that has records of the given
-    /// revision and hash.
-    pub fn is_newer_than(&self, revision: u64, hash: u64) -> bool {
-        self.revision > revision && self.hash != hash
+    /// Returns whether this state must be sent to the instance that sent `heartbeat`.
+    fn is_newer_than(&self, heartbeat: &Heartbeat) -> bool {
+        let has_newer_list = self.revision() > heartbeat.revision && self.hash() != heartbeat.hash;
+        self.version > heartbeat.version || (self.version > 0 && has_newer_list)
     }
 
     /// Returns the frame that sends this state to other instances.
-    pub fn to_frame(&self) -> OperatorFrame {
+    fn to_frame(&self) -> OperatorFrame {
         OperatorFrame {
-            revision: self.revision,
+            revision: self.revision(),
             document: self.deflated.clone(),
-            evacuated: self.evacuated.clone(),
+            evacuated: self.evacuations.listed().map(str::to_owned).collect(),
+        }
+    }
+
+    /// Takes a document that is newer than the known one. Returns its configuration.
+    fn take_document(&mut self, document: &Bytes) -> Option<Catalog> {
+        if document.is_empty() || *document == self.document {
+            return None;
+        }
+        let catalog = match decode(document) {
+            Ok(catalog) => catalog,
+            Err(err) => {
+                log::error!("event=config_rejected reason={err}");
+                return None;
+            }
+        };
+        let (version, known) = (catalog.version, self.version);
+        if version <= known {
+            log::info!("event=config_ignored version={version} known={known}");
+            return None;
         }
+        self.version = version;
+        self.document = document.clone();
+        self.deflated = deflate(document);
+        Some(catalog)
     }
 }
 
@@ -101,12 +151,21 @@
             Ok(document) => document,
             Err(err) => return log::warn!("event=config_unreadable from=peer reason={err}"),
         };
-        let state = OperatorState::new(frame.revision, document, frame.evacuated);
-        if self.apply_state(state) && self.leads() {
+        let revision = Revision::from_ordinal(frame.revision);
+        let evacuated = frame.evacuated.into_iter().collect();
+        let changed = self.apply_records(&Records { revision, document, evacuated });
+        if changed && self.leads() {
             self.send_operator();
         }
     }
 
+    /// Returns the operators' records if they are newer than those of the instance that sent
+    /// `heartbeat`.
+    pub(super) fn operator_update(&self, heartbeat: &Heartbeat) -> Option<Content> {
+        let operator = self.operator.lock();
+        operator.is_newer_than(heartbeat).then(|| Content::Operator(operator.to_frame()))
+    }
+
     /// Sends the operators' records: from the leader to all peers, from another instance to the
     /// leader.
     fn send_operator(&self) {
@@ -118,50 +177,43 @@
         }
     }
 
-    /// Applies the records if they are newer than the current ones. Returns whether the records
-    /// have changed.
-    fn apply_state(&self, state: OperatorState) -> bool {
+    /// Applies the records that are newer than the known ones. Returns whether there were any.
+    fn apply_records(&self, records: &Records) -> bool {
         let mut current = self.operator.lock();
-        if state.revision <= current.revision && current.revision > 0 {
-            if state.hash != current.hash {
-                let (revision, known) = (state.revision, current.revision);
-                log::warn!("event=records_ignored revision={revision} known={known}");
-            }
-            return false;
-        }
-        if state.hash == current.hash && current.revision > 0 {
-            current.revision = state.revision;
-            return false;
+        let catalog = current.take_document(&records.document);
+        let has_document = catalog.is_some();
+        if let Some(catalog) = catalog {
+            let before = self.catalog.load().as_ref().map_or(0, |catalog| catalog.version);
+            log::info!("event=config_applied version={} before={before}", catalog.version);
+            let catalog = Arc::new(catalog);
+            self.catalog.store(Some(catalog.clone()));
+            self.scheduler.lock().set_catalog(catalog);
         }
-        let evacuated: HashSet<Arc<str>> =
-            state.evacuated.iter().map(|data_centre| Arc::from(&**data_centre)).collect();
-        if state.evacuated != current.evacuated {
-            log::info!("event=data_centres_out list={:?}", state.evacuated);
-        }
-        if state.document != current.document {
-            self.apply_document(&state.document);
-        }
-        let mut scheduler = self.scheduler.lock();
-        scheduler.set_evacuated(evacuated);
-        if let Some(catalog) = self.catalog.load_full() {
-            scheduler.set_catalog(catalog);
-        }
-        *current = state;
-        true
+        let (revision, evacuated) = (records.revision, records.evacuated.clone());
+        let has_list = current.evacuations.apply(revision, evacuated, Time::now());
+        self.apply_evacuations(&mut current);
+        has_document || has_list
     }
 
-    /// Applies a document, unless it is not valid or older than the current configuration.
-    fn apply_document(&self, document: &[u8]) {
-        let catalog = match decode(document) {
-            Ok(catalog) => catalog,
-            Err(err) => return log::error!("event=config_rejected reason={err}"),
-        };
-        let known = self.catalog.load().as_ref().map_or(0, |catalog| catalog.version);
-        if catalog.version < known {
-            return log::warn!("event=config_ignored version={} known={known}", catalog.version);
+    /// Tells the scheduler which data centres are out of service, if that has changed.
+    fn apply_evacuations(&self, current: &mut OperatorState) {
+        let in_force = current.evacuations.in_force(Time::now());
+        if in_force == current.applied {
+            return;
         }
-        log::info!("event=config_applied version={} before={known}", catalog.version);
-        self.catalog.store(Some(Arc::new(catalog)));
+        let list: Vec<&str> = in_force.iter().map(|name| &**name).collect();
+        log::info!("event=data_centres_out list={}", list.join(","));
+        let names = list.iter().map(|name| Arc::from(*name)).collect();
+        self.scheduler.lock().set_evacuated(names);
+        current.applied = in_force;
+    }
+}
+
+/// Returns data centres to service that are held out of it for a while after a return of the store.
+pub async fn end_evacuations(gateway: Arc<Gateway>) {
+    loop {
+        sleep(POLL_INTERVAL).await;
+        gateway.apply_evacuations(&mut gateway.operator.lock());
     }
 }
 
@@ -191,23 +243,16 @@
     if std::mem::take(store_lost) {
         log::info!("event=store_back what=config revision={}", page.revision);
     }
-    let mut document = Bytes::new();
-    let mut evacuated = Vec::new();
+    let mut records =
+        Records { revision: page.revision, document: Bytes::new(), evacuated: BTreeSet::new() };
     for item in page.items {
-        if item.key == DOCUMENT_KEY {
-            document = item.value;
-        } else if let Some(data_centre) = item.key.strip_prefix(EVACUATE_PREFIX) {
-            evacuated.push(data_centre.to_owned());
-        }
+        apply_event(Event::Put(item), &mut records);
     }
-    let mut revision = page.revision;
     while gateway.watches_operator() {
-        if !document.is_empty() {
-            let state = OperatorState::new(revision, document.clone(), evacuated.clone());
-            if gateway.apply_state(state) {
-                gateway.send_operator();
-            }
+        if gateway.apply_records(&records) {
+            gateway.send_operator();
         }
+        let revision = records.revision;
         match gateway.store.watch(OPERATOR_PREFIX, revision, WATCH_TIMEOUT).await? {
             WatchResult::Missed => {
                 log::info!("event=watch_restarted what=config revision={revision}");
@@ -215,9 +260,9 @@
             }
             WatchResult::Events(events, newest) => {
                 for event in events {
-                    apply_event(event, &mut document, &mut evacuated);
+                    apply_event(event, &mut records);
                 }
-                revision = newest.max(revision);
+                records.revision = newest.max(revision);
             }
         }
     }
@@ -225,18 +270,17 @@
 }
 
 /// Applies a change of a record.
-fn apply_event(event: Event, document: &mut Bytes, evacuated: &mut Vec<String>) {
+fn apply_event(event: Event, records: &mut Records) {
     match event {
-        Event::Put(item) if item.key == DOCUMENT_KEY => *document = item.value,
+        Event::Put(item) if item.key == DOCUMENT_KEY => records.document = item.value,
         Event::Put(item) => {
             if let Some(data_centre) = item.key.strip_prefix(EVACUATE_PREFIX) {
-                evacuated.retain(|known| known != data_centre);
-                evacuated.push(data_centre.to_owned());
+                records.evacuated.insert(data_centre.to_owned());
             }
         }
         Event::Removed(key) => {
             if let Some(data_centre) = key.strip_prefix(EVACUATE_PREFIX) {
-                evacuated.retain(|known| known != data_centre);
+                records.evacuated.remove(data_centre);
             }
         }
     }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -4,7 +4,6 @@
 //! instance without a leader reads the store itself.
 
 use std::{
-    collections::HashMap,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -18,7 +17,7 @@
 use super::{Gateway, messages::EndpointsFrame};
 use crate::{
     clock::Time,
-    kernel::grants::EndpointEntry,
+    kernel::{endpoint_table::EndpointTable, grants::EndpointEntry, revision::Revision},
     platform::{
         registration::{ENDPOINT_PREFIX, decode},
         store::{Event, StoreError, WatchResult},
@@ -42,7 +41,7 @@
 /// The table of endpoints, as read last from the store or from the leader.
 #[derive(Default)]
 pub struct Registry {
-    table: Mutex<HashMap<Arc<str>, EndpointEntry>>,
+    table: Mutex<EndpointTable>,
     /// Whether the table was filled at least once.
     initialized: AtomicBool,
 }
@@ -57,24 +56,28 @@
 impl Gateway {
     /// Applies the leader's frame about endpoints to the table.
     pub(super) fn handle_endpoints(&self, frame: EndpointsFrame) {
+        let now = Time::now();
+        let changed = frame.changed.into_iter().filter_map(|frame| frame.into_registration());
         {
             let mut table = self.registry.table.lock();
             if frame.full {
-                table.clear();
+                table.replace(self.leader_era(), changed.collect(), now);
+            } else {
+                frame.removed.iter().for_each(|id| table.remove(id, now));
+                changed.for_each(|entry| table.put(entry));
             }
-            for id in frame.removed {
-                table.remove(&*id);
-            }
-            let changed =
-                frame.changed.into_iter().filter_map(|endpoint| endpoint.into_registration());
-            table.extend(changed.map(|entry| (entry.id.clone(), entry)));
         }
         self.apply_table();
     }
 
+    /// Returns the era of the store in which the known leader was elected.
+    fn leader_era(&self) -> u64 {
+        self.leader().map_or(0, |leader| Revision::from_ordinal(leader.term).era())
+    }
+
     /// Passes the table to the scheduler and marks the registry as initialized.
     fn apply_table(&self) {
-        let table: Vec<EndpointEntry> = self.registry.table.lock().values().cloned().collect();
+        let table: Vec<EndpointEntry> = self.registry.table.lock().entries().cloned().collect();
         self.scheduler.lock().set_endpoints(table, Time::now());
         self.registry.initialized.store(true, Ordering::Release);
     }
@@ -104,15 +107,21 @@
     }
 }
 
+/// Lets entries hold that are in doubt after a return of the store, once their time has come.
+pub async fn settle(gateway: Arc<Gateway>) {
+    loop {
+        sleep(POLL_INTERVAL).await;
+        if gateway.registry.table.lock().settle(Time::now()) {
+            gateway.apply_table();
+        }
+    }
+}
+
 /// Reads all entries, then watches their changes; fails on the first error of the store.
 async fn follow_entries(gateway: &Gateway) -> Result<(), StoreError> {
     let page = gateway.store.range(ENDPOINT_PREFIX).await?;
-    {
-        let mut table = gateway.registry.table.lock();
-        table.clear();
-        let entries = page.items.iter().filter_map(|item| decode_entry(&item.key, &item.value));
-        table.extend(entries.map(|entry| (entry.id.clone(), entry)));
-    }
+    let entries = page.items.iter().filter_map(|item| decode_entry(&item.key, &item.value));
+    gateway.registry.table.lock().load(page.revision.era(), entries, Time::now());
     gateway.apply_table();
     let mut revision = page.revision;
     while gateway.must_watch_endpoints() {
@@ -142,12 +151,12 @@
     let mut table = gateway.registry.table.lock();
     match event {
         Event::Put(item) => match decode_entry(&item.key, &item.value) {
-            Some(entry) => drop(table.insert(entry.id.clone(), entry)),
+            Some(entry) => table.put(entry),
             None => log::debug!("event=endpoint_ignored key={}", item.key),
         },
         Event::Removed(key) => {
             if let Some(id) = key.strip_prefix(ENDPOINT_PREFIX) {
-                table.remove(id);
+                table.remove(id, Time::now());
             }
         }
     }
--- /dev/null
+++ b/src/kernel/endpoint_table.rs
@@ -0,0 +1,155 @@
+//! The entries of all endpoints, as an instance knows them from the store or from the leader.
+//!
+//! A store that returns from an older copy lists endpoints that have left, calls those ready that
+//! drain, and lacks those that have started since, until the endpoints write their entries again. What
+//! was known before therefore holds until then, or for a while.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use super::grants::{EndpointEntry, Incarnation};
+use crate::clock::Time;
+
+/// Time for which an entry stays in use that a new era of the store lacks.
+const MISSING_GRACE: Duration = Duration::from_secs(2);
+
+/// Time after which the entries of a new era hold as they are. An endpoint that has left loses its
+/// entry by then.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// Time for which a removed endpoint is remembered.
+const REMOVED_TTL: Duration = Duration::from_secs(120);
+
+/// A removed endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Removed {
+    incarnation: Incarnation,
+    at: Time,
+}
+
+/// What holds for an endpoint after a return of the store, until its entry is written again.
+#[derive(Clone, Debug)]
+struct Doubt {
+    /// The entry that the new era had when it was read; `None` if it had none.
+    read: Option<EndpointEntry>,
+    /// When the entry that was read holds.
+    until: Time,
+}
+
+/// The entries of all endpoints.
+#[derive(Debug, Default)]
+pub struct EndpointTable {
+    /// Era of the store that the entries come from; `None` before the first ones.
+    era: Option<u64>,
+    entries: HashMap<Arc<str>, EndpointEntry>,
+    removed: HashMap<Arc<str>, Removed>,
+    doubts: HashMap<Arc<str>, Doubt>,
+}
+
+impl EndpointTable {
+    /// Returns the entries.
+    pub fn entries(&self) -> impl Iterator<Item = &EndpointEntry> {
+        self.entries.values()
+    }
+
+    /// Replaces all entries by those that were read from the store in `era`.
+    pub fn load(&mut self, era: u64, entries: impl IntoIterator<Item = EndpointEntry>, now: Time) {
+        let read = entries.into_iter().map(|entry| (entry.id.clone(), entry));
+        let mut read: HashMap<Arc<str>, EndpointEntry> = read.collect();
+        let has_returned = self.era.is_some_and(|known| era > known);
+        self.era = Some(era).max(self.era);
+        self.forget_removed(now);
+        let known: Vec<EndpointEntry> = self.entries.values().cloned().collect();
+        for entry in known {
+            match read.remove(&entry.id) {
+                None if has_returned => self.doubt(&entry.id, None, now + MISSING_GRACE),
+                None if self.is_missing(&entry.id) => {}
+                None => self.remove(&entry.id, now),
+                Some(newer) if has_returned => self.apply_returned(entry, newer, now),
+                Some(newer) => self.apply_read(newer),
+            }
+        }
+        for entry in read.into_values() {
+            let is_removed = |removed: &Removed| entry.incarnation.0 <= removed.incarnation.0;
+            if has_returned && self.removed.get(&entry.id).is_some_and(is_removed) {
+                let id = entry.id.clone();
+                self.doubt(&id, Some(entry), now + SETTLE_TIME);
+            } else {
+                self.apply_read(entry);
+            }
+        }
+    }
+
+    /// Applies an entry that was read again. One that is in doubt and has not changed stays so.
+    fn apply_read(&mut self, entry: EndpointEntry) {
+        let doubt = self.doubts.get(&entry.id);
+        if doubt.is_none_or(|doubt| doubt.read.as_ref() != Some(&entry)) {
+            self.put(entry);
+        }
+    }
+
+    /// Returns whether the new era lacked an entry when it was read, and may get it yet.
+    fn is_missing(&self, id: &str) -> bool {
+        self.doubts.get(id).is_some_and(|doubt| doubt.read.is_none())
+    }
+
+    /// Applies an entry of a new era to one that was known before. An endpoint does not go back from
+    /// draining to ready, nor to an earlier start.
+    fn apply_returned(&mut self, known: EndpointEntry, read: EndpointEntry, now: Time) {
+        if read.incarnation.0 > known.incarnation.0 {
+            self.entries.insert(read.id.clone(), read);
+            return;
+        }
+        let is_same_start = read.incarnation == known.incarnation;
+        let draining = known.draining || (is_same_start && read.draining);
+        self.doubt(&known.id, Some(read), now + SETTLE_TIME);
+        self.entries.insert(known.id.clone(), EndpointEntry { draining, ..known });
+    }
+
+    fn doubt(&mut self, id: &Arc<str>, read: Option<EndpointEntry>, until: Time) {
+        self.doubts.insert(id.clone(), Doubt { read, until });
+    }
+
+    /// Applies an entry that an endpoint has written, or that the leader has sent.
+    pub fn put(&mut self, entry: EndpointEntry) {
+        self.doubts.remove(&entry.id);
+        self.removed.remove(&entry.id);
+        self.entries.insert(entry.id.clone(), entry);
+    }
+
+    /// Removes an endpoint.
+    pub fn remove(&mut self, id: &str, now: Time) {
+        self.doubts.remove(id);
+        if let Some(entry) = self.entries.remove(id) {
+            let removed = Removed { incarnation: entry.incarnation, at: now };
+            self.removed.insert(entry.id, removed);
+        }
+    }
+
+    /// Replaces all entries by those that a leader has sent, whose table is of `era`.
+    pub fn replace(&mut self, era: u64, entries: Vec<EndpointEntry>, now: Time) {
+        self.era = Some(era).max(self.era);
+        let is_kept = |id: &Arc<str>| entries.iter().any(|entry| entry.id == *id);
+        let lost: Vec<Arc<str>> = self.entries.keys().filter(|id| !is_kept(id)).cloned().collect();
+        lost.iter().for_each(|id| self.remove(id, now));
+        self.doubts.clear();
+        entries.into_iter().for_each(|entry| self.put(entry));
+    }
+
+    /// Lets the entries hold as they were read where their endpoints have not written them in time.
+    /// Returns whether entries have changed.
+    pub fn settle(&mut self, now: Time) -> bool {
+        let due = self.doubts.extract_if(|_, doubt| now >= doubt.until);
+        let due: Vec<(Arc<str>, Doubt)> = due.collect();
+        for (id, doubt) in &due {
+            match &doubt.read {
+                Some(entry) => self.put(entry.clone()),
+                None => self.remove(id, now),
+            }
+        }
+        !due.is_empty()
+    }
+
+    fn forget_removed(&mut self, now: Time) {
+        self.removed.retain(|_, removed| now.since(removed.at) < REMOVED_TTL);
+    }
+}
--- a/src/kernel/leadership.rs
+++ b/src/kernel/leadership.rs
@@ -1,11 +1,13 @@
 //! What an instance knows of the leader, and the lease by which it leads itself.
 //!
-//! The leader holds the lease of a record in the platform's store. Its term is the revision of that
-//! record, so it grows with each leader. A process that was paused may find that its lease has ended
+//! The leader holds the lease of a record in the platform's store. Its term is the ordinal of that
+//! record's revision, so it grows with each leader, also when the store has returned from an older
+//! copy. A process that was paused may find that its lease has ended
 //! meanwhile, or that it leads again in a later term; whatever it decided before is void then.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use super::revision::{LeaseId, Revision};
 use crate::clock::Time;
 
 /// TTL of the leader's lease.
@@ -24,15 +26,15 @@
     pub instance: Arc<str>,
     /// Address at which the leader accepts links of other instances.
     pub address: SocketAddr,
-    /// Revision of the leader's record, which grows with each leader.
+    /// Ordinal of the revision of the leader's record, which grows with each leader.
     pub term: u64,
 }
 
 /// The lease by which this instance leads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldLease {
-    /// Number of the lease in the store.
-    pub lease: u64,
+    /// The lease in the store.
+    pub lease: LeaseId,
     /// Term of this leader.
     pub term: u64,
     /// When the last successful renewal was sent; the lease lasts at least [`LEASE_TTL`] from then
@@ -56,12 +58,23 @@
 pub enum LeaseStep {
     /// Renew this lease.
     Renew(HeldLease),
-    /// Write the leader's record in place of the one with this revision; zero if there is none.
-    Acquire(u64),
+    /// Write the leader's record in place of the one with this revision; the number zero if there is
+    /// none.
+    Acquire(Revision),
     /// Do nothing.
     Wait,
 }
 
+/// The instance that led last, as recorded in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LastLeader {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Whether the record was written in the store's current era. Another record may have survived a
+    /// return of the store that lost a later one.
+    pub is_current: bool,
+}
+
 /// What has changed with a record or an announcement of a leader.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LeaderChange {
@@ -79,18 +92,25 @@
     leader: Option<Leader>,
     /// Latest term of a leader that this instance has known.
     latest_term: u64,
-    /// Name of the instance that led last.
-    pub last_leader: Option<Arc<str>>,
+    /// The instance that led last; `None` if none is recorded.
+    pub last_leader: Option<LastLeader>,
     /// Name of the instance that led before this one, while this instance leads.
     former_leader: Option<Arc<str>>,
     /// Recorded number of instances; zero where none is known.
-    pub fleet_size: usize,
-    /// Revision of the leader's record; zero if there is none.
-    revision: u64,
+    fleet_size: usize,
+    /// Era in which the number of instances was read; `None` before the first time.
+    size_era: Option<u64>,
+    /// Whether the store has lost the recorded number of instances.
+    size_lost: bool,
+    /// Revision of the leader's record; the number zero if there is none.
+    revision: Revision,
     /// Whether the records have been read since the last error.
     pub synced: bool,
     /// Lease of this instance; `None` if it does not lead.
     held: Option<HeldLease>,
+    /// When the store last confirmed the lease by which this instance led until the store returned
+    /// from an older copy; `None` if it gave no orders then.
+    led_until: Option<Time>,
 }
 
 impl Leadership {
@@ -103,9 +123,12 @@
             last_leader: None,
             former_leader: None,
             fleet_size: 0,
-            revision: 0,
+            size_era: None,
+            size_lost: false,
+            revision: Revision::default(),
             synced: false,
             held: None,
+            led_until: None,
         }
     }
 
@@ -114,11 +137,38 @@
         self.leader.as_ref()
     }
 
-    /// Returns the revision of the leader's record; zero if there is none.
-    pub fn revision(&self) -> u64 {
+    /// Returns the revision of the leader's record; the number zero if there is none.
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
+    /// Returns the recorded number of instances; zero where none is known.
+    pub fn fleet_size(&self) -> usize {
+        self.fleet_size
+    }
+
+    /// Returns whether the store has lost the recorded number of instances.
+    pub fn is_size_lost(&self) -> bool {
+        self.size_lost
+    }
+
+    /// Applies the number of instances that was read from the store in `era`. A new era may have lost
+    /// a larger number, which then still holds.
+    pub fn apply_fleet_size(&mut self, size: usize, era: u64) {
+        let has_returned = self.size_era.is_some_and(|known| era > known);
+        self.size_era = Some(era);
+        self.size_lost = size < self.fleet_size && (has_returned || self.size_lost);
+        if !self.size_lost {
+            self.fleet_size = size;
+        }
+    }
+
+    /// Records that this instance has recorded the number of instances in the store.
+    pub fn set_fleet_size(&mut self, size: usize) {
+        self.fleet_size = size;
+        self.size_lost = false;
+    }
+
     /// Returns whether this instance leads. Its lease may have ended if the store cannot be
     /// reached.
     pub fn leads(&self) -> bool {
@@ -156,7 +206,8 @@
     /// Applies the leader's record of the store; `None` if there is none. A record that is older
     /// than the leader which this instance knows from an announcement does not replace it.
     pub fn apply_record(&mut self, leader: Option<Leader>) -> LeaderChange {
-        self.revision = leader.as_ref().map_or(0, |leader| leader.term);
+        let term = leader.as_ref().map_or(0, |leader| leader.term);
+        self.revision = Revision::from_ordinal(term);
         match leader {
             Some(leader) if leader.term < self.latest_term => LeaderChange::default(),
             leader => self.set_leader(leader),
@@ -185,21 +236,28 @@
     /// `held`, with its own `address`.
     pub fn elect(&mut self, held: HeldLease, address: SocketAddr) {
         let instance = self.own_name.clone();
-        self.former_leader = self.last_leader.replace(instance.clone());
+        let last_leader = LastLeader { instance: instance.clone(), is_current: true };
+        self.former_leader = self.last_leader.replace(last_leader).map(|last| last.instance);
         self.leader = Some(Leader { instance, address, term: held.term });
-        self.revision = held.term;
+        self.revision = Revision::from_ordinal(held.term);
         self.latest_term = held.term;
         self.held = Some(held);
     }
 
-    /// Returns whether this instance led last, or no instance did. Such a leader need not wait before
-    /// its first order.
-    pub fn led_last(&self) -> bool {
-        self.last_leader.as_ref().is_none_or(|last| *last == self.own_name)
+    /// Returns whether this instance certainly gave the last orders. Such a leader need not wait
+    /// before its first order.
+    ///
+    /// Where the store has lost who led last, it is this instance if it led less than `order_gap`
+    /// ago, since any other leader waits so long before its first order.
+    pub fn ordered_last(&self, order_gap: Duration, now: Time) -> bool {
+        match &self.last_leader {
+            Some(last) if last.is_current => last.instance == self.own_name,
+            _ => self.led_until.is_some_and(|at| now.since(at) < order_gap),
+        }
     }
 
     /// Records that the renewal of `lease` that was sent at `sent_at` succeeded.
-    pub fn renew(&mut self, lease: u64, sent_at: Time) {
+    pub fn renew(&mut self, lease: LeaseId, sent_at: Time) {
         if let Some(held) = self.held.as_mut().filter(|held| held.lease == lease) {
             held.renewed_at = sent_at;
         }
@@ -209,7 +267,16 @@
     pub fn step_down(&mut self) -> Option<u64> {
         let held = self.held.take()?;
         self.leader = None;
-        self.revision = 0;
+        self.revision = Revision::default();
+        Some(held.term)
+    }
+
+    /// Ends this instance's leadership after the store has returned from an older copy, whose leases
+    /// are not those that it granted. The record of the leader may still be there. Returns the term in
+    /// which this instance led.
+    pub fn step_down_after_return(&mut self, now: Time) -> Option<u64> {
+        let held = self.held.take()?;
+        self.led_until = (now >= held.orders_from).then_some(held.renewed_at);
         Some(held.term)
     }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,19 +5,25 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{sync::watch, time::timeout};
 
-use crate::http::pool::{Pool, SendError};
+use crate::{
+    http::pool::{Pool, SendError},
+    kernel::revision::{LeaseId, Revision},
+};
+
+/// Header of the store's responses that carries its era, which grows with each return from a copy.
+const ERA_HEADER: &str = "store-era";
 
 /// Timeout of opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -44,6 +50,10 @@
     /// The store refused the call with this status.
     #[error("the store answered with status {0}")]
     Refused(StatusCode),
+    /// The store has returned from an older copy during the call, or since the revision that the call
+    /// names. A write may have taken effect.
+    #[error("the store has returned from an older copy, the call may have taken effect")]
+    Returned,
     /// The response cannot be parsed.
     #[error("the store's answer cannot be parsed: {0}")]
     Parse(String),
@@ -66,10 +76,9 @@
     pub key: String,
     /// Value of the record.
     pub value: Bytes,
-    /// Revision of the last write to the record.
-    pub revision: u64,
-    /// Revision at which the record was created.
-    pub created: u64,
+    /// Revision of the last write to the record. A record that has survived a return of the store has
+    /// the era in which it was read.
+    pub revision: Revision,
 }
 
 /// Records that were read together.
@@ -78,7 +87,7 @@
     /// Records in the order of their keys.
     pub items: Vec<Item>,
     /// Revision of the store at the time of the read.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// A change of a record.
@@ -94,7 +103,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum WatchResult {
     /// The changes, perhaps none, up to this revision.
-    Events(Vec<Event>, u64),
+    Events(Vec<Event>, Revision),
     /// Changes may have been missed, so the caller must read all records again.
     Missed,
 }
@@ -103,7 +112,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PutResult {
     /// The records were written, at this revision.
-    Done(u64),
+    Done(Revision),
     /// The condition was not met, so nothing was written.
     Conflict,
     /// The lease of a record has ended, so nothing was written.
@@ -117,8 +126,8 @@
     pub key: &'a str,
     /// Value of the record.
     pub value: &'a [u8],
-    /// Lease with which the record ends; zero if it has none.
-    pub lease: u64,
+    /// Lease with which the record ends; `None` if it has none.
+    pub lease: Option<LeaseId>,
 }
 
 #[derive(Deserialize)]
@@ -129,8 +138,6 @@
     #[serde(default)]
     revision: u64,
     #[serde(default)]
-    create_rev: u64,
-    #[serde(default)]
     removed: bool,
 }
 
@@ -185,18 +192,39 @@
     lease: u64,
 }
 
-impl TryFrom<RawItem> for Item {
-    type Error = StoreError;
-
-    fn try_from(raw: RawItem) -> Result<Self, StoreError> {
-        let value = STANDARD.decode(raw.value.unwrap_or_default());
+impl RawItem {
+    /// Returns the record, which was read in `era`.
+    fn into_item(self, era: u64) -> Result<Item, StoreError> {
+        let value = STANDARD.decode(self.value.unwrap_or_default());
         let value = value.map_err(|err| StoreError::Parse(err.to_string()))?;
-        Ok(Item {
-            key: raw.key,
-            value: value.into(),
-            revision: raw.revision,
-            created: raw.create_rev,
-        })
+        let revision = Revision::new(era, self.revision);
+        Ok(Item { key: self.key, value: value.into(), revision })
+    }
+
+    /// Returns the change of a record, which was read in `era`.
+    fn into_event(self, era: u64) -> Result<Event, StoreError> {
+        match self.removed {
+            true => Ok(Event::Removed(self.key)),
+            false => self.into_item(era).map(Event::Put),
+        }
+    }
+}
+
+/// A response of the store.
+struct Response {
+    status: StatusCode,
+    body: Bytes,
+    /// Era in which the store has responded.
+    era: u64,
+}
+
+impl Response {
+    /// Parses the response to a call that succeeded.
+    fn parse<T: DeserializeOwned>(&self) -> Result<T, StoreError> {
+        if !self.status.is_success() {
+            return Err(StoreError::Refused(self.status));
+        }
+        serde_json::from_slice(&self.body).map_err(|err| StoreError::Parse(err.to_string()))
     }
 }
 
@@ -208,8 +236,10 @@
     timeout: Duration,
     /// Whether the last call other than a watch failed or was cancelled.
     unreachable: AtomicBool,
-    /// Number of times that the store became reachable after a failed call.
+    /// Number of times that the store became reachable after a failed call, or began a new era.
     recoveries: watch::Sender<u64>,
+    /// One more than the latest era in which the store has responded; zero if none is known.
+    next_era: AtomicU64,
 }
 
 /// Marks the store as unreachable when the guard is dropped, unless the response has arrived
@@ -237,17 +267,13 @@
             timeout,
             unreachable: AtomicBool::new(false),
             recoveries,
+            next_era: AtomicU64::new(0),
         }
     }
 
-    /// Reads the record of a key; `None` if there is none.
-    pub async fn get(&self, key: &str) -> Result<Option<Item>, StoreError> {
-        let path = format!("/api/kv-key?key={}", escape_query(key));
-        match self.call::<RawItem>(Method::GET, &path, Bytes::new()).await {
-            Ok(raw) => raw.try_into().map(Some),
-            Err(StoreError::Refused(StatusCode::NOT_FOUND)) => Ok(None),
-            Err(err) => Err(err),
-        }
+    /// Returns the latest era in which the store has responded; zero if none is known.
+    pub fn era(&self) -> u64 {
+        self.next_era.load(Ordering::Relaxed).saturating_sub(1)
     }
 
     /// Reads all records whose key starts with `prefix`.
@@ -256,23 +282,25 @@
     /// that of the first page, so that a watch from that revision on also reports the changes that
     /// happened during the read.
     pub async fn range(&self, prefix: &str) -> Result<Page, StoreError> {
-        let mut all = Page::default();
-        let mut after = String::new();
+        let mut items: Vec<Item> = Vec::new();
+        let mut revision: Option<Revision> = None;
         loop {
             let mut path = format!("/api/kv-range?path_prefix={}", escape_query(prefix));
-            if !after.is_empty() {
-                path = format!("{path}&after={}", escape_query(&after));
+            if let Some(last) = items.last() {
+                path = format!("{path}&after={}", escape_query(&last.key));
             }
-            let page: RawPage = self.call(Method::GET, &path, Bytes::new()).await?;
-            if all.revision == 0 {
-                all.revision = page.as_of;
+            let response = self.exchange(Method::GET, &path, Bytes::new()).await?;
+            let page: RawPage = response.parse()?;
+            let first = *revision.get_or_insert(Revision::new(response.era, page.as_of));
+            if response.era != first.era() {
+                return Err(StoreError::Returned);
             }
+            let is_last = !page.truncated || page.items.is_empty();
             for raw in page.items {
-                all.items.push(raw.try_into()?);
+                items.push(raw.into_item(response.era)?);
             }
-            match all.items.last() {
-                Some(last) if page.truncated => after = last.key.clone(),
-                _ => return Ok(all),
+            if is_last {
+                return Ok(Page { items, revision: first });
             }
         }
     }
@@ -281,108 +309,120 @@
     /// `prefix`.
     ///
     /// A store that was unreachable may have lost its watches. A watch therefore ends when another
-    /// call shows that the store is reachable after a failure.
+    /// call shows that the store is reachable after a failure, or is in a new era.
     pub async fn watch(
         &self,
         prefix: &str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> Result<WatchResult, StoreError> {
         let (prefix, wait_ms) = (escape_query(prefix), wait.as_millis());
-        let path = format!("/api/kv-watch?path_prefix={prefix}&after={after}&wait_ms={wait_ms}");
+        let number = after.number();
+        let path = format!("/api/kv-watch?path_prefix={prefix}&after={number}&wait_ms={wait_ms}");
         let mut recoveries = self.recoveries.subscribe();
         let time_limit = wait + WATCH_MARGIN;
         let response = tokio::select! {
             response = self.attempt(Method::GET, &path, Bytes::new(), time_limit) => response,
             _ = recoveries.changed() => return Ok(WatchResult::Missed),
         };
-        match response.and_then(|(status, body)| parse_response::<RawEvents>(status, &body)) {
+        let response = response?;
+        if response.era != after.era() {
+            return Ok(WatchResult::Missed);
+        }
+        match response.parse::<RawEvents>() {
             Ok(raw) => {
-                let events = raw.events.into_iter().map(|raw| match raw.removed {
-                    true => Ok(Event::Removed(raw.key)),
-                    false => Item::try_from(raw).map(Event::Put),
-                });
-                Ok(WatchResult::Events(events.collect::<Result<_, _>>()?, raw.as_of))
+                let events = raw.events.into_iter().map(|raw| raw.into_event(response.era));
+                let events = events.collect::<Result<_, _>>()?;
+                Ok(WatchResult::Events(events, Revision::new(response.era, raw.as_of)))
             }
             Err(StoreError::Refused(StatusCode::GONE)) => Ok(WatchResult::Missed),
             Err(err) => Err(err),
         }
     }
 
-    /// Writes records, if the record of `key` has the revision `expected`; zero if there must be no
-    /// record.
+    /// Writes records, if the record of `key` has the revision `expected`; the number zero if there
+    /// must be no record.
+    ///
+    /// Fails with [`StoreError::Returned`] if the store carried the call out in another era than that
+    /// of `expected` or of a lease, where the same number may name another revision or lease.
     pub async fn put_if(
         &self,
         key: &str,
-        expected: u64,
+        expected: Revision,
         puts: &[Put<'_>],
     ) -> Result<PutResult, StoreError> {
-        let puts = puts.iter().map(|put| RawPut {
+        let raw_puts = puts.iter().map(|put| RawPut {
             key: put.key,
             value: STANDARD.encode(put.value),
-            lease: put.lease,
+            lease: put.lease.map_or(0, |lease| lease.number),
         });
         let txn = RawTxn {
-            precondition: vec![RawCondition { key, revision: expected }],
-            puts: puts.collect(),
+            precondition: vec![RawCondition { key, revision: expected.number() }],
+            puts: raw_puts.collect(),
             delete: Vec::new(),
         };
         let body = serde_json::to_vec(&txn).unwrap_or_default().into();
-        let result = self.call(Method::POST, "/api/kv-txn", body).await;
-        match result {
-            Ok(RawRevision { revision }) => Ok(PutResult::Done(revision)),
+        let response = self.exchange(Method::POST, "/api/kv-txn", body).await?;
+        match response.parse::<RawRevision>() {
+            Ok(raw) => {
+                let mut eras = puts.iter().filter_map(|put| put.lease).map(|lease| lease.era);
+                let is_expected = expected.number() == 0 || expected.era() == response.era;
+                match is_expected && eras.all(|era| era == response.era) {
+                    true => Ok(PutResult::Done(Revision::new(response.era, raw.revision))),
+                    false => Err(StoreError::Returned),
+                }
+            }
             Err(StoreError::Refused(StatusCode::PRECONDITION_FAILED)) => Ok(PutResult::Conflict),
             Err(StoreError::Refused(StatusCode::NOT_FOUND)) => Ok(PutResult::NoLease),
             Err(err) => Err(err),
         }
     }
 
-    /// Grants a lease with the given TTL and returns its number.
-    pub async fn grant(&self, ttl: Duration) -> Result<u64, StoreError> {
+    /// Grants a lease with the given TTL.
+    pub async fn grant(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
         let body = serde_json::to_vec(&RawTtl { ttl_ms: ttl.as_millis() as u64 });
         let body = body.unwrap_or_default().into();
-        let raw: RawLease = self.call(Method::POST, "/api/kv-lease", body).await?;
-        Ok(raw.lease)
+        let response = self.exchange(Method::POST, "/api/kv-lease", body).await?;
+        let raw: RawLease = response.parse()?;
+        Ok(LeaseId { era: response.era, number: raw.lease })
     }
 
-    /// Renews a lease. Returns whether the lease still exists.
-    pub async fn renew(&self, lease: u64) -> Result<bool, StoreError> {
-        let path = format!("/api/kv-keep/{lease}");
-        match self.call::<serde_json::Value>(Method::POST, &path, Bytes::new()).await {
+    /// Renews a lease. Returns whether the lease still exists. Fails with [`StoreError::Returned`] in
+    /// another era than that of the lease, where its number may name another one.
+    pub async fn renew(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        let path = format!("/api/kv-keep/{}", lease.number);
+        let response = self.exchange(Method::POST, &path, Bytes::new()).await?;
+        if response.era != lease.era {
+            return Err(StoreError::Returned);
+        }
+        match response.parse::<serde_json::Value>() {
             Ok(_) => Ok(true),
             Err(StoreError::Refused(StatusCode::NOT_FOUND)) => Ok(false),
             Err(err) => Err(err),
         }
     }
 
-    /// Ends a lease and deletes the records that have it.
-    pub async fn revoke(&self, lease: u64) -> Result<(), StoreError> {
-        let path = format!("/api/kv-lease-end/{lease}");
+    /// Revokes a lease and deletes the records that have it. Does nothing in another era than that of
+    /// the lease, where its number may name another one.
+    pub async fn revoke(&self, lease: LeaseId) -> Result<(), StoreError> {
+        if self.era() != lease.era {
+            return Ok(());
+        }
+        let path = format!("/api/kv-lease-end/{}", lease.number);
         let result = self.exchange(Method::DELETE, &path, Bytes::new()).await;
         result.map(|_| ())
     }
 
-    /// Makes a call and parses the response.
-    async fn call<T: DeserializeOwned>(
-        &self,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<T, StoreError> {
-        let (status, body) = self.exchange(method, path, body).await?;
-        parse_response(status, &body)
-    }
-
     /// Makes a call and records whether the store is reachable.
     async fn exchange(
         &self,
         method: Method,
         path: &str,
         body: Bytes,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Response, StoreError> {
         let mut guard = UnreachableGuard { flag: Some(&self.unreachable) };
         let response = self.attempt(method, path, body, self.timeout).await?;
-        if !response.0.is_server_error() {
+        if !response.status.is_server_error() {
             guard.flag = None;
             if self.unreachable.swap(false, Ordering::Relaxed) {
                 self.recoveries.send_modify(|count| *count += 1);
@@ -398,22 +438,40 @@
         path: &str,
         body: Bytes,
         time_limit: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Response, StoreError> {
         metrics::counter!("cardamomshore_store_calls_total").increment(1);
         let exchange = async {
             let mut connection = self.pool.acquire(self.address, CONNECT_TIMEOUT).await?;
             let request = self.request(method, path, body);
             let response = connection.send(request).await?;
-            let status = response.status();
+            let (status, era) = (response.status(), parse_era(response.headers()));
             let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
             let body = body.map_err(|err| StoreError::Unknown(err.to_string()))?.to_bytes();
             self.pool.release(connection, KEEP_ALIVE);
-            Ok((status, body))
+            let era = self.record_era(era)?;
+            Ok(Response { status, body, era })
         };
         let result = timeout(time_limit, exchange).await;
         result.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".to_owned())))
     }
 
+    /// Records the era of a response and returns it. A response that names none is of the latest era.
+    /// Fails if the response is of an earlier one.
+    fn record_era(&self, era: Option<u64>) -> Result<u64, StoreError> {
+        let Some(era) = era else { return Ok(self.era()) };
+        let next_era = era.saturating_add(1);
+        let known = self.next_era.fetch_max(next_era, Ordering::Relaxed);
+        if next_era < known {
+            return Err(StoreError::Returned);
+        }
+        if next_era > known && known > 0 {
+            log::warn!("event=store_returned era={era}");
+            metrics::counter!("cardamomshore_store_returns_total").increment(1);
+            self.recoveries.send_modify(|count| *count += 1);
+        }
+        Ok(era)
+    }
+
     /// Returns the request of a call.
     fn request(&self, method: Method, path: &str, body: Bytes) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(body));
@@ -428,12 +486,9 @@
     }
 }
 
-/// Parses the response to a call that succeeded.
-fn parse_response<T: DeserializeOwned>(status: StatusCode, body: &[u8]) -> Result<T, StoreError> {
-    if !status.is_success() {
-        return Err(StoreError::Refused(status));
-    }
-    serde_json::from_slice(body).map_err(|err| StoreError::Parse(err.to_string()))
+/// Parses the era of a response; `None` if it names none.
+fn parse_era(headers: &HeaderMap) -> Option<u64> {
+    headers.get(ERA_HEADER)?.to_str().ok()?.trim().parse().ok()
 }
 
 /// Percent-encodes the characters that a query parameter may not contain.
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -149,6 +149,11 @@
         Self { shared, task: task.abort_handle() }
     }
 
+    /// Returns the name of the current incarnation.
+    pub fn id(&self) -> Arc<str> {
+        self.shared.state.lock().id.clone()
+    }
+
     /// Crashes the endpoint, which starts again after a while.
     pub fn crash(&self) {
         self.shared.crash.notify_one();
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -6,6 +6,8 @@
     mod candidacy;
     mod configuration;
     mod dispatch;
+    mod endpoint_table;
+    mod evacuation;
     mod event_splitter;
     mod freshness;
     mod grants;
--- /dev/null
+++ b/tests/kernel/endpoint_table.rs
@@ -0,0 +1,125 @@
+//! Tests of the endpoints' entries when the store returns from an older copy.
+
+use std::time::Duration;
+
+use cardamomshore::{
+    clock::Time,
+    kernel::{
+        endpoint_table::EndpointTable,
+        grants::{EndpointEntry, Incarnation},
+    },
+};
+
+const START: Time = Time::from_millis(1_000_000);
+
+/// Time after which every entry holds as it was read.
+const SETTLED: Duration = Duration::from_secs(6);
+
+fn entry(id: &str, born: u64, draining: bool) -> EndpointEntry {
+    EndpointEntry {
+        id: id.into(),
+        incarnation: Incarnation(born),
+        service: "desk".into(),
+        address: "10.0.0.1:8000".parse().expect("an address"),
+        data_centre: "a".into(),
+        slots: 6,
+        draining,
+        removed_in: None,
+        cold_remaining: Duration::ZERO,
+        models: Vec::new(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+/// Returns the names of the endpoints in use, those that drain in brackets.
+fn list(table: &EndpointTable) -> Vec<String> {
+    let mut list: Vec<String> = table
+        .entries()
+        .map(|it| if it.draining { format!("({})", it.id) } else { it.id.to_string() })
+        .collect();
+    list.sort();
+    list
+}
+
+fn table(entries: &[EndpointEntry]) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    table.load(1, entries.to_vec(), START);
+    table
+}
+
+#[test]
+fn table_removed_endpoint_not_back_after_return() {
+    let mut table = table(&[entry("a", 1, false), entry("b", 1, false)]);
+    table.remove("b", START);
+    table.load(2, [entry("a", 1, false), entry("b", 1, false)], START);
+    assert_eq!(list(&table), ["a"], "the copy lists an endpoint that has left");
+    table.put(entry("b", 1, false));
+    assert_eq!(list(&table), ["a", "b"], "it has written its entry itself");
+}
+
+#[test]
+fn table_draining_endpoint_not_ready_after_return() {
+    let mut table = table(&[entry("a", 1, true)]);
+    table.load(2, [entry("a", 1, false)], START);
+    assert_eq!(list(&table), ["(a)"]);
+    assert!(!table.settle(START + Duration::from_secs(1)), "the endpoint has not written it yet");
+    assert!(table.settle(START + SETTLED));
+    assert_eq!(list(&table), ["a"]);
+}
+
+#[test]
+fn table_drain_written_after_return_in_force() {
+    let mut table = table(&[entry("a", 1, false)]);
+    table.load(2, [entry("a", 1, true)], START);
+    assert_eq!(list(&table), ["(a)"], "it may have been written before the first read");
+}
+
+#[test]
+fn table_endpoint_missing_after_return_kept_briefly() {
+    let mut table = table(&[entry("a", 1, false), entry("b", 1, false)]);
+    table.load(2, [entry("a", 1, false)], START);
+    assert_eq!(list(&table), ["a", "b"], "it will write its entry again");
+    table.load(2, [entry("a", 1, false)], START + Duration::from_secs(1));
+    assert_eq!(list(&table), ["a", "b"], "it still may");
+    table.settle(START + SETTLED);
+    assert_eq!(list(&table), ["a"]);
+}
+
+#[test]
+fn table_endpoint_removed_after_return_gone() {
+    let mut table = table(&[entry("a", 1, false)]);
+    table.load(2, [entry("a", 1, false)], START);
+    table.load(2, [], START + Duration::from_secs(1));
+    assert_eq!(list(&table), [""; 0], "the new era has removed it itself");
+}
+
+#[test]
+fn table_restart_after_return_in_use() {
+    let mut table = table(&[entry("a", 1, true)]);
+    table.load(2, [entry("a", 2, false)], START);
+    assert_eq!(list(&table), ["a"], "a later start does not drain");
+}
+
+#[test]
+fn table_older_start_not_back_after_return() {
+    let mut table = table(&[entry("a", 2, true)]);
+    table.load(2, [entry("a", 1, false)], START);
+    assert_eq!(list(&table), ["(a)"]);
+}
+
+#[test]
+fn table_missing_entry_same_era_removed() {
+    let mut table = table(&[entry("a", 1, false), entry("b", 1, false)]);
+    table.load(1, [entry("a", 1, false)], START);
+    assert_eq!(list(&table), ["a"], "the store has lost nothing");
+}
+
+#[test]
+fn table_of_leader_remembered_at_return() {
+    let mut table = EndpointTable::default();
+    table.replace(1, vec![entry("a", 1, true), entry("b", 1, false)], START);
+    table.remove("b", START);
+    table.load(2, [entry("a", 1, false), entry("b", 1, false)], START);
+    assert_eq!(list(&table), ["(a)"], "a follower that leads now");
+}
--- a/tests/kernel/leadership.rs
+++ b/tests/kernel/leadership.rs
@@ -4,9 +4,15 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::leadership::{HeldLease, LEASE_TTL, Leader, Leadership, LeaseStep},
+    kernel::{
+        leadership::{HeldLease, LEASE_TTL, LastLeader, Leader, Leadership, LeaseStep},
+        revision::{LeaseId, Revision},
+    },
 };
 
+/// Time that a leader waits before its first order.
+const ORDER_GAP: Duration = Duration::from_secs(3);
+
 const START: Time = Time::from_millis(1_000_000);
 
 fn address() -> SocketAddr {
@@ -18,7 +24,8 @@
 }
 
 fn lease(term: u64, now: Time) -> HeldLease {
-    HeldLease { lease: term, term, renewed_at: now, orders_from: now, elected_at: now }
+    let lease = LeaseId { era: 0, number: term };
+    HeldLease { lease, term, renewed_at: now, orders_from: now, elected_at: now }
 }
 
 /// Returns an instance that was elected in `term`.
@@ -85,10 +92,11 @@
     leadership.apply_record(Some(leader("b", 5)));
     assert_eq!(leadership.next_step(false, START), LeaseStep::Wait);
     leadership.apply_record(None);
-    assert_eq!(leadership.next_step(false, START), LeaseStep::Acquire(0));
+    assert_eq!(leadership.next_step(false, START), LeaseStep::Acquire(Revision::default()));
     assert_eq!(leadership.next_step(true, START), LeaseStep::Wait, "it is stopping");
     leadership.apply_record(Some(leader("a", 7)));
-    assert_eq!(leadership.next_step(false, START), LeaseStep::Acquire(7), "from before a restart");
+    let own = LeaseStep::Acquire(Revision::new(0, 7));
+    assert_eq!(leadership.next_step(false, START), own, "from before a restart");
 }
 
 #[test]
@@ -102,10 +110,64 @@
 #[test]
 fn succession_names_former_leader() {
     let mut leadership = Leadership::new("a".into());
-    leadership.last_leader = Some("b".into());
-    assert!(!leadership.led_last());
+    leadership.last_leader = Some(LastLeader { instance: "b".into(), is_current: true });
+    assert!(!leadership.ordered_last(ORDER_GAP, START));
     leadership.elect(lease(5, START), address());
     let later = START + Duration::from_secs(3);
     assert_eq!(leadership.succession(later), (Some("b".into()), Duration::from_secs(3)));
-    assert!(leadership.led_last(), "it is the last leader itself now");
+    assert!(leadership.ordered_last(ORDER_GAP, START), "it is the last leader itself now");
+}
+
+#[test]
+fn record_lower_number_in_new_era_followed() {
+    let mut leadership = Leadership::new("a".into());
+    leadership.apply_record(Some(leader("b", Revision::new(1, 87).ordinal())));
+    let restored = leader("c", Revision::new(2, 40).ordinal());
+    assert!(leadership.apply_record(Some(restored.clone())).is_new);
+    assert_eq!(leadership.leader(), Some(&restored));
+}
+
+#[test]
+fn step_after_return_takes_over_own_record() {
+    let mut leadership = elected(Revision::new(1, 87).ordinal());
+    leadership.apply_record(Some(leader("a", Revision::new(2, 40).ordinal())));
+    leadership.step_down_after_return(START);
+    assert!(!leadership.leads(), "its lease was granted in another era");
+    let step = leadership.next_step(false, START);
+    assert_eq!(step, LeaseStep::Acquire(Revision::new(2, 40)));
+}
+
+#[test]
+fn orders_after_return_wait() {
+    let mut leadership = Leadership::new("a".into());
+    assert!(!leadership.ordered_last(ORDER_GAP, START), "the store may have lost the record");
+    leadership.last_leader = Some(LastLeader { instance: "a".into(), is_current: false });
+    assert!(!leadership.ordered_last(ORDER_GAP, START), "a later record may be lost");
+    leadership.last_leader = Some(LastLeader { instance: "a".into(), is_current: true });
+    assert!(leadership.ordered_last(ORDER_GAP, START));
+}
+
+#[test]
+fn orders_of_leader_at_return_go_on() {
+    let mut leadership = elected(Revision::new(1, 87).ordinal());
+    leadership.step_down_after_return(START + Duration::from_secs(2));
+    leadership.last_leader = Some(LastLeader { instance: "b".into(), is_current: false });
+    assert!(leadership.ordered_last(ORDER_GAP, START + Duration::from_secs(2)));
+    assert!(!leadership.ordered_last(ORDER_GAP, START + ORDER_GAP), "another may have led since");
+    leadership.last_leader = Some(LastLeader { instance: "b".into(), is_current: true });
+    assert!(!leadership.ordered_last(ORDER_GAP, START), "another leads in the new era");
+}
+
+#[test]
+fn fleet_size_lost_by_store_holds() {
+    let mut leadership = Leadership::new("a".into());
+    leadership.apply_fleet_size(8, 1);
+    leadership.apply_fleet_size(3, 2);
+    assert_eq!((leadership.fleet_size(), leadership.is_size_lost()), (8, true));
+    leadership.apply_fleet_size(3, 2);
+    assert_eq!(leadership.fleet_size(), 8, "a second read in the new era shows the same");
+    leadership.set_fleet_size(8);
+    leadership.apply_fleet_size(3, 2);
+    let now = (leadership.fleet_size(), leadership.is_size_lost());
+    assert_eq!(now, (3, false), "a leader has recorded fewer");
 }
--- a/tests/product/store.rs
+++ b/tests/product/store.rs
@@ -1,4 +1,4 @@
-//! The client of the store while the store does not respond.
+//! The client of the store while the store does not respond, and when it returns from an older copy.
 
 use std::{
     net::SocketAddr,
@@ -9,7 +9,12 @@
     time::Duration,
 };
 
-use cardamomshore::platform::store::{Store, WatchResult};
+use cardamomshore::{
+    kernel::revision::Revision,
+    platform::store::{Put, PutResult, Store, StoreError, WatchResult},
+    soak::process::free_address,
+    standin::metadata::{MetadataStore, StoreAddress},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -20,6 +25,9 @@
     tokio::runtime::Runtime::new().expect("the runtime starts").block_on(test);
 }
 
+/// The first revision of a store that names no era.
+const FIRST: Revision = Revision::new(0, 1);
+
 /// Timeout of the store's calls, other than watches.
 const TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -61,7 +69,7 @@
         let watcher = store.clone();
         let watch =
             tokio::spawn(
-                async move { watcher.watch("servers/", 1, Duration::from_secs(25)).await },
+                async move { watcher.watch("servers/", FIRST, Duration::from_secs(25)).await },
             );
         store.range("servers/").await.expect("the store responds");
         assert!(!watch.is_finished(), "the store has not failed yet");
@@ -86,7 +94,7 @@
         let watcher = store.clone();
         let watch =
             tokio::spawn(
-                async move { watcher.watch("servers/", 1, Duration::from_secs(25)).await },
+                async move { watcher.watch("servers/", FIRST, Duration::from_secs(25)).await },
             );
         store.range("servers/").await.expect("the store responds");
 
@@ -101,3 +109,109 @@
             .ok();
     });
 }
+
+/// Starts the stand-in for the store, and a client of it.
+fn start_standin() -> (Arc<MetadataStore>, StoreAddress, Arc<Store>) {
+    let standin = MetadataStore::start();
+    let served = StoreAddress::start(standin.clone(), free_address()).expect("the address is free");
+    let client = Arc::new(Store::new(served.address, Duration::from_secs(1)));
+    (standin, served, client)
+}
+
+#[test]
+fn return_of_store_raises_revisions() {
+    block_on(async {
+        let (standin, _served, client) = start_standin();
+        let copy = standin.copy();
+        (0..9).for_each(|_| standin.put("op/config", "older"));
+        let before = client.range("op/").await.expect("the store responds").revision;
+        standin.restore(copy);
+        standin.put("op/config", "newer");
+        let after = client.range("op/").await.expect("the store responds");
+        assert!(after.revision.number() < before.number(), "the store gives numbers out again");
+        assert!(after.revision > before && after.items[0].revision > before);
+        assert!(after.revision.ordinal() > before.ordinal(), "a term of a leader grows as well");
+    });
+}
+
+#[test]
+fn watch_from_revision_given_out_again_ends() {
+    block_on(async {
+        let (standin, _served, client) = start_standin();
+        let copy = standin.copy();
+        standin.put("op/config", "older");
+        let known = client.range("op/").await.expect("the store responds").revision;
+        standin.restore(copy);
+        // The change has the known revision's number, so that the store itself misses nothing.
+        standin.put("op/config", "newer");
+        standin.put("other", "x");
+        let watched = client.watch("op/", known, Duration::from_millis(50)).await;
+        assert_eq!(watched.expect("the store responds"), WatchResult::Missed);
+    });
+}
+
+#[test]
+fn watch_waiting_at_return_ends() {
+    block_on(async {
+        let (standin, _served, client) = start_standin();
+        let copy = standin.copy();
+        let known = client.range("op/").await.expect("the store responds").revision;
+        let watcher = client.clone();
+        let watch =
+            tokio::spawn(async move { watcher.watch("op/", known, Duration::from_secs(25)).await });
+        standin.restore(copy);
+        client.range("op/").await.expect("the store responds");
+        timeout(Duration::from_secs(1), watch)
+            .await
+            .expect("the watch ends")
+            .expect("the task does not panic")
+            .ok();
+    });
+}
+
+#[test]
+fn write_on_revision_given_out_again_not_done() {
+    block_on(async {
+        let (standin, _served, client) = start_standin();
+        let copy = standin.copy();
+        standin.put("leader", "a");
+        let known = client.range("leader").await.expect("the store responds").items[0].revision;
+        standin.restore(copy);
+        standin.put("leader", "b");
+        let put = Put { key: "size", value: b"3", lease: None };
+        let written = client.put_if("leader", known, &[put]).await;
+        assert!(matches!(written, Err(StoreError::Returned)), "{written:?}");
+    });
+}
+
+#[test]
+fn lease_number_given_out_again_not_renewed() {
+    block_on(async {
+        let (standin, _served, client) = start_standin();
+        let copy = standin.copy();
+        let ttl = Duration::from_secs(5);
+        let lost = client.grant(ttl).await.expect("the store responds");
+        standin.restore(copy);
+        let other = client.grant(ttl).await.expect("the store responds");
+        assert_eq!(other.number, lost.number, "the store gives numbers out again");
+        assert!(matches!(client.renew(lost).await, Err(StoreError::Returned)));
+        client.revoke(lost).await.expect("nothing is done");
+        assert!(client.renew(other).await.expect("the store responds"), "the other lease lasts");
+        let put = Put { key: "leader", value: b"a", lease: Some(lost) };
+        let written = client.put_if("leader", Revision::default(), &[put]).await;
+        assert!(matches!(written, Err(StoreError::Returned)), "{written:?}");
+    });
+}
+
+#[test]
+fn write_after_return_done() {
+    block_on(async {
+        let (standin, _served, client) = start_standin();
+        let copy = standin.copy();
+        standin.restore(copy);
+        let lease = client.grant(Duration::from_secs(5)).await.expect("the store responds");
+        let put = Put { key: "leader", value: b"a", lease: Some(lease) };
+        let written = client.put_if("leader", Revision::default(), &[put]).await;
+        assert!(matches!(written, Ok(PutResult::Done(revision)) if revision.era() == 2));
+    });
+}
