Name a leader as the last one only once it may give orders

A new leader named itself as the last one at its election, before the wait that keeps its orders apart from those of the former leader. Where it ended while it waited and was elected again, or found its own name in the record after a restart, it gave orders at once, within the gap to those of the former leader.

The record is now written once the wait is over and before the first order, under the condition that the leader's record is still its own. A leader that gave the last orders itself names itself at its election as before. The new test orders_of_leader_that_ended_while_it_waited_wait failed before ('the last orders are those of b'); step_orders_recorded_before_first decides on what did not exist.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -33,14 +33,14 @@
 /// Key of the record that names the leader. The record ends with the leader's lease.
 pub(super) const LEADER_KEY: &str = "cardamomshore/leader";
 
-/// Key of the record that names the instance which led last. The record has no lease.
+/// Key of the record that names the leader which gave the last orders. The record has no lease.
 const LAST_LEADER_KEY: &str = "cardamomshore/last-leader";
 
 /// Key of the record of the number of instances. It has no lease, so that an instance that starts
 /// while there is no leader knows its share of the limits.
 const SIZE_KEY: &str = "cardamomshore/size";
 
-/// Timeout of one renewal.
+/// Timeout of one renewal, and of other calls that must not delay renewals.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time for which an instance that has read the leader's record expects a link to the leader before
@@ -91,7 +91,7 @@
     }
 }
 
-/// The value of the record that names the last leader.
+/// The value of the record that names the leader which gave the last orders.
 #[derive(Serialize, Deserialize)]
 struct RawLastLeader {
     instance: String,
@@ -100,6 +100,12 @@
 }
 
 impl RawLastLeader {
+    /// Returns the value of the record that this instance writes in `era`.
+    fn encode(gateway: &Gateway, era: u64) -> Vec<u8> {
+        let record = Self { instance: gateway.settings.instance.to_string(), era };
+        serde_json::to_vec(&record).unwrap_or_default()
+    }
+
     /// Returns the last leader of a record. An earlier release wrote the name alone.
     fn parse(item: &Item) -> LastLeader {
         match serde_json::from_slice::<Self>(&item.value) {
@@ -245,6 +251,7 @@
     loop {
         match next_step(&gateway) {
             LeaseStep::Renew(held) => renew(&gateway, held).await,
+            LeaseStep::RecordOrders(held) => record_orders(&gateway, held).await,
             LeaseStep::Acquire(_) => acquire(&gateway).await,
             LeaseStep::Wait => {}
         }
@@ -296,26 +303,28 @@
     let lease = gateway.store.grant(LEASE_TTL).await?;
     let record = RawLeader { instance: settings.instance.to_string(), address: settings.peer };
     let value = serde_json::to_vec(&record).unwrap_or_default();
-    let last_leader = RawLastLeader { instance: record.instance, era: lease.era };
-    let last_leader = serde_json::to_vec(&last_leader).unwrap_or_default();
+    let last_leader = RawLastLeader::encode(gateway, lease.era);
     let puts = [
         Put { key: LEADER_KEY, value: &value, lease: Some(lease) },
         Put { key: LAST_LEADER_KEY, value: &last_leader, lease: None },
     ];
-    match gateway.store.put_if(LEADER_KEY, revision, &puts).await? {
+    let recorded = gateway.leadership.lock().ordered_last(settings.order_gap, Time::now());
+    // A leader that must wait names itself only once its wait is over: it may end before.
+    let puts = if recorded { &puts[..] } else { &puts[..1] };
+    match gateway.store.put_if(LEADER_KEY, revision, puts).await? {
         PutResult::Done(revision) => {
-            let term = revision.ordinal();
-            let now = Time::now();
+            let (term, now) = (revision.ordinal(), Time::now());
             // The platform demands a gap only between orders of different leaders.
-            let mut leadership = gateway.leadership.lock();
-            let delay = match leadership.ordered_last(settings.order_gap, now) {
-                true => Duration::ZERO,
-                false => settings.order_gap + ORDER_MARGIN,
+            let delay = if recorded { Duration::ZERO } else { settings.order_gap + ORDER_MARGIN };
+            let held = HeldLease {
+                lease,
+                term,
+                renewed_at: sent_at,
+                orders_from: now + delay,
+                recorded,
+                elected_at: now,
             };
-            let orders_from = now + delay;
-            let held = HeldLease { lease, term, renewed_at: sent_at, orders_from, elected_at: now };
-            leadership.elect(held, settings.peer);
-            drop(leadership);
+            gateway.leadership.lock().elect(held, settings.peer);
             tokio::spawn(announce(gateway.clone(), term));
             log::info!("event=leading term={term} orders_in_ms={}", delay.as_millis());
         }
@@ -328,6 +337,20 @@
     Ok(())
 }
 
+/// Records that this leader gives orders from now on.
+async fn record_orders(gateway: &Gateway, held: HeldLease) {
+    let value = RawLastLeader::encode(gateway, held.lease.era);
+    let put = Put { key: LAST_LEADER_KEY, value: &value, lease: None };
+    let revision = Revision::from_ordinal(held.term);
+    let puts = [put];
+    let written = timeout(RENEW_TIMEOUT, gateway.store.put_if(LEADER_KEY, revision, &puts)).await;
+    match written.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".to_owned()))) {
+        Ok(PutResult::Done(_)) => gateway.leadership.lock().set_orders_recorded(held.term),
+        Ok(written) => log::info!("event=orders_not_recorded answer={written:?}"),
+        Err(err) => log::info!("event=orders_not_recorded reason={err}"),
+    }
+}
+
 /// Announces this leader to the members that it knows, which then open their links.
 async fn announce(gateway: Arc<Gateway>, term: u64) {
     let members = gateway.members.load_full();
--- a/src/kernel/leadership.rs
+++ b/src/kernel/leadership.rs
@@ -42,11 +42,19 @@
     pub renewed_at: Time,
     /// When this leader may give its first order to an engine.
     pub orders_from: Time,
+    /// Whether the store names this leader as the one that gave the last orders, which it must before
+    /// the first order.
+    pub recorded: bool,
     /// When this instance was elected.
     pub elected_at: Time,
 }
 
 impl HeldLease {
+    /// Returns whether this leader may give orders at `now`.
+    fn may_order(&self, now: Time) -> bool {
+        self.recorded && now >= self.orders_from && self.is_valid(now)
+    }
+
     /// Returns whether the store still holds the lease at `now`, with [`LEASE_MARGIN`] to spare.
     fn is_valid(&self, now: Time) -> bool {
         now.since(self.renewed_at) + LEASE_MARGIN < LEASE_TTL
@@ -58,6 +66,8 @@
 pub enum LeaseStep {
     /// Renew this lease.
     Renew(HeldLease),
+    /// Record that this leader gives orders from now on.
+    RecordOrders(HeldLease),
     /// Write the leader's record in place of the one with this revision; the number zero if there is
     /// none.
     Acquire(Revision),
@@ -65,7 +75,7 @@
     Wait,
 }
 
-/// The instance that led last, as recorded in the store.
+/// The instance that gave the last orders to engines as leader, as recorded in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LastLeader {
     /// Name of the instance.
@@ -92,8 +102,10 @@
     leader: Option<Leader>,
     /// Latest term of a leader that this instance has known.
     latest_term: u64,
-    /// The instance that led last; `None` if none is recorded.
+    /// The instance that gave the last orders; `None` if none is recorded.
     pub last_leader: Option<LastLeader>,
+    /// Name of the latest other leader that this instance has known.
+    other_leader: Option<Arc<str>>,
     /// Name of the instance that led before this one, while this instance leads.
     former_leader: Option<Arc<str>>,
     /// Recorded number of instances; zero where none is known.
@@ -121,6 +133,7 @@
             leader: None,
             latest_term: 0,
             last_leader: None,
+            other_leader: None,
             former_leader: None,
             fleet_size: 0,
             size_era: None,
@@ -187,7 +200,7 @@
 
     /// Returns whether this instance leads and may give orders to engines.
     pub fn may_order(&self, now: Time) -> bool {
-        self.held.is_some_and(|held| held.is_valid(now) && now >= held.orders_from)
+        self.held.is_some_and(|held| held.may_order(now))
     }
 
     /// Returns whether an order that was decided in `term` may still be given. The decision of an
@@ -226,6 +239,9 @@
     fn set_leader(&mut self, leader: Option<Leader>) -> LeaderChange {
         let is_other = leader.as_ref().is_some_and(|leader| leader.instance != self.own_name);
         let lost = if is_other { self.held.take() } else { None };
+        if is_other {
+            self.other_leader = leader.as_ref().map(|leader| leader.instance.clone());
+        }
         self.latest_term = leader.as_ref().map_or(0, |leader| leader.term).max(self.latest_term);
         let is_new = self.leader != leader;
         self.leader = leader;
@@ -236,12 +252,25 @@
     /// `held`, with its own `address`.
     pub fn elect(&mut self, held: HeldLease, address: SocketAddr) {
         let instance = self.own_name.clone();
-        let last_leader = LastLeader { instance: instance.clone(), is_current: true };
-        self.former_leader = self.last_leader.replace(last_leader).map(|last| last.instance);
+        let last = self.last_leader.as_ref().map(|last| last.instance.clone());
+        self.former_leader = self.other_leader.take().or(last);
         self.leader = Some(Leader { instance, address, term: held.term });
         self.revision = Revision::from_ordinal(held.term);
         self.latest_term = held.term;
         self.held = Some(held);
+        if held.recorded {
+            self.set_orders_recorded(held.term);
+        }
+    }
+
+    /// Records that the store names this leader, which leads in `term`, as the one that gave the last
+    /// orders.
+    pub fn set_orders_recorded(&mut self, term: u64) {
+        if let Some(held) = self.held.as_mut().filter(|held| held.term == term) {
+            held.recorded = true;
+            let instance = self.own_name.clone();
+            self.last_leader = Some(LastLeader { instance, is_current: true });
+        }
     }
 
     /// Returns whether this instance certainly gave the last orders. Such a leader need not wait
@@ -276,7 +305,8 @@
     /// which this instance led.
     pub fn step_down_after_return(&mut self, now: Time) -> Option<u64> {
         let held = self.held.take()?;
-        self.led_until = (now >= held.orders_from).then_some(held.renewed_at);
+        let may_have_ordered = held.recorded && now >= held.orders_from;
+        self.led_until = may_have_ordered.then_some(held.renewed_at);
         Some(held.term)
     }
 
@@ -291,6 +321,9 @@
             (Some(held), _) if now.since(held.renewed_at) >= RENEW_INTERVAL => {
                 LeaseStep::Renew(*held)
             }
+            (Some(held), _) if !held.recorded && now >= held.orders_from => {
+                LeaseStep::RecordOrders(*held)
+            }
             (Some(_), _) => LeaseStep::Wait,
             (None, _) if stopping || !self.synced => LeaseStep::Wait,
             (None, Some(leader)) if leader.instance != self.own_name => LeaseStep::Wait,
--- a/tests/kernel/leadership.rs
+++ b/tests/kernel/leadership.rs
@@ -25,7 +25,7 @@
 
 fn lease(term: u64, now: Time) -> HeldLease {
     let lease = LeaseId { era: 0, number: term };
-    HeldLease { lease, term, renewed_at: now, orders_from: now, elected_at: now }
+    HeldLease { lease, term, renewed_at: now, orders_from: now, recorded: true, elected_at: now }
 }
 
 /// Returns an instance that was elected in `term`.
@@ -171,3 +171,28 @@
     let now = (leadership.fleet_size(), leadership.is_size_lost());
     assert_eq!(now, (3, false), "a leader has recorded fewer");
 }
+
+#[test]
+fn orders_of_leader_that_ended_while_it_waited_wait() {
+    let mut leadership = Leadership::new("a".into());
+    leadership.last_leader = Some(LastLeader { instance: "b".into(), is_current: true });
+    let orders_from = START + ORDER_GAP;
+    let held = HeldLease { orders_from, recorded: false, ..lease(5, START) };
+    leadership.elect(held, address());
+    let now = START + Duration::from_secs(1);
+    leadership.step_down();
+    assert!(!leadership.ordered_last(ORDER_GAP, now), "the last orders are those of b");
+}
+
+#[test]
+fn step_orders_recorded_before_first() {
+    let mut leadership = Leadership::new("a".into());
+    leadership.elect(HeldLease { recorded: false, ..lease(5, START) }, address());
+    assert!(!leadership.may_order(START), "a later leader would not know of its orders");
+    let held = HeldLease { recorded: false, ..lease(5, START) };
+    assert_eq!(leadership.next_step(false, START), LeaseStep::RecordOrders(held));
+    leadership.set_orders_recorded(4);
+    assert!(!leadership.may_order(START), "that was an earlier term");
+    leadership.set_orders_recorded(5);
+    assert!(leadership.may_order(START) && leadership.ordered_last(ORDER_GAP, START));
+}
