Tell a leader of the store's new era which endpoints leave

A gateway that has started after the return of the store knows only the copy. Where it leads, it granted endpoints that its followers knew to drain or to be gone. The tests decide on what did not exist before.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -141,7 +141,7 @@
         _ => return Ok(()),
     }
     let (tx, rx) = mpsc::unbounded_channel();
-    for content in handover(gateway) {
+    for content in handover(gateway, leader) {
         let _ = tx.send(content);
     }
     gateway.uplink.record_frame();
@@ -154,10 +154,11 @@
 
 /// Returns what a new leader must know of this instance: its running requests, what it has left of the
 /// teams' rates, what it has used of the retry budgets, and what it knows of endpoints.
-fn handover(gateway: &Gateway) -> Vec<Content> {
+fn handover(gateway: &Gateway, leader: &Leader) -> Vec<Content> {
     let now = Time::now();
     let mut contents: Vec<Content> =
         gateway.running_requests().into_iter().map(Content::Adopt).collect();
+    contents.extend(gateway.leaving_content(leader));
     let mut scheduler = gateway.scheduler.lock();
     contents.push(Content::Rates(RatesFrame::from(scheduler.release_rates(now))));
     contents.push(Content::Retries(scheduler.retry_usage(now).into()));
@@ -269,6 +270,7 @@
         | Content::Adopt(_)
         | Content::Rates(_)
         | Content::Retries(_)
+        | Content::Leaving(_)
         | Content::Heartbeat(_) => log::warn!("event=frame_unexpected from=leader"),
     }
 }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -14,7 +14,7 @@
 pub use self::{
     codec::{EncodedFrame, FrameCodec, FrameError},
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
-    endpoints::{EndpointFrame, EndpointsFrame, ModelFrame},
+    endpoints::{EndpointFrame, EndpointsFrame, LeavingEndpointFrame, LeavingFrame, ModelFrame},
     members::{Announcement, Hello, MemberFrame, MembersFrame},
     rate_limits::{RateLimitFrame, RateLimitsFrame},
     requests::{
@@ -30,7 +30,7 @@
     /// Content of the frame; `None` if this release does not know it.
     #[prost(
         oneof = "Content",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
     )]
     pub content: Option<Content>,
 }
@@ -95,6 +95,9 @@
     /// Instance to leader: what the instance has used of the retry budgets.
     #[prost(message, tag = "18")]
     Retries(RetriesFrame),
+    /// Instance to leader, after a return of the store: endpoints that leave.
+    #[prost(message, tag = "19")]
+    Leaving(LeavingFrame),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/messages/endpoints.rs
+++ b/src/gateway/messages/endpoints.rs
@@ -5,6 +5,7 @@
 use prost::Message;
 
 use crate::kernel::{
+    endpoint_table::LeavingEndpoint,
     grants::{EndpointEntry, Incarnation},
     versioned::Changes,
 };
@@ -71,6 +72,47 @@
     }
 }
 
+/// Endpoints that an instance knew to drain or to be gone when the store returned from an older copy.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct LeavingFrame {
+    /// Era of the store in which the instance knew it.
+    #[prost(uint64, tag = "1")]
+    pub era: u64,
+    /// The endpoints.
+    #[prost(message, repeated, tag = "2")]
+    pub endpoints: Vec<LeavingEndpointFrame>,
+}
+
+/// An endpoint that drains or is gone.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct LeavingEndpointFrame {
+    /// Name of the endpoint.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Latest incarnation that leaves.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// Whether the endpoint is gone.
+    #[prost(bool, tag = "3")]
+    pub gone: bool,
+}
+
+impl From<LeavingEndpoint> for LeavingEndpointFrame {
+    fn from(leaving: LeavingEndpoint) -> Self {
+        let LeavingEndpoint { id, incarnation, gone } = leaving;
+        Self { id: id.to_string(), incarnation: incarnation.0, gone }
+    }
+}
+
+impl From<LeavingEndpointFrame> for LeavingEndpoint {
+    fn from(frame: LeavingEndpointFrame) -> Self {
+        let incarnation = Incarnation(frame.incarnation);
+        Self { id: frame.id.into(), incarnation, gone: frame.gone }
+    }
+}
+
 /// A model that is loaded on an endpoint.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -294,6 +294,7 @@
         Content::Retries(frame) => {
             gateway.scheduler.lock().add_retry_usage(frame.into(), now);
         }
+        Content::Leaving(frame) => gateway.merge_leaving(frame),
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -14,10 +14,16 @@
 use parking_lot::Mutex;
 use tokio::time::sleep;
 
-use super::{Gateway, messages::EndpointsFrame};
+use super::{
+    Gateway,
+    messages::{Content, EndpointsFrame, LeavingFrame},
+};
 use crate::{
     clock::Time,
-    kernel::{endpoint_table::EndpointTable, grants::EndpointEntry, revision::Revision},
+    kernel::{
+        endpoint_table::EndpointTable, grants::EndpointEntry, leadership::Leader,
+        revision::Revision,
+    },
     platform::{
         registration::{ENDPOINT_PREFIX, decode},
         store::{Event, StoreError, WatchResult},
@@ -70,6 +76,22 @@
         self.apply_table();
     }
 
+    /// Returns the frame that tells a leader of a new era of the store which endpoints leave; `None` if
+    /// this instance knows no earlier era, or none leaves.
+    pub(super) fn leaving_content(&self, leader: &Leader) -> Option<Content> {
+        let table = self.registry.table.lock();
+        let era = table.era().filter(|era| *era < Revision::from_ordinal(leader.term).era())?;
+        let endpoints: Vec<_> = table.leaving().into_iter().map(Into::into).collect();
+        (!endpoints.is_empty()).then(|| Content::Leaving(LeavingFrame { era, endpoints }))
+    }
+
+    /// Applies what a peer knew of leaving endpoints before the store returned.
+    pub(super) fn merge_leaving(&self, frame: LeavingFrame) {
+        let leaving = frame.endpoints.into_iter().map(Into::into).collect();
+        self.registry.table.lock().apply_leaving(frame.era, leaving, Time::now());
+        self.apply_table();
+    }
+
     /// Returns the era of the store in which the known leader was elected.
     fn leader_era(&self) -> u64 {
         self.leader().map_or(0, |leader| Revision::from_ordinal(leader.term).era())
--- a/src/kernel/endpoint_table.rs
+++ b/src/kernel/endpoint_table.rs
@@ -35,6 +35,27 @@
     until: Time,
 }
 
+/// An endpoint that an instance knows to drain or to be gone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingEndpoint {
+    /// Name of the endpoint.
+    pub id: Arc<str>,
+    /// Latest incarnation that leaves.
+    pub incarnation: Incarnation,
+    /// Whether the endpoint is gone.
+    pub gone: bool,
+}
+
+/// What another instance knew of a leaving endpoint.
+#[derive(Clone, Debug)]
+struct Told {
+    /// Era of the store in which the instance knew it.
+    era: u64,
+    endpoint: LeavingEndpoint,
+    /// When this instance was told.
+    at: Time,
+}
+
 /// The entries of all endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
@@ -43,6 +64,7 @@
     entries: HashMap<Arc<str>, EndpointEntry>,
     removed: HashMap<Arc<str>, Removed>,
     doubts: HashMap<Arc<str>, Doubt>,
+    told: Vec<Told>,
 }
 
 impl EndpointTable {
@@ -77,13 +99,18 @@
                 self.apply_read(entry);
             }
         }
+        self.apply_told(now);
     }
 
     /// Applies an entry that was read again. One that is in doubt and has not changed stays so.
     fn apply_read(&mut self, entry: EndpointEntry) {
-        let doubt = self.doubts.get(&entry.id);
-        if doubt.is_none_or(|doubt| doubt.read.as_ref() != Some(&entry)) {
-            self.put(entry);
+        match self.doubts.get(&entry.id) {
+            Some(doubt) if doubt.read.as_ref() == Some(&entry) => {}
+            Some(_) => self.put(entry),
+            None => {
+                self.removed.remove(&entry.id);
+                self.entries.insert(entry.id.clone(), entry);
+            }
         }
     }
 
@@ -113,6 +140,7 @@
     pub fn put(&mut self, entry: EndpointEntry) {
         self.doubts.remove(&entry.id);
         self.removed.remove(&entry.id);
+        self.told.retain(|told| told.endpoint.id != entry.id);
         self.entries.insert(entry.id.clone(), entry);
     }
 
@@ -125,6 +153,48 @@
         }
     }
 
+    /// Returns the era of the store that the entries come from; `None` before the first ones.
+    pub fn era(&self) -> Option<u64> {
+        self.era
+    }
+
+    /// Returns the endpoints that are known to leave, for a leader that knows only the store's new era.
+    pub fn leaving(&self) -> Vec<LeavingEndpoint> {
+        let draining = self.entries.values().filter(|entry| entry.draining);
+        let draining = draining.map(|entry| (&entry.id, entry.incarnation, false));
+        let gone = self.removed.iter().map(|(id, removed)| (id, removed.incarnation, true));
+        let all = draining.chain(gone);
+        all.map(|(id, incarnation, gone)| LeavingEndpoint { id: id.clone(), incarnation, gone })
+            .collect()
+    }
+
+    /// Applies what another instance knew in `era` of leaving endpoints. It counts once the entries come
+    /// from a later era, until the endpoints write their entries.
+    pub fn apply_leaving(&mut self, era: u64, leaving: Vec<LeavingEndpoint>, now: Time) {
+        let told = leaving.into_iter().map(|endpoint| Told { era, endpoint, at: now });
+        self.told.extend(told);
+        self.apply_told(now);
+    }
+
+    fn apply_told(&mut self, now: Time) {
+        self.told.retain(|told| now.since(told.at) < SETTLE_TIME);
+        for Told { era, endpoint, .. } in self.told.clone() {
+            if self.era.is_none_or(|known| era >= known) || self.doubts.contains_key(&endpoint.id) {
+                continue;
+            }
+            let Some(entry) = self.entries.get_mut(&endpoint.id) else { continue };
+            if entry.incarnation.0 > endpoint.incarnation.0 {
+                continue;
+            }
+            let read = Some(entry.clone());
+            entry.draining = true;
+            if endpoint.gone {
+                self.entries.remove(&endpoint.id);
+            }
+            self.doubt(&endpoint.id, read, now + SETTLE_TIME);
+        }
+    }
+
     /// Replaces all entries by those that a leader has sent, whose table is of `era`.
     pub fn replace(&mut self, era: u64, entries: Vec<EndpointEntry>, now: Time) {
         self.era = Some(era).max(self.era);
--- a/tests/kernel/endpoint_table.rs
+++ b/tests/kernel/endpoint_table.rs
@@ -123,3 +123,26 @@
     table.load(2, [entry("a", 1, false), entry("b", 1, false)], START);
     assert_eq!(list(&table), ["(a)"], "a follower that leads now");
 }
+
+#[test]
+fn table_leaving_endpoints_told_to_new_leader() {
+    let mut follower = table(&[entry("a", 1, true), entry("b", 1, false), entry("c", 1, false)]);
+    follower.remove("b", START);
+    let mut leader = EndpointTable::default();
+    leader.apply_leaving(1, follower.leaving(), START);
+    leader.load(2, ["a", "b", "c"].map(|id| entry(id, 1, false)), START);
+    assert_eq!(list(&leader), ["(a)", "c"], "it started after the return and read the copy");
+    leader.put(entry("b", 1, false));
+    assert_eq!(list(&leader), ["(a)", "b", "c"], "the endpoint has written its entry itself");
+    leader.settle(START + SETTLED);
+    assert_eq!(list(&leader), ["a", "b", "c"]);
+}
+
+#[test]
+fn table_leaving_endpoints_of_same_era_ignored() {
+    let mut follower = table(&[entry("a", 1, true)]);
+    follower.remove("a", START);
+    let mut leader = table(&[entry("a", 1, false)]);
+    leader.apply_leaving(1, follower.leaving(), START);
+    assert_eq!(list(&leader), ["a"], "the leader has read the store later");
+}
