Play returns of the store in the soak, with changes and data centres out of service

The stand-ins send what the platform sends: the store's era, entries that are written again, entries of endpoints that have left until the store removes them. The soak lets the store return from copies up to 12 s old, adds routes, takes data centres out, and checks that a route that was added is served and does not disappear, that a data centre out of service gets nothing, and that a drain that a gateway knew is not forgotten. A seed draws other faults than before this commit.

--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -98,6 +98,8 @@
     pub request: String,
     /// What it was for.
     pub kind: Kind,
+    /// Name of its route.
+    pub route: String,
     /// Gateway to which it was sent.
     pub gateway: usize,
     /// Whether it had the key that is withdrawn at times.
@@ -131,6 +133,8 @@
     gateways: Vec<(SocketAddr, SocketAddr)>,
     attempts: Mutex<Vec<Attempt>>,
     next_id: AtomicU64,
+    /// Name of the route that was added last; `None` before the first one.
+    added_route: Mutex<Option<String>>,
     is_fatal: AtomicBool,
     is_over: AtomicBool,
 }
@@ -149,6 +153,7 @@
             gateways: gateways.collect(),
             attempts: Mutex::default(),
             next_id: AtomicU64::new(1),
+            added_route: Mutex::default(),
             is_fatal: AtomicBool::new(false),
             is_over: AtomicBool::new(false),
         });
@@ -163,6 +168,11 @@
         self.shared.is_fatal.store(is_fatal, Ordering::Relaxed);
     }
 
+    /// Lets callers use a route that was added.
+    pub fn add_route(&self, name: String) {
+        *self.shared.added_route.lock() = Some(name);
+    }
+
     /// Ends the callers and returns their requests.
     pub async fn stop(self) -> Vec<Attempt> {
         self.shared.is_over.store(true, Ordering::Relaxed);
@@ -228,28 +238,41 @@
     let has_withdrawn_key = kind != Kind::Fatal && number.is_multiple_of(5);
     let request = format!("{number:016x}");
     let sent_at = Time::now();
-    let message = message(&request, number, kind, has_withdrawn_key);
+    let route = route(shared, kind, number);
+    let message = message(&request, number, kind, &route, has_withdrawn_key);
     let exchange = exchange(pool, shared.gateways[gateway].0, message.to_http());
     let ending = timeout(TIMEOUT, exchange).await.unwrap_or(Ending::TimedOut);
     let ended_at = Time::now();
-    let attempt = Attempt { request, kind, gateway, has_withdrawn_key, sent_at, ended_at, ending };
+    let attempt =
+        Attempt { request, kind, route, gateway, has_withdrawn_key, sent_at, ended_at, ending };
     shared.attempts.lock().push(attempt);
 }
 
+/// Returns the name of the route of a request. Every other lookup uses the route that was added last.
+fn route(shared: &Shared, kind: Kind, number: u64) -> String {
+    let added = shared.added_route.lock().clone().filter(|_| number.is_multiple_of(2));
+    match kind {
+        Kind::Chat | Kind::Fatal => "chat".to_owned(),
+        Kind::Payment => "pay".to_owned(),
+        Kind::Lookup => added.unwrap_or_else(|| "look".to_owned()),
+    }
+}
+
 /// Returns the request as it is sent to a gateway.
-fn message(request: &str, number: u64, kind: Kind, has_withdrawn_key: bool) -> CallerRequest {
-    let path = match kind {
-        Kind::Chat | Kind::Fatal => format!("/chat/{number}"),
-        Kind::Payment => format!("/pay/{number}"),
-        Kind::Lookup => format!("/look/{number}"),
-    };
+fn message(
+    request: &str,
+    number: u64,
+    kind: Kind,
+    route: &str,
+    has_withdrawn_key: bool,
+) -> CallerRequest {
     let part = if kind == Kind::Fatal { FATAL_PART } else { SOUND_PART };
     let parts = [FIRST_PART.to_owned(), part.to_owned(), format!("{number:x}")];
     let prompt = Prompt { model: MODELS[number as usize % MODELS.len()], parts: parts.into() };
     CallerRequest {
         id: request.to_owned(),
         host: HOST,
-        path,
+        path: format!("/{route}/{number}"),
         key: if has_withdrawn_key { WITHDRAWN_KEY } else { KEY },
         timeout: TIMEOUT,
         prompt: matches!(kind, Kind::Chat | Kind::Fatal).then_some(prompt),
--- a/src/soak/check.rs
+++ b/src/soak/check.rs
@@ -2,6 +2,8 @@
 //!
 //! A promise with a time limit holds for gateways in contact: those that were not disturbed for a while.
 
+mod changes;
+
 use std::{
     collections::{HashMap, HashSet},
     fmt,
@@ -11,7 +13,7 @@
 
 use super::{
     callers::{Attempt, Ending, Kind},
-    fleet::{Disturbance, Fleet, KeyChange, TEAM},
+    fleet::{AddedRoute, DATA_CENTRES, Disturbance, Evacuation, Fleet, KeyChange, TEAM},
 };
 use crate::{
     clock::Time,
@@ -78,6 +80,8 @@
     disturbances: &'a [Disturbance],
     worker_faults: &'a [Time],
     key_changes: &'a [KeyChange],
+    added_routes: &'a [AddedRoute],
+    evacuations: &'a [Evacuation],
     memory: Vec<(String, u64)>,
     /// When the gateways must serve again.
     calm_from: Time,
@@ -99,6 +103,8 @@
             disturbances: &fleet.disturbances,
             worker_faults: &fleet.worker_faults,
             key_changes: &fleet.key_changes,
+            added_routes: &fleet.added_routes,
+            evacuations: &fleet.evacuations,
             memory: memory.collect(),
             calm_from: Time::now() - calm / 2,
         }
@@ -111,6 +117,9 @@
         self.check_answers(&mut all);
         self.check_payments(&mut all);
         self.check_keys(&mut all);
+        self.check_routes(&mut all);
+        self.check_evacuations(&mut all);
+        self.check_known_drains(&mut all);
         self.check_drains(&mut all);
         self.check_orders(&mut all);
         self.check_stops(&mut all);
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -1,6 +1,6 @@
 //! The processes and stand-ins of a soak, and the faults that are played on them.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use rustix::process::Signal;
 use tokio::time::sleep;
@@ -8,20 +8,21 @@
 use super::{
     Options, PLAIN_SERVERS,
     callers::Callers,
-    plan::{Fault, Step},
+    plan::{Fault, MAX_COPY_AGE_MS, Step},
     process::{GatewayProcess, ProcessError, STOP_TIMEOUT, free_address},
 };
 use crate::{
     clock::Time,
+    platform::{catalog::EVACUATE_PREFIX, registration::ENDPOINT_PREFIX},
     standin::{
-        metadata::{MetadataStore, StoreFaults},
+        metadata::{MetadataStore, StoreCopy, StoreFaults},
         operator::Document,
         worker::{Worker, WorkerFaults, WorkerLog, WorkerSettings},
     },
 };
 
 /// Data centres of the fleet.
-const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
+pub const DATA_CENTRES: [&str; 3] = ["dc-a", "dc-b", "dc-c"];
 
 /// Models of the engines.
 pub const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
@@ -47,6 +48,15 @@
 /// Wait before a gateway that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
+/// Interval at which the store is copied.
+const COPY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time from a return of the store until the operators write their records again.
+const REWRITE_DELAY: Duration = Duration::from_millis(400);
+
+/// Time from a return of the store until it removes the entries of endpoints that have ended.
+const GHOST_TIMEOUT: Duration = Duration::from_millis(2_400);
+
 /// Interval at which faults are looked for that must begin or end.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -61,6 +71,8 @@
     pub to: Time,
     /// Whether it is a planned stop.
     pub is_stop: bool,
+    /// Whether only the store was disturbed.
+    pub is_store: bool,
 }
 
 /// A change of the key that is withdrawn at times.
@@ -79,6 +91,30 @@
     MendWorker(usize),
     ReturnKey,
     StopFatal,
+    RestoreStore(Time),
+    WriteAgain,
+    RemoveGhosts,
+    EndEvacuation(usize),
+}
+
+/// A route that was added.
+#[derive(Clone, Debug)]
+pub struct AddedRoute {
+    /// When it was in the store.
+    pub at: Time,
+    /// Name of the route.
+    pub name: String,
+}
+
+/// A span in which a data centre was out of service.
+#[derive(Clone, Copy, Debug)]
+pub struct Evacuation {
+    /// Index of the data centre.
+    pub data_centre: usize,
+    /// When it was in the store that the data centre is out of service.
+    pub from: Time,
+    /// When that was ended; `None` while it lasts.
+    pub to: Option<Time>,
 }
 
 /// What has happened to a gateway process.
@@ -100,6 +136,10 @@
     pub disturbances: Vec<Disturbance>,
     /// Changes of the key that is withdrawn at times.
     pub key_changes: Vec<KeyChange>,
+    /// Routes that were added.
+    pub added_routes: Vec<AddedRoute>,
+    /// Spans in which data centres were out of service.
+    pub evacuations: Vec<Evacuation>,
     /// What the endpoints have seen.
     pub log: Arc<WorkerLog>,
     /// When endpoints were disturbed on purpose.
@@ -107,13 +147,22 @@
     /// The engines, and then the servers of the plain service.
     workers: Vec<Worker>,
     store: Arc<MetadataStore>,
+    /// Copies of the store, the oldest first.
+    copies: VecDeque<(Time, StoreCopy)>,
     version: u64,
+    is_key_valid: bool,
 }
 
 /// Returns the operators' document, with or without the key that is withdrawn at times.
-fn document(version: u64, has_second_key: bool) -> Document {
+fn document(version: u64, has_second_key: bool, added: &[AddedRoute]) -> Document {
     let keys = if has_second_key { vec![KEY, WITHDRAWN_KEY] } else { vec![KEY] };
-    Document { version, host: HOST, models: &MODELS, team: TEAM, keys, added: Vec::new() }
+    let added = added.iter().map(|route| route.name.clone()).collect();
+    Document { version, host: HOST, models: &MODELS, team: TEAM, keys, added }
+}
+
+/// Returns the key of the record that takes a data centre out of service.
+fn evacuation_key(data_centre: usize) -> String {
+    format!("{EVACUATE_PREFIX}{}", DATA_CENTRES[data_centre])
 }
 
 impl Fleet {
@@ -121,7 +170,7 @@
     pub fn start(options: &Options) -> Result<Self, ProcessError> {
         let store = MetadataStore::start();
         let log = Arc::new(WorkerLog::default());
-        store.put(Document::key(), &document(1, true).to_text());
+        store.put(Document::key(), &document(1, true, &[]).to_text());
         let worker = |service: &str, index: usize, models: Vec<String>| {
             let settings = WorkerSettings {
                 service: service.to_owned(),
@@ -152,11 +201,15 @@
             gateways,
             disturbances: Vec::new(),
             key_changes: Vec::new(),
+            added_routes: Vec::new(),
+            evacuations: Vec::new(),
             worker_faults: Vec::new(),
             log,
             workers,
             store,
+            copies: VecDeque::new(),
             version: 1,
+            is_key_valid: true,
         })
     }
 
@@ -181,8 +234,11 @@
                 undo.extend(self.begin(step.fault, callers, now));
             }
             let due = undo.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>();
-            due.into_iter().for_each(|(_, undo)| self.end(undo, callers, now));
+            for (_, due) in due {
+                undo.extend(self.end(due, callers, now));
+            }
             self.tend_processes(now);
+            self.copy_store(now);
             if elapsed >= length {
                 return;
             }
@@ -203,15 +259,36 @@
             }
             Fault::StoreCut(index, faults, length) => {
                 self.gateways[index].store.set_faults(faults);
-                self.disturb(Some(index), now, now + length, false);
+                self.disturbances.push(Disturbance {
+                    gateway: Some(index),
+                    from: now,
+                    to: now + length,
+                    is_stop: false,
+                    is_store: true,
+                });
                 return Some((now + length, Undo::MendStore(Some(index))));
             }
             Fault::StoreDown(faults, length) => {
                 self.gateways.iter().for_each(|gateway| gateway.store.set_faults(faults));
-                self.disturb(None, now, now + length, false);
+                self.disturb_store(now, now + length);
                 return Some((now + length, Undo::MendStore(None)));
             }
             Fault::ForgetHistory => self.store.forget_history(),
+            Fault::StoreReturn(age, length) => {
+                let away = StoreFaults { refusing: true, ..StoreFaults::default() };
+                self.gateways.iter().for_each(|gateway| gateway.store.set_faults(away));
+                self.disturb_store(now, now + length + REWRITE_DELAY);
+                return Some((now + length, Undo::RestoreStore(now - age)));
+            }
+            Fault::Evacuate(data_centre, length) => {
+                if self.is_evacuated() {
+                    return None;
+                }
+                self.store.put(&evacuation_key(data_centre), "{}");
+                self.evacuations.push(Evacuation { data_centre, from: Time::now(), to: None });
+                return Some((now + length, Undo::EndEvacuation(data_centre)));
+            }
+            Fault::AddRoute => self.add_route(callers),
             Fault::Crash(index) => {
                 self.worker_faults.push(now);
                 self.workers[index].crash();
@@ -235,17 +312,25 @@
         None
     }
 
-    /// Ends a fault.
-    fn end(&mut self, undo: Undo, callers: &Callers, now: Time) {
+    /// Ends a fault. Returns what must be undone of that in turn, and when.
+    fn end(&mut self, undo: Undo, callers: &Callers, now: Time) -> Vec<(Time, Undo)> {
         match undo {
             Undo::Resume(index) => self.gateways[index].signal(Signal::CONT),
             Undo::MendStore(Some(index)) => {
                 self.gateways[index].store.set_faults(StoreFaults::default());
             }
-            Undo::MendStore(None) => {
-                let mend =
-                    |gateway: &GatewayProcess| gateway.store.set_faults(StoreFaults::default());
-                self.gateways.iter().for_each(mend);
+            Undo::MendStore(None) => self.mend_store(),
+            Undo::RestoreStore(copied_at) => {
+                self.restore_store(copied_at);
+                let ghosts = (now + GHOST_TIMEOUT, Undo::RemoveGhosts);
+                return vec![(now + REWRITE_DELAY, Undo::WriteAgain), ghosts];
+            }
+            Undo::WriteAgain => self.write_again(),
+            Undo::RemoveGhosts => self.remove_ghosts(),
+            Undo::EndEvacuation(data_centre) => {
+                self.store.delete(&evacuation_key(data_centre));
+                let lasting = self.evacuations.iter_mut().filter(|it| it.to.is_none());
+                lasting.for_each(|it| it.to = Some(now));
             }
             Undo::MendWorker(index) => {
                 self.worker_faults.push(now);
@@ -257,10 +342,76 @@
                 callers.set_fatal(false);
             }
         }
+        Vec::new()
+    }
+
+    fn mend_store(&self) {
+        let mend = |gateway: &GatewayProcess| gateway.store.set_faults(StoreFaults::default());
+        self.gateways.iter().for_each(mend);
+    }
+
+    /// Copies the store from time to time.
+    fn copy_store(&mut self, now: Time) {
+        if self.copies.back().is_some_and(|(at, _)| now.since(*at) < COPY_INTERVAL) {
+            return;
+        }
+        let max_age = Duration::from_millis(MAX_COPY_AGE_MS) + COPY_INTERVAL;
+        self.copies.push_back((now, self.store.copy()));
+        while self.copies.front().is_some_and(|(at, _)| now.since(*at) > max_age) {
+            self.copies.pop_front();
+        }
+    }
+
+    /// Lets the store return from the first copy after `copied_at`.
+    fn restore_store(&mut self, copied_at: Time) {
+        if let Some((_, copy)) = self.copies.iter().find(|(at, _)| *at >= copied_at) {
+            self.store.restore(copy.clone());
+        }
+        // What was copied since is not in the history of the store any more.
+        self.copies.retain(|(at, _)| *at <= copied_at);
+        self.mend_store();
+    }
+
+    /// Writes the operators' records again after a return of the store.
+    fn write_again(&self) {
+        self.write_document();
+        for index in 0..DATA_CENTRES.len() {
+            let key = evacuation_key(index);
+            let is_out = self.evacuations.iter().any(|e| e.data_centre == index && e.to.is_none());
+            match is_out {
+                true => self.store.put(&key, "{}"),
+                false => self.store.delete(&key),
+            }
+        }
+    }
+
+    /// Removes the entries of endpoints that the store has from a copy and that have ended.
+    fn remove_ghosts(&self) {
+        let alive: Vec<String> = self.workers.iter().map(Worker::entry_key).collect();
+        let keys = self.store.keys(ENDPOINT_PREFIX).into_iter();
+        keys.filter(|key| !alive.contains(key)).for_each(|key| self.store.delete(&key));
+    }
+
+    fn is_evacuated(&self) -> bool {
+        self.evacuations.iter().any(|evacuation| evacuation.to.is_none())
+    }
+
+    /// Adds a route with a new version of the operators' document.
+    fn add_route(&mut self, callers: &Callers) {
+        let name = format!("added{}", self.added_routes.len());
+        self.version += 1;
+        self.added_routes.push(AddedRoute { at: Time::now(), name: name.clone() });
+        self.write_document();
+        callers.add_route(name);
     }
 
     fn disturb(&mut self, gateway: Option<usize>, from: Time, to: Time, is_stop: bool) {
-        self.disturbances.push(Disturbance { gateway, from, to, is_stop });
+        self.disturbances.push(Disturbance { gateway, from, to, is_stop, is_store: false });
+    }
+
+    fn disturb_store(&mut self, from: Time, to: Time) {
+        let (gateway, is_stop, is_store) = (None, false, true);
+        self.disturbances.push(Disturbance { gateway, from, to, is_stop, is_store });
     }
 
     fn kill(&mut self, index: usize, now: Time) {
@@ -277,10 +428,17 @@
     /// Writes a new version of the operators' document, with or without the second key.
     fn set_key(&mut self, is_valid: bool) {
         self.version += 1;
-        self.store.put(Document::key(), &document(self.version, is_valid).to_text());
+        self.is_key_valid = is_valid;
+        self.write_document();
         self.key_changes.push(KeyChange { at: Time::now(), is_valid });
     }
 
+    /// Writes the current version of the operators' document.
+    fn write_document(&self) {
+        let document = document(self.version, self.is_key_valid, &self.added_routes);
+        self.store.put(Document::key(), &document.to_text());
+    }
+
     /// Kills gateways that take too long to stop, and starts those again that have ended.
     fn tend_processes(&mut self, now: Time) {
         for index in 0..self.gateways.len() {
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 
-use super::Options;
+use super::{Options, fleet::DATA_CENTRES};
 use crate::standin::{metadata::StoreFaults, worker::WorkerFaults};
 
 /// Mean times between two faults; the seed chooses one. Promises with a time limit hold only for gateways
@@ -22,6 +22,13 @@
 /// be kept.
 const UNSOUND_TIME: Duration = Duration::from_secs(7);
 
+/// Largest age of a copy from which the store returns, in milliseconds.
+pub const MAX_COPY_AGE_MS: u64 = 12_000;
+
+/// Least time for which a data centre is out of service. It is longer than the time after which its
+/// endpoints must get no requests.
+const EVACUATE_TIME: Duration = Duration::from_secs(8);
+
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -39,6 +46,12 @@
     StoreDown(StoreFaults, Duration),
     /// The store forgets its history.
     ForgetHistory,
+    /// The store is away for a while and returns from a copy, which is older by the first time.
+    StoreReturn(Duration, Duration),
+    /// A data centre is taken out of service for a while.
+    Evacuate(usize, Duration),
+    /// The operators add a route.
+    AddRoute,
     /// An endpoint crashes.
     Crash(usize),
     /// An endpoint drains and leaves.
@@ -69,9 +82,11 @@
     while at < to {
         let fault = draw(&mut rng, options);
         let series = match fault {
-            Fault::Kill(_) | Fault::Stop(_) | Fault::Crash(_) | Fault::Pause(..) => {
-                rng.random_range(1..=MAX_SERIES)
-            }
+            Fault::Kill(_)
+            | Fault::Stop(_)
+            | Fault::Crash(_)
+            | Fault::Pause(..)
+            | Fault::AddRoute => rng.random_range(1..=MAX_SERIES),
             _ => 1,
         };
         for number in 0..series {
@@ -101,7 +116,7 @@
     let gateway = rng.random_range(0..options.gateways);
     let endpoint = rng.random_range(0..options.endpoints());
     let length = Duration::from_millis(rng.random_range(300..4_000));
-    match rng.random_range(0..18) {
+    match rng.random_range(0..24) {
         0 | 1 => Fault::Kill(gateway),
         2 | 3 => Fault::Pause(gateway, length),
         4 | 5 => Fault::Stop(gateway),
@@ -113,6 +128,12 @@
         12 | 13 => Fault::Leave(endpoint),
         14 | 15 => Fault::Unsound(endpoint, draw_worker_faults(rng), UNSOUND_TIME + length),
         16 => Fault::WithdrawKey(length * 2),
+        17 | 18 => {
+            let age = Duration::from_millis(rng.random_range(500..MAX_COPY_AGE_MS));
+            Fault::StoreReturn(age, length / 4)
+        }
+        19 => Fault::Evacuate(endpoint % DATA_CENTRES.len(), EVACUATE_TIME + length),
+        20..=22 => Fault::AddRoute,
         _ => Fault::FatalRequests(length * 2),
     }
 }
--- a/src/standin/metadata.rs
+++ b/src/standin/metadata.rs
@@ -208,6 +208,12 @@
         self.era.subscribe()
     }
 
+    /// Returns the keys that start with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.state.lock();
+        state.records.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
     /// Forgets all changes, so that watches must read everything again.
     pub fn forget_history(&self) {
         self.update(|state| {
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -154,6 +154,16 @@
         self.shared.state.lock().id.clone()
     }
 
+    /// Returns the key of the current incarnation's entry in the store.
+    pub fn entry_key(&self) -> String {
+        entry_key(&self.id())
+    }
+
+    /// Returns the data centre of the endpoint.
+    pub fn data_centre(&self) -> &str {
+        &self.shared.settings.data_centre
+    }
+
     /// Crashes the endpoint, which starts again after a while.
     pub fn crash(&self) {
         self.shared.crash.notify_one();
--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -166,6 +166,7 @@
     shared.log.record_run(Run {
         request: request.clone(),
         endpoint: endpoint.clone(),
+        data_centre: shared.settings.data_centre.clone(),
         at: Time::now(),
         team: headers.get("x-tenant").map(|_| header(headers, "x-tenant").to_owned()),
         shows_key: headers.contains_key("authorization"),
--- a/src/standin/worker/record.rs
+++ b/src/standin/worker/record.rs
@@ -13,6 +13,8 @@
     pub request: String,
     /// Endpoint that ran it.
     pub endpoint: Arc<str>,
+    /// Data centre of the endpoint.
+    pub data_centre: String,
     /// When it began.
     pub at: Time,
     /// Team that the request was sent for.
