Log the software versions of engines at which streams go on

Entries, grants and the leader's frames carry the software version of an endpoint, and instances log resumptions and callers' take-ups with it. No decision depends on it yet.

--- a/benches/grants.rs
+++ b/benches/grants.rs
@@ -44,6 +44,7 @@
     let models: Vec<Arc<str>> = (0..2).map(|i| model((number * 2 + i) % MODELS)).collect();
     EndpointEntry {
         id: format!("engine-{number:04}").into(),
+        version: "v1".into(),
         incarnation: Incarnation(1),
         service: "llm".into(),
         address: "10.0.0.1:8000".parse().expect("an address"),
--- a/src/gateway/messages/endpoints.rs
+++ b/src/gateway/messages/endpoints.rs
@@ -60,6 +60,9 @@
     /// Models that are loaded.
     #[prost(message, repeated, tag = "10")]
     pub models: Vec<ModelFrame>,
+    /// Version of the endpoint's software; empty if it is not known.
+    #[prost(string, tag = "11")]
+    pub version: String,
 }
 
 impl From<Changes<EndpointFrame>> for EndpointsFrame {
@@ -150,6 +153,7 @@
             draining: entry.draining || entry.removed_in.is_some(),
             cold_ms: entry.cold_remaining.as_millis() as u64,
             models: models.collect(),
+            version: entry.version.to_string(),
         }
     }
 }
@@ -176,6 +180,7 @@
         Some(EndpointEntry {
             id: self.id.into(),
             incarnation: Incarnation(self.incarnation),
+            version: self.version.into(),
             service: self.service.into(),
             address: self.address.parse().ok()?,
             data_centre: self.data_centre.into(),
--- a/src/gateway/messages/requests.rs
+++ b/src/gateway/messages/requests.rs
@@ -161,20 +161,29 @@
     /// Incarnation of the endpoint.
     #[prost(uint64, tag = "4")]
     pub incarnation: u64,
+    /// Version of the endpoint's software; empty if it is not known.
+    #[prost(string, tag = "5")]
+    pub version: String,
 }
 
 impl GrantFrame {
     /// Creates the frame of a grant.
     pub fn new(number: u64, grant: &Grant) -> Self {
-        let (endpoint, address) = (grant.endpoint.to_string(), grant.address.to_string());
-        Self { number, endpoint, address, incarnation: grant.incarnation.0 }
+        Self {
+            number,
+            endpoint: grant.endpoint.to_string(),
+            address: grant.address.to_string(),
+            incarnation: grant.incarnation.0,
+            version: grant.version.to_string(),
+        }
     }
 
     /// Returns the grant; `None` if the address cannot be parsed.
     pub fn into_grant(self) -> Option<Grant> {
         let address = self.address.parse().ok()?;
         let incarnation = Incarnation(self.incarnation);
-        Some(Grant { endpoint: self.endpoint.into(), address, incarnation })
+        let (endpoint, version) = (self.endpoint.into(), self.version.into());
+        Some(Grant { endpoint, address, incarnation, version })
     }
 }
 
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -113,7 +113,10 @@
             Err(refusal) => return failed.map_or_else(|| Err(job.rejection(refusal)), Ok),
         };
         match start(&mut job, permit, None).await {
-            Start::Started(started) => return Ok(stream_response(job, started)),
+            Start::Started(started) => {
+                log_take_up(&job, &started);
+                return Ok(stream_response(job, started));
+            }
             Start::NotStarted(Next::Retry) => {}
             Start::NotStarted(Next::Reject(rejection)) => return failed.ok_or(rejection),
             Start::NotStarted(Next::Return(response)) if job.may_retry() => failed = Some(response),
@@ -122,6 +125,19 @@
     }
 }
 
+/// Logs that a stream goes on that its caller has taken up again.
+fn log_take_up(job: &Job, started: &StartedRun) {
+    let Some(after) = job.head.last_event else { return };
+    let grant = &started.permit.grant;
+    log::info!(
+        "event=stream_taken_up request={} resumes={} after={after} endpoint={} version={}",
+        job.head.request,
+        job.head.resumes.as_deref().unwrap_or_default(),
+        grant.endpoint,
+        grant.version
+    );
+}
+
 /// Sends the request to an endpoint and waits for the first event after the event `after`.
 async fn start(job: &mut Job, permit: Permit, after: Option<u64>) -> Start {
     let is_last_run = !job.route.retry.may_retry() || job.runs + 1 >= job.route.max_attempts;
@@ -267,7 +283,14 @@
         };
         match started {
             Start::Started(started) => {
-                log::info!("event=stream_resumed request={} after={last:?}", job.head.request);
+                let grant = &started.permit.grant;
+                log::info!(
+                    "event=stream_resumed request={} after={} endpoint={} version={}",
+                    job.head.request,
+                    last.unwrap_or_default(),
+                    grant.endpoint,
+                    grant.version
+                );
                 return Some(started);
             }
             Start::NotStarted(Next::Retry) => {}
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -29,6 +29,8 @@
     pub incarnation: Incarnation,
     /// Service that the endpoint belongs to.
     pub service: Arc<str>,
+    /// Version of the endpoint's software; empty if it is not known.
+    pub version: Arc<str>,
     /// Address for requests and orders.
     pub address: SocketAddr,
     /// Data centre of the endpoint.
--- a/src/kernel/grants/request.rs
+++ b/src/kernel/grants/request.rs
@@ -66,6 +66,8 @@
     pub address: SocketAddr,
     /// Incarnation of the endpoint, which distinguishes the grant from those of a later start.
     pub incarnation: Incarnation,
+    /// Version of the endpoint's software; empty if it is not known.
+    pub version: Arc<str>,
 }
 
 /// The limit of the request rate that an endpoint names.
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -405,6 +405,7 @@
             endpoint: id.clone(),
             address: endpoint.info.address,
             incarnation: endpoint.info.incarnation,
+            version: endpoint.info.version.clone(),
         };
         runs::start_run(endpoint, key, request, service, model_slowdown, now);
         self.count_request(id, now);
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -13,6 +13,7 @@
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
 const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const STAMP: HeaderName = HeaderName::from_static("x-server-stamp");
@@ -79,6 +80,8 @@
     pub parts: Vec<(u64, u32)>,
     /// Number of the last event that the caller has received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of the stream which the caller resumes.
+    pub resumes: Option<Arc<str>>,
 }
 
 /// Returns the value of a header; `None` if it is missing or not text.
@@ -109,6 +112,7 @@
         hint: header_text(headers, &LENGTH_HINT).and_then(|value| value.parse().ok()),
         parts: header_text(headers, &PREFIX).map(parse_prompt_parts).unwrap_or_default(),
         last_event: header_text(headers, &LAST_EVENT).and_then(|value| value.parse().ok()),
+        resumes: header_text(headers, &RESUMES).map(Arc::from),
     }
 }
 
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -16,6 +16,9 @@
     service: String,
     address: SocketAddr,
     zone: String,
+    /// Version of the software, a text or a number.
+    #[serde(default)]
+    version: serde_json::Value,
     #[serde(default)]
     slots: u32,
     state: String,
@@ -78,6 +81,11 @@
         id: id.into(),
         incarnation: Incarnation(raw.born),
         service: raw.service.into(),
+        version: match raw.version {
+            serde_json::Value::String(text) => text.into(),
+            serde_json::Value::Number(number) => number.to_string().into(),
+            _ => "".into(),
+        },
         address: raw.address,
         data_centre: raw.zone.into(),
         slots: raw.slots,
--- a/tests/kernel/endpoint_table.rs
+++ b/tests/kernel/endpoint_table.rs
@@ -18,6 +18,7 @@
 fn entry(id: &str, born: u64, draining: bool) -> EndpointEntry {
     EndpointEntry {
         id: id.into(),
+        version: "v1".into(),
         incarnation: Incarnation(born),
         service: "desk".into(),
         address: "10.0.0.1:8000".parse().expect("an address"),
--- a/tests/kernel/grants/fleet.rs
+++ b/tests/kernel/grants/fleet.rs
@@ -65,6 +65,7 @@
 pub fn engine(id: &str, models: &[&str]) -> EndpointEntry {
     EndpointEntry {
         id: id.into(),
+        version: "v1".into(),
         incarnation: Incarnation(1),
         service: "llm".into(),
         address: "10.0.0.1:8000".parse().expect("an address"),
