Add failing tests: streams are joined from two software versions

The stand-ins send what the platform sends: engines have a software version, callers name in Resumes the request that brought the first event. Two gateways and two engines of each of two versions: streams that break off after three events and are taken up at the other gateway go on at the other version; so they do after both gateways were killed at once.

--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -276,6 +276,7 @@
         key: if has_withdrawn_key { WITHDRAWN_KEY } else { KEY },
         timeout: TIMEOUT,
         prompt: matches!(kind, Kind::Chat | Kind::Fatal).then_some(prompt),
+        take_up: None,
     }
 }
 
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -175,6 +175,7 @@
             let settings = WorkerSettings {
                 service: service.to_owned(),
                 data_centre: DATA_CENTRES[index % DATA_CENTRES.len()].to_owned(),
+                version: "v1".to_owned(),
                 address: free_address(),
                 slots: 32,
                 models,
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -33,6 +33,17 @@
     pub timeout: Duration,
     /// Model and prompt; `None` for a plain service.
     pub prompt: Option<Prompt>,
+    /// The stream that is taken up again; `None` for a new request.
+    pub take_up: Option<TakeUp>,
+}
+
+/// A stream that a caller takes up again.
+#[derive(Clone, Debug)]
+pub struct TakeUp {
+    /// Id of the request that brought the first event.
+    pub request: String,
+    /// Number of the last event that the caller has.
+    pub after: u64,
 }
 
 /// Tokens of each part of a prompt.
@@ -49,6 +60,9 @@
             .header("x-request-id", &self.id)
             .header("x-deadline-ms", self.timeout.as_millis().to_string())
             .header("authorization", format!("Token {}", self.key));
+        if let Some(TakeUp { request, after }) = &self.take_up {
+            builder = builder.header("resumes", request).header("last-event-id", after.to_string());
+        }
         if let Some(Prompt { model, parts }) = &self.prompt {
             let prefix: Vec<String> =
                 parts.iter().map(|part| format!("{part}:{PART_TOKENS}")).collect();
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -47,6 +47,8 @@
     pub service: String,
     /// Data centre of the endpoint.
     pub data_centre: String,
+    /// Version of the software.
+    pub version: String,
     /// Address at which it serves.
     pub address: SocketAddr,
     /// Requests that it runs at once.
@@ -78,6 +80,8 @@
     id: Arc<str>,
     /// Wall-clock time of the start in milliseconds, which is the incarnation.
     born: u64,
+    /// Version of the software.
+    version: String,
     is_draining: bool,
     models: BTreeSet<String>,
     /// Orders accepted since the start.
@@ -88,13 +92,14 @@
 }
 
 impl State {
-    fn new(settings: &WorkerSettings, models: BTreeSet<String>) -> Self {
+    fn new(settings: &WorkerSettings, version: String, models: BTreeSet<String>) -> Self {
         static NEXT: AtomicU64 = AtomicU64::new(1);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         Self {
             id: format!("{}-{number}", settings.service).into(),
             // Each start is a new incarnation, also two in the same millisecond.
             born: wall_millis() + number,
+            version,
             is_draining: false,
             models,
             order_count: 0,
@@ -116,6 +121,8 @@
     log: Arc<WorkerLog>,
     state: Mutex<State>,
     faults: Mutex<WorkerFaults>,
+    /// Version of the software from the next start on.
+    next_version: Mutex<String>,
     crash: Notify,
     leave: Notify,
 }
@@ -137,7 +144,8 @@
     pub fn start(settings: WorkerSettings, store: Arc<MetadataStore>, log: Arc<WorkerLog>) -> Self {
         let models = settings.models.iter().cloned().collect();
         let shared = Arc::new(Shared {
-            state: Mutex::new(State::new(&settings, models)),
+            state: Mutex::new(State::new(&settings, settings.version.clone(), models)),
+            next_version: Mutex::new(settings.version.clone()),
             settings,
             store,
             log,
@@ -169,6 +177,11 @@
         self.shared.crash.notify_one();
     }
 
+    /// Sets the version of the software from the next start on.
+    pub fn set_version(&self, version: &str) {
+        *self.shared.next_version.lock() = version.to_owned();
+    }
+
     /// Lets the endpoint drain and leave; another one takes its place.
     pub fn leave(&self) {
         self.shared.leave.notify_one();
@@ -213,7 +226,8 @@
         }
         shared.store.delete(&entry_key(&id));
         sleep(RESTART_TIME - ENTRY_TIMEOUT).await;
-        *shared.state.lock() = State::new(&shared.settings, BTreeSet::new());
+        let version = shared.next_version.lock().clone();
+        *shared.state.lock() = State::new(&shared.settings, version, BTreeSet::new());
     }
 }
 
@@ -231,7 +245,7 @@
                 "service": self.settings.service,
                 "address": self.settings.address,
                 "zone": self.settings.data_centre,
-                "version": 1,
+                "version": state.version,
                 "slots": self.settings.slots,
                 "state": if state.is_draining { "draining" } else { "ready" },
                 "cold_remaining_ms": 0,
--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -148,7 +148,7 @@
 async fn run(shared: Arc<Shared>, parts: Parts) -> Result<Response<Body>, Broken> {
     let headers = &parts.headers;
     let model = header(headers, "x-model");
-    let (endpoint, running) = {
+    let (endpoint, version, running) = {
         let mut state = shared.state.lock();
         if !model.is_empty() && !state.models.contains(model) {
             return Ok(not_run(StatusCode::MISDIRECTED_REQUEST));
@@ -157,7 +157,7 @@
             return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE));
         }
         state.running += 1;
-        (state.id.clone(), Running(shared.clone()))
+        (state.id.clone(), state.version.clone(), Running(shared.clone()))
     };
     let request = header(headers, "x-request-id").to_owned();
     let fatal_part = &shared.settings.fatal_part;
@@ -167,6 +167,8 @@
         request: request.clone(),
         endpoint: endpoint.clone(),
         data_centre: shared.settings.data_centre.clone(),
+        version,
+        after: header(headers, "last-event-id").parse().unwrap_or(0),
         at: Time::now(),
         team: headers.get("x-tenant").map(|_| header(headers, "x-tenant").to_owned()),
         shows_key: headers.contains_key("authorization"),
--- a/src/standin/worker/record.rs
+++ b/src/standin/worker/record.rs
@@ -15,6 +15,10 @@
     pub endpoint: Arc<str>,
     /// Data centre of the endpoint.
     pub data_centre: String,
+    /// Version of the endpoint's software.
+    pub version: String,
+    /// Number of the event after which it goes on; zero for a new run.
+    pub after: u64,
     /// When it began.
     pub at: Time,
     /// Team that the request was sent for.
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -20,4 +20,5 @@
     mod shutdown;
     mod soak;
     mod streams;
+    mod take_up;
 }
--- /dev/null
+++ b/tests/process/take_up.rs
@@ -0,0 +1,81 @@
+//! Tests of streams that callers take up again while engines of two software versions serve.
+
+use std::time::Duration;
+
+use cardamomshore::standin::{caller::TakeUp, worker::LAST_EVENT};
+use tokio::time::{Instant, sleep};
+
+use crate::util::{block_on, gateways::World};
+
+/// Software versions of the engines, of which two each serve.
+const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
+
+/// Streams that are taken up in a test.
+const STREAMS: usize = 20;
+
+/// Events that a caller has when its stream breaks off.
+const AFTER: usize = 3;
+
+/// Time for which a caller tries to take a stream up.
+const TRY_TIME: Duration = Duration::from_secs(6);
+
+/// Begins streams that break off after some events, and returns their ids.
+async fn begin(world: &World) -> Vec<String> {
+    let mut ids = Vec::new();
+    for number in 0..STREAMS {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let begun = world.stream(number % 2, &id, None, AFTER).await;
+        assert_eq!(begun, Some((200, AFTER)), "expected stream {number} to begin");
+        ids.push(id);
+    }
+    ids
+}
+
+/// Takes a stream up again at a gateway, until it goes on or the time is over. Returns the id of the
+/// request by which it went on.
+async fn take_up(world: &World, gateway: usize, id: &str) -> Option<String> {
+    let until = Instant::now() + TRY_TIME;
+    while Instant::now() < until {
+        let request = format!("{:016x}", rand::random::<u64>());
+        let stream = TakeUp { request: id.to_owned(), after: AFTER as u64 };
+        let rest = LAST_EVENT as usize - AFTER;
+        match world.stream(gateway, &request, Some(stream), LAST_EVENT as usize).await {
+            Some((200, events)) if events == rest => return Some(request),
+            _ => sleep(Duration::from_millis(100)).await,
+        }
+    }
+    None
+}
+
+/// Takes streams up at the gateways that did not begin them. Returns how many went on, and panics if
+/// one did at another version than the one that began it.
+async fn take_up_all(world: &World, ids: &[String]) -> usize {
+    let mut count = 0;
+    for (number, id) in ids.iter().enumerate() {
+        let Some(request) = take_up(world, (number + 1) % 2, id).await else { continue };
+        let versions = world.versions_of(&[id, &request]);
+        assert_eq!(versions[0], versions[1], "stream {number} is joined from two versions");
+        count += 1;
+    }
+    count
+}
+
+#[test]
+fn take_up_goes_on_at_version_that_began() {
+    block_on(async {
+        let world = World::start_with_engines("take-up", &VERSIONS).await;
+        let ids = begin(&world).await;
+        assert_eq!(take_up_all(&world, &ids).await, STREAMS);
+    });
+}
+
+#[test]
+fn take_up_after_all_killed_at_version_that_began() {
+    block_on(async {
+        let mut world = World::start_with_engines("take-up-killed", &VERSIONS).await;
+        let ids = begin(&world).await;
+        sleep(Duration::from_secs(1)).await;
+        world.restart_all().await;
+        assert_eq!(take_up_all(&world, &ids).await, STREAMS);
+    });
+}
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -7,7 +7,7 @@
     http::pool::Pool,
     soak::process::{GatewayProcess, free_address},
     standin::{
-        caller::{CallerRequest, stamped_endpoint},
+        caller::{CallerRequest, Prompt, TakeUp, stamped_endpoint},
         metadata::MetadataStore,
         operator::Document,
         worker::{Worker, WorkerLog, WorkerSettings},
@@ -30,11 +30,16 @@
     pub endpoint: Option<String>,
 }
 
-/// Gateways and a plain service in two data centres, and the store that they share.
+/// Model of the engines.
+const MODEL: &str = "m0";
+
+/// Gateways, engines and a plain service in two data centres, and the store that they share.
 pub struct World {
     pub store: Arc<MetadataStore>,
     pub gateways: Vec<GatewayProcess>,
     pub workers: Vec<Worker>,
+    /// What the workers have seen.
+    pub log: Arc<WorkerLog>,
     pub version: u64,
     /// Names of the routes that the operators' document has besides the first ones.
     pub added: Vec<String>,
@@ -43,27 +48,26 @@
 impl World {
     /// Starts the stand-ins and the gateways, which are ready when this returns.
     pub async fn start(name: &str) -> Self {
-        let store = MetadataStore::start();
-        let log = Arc::new(WorkerLog::default());
+        Self::start_with_engines(name, &[]).await
+    }
+
+    /// Starts the same with an engine of each of these software versions.
+    pub async fn start_with_engines(name: &str, versions: &[&str]) -> Self {
         let mut world = Self {
-            store,
+            store: MetadataStore::start(),
             gateways: Vec::new(),
             workers: Vec::new(),
+            log: Arc::default(),
             version: 0,
             added: Vec::new(),
         };
         world.write_document();
         for data_centre in DATA_CENTRES {
-            let settings = WorkerSettings {
-                service: "desk".to_owned(),
-                data_centre: data_centre.to_owned(),
-                address: free_address(),
-                slots: 16,
-                models: Vec::new(),
-                model_slots: 0,
-                fatal_part: "fa7a1".to_owned(),
-            };
-            world.workers.push(Worker::start(settings, world.store.clone(), log.clone()));
+            world.start_worker("desk", data_centre, "v1", Vec::new());
+        }
+        for (index, version) in versions.iter().enumerate() {
+            let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
+            world.start_worker("engines", data_centre, version, vec![MODEL.to_owned()]);
         }
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         for data_centre in DATA_CENTRES {
@@ -73,10 +77,44 @@
             let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store);
             world.gateways.push(gateway.expect("expected the gateway to start"));
         }
-        for gateway in &world.gateways {
+        world.wait_ready().await;
+        world
+    }
+
+    fn start_worker(
+        &mut self,
+        service: &str,
+        data_centre: &str,
+        version: &str,
+        models: Vec<String>,
+    ) {
+        let settings = WorkerSettings {
+            service: service.to_owned(),
+            data_centre: data_centre.to_owned(),
+            version: version.to_owned(),
+            address: free_address(),
+            slots: 16,
+            models,
+            model_slots: 1,
+            fatal_part: "fa7a1".to_owned(),
+        };
+        self.workers.push(Worker::start(settings, self.store.clone(), self.log.clone()));
+    }
+
+    /// Waits until all gateways are ready.
+    pub async fn wait_ready(&self) {
+        for gateway in &self.gateways {
             gateway.wait_ready().await.expect("expected the gateway to become ready");
         }
-        world
+    }
+
+    /// Kills all gateways and starts them again.
+    pub async fn restart_all(&mut self) {
+        self.gateways.iter_mut().for_each(GatewayProcess::kill);
+        for gateway in &mut self.gateways {
+            gateway.restart().expect("expected the gateway to start");
+        }
+        self.wait_ready().await;
     }
 
     /// Writes the next version of the operators' document.
@@ -90,7 +128,7 @@
         let document = Document {
             version: self.version,
             host: HOST,
-            models: &[],
+            models: &[MODEL],
             team: TEAM,
             keys: vec![KEY],
             added: self.added.clone(),
@@ -111,14 +149,8 @@
 
     /// Sends a request on a route to a gateway; `None` without a whole response.
     pub async fn call(&self, gateway: usize, route: &str) -> Option<Answer> {
-        let request = CallerRequest {
-            id: format!("{:016x}", rand::random::<u64>()),
-            host: HOST,
-            path: format!("/{route}/1"),
-            key: KEY,
-            timeout: TIMEOUT,
-            prompt: None,
-        };
+        let id = format!("{:016x}", rand::random::<u64>());
+        let request = CallerRequest { path: format!("/{route}/1"), ..request(id) };
         let pool: Arc<Pool> = Arc::default();
         let address = self.gateways[gateway].callers;
         let mut connection = pool.acquire(address, TIMEOUT).await.ok()?;
@@ -129,6 +161,40 @@
         Some(Answer { status, endpoint })
     }
 
+    /// Sends a request for a stream to a gateway, and reads it up to the event `last`, if it has so
+    /// many. Returns the status and the number of events, or `None` without a response.
+    pub async fn stream(
+        &self,
+        gateway: usize,
+        id: &str,
+        take_up: Option<TakeUp>,
+        last: usize,
+    ) -> Option<(u16, usize)> {
+        let prompt = Prompt { model: MODEL, parts: vec!["aa".to_owned()] };
+        let path = "/chat/1".to_owned();
+        let message =
+            CallerRequest { path, prompt: Some(prompt), take_up, ..request(id.to_owned()) };
+        let pool: Arc<Pool> = Arc::default();
+        let address = self.gateways[gateway].callers;
+        let mut connection = pool.acquire(address, TIMEOUT).await.ok()?;
+        let response = connection.send(message.to_http()).await.ok()?;
+        let status = response.status().as_u16();
+        let mut body = response.into_body();
+        let mut text = String::new();
+        while text.matches("\n\n").count() < last
+            && let Some(Ok(frame)) = body.frame().await
+        {
+            text.push_str(&String::from_utf8_lossy(frame.data_ref().map_or(&[], |data| data)));
+        }
+        Some((status, text.matches("\n\n").count()))
+    }
+
+    /// Returns the software versions that ran the requests with these ids, in the order of time.
+    pub fn versions_of(&self, ids: &[&str]) -> Vec<String> {
+        let runs = self.log.runs().into_iter();
+        runs.filter(|run| ids.contains(&&*run.request)).map(|run| run.version).collect()
+    }
+
     /// Returns whether all gateways serve a route.
     pub async fn all_serve(&self, route: &str) -> bool {
         for gateway in 0..self.gateways.len() {
@@ -139,3 +205,16 @@
         true
     }
 }
+
+/// Returns a request without a path.
+fn request(id: String) -> CallerRequest {
+    CallerRequest {
+        id,
+        host: HOST,
+        path: String::new(),
+        key: KEY,
+        timeout: TIMEOUT,
+        prompt: None,
+        take_up: None,
+    }
+}
