Let streams go on only at the software version that began them

Cause: the version that began a stream was kept nowhere and asked for by nobody: not when an instance resumes a stream, not when a caller takes one up. The header Resumes was not read.

Ruled out: that the version is known and lost with the leader; nobody had it.

- kernel/grants/origins: which version began each stream that runs or has broken off, and which versions have served in the last minute.
A take-up goes on at the version that is known, or at any if certainly only one has served.
Else it is refused at once, and has not run.
- The leader learns origins with each first event; peers hand theirs over to a new one.
- A stream that an instance resumes within its response keeps to the version of its first event.

--- a/benches/grants.rs
+++ b/benches/grants.rs
@@ -7,7 +7,7 @@
     clock::Time,
     kernel::grants::{
         Action, EndpointEntry, EngineReport, GrantKey, GrantRequest, Incarnation, Mode, ModelWork,
-        Outcome, RetryLimits, Scheduler, SchedulerLimits,
+        Outcome, RetryLimits, Scheduler, SchedulerLimits, VersionNeed,
     },
 };
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
@@ -79,6 +79,8 @@
         tried: Vec::new(),
         is_retry: false,
         fingerprint: number,
+        stream: None,
+        version: VersionNeed::Any,
     }
 }
 
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod messages;
 mod operator;
 mod orders;
+mod origins;
 mod peers;
 mod rate_limits;
 mod registry;
@@ -68,6 +69,8 @@
     members: ArcSwap<members::Members>,
     /// Endpoints from which the scheduler chooses.
     registry: registry::Registry,
+    /// Records of the software versions at which streams began.
+    origin_records: origins::OriginRecords,
     shutdown: shutdown::Shutdown,
     started_at: Time,
 }
@@ -113,6 +116,7 @@
             updates: updates::Updates::new(settings.resources.link_mbps),
             members: ArcSwap::default(),
             registry: registry::Registry::default(),
+            origin_records: origins::OriginRecords::default(),
             shutdown: shutdown::Shutdown::default(),
             started_at: Time::now(),
             settings,
@@ -142,6 +146,7 @@
         tokio::spawn(updates::run(self.clone()));
         tokio::spawn(crashes::run(self.clone()));
         tokio::spawn(rate_limits::run(self.clone()));
+        tokio::spawn(origins::run(self.clone()));
         tokio::spawn(grants::run_scheduler(self.clone()));
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -19,6 +19,7 @@
 use crate::{
     catalog::{Catalog, Route, Team},
     clock::Time,
+    kernel::grants::VersionNeed,
     platform::caller::{self, CallerHead},
 };
 
@@ -136,6 +137,7 @@
         fingerprint,
         tried: Vec::new(),
         attempts: 0,
+        version: if head.last_event.is_some() { VersionNeed::Origin } else { VersionNeed::Any },
         runs: 0,
         route,
         head,
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     Gateway,
@@ -20,7 +21,7 @@
     catalog::{RetryPolicy, Route, Team},
     clock::Time,
     http::pool::{Connection, SendError},
-    kernel::grants::{GrantRequest, ModelWork, Outcome, Reason, Refusal},
+    kernel::grants::{GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
     platform::caller::{self, AddedHeaders, CallerHead, ResponseHead},
 };
 
@@ -72,6 +73,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// Attempts so far.
     pub(super) attempts: u32,
+    /// Software version that the endpoint must have.
+    pub(super) version: VersionNeed,
     /// Attempts that may have run the request. Only these count against the route's `max_attempts`.
     pub(super) runs: u32,
 }
@@ -143,9 +146,21 @@
             tried: self.tried.clone(),
             is_retry: self.attempts > 0,
             fingerprint: self.fingerprint,
+            stream: self.stream_id(),
+            version: self.version.clone(),
         }
     }
 
+    /// Returns the stream that the request begins or resumes; `None` if it cannot be resumed.
+    fn stream_id(&self) -> Option<StreamId> {
+        let id = match self.head.last_event {
+            Some(_) => self.head.resumes.as_deref()?,
+            None => &self.head.request,
+        };
+        let is_resumable = self.route.retry.is_stream() && self.route.retry.may_retry();
+        is_resumable.then(|| StreamId(xxh3_64(id.as_bytes())))
+    }
+
     /// Waits for a grant until the deadline. Fails if the scheduler refuses the request, or after
     /// [`MAX_ATTEMPTS`].
     pub(super) async fn acquire(&mut self) -> Result<Permit, Refusal> {
@@ -169,10 +184,15 @@
                     "event=granted request={request} endpoint={endpoint} waited_ms={waited}"
                 );
             }
-            Err(refusal) => log::debug!(
-                "event=not_granted request={request} reason={:?} waited_ms={waited}",
-                refusal.reason
-            ),
+            Err(refusal) => {
+                if refusal.reason == Reason::NoOrigin && !self.gateway.uplink.is_open() {
+                    self.gateway.want_origin_records();
+                }
+                log::debug!(
+                    "event=not_granted request={request} reason={:?} waited_ms={waited}",
+                    refusal.reason
+                )
+            }
         }
         permit
     }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -153,13 +153,17 @@
 }
 
 /// Returns what a new leader must know of this instance: its running requests, what it has left of the
-/// teams' rates, what it has used of the retry budgets, and what it knows of endpoints.
+/// teams' rates, what it has used of the retry budgets, and what it knows of endpoints and streams.
 fn handover(gateway: &Gateway, leader: &Leader) -> Vec<Content> {
     let now = Time::now();
     let mut contents: Vec<Content> =
         gateway.running_requests().into_iter().map(Content::Adopt).collect();
     contents.extend(gateway.leaving_content(leader));
     let mut scheduler = gateway.scheduler.lock();
+    let origins = scheduler.origins().all();
+    if !origins.is_empty() {
+        contents.push(Content::Origins(origins.as_slice().into()));
+    }
     contents.push(Content::Rates(RatesFrame::from(scheduler.release_rates(now))));
     contents.push(Content::Retries(scheduler.retry_usage(now).into()));
     let crashes = scheduler.crash_handover(now);
@@ -271,6 +275,7 @@
         | Content::Rates(_)
         | Content::Retries(_)
         | Content::Leaving(_)
+        | Content::Origins(_)
         | Content::Heartbeat(_) => log::warn!("event=frame_unexpected from=leader"),
     }
 }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod endpoints;
 mod members;
+mod origins;
 mod rate_limits;
 mod requests;
 mod retries;
@@ -16,6 +17,7 @@
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
     endpoints::{EndpointFrame, EndpointsFrame, LeavingEndpointFrame, LeavingFrame, ModelFrame},
     members::{Announcement, Hello, MemberFrame, MembersFrame},
+    origins::{OriginsFrame, VersionStreamsFrame},
     rate_limits::{RateLimitFrame, RateLimitsFrame},
     requests::{
         AdoptFrame, EndFrame, GrantFrame, GrantRequestFrame, RatesFrame, RefuseFrame, RequestRef,
@@ -30,7 +32,7 @@
     /// Content of the frame; `None` if this release does not know it.
     #[prost(
         oneof = "Content",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
     )]
     pub content: Option<Content>,
 }
@@ -98,6 +100,9 @@
     /// Instance to leader, after a return of the store: endpoints that leave.
     #[prost(message, tag = "19")]
     Leaving(LeavingFrame),
+    /// Instance to leader: at which software versions streams began.
+    #[prost(message, tag = "20")]
+    Origins(OriginsFrame),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/messages/requests.rs
+++ b/src/gateway/messages/requests.rs
@@ -8,7 +8,8 @@
 use crate::{
     clock::Time,
     kernel::grants::{
-        Grant, GrantRequest, Incarnation, ModelWork, Outcome, Reason, Refusal, UnusedRate,
+        Grant, GrantRequest, Incarnation, ModelWork, Outcome, Reason, Refusal, StreamId,
+        UnusedRate, VersionNeed,
     },
 };
 
@@ -85,6 +86,15 @@
     /// Hash that is the same for each retry by the caller.
     #[prost(fixed64, tag = "16")]
     pub fingerprint: u64,
+    /// The stream that the request begins or resumes.
+    #[prost(fixed64, optional, tag = "17")]
+    pub stream: Option<u64>,
+    /// Whether the endpoint must have the software version that began the stream.
+    #[prost(bool, tag = "18")]
+    pub at_origin: bool,
+    /// Software version that the endpoint must have.
+    #[prost(string, optional, tag = "19")]
+    pub version: Option<String>,
 }
 
 impl GrantRequestFrame {
@@ -111,6 +121,12 @@
             tried: request.tried.iter().map(|id| id.to_string()).collect(),
             is_retry: request.is_retry,
             fingerprint: request.fingerprint,
+            stream: request.stream.map(|stream| stream.0),
+            at_origin: request.version == VersionNeed::Origin,
+            version: match &request.version {
+                VersionNeed::Exactly(version) => Some(version.to_string()),
+                VersionNeed::Any | VersionNeed::Origin => None,
+            },
         }
     }
 
@@ -136,6 +152,12 @@
             tried: self.tried.into_iter().map(Arc::from).collect(),
             is_retry: self.is_retry,
             fingerprint: self.fingerprint,
+            stream: self.stream.map(StreamId),
+            version: match self.version {
+                Some(version) => VersionNeed::Exactly(version.into()),
+                None if self.at_origin => VersionNeed::Origin,
+                None => VersionNeed::Any,
+            },
         }
     }
 }
@@ -219,6 +241,8 @@
     Crashes = 4,
     /// The service has no endpoints.
     NoEndpoint = 5,
+    /// No endpoint has the software version that began the stream, or it is not known.
+    NoOrigin = 6,
 }
 
 impl RefuseFrame {
@@ -231,6 +255,7 @@
             Reason::NoRepeat => ReasonFrame::NoRepeat,
             Reason::Crashes => ReasonFrame::Crashes,
             Reason::NoEndpoint => ReasonFrame::NoEndpoint,
+            Reason::NoOrigin => ReasonFrame::NoOrigin,
         };
         Self { number, reason: reason.into(), retry_ms: refusal.retry.as_millis() as u64 }
     }
@@ -244,6 +269,7 @@
             ReasonFrame::NoRepeat => Reason::NoRepeat,
             ReasonFrame::Crashes => Reason::Crashes,
             ReasonFrame::NoEndpoint => Reason::NoEndpoint,
+            ReasonFrame::NoOrigin => Reason::NoOrigin,
         };
         Refusal { reason, retry: Duration::from_millis(self.retry_ms) }
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -295,6 +295,9 @@
             gateway.scheduler.lock().add_retry_usage(frame.into(), now);
         }
         Content::Leaving(frame) => gateway.merge_leaving(frame),
+        Content::Origins(frame) => {
+            gateway.scheduler.lock().origins().merge(frame.into(), now);
+        }
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -44,6 +44,9 @@
 /// The rest is for reading the store.
 const TABLE_AGE_FRACTION: f64 = 0.5;
 
+/// Longest silence of a leader whose table counts as up to date.
+const MAX_LEADER_SILENCE: Duration = Duration::from_millis(500);
+
 /// The table of endpoints, as read last from the store or from the leader.
 #[derive(Default)]
 pub struct Registry {
@@ -104,6 +107,12 @@
         self.registry.initialized.store(true, Ordering::Release);
     }
 
+    /// Returns whether the table is up to date: from a leader that is in contact, or from the store.
+    pub(super) fn knows_current_endpoints(&self) -> bool {
+        let has_leader = self.uplink.is_open() && self.uplink.frame_age() < MAX_LEADER_SILENCE;
+        has_leader || (self.must_watch_endpoints() && self.store.is_reachable())
+    }
+
     /// Returns whether this instance must read the endpoints from the store: it leads, or has
     /// received no frame from a leader for too long.
     fn must_watch_endpoints(&self) -> bool {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -21,7 +21,7 @@
     http::pool::Connection,
     kernel::{
         event_splitter::{EventSplitter, Split},
-        grants::Outcome,
+        grants::{Outcome, VersionNeed},
     },
     platform::caller::{self, ResponseHead},
 };
@@ -207,11 +207,13 @@
 }
 
 /// Returns the response of a stream that has started and spawns the task that passes its events on.
-fn stream_response(job: Job, started: StartedRun) -> Response<ResponseBody> {
+fn stream_response(mut job: Job, started: StartedRun) -> Response<ResponseBody> {
     let (tx, body) = ResponseBody::stream();
     let mut response = Response::new(body);
     *response.status_mut() = started.status;
     *response.headers_mut() = caller::response_headers(&started.reader.headers);
+    // Once an event is passed on, the rest must come from the same version.
+    job.version = VersionNeed::Exactly(started.permit.grant.version.clone());
     tokio::spawn(relay(job, started, tx));
     response
 }
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -13,6 +13,7 @@
 mod index;
 mod order_state;
 mod orders;
+mod origins;
 mod placement;
 mod queue;
 mod rate;
@@ -27,6 +28,7 @@
     endpoint::{Command, Endpoint, EndpointEntry, EngineReport, Incarnation},
     failures::FailureRates,
     order_state::{OrderResult, OrderStep},
+    origins::{Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
     placement::{Demand, PlanInput, Swap, plan},
     rate::{RateShare, TokenBucket},
     request::{
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use super::{Endpoint, GrantRequest, ModelWork};
+use super::{Endpoint, GrantRequest, ModelWork, VersionNeed};
 use crate::{
     catalog::{EngineSpec, Service},
     clock::Time,
@@ -99,7 +99,12 @@
     context: &FitContext<'_>,
 ) -> Fit {
     let tried = request.tried.contains(&endpoint.info.id);
-    if endpoint.info.service != request.service || endpoint.is_leaving() || tried {
+    let is_other_version = match &request.version {
+        VersionNeed::Exactly(version) => *version != endpoint.info.version,
+        VersionNeed::Any | VersionNeed::Origin => false,
+    };
+    let is_other_service = endpoint.info.service != request.service;
+    if is_other_service || is_other_version || endpoint.is_leaving() || tried {
         return Fit::Unsuitable;
     }
     if !context.may_order && endpoint.is_cold(context.now) && context.service.cold_rate > 0.0 {
--- a/src/kernel/grants/request.rs
+++ b/src/kernel/grants/request.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use super::{Command, Incarnation};
+use super::{Command, Incarnation, StreamId, VersionNeed};
 use crate::clock::Time;
 
 /// Identifies a grant by the instance that requested it and a number.
@@ -55,6 +55,10 @@
     pub is_retry: bool,
     /// Hash that identifies a request which crashes endpoints.
     pub fingerprint: u64,
+    /// The stream that the request begins or resumes; `None` if it cannot be resumed.
+    pub stream: Option<StreamId>,
+    /// Software version that the endpoint must have.
+    pub version: VersionNeed,
 }
 
 /// Permission to send a request to an endpoint.
@@ -105,6 +109,8 @@
     Crashes,
     /// The service has no endpoints.
     NoEndpoint,
+    /// No endpoint has the software version that began the stream, or that version is not known.
+    NoOrigin,
 }
 
 /// A refusal and the time after which a retry is worthwhile.
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod crashes;
+mod origins;
 mod planning;
 mod rate_limits;
 mod retries;
@@ -19,7 +20,7 @@
 
 use super::{
     Action, Command, Demand, Endpoint, EndpointEntry, EngineReport, Grant, GrantKey, GrantRequest,
-    ModelWork, OrderResult, RetryBudget, RetryLimits, TokenBucket, choice,
+    ModelWork, OrderResult, RetryBudget, RetryLimits, StreamOrigins, TokenBucket, choice,
     choice::{Fit, FitContext},
     crash_causes::{CrashCauses, CrashCheck, possible_causes},
     index::Index,
@@ -86,6 +87,7 @@
     /// Granted requests and retries of this instance alone, by service.
     own_retries: HashMap<Arc<str>, RetryBudget>,
     crash_causes: CrashCauses,
+    origins: StreamOrigins,
     /// Endpoints at which a run broke, with the time of the first one; the oldest come first.
     broken: VecDeque<(Time, Arc<str>)>,
     /// Grows with each change of the rates that endpoints name.
@@ -133,6 +135,7 @@
             retry_budgets: HashMap::new(),
             own_retries: HashMap::new(),
             crash_causes: CrashCauses::default(),
+            origins: StreamOrigins::new(now),
             broken: VecDeque::new(),
             limit_version: 0,
             demand: Demand::default(),
@@ -200,8 +203,10 @@
             self.endpoints.insert(endpoint.info.id.clone(), endpoint);
         }
         for lost in old.into_values() {
+            self.origins.record_version(&lost.info.service, &lost.info.version, now);
             self.record_loss(lost, now);
         }
+        self.record_versions(now);
         self.index.invalidate();
     }
 
@@ -224,13 +229,14 @@
     pub fn handle_request(
         &mut self,
         key: GrantKey,
-        request: GrantRequest,
+        mut request: GrantRequest,
         now: Time,
     ) -> Vec<Action> {
         self.request_rate.record(now);
         self.confirm_silent_crashes(now);
         let mut actions = Vec::new();
-        match self.admit(&request, now) {
+        let origin = self.find_origin(&mut request, now);
+        match origin.and_then(|()| self.admit(&request, now)) {
             Ok(()) => self.grant_or_queue(key, request, now, &mut actions),
             Err(refusal) => actions.push(Action::Refuse(key, refusal)),
         }
@@ -285,10 +291,13 @@
             Selection::Full => {
                 self.refuse_long_wait(&queued, self.expected_wait(&queued.request, now))
             }
-            Selection::Unavailable => match self.loaded_at(&queued.request) {
-                Some(ready) => self.refuse_long_wait(&queued, ready.since(now)),
-                None => self.refuse_unloadable(&queued),
-            },
+            Selection::Unavailable => {
+                let missing = self.refuse_missing_version(&queued.request);
+                missing.or_else(|| match self.loaded_at(&queued.request) {
+                    Some(ready) => self.refuse_long_wait(&queued, ready.since(now)),
+                    None => self.refuse_unloadable(&queued),
+                })
+            }
         };
         match refusal {
             None => self.queue.push(queued),
@@ -471,6 +480,7 @@
 /// Returns whether the same endpoints can serve both requests.
 fn is_same_kind(a: &GrantRequest, b: &GrantRequest) -> bool {
     a.service == b.service
+        && a.version == b.version
         && match (&a.work, &b.work) {
             (Some(a), Some(b)) => a.model == b.model && a.adapter == b.adapter,
             (None, None) => true,
--- /dev/null
+++ b/src/kernel/grants/scheduler/origins.rs
@@ -0,0 +1,84 @@
+//! Lets streams go on only at the software version that began them.
+
+use std::time::Duration;
+
+use super::Scheduler;
+use crate::{
+    clock::Time,
+    kernel::grants::{
+        GrantRequest, Origin, Outcome, Reason, Refusal, StreamId, StreamOrigins, VersionNeed,
+    },
+};
+
+/// Time after which a caller may take a stream up whose version is not known: that of the election of a
+/// leader, which knows more.
+const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
+
+/// Time after which a caller may take a stream up whose version does not serve. Endpoints that have
+/// crashed may be back then.
+const MISSING_RETRY: Duration = Duration::from_secs(2);
+
+impl Scheduler {
+    /// Returns the origins of streams.
+    pub fn origins(&mut self) -> &mut StreamOrigins {
+        &mut self.origins
+    }
+
+    /// Sets the version at which a stream must go on. Fails if it is not known.
+    pub(super) fn find_origin(
+        &mut self,
+        request: &mut GrantRequest,
+        now: Time,
+    ) -> Result<(), Refusal> {
+        if request.version != VersionNeed::Origin {
+            return Ok(());
+        }
+        request.version = match self.origins.find(request.stream, &request.service, now) {
+            Origin::Version(version) => VersionNeed::Exactly(version),
+            Origin::OnlyOne => VersionNeed::Any,
+            Origin::Unknown => {
+                return Err(Refusal { reason: Reason::NoOrigin, retry: UNKNOWN_RETRY });
+            }
+        };
+        Ok(())
+    }
+
+    /// Returns the refusal of a stream that no endpoint of its version can go on with.
+    pub(super) fn refuse_missing_version(&self, request: &GrantRequest) -> Option<Refusal> {
+        let VersionNeed::Exactly(_) = &request.version else { return None };
+        Some(Refusal { reason: Reason::NoOrigin, retry: MISSING_RETRY })
+    }
+
+    /// Forgets what is too old of the origins of streams.
+    pub fn maintain_origins(&mut self, now: Time) {
+        self.record_versions(now);
+        self.origins.forget_old(now);
+    }
+
+    /// Records the versions of all endpoints.
+    pub(super) fn record_versions(&mut self, now: Time) {
+        for endpoint in self.endpoints.values() {
+            self.origins.record_version(&endpoint.info.service, &endpoint.info.version, now);
+        }
+    }
+
+    /// Records that the first event of a response has arrived from an endpoint.
+    pub(super) fn record_origin(&mut self, id: &str, request: &GrantRequest, now: Time) {
+        let (Some(stream), Some(endpoint)) = (request.stream, self.endpoints.get(id)) else {
+            return;
+        };
+        if request.version == VersionNeed::Any {
+            let info = &endpoint.info;
+            self.origins.begin(stream, info.service.clone(), info.version.clone(), now);
+        }
+    }
+
+    /// Records how a run of a stream has ended.
+    pub(super) fn end_origin(&mut self, stream: Option<StreamId>, outcome: Outcome, now: Time) {
+        match (stream, outcome) {
+            (Some(stream), Outcome::Whole) => self.origins.complete(stream, now),
+            (Some(stream), _) => self.origins.break_off(stream, now),
+            (None, _) => {}
+        }
+    }
+}
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -36,7 +36,8 @@
         if std::mem::replace(&mut run.started, true) {
             return;
         }
-        let work = run.request.work.clone();
+        let request = run.request.clone();
+        let work = request.work.clone();
         let (granted, queued_prefill, prefill_tokens) =
             (run.granted_at, run.queued_prefill, run.prefill_tokens);
         endpoint.record_reachable();
@@ -52,6 +53,7 @@
             endpoint.slowdown = (endpoint.slowdown * ratio.powf(0.1)).clamp(0.6, 6.0);
         }
         correct_prefill(endpoint, &self.slowdowns, now);
+        self.record_origin(&id, &request, now);
         self.record_response(&id, granted);
     }
 
@@ -93,6 +95,7 @@
             Outcome::Left => {}
         }
         correct_prefill(endpoint, &self.slowdowns, now);
+        self.end_origin(run.request.stream, outcome, now);
         self.record_crash_evidence(&id, &run, outcome, now);
         if matches!(outcome, Outcome::Unreached | Outcome::Full | Outcome::Misplaced) {
             self.refund(&run.request);
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -6,7 +6,7 @@
 use crate::{
     clock::Time,
     kernel::grants::{
-        Action, Endpoint, GrantRequest, Reason, Refusal, crash_causes::CrashCheck,
+        Action, Endpoint, GrantRequest, Reason, Refusal, VersionNeed, crash_causes::CrashCheck,
         queue::QueuedRequest,
     },
 };
@@ -32,6 +32,7 @@
     service: Arc<str>,
     model: Option<Arc<str>>,
     adapter: Option<Arc<str>>,
+    version: VersionNeed,
 }
 
 impl RequestKind {
@@ -41,6 +42,7 @@
             service: request.service.clone(),
             model: work.map(|work| work.model.clone()),
             adapter: work.and_then(|work| work.adapter.clone()),
+            version: request.version.clone(),
         }
     }
 }
@@ -172,6 +174,13 @@
                     queued.adapter_load = Some((endpoint, since));
                 }
                 Selection::AwaitsTrial => queued.adapter_load = None,
+                Selection::Unavailable
+                    if let Some(refusal) = self.refuse_missing_version(&queued.request) =>
+                {
+                    self.refund(&queued.request);
+                    actions.push(Action::Refuse(queued.key, refusal));
+                    continue;
+                }
                 Selection::Full | Selection::Unavailable => {
                     queued.adapter_load = None;
                     full_kinds.insert(kind);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -276,6 +276,11 @@
         self.next_era.load(Ordering::Relaxed).saturating_sub(1)
     }
 
+    /// Returns whether the last call other than a watch got a response.
+    pub fn is_reachable(&self) -> bool {
+        !self.unreachable.load(Ordering::Relaxed)
+    }
+
     /// Reads all records whose key starts with `prefix`.
     ///
     /// The records may come in several pages, which are read one after another. The revision is
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -5,6 +5,7 @@
 mod crashes;
 mod fleet;
 mod orders;
+mod origins;
 mod placement;
 mod rate;
 mod rate_limits;
--- a/tests/kernel/grants/fleet.rs
+++ b/tests/kernel/grants/fleet.rs
@@ -8,6 +8,7 @@
     kernel::grants::{
         Action, EndpointEntry, EngineReport, Grant, GrantKey, GrantRequest, Incarnation, Mode,
         ModelWork, OrderResult, Outcome, Refusal, RetryLimits, Scheduler, SchedulerLimits,
+        VersionNeed,
     },
 };
 
@@ -119,6 +120,8 @@
         tried: Vec::new(),
         is_retry: false,
         fingerprint: 0,
+        stream: None,
+        version: VersionNeed::Any,
     }
 }
 
