Play releases and streams that are taken up again in the soak

Engines of a soak are replaced by ones of the next software version, every other one at a time. Callers whose streams break off take them up again at any gateway, naming in Resumes the request that brought the first event. Checked: a stream has events of one version, in one answer and over a caller's tries, by gateways in contact or not; and take-ups go on at least half as often as new streams begin, while two engines of their version serve.

--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::Request;
 use http_body_util::{BodyExt, Full};
 use parking_lot::Mutex;
@@ -23,7 +23,12 @@
 use crate::{
     clock::Time,
     http::pool::{Pool, SendError},
-    standin::caller::{CallerRequest, Prompt, decode_addresses, resolve_request, stamped_endpoint},
+    standin::{
+        caller::{
+            CallerRequest, Prompt, TakeUp, decode_addresses, resolve_request, stamped_endpoint,
+        },
+        worker::LAST_EVENT,
+    },
 };
 
 /// First part of all prompts.
@@ -50,6 +55,12 @@
 /// Time for which a caller waits for a response.
 const TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Times that a caller takes a stream up again.
+const MAX_TAKE_UPS: usize = 8;
+
+/// Pause before a caller takes a stream up again.
+const TAKE_UP_PAUSE: Duration = Duration::from_millis(300);
+
 /// Time for which a caller keeps an idle connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
@@ -82,6 +93,8 @@
     Partial {
         /// Status of the response.
         status: u16,
+        /// What has arrived of the body.
+        body: Bytes,
     },
     /// The connection ended without a response.
     Broken,
@@ -100,6 +113,8 @@
     pub kind: Kind,
     /// Name of its route.
     pub route: String,
+    /// The stream that it takes up again.
+    pub take_up: Option<TakeUp>,
     /// Gateway to which it was sent.
     pub gateway: usize,
     /// Whether it had the key that is withdrawn at times.
@@ -116,11 +131,29 @@
     /// Returns the status of the response; `None` if none has arrived.
     pub fn status(&self) -> Option<u16> {
         match &self.ending {
-            Ending::Whole { status, .. } | Ending::Partial { status } => Some(*status),
+            Ending::Whole { status, .. } | Ending::Partial { status, .. } => Some(*status),
             Ending::Broken | Ending::TimedOut | Ending::NotSent => None,
         }
     }
 
+    /// Returns the stream that the caller must take up again: one that has broken off after some
+    /// events, or that the gateway has not gone on with.
+    fn broken_stream(&self) -> Option<TakeUp> {
+        let body = match &self.ending {
+            Ending::Partial { status: 200, body } if self.kind == Kind::Chat => body,
+            _ if self.take_up.is_some() && !self.is_served() => return self.take_up.clone(),
+            _ => return None,
+        };
+        let text = String::from_utf8_lossy(body);
+        let complete = text.rsplit_once("\n\n").map_or("", |(events, _)| events);
+        let ids = complete.split("\n\n").filter_map(|event| event.strip_prefix("id: "));
+        let numbers = ids.filter_map(|id| id.split('\n').next()?.parse::<u64>().ok());
+        let before = self.take_up.as_ref();
+        let after = numbers.max().or(before.map(|stream| stream.after))?;
+        let request = before.map_or(&self.request, |stream| &stream.request).clone();
+        (after < LAST_EVENT).then_some(TakeUp { request, after })
+    }
+
     /// Returns whether the request was answered with success.
     pub fn is_served(&self) -> bool {
         matches!(self.ending, Ending::Whole { status: 200, .. })
@@ -201,12 +234,26 @@
         let address = addresses.choose(&mut rand::rng()).copied();
         let known = |address| shared.gateways.iter().position(|(callers, _)| *callers == address);
         if let Some(gateway) = address.and_then(known) {
-            call(&shared, &pool, gateway, kind).await;
+            let broken = call(&shared, &pool, gateway, kind, None).await;
+            if let Some(stream) = broken {
+                take_up(&shared, &pool, stream).await;
+            }
         }
         sleep(Duration::from_millis(pause)).await;
     }
 }
 
+/// Takes a stream up again at any gateway, until it is complete or too many tries were in vain.
+async fn take_up(shared: &Shared, pool: &Arc<Pool>, stream: TakeUp) {
+    let mut next = Some(stream);
+    for _ in 0..MAX_TAKE_UPS {
+        let Some(stream) = next.take() else { return };
+        sleep(TAKE_UP_PAUSE).await;
+        let gateway = rand::rng().random_range(0..shared.gateways.len());
+        next = call(shared, pool, gateway, Kind::Chat, Some(stream)).await;
+    }
+}
+
 /// Sends requests that crash endpoints to any gateway, while that is wanted.
 async fn call_fatally(shared: Arc<Shared>) {
     while !shared.is_over.load(Ordering::Relaxed) {
@@ -214,7 +261,9 @@
         if shared.is_fatal.load(Ordering::Relaxed) {
             let gateway = rand::rng().random_range(0..shared.gateways.len());
             let shared = shared.clone();
-            tokio::spawn(async move { call(&shared, &Arc::default(), gateway, Kind::Fatal).await });
+            tokio::spawn(async move {
+                call(&shared, &Arc::default(), gateway, Kind::Fatal, None).await
+            });
         }
     }
 }
@@ -232,20 +281,38 @@
     timeout(CONNECT_TIMEOUT, exchange).await.ok()?
 }
 
-/// Sends a request and records its end.
-async fn call(shared: &Shared, pool: &Arc<Pool>, gateway: usize, kind: Kind) {
+/// Sends a request and records its end. Returns the stream that must be taken up again.
+async fn call(
+    shared: &Shared,
+    pool: &Arc<Pool>,
+    gateway: usize,
+    kind: Kind,
+    take_up: Option<TakeUp>,
+) -> Option<TakeUp> {
     let number = shared.next_id.fetch_add(1, Ordering::Relaxed);
     let has_withdrawn_key = kind != Kind::Fatal && number.is_multiple_of(5);
     let request = format!("{number:016x}");
     let sent_at = Time::now();
     let route = route(shared, kind, number);
-    let message = message(&request, number, kind, &route, has_withdrawn_key);
+    let mut message = message(&request, number, kind, &route, has_withdrawn_key);
+    message.take_up = take_up.clone();
     let exchange = exchange(pool, shared.gateways[gateway].0, message.to_http());
     let ending = timeout(TIMEOUT, exchange).await.unwrap_or(Ending::TimedOut);
     let ended_at = Time::now();
-    let attempt =
-        Attempt { request, kind, route, gateway, has_withdrawn_key, sent_at, ended_at, ending };
+    let attempt = Attempt {
+        request,
+        kind,
+        route,
+        take_up,
+        gateway,
+        has_withdrawn_key,
+        sent_at,
+        ended_at,
+        ending,
+    };
+    let broken = attempt.broken_stream();
     shared.attempts.lock().push(attempt);
+    broken
 }
 
 /// Returns the name of the route of a request. Every other lookup uses the route that was added last.
@@ -292,11 +359,15 @@
     };
     let status = response.status().as_u16();
     let endpoint = stamped_endpoint(response.headers());
-    match response.into_body().collect().await {
-        Ok(body) => {
-            pool.release(connection, KEEP_ALIVE);
-            Ending::Whole { status, endpoint, body: body.to_bytes() }
+    let mut body = response.into_body();
+    let mut bytes = BytesMut::new();
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Some(Err(_)) => return Ending::Partial { status, body: bytes.freeze() },
+            None => break,
         }
-        Err(_) => Ending::Partial { status },
     }
+    pool.release(connection, KEEP_ALIVE);
+    Ending::Whole { status, endpoint, body: bytes.freeze() }
 }
--- a/src/soak/check.rs
+++ b/src/soak/check.rs
@@ -3,6 +3,7 @@
 //! A promise with a time limit holds for gateways in contact: those that were not disturbed for a while.
 
 mod changes;
+mod streams;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -120,6 +121,8 @@
         self.check_routes(&mut all);
         self.check_evacuations(&mut all);
         self.check_known_drains(&mut all);
+        self.check_versions(&mut all);
+        self.check_take_ups(&mut all);
         self.check_drains(&mut all);
         self.check_orders(&mut all);
         self.check_stops(&mut all);
@@ -164,7 +167,9 @@
             let expected = endpoint.as_deref().map(|endpoint| match attempt.kind {
                 Kind::Payment | Kind::Lookup => plain_body(&attempt.request, endpoint),
                 Kind::Chat | Kind::Fatal => {
-                    (1..=LAST_EVENT).map(|number| event_text(&attempt.request, number)).collect()
+                    let after = attempt.take_up.as_ref().map_or(0, |stream| stream.after);
+                    let events = after + 1..=LAST_EVENT;
+                    events.map(|number| event_text(&attempt.request, number)).collect()
                 }
             });
             if expected.is_none_or(|expected| expected.as_bytes() != &body[..]) {
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -150,6 +150,8 @@
     /// Copies of the store, the oldest first.
     copies: VecDeque<(Time, StoreCopy)>,
     version: u64,
+    /// Number of the newest software version of engines.
+    release: usize,
     is_key_valid: bool,
 }
 
@@ -210,6 +212,7 @@
             store,
             copies: VecDeque::new(),
             version: 1,
+            release: 1,
             is_key_valid: true,
         })
     }
@@ -290,6 +293,7 @@
                 return Some((now + length, Undo::EndEvacuation(data_centre)));
             }
             Fault::AddRoute => self.add_route(callers),
+            Fault::Release => self.release(),
             Fault::Crash(index) => {
                 self.worker_faults.push(now);
                 self.workers[index].crash();
@@ -393,6 +397,17 @@
         keys.filter(|key| !alive.contains(key)).for_each(|key| self.store.delete(&key));
     }
 
+    /// Replaces every other engine by one of the next software version.
+    fn release(&mut self) {
+        self.release += 1;
+        let version = format!("v{}", self.release);
+        let engines = self.workers.iter().filter(|worker| worker.is_engine());
+        for worker in engines.skip(self.release % 2).step_by(2) {
+            worker.set_version(&version);
+            worker.leave();
+        }
+    }
+
     fn is_evacuated(&self) -> bool {
         self.evacuations.iter().any(|evacuation| evacuation.to.is_none())
     }
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -52,6 +52,8 @@
     Evacuate(usize, Duration),
     /// The operators add a route.
     AddRoute,
+    /// Engines are replaced by ones of another software version, one after the other.
+    Release,
     /// An endpoint crashes.
     Crash(usize),
     /// An endpoint drains and leaves.
@@ -116,7 +118,7 @@
     let gateway = rng.random_range(0..options.gateways);
     let endpoint = rng.random_range(0..options.endpoints());
     let length = Duration::from_millis(rng.random_range(300..4_000));
-    match rng.random_range(0..24) {
+    match rng.random_range(0..25) {
         0 | 1 => Fault::Kill(gateway),
         2 | 3 => Fault::Pause(gateway, length),
         4 | 5 => Fault::Stop(gateway),
@@ -134,6 +136,7 @@
         }
         19 => Fault::Evacuate(endpoint % DATA_CENTRES.len(), EVACUATE_TIME + length),
         20..=22 => Fault::AddRoute,
+        23 => Fault::Release,
         _ => Fault::FatalRequests(length * 2),
     }
 }
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -167,9 +167,9 @@
         entry_key(&self.id())
     }
 
-    /// Returns the data centre of the endpoint.
-    pub fn data_centre(&self) -> &str {
-        &self.shared.settings.data_centre
+    /// Returns whether the endpoint is an engine.
+    pub fn is_engine(&self) -> bool {
+        !self.shared.settings.models.is_empty()
     }
 
     /// Crashes the endpoint, which starts again after a while.
--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -168,6 +168,7 @@
         endpoint: endpoint.clone(),
         data_centre: shared.settings.data_centre.clone(),
         version,
+        is_stream: !model.is_empty(),
         after: header(headers, "last-event-id").parse().unwrap_or(0),
         at: Time::now(),
         team: headers.get("x-tenant").map(|_| header(headers, "x-tenant").to_owned()),
--- a/src/standin/worker/record.rs
+++ b/src/standin/worker/record.rs
@@ -17,6 +17,8 @@
     pub data_centre: String,
     /// Version of the endpoint's software.
     pub version: String,
+    /// Whether the response is a stream.
+    pub is_stream: bool,
     /// Number of the event after which it goes on; zero for a new run.
     pub after: u64,
     /// When it began.
