Surround returns of the store by changes in the soak

Few changes fell into what a return loses, or soon after it, and the store's revisions passed the lost ones at once. Each return now loses 200 writes of others, and three changes each fall into the time that it loses and into the 3 s after it.

--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -57,6 +57,9 @@
 /// Time from a return of the store until it removes the entries of endpoints that have ended.
 const GHOST_TIMEOUT: Duration = Duration::from_millis(2_400);
 
+/// Writes of others to the store that each return of the store loses.
+const OTHER_WRITES: usize = 200;
+
 /// Interval at which faults are looked for that must begin or end.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -279,6 +282,7 @@
             }
             Fault::ForgetHistory => self.store.forget_history(),
             Fault::StoreReturn(age, length) => {
+                (0..OTHER_WRITES).for_each(|number| self.store.put("other", &number.to_string()));
                 let away = StoreFaults { refusing: true, ..StoreFaults::default() };
                 self.gateways.iter().for_each(|gateway| gateway.store.set_faults(away));
                 self.disturb_store(now, now + length + REWRITE_DELAY);
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -29,6 +29,12 @@
 /// endpoints must get no requests.
 const EVACUATE_TIME: Duration = Duration::from_secs(8);
 
+/// Changes before a return of the store, and again after it.
+const CHANGES_AROUND_RETURN: usize = 3;
+
+/// Time after a return of the store in which changes follow.
+const AFTER_RETURN: Duration = Duration::from_secs(3);
+
 /// A fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
@@ -95,6 +101,11 @@
             let fault = if number == 0 { fault } else { move_on(fault, number, options) };
             steps.push(Step { at: at + SERIES_INTERVAL * number, fault });
         }
+        if let Fault::StoreReturn(age, away) = fault {
+            add_changes(&mut steps, &mut rng, options, (at.saturating_sub(age).max(from), at));
+            let back = at + away;
+            add_changes(&mut steps, &mut rng, options, (back, back + AFTER_RETURN));
+        }
         at += interval.mul_f64(rng.random_range(0.1..1.9));
     }
     steps.retain(|step| step.at < to);
@@ -102,6 +113,25 @@
     steps
 }
 
+/// Adds changes at random times of a span: those that a return of the store loses, or that follow it.
+fn add_changes(
+    steps: &mut Vec<Step>,
+    rng: &mut impl Rng,
+    options: &Options,
+    span: (Duration, Duration),
+) {
+    for _ in 0..CHANGES_AROUND_RETURN {
+        let at = span.0 + (span.1 - span.0).mul_f64(rng.random());
+        let fault = match rng.random_range(0..5) {
+            0 => Fault::Kill(rng.random_range(0..options.gateways)),
+            1 => Fault::Leave(rng.random_range(0..options.endpoints())),
+            2 => Fault::Evacuate(rng.random_range(0..DATA_CENTRES.len()), EVACUATE_TIME),
+            _ => Fault::AddRoute,
+        };
+        steps.push(Step { at, fault });
+    }
+}
+
 /// Returns the same fault at the next gateway or endpoint.
 fn move_on(fault: Fault, number: u32, options: &Options) -> Fault {
     let next = |index: usize, count: usize| (index + number as usize) % count;
