Reset the connection of a request that is given up

The end of a connection is now a reset, which drops what is on the way. connection_given_up_is_reset failed before (the other side saw an orderly end).

--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -94,6 +94,14 @@
     }
 }
 
+/// Makes the end of a connection a reset, so that what is still on the way is dropped. A request that
+/// was given up must not arrive once a link heals.
+fn reset_at_end(stream: &TcpStream) {
+    if let Err(err) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("event=socket_option_failed reason={err}");
+    }
+}
+
 /// Opens a TCP connection within `time_limit`.
 pub async fn connect(address: SocketAddr, time_limit: Duration) -> std::io::Result<TcpStream> {
     let result = timeout(time_limit, TcpStream::connect(address)).await;
@@ -117,6 +125,7 @@
             ErrorKind::ConnectionRefused => SendError::Refused,
             _ => SendError::NotSent(err.to_string()),
         })?;
+        reset_at_end(&stream);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|err| SendError::NotSent(err.to_string()))?;
         metrics::counter!("cardamomshore_connections_opened_total").increment(1);
--- a/tests/product/pool.rs
+++ b/tests/product/pool.rs
@@ -1,6 +1,6 @@
 //! The pool of connections to servers that send bytes which are no response.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cardamomshore::http::pool::{Pool, SendError};
@@ -85,3 +85,24 @@
         assert!(body.is_err(), "the body has no end");
     });
 }
+
+#[test]
+fn connection_given_up_is_reset() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let server = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection arrives");
+            let mut request = [0; 1_024];
+            stream.read(&mut request).await.expect("the request arrives");
+            stream.read(&mut request).await.map_err(|err| err.kind())
+        });
+        let pool = Arc::new(Pool::default());
+        let mut connection = pool.acquire(address, WIDE_LIMIT).await.expect("the server listens");
+        let sent = timeout(Duration::from_millis(200), connection.send(request())).await;
+        sent.expect_err("the server does not respond");
+        drop(connection);
+        let ended = server.await.expect("the task does not panic");
+        assert_eq!(ended, Err(ErrorKind::ConnectionReset), "what is on the way is dropped");
+    });
+}
