Begin no attempt of a request that has no time left

An attempt now begins, and a request is sent, only while time is left; a grant is asked for only then. attempt_without_time_left_not_begun decides on what did not exist; the gap shows in the code before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -21,7 +21,10 @@
     catalog::{RetryPolicy, Route, Team},
     clock::Time,
     http::pool::{Connection, SendError},
-    kernel::grants::{GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
+    kernel::{
+        grants::{GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
+        retry::attempt_time,
+    },
     platform::caller::{self, AddedHeaders, CallerHead, ResponseHead},
 };
 
@@ -166,7 +169,7 @@
     pub(super) async fn acquire(&mut self) -> Result<Permit, Refusal> {
         let retry = Duration::from_secs(1);
         let no_grant = Refusal { reason: Reason::NoRoom, retry };
-        if self.attempts >= MAX_ATTEMPTS {
+        if self.attempts >= MAX_ATTEMPTS || self.time_left().is_zero() {
             return Err(no_grant);
         }
         let requested_at = Time::now();
@@ -225,7 +228,10 @@
         after: Option<u64>,
         time_limit: Duration,
     ) -> AttemptResult {
-        let result = timeout(time_limit.min(self.time_left()), self.send(permit, after)).await;
+        let Some(time_limit) = attempt_time(time_limit, self.time_left()) else {
+            return AttemptResult::NotRun(Outcome::Left);
+        };
+        let result = timeout(time_limit, self.send(permit, after)).await;
         result.unwrap_or(AttemptResult::Unknown(Outcome::Silent))
     }
 
@@ -237,6 +243,10 @@
             let Ok(mut connection) = acquired else {
                 return AttemptResult::NotRun(Outcome::Unreached);
             };
+            if self.time_left().is_zero() {
+                // The process was paused, or opening the connection took all of the time.
+                return AttemptResult::NotRun(Outcome::Left);
+            }
             let sent_at = Time::now();
             match connection.send(self.endpoint_request(permit, after)).await {
                 Ok(response) => {
--- a/src/kernel/retry.rs
+++ b/src/kernel/retry.rs
@@ -129,3 +129,9 @@
     let half = full / 2;
     half + Duration::from_micros(draw % (half.as_micros() as u64 + 1))
 }
+
+/// Returns how long an attempt may take that itself is limited to `limit`; `None` if its request has
+/// no time left, so that it must not begin.
+pub fn attempt_time(limit: Duration, time_left: Duration) -> Option<Duration> {
+    Some(limit.min(time_left)).filter(|time| !time.is_zero())
+}
--- a/tests/kernel/retry.rs
+++ b/tests/kernel/retry.rs
@@ -5,7 +5,7 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::retry::{Attempts, Loss, Retry, RetryBudget},
+    kernel::retry::{Attempts, Loss, Retry, RetryBudget, attempt_time},
 };
 
 const START: Time = Time::from_millis(1_000);
@@ -100,3 +100,11 @@
     }
     assert!((190..=210).contains(&retries_made), "{retries_made} retries for 1000 requests");
 }
+
+#[test]
+fn attempt_without_time_left_not_begun() {
+    let limit = Duration::from_secs(1);
+    assert_eq!(attempt_time(limit, Duration::ZERO), None, "a timeout of zero still polls once");
+    assert_eq!(attempt_time(limit, Duration::from_millis(1)), Some(Duration::from_millis(1)));
+    assert_eq!(attempt_time(limit, Duration::from_secs(3)), Some(limit));
+}
--- a/tests/product/pool.rs
+++ b/tests/product/pool.rs
@@ -94,7 +94,8 @@
         let server = tokio::spawn(async move {
             let (mut stream, _) = listener.accept().await.expect("a connection arrives");
             let mut request = [0; 1_024];
-            stream.read(&mut request).await.expect("the request arrives");
+            let length = stream.read(&mut request).await.expect("the request arrives");
+            assert!(length > 0, "expected a request");
             stream.read(&mut request).await.map_err(|err| err.kind())
         });
         let pool = Arc::new(Pool::default());
