Tell a leader of the store's new era what was in force before

A leader that started after the return knows only the copy: it granted endpoints in a data centre that its followers knew to be out of service. A follower now tells it at the link, with the document that it knows. evacuation_told_to_instance_that_knows_only_the_copy fails without it.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -159,6 +159,7 @@
     let mut contents: Vec<Content> =
         gateway.running_requests().into_iter().map(Content::Adopt).collect();
     contents.extend(gateway.leaving_content(leader));
+    contents.extend(gateway.earlier_operator_content(leader));
     let mut scheduler = gateway.scheduler.lock();
     let origins = scheduler.origins().all();
     if !origins.is_empty() {
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -22,7 +22,7 @@
 use crate::{
     catalog::Catalog,
     clock::Time,
-    kernel::{evacuation::Evacuations, revision::Revision},
+    kernel::{evacuation::Evacuations, leadership::Leader, revision::Revision},
     platform::{
         catalog::{DOCUMENT_KEY, EVACUATE_PREFIX, OPERATOR_PREFIX, decode},
         store::{Event, StoreError, WatchResult},
@@ -120,6 +120,17 @@
         }
     }
 
+    /// Returns the frame that tells a leader of `era` what was known before the store returned; `None`
+    /// if there is nothing that it may lack.
+    fn to_earlier_frame(&self, era: u64, now: Time) -> Option<OperatorFrame> {
+        let is_earlier = self.version > 0 && self.evacuations.revision().era() < era;
+        (is_earlier || self.evacuations.holds_any(now)).then(|| OperatorFrame {
+            revision: Revision::new(era.saturating_sub(1), 0).ordinal(),
+            document: self.deflated.clone(),
+            evacuated: self.evacuations.in_force(now).into_iter().collect(),
+        })
+    }
+
     /// Takes a document that is newer than the known one. Returns its configuration.
     fn take_document(&mut self, document: &Bytes) -> Option<Catalog> {
         if document.is_empty() || *document == self.document {
@@ -166,6 +177,12 @@
         operator.is_newer_than(heartbeat).then(|| Content::Operator(operator.to_frame()))
     }
 
+    /// Returns the content that tells a new leader what was known before the store returned.
+    pub(super) fn earlier_operator_content(&self, leader: &Leader) -> Option<Content> {
+        let era = Revision::from_ordinal(leader.term).era();
+        self.operator.lock().to_earlier_frame(era, Time::now()).map(Content::Operator)
+    }
+
     /// Sends the operators' records: from the leader to all peers, from another instance to the
     /// leader.
     fn send_operator(&self) {
--- a/src/kernel/evacuation.rs
+++ b/src/kernel/evacuation.rs
@@ -38,15 +38,19 @@
     }
 
     /// Applies a list of the store that was read at `revision`. Returns whether it has changed; an
-    /// older list changes nothing.
+    /// older list changes nothing, but that of an earlier era holds for a while.
     pub fn apply(&mut self, revision: Revision, listed: BTreeSet<String>, now: Time) -> bool {
         if revision <= self.revision {
+            if revision.era() < self.revision.era() {
+                let lost = listed.into_iter().filter(|name| !self.listed.contains(name));
+                let lost: Vec<String> = lost.collect();
+                self.hold(lost, now);
+            }
             return false;
         }
         if revision.era() > self.revision.era() {
-            for name in self.in_force(now) {
-                self.held.entry(name).or_insert(now + RETURN_GRACE);
-            }
+            let known = self.in_force(now);
+            self.hold(known, now);
         }
         // Once a data centre is listed again, its next removal from the list is the operators'.
         self.held.retain(|name, _| !listed.contains(name));
@@ -56,6 +60,17 @@
         changed
     }
 
+    fn hold(&mut self, names: impl IntoIterator<Item = String>, now: Time) {
+        for name in names {
+            self.held.entry(name).or_insert(now + RETURN_GRACE);
+        }
+    }
+
+    /// Returns whether data centres are out of service at `now` that the store does not list.
+    pub fn holds_any(&self, now: Time) -> bool {
+        self.held.values().any(|until| now < *until)
+    }
+
     /// Returns the data centres that are out of service at `now`.
     pub fn in_force(&self, now: Time) -> BTreeSet<String> {
         let held = self.held.iter().filter(|(_, until)| now < **until).map(|(name, _)| name);
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -52,7 +52,7 @@
 const COPY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Time from a return of the store until the operators write their records again.
-const REWRITE_DELAY: Duration = Duration::from_millis(400);
+const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Time from a return of the store until it removes the entries of endpoints that have ended.
 const GHOST_TIMEOUT: Duration = Duration::from_millis(2_400);
--- a/tests/kernel/evacuation.rs
+++ b/tests/kernel/evacuation.rs
@@ -49,6 +49,15 @@
     assert_eq!(evacuations.in_force(later), names(&[]), "it had ended before the return");
 }
 
+#[test]
+fn evacuation_told_to_instance_that_knows_only_the_copy() {
+    let mut leader = Evacuations::default();
+    leader.apply(Revision::new(2, 40), names(&[]), START);
+    assert!(!leader.apply(Revision::new(1, 90), names(&["a"]), START));
+    assert_eq!(leader.in_force(START), names(&["a"]), "a follower knew it before the return");
+    assert_eq!(leader.in_force(START + Duration::from_secs(10)), names(&[]));
+}
+
 #[test]
 fn evacuation_held_through_two_returns() {
     let mut evacuations = Evacuations::default();
