Split the records of the store from its client

Moved only, apart from the error of a value that is not base64, which the client turns into its own, so that the records do not import the client.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,6 +1,8 @@
 //! Client of the platform's metadata store, which holds the records of leaders, operators and
 //! endpoints.
 
+mod records;
+
 use std::{
     net::SocketAddr,
     sync::{
@@ -10,13 +12,17 @@
     time::Duration,
 };
 
-use base64::{Engine, engine::general_purpose::STANDARD};
+use base64::{DecodeError, Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 use tokio::{sync::watch, time::timeout};
 
+pub use self::records::{Event, Item, Page, Put, PutResult, WatchResult};
+use self::records::{
+    RawCondition, RawEvents, RawLease, RawPage, RawPut, RawRevision, RawTtl, RawTxn,
+};
 use crate::{
     http::pool::{Pool, SendError},
     kernel::revision::{LeaseId, Revision},
@@ -69,144 +75,9 @@
     }
 }
 
-/// A record of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Item {
-    /// Key of the record.
-    pub key: String,
-    /// Value of the record.
-    pub value: Bytes,
-    /// Revision of the last write to the record. A record that has survived a return of the store has
-    /// the era in which it was read.
-    pub revision: Revision,
-}
-
-/// Records that were read together.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Page {
-    /// Records in the order of their keys.
-    pub items: Vec<Item>,
-    /// Revision of the store at the time of the read.
-    pub revision: Revision,
-}
-
-/// A change of a record.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Event {
-    /// The record was created or overwritten.
-    Put(Item),
-    /// The record with this key was deleted, or its lease ended.
-    Removed(String),
-}
-
-/// The result of a watch call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum WatchResult {
-    /// The changes, perhaps none, up to this revision.
-    Events(Vec<Event>, Revision),
-    /// Changes may have been missed, so the caller must read all records again.
-    Missed,
-}
-
-/// The result of [`Store::put_if`], a conditional write.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PutResult {
-    /// The records were written, at this revision.
-    Done(Revision),
-    /// The condition was not met, so nothing was written.
-    Conflict,
-    /// The lease of a record has ended, so nothing was written.
-    NoLease,
-}
-
-/// A record to write.
-#[derive(Clone, Copy, Debug)]
-pub struct Put<'a> {
-    /// Key of the record.
-    pub key: &'a str,
-    /// Value of the record.
-    pub value: &'a [u8],
-    /// Lease with which the record ends; `None` if it has none.
-    pub lease: Option<LeaseId>,
-}
-
-#[derive(Deserialize)]
-struct RawItem {
-    key: String,
-    #[serde(default)]
-    value: Option<String>,
-    #[serde(default)]
-    revision: u64,
-    #[serde(default)]
-    removed: bool,
-}
-
-#[derive(Deserialize)]
-struct RawPage {
-    #[serde(default)]
-    items: Vec<RawItem>,
-    #[serde(default)]
-    truncated: bool,
-    as_of: u64,
-}
-
-#[derive(Deserialize)]
-struct RawEvents {
-    #[serde(default)]
-    events: Vec<RawItem>,
-    as_of: u64,
-}
-
-#[derive(Serialize)]
-struct RawCondition<'a> {
-    key: &'a str,
-    revision: u64,
-}
-
-#[derive(Serialize)]
-struct RawPut<'a> {
-    key: &'a str,
-    value: String,
-    lease: u64,
-}
-
-#[derive(Serialize)]
-struct RawTxn<'a> {
-    precondition: Vec<RawCondition<'a>>,
-    puts: Vec<RawPut<'a>>,
-    delete: Vec<&'a str>,
-}
-
-#[derive(Deserialize)]
-struct RawRevision {
-    revision: u64,
-}
-
-#[derive(Serialize)]
-struct RawTtl {
-    ttl_ms: u64,
-}
-
-#[derive(Deserialize)]
-struct RawLease {
-    lease: u64,
-}
-
-impl RawItem {
-    /// Returns the record, which was read in `era`.
-    fn into_item(self, era: u64) -> Result<Item, StoreError> {
-        let value = STANDARD.decode(self.value.unwrap_or_default());
-        let value = value.map_err(|err| StoreError::Parse(err.to_string()))?;
-        let revision = Revision::new(era, self.revision);
-        Ok(Item { key: self.key, value: value.into(), revision })
-    }
-
-    /// Returns the change of a record, which was read in `era`.
-    fn into_event(self, era: u64) -> Result<Event, StoreError> {
-        match self.removed {
-            true => Ok(Event::Removed(self.key)),
-            false => self.into_item(era).map(Event::Put),
-        }
+impl From<DecodeError> for StoreError {
+    fn from(err: DecodeError) -> Self {
+        StoreError::Parse(err.to_string())
     }
 }
 
