--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -29,6 +29,9 @@
 /// endpoints must get no requests.
 const EVACUATE_TIME: Duration = Duration::from_secs(8);
 
+/// Time from a release until engines of both software versions serve.
+const BOTH_VERSIONS_AFTER: Duration = Duration::from_secs(6);
+
 /// Changes before a return of the store, and again after it.
 const CHANGES_AROUND_RETURN: usize = 3;
 
@@ -101,6 +104,10 @@
             let fault = if number == 0 { fault } else { move_on(fault, number, options) };
             steps.push(Step { at: at + SERIES_INTERVAL * number, fault });
         }
+        if fault == Fault::Release {
+            let kill_at = at + BOTH_VERSIONS_AFTER + SERIES_INTERVAL * rng.random_range(0..8);
+            steps.push(Step { at: kill_at, fault: Fault::KillAll });
+        }
         if let Fault::StoreReturn(age, away) = fault {
             add_changes(&mut steps, &mut rng, options, (at.saturating_sub(age).max(from), at));
             let back = at + away;
@@ -165,8 +172,8 @@
             Fault::StoreReturn(age, length / 4)
         }
         19 => Fault::Evacuate(endpoint % DATA_CENTRES.len(), EVACUATE_TIME + length),
-        20..=22 => Fault::AddRoute,
-        23 => Fault::Release,
+        20 | 21 => Fault::AddRoute,
+        22 | 23 => Fault::Release,
         _ => Fault::FatalRequests(length * 2),
     }
 }
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -26,7 +26,7 @@
 use crate::clock::wall_millis;
 
 /// Interval of the endpoint's heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(800);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// Time from a crash until the endpoint's entry is removed.
 const ENTRY_TIMEOUT: Duration = Duration::from_millis(2_400);
