Let take-ups wait for the records of streams, and read them before a leader is announced

An instance that lost its leader read the records 0.2 s after it had refused the first take-up, and a new leader that had started lately refused take-ups of all peers until its next round. Such a take-up now waits for the read, all of them for the same one, and a leader reads the records before it announces itself. take_up_right_after_loss_of_leader_goes_on failed before (503 in place of 200).

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -54,6 +54,9 @@
 /// Factor by which the output may exceed the caller's estimate of its length.
 const LENGTH_HINT_FACTOR: f64 = 1.5;
 
+/// The refusal of a request that gets no grant in time.
+const NO_GRANT: Refusal = Refusal { reason: Reason::NoRoom, retry: Duration::from_secs(1) };
+
 /// A caller's request while it is being served.
 pub struct Job {
     pub(super) gateway: Arc<Gateway>,
@@ -167,16 +170,17 @@
     /// Waits for a grant until the deadline. Fails if the scheduler refuses the request, or after
     /// [`MAX_ATTEMPTS`].
     pub(super) async fn acquire(&mut self) -> Result<Permit, Refusal> {
-        let retry = Duration::from_secs(1);
-        let no_grant = Refusal { reason: Reason::NoRoom, retry };
         if self.attempts >= MAX_ATTEMPTS || self.time_left().is_zero() {
-            return Err(no_grant);
+            return Err(NO_GRANT);
         }
         let requested_at = Time::now();
         let grant_request = self.grant_request();
-        let permit = timeout(self.time_left(), acquire(&self.gateway, grant_request))
-            .await
-            .unwrap_or(Err(no_grant));
+        let mut permit = self.request_grant(grant_request.clone()).await;
+        let is_unknown = permit.as_ref().is_err_and(|refusal| refusal.reason == Reason::NoOrigin);
+        if is_unknown && self.gateway.lacks_origins() {
+            self.gateway.ensure_origins().await;
+            permit = self.request_grant(grant_request).await;
+        }
         let waited = Time::now().since(requested_at).as_millis();
         let request = &self.head.request;
         match &permit {
@@ -188,9 +192,6 @@
                 );
             }
             Err(refusal) => {
-                if refusal.reason == Reason::NoOrigin && !self.gateway.uplink.is_open() {
-                    self.gateway.want_origin_records();
-                }
                 log::debug!(
                     "event=not_granted request={request} reason={:?} waited_ms={waited}",
                     refusal.reason
@@ -200,6 +201,12 @@
         permit
     }
 
+    /// Requests a grant and waits for it until the deadline.
+    async fn request_grant(&self, request: GrantRequest) -> Result<Permit, Refusal> {
+        let granted = timeout(self.time_left(), acquire(&self.gateway, request)).await;
+        granted.unwrap_or(Err(NO_GRANT))
+    }
+
     /// Returns the hashes of the prompt's parts, separated by commas, for the log.
     fn part_list(&self) -> String {
         let parts = self.head.parts.iter().map(|(hash, _)| format!("{hash:x}"));
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -325,6 +325,8 @@
                 elected_at: now,
             };
             gateway.leadership.lock().elect(held, settings.peer);
+            // Peers that join ask for streams that began before this instance started.
+            gateway.ensure_origins().await;
             tokio::spawn(announce(gateway.clone(), term));
             log::info!("event=leading term={term} orders_in_ms={}", delay.as_millis());
         }
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -2,18 +2,16 @@
 //!
 //! The leader knows all streams. It records them while a service has endpoints of several versions, so
 //! that streams can be taken up again after all instances have ended at once. An instance that has not
-//! run for long reads the records before it decides on such a stream alone.
+//! run for long reads the records before it announces itself as leader, and before it decides on such a
+//! stream alone.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use prost::Message;
-use tokio::time::sleep;
+use tokio::{
+    sync::Mutex,
+    time::{sleep, timeout},
+};
 
 use super::{Gateway, leader::LEADER_KEY, messages::OriginsFrame};
 use crate::{
@@ -38,14 +36,21 @@
 /// Time for which the records are written with the same lease.
 const LEASE_USE_TIME: Duration = Duration::from_secs(15);
 
+/// Timeout of reading the records, for which take-ups and the announcement of a leader wait.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Wait before the records are read again that could not be read.
+const READ_BACKOFF: Duration = Duration::from_millis(300);
+
 /// Interval at which old streams are forgotten.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(5);
 
 /// State of the records.
 #[derive(Default)]
 pub struct OriginRecords {
-    /// Whether a request needs the records, which this instance has not read.
-    wanted: AtomicBool,
+    /// When the records were last read, or could not be read. Locked during a read, for which all
+    /// requests that need it wait.
+    read_at: Mutex<Option<Time>>,
 }
 
 /// The records that this leader writes.
@@ -72,11 +77,8 @@
         if gateway.knows_current_endpoints() {
             gateway.scheduler.lock().origins().confirm_versions(now);
         }
-        let is_wanted = leads || gateway.origin_records.wanted.swap(false, Ordering::Relaxed);
-        if is_wanted && !gateway.scheduler.lock().origins().is_complete(now) {
-            load(&gateway).await;
-        }
         if leads {
+            gateway.ensure_origins().await;
             recorder.record_new(&gateway).await;
         }
     }
@@ -84,7 +86,8 @@
 
 /// Adds the streams that the store has.
 async fn load(gateway: &Gateway) {
-    let page = match gateway.store.range(PREFIX).await {
+    let read = timeout(READ_TIMEOUT, gateway.store.range(PREFIX)).await;
+    let page = match read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into()))) {
         Ok(page) => page,
         Err(err) => return log::info!("event=origins_not_read reason={err}"),
     };
@@ -165,8 +168,21 @@
 }
 
 impl Gateway {
-    /// Records that a request needs the records, which this instance reads soon if it has not.
-    pub(super) fn want_origin_records(&self) {
-        self.origin_records.wanted.store(true, Ordering::Relaxed);
+    /// Reads the records, unless this instance knows of all streams. Does nothing for a while after the
+    /// records could not be read.
+    pub(super) async fn ensure_origins(&self) {
+        let mut read_at = self.origin_records.read_at.lock().await;
+        let now = Time::now();
+        let has_just_failed = read_at.is_some_and(|at| now.since(at) < READ_BACKOFF);
+        if has_just_failed || self.scheduler.lock().origins().is_complete(now) {
+            return;
+        }
+        load(self).await;
+        *read_at = Some(Time::now());
+    }
+
+    /// Returns whether this instance decides alone on streams and does not know of all.
+    pub(super) fn lacks_origins(&self) -> bool {
+        !self.uplink.is_open() && !self.scheduler.lock().origins().is_complete(Time::now())
     }
 }
--- a/tests/process/take_up.rs
+++ b/tests/process/take_up.rs
@@ -79,3 +79,26 @@
         assert_eq!(take_up_all(&world, &ids).await, STREAMS);
     });
 }
+
+#[test]
+fn take_up_right_after_loss_of_leader_goes_on() {
+    block_on(async {
+        let mut world = World::start_with_engines("take-up-leader", &VERSIONS).await;
+        // One of the two is the leader.
+        for (killed, other) in [(0, 1), (1, 0)] {
+            let ids = begin(&world).await;
+            sleep(Duration::from_secs(1)).await;
+            world.gateways[killed].kill();
+            for id in &ids {
+                let request = format!("{:016x}", rand::random::<u64>());
+                let stream = TakeUp { request: id.clone(), after: AFTER as u64 };
+                let last = LAST_EVENT as usize;
+                let answer = world.stream(other, &request, Some(stream), last).await;
+                assert_eq!(answer, Some((200, last - AFTER)), "expected it to go on at once");
+            }
+            world.gateways[killed].restart().expect("expected the gateway to start");
+            world.wait_ready().await;
+            sleep(Duration::from_secs(1)).await;
+        }
+    });
+}
