Read the records of streams again each time that an instance begins to decide itself

The one instance that a kill had spared refused the take-ups of a second (NoOrigin): it had read the records seven seconds before, when it was alone the last time, and took them for all. An instance that had run for a minute did not read them at all. What the leader knew of others' streams since then is in the store alone if they end together. The records are now read at each election and after each loss of a leader, when a take-up needs them.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -177,8 +177,7 @@
         let grant_request = self.grant_request();
         let mut permit = self.request_grant(grant_request.clone()).await;
         let is_unknown = permit.as_ref().is_err_and(|refusal| refusal.reason == Reason::NoOrigin);
-        if is_unknown && self.gateway.lacks_origins() {
-            self.gateway.ensure_origins().await;
+        if is_unknown && self.gateway.ensure_origins().await {
             permit = self.request_grant(grant_request).await;
         }
         let waited = Time::now().since(requested_at).as_millis();
--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -1,9 +1,8 @@
 //! Records in the store at which software versions streams began.
 //!
 //! The leader knows all streams. It records them while a service has endpoints of several versions, so
-//! that streams can be taken up again after all instances have ended at once. An instance that has not
-//! run for long reads the records before it announces itself as leader, and before it decides on such a
-//! stream alone.
+//! that streams can be taken up again after the instances that knew them have ended. An instance reads the
+//! records before it announces itself as leader, and before it decides on such a stream alone.
 
 use std::{sync::Arc, time::Duration};
 
@@ -48,9 +47,17 @@
 /// State of the records.
 #[derive(Default)]
 pub struct OriginRecords {
-    /// When the records were last read, or could not be read. Locked during a read, for which all
-    /// requests that need it wait.
-    read_at: Mutex<Option<Time>>,
+    /// Locked during a read, for which all requests that need it wait.
+    reads: Mutex<Reads>,
+}
+
+/// When the records were read.
+#[derive(Default)]
+struct Reads {
+    /// When the last read began that succeeded; `None` before the first one.
+    done_at: Option<Time>,
+    /// When the last read failed; `None` if none has.
+    failed_at: Option<Time>,
 }
 
 /// The records that this leader writes.
@@ -84,12 +91,15 @@
     }
 }
 
-/// Adds the streams that the store has.
-async fn load(gateway: &Gateway) {
+/// Adds the streams that the store has. Returns whether they could be read.
+async fn load(gateway: &Gateway) -> bool {
     let read = timeout(READ_TIMEOUT, gateway.store.range(PREFIX)).await;
     let page = match read.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".into()))) {
         Ok(page) => page,
-        Err(err) => return log::info!("event=origins_not_read reason={err}"),
+        Err(err) => {
+            log::info!("event=origins_not_read reason={err}");
+            return false;
+        }
     };
     let mut lists: Vec<VersionStreams> = Vec::new();
     for item in &page.items {
@@ -101,6 +111,7 @@
     let count: usize = lists.iter().map(|list| list.streams.len()).sum();
     log::info!("event=origins_read records={} streams={count}", page.items.len());
     gateway.scheduler.lock().origins().load(lists, Time::now());
+    true
 }
 
 impl Recorder {
@@ -168,21 +179,32 @@
 }
 
 impl Gateway {
-    /// Reads the records, unless this instance knows of all streams. Does nothing for a while after the
-    /// records could not be read.
-    pub(super) async fn ensure_origins(&self) {
-        let mut read_at = self.origin_records.read_at.lock().await;
+    /// Reads the records, unless they were read since this instance has decided on streams itself:
+    /// until then the leader knew of streams that began elsewhere. Returns whether they have been read.
+    /// Does nothing for a while after the records could not be read.
+    pub(super) async fn ensure_origins(&self) -> bool {
+        let mut reads = self.origin_records.reads.lock().await;
         let now = Time::now();
-        let has_just_failed = read_at.is_some_and(|at| now.since(at) < READ_BACKOFF);
-        if has_just_failed || self.scheduler.lock().origins().is_complete(now) {
-            return;
+        let is_done = reads.done_at.is_some_and(|at| at >= self.decides_since(now));
+        let has_just_failed = reads.failed_at.is_some_and(|at| now.since(at) < READ_BACKOFF);
+        if is_done || has_just_failed || self.uplink.is_open() {
+            return is_done;
+        }
+        let read = load(self).await;
+        match read {
+            true => reads.done_at = Some(now),
+            false => reads.failed_at = Some(now),
         }
-        load(self).await;
-        *read_at = Some(Time::now());
+        read
     }
 
-    /// Returns whether this instance decides alone on streams and does not know of all.
-    pub(super) fn lacks_origins(&self) -> bool {
-        !self.uplink.is_open() && !self.scheduler.lock().origins().is_complete(Time::now())
+    /// Returns since when this instance decides on streams itself: its election, or the last frame of a
+    /// leader.
+    fn decides_since(&self, now: Time) -> Time {
+        let leadership = self.leadership.lock();
+        match leadership.leads() {
+            true => now - leadership.succession(now).1,
+            false => now - self.uplink.frame_age(),
+        }
     }
 }
