Let a stream wait for the load of its model where all endpoints are of its version

They wait alike now, unless endpoints of another version could load the model instead. The new kernel test decides on it.

--- a/src/kernel/grants/scheduler/origins.rs
+++ b/src/kernel/grants/scheduler/origins.rs
@@ -43,10 +43,17 @@
         Ok(())
     }
 
-    /// Returns the refusal of a stream that no endpoint of its version can go on with.
+    /// Returns the refusal of a stream that no endpoint of its version can go on with; `None` if all
+    /// endpoints are of its version, so that its model may be loaded as for a new request.
     pub(super) fn refuse_missing_version(&self, request: &GrantRequest) -> Option<Refusal> {
-        let VersionNeed::Exactly(_) = &request.version else { return None };
-        Some(Refusal { reason: Reason::NoOrigin, retry: MISSING_RETRY })
+        let VersionNeed::Exactly(version) = &request.version else { return None };
+        let usable = self
+            .endpoints
+            .values()
+            .filter(|endpoint| endpoint.info.service == request.service && !endpoint.is_leaving());
+        let mut versions = usable.map(|endpoint| &endpoint.info.version).peekable();
+        let is_only_one = versions.peek().is_some() && versions.all(|it| it == version);
+        (!is_only_one).then_some(Refusal { reason: Reason::NoOrigin, retry: MISSING_RETRY })
     }
 
     /// Forgets what is too old of the origins of streams.
--- a/tests/kernel/grants/origins.rs
+++ b/tests/kernel/grants/origins.rs
@@ -144,3 +144,13 @@
     let left: Vec<_> = origins.all().into_iter().flat_map(|list| list.streams).collect();
     assert_eq!(left, [StreamId(2)]);
 }
+
+#[test]
+fn stream_waits_for_load_at_only_version() {
+    let empty = EndpointEntry { models: Vec::new(), ..engine_of("a1", "v1") };
+    let mut scheduler = scheduler(LEADING, vec![empty]);
+    let mut request = model_request("m0", 100, START);
+    request.version = VersionNeed::Exactly("v1".into());
+    let actions = scheduler.handle_request(key(1), request, START);
+    assert_eq!(actions, [], "its engine has crashed and loads the model again");
+}
