Add failing tests: changes are late in force without a leader that reads the store

Gateways that do not watch the store learn changes from the leader alone. The stand-in store's silence now also covers watches that wait, as a partition does.

--- a/src/standin/metadata.rs
+++ b/src/standin/metadata.rs
@@ -214,6 +214,14 @@
         state.records.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
+    /// Returns the value of a record as text; `None` if there is no such record.
+    pub fn value(&self, key: &str) -> Option<String> {
+        use base64::{Engine, engine::general_purpose::STANDARD};
+        let state = self.state.lock();
+        let value = STANDARD.decode(&state.records.get(key)?.value).ok()?;
+        String::from_utf8(value).ok()
+    }
+
     /// Forgets all changes, so that watches must read everything again.
     pub fn forget_history(&self) {
         self.update(|state| {
@@ -238,8 +246,8 @@
         let faults: Arc<Mutex<StoreFaults>> = Arc::default();
         let shared = faults.clone();
         let server = Server::start(address, move |request| {
-            let (store, faults) = (store.clone(), *shared.lock());
-            async move { respond(&store, faults, request).await }
+            let (store, faults) = (store.clone(), shared.clone());
+            async move { respond(&store, &faults, request).await }
         })?;
         Ok(Self { address, faults, _server: server })
     }
@@ -250,12 +258,14 @@
     }
 }
 
-/// Carries out a call, subject to the faults of its address.
+/// Carries out a call, subject to the faults of its address. An address that is silent when a call
+/// ends, such as a watch that has waited, sends no response either.
 async fn respond(
     store: &MetadataStore,
-    faults: StoreFaults,
+    shared: &Mutex<StoreFaults>,
     request: http::Request<hyper::body::Incoming>,
 ) -> Result<http::Response<super::http1::Body>, Broken> {
+    let faults = *shared.lock();
     sleep(faults.delay).await;
     if faults.silent {
         return std::future::pending().await;
@@ -267,7 +277,7 @@
     let mut response = store.call(request).await?;
     let era = HeaderValue::from(*store.era.borrow());
     response.headers_mut().insert(HeaderName::from_static(ERA_HEADER), era);
-    if is_lost {
+    if is_lost || shared.lock().silent {
         return std::future::pending().await;
     }
     Ok(response)
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -3,6 +3,7 @@
 mod util;
 
 mod process {
+    mod changes;
     mod cold;
     mod configuration;
     mod cost;
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -53,6 +53,11 @@
 
     /// Starts the same with an engine of each of these software versions.
     pub async fn start_with_engines(name: &str, versions: &[&str]) -> Self {
+        Self::start_in(name, &DATA_CENTRES, versions).await
+    }
+
+    /// Starts the same with a gateway for each of `homes`, in the data centre that it names.
+    pub async fn start_in(name: &str, homes: &[&str], versions: &[&str]) -> Self {
         let mut world = Self {
             store: MetadataStore::start(),
             gateways: Vec::new(),
@@ -70,9 +75,9 @@
             world.start_worker("engines", data_centre, version, vec![MODEL.to_owned()]);
         }
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-        for data_centre in DATA_CENTRES {
+        for (number, data_centre) in homes.iter().enumerate() {
             let binary = Path::new(env!("CARGO_BIN_EXE_cardamomshore"));
-            let instance = format!("gateway-{data_centre}");
+            let instance = format!("gateway-{data_centre}-{number}");
             let store = world.store.clone();
             let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store);
             world.gateways.push(gateway.expect("expected the gateway to start"));
@@ -101,6 +106,13 @@
         self.workers.push(Worker::start(settings, self.store.clone(), self.log.clone()));
     }
 
+    /// Returns the index of the gateway that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let record = self.store.value("cardamomshore/leader")?;
+        let names = |gateway: &GatewayProcess| record.contains(&format!("\"{}\"", gateway.name));
+        self.gateways.iter().position(names)
+    }
+
     /// Waits until all gateways are ready.
     pub async fn wait_ready(&self) {
         for gateway in &self.gateways {
@@ -197,8 +209,14 @@
 
     /// Returns whether all gateways serve a route.
     pub async fn all_serve(&self, route: &str) -> bool {
-        for gateway in 0..self.gateways.len() {
-            if self.call(gateway, route).await.is_none_or(|answer| answer.status != 200) {
+        let all: Vec<usize> = (0..self.gateways.len()).collect();
+        self.serve(&all, route).await
+    }
+
+    /// Returns whether each of these gateways serves a route.
+    pub async fn serve(&self, gateways: &[usize], route: &str) -> bool {
+        for gateway in gateways {
+            if self.call(*gateway, route).await.is_none_or(|answer| answer.status != 200) {
                 return false;
             }
         }
