Read the operators' records and the endpoints itself where what the leader tells is old

Callers were refused with 404 on routes that had been confirmed more than 2 s before.

Cause: most instances learn the store's records from the leader alone, and turned to the store 2.2 s after its last frame, while a confirmed change must be in force after 2.0 s. Three more things made that worse: a leader that is killed and elected again knows no members, so nobody hears of it but those that watch the store; its former peers went on to ask for the old term and were refused without a word; and a leader that has lost the store goes on to send frames, which counted as news.

Ruled out: a late watch at the leader (it applied each version within 10 ms) and a change delivered and not applied (no config_ignored in the logs).

Change: heartbeats of the leader say how long ago the store responded to it. What an instance knows is as old as that, and an instance for which it is over 1 s old reads the records itself, one after the other in a large fleet. A refused link names the leader that the refusing instance knows.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -42,6 +42,7 @@
     kernel::{
         grants::{Mode, Scheduler},
         leadership::Leadership,
+        record_age::RecordAge,
     },
     platform::store::Store,
 };
@@ -59,6 +60,8 @@
     /// This instance's requests that wait for a grant or use one.
     requests: grants::Requests,
     leadership: Mutex<Leadership>,
+    /// Age of what this instance knows of the store's records.
+    record_age: RecordAge,
     /// Link to the leader.
     uplink: link::Uplink,
     /// Instances that are linked to this one while it leads.
@@ -111,6 +114,7 @@
             scheduler: Mutex::new(Scheduler::new(settings.grant_limits(), mode, Time::now())),
             requests: grants::Requests::default(),
             leadership: Mutex::new(Leadership::new(settings.instance.clone())),
+            record_age: RecordAge::new(Time::now()),
             uplink: link::Uplink::default(),
             peers: peers::Peers::default(),
             updates: updates::Updates::new(settings.resources.link_mbps),
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -360,11 +360,8 @@
     let mut addresses: Vec<SocketAddr> = others.map(|member| member.peer).collect();
     // The members are in the order of their names, so those of one data centre follow each other.
     addresses.shuffle(&mut rand::rng());
-    let announcement = Announcement {
-        instance: gateway.settings.instance.to_string(),
-        address: gateway.settings.peer.to_string(),
-        term,
-    };
+    let (instance, address) = (gateway.settings.instance.clone(), gateway.settings.peer);
+    let announcement = Announcement::from(&Leader { instance, address, term });
     let frame = EncodedFrame::from(Content::Announcement(announcement));
     let sends = addresses.into_iter().map(|address| send_frame(address, frame.clone()));
     let sends = futures_util::stream::iter(sends).buffer_unordered(CONCURRENT_ANNOUNCEMENTS);
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -137,6 +137,10 @@
     let first_frame = timeout(OPEN_TIMEOUT, wire.next()).await;
     match first_frame {
         Ok(Some(Ok(Content::Welcome(Welcome { term })))) if term == leader.term => {}
+        Ok(Some(Ok(Content::Announcement(later)))) => {
+            gateway.handle_announcement(&later);
+            return Ok(());
+        }
         Ok(Some(Err(err))) => return Err(err),
         _ => return Ok(()),
     }
@@ -254,6 +258,8 @@
         }
         Content::Refuse(frame) => gateway.handle_refusal(frame.number, frame.to_refusal()),
         Content::HeartbeatReply(heartbeat) => {
+            let response_age = Duration::from_millis(heartbeat.response_age.into());
+            gateway.record_age.record(response_age, Time::now());
             if let Some(frame) = gateway.operator_update(&heartbeat) {
                 gateway.uplink.send(frame);
             }
@@ -284,6 +290,7 @@
 impl Gateway {
     /// Returns the heartbeat of this instance.
     pub(super) fn heartbeat(&self) -> Heartbeat {
+        let response_age = self.store.response_age(Time::now());
         let operator = self.operator.lock();
         Heartbeat {
             ready: self.is_ready(),
@@ -291,6 +298,7 @@
             hash: operator.hash(),
             term: self.leader().map_or(0, |leader| leader.term),
             version: operator.version(),
+            response_age: u32::try_from(response_age.as_millis()).unwrap_or(u32::MAX),
         }
     }
 }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -6,7 +6,13 @@
     Gateway,
     messages::{MemberFrame, MembersFrame},
 };
-use crate::kernel::membership::{Member, lone_share, store_watchers};
+use crate::{
+    clock::Time,
+    kernel::{
+        membership::{Member, lone_share, store_watchers},
+        record_age::{MAX_OPERATOR_AGE, max_record_age, read_backoff},
+    },
+};
 
 /// All members, as the leader reported them last.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -82,9 +88,25 @@
     }
 
     /// Returns whether this instance watches the operators' records in the store. An instance that
-    /// has just started gets them from the leader, if there is one.
+    /// has just started gets them from the leader, if there is one. Any instance reads them if what
+    /// the leader tells is too old.
     pub(super) fn watches_operator(&self) -> bool {
-        self.watches_store() && !self.expects_first_link()
+        !self.expects_first_link()
+            && (self.watches_store() || self.has_old_records(MAX_OPERATOR_AGE))
+    }
+
+    /// Returns whether what this instance knows of the store's records is older than `max_age`.
+    pub(super) fn has_old_records(&self, max_age: Duration) -> bool {
+        let max_age = max_record_age(max_age, &self.settings.instance, self.fleet_size());
+        self.record_age.get(Time::now()) > max_age
+    }
+
+    /// Returns the wait before this instance reads records again after an error of the store. Those
+    /// that tell others what they read do not wait for others.
+    pub(super) fn read_backoff(&self, backoff: Duration) -> Duration {
+        let is_source = self.leads() || self.is_watcher();
+        let fleet_size = if is_source { 1 } else { self.fleet_size() };
+        read_backoff(backoff, fleet_size, rand::random())
     }
 
     /// Returns whether this instance has just started and may soon have a link to the leader. It has
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -133,6 +133,9 @@
     /// Version of the sender's configuration; zero if it has none.
     #[prost(uint64, tag = "5")]
     pub version: u64,
+    /// Time since the store responded to the sender, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub response_age: u32,
 }
 
 /// The operators' records: the configuration document and the data centres out of service.
--- a/src/gateway/messages/members.rs
+++ b/src/gateway/messages/members.rs
@@ -4,7 +4,7 @@
 
 use prost::Message;
 
-use crate::kernel::{membership::Member, versioned::Changes};
+use crate::kernel::{leadership::Leader, membership::Member, versioned::Changes};
 
 /// First frame of an instance to the leader.
 #[derive(Clone, PartialEq)]
@@ -73,6 +73,16 @@
     pub named: bool,
 }
 
+impl From<&Leader> for Announcement {
+    fn from(leader: &Leader) -> Self {
+        Self {
+            instance: leader.instance.to_string(),
+            address: leader.address.to_string(),
+            term: leader.term,
+        }
+    }
+}
+
 /// Why a frame describes no member.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -250,7 +250,7 @@
                 store_lost = true;
             }
         }
-        sleep(ERROR_BACKOFF.mul_f64(rand::random_range(0.5..1.5))).await;
+        sleep(gateway.read_backoff(ERROR_BACKOFF)).await;
     }
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,7 +19,9 @@
 
 use super::{
     Gateway,
-    messages::{Content, EncodedFrame, FrameCodec, FrameError, Heartbeat, Hello, Welcome},
+    messages::{
+        Announcement, Content, EncodedFrame, FrameCodec, FrameError, Heartbeat, Hello, Welcome,
+    },
     updates::{PendingUpdate, SentVersions},
 };
 use crate::{
@@ -135,11 +137,16 @@
     }
 }
 
-/// Serves a link from its first frame to its end. The link is refused if this instance does not
-/// lead in the term that the peer expects.
+/// Serves a link from its first frame to its end. If this instance does not lead in the term that
+/// the peer expects, the link is refused by the announcement of the leader, where it is a later one.
 async fn serve_link(gateway: &Arc<Gateway>, hello: Hello, mut wire: Wire, link: u64) {
     let term = gateway.leadership.lock().term();
     if !gateway.leads() || term != hello.term {
+        if let Some(later) = gateway.leader().filter(|leader| leader.term > hello.term) {
+            let announcement =
+                EncodedFrame::from(Content::Announcement(Announcement::from(&later)));
+            let _ = timeout(HELLO_TIMEOUT, wire.send(announcement)).await;
+        }
         return;
     }
     let member = match hello.member.unwrap_or_default().try_into() {
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -21,7 +21,9 @@
 use crate::{
     clock::Time,
     kernel::{
-        endpoint_table::EndpointTable, grants::EndpointEntry, leadership::Leader,
+        endpoint_table::EndpointTable,
+        grants::EndpointEntry,
+        leadership::Leader,
         revision::Revision,
     },
     platform::{
@@ -33,15 +35,17 @@
 /// Longest wait of one watch call to the store.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 
-/// Interval at which an instance checks whether it must read the store; also the minimum backoff
-/// after an error.
+/// Interval at which an instance checks whether it must read the store.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Wait before the store is read again after an error.
+const ERROR_BACKOFF: Duration = Duration::from_millis(200);
+
 /// Wait after each watch call, so that the next one returns several changes at once.
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 
-/// Fraction of the drain time for which an instance relies on the table of a leader that is silent.
-/// The rest is for reading the store.
+/// Fraction of the drain time for which an instance relies on a table that the leader has told. The
+/// rest is for reading the store.
 const TABLE_AGE_FRACTION: f64 = 0.5;
 
 /// Longest silence of a leader whose table counts as up to date.
@@ -110,19 +114,24 @@
     /// Returns whether the table is up to date: from a leader that is in contact, or from the store.
     pub(super) fn knows_current_endpoints(&self) -> bool {
         let has_leader = self.uplink.is_open() && self.uplink.frame_age() < MAX_LEADER_SILENCE;
-        has_leader || (self.must_watch_endpoints() && self.store.is_reachable())
+        (has_leader && !self.has_old_table())
+            || (self.must_watch_endpoints() && self.store.is_reachable())
     }
 
-    /// Returns whether this instance must read the endpoints from the store: it leads, or has
-    /// received no frame from a leader for too long.
+    /// Returns whether this instance must read the endpoints from the store: it leads, or what a
+    /// leader has told is too old.
     fn must_watch_endpoints(&self) -> bool {
-        let max_table_age = self.settings.drain_time.mul_f64(TABLE_AGE_FRACTION);
         let is_lost = match self.uplink.was_linked() {
-            true => self.uplink.frame_age() > max_table_age,
+            true => self.has_old_table(),
             false => !self.expects_first_link(),
         };
         self.leads() || is_lost
     }
+
+    /// Returns whether what the leader has told of the endpoints is too old.
+    fn has_old_table(&self) -> bool {
+        self.has_old_records(self.settings.drain_time.mul_f64(TABLE_AGE_FRACTION))
+    }
 }
 
 /// Reads the endpoints' entries from the store while [`Gateway::must_watch_endpoints`] says so.
@@ -132,7 +141,7 @@
             && let Err(err) = follow_entries(&gateway).await
         {
             log::debug!("event=store_lost what=endpoints reason={err}");
-            sleep(POLL_INTERVAL.mul_f64(rand::random_range(1.0..3.0))).await;
+            sleep(gateway.read_backoff(ERROR_BACKOFF)).await;
         }
         sleep(POLL_INTERVAL).await;
     }
--- /dev/null
+++ b/src/kernel/record_age.rs
@@ -0,0 +1,64 @@
+//! Decides when an instance reads the records of the platform's store itself.
+//!
+//! Most instances learn the records from the leader. What the leader tells is as old as the last
+//! response that the leader got from the store. An instance for which that is too old reads the
+//! store itself, so that a confirmed change is in force in time whatever happens to the leader.
+
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::Time;
+
+/// Age above which an instance reads the operators' records itself: half of the time in which a
+/// confirmed change must be in force. The rest is for reading them.
+pub const MAX_OPERATOR_AGE: Duration = Duration::from_millis(1_000);
+
+/// Time of the store for reading the records for one instance.
+const READ_TIME: Duration = Duration::from_millis(1);
+
+/// When the store last responded to the source of an instance's records: the leader, as far as its
+/// heartbeats say.
+#[derive(Debug)]
+pub struct RecordAge {
+    /// The time in microseconds, see [`Time`].
+    responded_at: AtomicU64,
+}
+
+impl RecordAge {
+    /// Creates the age of an instance that starts at `now` and waits for its first leader.
+    pub fn new(now: Time) -> Self {
+        Self { responded_at: AtomicU64::new(now.0) }
+    }
+
+    /// Records a heartbeat of the leader, which says how long ago the store responded to it.
+    pub fn record(&self, response_age: Duration, now: Time) {
+        self.responded_at.fetch_max((now - response_age).0, Ordering::Relaxed);
+    }
+
+    /// Returns the age of what this instance knows.
+    pub fn get(&self, now: Time) -> Duration {
+        now.since(Time(self.responded_at.load(Ordering::Relaxed)))
+    }
+}
+
+/// Returns the age above which `instance` reads records itself: `max_age`, and more in a large
+/// fleet, whose instances read one after the other.
+pub fn max_record_age(max_age: Duration, instance: &str, fleet_size: usize) -> Duration {
+    let position = xxh3_64(instance.as_bytes()) as f64 / u64::MAX as f64;
+    max_age + reading_time(fleet_size).mul_f64(position)
+}
+
+/// Returns the wait before an instance reads records again after an error: `backoff`, and more in a
+/// large fleet. `draw` is a random number between 0 and 1.
+pub fn read_backoff(backoff: Duration, fleet_size: usize, draw: f64) -> Duration {
+    backoff.max(reading_time(fleet_size)).mul_f64(0.5 + draw)
+}
+
+/// Returns the time in which all instances of a fleet read records.
+fn reading_time(fleet_size: usize) -> Duration {
+    READ_TIME * fleet_size as u32
+}
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -19,6 +19,7 @@
     mod pacing;
     mod placement;
     mod quota;
+    mod record_age;
     mod request_rate;
     mod retry;
     mod routing;
--- /dev/null
+++ b/tests/kernel/record_age.rs
@@ -0,0 +1,72 @@
+//! Tests of the age of what an instance knows from the store.
+
+use std::time::Duration;
+
+use cardamomshore::{
+    clock::Time,
+    kernel::record_age::{MAX_OPERATOR_AGE, RecordAge, max_record_age, read_backoff},
+};
+
+/// Time in which a confirmed change must be in force.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+/// Time in which a confirmed change must be in force in the largest fleet.
+const LARGE_APPLY_TIME: Duration = Duration::from_secs(4);
+
+/// Instances of the largest fleet.
+const LARGE_FLEET: usize = 960;
+
+const START: Time = Time::from_millis(100_000);
+
+#[test]
+fn record_age_counts_from_response_to_leader() {
+    let age = RecordAge::new(START);
+    let now = START + Duration::from_secs(10);
+    age.record(Duration::from_millis(400), now);
+    assert_eq!(age.get(now), Duration::from_millis(400));
+    assert_eq!(age.get(now + Duration::from_millis(100)), Duration::from_millis(500));
+}
+
+#[test]
+fn record_age_not_lowered_by_leader_that_lacks_store() {
+    let age = RecordAge::new(START);
+    age.record(Duration::ZERO, START + Duration::from_secs(1));
+    let later = START + Duration::from_secs(5);
+    age.record(Duration::from_secs(60), later);
+    assert_eq!(age.get(later), Duration::from_secs(4));
+}
+
+#[test]
+fn max_record_age_leaves_time_to_read() {
+    for (fleet_size, apply_time) in
+        [(1, APPLY_TIME), (9, APPLY_TIME), (LARGE_FLEET, LARGE_APPLY_TIME)]
+    {
+        for number in 0..fleet_size {
+            let max = max_record_age(MAX_OPERATOR_AGE, &format!("edge-{number}"), fleet_size);
+            assert!(max >= MAX_OPERATOR_AGE, "{max:?}");
+            assert!(max + apply_time / 3 < apply_time, "{max:?} of {fleet_size}");
+        }
+    }
+}
+
+#[test]
+fn max_record_age_spreads_large_fleet() {
+    let ages = (0..LARGE_FLEET)
+        .map(|number| max_record_age(MAX_OPERATOR_AGE, &format!("edge-{number}"), LARGE_FLEET));
+    let mut ages: Vec<Duration> = ages.collect();
+    ages.sort();
+    let in_100_ms = |start: &Duration| {
+        ages.iter()
+            .filter(|age| *age >= start && **age < *start + Duration::from_millis(100))
+            .count()
+    };
+    let most = ages.iter().map(in_100_ms).max().unwrap_or(0);
+    assert!(most < LARGE_FLEET / 5, "{most} in 100 ms");
+}
+
+#[test]
+fn read_backoff_grows_with_fleet() {
+    let backoff = Duration::from_millis(250);
+    assert_eq!(read_backoff(backoff, 9, 0.5), backoff);
+    assert!(read_backoff(backoff, LARGE_FLEET, 0.0) > backoff);
+}
