Send nothing to an endpoint that this instance knows to leave, whatever a leader grants

A leader that has just started sent its empty table, which replaced what its peers knew.

Change: an instance compares each grant with its own table. It says so to the leader where the endpoint drains, which no incarnation takes back; for one that is merely gone it only asks again, since the entry may be back. A leader sends its table once it has read it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,6 +11,7 @@
 mod directory;
 mod entry;
 mod forward;
+mod gate;
 mod grants;
 mod leader;
 mod link;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -167,9 +167,23 @@
         is_resumable.then(|| StreamId(xxh3_64(id.as_bytes())))
     }
 
-    /// Waits for a grant until the deadline. Fails if the scheduler refuses the request, or after
-    /// [`MAX_ATTEMPTS`].
+    /// Waits for a grant of an endpoint that this instance may use. Fails if the scheduler refuses the
+    /// request, at the deadline, or after [`MAX_ATTEMPTS`].
     pub(super) async fn acquire(&mut self) -> Result<Permit, Refusal> {
+        loop {
+            let permit = self.acquire_any().await?;
+            match self.gateway.held_back(&permit.grant) {
+                None => {
+                    self.attempts += 1;
+                    return Ok(permit);
+                }
+                Some(outcome) => self.record_failure(permit, outcome),
+            }
+        }
+    }
+
+    /// Waits for a grant of any endpoint.
+    async fn acquire_any(&self) -> Result<Permit, Refusal> {
         if self.attempts >= MAX_ATTEMPTS || self.time_left().is_zero() {
             return Err(NO_GRANT);
         }
@@ -184,7 +198,6 @@
         let request = &self.head.request;
         match &permit {
             Ok(permit) => {
-                self.attempts += 1;
                 let endpoint = &permit.grant.endpoint;
                 log::debug!(
                     "event=granted request={request} endpoint={endpoint} waited_ms={waited}"
--- a/src/gateway/messages/requests.rs
+++ b/src/gateway/messages/requests.rs
@@ -308,6 +308,8 @@
     Full = 6,
     /// Another endpoint has the address, or the engine lacks the model.
     Misplaced = 7,
+    /// The instance knows that the endpoint leaves, and has not sent the request.
+    Leaving = 8,
 }
 
 impl EndFrame {
@@ -322,6 +324,7 @@
             Outcome::Unreached => OutcomeFrame::Unreached,
             Outcome::Full => OutcomeFrame::Full,
             Outcome::Misplaced => OutcomeFrame::Misplaced,
+            Outcome::Leaving => OutcomeFrame::Leaving,
         };
         Self { number, outcome: outcome.into() }
     }
@@ -337,6 +340,7 @@
             OutcomeFrame::Unreached => Outcome::Unreached,
             OutcomeFrame::Full => Outcome::Full,
             OutcomeFrame::Misplaced => Outcome::Misplaced,
+            OutcomeFrame::Leaving => Outcome::Leaving,
         }
     }
 }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -21,8 +21,8 @@
 use crate::{
     clock::Time,
     kernel::{
-        endpoint_table::EndpointTable,
-        grants::EndpointEntry,
+        endpoint_table::{EndpointTable, Presence},
+        grants::{EndpointEntry, Incarnation},
         leadership::Leader,
         revision::Revision,
     },
@@ -118,6 +118,11 @@
             || (self.must_watch_endpoints() && self.store.is_reachable())
     }
 
+    /// Returns what this instance knows of an incarnation of an endpoint.
+    pub(super) fn presence(&self, endpoint: &str, incarnation: Incarnation) -> Presence {
+        self.registry.table.lock().presence(endpoint, incarnation)
+    }
+
     /// Returns whether this instance must read the endpoints from the store: it leads, or what a
     /// leader has told is too old.
     fn must_watch_endpoints(&self) -> bool {
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -219,12 +219,13 @@
 }
 
 /// Sends changes to the peers while this instance leads: periodically, and soon after the members
-/// have changed.
+/// have changed. A leader that has just started first reads the endpoints: an empty table would
+/// replace what its peers know.
 pub async fn run(gateway: Arc<Gateway>) {
     loop {
         let _ = timeout(ROUND_INTERVAL, gateway.updates.members_changed.notified()).await;
         sleep(COLLECT_TIME_PER_PEER * gateway.peers.count() as u32).await;
-        if gateway.leads() {
+        if gateway.leads() && gateway.registry.is_initialized() {
             gateway.send_updates();
         }
     }
--- a/src/kernel/endpoint_table.rs
+++ b/src/kernel/endpoint_table.rs
@@ -46,6 +46,17 @@
     pub gone: bool,
 }
 
+/// What an instance knows of an incarnation of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// Nothing speaks against requests to it.
+    Usable,
+    /// It drains, which no incarnation takes back.
+    Draining,
+    /// Its entry was removed. The endpoint may have written it again since.
+    Gone,
+}
+
 /// What another instance knew of a leaving endpoint.
 #[derive(Clone, Debug)]
 struct Told {
@@ -153,6 +164,16 @@
         }
     }
 
+    /// Returns what is known of an incarnation of an endpoint that another instance takes for ready.
+    pub fn presence(&self, id: &str, incarnation: Incarnation) -> Presence {
+        let is_gone = |removed: &Removed| incarnation.0 <= removed.incarnation.0;
+        match self.entries.get(id) {
+            Some(entry) if entry.draining && entry.incarnation == incarnation => Presence::Draining,
+            None if self.removed.get(id).is_some_and(is_gone) => Presence::Gone,
+            _ => Presence::Usable,
+        }
+    }
+
     /// Returns the era of the store that the entries come from; `None` before the first ones.
     pub fn era(&self) -> Option<u64> {
         self.era
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -193,6 +193,8 @@
     pub(super) order_state: super::order_state::OrderState,
     /// Expected end of the last model load.
     pub(super) last_load: Time,
+    /// Whether an instance has said that the endpoint leaves, ahead of the endpoint's entry.
+    pub(super) said_leaving: bool,
     /// When the endpoint will be removed, if that is known.
     removed_at: Option<Time>,
     /// Limit of the request rate; `None` if the endpoint names none.
@@ -225,6 +227,7 @@
             order_state: super::order_state::OrderState::default(),
             last_load: Time::default(),
             entry: info.clone(),
+            said_leaving: false,
             removed_at: info.removed_in.map(|time| now + time),
             rate_limit: None,
             crash_state: CrashState::default(),
@@ -265,7 +268,8 @@
         models.sort();
         let cold_remaining =
             if self.is_cold(now) { self.info.cold_remaining } else { Duration::ZERO };
-        EndpointEntry { models, cold_remaining, ..self.info.clone() }
+        let draining = self.info.draining || self.said_leaving;
+        EndpointEntry { models, cold_remaining, draining, ..self.info.clone() }
     }
 
     /// Discards what only the scheduler that sends orders knows, since another one may send them
@@ -354,12 +358,12 @@
 
     /// Returns whether the endpoint is neither draining nor paused after a failure.
     pub(super) fn accepts_requests(&self, now: Time) -> bool {
-        !self.info.draining && self.paused_until <= now
+        !self.info.draining && !self.said_leaving && self.paused_until <= now
     }
 
     /// Returns whether the endpoint is draining or will be removed, possibly before a new run ends.
     pub(super) fn is_leaving(&self) -> bool {
-        self.info.draining || self.removed_at.is_some()
+        self.info.draining || self.said_leaving || self.removed_at.is_some()
     }
 
     /// Returns whether the endpoint is cold.
--- a/src/kernel/grants/request.rs
+++ b/src/kernel/grants/request.rs
@@ -144,10 +144,19 @@
     Full,
     /// Another endpoint has the address, or the engine lacks the model; the request did not run.
     Misplaced,
+    /// The entry instance knows that the endpoint drains or is gone; the request was not sent.
+    Leaving,
     /// The caller disconnected, or the deadline passed.
     Left,
 }
 
+impl Outcome {
+    /// Returns whether the request has certainly not run, although it was granted and is still of use.
+    pub fn is_not_run(self) -> bool {
+        matches!(self, Outcome::Unreached | Outcome::Full | Outcome::Misplaced | Outcome::Leaving)
+    }
+}
+
 /// An action that the caller of the scheduler must carry out.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -182,6 +182,12 @@
         self.evacuated = evacuated;
     }
 
+    /// Returns whether an endpoint is in a data centre that is out of service.
+    pub fn is_evacuated(&self, endpoint: &str) -> bool {
+        let endpoint = self.endpoints.get(endpoint);
+        endpoint.is_some_and(|endpoint| self.evacuated.contains(&endpoint.info.data_centre))
+    }
+
     /// Replaces the table of endpoints, keeping the state of those whose incarnation, address and
     /// service are unchanged.
     pub fn set_endpoints(&mut self, entries: Vec<EndpointEntry>, now: Time) {
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -92,12 +92,13 @@
             Outcome::Unreached => endpoint.record_unreachable(now),
             Outcome::Full => endpoint.paused_until = endpoint.paused_until.max(now + FULL_BACKOFF),
             Outcome::Misplaced => endpoint.record_misplaced(now),
+            Outcome::Leaving => endpoint.said_leaving = true,
             Outcome::Left => {}
         }
         correct_prefill(endpoint, &self.slowdowns, now);
         self.end_origin(run.request.stream, outcome, now);
         self.record_crash_evidence(&id, &run, outcome, now);
-        if matches!(outcome, Outcome::Unreached | Outcome::Full | Outcome::Misplaced) {
+        if outcome.is_not_run() {
             self.refund(&run.request);
         }
         Some(id)
--- a/tests/kernel/endpoint_table.rs
+++ b/tests/kernel/endpoint_table.rs
@@ -5,7 +5,7 @@
 use cardamomshore::{
     clock::Time,
     kernel::{
-        endpoint_table::EndpointTable,
+        endpoint_table::{EndpointTable, Presence},
         grants::{EndpointEntry, Incarnation},
     },
 };
@@ -147,3 +147,21 @@
     leader.apply_leaving(1, follower.leaving(), START);
     assert_eq!(list(&leader), ["a"], "the leader has read the store later");
 }
+
+#[test]
+fn presence_tells_draining_and_gone_from_usable() {
+    let mut table = table(&[entry("a", 5, true), entry("b", 5, false), entry("c", 5, false)]);
+    table.remove("c", START);
+    assert_eq!(table.presence("a", Incarnation(5)), Presence::Draining);
+    assert_eq!(table.presence("b", Incarnation(5)), Presence::Usable);
+    assert_eq!(table.presence("c", Incarnation(5)), Presence::Gone);
+    assert_eq!(table.presence("new", Incarnation(1)), Presence::Usable, "not known yet");
+}
+
+#[test]
+fn presence_later_start_usable() {
+    let mut table = table(&[entry("a", 5, true), entry("c", 5, false)]);
+    table.remove("c", START);
+    assert_eq!(table.presence("a", Incarnation(6)), Presence::Usable);
+    assert_eq!(table.presence("c", Incarnation(6)), Presence::Usable);
+}
--- a/tests/kernel/grants/choice.rs
+++ b/tests/kernel/grants/choice.rs
@@ -158,3 +158,20 @@
     }
     assert!(crashes <= 3, "the request crashed {crashes} endpoints");
 }
+
+#[test]
+fn request_endpoint_said_to_leave_not_granted() {
+    let engines = || vec![engine("e1", &["m0"]), engine("e2", &["m0"])];
+    let mut scheduler = scheduler(LEADING, engines());
+    let actions = scheduler.handle_request(key(1), model_request("m0", 9_000, START), START);
+    let leaving = granted(&actions).expect("the request is granted").endpoint.clone();
+    end_request(&mut scheduler, 1, Outcome::Leaving, START);
+    scheduler.set_endpoints(engines(), START);
+    for number in 2..20 {
+        let later = START + Duration::from_secs(number);
+        let request = model_request("m0", 9_000, later);
+        let actions = scheduler.handle_request(key(number), request, later);
+        assert_ne!(granted(&actions).expect("the request is granted").endpoint, leaving);
+        end_request(&mut scheduler, number, Outcome::Whole, later);
+    }
+}
