Add failing tests: gateways without links to the endpoints serve nobody, and silent endpoints lose answers

The stand-ins drop packets by a filter on their sockets, so that connections hang as in a partition; gateways can be told from which address they connect, by which the filter tells them apart.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -108,7 +108,7 @@
     pub fn new(settings: GatewaySettings) -> Arc<Self> {
         let mode = Mode::Alone { share: 1.0 };
         Arc::new(Self {
-            pool: Arc::default(),
+            pool: Arc::new(Pool::new(settings.endpoint_connections())),
             store: Store::new(settings.store, settings.store_timeout()),
             catalog: ArcSwapOption::empty(),
             operator: Mutex::default(),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,11 +1,17 @@
 //! Settings of a gateway, which are read from a YAML file. The platform creates the file from the
 //! template `deploy/gateway.yaml`.
 
-use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    sync::Arc,
+    time::Duration,
+};
 
 use serde::Deserialize;
 
 use crate::{
+    http::pool::ConnectOptions,
     kernel::grants::{RetryLimits, SchedulerLimits},
     settings::{LogSettings, SettingsError},
     yaml,
@@ -21,8 +27,10 @@
     directory: String,
     readiness: String,
     peer: String,
+    relay: Option<String>,
     metrics: String,
     store: String,
+    source: Option<String>,
     machine: RawResources,
     limits: RawLimits,
     #[serde(default = "default_log")]
@@ -92,10 +100,16 @@
     pub readiness: SocketAddr,
     /// Address at which other instances open links while this one leads.
     pub peer: SocketAddr,
+    /// Address at which other instances pass on requests that they cannot send to endpoints; if the
+    /// file names none, the port after that of `peer`.
+    pub relay: SocketAddr,
     /// Address at which metrics are served.
     pub metrics: SocketAddr,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Address from which connections to endpoints are opened; `None` if the operating system chooses
+    /// it.
+    pub source: Option<IpAddr>,
     /// Resources of the host.
     pub resources: Resources,
     /// Limits of the retries of each service.
@@ -137,12 +151,22 @@
         SchedulerLimits { retries, load_window, rate_slack }
     }
 
+    /// Returns how connections to endpoints are opened. An endpoint that falls silent for a second and
+    /// goes on keeps its connections: the probes of a connection that waits for a response begin
+    /// after a second, and the timeout ends them.
+    pub fn endpoint_connections(&self) -> ConnectOptions {
+        ConnectOptions { source: self.source, ack_timeout: ENDPOINT_ACK_TIMEOUT }
+    }
+
     /// Returns the timeout of a call to the store.
     pub fn store_timeout(&self) -> Duration {
         STORE_TIMEOUT
     }
 }
 
+/// Longest time without acknowledgement before a connection to an endpoint counts as broken.
+pub const ENDPOINT_ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// Timeout of a call to the store, which responds within milliseconds, and within hundreds of them
 /// when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -159,8 +183,10 @@
             directory: parse_address("directory", &raw.directory)?,
             readiness: parse_address("readiness", &raw.readiness)?,
             peer: parse_address("peer", &raw.peer)?,
+            relay: parse_relay(raw.relay.as_deref(), &raw.peer)?,
             metrics: parse_address("metrics", &raw.metrics)?,
             store: parse_address("store", &raw.store)?,
+            source: raw.source.map(|source| parse_ip("source", &source)).transpose()?,
             resources: Resources {
                 cores: non_negative("machine.cores", raw.machine.cores)?,
                 link_mbps: non_negative("machine.link_mbps", raw.machine.link_mbps)?,
@@ -195,6 +221,21 @@
         .map_err(|_| field_error(path, "write an IP number and a port, such as 10.0.0.1:8000"))
 }
 
+fn parse_relay(relay: Option<&str>, peer: &str) -> Result<SocketAddr, SettingsError> {
+    if let Some(relay) = relay {
+        return parse_address("relay", relay);
+    }
+    let peer = parse_address("peer", peer)?;
+    let port = peer.port().checked_add(1);
+    let port =
+        port.ok_or_else(|| field_error("relay", "write an address, `peer` has the last port"));
+    Ok(SocketAddr::new(peer.ip(), port?))
+}
+
+fn parse_ip(path: &str, text: &str) -> Result<IpAddr, SettingsError> {
+    text.parse().map_err(|_| field_error(path, "write an IP number, such as 10.0.0.1"))
+}
+
 fn non_negative(path: &str, value: f64) -> Result<f64, SettingsError> {
     if value.is_finite() && value >= 0.0 {
         Ok(value)
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -4,7 +4,11 @@
 //! other side, and the caller decides about a retry.
 
 use std::{
-    collections::HashMap, future::poll_fn, io::ErrorKind, net::SocketAddr, sync::Arc,
+    collections::HashMap,
+    future::poll_fn,
+    io::ErrorKind,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
 
@@ -19,18 +23,19 @@
 use parking_lot::Mutex;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     task::AbortHandle,
     time::{Instant, timeout},
 };
 
-/// Longest time without acknowledgement of sent bytes before a connection counts as broken.
+/// Longest time without acknowledgement of sent bytes or probes before a connection counts as broken.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Interval of the TCP probes on an idle connection.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// TCP probes without response before a connection counts as broken.
+/// TCP probes without response before a connection counts as broken. The kernel ignores it where a
+/// timeout of the acknowledgement is set, which then ends the probes too.
 const MAX_PROBES: u32 = 2;
 
 /// Idle connections that are kept to one address.
@@ -74,14 +79,35 @@
     expires_at: Instant,
 }
 
+/// How connections are opened.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectOptions {
+    /// Address from which they are opened; `None` if the operating system chooses it.
+    pub source: Option<IpAddr>,
+    /// Longest time without acknowledgement of sent bytes or probes before a connection counts as
+    /// broken.
+    pub ack_timeout: Duration,
+}
+
+impl Default for ConnectOptions {
+    fn default() -> Self {
+        Self { source: None, ack_timeout: ACK_TIMEOUT }
+    }
+}
+
 /// Idle connections by their address.
 #[derive(Default)]
 pub struct Pool {
+    options: ConnectOptions,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 /// Sets the socket options by which the loss of the other side is detected soon.
 pub fn set_socket_options(stream: &TcpStream) {
+    set_options(stream, ACK_TIMEOUT);
+}
+
+fn set_options(stream: &TcpStream, ack_timeout: Duration) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
@@ -89,7 +115,7 @@
         .with_retries(MAX_PROBES);
     let result = stream.set_nodelay(true);
     let result = result.and_then(|()| socket.set_tcp_keepalive(&probes));
-    if let Err(err) = result.and_then(|()| socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))) {
+    if let Err(err) = result.and_then(|()| socket.set_tcp_user_timeout(Some(ack_timeout))) {
         log::debug!("event=socket_option_failed reason={err}");
     }
 }
@@ -104,13 +130,37 @@
 
 /// Opens a TCP connection within `time_limit`.
 pub async fn connect(address: SocketAddr, time_limit: Duration) -> std::io::Result<TcpStream> {
-    let result = timeout(time_limit, TcpStream::connect(address)).await;
-    let stream = result.map_err(|_| std::io::Error::from(std::io::ErrorKind::TimedOut))??;
-    set_socket_options(&stream);
+    connect_with(address, time_limit, &ConnectOptions::default()).await
+}
+
+/// Opens a TCP connection as `options` say, within `time_limit`.
+async fn connect_with(
+    address: SocketAddr,
+    time_limit: Duration,
+    options: &ConnectOptions,
+) -> std::io::Result<TcpStream> {
+    let open = async {
+        let Some(source) = options.source else { return TcpStream::connect(address).await };
+        let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(address).await
+    };
+    let stream = timeout(time_limit, open).await.map_err(|_| ErrorKind::TimedOut)??;
+    set_options(&stream, options.ack_timeout);
     Ok(stream)
 }
 
 impl Pool {
+    /// Creates a pool without connections, which opens them as `options` say.
+    pub fn new(options: ConnectOptions) -> Self {
+        Self { options, idle: Mutex::default() }
+    }
+
+    /// Returns whether a connection to `address` can be opened within `time_limit`.
+    pub async fn can_connect(&self, address: SocketAddr, time_limit: Duration) -> bool {
+        connect_with(address, time_limit, &self.options).await.is_ok()
+    }
+
     /// Returns an idle connection, or opens a new one within `time_limit`.
     pub async fn acquire(
         self: &Arc<Self>,
@@ -120,7 +170,7 @@
         if let Some(connection) = self.take_idle(address) {
             return Ok(connection);
         }
-        let stream = connect(address, time_limit).await;
+        let stream = connect_with(address, time_limit, &self.options).await;
         let stream = stream.map_err(|err| match err.kind() {
             ErrorKind::ConnectionRefused => SendError::Refused,
             _ => SendError::NotSent(err.to_string()),
--- a/src/soak/process.rs
+++ b/src/soak/process.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::File,
     io,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -41,6 +41,12 @@
 /// Lowest port of the processes.
 const FIRST_PORT: u32 = 10_000;
 
+/// First host from which gateways connect.
+const FIRST_HOST: u32 = u32::from_be_bytes([127, 32, 0, 1]);
+
+/// Number of hosts from which gateways connect.
+const HOST_COUNT: u32 = 1 << 16;
+
 /// Number of ports of the processes.
 const PORT_COUNT: u32 = 20_000;
 
@@ -77,10 +83,18 @@
     SocketAddr::from(([127, 64 + high, middle, low], port as u16))
 }
 
+/// Returns a loopback host from which nothing else of this process connects.
+fn free_host() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    Ipv4Addr::from(FIRST_HOST + NEXT.fetch_add(1, Ordering::Relaxed) % HOST_COUNT)
+}
+
 /// A gateway process. It is killed when it is dropped.
 pub struct GatewayProcess {
     /// Name of the instance.
     pub name: String,
+    /// Address from which the gateway connects to endpoints.
+    pub source: Ipv4Addr,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address for questions about addresses.
@@ -113,14 +127,15 @@
         data_centre: &str,
         store: Arc<MetadataStore>,
     ) -> Result<Self, ProcessError> {
-        let [callers, directory, readiness, peer, metrics] =
+        let [callers, directory, readiness, peer, relay, metrics] =
             std::array::from_fn(|_| free_address());
+        let source = free_host();
         let store = StoreAddress::start(store, free_address());
         let store = store.map_err(io_error("cannot serve the store"))?;
         let settings = json!({
             "instance": name, "data_centre": data_centre,
             "callers": callers, "directory": directory, "readiness": readiness, "peer": peer,
-            "metrics": metrics, "store": store.address,
+            "relay": relay, "metrics": metrics, "store": store.address, "source": source,
             "machine": { "cores": 0.25, "link_mbps": 1_000.0 },
             "limits": {
                 "repeat_ratio": 0.2, "repeat_slack": 50.0, "repeat_window_s": 10.0,
@@ -137,7 +152,18 @@
         let _ = std::fs::remove_file(&log);
         let child = spawn(binary, &path, &log).map_err(io_error("cannot start a gateway"))?;
         let binary = binary.to_owned();
-        Ok(Self { name, callers, directory, readiness, store, binary, settings: path, log, child })
+        Ok(Self {
+            name,
+            source,
+            callers,
+            directory,
+            readiness,
+            store,
+            binary,
+            settings: path,
+            log,
+            child,
+        })
     }
 
     /// Sends a signal to the process.
--- a/src/standin/http1.rs
+++ b/src/standin/http1.rs
@@ -1,7 +1,12 @@
 //! A small HTTP/1.1 server for the stand-ins of the users' platform. It breaks its connections when it
 //! is dropped, as a process does that crashes.
 
-use std::{future::Future, io, net::SocketAddr};
+use std::{
+    future::Future,
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    os::fd::AsFd,
+};
 
 use bytes::Bytes;
 use futures_util::stream::poll_fn;
@@ -10,6 +15,7 @@
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
+use socket2::{SockFilter, SockRef};
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
     sync::{mpsc, watch},
@@ -51,9 +57,55 @@
     (tx, response)
 }
 
+/// Which packets that arrive at a server are dropped, as by a network that is partitioned. Connections
+/// hang then, and new ones get no answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum PacketFilter {
+    /// None.
+    #[default]
+    Open,
+    /// Those of these hosts.
+    From(Vec<Ipv4Addr>),
+    /// All.
+    Closed,
+}
+
+impl PacketFilter {
+    /// Applies the filter to a listener or a connection.
+    fn apply(&self, socket: &SockRef<'_>) -> io::Result<()> {
+        let hosts: &[Ipv4Addr] = match self {
+            PacketFilter::Open => return socket.detach_filter().or(Ok(())),
+            PacketFilter::From(hosts) => hosts,
+            PacketFilter::Closed => &[],
+        };
+        let mut program = vec![SockFilter::new(LOAD_WORD, 0, 0, SOURCE_OFFSET)];
+        for host in hosts {
+            program.push(SockFilter::new(JUMP_IF_EQUAL, 0, 1, u32::from(*host)));
+            program.push(SockFilter::new(RETURN, 0, 0, DROP));
+        }
+        let rest = if *self == PacketFilter::Closed { DROP } else { ACCEPT };
+        program.push(SockFilter::new(RETURN, 0, 0, rest));
+        socket.attach_filter(&program)
+    }
+}
+
+/// Instructions of a packet filter, see `linux/bpf_common.h`: load a word at an offset, jump if the
+/// word is equal, and return the number of bytes of the packet that are kept.
+const LOAD_WORD: u16 = 0x20;
+const JUMP_IF_EQUAL: u16 = 0x15;
+const RETURN: u16 = 0x06;
+
+/// Offset of a packet's source address: that in the IPv4 header, from the begin of that header.
+const SOURCE_OFFSET: u32 = (-0x10_0000_i32 + 12) as u32;
+
+/// Numbers of bytes that are kept of a packet that is dropped, and of another one.
+const DROP: u32 = 0;
+const ACCEPT: u32 = u32::MAX;
+
 /// A running server. Dropping it closes the listener and breaks all connections.
 pub struct Server {
     task: AbortHandle,
+    filter: watch::Sender<PacketFilter>,
     /// Its receivers are notified when the server is dropped.
     _running: watch::Sender<()>,
 }
@@ -74,19 +126,52 @@
     {
         let listener = listen(address)?;
         let (running, ended) = watch::channel(());
+        let (filter, filters) = watch::channel(PacketFilter::default());
         let task = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut changes = filters.clone();
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    Ok(()) = changes.changed() => {
+                        apply_filter(&changes, &SockRef::from(&listener));
+                        continue;
+                    }
+                };
+                let Ok((stream, _)) = accepted else { return };
                 let (handler, mut ended) = (handler.clone(), ended.clone());
+                let filters = filters.clone();
                 tokio::spawn(async move {
+                    let Ok(socket) = stream.as_fd().try_clone_to_owned() else { return };
                     tokio::select! {
                         () = serve(stream, handler) => {}
+                        () = follow_filter(filters, SockRef::from(&socket)) => {}
                         _ = ended.changed() => {}
                     }
                 });
             }
         });
-        Ok(Self { task: task.abort_handle(), _running: running })
+        Ok(Self { task: task.abort_handle(), filter, _running: running })
+    }
+
+    /// Replaces the filter of the packets that arrive.
+    pub fn set_filter(&self, filter: PacketFilter) {
+        self.filter.send_replace(filter);
+    }
+}
+
+fn apply_filter(filters: &watch::Receiver<PacketFilter>, socket: &SockRef<'_>) {
+    if let Err(err) = filters.borrow().apply(socket) {
+        log::error!("event=standin_filter_failed reason={err}");
+    }
+}
+
+/// Applies the filter to a connection, each time that it changes. Does not end.
+async fn follow_filter(mut filters: watch::Receiver<PacketFilter>, socket: SockRef<'_>) {
+    apply_filter(&filters, &socket);
+    while filters.changed().await.is_ok() {
+        apply_filter(&filters, &socket);
     }
+    std::future::pending().await
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -16,13 +16,20 @@
 
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use tokio::{sync::Notify, task::AbortHandle, time::sleep};
+use tokio::{
+    sync::{Notify, watch},
+    task::AbortHandle,
+    time::sleep,
+};
 
 pub use self::{
     answer::{LAST_EVENT, event_text, plain_body},
     record::{Mark, Order, Run, WorkerLog},
 };
-use super::{http1::Server, metadata::MetadataStore};
+use super::{
+    http1::{PacketFilter, Server},
+    metadata::MetadataStore,
+};
 use crate::clock::wall_millis;
 
 /// Interval of the endpoint's heartbeats.
@@ -121,6 +128,8 @@
     log: Arc<WorkerLog>,
     state: Mutex<State>,
     faults: Mutex<WorkerFaults>,
+    /// Filter of the packets that arrive.
+    filter: watch::Sender<PacketFilter>,
     /// Version of the software from the next start on.
     next_version: Mutex<String>,
     crash: Notify,
@@ -150,6 +159,7 @@
             store,
             log,
             faults: Mutex::default(),
+            filter: watch::Sender::default(),
             crash: Notify::new(),
             leave: Notify::new(),
         });
@@ -187,6 +197,11 @@
         self.shared.leave.notify_one();
     }
 
+    /// Replaces the filter of the packets that arrive, which outlasts restarts.
+    pub fn set_filter(&self, filter: PacketFilter) {
+        self.shared.filter.send_replace(filter);
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: WorkerFaults) {
         let limit = faults.limit;
@@ -217,6 +232,7 @@
             () = shared.crash.notified() => true,
             () = shared.drain() => false,
             () = shared.register_after_returns() => false,
+            () = shared.follow_filter(&server) => false,
         };
         drop(server);
         let id = shared.state.lock().id.clone();
@@ -269,6 +285,17 @@
         }
     }
 
+    /// Applies the filter of packets to the server, each time that it changes. Does not end.
+    async fn follow_filter(&self, server: &Server) {
+        let mut filter = self.filter.subscribe();
+        loop {
+            server.set_filter(filter.borrow_and_update().clone());
+            if filter.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Waits until the endpoint must leave, drains it, and returns when it may end.
     async fn drain(&self) {
         self.leave.notified().await;
--- a/tests/product/pool.rs
+++ b/tests/product/pool.rs
@@ -3,13 +3,18 @@
 use std::{io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use cardamomshore::http::pool::{Pool, SendError};
-use http::Request;
+use cardamomshore::{
+    gateway::settings::ENDPOINT_ACK_TIMEOUT,
+    http::pool::{ConnectOptions, Pool, SendError},
+    soak::process::free_address,
+    standin::http1::{PacketFilter, Server, whole_response},
+};
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// Wide limit of a test's time.
@@ -107,3 +112,27 @@
         assert_eq!(ended, Err(ErrorKind::ConnectionReset), "what is on the way is dropped");
     });
 }
+
+#[test]
+fn send_endpoint_silent_for_a_while_answers() {
+    block_on(async {
+        let address = free_address();
+        let server = Server::start(address, |_| async {
+            sleep(Duration::from_millis(2_600)).await;
+            Ok(whole_response(StatusCode::OK, "answer"))
+        });
+        let server = server.expect("the address is free");
+        let options = ConnectOptions { source: None, ack_timeout: ENDPOINT_ACK_TIMEOUT };
+        let pool = Arc::new(Pool::new(options));
+        let mut connection = pool.acquire(address, WIDE_LIMIT).await.expect("the server listens");
+        let silence = async {
+            // The first probe of the connection, a second after the request, gets no response.
+            sleep(Duration::from_millis(900)).await;
+            server.set_filter(PacketFilter::Closed);
+            sleep(Duration::from_millis(1_300)).await;
+            server.set_filter(PacketFilter::Open);
+        };
+        let (response, ()) = tokio::join!(connection.send(request()), silence);
+        assert_eq!(response.expect("expected the answer").status(), StatusCode::OK);
+    });
+}
