Keep connections to endpoints that fall silent for a second and go on

With 1.5 s, a connection whose request was acknowledged broke at its second probe, 2 s after the request, if the endpoint was silent for little more than a second around the first one. Callers got 502, and streams went on elsewhere, although the endpoint answered.

Change: 2.9 s for connections to endpoints; the third probe ends them. Connections to the store, to other instances and to callers keep their 1.5 s.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -165,7 +165,7 @@
 }
 
 /// Longest time without acknowledgement before a connection to an endpoint counts as broken.
-pub const ENDPOINT_ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub const ENDPOINT_ACK_TIMEOUT: Duration = Duration::from_millis(2_900);
 
 /// Timeout of a call to the store, which responds within milliseconds, and within hundreds of them
 /// when it is slow.
