Pass requests to other instances while this one is cut off from the endpoints

Cause: such an instance had no other way to an endpoint. It got grants, failed each attempt after 0.4 s or more, and its idle connections hung, so that requests that may run once ended with 502 or 504. It reported each endpoint as unreachable, which paused it for all instances. The class: an instance takes its own trouble for that of others.

Change: kernel/reach tells from the last attempts at each endpoint whether the path to a service, or to all, is cut. An endpoint that lets a request wait is probed, so a silent cut shows within about a second. On a cut path requests go to another instance that reaches the endpoints, which serves them as its own; that instance never passes them on again, and says if it declines. If none takes a request it is rejected at once, unless a few endpoints are still reached. Outcomes of a cut instance blame no endpoint. Members say that they are cut off, so that the directory leaves them out, and a leader lets another one lead.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,7 +22,9 @@
 mod origins;
 mod peers;
 mod rate_limits;
+mod reach;
 mod registry;
+mod relay;
 mod response;
 pub mod settings;
 mod shutdown;
@@ -63,6 +65,10 @@
     leadership: Mutex<Leadership>,
     /// Age of what this instance knows of the store's records.
     record_age: RecordAge,
+    /// What this instance has seen of its path to the endpoints.
+    reach: reach::EndpointReach,
+    /// Requests that other instances send to endpoints for this one.
+    relay: relay::Relay,
     /// Link to the leader.
     uplink: link::Uplink,
     /// Instances that are linked to this one while it leads.
@@ -116,6 +122,8 @@
             requests: grants::Requests::default(),
             leadership: Mutex::new(Leadership::new(settings.instance.clone())),
             record_age: RecordAge::new(Time::now()),
+            reach: reach::EndpointReach::default(),
+            relay: relay::Relay::default(),
             uplink: link::Uplink::default(),
             peers: peers::Peers::default(),
             updates: updates::Updates::new(settings.resources.link_mbps),
@@ -135,6 +143,7 @@
         let directory = bind("the directory", settings.directory).await?;
         let readiness = bind("readiness", settings.readiness).await?;
         let peers = bind("peers", settings.peer).await?;
+        let relay = bind("relay", settings.relay).await?;
         let metrics = bind("metrics", settings.metrics).await?;
         // The age of the leader's last frame counts from the start until a first frame arrives.
         self.uplink.record_frame();
@@ -155,6 +164,8 @@
         tokio::spawn(grants::run_scheduler(self.clone()));
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
+        tokio::spawn(reach::probe_while_cut(self.clone()));
+        tokio::spawn(callers::serve(self.clone(), relay, callers::Kind::Relay));
         tokio::spawn(callers::serve(self.clone(), directory, callers::Kind::Directory));
         tokio::spawn(callers::serve(self.clone(), readiness, callers::Kind::Readiness));
         tokio::spawn(callers::serve(self.clone(), metrics, callers::Kind::Metrics));
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -25,7 +25,8 @@
 };
 
 use super::{
-    Gateway, directory, entry,
+    Gateway, directory,
+    entry::{self, Origin},
     response::{ResponseBody, empty_response},
 };
 use crate::{http::pool::set_socket_options, telemetry};
@@ -51,6 +52,8 @@
 pub enum Kind {
     /// Requests of callers.
     Requests,
+    /// Requests of callers that other instances pass on.
+    Relay,
     /// Addresses of instances, for callers.
     Directory,
     /// Readiness checks of the platform.
@@ -121,9 +124,10 @@
 ) -> Response<ResponseBody> {
     let path = request.uri().path();
     match kind {
-        Kind::Requests => {
+        Kind::Requests | Kind::Relay => {
             let stopping = gateway.shutdown.has_begun();
-            let mut response = entry::serve(gateway, request).await;
+            let origin = if kind == Kind::Relay { Origin::Instance } else { Origin::Caller };
+            let mut response = entry::serve(gateway, request, origin).await;
             if stopping {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -13,6 +13,7 @@
 use super::{
     Gateway,
     forward::Job,
+    relay,
     response::{Rejection, ResponseBody},
     stream,
 };
@@ -36,8 +37,21 @@
 /// timeout.
 const TRANSIT_TIME: Duration = Duration::from_millis(4);
 
+/// Who has sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another instance, which is cut off from the endpoints.
+    Instance,
+}
+
 /// Serves a caller's request and returns the response. The response carries the request's id.
-pub async fn serve(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn serve(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Response<ResponseBody> {
     let arrived_at = Time::now();
     let (parts, body) = request.into_parts();
     let head = caller::decode(&parts);
@@ -47,19 +61,26 @@
             response.headers_mut().entry(caller::request_id_header()).or_insert(value);
         }
     };
-    let mut response = match admit(&gateway, arrived_at, parts, head, body).await {
+    let result = match admit(&gateway, arrived_at, origin, parts, head, body).await {
         Ok(job) => {
-            let response = run(job).await;
+            let result = run(job).await;
             let elapsed = Time::now().since(arrived_at).as_secs_f64();
             metrics::histogram!("cardamomshore_answer_seconds").record(elapsed);
-            response
+            result
         }
         Err(rejection) => {
             log::info!("event=rejected request={id} status={}", rejection.status().as_u16());
             count_response(rejection.status());
-            rejection.response()
+            Err(rejection)
         }
     };
+    let mut response = result.unwrap_or_else(|rejection| {
+        let mut response = rejection.response();
+        if origin == Origin::Instance && rejection.is_local() {
+            relay::mark_declined(&mut response);
+        }
+        response
+    });
     set_request_id(&mut response);
     response
 }
@@ -71,7 +92,7 @@
 }
 
 /// Runs an admitted request and logs its end.
-async fn run(mut job: Job) -> Response<ResponseBody> {
+async fn run(mut job: Job) -> Result<Response<ResponseBody>, Rejection> {
     let id = job.head.request.clone();
     let deadline = job.deadline;
     let result = match job.route.retry.is_stream() {
@@ -79,14 +100,13 @@
         false => job.run_buffered().await,
     };
     let time_left = deadline.since(Time::now()).as_millis();
-    match result {
+    match &result {
         Ok(response) => {
             count_response(response.status());
             log::debug!(
                 "event=answered request={id} status={} left_ms={time_left}",
                 response.status()
             );
-            response
         }
         Err(rejection) => {
             let status = rejection.status().as_u16();
@@ -94,15 +114,16 @@
                 "event=refused request={id} status={status} why={rejection:?} left_ms={time_left}"
             );
             count_response(rejection.status());
-            rejection.response()
         }
     }
+    result
 }
 
 /// Admits a request: checks its route and its key and reads its body.
 async fn admit(
     gateway: &Arc<Gateway>,
     arrived_at: Time,
+    origin: Origin,
     parts: http::request::Parts,
     head: CallerHead,
     body: Incoming,
@@ -139,6 +160,9 @@
         attempts: 0,
         version: if head.last_event.is_some() { VersionNeed::Origin } else { VersionNeed::Any },
         runs: 0,
+        origin,
+        was_unreached: false,
+        was_relayed: false,
         route,
         head,
     })
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,7 +14,9 @@
 
 use super::{
     Gateway,
+    entry::Origin,
     grants::{Permit, acquire},
+    relay,
     response::{Rejection, ResponseBody},
 };
 use crate::{
@@ -22,7 +24,8 @@
     clock::Time,
     http::pool::{Connection, SendError},
     kernel::{
-        grants::{GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
+        grants::{Grant, GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
+        reach::{Way, choose_way},
         retry::attempt_time,
     },
     platform::caller::{self, AddedHeaders, CallerHead, ResponseHead},
@@ -37,6 +40,12 @@
 /// Time for which an idle connection is kept open if the endpoint's response names no limit.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
+/// Time after which an endpoint that has not begun to respond to a caller that leaves is probed.
+const MIN_SUSPICIOUS_WAIT: Duration = Duration::from_millis(90);
+
+/// Time after which an endpoint that has not begun to respond is probed.
+const SUSPICIOUS_WAIT: Duration = Duration::from_millis(400);
+
 /// Fraction of the endpoint's own limit for which an idle connection is kept open, so that the
 /// endpoint does not close it first.
 const KEEP_ALIVE_FRACTION: f64 = 0.9;
@@ -83,6 +92,12 @@
     pub(super) version: VersionNeed,
     /// Attempts that may have run the request. Only these count against the route's `max_attempts`.
     pub(super) runs: u32,
+    /// Who has sent the request to this instance.
+    pub(super) origin: Origin,
+    /// Whether the last attempt failed to reach its endpoint.
+    pub(super) was_unreached: bool,
+    /// Whether no other instance has taken the request.
+    pub(super) was_relayed: bool,
 }
 
 /// The result of one attempt.
@@ -105,9 +120,32 @@
     Reject(Rejection),
 }
 
+/// Probes an endpoint when it is dropped, if the endpoint has let a request wait until the caller left
+/// or the attempt was given up.
+struct SuspicionGuard<'a> {
+    job: &'a Job,
+    grant: &'a Grant,
+    /// Since when the request waits; `None` once the endpoint has responded.
+    since: Option<Time>,
+}
+
+impl SuspicionGuard<'_> {
+    fn dismiss(mut self) {
+        self.since = None;
+    }
+}
+
+impl Drop for SuspicionGuard<'_> {
+    fn drop(&mut self) {
+        if self.since.is_some_and(|since| Time::now().since(since) >= MIN_SUSPICIOUS_WAIT) {
+            self.job.gateway.suspect(&self.grant.endpoint, self.grant.address);
+        }
+    }
+}
+
 impl Job {
     /// Returns the time until the deadline.
-    fn time_left(&self) -> Duration {
+    pub(super) fn time_left(&self) -> Duration {
         self.deadline.since(Time::now())
     }
 
@@ -236,7 +274,39 @@
             self.part_list()
         );
         self.tried.push(endpoint.clone());
-        permit.end(outcome);
+        self.was_unreached = outcome == Outcome::Unreached;
+        permit.end(self.gateway.without_blame(outcome));
+    }
+
+    /// Returns the way that the request takes next.
+    ///
+    /// A request that may have run here is not passed on, since its attempts count together.
+    pub(super) fn way(&self) -> Way {
+        let is_relayed = self.origin == Origin::Instance;
+        match choose_way(self.gateway.path(&self.service), is_relayed, self.was_unreached) {
+            Way::Relay if self.runs > 0 => Way::Direct,
+            way => way,
+        }
+    }
+
+    /// Passes the request to another instance, or rejects it, if this one is cut off from the
+    /// endpoints. Returns `None` if the request is to be sent to an endpoint: also if no instance
+    /// takes it, and a few endpoints can still be reached from here.
+    pub(super) async fn avoid_cut(&mut self) -> Option<Result<Response<ResponseBody>, Rejection>> {
+        if self.was_relayed {
+            return self.was_unreached.then_some(Err(Rejection::CutOff));
+        }
+        match self.way() {
+            Way::Direct => None,
+            Way::Relay => {
+                self.was_relayed = true;
+                self.was_unreached = false;
+                let result = relay::run(self).await;
+                let declined = matches!(result, Err(Rejection::CutOff));
+                (!declined || !self.gateway.has_reached(&self.service)).then_some(result)
+            }
+            Way::Reject => Some(Err(Rejection::CutOff)),
+        }
     }
 
     /// Sends the request to the granted endpoint and waits at most `time_limit` for the head of the
@@ -250,7 +320,11 @@
         let Some(time_limit) = attempt_time(time_limit, self.time_left()) else {
             return AttemptResult::NotRun(Outcome::Left);
         };
+        let guard = SuspicionGuard { job: self, grant: &permit.grant, since: Some(Time::now()) };
         let result = timeout(time_limit, self.send(permit, after)).await;
+        if result.is_ok() {
+            guard.dismiss();
+        }
         result.unwrap_or(AttemptResult::Unknown(Outcome::Silent))
     }
 
@@ -258,8 +332,10 @@
     async fn send(&self, permit: &Permit, after: Option<u64>) -> AttemptResult {
         let pool = &self.gateway.pool;
         loop {
-            let acquired = pool.acquire(permit.grant.address, CONNECT_TIMEOUT).await;
+            let grant = &permit.grant;
+            let acquired = pool.acquire(grant.address, CONNECT_TIMEOUT).await;
             let Ok(mut connection) = acquired else {
+                self.gateway.record_reached(&grant.endpoint, false);
                 return AttemptResult::NotRun(Outcome::Unreached);
             };
             if self.time_left().is_zero() {
@@ -267,8 +343,10 @@
                 return AttemptResult::NotRun(Outcome::Left);
             }
             let sent_at = Time::now();
-            match connection.send(self.endpoint_request(permit, after)).await {
+            let request = self.endpoint_request(permit, after);
+            match self.send_watched(&mut connection, request, permit).await {
                 Ok(response) => {
+                    self.gateway.record_reached(&grant.endpoint, true);
                     return self.classify_response(permit, response, connection, sent_at);
                 }
                 // The endpoint may have closed an idle connection before the request was sent on
@@ -288,6 +366,22 @@
         }
     }
 
+    /// Sends a request on a connection and waits for the head of the response. An endpoint that lets
+    /// it wait is probed, since the path to it may be cut.
+    async fn send_watched(
+        &self,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+        permit: &Permit,
+    ) -> Result<Response<Incoming>, SendError> {
+        let mut exchange = std::pin::pin!(connection.send(request));
+        if let Ok(result) = timeout(SUSPICIOUS_WAIT, &mut exchange).await {
+            return result;
+        }
+        self.gateway.suspect(&permit.grant.endpoint, permit.grant.address);
+        exchange.await
+    }
+
     /// Returns the request as it is sent to the endpoint.
     fn endpoint_request(&self, permit: &Permit, after: Option<u64>) -> Request<Full<Bytes>> {
         let is_model = self.head.model.is_some();
@@ -382,6 +476,9 @@
         // The last response of an endpoint that failed, for the caller if no retry succeeds.
         let mut failed: Option<Response<ResponseBody>> = None;
         loop {
+            if let Some(result) = self.avoid_cut().await {
+                return result;
+            }
             let permit = match self.acquire().await {
                 Ok(permit) => permit,
                 Err(refusal) => return failed.map_or_else(|| Err(self.rejection(refusal)), Ok),
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -322,6 +322,7 @@
     loop {
         gateway.tick_scheduler();
         gateway.pool.remove_expired();
+        gateway.relay.remove_expired();
         let interval = match gateway.scheduler.lock().queue_len() {
             0 if gateway.leads() => LEADER_INTERVAL,
             0 => IDLE_INTERVAL,
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -64,6 +64,12 @@
 /// acquire the lease.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time for which a leader is cut off from the engines before it lets another instance lead.
+const HANDOVER_TIME: Duration = Duration::from_millis(1_500);
+
+/// Additional wait of a candidate that is cut off from the engines.
+const CUT_OFF_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Time beyond the platform's `order_gap` for which a new leader delays its first order.
 const ORDER_MARGIN: Duration = Duration::from_millis(150);
 
@@ -149,6 +155,13 @@
         self.log_change(change);
     }
 
+    /// Returns whether this instance leads without reaching the engines, and another one reaches them.
+    fn should_hand_over(&self) -> bool {
+        self.leads()
+            && self.cut_off_for().is_some_and(|time| time > HANDOVER_TIME)
+            && self.peers.linked_instances().iter().any(|it| it.ready && !it.member.cut_off)
+    }
+
     fn log_change(&self, change: LeaderChange) {
         if let Some(term) = change.lost_term {
             log::warn!("event=leadership_lost term={term} reason=another");
@@ -249,6 +262,10 @@
 /// Renews the lease of this instance, or tries to acquire it while no other instance leads.
 pub async fn maintain_lease(gateway: Arc<Gateway>) {
     loop {
+        if gateway.should_hand_over() {
+            log::warn!("event=handing_over reason=cut_off");
+            resign(&gateway).await;
+        }
         match next_step(&gateway) {
             LeaseStep::Renew(held) => renew(&gateway, held).await,
             LeaseStep::RecordOrders(held) => record_orders(&gateway, held).await,
@@ -288,6 +305,10 @@
 /// Waits as long as [`candidate_wait`] says, then tries to become leader if there still is none.
 async fn acquire(gateway: &Arc<Gateway>) {
     let weakness = weakness(gateway.settings.resources.strength(), &gateway.members.load().list);
+    if gateway.is_cut_off() {
+        // Another instance, which reaches the engines, should lead.
+        sleep(CUT_OFF_WAIT).await;
+    }
     sleep(candidate_wait(weakness, gateway.uptime(), rand::random())).await;
     let LeaseStep::Acquire(revision) = next_step(gateway) else { return };
     if let Err(err) = try_acquire(gateway, revision).await {
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -298,6 +298,7 @@
             hash: operator.hash(),
             term: self.leader().map_or(0, |leader| leader.term),
             version: operator.version(),
+            cut_off: self.is_cut_off(),
             response_age: u32::try_from(response_age.as_millis()).unwrap_or(u32::MAX),
         }
     }
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -134,6 +134,8 @@
             data_centre: settings.data_centre.clone(),
             callers: settings.callers,
             peer: settings.peer,
+            relay: settings.relay,
+            cut_off: self.is_cut_off(),
             strength: settings.resources.strength(),
             named: false,
         }
@@ -142,7 +144,8 @@
     /// Returns the addresses that callers may use.
     ///
     /// An instance without a leader has only its own share of the limits and gives no orders to
-    /// engines. It therefore names itself only if it knows no other member.
+    /// engines. It therefore names itself only if it knows no other member. Members that are cut off
+    /// from the endpoints are named only if all are.
     pub(super) fn caller_addresses(&self) -> Vec<SocketAddr> {
         let members = self.members.load();
         let linked =
@@ -151,7 +154,9 @@
             true => linked && self.is_ready(),
             false => true,
         };
+        let all_cut_off = members.list.iter().filter(is_usable).all(|member| member.cut_off);
         let usable = members.list.iter().filter(is_usable);
+        let usable = usable.filter(|member| all_cut_off || !member.cut_off);
         let named = usable.clone().filter(|member| member.named).map(|member| member.callers);
         let named: Vec<SocketAddr> = named.collect();
         if !named.is_empty() {
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -136,6 +136,9 @@
     /// Time since the store responded to the sender, in milliseconds.
     #[prost(uint32, tag = "6")]
     pub response_age: u32,
+    /// Whether the sender is cut off from the endpoints.
+    #[prost(bool, tag = "7")]
+    pub cut_off: bool,
 }
 
 /// The operators' records: the configuration document and the data centres out of service.
--- a/src/gateway/messages/members.rs
+++ b/src/gateway/messages/members.rs
@@ -71,6 +71,13 @@
     /// Whether callers are told to connect to the instance.
     #[prost(bool, tag = "6")]
     pub named: bool,
+    /// Address at which the instance takes requests of instances that are cut off from the endpoints;
+    /// empty if it takes none.
+    #[prost(string, tag = "7")]
+    pub relay: String,
+    /// Whether the instance is cut off from the endpoints itself.
+    #[prost(bool, tag = "8")]
+    pub cut_off: bool,
 }
 
 impl From<&Leader> for Announcement {
@@ -101,6 +108,8 @@
             peer: member.peer.to_string(),
             strength: member.strength,
             named: member.named,
+            relay: member.relay.to_string(),
+            cut_off: member.cut_off,
         }
     }
 }
@@ -116,6 +125,9 @@
         Ok(Member {
             callers: parse(&frame.callers)?,
             peer: parse(&frame.peer)?,
+            // An earlier release names no such address and relays nothing.
+            relay: parse(if frame.relay.is_empty() { &frame.peer } else { &frame.relay })?,
+            cut_off: frame.cut_off || frame.relay.is_empty(),
             strength: frame.strength,
             named: frame.named,
             data_centre: frame.data_centre.into(),
--- a/src/gateway/messages/requests.rs
+++ b/src/gateway/messages/requests.rs
@@ -310,6 +310,8 @@
     Misplaced = 7,
     /// The instance knows that the endpoint leaves, and has not sent the request.
     Leaving = 8,
+    /// The instance is cut off from the endpoints, and has not sent the request.
+    CutOff = 9,
 }
 
 impl EndFrame {
@@ -325,6 +327,7 @@
             Outcome::Full => OutcomeFrame::Full,
             Outcome::Misplaced => OutcomeFrame::Misplaced,
             Outcome::Leaving => OutcomeFrame::Leaving,
+            Outcome::CutOff => OutcomeFrame::CutOff,
         };
         Self { number, outcome: outcome.into() }
     }
@@ -341,6 +344,7 @@
             OutcomeFrame::Full => Outcome::Full,
             OutcomeFrame::Misplaced => Outcome::Misplaced,
             OutcomeFrame::Leaving => Outcome::Leaving,
+            OutcomeFrame::CutOff => Outcome::CutOff,
         }
     }
 }
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -44,10 +44,10 @@
     let Order { endpoint, address, command, expected } = order;
     let (holder, term) = (&gateway.settings.instance, gateway.leadership.lock().term());
     let request = engine::order_request(&endpoint, &command, expected, holder, term);
-    let result = match call(&gateway, term, address, request).await {
+    let result = match call(&gateway, term, &endpoint, address, request).await {
         Ok((status, _)) => order_result(status),
         Err(SendError::Refused) => {
-            gateway.scheduler.lock().handle_unreachable(&endpoint, Time::now());
+            gateway.report_refused(&endpoint);
             OrderResult::Conflict
         }
         Err(SendError::NotSent(_)) => OrderResult::Conflict,
@@ -74,7 +74,8 @@
 /// Fetches the report of an engine and passes it to the scheduler.
 pub async fn fetch_report(gateway: Arc<Gateway>, endpoint: Arc<str>, address: SocketAddr) {
     let term = gateway.leadership.lock().term();
-    let result = call(&gateway, term, address, engine::report_request(&endpoint)).await;
+    let request = engine::report_request(&endpoint);
+    let result = call(&gateway, term, &endpoint, address, request).await;
     let report = match result {
         Ok((StatusCode::OK, body)) => engine::decode_report(&body)
             .inspect_err(|err| {
@@ -88,7 +89,7 @@
         Err(err) => {
             log::info!("event=report_failed endpoint={endpoint} reason={err}");
             if let SendError::Refused = err {
-                gateway.scheduler.lock().handle_unreachable(&endpoint, Time::now());
+                gateway.report_refused(&endpoint);
             }
             None
         }
@@ -102,16 +103,19 @@
 async fn call(
     gateway: &Gateway,
     term: u64,
+    endpoint: &Arc<str>,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), SendError> {
     let exchange = async {
-        let mut connection = gateway.pool.acquire(address, CONNECT_TIMEOUT).await?;
+        let acquired = gateway.pool.acquire(address, CONNECT_TIMEOUT).await;
+        let mut connection = acquired.inspect_err(|_| gateway.record_reached(endpoint, false))?;
         // The lease may have ended while the connection was opened or the process was paused.
         if !gateway.leadership.lock().may_order_in(term, Time::now()) {
             return Err(SendError::NotSent("not the leader, or may give no orders yet".to_owned()));
         }
         let response = connection.send(request).await?;
+        gateway.record_reached(endpoint, true);
         let status = response.status();
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|err| SendError::Unknown(err.to_string()))?.to_bytes();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -322,7 +322,11 @@
     /// Replies to a heartbeat, with the operators' records if those of the peer are older.
     fn handle_heartbeat(&self, instance: &str, heartbeat: &Heartbeat) {
         let changed = match self.peers.table.lock().get_mut(instance) {
-            Some(peer) => std::mem::replace(&mut peer.ready, heartbeat.ready) != heartbeat.ready,
+            Some(peer) => {
+                let before = (peer.ready, peer.member.cut_off);
+                (peer.ready, peer.member.cut_off) = (heartbeat.ready, heartbeat.cut_off);
+                before != (heartbeat.ready, heartbeat.cut_off)
+            }
             None => false,
         };
         self.peers.send(instance, Content::HeartbeatReply(self.heartbeat()));
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -123,6 +123,20 @@
         self.registry.table.lock().presence(endpoint, incarnation)
     }
 
+    /// Returns the endpoints that do not drain, in the order of their names.
+    pub(super) fn usable_endpoints(&self) -> Vec<EndpointEntry> {
+        let table = self.registry.table.lock();
+        let usable = table.entries().filter(|entry| !entry.draining);
+        let mut all: Vec<EndpointEntry> = usable.cloned().collect();
+        all.sort_by(|a, b| a.id.cmp(&b.id));
+        all
+    }
+
+    /// Returns the service of an endpoint; `None` if the endpoint is not known.
+    pub(super) fn service_of(&self, endpoint: &str) -> Option<Arc<str>> {
+        self.registry.table.lock().get(endpoint).map(|entry| entry.service.clone())
+    }
+
     /// Returns whether this instance must read the endpoints from the store: it leads, or what a
     /// leader has told is too old.
     fn must_watch_endpoints(&self) -> bool {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -95,6 +95,8 @@
     NotRun(Refusal),
     /// The process is stopping, so the request was not sent.
     Stopping,
+    /// No instance that could be asked reaches the endpoints, so the request was not sent.
+    CutOff,
     /// The request was sent, and it is not known whether it ran.
     Unknown,
     /// The deadline has passed; the request may have run.
@@ -107,7 +109,22 @@
 /// `Retry-After` of an instance that stops. It is short because other instances serve at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// `Retry-After` of an instance that is cut off from the endpoints, as others are.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 impl Rejection {
+    /// Returns whether another instance may serve the request, which has not run.
+    pub fn is_local(&self) -> bool {
+        matches!(
+            self,
+            Rejection::NoCatalog
+                | Rejection::NoRoute
+                | Rejection::NoKey
+                | Rejection::Stopping
+                | Rejection::CutOff
+        )
+    }
+
     /// Returns the status of the response.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -118,9 +135,10 @@
             Rejection::NotRun(Refusal { reason: Reason::OverRate, .. }) => {
                 StatusCode::TOO_MANY_REQUESTS
             }
-            Rejection::NotRun(_) | Rejection::NoCatalog | Rejection::Stopping => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Rejection::NotRun(_)
+            | Rejection::NoCatalog
+            | Rejection::Stopping
+            | Rejection::CutOff => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::Unknown => StatusCode::BAD_GATEWAY,
             Rejection::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -133,6 +151,7 @@
             Rejection::NotRun(refusal) => Some(refusal.retry),
             Rejection::NoCatalog => Some(UNREADY_RETRY_AFTER),
             Rejection::Stopping => Some(STOPPING_RETRY_AFTER),
+            Rejection::CutOff => Some(CUT_OFF_RETRY_AFTER),
             _ => None,
         }
     }
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -61,7 +61,7 @@
     leader::resign(&gateway).await;
     let timeout = gateway.settings.stop_timeout.saturating_sub(EXIT_MARGIN);
     while gateway.shutdown.elapsed() < timeout {
-        if gateway.refuses_requests() && gateway.requests.count() == 0 {
+        if gateway.refuses_requests() && gateway.requests.count() + gateway.relay.count() == 0 {
             break;
         }
         sleep(POLL_INTERVAL).await;
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -108,6 +108,9 @@
     // The last response of an endpoint that failed, for the caller if no retry succeeds.
     let mut failed: Option<Response<ResponseBody>> = None;
     loop {
+        if let Some(result) = job.avoid_cut().await {
+            return result;
+        }
         let permit = match job.acquire().await {
             Ok(permit) => permit,
             Err(refusal) => return failed.map_or_else(|| Err(job.rejection(refusal)), Ok),
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -22,6 +22,7 @@
 pub mod pacing;
 pub mod placement;
 pub mod quota;
+pub mod reach;
 pub mod record_age;
 pub mod registry;
 pub mod request_rate;
--- a/src/kernel/endpoint_table.rs
+++ b/src/kernel/endpoint_table.rs
@@ -84,6 +84,11 @@
         self.entries.values()
     }
 
+    /// Returns the entry of an endpoint; `None` if it has none.
+    pub fn get(&self, id: &str) -> Option<&EndpointEntry> {
+        self.entries.get(id)
+    }
+
     /// Replaces all entries by those that were read from the store in `era`.
     pub fn load(&mut self, era: u64, entries: impl IntoIterator<Item = EndpointEntry>, now: Time) {
         let read = entries.into_iter().map(|entry| (entry.id.clone(), entry));
--- a/src/kernel/grants/request.rs
+++ b/src/kernel/grants/request.rs
@@ -146,6 +146,9 @@
     Misplaced,
     /// The entry instance knows that the endpoint drains or is gone; the request was not sent.
     Leaving,
+    /// The entry instance is cut off from the endpoints, so that nothing is known of this one; the
+    /// request was not sent.
+    CutOff,
     /// The caller disconnected, or the deadline passed.
     Left,
 }
@@ -153,7 +156,14 @@
 impl Outcome {
     /// Returns whether the request has certainly not run, although it was granted and is still of use.
     pub fn is_not_run(self) -> bool {
-        matches!(self, Outcome::Unreached | Outcome::Full | Outcome::Misplaced | Outcome::Leaving)
+        matches!(
+            self,
+            Outcome::Unreached
+                | Outcome::Full
+                | Outcome::Misplaced
+                | Outcome::Leaving
+                | Outcome::CutOff
+        )
     }
 }
 
--- a/src/kernel/grants/scheduler/crashes.rs
+++ b/src/kernel/grants/scheduler/crashes.rs
@@ -79,7 +79,11 @@
             Outcome::Broke => self.record_broken_run(id, causes, now),
             Outcome::Unreached => self.confirm_crash(id, now),
             // A misplaced request may have reached another endpoint at the same address.
-            Outcome::Misplaced | Outcome::Silent | Outcome::Leaving | Outcome::Left => {}
+            Outcome::Misplaced
+            | Outcome::Silent
+            | Outcome::Leaving
+            | Outcome::CutOff
+            | Outcome::Left => {}
         }
     }
 
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -93,7 +93,7 @@
             Outcome::Full => endpoint.paused_until = endpoint.paused_until.max(now + FULL_BACKOFF),
             Outcome::Misplaced => endpoint.record_misplaced(now),
             Outcome::Leaving => endpoint.said_leaving = true,
-            Outcome::Left => {}
+            Outcome::CutOff | Outcome::Left => {}
         }
         correct_prefill(endpoint, &self.slowdowns, now);
         self.end_origin(run.request.stream, outcome, now);
--- a/src/kernel/membership.rs
+++ b/src/kernel/membership.rs
@@ -41,6 +41,10 @@
     pub callers: SocketAddr,
     /// Address at which the instance accepts links of other instances.
     pub peer: SocketAddr,
+    /// Address at which the instance takes requests of instances that are cut off from the endpoints.
+    pub relay: SocketAddr,
+    /// Whether the instance is cut off from the endpoints itself.
+    pub cut_off: bool,
     /// Resources of the instance, in thousandths of those that suffice to lead many instances.
     pub strength: u32,
     /// Whether callers are told to connect to the instance.
@@ -130,7 +134,8 @@
     let needed_rate = peak_rate * CAPACITY_FACTOR / count as f64;
     for members in data_centres.values_mut() {
         members.sort_by_key(|member| {
-            (&*member.instance == leader, Reverse(member.strength), member.instance.clone())
+            let is_leader = &*member.instance == leader;
+            (member.cut_off, is_leader, Reverse(member.strength), member.instance.clone())
         });
         let mut rate = 0.0;
         for (index, member) in members.iter_mut().enumerate() {
--- /dev/null
+++ b/src/kernel/reach.rs
@@ -0,0 +1,158 @@
+//! Decides whether an instance has lost its path to the endpoints.
+//!
+//! An endpoint that cannot be reached may be down. If most of the endpoints that an instance has tried
+//! lately cannot be reached, it is the instance that is cut off, and other instances may still reach
+//! them.
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::clock::Time;
+
+/// Time for which an attempt to reach an endpoint counts.
+const EVIDENCE_TTL: Duration = Duration::from_secs(3);
+
+/// Endpoints that must be out of reach before the path is in doubt.
+const MIN_UNREACHED: usize = 2;
+
+/// Endpoints that must be reached before the path counts as mended.
+const MIN_REACHED: usize = 2;
+
+/// The last attempt to reach an endpoint.
+#[derive(Clone, Debug)]
+struct Evidence {
+    service: Arc<str>,
+    reached: bool,
+    at: Time,
+}
+
+/// State of the path from an instance to the endpoints of a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Path {
+    /// The endpoints can be reached, as far as is known.
+    Sound,
+    /// Several endpoints cannot be reached, but not most of them.
+    Doubtful,
+    /// The instance is cut off from the endpoints.
+    Cut,
+}
+
+/// Endpoints that were tried lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tried {
+    reached: usize,
+    unreached: usize,
+}
+
+/// What an instance has seen of its path to the endpoints.
+#[derive(Debug, Default)]
+pub struct Reach {
+    /// The last attempt at each endpoint.
+    evidence: HashMap<Arc<str>, Evidence>,
+    /// Since when the path to the endpoints of all services together is cut; `None` while it is not.
+    cut_since: Option<Time>,
+    /// Services to whose endpoints the path is cut.
+    cut_services: HashSet<Arc<str>>,
+}
+
+impl Reach {
+    /// Records whether an endpoint of a service could be reached. Returns whether the path to all
+    /// services is cut now, if that has changed.
+    pub fn record(
+        &mut self,
+        service: &Arc<str>,
+        endpoint: &Arc<str>,
+        reached: bool,
+        now: Time,
+    ) -> Option<bool> {
+        self.evidence.retain(|_, evidence| now.since(evidence.at) < EVIDENCE_TTL);
+        let evidence = Evidence { service: service.clone(), reached, at: now };
+        self.evidence.insert(endpoint.clone(), evidence);
+        let was_cut = self.cut_services.contains(service);
+        match is_cut(was_cut, self.tried(Some(service), now)) {
+            true => drop(self.cut_services.insert(service.clone())),
+            false => drop(self.cut_services.remove(service)),
+        }
+        let was_cut = self.cut_since.is_some();
+        let is_cut = is_cut(was_cut, self.tried(None, now));
+        if is_cut != was_cut {
+            self.cut_since = is_cut.then_some(now);
+        }
+        (is_cut != was_cut).then_some(is_cut)
+    }
+
+    /// Returns the state of the path to the endpoints of a service.
+    pub fn path(&self, service: &str, now: Time) -> Path {
+        if self.cut_since.is_some() || self.cut_services.contains(service) {
+            return Path::Cut;
+        }
+        match self.tried(Some(service), now).unreached >= MIN_UNREACHED {
+            true => Path::Doubtful,
+            false => Path::Sound,
+        }
+    }
+
+    /// Returns the time for which the path to all services has been cut; `None` if it is not.
+    pub fn cut_for(&self, now: Time) -> Option<Duration> {
+        self.cut_since.map(|since| now.since(since))
+    }
+
+    /// Returns whether the path to the endpoints of a service must be probed.
+    pub fn needs_probe(&self, service: &str) -> bool {
+        self.cut_since.is_some() || self.cut_services.contains(service)
+    }
+
+    /// Returns whether an endpoint of a service was reached lately.
+    pub fn has_reached(&self, service: &str, now: Time) -> bool {
+        self.tried(Some(service), now).reached > 0
+    }
+
+    /// Returns how many endpoints of a service, or of all, were tried lately.
+    fn tried(&self, service: Option<&str>, now: Time) -> Tried {
+        let mut tried = Tried::default();
+        for evidence in self.evidence.values() {
+            let is_old = now.since(evidence.at) >= EVIDENCE_TTL;
+            if is_old || service.is_some_and(|service| *evidence.service != *service) {
+                continue;
+            }
+            match evidence.reached {
+                true => tried.reached += 1,
+                false => tried.unreached += 1,
+            }
+        }
+        tried
+    }
+}
+
+/// Returns whether a path is cut. One that was cut stays so until enough endpoints are reached.
+fn is_cut(was_cut: bool, tried: Tried) -> bool {
+    match was_cut {
+        true => tried.reached < MIN_REACHED || tried.reached < tried.unreached,
+        false => tried.unreached >= MIN_UNREACHED && tried.unreached > tried.reached,
+    }
+}
+
+/// What an instance does with a request that needs an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Ask for a grant, and send the request to the endpoint.
+    Direct,
+    /// Pass the request to another instance.
+    Relay,
+    /// Reject the request: it came from another instance that is cut off too.
+    Reject,
+}
+
+/// Chooses the way of a request. `is_relayed` says whether it came from another instance, and
+/// `was_unreached` whether an attempt has just failed to reach an endpoint.
+pub fn choose_way(path: Path, is_relayed: bool, was_unreached: bool) -> Way {
+    match path {
+        Path::Cut if is_relayed => Way::Reject,
+        Path::Cut => Way::Relay,
+        Path::Doubtful if was_unreached && !is_relayed => Way::Relay,
+        Path::Doubtful | Path::Sound => Way::Direct,
+    }
+}
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -181,6 +181,20 @@
     headers
 }
 
+/// Returns the headers of a caller's request that another instance serves: all but those that concern
+/// the caller's connection, with the time that is left.
+pub fn relayed_headers(caller: &HeaderMap, time_left: Duration) -> HeaderMap {
+    let connection_headers = connection_names(caller);
+    let is_kept = |name: &HeaderName| {
+        let is_listed = connection_headers.iter().any(|listed| listed == name.as_str());
+        !is_listed && !CONNECTION_ONLY.contains(&name.as_str()) && name != header::EXPECT
+    };
+    let kept = caller.iter().filter(|(name, _)| is_kept(name));
+    let mut headers: HeaderMap = kept.map(|(name, value)| (name.clone(), value.clone())).collect();
+    headers.insert(DEADLINE, HeaderValue::from(time_left.as_millis() as u64));
+    headers
+}
+
 /// Returns the names that the `Connection` header lists; they concern the caller's connection only.
 fn connection_names(headers: &HeaderMap) -> Vec<String> {
     let lists = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -19,6 +19,7 @@
     mod pacing;
     mod placement;
     mod quota;
+    mod reach;
     mod record_age;
     mod request_rate;
     mod retry;
--- a/tests/kernel/membership.rs
+++ b/tests/kernel/membership.rs
@@ -19,7 +19,16 @@
     let callers = SocketAddr::from(([10, 0, 0, 1], number));
     let data_centre = format!("dc{}", number % 3).into();
     let instance = format!("i{number:03}").into();
-    Member { instance, data_centre, callers, peer: callers, strength: 1_000, named: false }
+    Member {
+        instance,
+        data_centre,
+        callers,
+        peer: callers,
+        relay: callers,
+        cut_off: false,
+        strength: 1_000,
+        named: false,
+    }
 }
 
 /// Returns the names of the instances that watch the store.
--- /dev/null
+++ b/tests/kernel/reach.rs
@@ -0,0 +1,118 @@
+//! Tests of whether an instance has lost its path to the endpoints.
+
+use std::{sync::Arc, time::Duration};
+
+use cardamomshore::{
+    clock::Time,
+    kernel::reach::{Path, Reach, Way, choose_way},
+};
+
+const START: Time = Time::from_millis(100_000);
+
+const SERVICE: &str = "desk";
+
+fn endpoint(number: usize) -> Arc<str> {
+    format!("e{number}").into()
+}
+
+fn record(reach: &mut Reach, number: usize, reached: bool, at: Time) -> Option<bool> {
+    reach.record(&SERVICE.into(), &endpoint(number), reached, at)
+}
+
+/// Returns what was seen by attempts at the endpoints `e0`, `e1` and so on.
+fn reach(attempts: &[bool]) -> Reach {
+    let mut reach = Reach::default();
+    for (number, reached) in attempts.iter().enumerate() {
+        record(&mut reach, number, *reached, START);
+    }
+    reach
+}
+
+#[test]
+fn path_one_endpoint_down_sound() {
+    assert_eq!(reach(&[false]).path(SERVICE, START), Path::Sound);
+    assert_eq!(reach(&[false, true, true]).path(SERVICE, START), Path::Sound);
+}
+
+#[test]
+fn path_same_endpoint_fails_often_sound() {
+    let mut reach = Reach::default();
+    for _ in 0..9 {
+        record(&mut reach, 0, false, START);
+    }
+    assert_eq!(reach.path(SERVICE, START), Path::Sound);
+}
+
+#[test]
+fn path_most_endpoints_unreached_cut() {
+    assert_eq!(reach(&[false, false]).path(SERVICE, START), Path::Cut);
+    assert_eq!(reach(&[true, false, false]).path(SERVICE, START), Path::Cut);
+}
+
+#[test]
+fn path_some_endpoints_unreached_doubtful() {
+    assert_eq!(reach(&[true, true, true, false, false]).path(SERVICE, START), Path::Doubtful);
+}
+
+#[test]
+fn path_one_service_cut_others_sound() {
+    let mut reach = reach(&[false, false]);
+    for number in 10..14 {
+        reach.record(&"engines".into(), &endpoint(number), true, START);
+    }
+    assert_eq!(reach.path(SERVICE, START), Path::Cut);
+    assert_eq!(reach.path("engines", START), Path::Sound);
+    assert_eq!(reach.cut_for(START), None, "not all services");
+}
+
+#[test]
+fn path_all_services_cut_untried_one_too() {
+    let reach = reach(&[false, false]);
+    assert_eq!(reach.path("engines", START), Path::Cut);
+    assert_eq!(reach.cut_for(START), Some(Duration::ZERO));
+}
+
+#[test]
+fn path_old_attempts_do_not_count() {
+    let mut reach = reach(&[false]);
+    let later = START + Duration::from_secs(4);
+    record(&mut reach, 1, false, later);
+    assert_eq!(reach.path(SERVICE, later), Path::Sound);
+}
+
+#[test]
+fn path_cut_lasts_until_endpoints_are_reached() {
+    let mut reach = reach(&[false, false]);
+    let later = START + Duration::from_secs(10);
+    assert_eq!(reach.path(SERVICE, later), Path::Cut, "nothing was tried meanwhile");
+    assert_eq!(record(&mut reach, 3, true, later), None, "one may be spared");
+    assert_eq!(record(&mut reach, 3, true, later), None, "still the same one");
+    assert_eq!(record(&mut reach, 4, true, later), Some(false));
+    assert_eq!(reach.path(SERVICE, later), Path::Sound);
+}
+
+#[test]
+fn path_half_of_endpoints_down_mends() {
+    let mut reach = reach(&[false, false]);
+    for (number, reached) in [(2, true), (0, false), (3, true), (1, false)] {
+        record(&mut reach, number, reached, START);
+    }
+    assert_eq!(reach.path(SERVICE, START), Path::Doubtful, "the crash of two is no cut");
+}
+
+#[test]
+fn way_of_request_by_path() {
+    assert_eq!(choose_way(Path::Sound, false, true), Way::Direct);
+    assert_eq!(choose_way(Path::Doubtful, false, false), Way::Direct);
+    assert_eq!(choose_way(Path::Doubtful, false, true), Way::Relay);
+    assert_eq!(choose_way(Path::Cut, false, false), Way::Relay);
+}
+
+#[test]
+fn way_relayed_request_not_relayed_again() {
+    for was_unreached in [false, true] {
+        assert_eq!(choose_way(Path::Cut, true, was_unreached), Way::Reject);
+    }
+    assert_eq!(choose_way(Path::Doubtful, true, true), Way::Direct);
+    assert_eq!(choose_way(Path::Sound, true, true), Way::Direct);
+}
--- a/tests/product/updates.rs
+++ b/tests/product/updates.rs
@@ -22,7 +22,16 @@
     let callers = SocketAddr::from(([10, 1, (number >> 8) as u8, number as u8], 8_000));
     let instance = format!("edge-data-centre-a-{number}").into();
     let data_centre = "data-centre-a".into();
-    Member { instance, data_centre, callers, peer: callers, strength: 1_000, named: false }
+    Member {
+        instance,
+        data_centre,
+        callers,
+        peer: callers,
+        relay: callers,
+        cut_off: false,
+        strength: 1_000,
+        named: false,
+    }
 }
 
 fn endpoint(number: u32, models: u32) -> EndpointFrame {
