Check the path to the endpoints before a broken run is blamed for a crash

A cut with resets broke the runs at many engines at once; planta-sur-2 took that for crashes before it found its path cut (cut at 22.0, crash_cause_found at 23.10, endpoints_cut_off at 23.27), and handed the shared part of the prompts to a new leader as a cause, with 12 crashes. All requests with that part were refused then.

Change: three endpoints out of reach since the last one was reached mean a cut, whatever was seen before; and after a broken connection three endpoints are probed at once, before the outcome is told. The kernel's test of the three failed before. The process test of blame passed before too, so it only guards.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -215,7 +215,7 @@
                     self.attempts += 1;
                     return Ok(permit);
                 }
-                Some(outcome) => self.record_failure(permit, outcome),
+                Some(outcome) => self.record_failure(permit, outcome).await,
             }
         }
     }
@@ -265,7 +265,7 @@
 
     /// Records that an attempt failed, releases the grant and excludes the endpoint from further
     /// attempts.
-    pub(super) fn record_failure(&mut self, permit: Permit, outcome: Outcome) {
+    pub(super) async fn record_failure(&mut self, permit: Permit, outcome: Outcome) {
         let (request, endpoint) = (&self.head.request, &permit.grant.endpoint);
         log::info!(
             "event=offer_failed request={request} endpoint={endpoint} outcome={outcome:?} \
@@ -275,6 +275,9 @@
         );
         self.tried.push(endpoint.clone());
         self.was_unreached = outcome == Outcome::Unreached;
+        if matches!(outcome, Outcome::Broke | Outcome::Unreached) {
+            self.gateway.check_path().await;
+        }
         permit.end(self.gateway.without_blame(outcome));
     }
 
@@ -519,26 +522,26 @@
         };
         match self.attempt(&permit, None, time_limit).await {
             AttemptResult::NotRun(outcome) => {
-                self.record_failure(permit, outcome);
+                self.record_failure(permit, outcome).await;
                 Next::Retry
             }
             AttemptResult::Unknown(outcome) => {
                 self.runs += 1;
-                self.record_failure(permit, outcome);
+                self.record_failure(permit, outcome).await;
                 self.next_after_unknown()
             }
             AttemptResult::Response(response, connection, head) => {
                 self.runs += 1;
                 let Some(response) = self.collect_response(response, connection, &head).await
                 else {
-                    self.record_failure(permit, Outcome::Broke);
+                    self.record_failure(permit, Outcome::Broke).await;
                     return self.next_after_unknown();
                 };
                 if !response.status().is_server_error() {
                     permit.end(Outcome::Whole);
                     return Next::Return(response);
                 }
-                self.record_failure(permit, Outcome::Failed);
+                self.record_failure(permit, Outcome::Failed).await;
                 if !self.may_retry() {
                     return Next::Return(response);
                 }
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -6,6 +6,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
+use rand::seq::SliceRandom;
 use tokio::time::sleep;
 
 use super::Gateway;
@@ -23,6 +24,12 @@
 /// Interval of the probes while the path is cut.
 const PROBE_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Least time between two checks of the path.
+const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Endpoints that a check of the path probes.
+const CHECKED_ENDPOINTS: usize = 3;
+
 /// Least time between two probes of endpoints that let requests wait.
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -32,6 +39,8 @@
     seen: Mutex<Reach>,
     /// When an endpoint was last probed because it let a request wait.
     suspected_at: Mutex<Time>,
+    /// When endpoints were last probed because a connection broke. Requests wait for the end of that.
+    checked_at: tokio::sync::Mutex<Time>,
 }
 
 impl Gateway {
@@ -98,6 +107,21 @@
         tokio::spawn(async move { gateway.probe(&endpoint, address).await });
     }
 
+    /// Probes some endpoints at once, unless that was done just before: connections that break may mean
+    /// that an endpoint has crashed, or that this instance is cut off.
+    pub(super) async fn check_path(&self) {
+        let mut checked_at = self.reach.checked_at.lock().await;
+        if Time::now().since(*checked_at) < CHECK_INTERVAL || self.is_cut_off() {
+            return;
+        }
+        let mut endpoints = self.usable_endpoints();
+        endpoints.shuffle(&mut rand::rng());
+        endpoints.truncate(CHECKED_ENDPOINTS);
+        let probes = endpoints.iter().map(|endpoint| self.probe(&endpoint.id, endpoint.address));
+        futures_util::future::join_all(probes).await;
+        *checked_at = Time::now();
+    }
+
     async fn probe(&self, endpoint: &Arc<str>, address: SocketAddr) {
         let reached = self.pool.can_connect(address, PROBE_TIMEOUT).await;
         self.record_reached(endpoint, reached);
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -149,12 +149,12 @@
     let time_limit = if is_last_run { Duration::MAX } else { time_limit };
     let (response, connection, head) = match job.attempt(&permit, after, time_limit).await {
         AttemptResult::NotRun(outcome) => {
-            job.record_failure(permit, outcome);
+            job.record_failure(permit, outcome).await;
             return Start::NotStarted(Next::Retry);
         }
         AttemptResult::Unknown(outcome) => {
             job.runs += 1;
-            job.record_failure(permit, outcome);
+            job.record_failure(permit, outcome).await;
             return Start::NotStarted(job.next_after_unknown());
         }
         AttemptResult::Response(response, connection, head) => (response, connection, head),
@@ -175,15 +175,15 @@
         }
         Ok(Part::End) => {
             // A successful response without events is no stream, so there is nothing to pass on.
-            job.record_failure(permit, Outcome::Broke);
+            job.record_failure(permit, Outcome::Broke).await;
             Start::NotStarted(job.next_after_unknown())
         }
         Ok(Part::Broken) => {
-            job.record_failure(permit, Outcome::Broke);
+            job.record_failure(permit, Outcome::Broke).await;
             Start::NotStarted(job.next_after_unknown())
         }
         Err(_) => {
-            job.record_failure(permit, Outcome::Silent);
+            job.record_failure(permit, Outcome::Silent).await;
             Start::NotStarted(job.next_after_unknown())
         }
     }
@@ -198,11 +198,11 @@
     head: &ResponseHead,
 ) -> Start {
     let Some(response) = job.collect_response(response, connection, head).await else {
-        job.record_failure(permit, Outcome::Broke);
+        job.record_failure(permit, Outcome::Broke).await;
         return Start::NotStarted(job.next_after_unknown());
     };
     if response.status().is_server_error() {
-        job.record_failure(permit, Outcome::Failed);
+        job.record_failure(permit, Outcome::Failed).await;
     } else {
         permit.end(Outcome::Whole);
     }
@@ -257,7 +257,7 @@
             Ending::Broken(outcome) => {
                 // The connection is closed before another endpoint resumes the stream.
                 drop(reader);
-                job.record_failure(permit, outcome);
+                job.record_failure(permit, outcome).await;
             }
         }
         match resume(&mut job, &tx, last).await {
--- a/src/kernel/reach.rs
+++ b/src/kernel/reach.rs
@@ -18,6 +18,10 @@
 /// Endpoints that must be out of reach before the path is in doubt.
 const MIN_UNREACHED: usize = 2;
 
+/// Endpoints out of reach since the last one was reached, by which the path is cut whatever was seen
+/// before.
+const MIN_UNREACHED_IN_A_ROW: usize = 3;
+
 /// Endpoints that must be reached before the path counts as mended.
 const MIN_REACHED: usize = 2;
 
@@ -56,6 +60,8 @@
     cut_since: Option<Time>,
     /// Services to whose endpoints the path is cut.
     cut_services: HashSet<Arc<str>>,
+    /// Endpoints that were out of reach since the last one was reached.
+    unreached_in_a_row: HashSet<Arc<str>>,
 }
 
 impl Reach {
@@ -76,8 +82,13 @@
             true => drop(self.cut_services.insert(service.clone())),
             false => drop(self.cut_services.remove(service)),
         }
+        match reached {
+            true => self.unreached_in_a_row.clear(),
+            false => drop(self.unreached_in_a_row.insert(endpoint.clone())),
+        }
         let was_cut = self.cut_since.is_some();
-        let is_cut = is_cut(was_cut, self.tried(None, now));
+        let is_cut = self.unreached_in_a_row.len() >= MIN_UNREACHED_IN_A_ROW
+            || is_cut(was_cut, self.tried(None, now));
         if is_cut != was_cut {
             self.cut_since = is_cut.then_some(now);
         }
--- a/src/standin/http1.rs
+++ b/src/standin/http1.rs
@@ -4,7 +4,7 @@
 use std::{
     future::Future,
     io,
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     os::fd::AsFd,
 };
 
@@ -66,6 +66,8 @@
     Open,
     /// Those of these hosts.
     From(Vec<Ipv4Addr>),
+    /// Those of these hosts, whose connections are closed first.
+    Closing(Vec<Ipv4Addr>),
     /// All.
     Closed,
 }
@@ -75,7 +77,7 @@
     fn apply(&self, socket: &SockRef<'_>) -> io::Result<()> {
         let hosts: &[Ipv4Addr] = match self {
             PacketFilter::Open => return socket.detach_filter().or(Ok(())),
-            PacketFilter::From(hosts) => hosts,
+            PacketFilter::From(hosts) | PacketFilter::Closing(hosts) => hosts,
             PacketFilter::Closed => &[],
         };
         let mut program = vec![SockFilter::new(LOAD_WORD, 0, 0, SOURCE_OFFSET)];
@@ -137,14 +139,14 @@
                         continue;
                     }
                 };
-                let Ok((stream, _)) = accepted else { return };
+                let Ok((stream, peer)) = accepted else { return };
                 let (handler, mut ended) = (handler.clone(), ended.clone());
                 let filters = filters.clone();
                 tokio::spawn(async move {
                     let Ok(socket) = stream.as_fd().try_clone_to_owned() else { return };
                     tokio::select! {
                         () = serve(stream, handler) => {}
-                        () = follow_filter(filters, SockRef::from(&socket)) => {}
+                        () = follow_filter(filters, SockRef::from(&socket), peer.ip()) => {}
                         _ = ended.changed() => {}
                     }
                 });
@@ -165,10 +167,19 @@
     }
 }
 
-/// Applies the filter to a connection, each time that it changes. Does not end.
-async fn follow_filter(mut filters: watch::Receiver<PacketFilter>, socket: SockRef<'_>) {
+/// Applies the filter to a connection of `host`, each time that it changes. Returns when the filter
+/// closes the connection.
+async fn follow_filter(
+    mut filters: watch::Receiver<PacketFilter>,
+    socket: SockRef<'_>,
+    host: IpAddr,
+) {
     apply_filter(&filters, &socket);
     while filters.changed().await.is_ok() {
+        let closes = |hosts: &[Ipv4Addr]| hosts.iter().any(|it| host == IpAddr::from(*it));
+        if matches!(&*filters.borrow(), PacketFilter::Closing(hosts) if closes(hosts)) {
+            return;
+        }
         apply_filter(&filters, &socket);
     }
     std::future::pending().await
--- a/tests/kernel/reach.rs
+++ b/tests/kernel/reach.rs
@@ -54,6 +54,25 @@
     assert_eq!(reach(&[true, true, true, false, false]).path(SERVICE, START), Path::Doubtful);
 }
 
+#[test]
+fn path_three_unreached_since_last_success_cut() {
+    let mut reach = reach(&[true; 12]);
+    for number in [0, 1] {
+        record(&mut reach, number, false, START);
+    }
+    assert_eq!(reach.cut_for(START), None, "two endpoints may have crashed");
+    assert_eq!(record(&mut reach, 2, false, START), Some(true), "nothing is reached any more");
+}
+
+#[test]
+fn path_unreached_between_successes_not_cut() {
+    let mut reach = reach(&[true; 12]);
+    for number in 0..4 {
+        record(&mut reach, number, false, START);
+        assert_eq!(record(&mut reach, 10 + number % 2, true, START), None);
+    }
+}
+
 #[test]
 fn path_one_service_cut_others_sound() {
     let mut reach = reach(&[false, false]);
--- a/tests/process/cut_off.rs
+++ b/tests/process/cut_off.rs
@@ -1,6 +1,6 @@
 //! Tests of gateways that have lost their links to all endpoints.
 
-use std::time::Duration;
+use std::{net::Ipv4Addr, time::Duration};
 
 use cardamomshore::standin::{http1::PacketFilter, worker::LAST_EVENT};
 use tokio::time::{Instant, sleep, timeout};
@@ -39,11 +39,17 @@
     (world, leader)
 }
 
+fn hosts(world: &World, gateways: &[usize]) -> Vec<Ipv4Addr> {
+    gateways.iter().map(|index| world.gateways[*index].source).collect()
+}
+
+fn set_filter(world: &World, filter: &PacketFilter) {
+    world.workers.iter().for_each(|worker| worker.set_filter(filter.clone()));
+}
+
 /// Cuts gateways off from all endpoints; all packets are dropped.
 fn cut(world: &World, gateways: &[usize]) {
-    let hosts = gateways.iter().map(|index| world.gateways[*index].source).collect();
-    let filter = PacketFilter::From(hosts);
-    world.workers.iter().for_each(|worker| worker.set_filter(filter.clone()));
+    set_filter(world, &PacketFilter::From(hosts(world, gateways)));
 }
 
 /// Sends requests to a gateway until the time is over, as callers do that keep its address.
@@ -131,3 +137,37 @@
         }
     });
 }
+
+#[test]
+fn cut_off_while_streams_run_blames_no_prompt() {
+    block_on(async {
+        let versions = ["v1"; 6];
+        let world = World::start_in("cut-off-blame", &HOMES, &versions).await;
+        sleep(Duration::from_millis(1_500)).await;
+        let leader = world.leader().expect("expected a leader");
+        let last = LAST_EVENT as usize;
+        for gateway in 0..HOMES.len() {
+            let ids = (0..30).map(|_| format!("{:016x}", rand::random::<u64>()));
+            let ids: Vec<String> = ids.collect();
+            let streams = ids.iter().map(|id| world.stream(gateway, id, None, last));
+            let streams = futures_util::future::join_all(streams);
+            let cut = async {
+                sleep(Duration::from_millis(200)).await;
+                set_filter(&world, &PacketFilter::Closing(hosts(&world, &[gateway])));
+                sleep(Duration::from_millis(2_500)).await;
+            };
+            tokio::join!(streams, cut);
+            let other = (gateway + 1) % HOMES.len();
+            for number in 0..REQUESTS {
+                let id = format!("{:016x}", rand::random::<u64>());
+                let stream = world.stream(other, &id, None, 1).await;
+                assert!(
+                    matches!(stream, Some((200, _))),
+                    "{number} after {gateway}, leader {leader}"
+                );
+            }
+            set_filter(&world, &PacketFilter::Open);
+            sleep(CONTACT_TIME).await;
+        }
+    });
+}
