Let a leader that is cut off hand over only to an instance that reaches the endpoints

Six of eight instances were cut off, all of those that watch the store among them. The lead went from one of them to the next 30 times in 10 s; without a leader each instance has only its share of the teams' rates (552 refusals OverRate).

Change: those that watch the store are chosen among the instances that reach the endpoints first, and a leader hands over only if one of them does, and not within 6 s of its election. The kernel's tests of both could not pass before: the function is new, and watchers were chosen by strength and name alone.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -21,7 +21,7 @@
     kernel::{
         candidacy::candidate_wait,
         leadership::{HeldLease, LEASE_TTL, LastLeader, Leader, LeaderChange, LeaseStep},
-        membership::weakness,
+        membership::{should_hand_over, weakness},
         revision::Revision,
     },
     platform::store::{Event, Item, Put, PutResult, StoreError, WatchResult},
@@ -64,9 +64,6 @@
 /// acquire the lease.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time for which a leader is cut off from the engines before it lets another instance lead.
-const HANDOVER_TIME: Duration = Duration::from_millis(1_500);
-
 /// Additional wait of a candidate that is cut off from the engines.
 const CUT_OFF_WAIT: Duration = Duration::from_millis(1_000);
 
@@ -155,11 +152,12 @@
         self.log_change(change);
     }
 
-    /// Returns whether this instance leads without reaching the engines, and another one reaches them.
+    /// Returns whether this instance leads without reaching the engines and lets another one lead.
     fn should_hand_over(&self) -> bool {
-        self.leads()
-            && self.cut_off_for().is_some_and(|time| time > HANDOVER_TIME)
-            && self.peers.linked_instances().iter().any(|it| it.ready && !it.member.cut_off)
+        let Some(cut_off_for) = self.cut_off_for().filter(|_| self.leads()) else { return false };
+        let (_, led_for) = self.leadership.lock().succession(Time::now());
+        let members = self.members.load();
+        should_hand_over(&members.list, &self.settings.instance, cut_off_for, led_for)
     }
 
     fn log_change(&self, change: LeaderChange) {
--- a/src/kernel/membership.rs
+++ b/src/kernel/membership.rs
@@ -30,6 +30,12 @@
 /// rest, since some callers keep old addresses.
 const NAMED_RATE_FRACTION: f64 = 0.85;
 
+/// Time for which a leader is cut off from the endpoints before it lets another instance lead.
+const MAX_CUT_OFF_TIME: Duration = Duration::from_millis(1_500);
+
+/// Least time for which a leader leads. A new one gives no orders for most of it.
+const MIN_LEAD_TIME: Duration = Duration::from_secs(6);
+
 /// A member: an instance that is ready to serve callers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Member {
@@ -83,7 +89,7 @@
 }
 
 /// Returns the instances that watch the store besides the leader: the strongest of each data centre,
-/// and of equal ones the first by name.
+/// and of equal ones the first by name. Those that are cut off from the endpoints come last.
 ///
 /// They learn at once when the leader's lease ends, and one of them becomes leader. All others hear
 /// from the new leader itself, so that a change of the leader does not cost the store several calls
@@ -92,7 +98,8 @@
     let mut watchers: BTreeMap<&str, &Member> = BTreeMap::new();
     for member in members.iter().filter(|member| Some(&*member.instance) != leader) {
         let strongest = watchers.entry(&*member.data_centre).or_insert(member);
-        let rank = |member: &Member| (Reverse(member.strength), member.instance.clone());
+        let rank =
+            |member: &Member| (member.cut_off, Reverse(member.strength), member.instance.clone());
         if rank(member) < rank(strongest) {
             *strongest = member;
         }
@@ -100,6 +107,20 @@
     watchers.into_values().collect()
 }
 
+/// Returns whether a leader that has been cut off from the endpoints for `cut_off_for`, and was elected
+/// `led_for` ago, lets another instance lead. One that watches the store must reach the endpoints, or
+/// the lead would go from one instance that is cut off to the next.
+pub fn should_hand_over(
+    members: &[Member],
+    leader: &str,
+    cut_off_for: Duration,
+    led_for: Duration,
+) -> bool {
+    cut_off_for > MAX_CUT_OFF_TIME
+        && led_for > MIN_LEAD_TIME
+        && store_watchers(members, Some(leader)).iter().any(|member| !member.cut_off)
+}
+
 /// Returns how weak an instance is compared with the strongest member: from 0, for the strongest
 /// itself, to 1.
 pub fn weakness(strength: u32, members: &[Member]) -> f64 {
--- a/tests/kernel/membership.rs
+++ b/tests/kernel/membership.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use cardamomshore::kernel::membership::{
-    LinkedInstance, Member, current_members, lone_share, name_members, store_watchers, weakness,
+    LinkedInstance, Member, current_members, lone_share, name_members, should_hand_over,
+    store_watchers, weakness,
 };
 
 /// Time since the election of a leader that all instances have joined.
@@ -41,6 +42,29 @@
     LinkedInstance { member: member(number), ready }
 }
 
+#[test]
+fn watchers_cut_off_member_only_without_others() {
+    let cut_off = |number| Member { cut_off: true, ..member(number) };
+    let members = [cut_off(0), member(3), cut_off(1)];
+    let names = |members: &[Member]| -> Vec<String> {
+        let watchers = store_watchers(members, None);
+        watchers.iter().map(|member| member.instance.to_string()).collect()
+    };
+    assert!(names(&members).contains(&member(3).instance.to_string()), "{members:?}");
+    assert!(!names(&members[1..]).is_empty());
+    assert_eq!(names(&members[..1]), [cut_off(0).instance.to_string()]);
+}
+
+#[test]
+fn handover_needs_member_that_reaches_endpoints() {
+    let cut_off = |number| Member { cut_off: true, ..member(number) };
+    let long = Duration::from_secs(20);
+    assert!(should_hand_over(&[cut_off(0), member(3)], "leader", long, long));
+    assert!(!should_hand_over(&[cut_off(0), cut_off(3)], "leader", long, long), "all are cut off");
+    assert!(!should_hand_over(&[member(3)], "leader", Duration::ZERO, long), "may be short");
+    assert!(!should_hand_over(&[member(3)], "leader", long, Duration::ZERO), "elected just now");
+}
+
 #[test]
 fn members_only_ready_instances() {
     let linked = [linked(2, true), linked(1, true), linked(3, false)];
