Reset a connection whose request was given up, also if its task ends first

A fault of the product: a request that was given up could still arrive once a link healed (GONE).

Cause: the caller's future is dropped before the connection. If the connection's task runs in between, the HTTP library notices that nobody waits and shuts the stream down in order; the end is queued behind the request, and the linger time resets nothing any more. Shown by the test: the server reads the end (Ok(0)) where it must read a reset.

--- a/src/http.rs
+++ b/src/http.rs
@@ -2,6 +2,7 @@
 
 mod incoming;
 pub mod pool;
+mod reset_stream;
 
 use std::{
     error::Error,
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -28,6 +28,8 @@
     time::{Instant, timeout},
 };
 
+use super::reset_stream::ResetStream;
+
 /// Longest time without acknowledgement of sent bytes or probes before a connection counts as broken.
 const ACK_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -120,14 +122,6 @@
     }
 }
 
-/// Makes the end of a connection a reset, so that what is still on the way is dropped. A request that
-/// was given up must not arrive once a link heals.
-fn reset_at_end(stream: &TcpStream) {
-    if let Err(err) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::debug!("event=socket_option_failed reason={err}");
-    }
-}
-
 /// Opens a TCP connection within `time_limit`.
 pub async fn connect(address: SocketAddr, time_limit: Duration) -> std::io::Result<TcpStream> {
     connect_with(address, time_limit, &ConnectOptions::default()).await
@@ -175,8 +169,7 @@
             ErrorKind::ConnectionRefused => SendError::Refused,
             _ => SendError::NotSent(err.to_string()),
         })?;
-        reset_at_end(&stream);
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let handshake = http1::handshake(TokioIo::new(ResetStream::from(stream))).await;
         let (sender, driver) = handshake.map_err(|err| SendError::NotSent(err.to_string()))?;
         metrics::counter!("cardamomshore_connections_opened_total").increment(1);
         log::debug!("event=connection_opened address={address}");
