--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -74,7 +74,7 @@
     let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
     let expected = header(&parts.headers, "x-expect-instance");
     if !expected.is_empty() && *expected != *shared.state.lock().id {
-        return Ok(not_run(StatusCode::MISDIRECTED_REQUEST));
+        return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, &parts.headers));
     }
     match parts.uri.path() {
         "/api/report" => Ok(report(&shared)),
@@ -84,9 +84,12 @@
 }
 
 /// Returns a response that says that the request has not run.
-fn not_run(status: StatusCode) -> Response<Body> {
+fn not_run(status: StatusCode, request: &HeaderMap) -> Response<Body> {
     let mut response = whole_response(status, Bytes::new());
     response.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
+    if let Some(id) = request.get("x-request-id") {
+        response.headers_mut().insert("x-request-id", id.clone());
+    }
     response
 }
 
@@ -151,10 +154,10 @@
     let (endpoint, version, running) = {
         let mut state = shared.state.lock();
         if !model.is_empty() && !state.models.contains(model) {
-            return Ok(not_run(StatusCode::MISDIRECTED_REQUEST));
+            return Ok(not_run(StatusCode::MISDIRECTED_REQUEST, headers));
         }
         if state.running >= shared.settings.slots {
-            return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE));
+            return Ok(not_run(StatusCode::SERVICE_UNAVAILABLE, headers));
         }
         state.running += 1;
         (state.id.clone(), state.version.clone(), Running(shared.clone()))
--- a/tests/product/pool.rs
+++ b/tests/product/pool.rs
@@ -136,3 +136,42 @@
         assert_eq!(response.expect("expected the answer").status(), StatusCode::OK);
     });
 }
+
+#[test]
+fn send_head_cut_short_fails() {
+    for head in ["HTTP/1.1 200 OK\r\nx-server-stamp: a.b", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 2"] {
+        block_on(async {
+            let (address, _) = serve_once(head.as_bytes()).await;
+            let pool = Arc::new(Pool::default());
+            let mut connection = pool.acquire(address, WIDE_LIMIT).await.expect("it listens");
+            let sent = connection.send(request()).await;
+            assert!(matches!(sent, Err(SendError::Unknown(_))), "{head:?} is no whole head");
+        });
+    }
+}
+
+#[test]
+fn send_body_cut_short_fails() {
+    block_on(async {
+        let (address, _) = serve_once(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nans").await;
+        let pool = Arc::new(Pool::default());
+        let mut connection = pool.acquire(address, WIDE_LIMIT).await.expect("the server listens");
+        let response = connection.send(request()).await.expect("the head is complete");
+        assert!(response.into_body().collect().await.is_err(), "the body is not complete");
+    });
+}
+
+/// Starts a server that sends `answer` once and closes the connection in order.
+async fn serve_once(answer: &[u8]) -> (SocketAddr, tokio::task::JoinHandle<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the listener has an address");
+    let answer = answer.to_vec();
+    let task = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection arrives");
+        let mut request = [0; 1_024];
+        let _ = stream.read(&mut request).await;
+        let _ = stream.write_all(&answer).await;
+        let _ = stream.shutdown().await;
+    });
+    (address, task)
+}
