Believe a refusal on a used connection only if it names the request

A refusal that names another request was caught here before. One that names none was believed. It counts as unknown now, unless nothing came before it on the connection. The test could not pass before: a head without a name was a refusal.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -423,6 +423,10 @@
         if !misdirected && (head.rate_limit.is_some() || is_own_success) {
             self.gateway.record_rate_limit(&permit.grant, head.rate_limit, sent_at);
         }
+        if head.not_run && !head.refuses(&self.head.request, connection.is_fresh()) {
+            log::info!("event=refusal_not_named request={}", self.head.request);
+            return AttemptResult::Unknown(Outcome::Broke);
+        }
         if head.not_run {
             return AttemptResult::NotRun(if misdirected {
                 Outcome::Misplaced
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -227,6 +227,17 @@
     pub keep_alive: Option<Duration>,
 }
 
+impl ResponseHead {
+    /// Returns whether the endpoint has certainly not run the request `id`.
+    ///
+    /// A faulty endpoint may send an earlier refusal once more on a connection that was used before, so
+    /// the refusal must name the request there.
+    pub fn refuses(&self, id: &str, is_fresh: bool) -> bool {
+        let names_request = self.request.as_deref().map_or(is_fresh, |named| named == id);
+        self.not_run && names_request
+    }
+}
+
 /// Decodes the headers of an endpoint's response.
 pub fn response_head(status: http::StatusCode, headers: &HeaderMap) -> ResponseHead {
     let misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
--- a/tests/product/platform.rs
+++ b/tests/product/platform.rs
@@ -214,3 +214,20 @@
     let error = GatewaySettings::parse(&text).expect_err("the address is not valid").to_string();
     assert!(error.contains("store"), "{error}");
 }
+
+fn refusal(id: Option<&str>) -> caller::ResponseHead {
+    let mut headers = http::HeaderMap::new();
+    headers.insert("x-not-executed", HeaderValue::from_static("1"));
+    if let Some(id) = id {
+        headers.insert("x-request-id", HeaderValue::from_str(id).expect("a header value"));
+    }
+    caller::response_head(StatusCode::SERVICE_UNAVAILABLE, &headers)
+}
+
+#[test]
+fn refusal_on_used_connection_must_name_request() {
+    assert!(refusal(Some("a1")).refuses("a1", false));
+    assert!(!refusal(None).refuses("a1", false), "it may be an earlier one, sent once more");
+    assert!(refusal(None).refuses("a1", true), "nothing came before it on this connection");
+    assert!(!refusal(Some("b2")).refuses("a1", true), "it is that of another request");
+}
