--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -46,6 +46,7 @@
         grants::{Mode, Scheduler},
         leadership::Leadership,
         record_age::RecordAge,
+        send_gate::SendGate,
     },
     platform::store::Store,
 };
@@ -65,6 +66,8 @@
     leadership: Mutex<Leadership>,
     /// Age of what this instance knows of the store's records.
     record_age: RecordAge,
+    /// What endpoints have told this instance.
+    gate: Mutex<SendGate>,
     /// What this instance has seen of its path to the endpoints.
     reach: reach::EndpointReach,
     /// Requests that other instances send to endpoints for this one.
@@ -122,6 +125,7 @@
             requests: grants::Requests::default(),
             leadership: Mutex::new(Leadership::new(settings.instance.clone())),
             record_age: RecordAge::new(Time::now()),
+            gate: Mutex::default(),
             reach: reach::EndpointReach::default(),
             relay: relay::Relay::default(),
             uplink: link::Uplink::default(),
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -187,7 +187,7 @@
             due: self.due,
             deadline: self.deadline,
             work,
-            tried: self.tried.clone(),
+            tried: self.tried.iter().cloned().chain(self.gateway.closed_endpoints()).collect(),
             is_retry: self.attempts > 0,
             fingerprint: self.fingerprint,
             stream: self.stream_id(),
@@ -423,6 +423,7 @@
         if !misdirected && (head.rate_limit.is_some() || is_own_success) {
             self.gateway.record_rate_limit(&permit.grant, head.rate_limit, sent_at);
         }
+        self.gateway.record_signs(&permit.grant, &head);
         if head.not_run && !head.refuses(&self.head.request, connection.is_fresh()) {
             log::info!("event=refusal_not_named request={}", self.head.request);
             return AttemptResult::Unknown(Outcome::Broke);
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -29,6 +29,7 @@
 pub mod retry;
 pub mod revision;
 pub mod routing;
+pub mod send_gate;
 pub mod shares;
 pub mod stewardship;
 pub mod stopping;
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -19,6 +19,11 @@
 const STAMP: HeaderName = HeaderName::from_static("x-server-stamp");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
+
+/// Value of [`LEAVING`] by which an endpoint says that it leaves.
+const IS_LEAVING: &str = "1";
 
 /// Scheme of the `Authorization` header.
 const KEY_SCHEME: &str = "Token ";
@@ -225,6 +230,13 @@
     pub rate_limit: Option<f64>,
     /// Longest time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// Whether the endpoint leaves.
+    pub leaving: bool,
+    /// Time for which the endpoint wants no requests of this instance; `None` if it names none.
+    pub pause: Option<Duration>,
+    /// Requests that the endpoint may refuse in a second for want of room before it fails; `None` if it
+    /// names no such number.
+    pub max_refusals: Option<u32>,
 }
 
 impl ResponseHead {
@@ -258,9 +270,20 @@
         load,
         rate_limit: header_text(headers, &LIMIT).and_then(parse_rate_limit),
         keep_alive,
+        leaving: header_text(headers, &LEAVING).is_some_and(|value| value.trim() == IS_LEAVING),
+        pause: (status == http::StatusCode::SERVICE_UNAVAILABLE)
+            .then(|| header_text(headers, &header::RETRY_AFTER).and_then(parse_seconds))
+            .flatten(),
+        max_refusals: header_text(headers, &BRITTLE).and_then(|value| value.trim().parse().ok()),
     }
 }
 
+/// Parses a time in seconds, which may have a fraction.
+fn parse_seconds(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 /// Parses a number of requests a second, which is not negative.
 fn parse_rate_limit(value: &str) -> Option<f64> {
     value.trim().parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0)
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -25,6 +25,7 @@
     mod retry;
     mod routing;
     mod runner;
+    mod send_gate;
     mod shutdown;
     mod stewardship;
     mod stopping;
--- a/tests/product/platform.rs
+++ b/tests/product/platform.rs
@@ -231,3 +231,19 @@
     assert!(refusal(None).refuses("a1", true), "nothing came before it on this connection");
     assert!(!refusal(Some("b2")).refuses("a1", true), "it is that of another request");
 }
+
+#[test]
+fn response_head_says_leaving_pause_and_brittle() {
+    let mut headers = http::HeaderMap::new();
+    let sound = caller::response_head(StatusCode::OK, &headers);
+    assert_eq!((sound.leaving, sound.pause, sound.max_refusals), (false, None, None));
+    headers.insert("server-leaving", HeaderValue::from_static("1"));
+    headers.insert("server-brittle", HeaderValue::from_static("6"));
+    headers.insert("retry-after", HeaderValue::from_static("2.5"));
+    let head = caller::response_head(StatusCode::SERVICE_UNAVAILABLE, &headers);
+    assert!(head.leaving);
+    assert_eq!(head.max_refusals, Some(6));
+    assert_eq!(head.pause, Some(std::time::Duration::from_millis(2_500)));
+    let head = caller::response_head(StatusCode::OK, &headers);
+    assert_eq!(head.pause, None, "only a refusal asks for a pause");
+}
