Let nothing wait at endpoints that fail when they must refuse many requests

A brittle endpoint gets no more requests than it has slots, and rests for a second after a refusal, for all instances. Kernel tests of both, which could not pass before.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -424,6 +424,9 @@
             self.gateway.record_rate_limit(&permit.grant, head.rate_limit, sent_at);
         }
         self.gateway.record_signs(&permit.grant, &head);
+        if let Some(max_refusals) = head.max_refusals {
+            permit.record_max_refusals(max_refusals);
+        }
         if head.not_run && !head.refuses(&self.head.request, connection.is_fresh()) {
             log::info!("event=refusal_not_named request={}", self.head.request);
             return AttemptResult::Unknown(Outcome::Broke);
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -77,6 +77,8 @@
     number: u64,
     /// The grant.
     pub grant: Grant,
+    /// Refusals in a second after which the endpoint fails, if its response names such a number.
+    max_refusals: OnceLock<u32>,
 }
 
 impl Permit {
@@ -88,15 +90,21 @@
         gateway.scheduler.lock().record_first_event(&gateway.grant_key(self.number), Time::now());
     }
 
+    /// Records after how many refusals in a second the endpoint fails.
+    pub fn record_max_refusals(&self, max_refusals: u32) {
+        let _ = self.max_refusals.set(max_refusals);
+    }
+
     /// Ends the request with `outcome`, which releases the grant.
     pub fn end(self, outcome: Outcome) {
-        self.gateway.end_request(self.number, outcome);
+        self.gateway.end_request(self.number, outcome, self.max_refusals.get().copied());
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.gateway.end_request(self.number, Outcome::Left);
+        let max_refusals = self.max_refusals.get().copied();
+        self.gateway.end_request(self.number, Outcome::Left, max_refusals);
     }
 }
 
@@ -110,7 +118,7 @@
 impl Drop for WithdrawGuard<'_> {
     fn drop(&mut self) {
         if let Some(number) = self.number {
-            self.gateway.end_request(number, Outcome::Left);
+            self.gateway.end_request(number, Outcome::Left, None);
         }
     }
 }
@@ -133,7 +141,7 @@
     match result {
         Ok(Ok(grant)) => {
             gateway.scheduler.lock().record_own_grant(service, is_retry, Time::now());
-            Ok(Permit { gateway, number, grant })
+            Ok(Permit { gateway, number, grant, max_refusals: OnceLock::new() })
         }
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => {
@@ -239,13 +247,18 @@
 
     /// Ends a request in this instance's scheduler and at the leader; does nothing if it has ended
     /// already.
-    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome) {
+    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome, max_refusals: Option<u32>) {
         if self.requests.table.lock().remove(&number).is_none() {
             return;
         }
-        self.uplink.send(Content::Ended(EndFrame::new(number, outcome)));
-        let actions =
-            self.scheduler.lock().handle_outcome(&self.grant_key(number), outcome, Time::now());
+        let frame = EndFrame { max_refusals, ..EndFrame::new(number, outcome) };
+        self.uplink.send(Content::Ended(frame));
+        let (key, now) = (self.grant_key(number), Time::now());
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.record_max_refusals(&key, max_refusals, outcome);
+            scheduler.handle_outcome(&key, outcome, now)
+        };
         self.apply_actions(actions);
     }
 
--- a/src/gateway/messages/requests.rs
+++ b/src/gateway/messages/requests.rs
@@ -285,6 +285,10 @@
     /// Outcome of the request, an [`OutcomeFrame`].
     #[prost(enumeration = "OutcomeFrame", tag = "2")]
     pub outcome: i32,
+    /// Refusals in a second after which the endpoint fails, as its response says; missing if it names
+    /// no such number, or has not responded.
+    #[prost(uint32, optional, tag = "3")]
+    pub max_refusals: Option<u32>,
 }
 
 /// Outcome of a request, as encoded in a frame.
@@ -329,7 +333,7 @@
             Outcome::Leaving => OutcomeFrame::Leaving,
             Outcome::CutOff => OutcomeFrame::CutOff,
         };
-        Self { number, outcome: outcome.into() }
+        Self { number, outcome: outcome.into(), max_refusals: None }
     }
 
     /// Returns the outcome.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -276,11 +276,13 @@
             gateway.scheduler.lock().record_first_event(&key(frame.number), now)
         }
         Content::Ended(frame) => {
-            let actions = gateway.scheduler.lock().handle_outcome(
-                &key(frame.number),
-                frame.to_outcome(),
-                now,
-            );
+            let key = key(frame.number);
+            let actions = {
+                let mut scheduler = gateway.scheduler.lock();
+                let outcome = frame.to_outcome();
+                scheduler.record_max_refusals(&key, frame.max_refusals, outcome);
+                scheduler.handle_outcome(&key, outcome, now)
+            };
             gateway.apply_actions(actions);
         }
         Content::Adopt(frame) => {
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -120,7 +120,9 @@
 /// Returns how an endpoint of a plain service, which is not an engine, fits a request.
 fn evaluate_plain(endpoint: &Endpoint, request: &GrantRequest, context: &FitContext<'_>) -> Fit {
     let slots = f64::from(endpoint.info.slots.max(1));
-    let limit = (slots * (1.0 + EXCESS_SLOT_FRACTION) * context.fill_fraction).ceil().max(1.0);
+    // Requests that wait at a brittle endpoint may be refused, which makes it fail.
+    let excess = if endpoint.is_brittle() { 0.0 } else { EXCESS_SLOT_FRACTION };
+    let limit = (slots * (1.0 + excess) * context.fill_fraction).ceil().max(1.0);
     let full = endpoint.running.len() as f64 >= limit;
     if full
         || !endpoint.accepts_requests(context.now)
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -199,6 +199,8 @@
     removed_at: Option<Time>,
     /// Limit of the request rate; `None` if the endpoint names none.
     pub(super) rate_limit: Option<RequestLimit>,
+    /// Refusals in a second after which the endpoint fails; `None` if it names no such number.
+    pub(super) max_refusals: Option<u32>,
     /// Whether the endpoint has crashed.
     pub(super) crash_state: CrashState,
 }
@@ -230,6 +232,7 @@
             said_leaving: false,
             removed_at: info.removed_in.map(|time| now + time),
             rate_limit: None,
+            max_refusals: None,
             crash_state: CrashState::default(),
             info,
         };
@@ -366,6 +369,11 @@
         self.info.draining || self.said_leaving || self.removed_at.is_some()
     }
 
+    /// Returns whether the endpoint fails if it must refuse many requests for want of room.
+    pub(super) fn is_brittle(&self) -> bool {
+        self.max_refusals.is_some()
+    }
+
     /// Returns whether the endpoint is cold.
     pub fn is_cold(&self, now: Time) -> bool {
         now < self.cold_until
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -17,6 +17,9 @@
 /// Backoff after an endpoint rejected a request because it was full.
 const FULL_BACKOFF: Duration = Duration::from_millis(60);
 
+/// Backoff after an endpoint rejected a request that fails if it must reject many in a second.
+const BRITTLE_BACKOFF: Duration = Duration::from_millis(1_000);
+
 impl Scheduler {
     /// Adopts a run that another scheduler granted.
     pub fn adopt(&mut self, key: GrantKey, granted: ActiveGrant, now: Time) {
@@ -57,6 +60,22 @@
         self.record_response(&id, granted);
     }
 
+    /// Records after how many refusals in a second the endpoint that runs a request fails; `None` if its
+    /// response has not said so. What an earlier response said holds until a whole one says nothing.
+    pub fn record_max_refusals(
+        &mut self,
+        key: &GrantKey,
+        max_refusals: Option<u32>,
+        outcome: Outcome,
+    ) {
+        let endpoint = self.endpoint_of.get(key).and_then(|id| self.endpoints.get_mut(id));
+        if let Some(endpoint) = endpoint
+            && (max_refusals.is_some() || outcome == Outcome::Whole)
+        {
+            endpoint.max_refusals = max_refusals;
+        }
+    }
+
     /// Removes a queued request and refunds its tokens.
     pub fn cancel_waiting(&mut self, key: &GrantKey) {
         if let Some(position) = self.queue.iter().position(|queued| queued.key == *key) {
@@ -90,7 +109,10 @@
                 endpoint.failures.record(&data_centre, true, now);
             }
             Outcome::Unreached => endpoint.record_unreachable(now),
-            Outcome::Full => endpoint.paused_until = endpoint.paused_until.max(now + FULL_BACKOFF),
+            Outcome::Full => {
+                let backoff = if endpoint.is_brittle() { BRITTLE_BACKOFF } else { FULL_BACKOFF };
+                endpoint.paused_until = endpoint.paused_until.max(now + backoff);
+            }
             Outcome::Misplaced => endpoint.record_misplaced(now),
             Outcome::Leaving => endpoint.said_leaving = true,
             Outcome::CutOff | Outcome::Left => {}
--- a/tests/kernel/grants/choice.rs
+++ b/tests/kernel/grants/choice.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cardamomshore::kernel::grants::{EndpointEntry, Mode, Outcome, Reason};
+use cardamomshore::{
+    clock::Time,
+    kernel::grants::{EndpointEntry, Mode, Outcome, Reason, Scheduler},
+};
 
 use super::fleet::{
     LEADING, START, desk, end_request, engine, granted, key, model_request, plain_request, refused,
@@ -175,3 +178,39 @@
         end_request(&mut scheduler, number, Outcome::Whole, later);
     }
 }
+
+/// Sends plain requests until the endpoint is full. Returns how many were granted.
+fn fill_desk(scheduler: &mut Scheduler, first: u64, now: Time) -> usize {
+    let grants = (first..first + 40).filter(|number| {
+        granted(&scheduler.handle_request(key(*number), plain_request(now), now)).is_some()
+    });
+    grants.count()
+}
+
+#[test]
+fn request_brittle_endpoint_gets_no_more_than_its_slots() {
+    let entry = desk("d1");
+    let slots = entry.slots as usize;
+    let mut sound = scheduler(LEADING, vec![entry.clone()]);
+    assert!(fill_desk(&mut sound, 0, START) > slots);
+
+    let mut brittle = scheduler(LEADING, vec![entry]);
+    brittle.handle_request(key(99), plain_request(START), START);
+    brittle.record_max_refusals(&key(99), Some(6), Outcome::Whole);
+    end_request(&mut brittle, 99, Outcome::Whole, START);
+    assert_eq!(fill_desk(&mut brittle, 0, START), slots);
+}
+
+#[test]
+fn request_brittle_endpoint_that_refused_rests() {
+    let mut scheduler = scheduler(LEADING, vec![desk("d1")]);
+    scheduler.handle_request(key(99), plain_request(START), START);
+    scheduler.record_max_refusals(&key(99), Some(6), Outcome::Full);
+    end_request(&mut scheduler, 99, Outcome::Full, START);
+    let soon = START + Duration::from_millis(900);
+    let actions = scheduler.handle_request(key(1), plain_request(soon), soon);
+    assert!(granted(&actions).is_none(), "it has just refused a request");
+    let later = START + Duration::from_millis(1_100);
+    let actions = scheduler.handle_request(key(2), plain_request(later), later);
+    assert!(granted(&actions).is_some() || !scheduler.tick(later).is_empty());
+}
