--- a/src/soak/check.rs
+++ b/src/soak/check.rs
@@ -3,22 +3,24 @@
 //! A promise with a time limit holds for gateways in contact: those that were not disturbed for a while.
 
 mod changes;
+mod endpoints;
 mod streams;
 
 use std::{
     collections::{HashMap, HashSet},
     fmt,
+    net::{IpAddr, Ipv4Addr},
     sync::Arc,
     time::Duration,
 };
 
 use super::{
     callers::{Attempt, Ending, Kind},
-    fleet::{AddedRoute, DATA_CENTRES, Disturbance, Evacuation, Fleet, KeyChange, TEAM},
+    fleet::{AddedRoute, Cut, DATA_CENTRES, Disturbance, Evacuation, Fleet, KeyChange, TEAM},
 };
 use crate::{
     clock::Time,
-    standin::worker::{LAST_EVENT, Mark, Order, Run, event_text, plain_body},
+    standin::worker::{LAST_EVENT, Mark, Order, Run, Told, event_text, plain_body},
 };
 
 /// Time without disturbance after which a gateway is in contact.
@@ -83,6 +85,10 @@
     key_changes: &'a [KeyChange],
     added_routes: &'a [AddedRoute],
     evacuations: &'a [Evacuation],
+    cuts: &'a [Cut],
+    told: Vec<Mark<Told>>,
+    /// Addresses from which the gateways send.
+    sources: Vec<Ipv4Addr>,
     memory: Vec<(String, u64)>,
     /// When the gateways must serve again.
     calm_from: Time,
@@ -106,6 +112,9 @@
             key_changes: &fleet.key_changes,
             added_routes: &fleet.added_routes,
             evacuations: &fleet.evacuations,
+            cuts: &fleet.cuts,
+            told: fleet.log.told(),
+            sources: fleet.gateways.iter().map(|gateway| gateway.source).collect(),
             memory: memory.collect(),
             calm_from: Time::now() - calm / 2,
         }
@@ -128,12 +137,26 @@
         self.check_stops(&mut all);
         self.check_fatal(&mut all);
         self.check_limits(&mut all);
+        self.check_said_leaving(&mut all);
+        self.check_pauses(&mut all);
+        self.check_cuts(&mut all);
         self.check_recovery(&mut all);
         all
     }
 
-    /// Returns the gateway that sent a run to its endpoint.
+    /// Returns the gateway that sent a run to its endpoint, which may have served it for another one.
     fn gateway_of(&self, run: &Run) -> Option<usize> {
+        let sender = run.sender.and_then(|sender| self.gateway_at(sender));
+        sender.or_else(|| self.entry_of(run))
+    }
+
+    /// Returns the gateway that sends from an address.
+    fn gateway_at(&self, sender: IpAddr) -> Option<usize> {
+        self.sources.iter().position(|source| IpAddr::from(*source) == sender)
+    }
+
+    /// Returns the gateway to which the caller of a run sent it.
+    fn entry_of(&self, run: &Run) -> Option<usize> {
         self.by_request.get(run.request.as_str()).map(|attempt| attempt.gateway)
     }
 
--- a/src/soak/check/changes.rs
+++ b/src/soak/check/changes.rs
@@ -16,7 +16,7 @@
 
 impl Evidence<'_> {
     /// Returns whether a gateway was killed, stopped or paused between two times.
-    fn was_process_disturbed(&self, gateway: usize, from: Time, to: Time) -> bool {
+    pub(super) fn was_process_disturbed(&self, gateway: usize, from: Time, to: Time) -> bool {
         let own = self.disturbances.iter().filter(|d| d.gateway.is_none_or(|it| it == gateway));
         own.filter(|d| !d.is_store).any(|d| d.from <= to && d.to >= from)
     }
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -15,6 +15,7 @@
     clock::Time,
     platform::{catalog::EVACUATE_PREFIX, registration::ENDPOINT_PREFIX},
     standin::{
+        http1::PacketFilter,
         metadata::{MetadataStore, StoreCopy, StoreFaults},
         operator::Document,
         worker::{Worker, WorkerFaults, WorkerLog, WorkerSettings},
@@ -63,6 +64,12 @@
 /// Interval at which faults are looked for that must begin or end.
 const STEP_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time for which an endpoint says that it leaves before its entry does.
+const SAY_TIME: Duration = Duration::from_secs(5);
+
+/// Time after which an endpoint that leaves has been replaced.
+const LEAVE_TIME: Duration = Duration::from_secs(6);
+
 /// A span of time in which gateways were disturbed.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -98,6 +105,8 @@
     WriteAgain,
     RemoveGhosts,
     EndEvacuation(usize),
+    EndCut,
+    LeaveAfterSaying(usize),
 }
 
 /// A route that was added.
@@ -109,6 +118,17 @@
     pub name: String,
 }
 
+/// A span in which a gateway was cut off from all endpoints.
+#[derive(Clone, Copy, Debug)]
+pub struct Cut {
+    /// The gateway.
+    pub gateway: usize,
+    /// When it began.
+    pub from: Time,
+    /// When it ends.
+    pub to: Time,
+}
+
 /// A span in which a data centre was out of service.
 #[derive(Clone, Copy, Debug)]
 pub struct Evacuation {
@@ -143,6 +163,8 @@
     pub added_routes: Vec<AddedRoute>,
     /// Spans in which data centres were out of service.
     pub evacuations: Vec<Evacuation>,
+    /// Spans in which a gateway was cut off from the endpoints.
+    pub cuts: Vec<Cut>,
     /// What the endpoints have seen.
     pub log: Arc<WorkerLog>,
     /// When endpoints were disturbed on purpose.
@@ -209,6 +231,7 @@
             key_changes: Vec::new(),
             added_routes: Vec::new(),
             evacuations: Vec::new(),
+            cuts: Vec::new(),
             worker_faults: Vec::new(),
             log,
             workers,
@@ -308,6 +331,24 @@
                 self.workers[index].set_faults(faults);
                 return Some((now + length, Undo::MendWorker(index)));
             }
+            Fault::CutOff(gateway, closing, length) => {
+                if self.cuts.iter().any(|cut| cut.to > now) {
+                    return None;
+                }
+                let host = self.gateways[gateway].source;
+                let filter = match closing {
+                    true => PacketFilter::Closing(vec![host]),
+                    false => PacketFilter::From(vec![host]),
+                };
+                self.workers.iter().for_each(|worker| worker.set_filter(filter.clone()));
+                self.cuts.push(Cut { gateway, from: now, to: now + length });
+                return Some((now + length, Undo::EndCut));
+            }
+            Fault::SayLeaving(index) => {
+                let faults = WorkerFaults { leaving: true, ..WorkerFaults::default() };
+                self.workers[index].set_faults(faults);
+                return Some((now + SAY_TIME, Undo::LeaveAfterSaying(index)));
+            }
             Fault::WithdrawKey(length) => {
                 self.set_key(false);
                 return Some((now + length, Undo::ReturnKey));
@@ -345,6 +386,13 @@
                 self.worker_faults.push(now);
                 self.workers[index].set_faults(WorkerFaults::default());
             }
+            Undo::EndCut => {
+                self.workers.iter().for_each(|worker| worker.set_filter(PacketFilter::Open));
+            }
+            Undo::LeaveAfterSaying(index) => {
+                self.workers[index].leave();
+                return vec![(now + LEAVE_TIME, Undo::MendWorker(index))];
+            }
             Undo::ReturnKey => self.set_key(true),
             Undo::StopFatal => {
                 self.worker_faults.push(now);
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -29,6 +29,13 @@
 /// endpoints must get no requests.
 const EVACUATE_TIME: Duration = Duration::from_secs(8);
 
+/// Least time for which a gateway is cut off from the endpoints. It is longer than the time after which
+/// its callers must be served again.
+const CUT_OFF_TIME: Duration = Duration::from_secs(7);
+
+/// Time for which an endpoint that refuses a request wants no others of its sender.
+const PAUSE_TIME: Duration = Duration::from_secs(3);
+
 /// Time from a release until engines of both software versions serve.
 const BOTH_VERSIONS_AFTER: Duration = Duration::from_secs(6);
 
@@ -69,6 +76,11 @@
     Leave(usize),
     /// An endpoint has faults for a while.
     Unsound(usize, WorkerFaults, Duration),
+    /// A gateway is cut off from all endpoints for a while; existing connections are closed first, or
+    /// hang.
+    CutOff(usize, bool, Duration),
+    /// An endpoint says in its responses that it leaves, and leaves later.
+    SayLeaving(usize),
     /// A key is withdrawn for a while.
     WithdrawKey(Duration),
     /// Callers send requests that crash endpoints for a while.
@@ -155,7 +167,7 @@
     let gateway = rng.random_range(0..options.gateways);
     let endpoint = rng.random_range(0..options.endpoints());
     let length = Duration::from_millis(rng.random_range(300..4_000));
-    match rng.random_range(0..25) {
+    match rng.random_range(0..30) {
         0 | 1 => Fault::Kill(gateway),
         2 | 3 => Fault::Pause(gateway, length),
         4 | 5 => Fault::Stop(gateway),
@@ -174,6 +186,9 @@
         19 => Fault::Evacuate(endpoint % DATA_CENTRES.len(), EVACUATE_TIME + length),
         20 | 21 => Fault::AddRoute,
         22 | 23 => Fault::Release,
+        24 | 25 => Fault::CutOff(gateway, rng.random(), CUT_OFF_TIME + length),
+        26 => Fault::SayLeaving(endpoint),
+        27 | 28 => Fault::AddRoute,
         _ => Fault::FatalRequests(length * 2),
     }
 }
@@ -190,7 +205,8 @@
 
 fn draw_worker_faults(rng: &mut impl Rng) -> WorkerFaults {
     let sound = WorkerFaults::default();
-    match rng.random_range(0..5) {
+    match rng.random_range(0..7) {
+        5 | 6 => WorkerFaults { refusing: Some((0.3, PAUSE_TIME)), ..sound },
         0 => WorkerFaults { failing: 0.4, ..sound },
         1 => WorkerFaults { breaking: 0.4, ..sound },
         2 => WorkerFaults { endless: 0.2, ..sound },
--- a/src/standin/http1.rs
+++ b/src/standin/http1.rs
@@ -104,6 +104,10 @@
 const DROP: u32 = 0;
 const ACCEPT: u32 = u32::MAX;
 
+/// The host that has sent a request, as an extension of the request.
+#[derive(Clone, Copy, Debug)]
+pub struct SenderHost(pub IpAddr);
+
 /// A running server. Dropping it closes the listener and breaks all connections.
 pub struct Server {
     task: AbortHandle,
@@ -145,7 +149,7 @@
                 tokio::spawn(async move {
                     let Ok(socket) = stream.as_fd().try_clone_to_owned() else { return };
                     tokio::select! {
-                        () = serve(stream, handler) => {}
+                        () = serve(stream, peer.ip(), handler) => {}
                         () = follow_filter(filters, SockRef::from(&socket), peer.ip()) => {}
                         _ = ended.changed() => {}
                     }
@@ -193,13 +197,16 @@
 }
 
 /// Serves the requests of one connection until it ends.
-async fn serve<H, F>(stream: TcpStream, handler: H)
+async fn serve<H, F>(stream: TcpStream, host: IpAddr, handler: H)
 where
     H: Fn(Request<Incoming>) -> F,
     F: Future<Output = Result<Response<Body>, Broken>>,
 {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(handler);
+    let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(SenderHost(host));
+        handler(request)
+    });
     if let Err(err) = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await {
         log::debug!("event=standin_connection_ended reason={err}");
     }
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -24,7 +24,7 @@
 
 pub use self::{
     answer::{LAST_EVENT, event_text, plain_body},
-    record::{Mark, Order, Run, WorkerLog},
+    record::{Mark, Order, Run, Sign, Told, WorkerLog},
 };
 use super::{
     http1::{PacketFilter, Server},
@@ -79,6 +79,10 @@
     pub endless: f64,
     /// Limit of the request rate that its responses name.
     pub limit: Option<f64>,
+    /// Whether its responses say that it leaves, although its entry does not.
+    pub leaving: bool,
+    /// Fraction of the requests that are refused, and for how long their senders must pause.
+    pub refusing: Option<(f64, Duration)>,
 }
 
 /// State of one incarnation.
--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -1,6 +1,6 @@
 //! Responses of the stand-in for an endpoint: answers, streams, reports and orders.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, request::Parts};
@@ -11,10 +11,10 @@
 use serde_json::json;
 use tokio::time::sleep;
 
-use super::{LOAD_TIME, Order, Run, Shared, WorkerFaults};
+use super::{LOAD_TIME, Order, Run, Shared, Sign, Told, WorkerFaults};
 use crate::{
     clock::Time,
-    standin::http1::{Body, Broken, PartSender, streamed_response, whole_response},
+    standin::http1::{Body, Broken, PartSender, SenderHost, streamed_response, whole_response},
 };
 
 /// Number of the last event of each stream.
@@ -70,6 +70,7 @@
     shared: Arc<Shared>,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Broken> {
+    let sender = request.extensions().get::<SenderHost>().map(|host| host.0);
     let (parts, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Broken)?.to_bytes();
     let expected = header(&parts.headers, "x-expect-instance");
@@ -79,7 +80,7 @@
     match parts.uri.path() {
         "/api/report" => Ok(report(&shared)),
         "/api/order" => Ok(carry_out(&shared, &body)),
-        _ => run(shared, parts).await,
+        _ => run(shared, parts, sender).await,
     }
 }
 
@@ -148,8 +149,24 @@
 }
 
 /// Runs a caller's request.
-async fn run(shared: Arc<Shared>, parts: Parts) -> Result<Response<Body>, Broken> {
+async fn run(
+    shared: Arc<Shared>,
+    parts: Parts,
+    sender: Option<IpAddr>,
+) -> Result<Response<Body>, Broken> {
     let headers = &parts.headers;
+    let faults = *shared.faults.lock();
+    let id = shared.state.lock().id.clone();
+    shared.log.record_told(id.clone(), Told { sender, sign: Sign::Arrival });
+    if let Some((fraction, pause)) = faults.refusing
+        && rand::rng().random_bool(fraction)
+    {
+        shared.log.record_told(id, Told { sender, sign: Sign::Pause(pause) });
+        let mut response = not_run(StatusCode::SERVICE_UNAVAILABLE, headers);
+        let pause = HeaderValue::from_str(&pause.as_secs_f64().to_string());
+        response.headers_mut().insert("retry-after", pause.map_err(|_| Broken)?);
+        return Ok(response);
+    }
     let model = header(headers, "x-model");
     let (endpoint, version, running) = {
         let mut state = shared.state.lock();
@@ -177,8 +194,11 @@
         team: headers.get("x-tenant").map(|_| header(headers, "x-tenant").to_owned()),
         shows_key: headers.contains_key("authorization"),
         is_fatal,
+        sender,
     });
-    let faults = *shared.faults.lock();
+    if faults.leaving {
+        shared.log.record_told(id, Told { sender, sign: Sign::Leaving });
+    }
     if is_fatal {
         sleep(CRASH_DELAY).await;
         shared.crash.notify_one();
@@ -210,6 +230,9 @@
     };
     insert("x-request-id", request);
     insert("x-server-stamp", &format!("stamp.{endpoint}"));
+    if faults.leaving {
+        insert("server-leaving", "1");
+    }
     if let Some(limit) = faults.limit {
         insert("server-limit", &limit.to_string());
     }
--- a/src/standin/worker/record.rs
+++ b/src/standin/worker/record.rs
@@ -1,6 +1,6 @@
 //! What the endpoints of a trial have seen.
 
-use std::sync::Arc;
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
 
@@ -29,6 +29,28 @@
     pub shows_key: bool,
     /// Whether the run crashes the endpoint.
     pub is_fatal: bool,
+    /// Host that sent it; `None` if it is not known.
+    pub sender: Option<IpAddr>,
+}
+
+/// What an endpoint has told the host that sent a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Sign {
+    /// The endpoint leaves.
+    Leaving,
+    /// The endpoint wants no requests for this time.
+    Pause(Duration),
+    /// Nothing: a request has arrived, whether it runs or not.
+    Arrival,
+}
+
+/// A sign, and the host that got it.
+#[derive(Clone, Copy, Debug)]
+pub struct Told {
+    /// The host.
+    pub sender: Option<IpAddr>,
+    /// What it was told.
+    pub sign: Sign,
 }
 
 /// An order that an endpoint has accepted.
@@ -63,6 +85,7 @@
     drains: Mutex<Vec<Mark<()>>>,
     ends: Mutex<Vec<Mark<()>>>,
     limits: Mutex<Vec<Mark<Option<f64>>>>,
+    told: Mutex<Vec<Mark<Told>>>,
 }
 
 fn mark<T>(endpoint: Arc<str>, value: T) -> Mark<T> {
@@ -95,6 +118,16 @@
         self.limits.lock().push(mark(endpoint, limit));
     }
 
+    /// Records what an endpoint has told a host.
+    pub fn record_told(&self, endpoint: Arc<str>, told: Told) {
+        self.told.lock().push(mark(endpoint, told));
+    }
+
+    /// Returns what endpoints have told hosts.
+    pub fn told(&self) -> Vec<Mark<Told>> {
+        self.told.lock().clone()
+    }
+
     /// Returns the runs.
     pub fn runs(&self) -> Vec<Run> {
         self.runs.lock().clone()
