--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -16,7 +16,7 @@
     Gateway,
     entry::Origin,
     grants::{Permit, acquire},
-    relay,
+    reach::SuspicionGuard,
     response::{Rejection, ResponseBody},
 };
 use crate::{
@@ -24,8 +24,7 @@
     clock::Time,
     http::pool::{Connection, SendError},
     kernel::{
-        grants::{Grant, GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
-        reach::{Way, choose_way},
+        grants::{GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
         retry::attempt_time,
     },
     platform::caller::{self, AddedHeaders, CallerHead, ResponseHead},
@@ -40,12 +39,6 @@
 /// Time for which an idle connection is kept open if the endpoint's response names no limit.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
 
-/// Time after which an endpoint that has not begun to respond to a caller that leaves is probed.
-const MIN_SUSPICIOUS_WAIT: Duration = Duration::from_millis(90);
-
-/// Time after which an endpoint that has not begun to respond is probed.
-const SUSPICIOUS_WAIT: Duration = Duration::from_millis(400);
-
 /// Fraction of the endpoint's own limit for which an idle connection is kept open, so that the
 /// endpoint does not close it first.
 const KEEP_ALIVE_FRACTION: f64 = 0.9;
@@ -120,29 +113,6 @@
     Reject(Rejection),
 }
 
-/// Probes an endpoint when it is dropped, if the endpoint has let a request wait until the caller left
-/// or the attempt was given up.
-struct SuspicionGuard<'a> {
-    job: &'a Job,
-    grant: &'a Grant,
-    /// Since when the request waits; `None` once the endpoint has responded.
-    since: Option<Time>,
-}
-
-impl SuspicionGuard<'_> {
-    fn dismiss(mut self) {
-        self.since = None;
-    }
-}
-
-impl Drop for SuspicionGuard<'_> {
-    fn drop(&mut self) {
-        if self.since.is_some_and(|since| Time::now().since(since) >= MIN_SUSPICIOUS_WAIT) {
-            self.job.gateway.suspect(&self.grant.endpoint, self.grant.address);
-        }
-    }
-}
-
 impl Job {
     /// Returns the time until the deadline.
     pub(super) fn time_left(&self) -> Duration {
@@ -281,37 +251,6 @@
         permit.end(self.gateway.without_blame(outcome));
     }
 
-    /// Returns the way that the request takes next.
-    ///
-    /// A request that may have run here is not passed on, since its attempts count together.
-    pub(super) fn way(&self) -> Way {
-        let is_relayed = self.origin == Origin::Instance;
-        match choose_way(self.gateway.path(&self.service), is_relayed, self.was_unreached) {
-            Way::Relay if self.runs > 0 => Way::Direct,
-            way => way,
-        }
-    }
-
-    /// Passes the request to another instance, or rejects it, if this one is cut off from the
-    /// endpoints. Returns `None` if the request is to be sent to an endpoint: also if no instance
-    /// takes it, and a few endpoints can still be reached from here.
-    pub(super) async fn avoid_cut(&mut self) -> Option<Result<Response<ResponseBody>, Rejection>> {
-        if self.was_relayed {
-            return self.was_unreached.then_some(Err(Rejection::CutOff));
-        }
-        match self.way() {
-            Way::Direct => None,
-            Way::Relay => {
-                self.was_relayed = true;
-                self.was_unreached = false;
-                let result = relay::run(self).await;
-                let declined = matches!(result, Err(Rejection::CutOff));
-                (!declined || !self.gateway.has_reached(&self.service)).then_some(result)
-            }
-            Way::Reject => Some(Err(Rejection::CutOff)),
-        }
-    }
-
     /// Sends the request to the granted endpoint and waits at most `time_limit` for the head of the
     /// response. A stream continues after the event `after`.
     pub(super) async fn attempt(
@@ -323,7 +262,7 @@
         let Some(time_limit) = attempt_time(time_limit, self.time_left()) else {
             return AttemptResult::NotRun(Outcome::Left);
         };
-        let guard = SuspicionGuard { job: self, grant: &permit.grant, since: Some(Time::now()) };
+        let guard = SuspicionGuard::new(self, &permit.grant);
         let result = timeout(time_limit, self.send(permit, after)).await;
         if result.is_ok() {
             guard.dismiss();
@@ -369,22 +308,6 @@
         }
     }
 
-    /// Sends a request on a connection and waits for the head of the response. An endpoint that lets
-    /// it wait is probed, since the path to it may be cut.
-    async fn send_watched(
-        &self,
-        connection: &mut Connection,
-        request: Request<Full<Bytes>>,
-        permit: &Permit,
-    ) -> Result<Response<Incoming>, SendError> {
-        let mut exchange = std::pin::pin!(connection.send(request));
-        if let Ok(result) = timeout(SUSPICIOUS_WAIT, &mut exchange).await {
-            return result;
-        }
-        self.gateway.suspect(&permit.grant.endpoint, permit.grant.address);
-        exchange.await
-    }
-
     /// Returns the request as it is sent to the endpoint.
     fn endpoint_request(&self, permit: &Permit, after: Option<u64>) -> Request<Full<Bytes>> {
         let is_model = self.head.model.is_some();
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -5,16 +5,28 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
-use tokio::time::sleep;
-
-use super::Gateway;
+use tokio::time::{sleep, timeout};
+
+use super::{
+    Gateway,
+    entry::Origin,
+    forward::Job,
+    grants::Permit,
+    relay,
+    response::{Rejection, ResponseBody},
+};
 use crate::{
     clock::Time,
+    http::pool::{Connection, SendError},
     kernel::{
-        grants::Outcome,
-        reach::{Path, Reach},
+        grants::{Grant, Outcome},
+        reach::{Path, Reach, Way, choose_way},
     },
 };
 
@@ -33,6 +45,12 @@
 /// Least time between two probes of endpoints that let requests wait.
 const SUSPICION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after which an endpoint that has not begun to respond to a caller that leaves is probed.
+const MIN_SUSPICIOUS_WAIT: Duration = Duration::from_millis(90);
+
+/// Time after which an endpoint that has not begun to respond is probed.
+const SUSPICIOUS_WAIT: Duration = Duration::from_millis(400);
+
 /// What this instance has seen of its path to the endpoints.
 #[derive(Default)]
 pub struct EndpointReach {
@@ -128,6 +146,84 @@
     }
 }
 
+/// Probes an endpoint when it is dropped, if the endpoint has let a request wait until the caller left
+/// or the attempt was given up.
+pub struct SuspicionGuard<'a> {
+    job: &'a Job,
+    grant: &'a Grant,
+    /// Since when the request waits; `None` once the endpoint has responded.
+    since: Option<Time>,
+}
+
+impl<'a> SuspicionGuard<'a> {
+    /// Begins to watch an attempt at the endpoint of `grant`.
+    pub fn new(job: &'a Job, grant: &'a Grant) -> Self {
+        Self { job, grant, since: Some(Time::now()) }
+    }
+
+    /// Ends the watch: the attempt has a result.
+    pub fn dismiss(mut self) {
+        self.since = None;
+    }
+}
+
+impl Drop for SuspicionGuard<'_> {
+    fn drop(&mut self) {
+        if self.since.is_some_and(|since| Time::now().since(since) >= MIN_SUSPICIOUS_WAIT) {
+            self.job.gateway.suspect(&self.grant.endpoint, self.grant.address);
+        }
+    }
+}
+
+impl Job {
+    /// Returns the way that the request takes next.
+    ///
+    /// A request that may have run here is not passed on, since its attempts count together.
+    fn way(&self) -> Way {
+        let is_relayed = self.origin == Origin::Instance;
+        match choose_way(self.gateway.path(&self.service), is_relayed, self.was_unreached) {
+            Way::Relay if self.runs > 0 => Way::Direct,
+            way => way,
+        }
+    }
+
+    /// Passes the request to another instance, or rejects it, if this one is cut off from the
+    /// endpoints. Returns `None` if the request is to be sent to an endpoint: also if no instance
+    /// takes it, and a few endpoints can still be reached from here.
+    pub(super) async fn avoid_cut(&mut self) -> Option<Result<Response<ResponseBody>, Rejection>> {
+        if self.was_relayed {
+            return self.was_unreached.then_some(Err(Rejection::CutOff));
+        }
+        match self.way() {
+            Way::Direct => None,
+            Way::Relay => {
+                self.was_relayed = true;
+                self.was_unreached = false;
+                let result = relay::run(self).await;
+                let declined = matches!(result, Err(Rejection::CutOff));
+                (!declined || !self.gateway.has_reached(&self.service)).then_some(result)
+            }
+            Way::Reject => Some(Err(Rejection::CutOff)),
+        }
+    }
+
+    /// Sends a request on a connection and waits for the head of the response. An endpoint that lets
+    /// it wait is probed, since the path to it may be cut.
+    pub(super) async fn send_watched(
+        &self,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+        permit: &Permit,
+    ) -> Result<Response<Incoming>, SendError> {
+        let mut exchange = std::pin::pin!(connection.send(request));
+        if let Ok(result) = timeout(SUSPICIOUS_WAIT, &mut exchange).await {
+            return result;
+        }
+        self.gateway.suspect(&permit.grant.endpoint, permit.grant.address);
+        exchange.await
+    }
+}
+
 /// Probes the endpoints in turn to which the path is cut.
 pub async fn probe_while_cut(gateway: Arc<Gateway>) {
     let mut turn: usize = 0;
