--- a/src/soak/process.rs
+++ b/src/soak/process.rs
@@ -75,12 +75,13 @@
     move |source| ProcessError::Io { what, source }
 }
 
-/// Returns a loopback address that nothing else uses. The IP address holds the id of this process.
+/// Returns a loopback address that nothing else uses. The IP address holds the id of this process. The
+/// tests of other processes take their addresses from 127.64.0.0 on.
 pub fn free_address() -> SocketAddr {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let port = FIRST_PORT + NEXT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
-    SocketAddr::from(([127, 64 + high, middle, low], port as u16))
+    SocketAddr::from(([127, 128 + high, middle, low], port as u16))
 }
 
 /// Returns a loopback host from which nothing else of this process connects.
