Never refuse a request as not run that may have run before the path was cut

Found by reading the change again. If an idempotent request or stream had an attempt without a response, and the path to the endpoints was cut then, a request that no other instance had taken was answered 503, and an instance that served it for another one declined it. Both say that it has not run, and the second let another instance run it beyond the route's attempts. Requests that run once at most did not get here: they end after an unknown attempt.

Change: the whole decision is choose_way now; a request that may have run goes on as before the relay. The new test failed with the old rules in it (declined and unreached: Reject). The older tests of ways check the same cases, with the fields named.

--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -162,7 +162,7 @@
         runs: 0,
         origin,
         was_unreached: false,
-        was_relayed: false,
+        was_declined: false,
         route,
         head,
     })
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -90,7 +90,7 @@
     /// Whether the last attempt failed to reach its endpoint.
     pub(super) was_unreached: bool,
     /// Whether no other instance has taken the request.
-    pub(super) was_relayed: bool,
+    pub(super) was_declined: bool,
 }
 
 /// The result of one attempt.
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -26,7 +26,7 @@
     http::pool::{Connection, SendError},
     kernel::{
         grants::{Grant, Outcome},
-        reach::{Path, Reach, Way, choose_way},
+        reach::{Path, PendingRequest, Reach, Way, choose_way},
     },
 };
 
@@ -176,32 +176,24 @@
 }
 
 impl Job {
-    /// Returns the way that the request takes next.
-    ///
-    /// A request that may have run here is not passed on, since its attempts count together.
-    fn way(&self) -> Way {
-        let is_relayed = self.origin == Origin::Instance;
-        match choose_way(self.gateway.path(&self.service), is_relayed, self.was_unreached) {
-            Way::Relay if self.runs > 0 => Way::Direct,
-            way => way,
-        }
-    }
-
     /// Passes the request to another instance, or rejects it, if this one is cut off from the
     /// endpoints. Returns `None` if the request is to be sent to an endpoint: also if no instance
     /// takes it, and a few endpoints can still be reached from here.
     pub(super) async fn avoid_cut(&mut self) -> Option<Result<Response<ResponseBody>, Rejection>> {
-        if self.was_relayed {
-            return self.was_unreached.then_some(Err(Rejection::CutOff));
-        }
-        match self.way() {
+        let request = PendingRequest {
+            is_relayed: self.origin == Origin::Instance,
+            was_declined: self.was_declined,
+            was_unreached: self.was_unreached,
+            may_have_run: self.runs > 0,
+        };
+        match choose_way(self.gateway.path(&self.service), request) {
             Way::Direct => None,
             Way::Relay => {
-                self.was_relayed = true;
-                self.was_unreached = false;
                 let result = relay::run(self).await;
-                let declined = matches!(result, Err(Rejection::CutOff));
-                (!declined || !self.gateway.has_reached(&self.service)).then_some(result)
+                self.was_declined = matches!(result, Err(Rejection::CutOff));
+                self.was_unreached = false;
+                let is_last = !self.was_declined || !self.gateway.has_reached(&self.service);
+                is_last.then_some(result)
             }
             Way::Reject => Some(Err(Rejection::CutOff)),
         }
--- a/src/kernel/reach.rs
+++ b/src/kernel/reach.rs
@@ -153,17 +153,33 @@
     Direct,
     /// Pass the request to another instance.
     Relay,
-    /// Reject the request: it came from another instance that is cut off too.
+    /// Reject the request: it has not run, and no instance that was asked reaches an endpoint.
     Reject,
 }
 
-/// Chooses the way of a request. `is_relayed` says whether it came from another instance, and
-/// `was_unreached` whether an attempt has just failed to reach an endpoint.
-pub fn choose_way(path: Path, is_relayed: bool, was_unreached: bool) -> Way {
+/// A request that needs an endpoint, as far as its way depends on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PendingRequest {
+    /// Whether another instance has passed it on.
+    pub is_relayed: bool,
+    /// Whether no other instance has taken it.
+    pub was_declined: bool,
+    /// Whether the last attempt failed to reach an endpoint.
+    pub was_unreached: bool,
+    /// Whether an attempt may have run it.
+    pub may_have_run: bool,
+}
+
+/// Chooses the way of a request.
+pub fn choose_way(path: Path, request: PendingRequest) -> Way {
     match path {
-        Path::Cut if is_relayed => Way::Reject,
+        // Its attempts count together, and a refusal would say that it has not run.
+        _ if request.may_have_run => Way::Direct,
+        _ if request.was_declined && request.was_unreached => Way::Reject,
+        _ if request.was_declined => Way::Direct,
+        Path::Cut if request.is_relayed => Way::Reject,
         Path::Cut => Way::Relay,
-        Path::Doubtful if was_unreached && !is_relayed => Way::Relay,
+        Path::Doubtful if request.was_unreached && !request.is_relayed => Way::Relay,
         Path::Doubtful | Path::Sound => Way::Direct,
     }
 }
--- a/tests/kernel/reach.rs
+++ b/tests/kernel/reach.rs
@@ -4,7 +4,7 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::reach::{Path, Reach, Way, choose_way},
+    kernel::reach::{Path, PendingRequest, Reach, Way, choose_way},
 };
 
 const START: Time = Time::from_millis(100_000);
@@ -119,19 +119,53 @@
     assert_eq!(reach.path(SERVICE, START), Path::Doubtful, "the crash of two is no cut");
 }
 
+const NEW: PendingRequest = PendingRequest {
+    is_relayed: false,
+    was_declined: false,
+    was_unreached: false,
+    may_have_run: false,
+};
+
 #[test]
 fn way_of_request_by_path() {
-    assert_eq!(choose_way(Path::Sound, false, true), Way::Direct);
-    assert_eq!(choose_way(Path::Doubtful, false, false), Way::Direct);
-    assert_eq!(choose_way(Path::Doubtful, false, true), Way::Relay);
-    assert_eq!(choose_way(Path::Cut, false, false), Way::Relay);
+    let unreached = PendingRequest { was_unreached: true, ..NEW };
+    assert_eq!(choose_way(Path::Sound, unreached), Way::Direct);
+    assert_eq!(choose_way(Path::Doubtful, NEW), Way::Direct);
+    assert_eq!(choose_way(Path::Doubtful, unreached), Way::Relay);
+    assert_eq!(choose_way(Path::Cut, NEW), Way::Relay);
 }
 
 #[test]
 fn way_relayed_request_not_relayed_again() {
     for was_unreached in [false, true] {
-        assert_eq!(choose_way(Path::Cut, true, was_unreached), Way::Reject);
+        let request = PendingRequest { is_relayed: true, was_unreached, ..NEW };
+        assert_eq!(choose_way(Path::Cut, request), Way::Reject);
+        assert_eq!(choose_way(Path::Doubtful, request), Way::Direct);
+        assert_eq!(choose_way(Path::Sound, request), Way::Direct);
+    }
+}
+
+#[test]
+fn way_declined_request_tried_directly_once() {
+    let declined = PendingRequest { was_declined: true, ..NEW };
+    let unreached = PendingRequest { was_unreached: true, ..declined };
+    for path in [Path::Sound, Path::Doubtful, Path::Cut] {
+        assert_eq!(choose_way(path, declined), Way::Direct);
+        assert_eq!(choose_way(path, unreached), Way::Reject);
+    }
+}
+
+#[test]
+fn way_request_that_may_have_run_is_never_refused_as_not_run() {
+    for path in [Path::Sound, Path::Doubtful, Path::Cut] {
+        for flags in 0..8 {
+            let request = PendingRequest {
+                is_relayed: flags & 1 > 0,
+                was_declined: flags & 2 > 0,
+                was_unreached: flags & 4 > 0,
+                may_have_run: true,
+            };
+            assert_eq!(choose_way(path, request), Way::Direct, "{path:?} {request:?}");
+        }
     }
-    assert_eq!(choose_way(Path::Doubtful, true, true), Way::Direct);
-    assert_eq!(choose_way(Path::Sound, true, true), Way::Direct);
 }
