--- a/review/build.sh
+++ b/review/build.sh
@@ -9,3 +9,5 @@
         rustc --edition 2024 -O "review/$number/case.rs" -o "target/review/$number"
     fi
 done
+# Beside case 5: the same rule, broken by a cut.
+rustc --edition 2024 -O review/5/cut.rs -o target/review/5-cut
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -522,6 +522,19 @@
         store
     }
 
+    /// Serves the store at another address, where the text `from` in answers reads `to`, so that a proxy can
+    /// stand before an address that the store names.
+    pub fn serve_view(&self, address: SocketAddr, from: String, to: String) {
+        let served = self.clone();
+        serve(address, move |request, output| {
+            let (status, body) = served.call(request);
+            let body = body.replace(&from, &to);
+            let era = served.era().to_string();
+            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+            respond(output, status, &headers, body.as_bytes())
+        });
+    }
+
     fn is_away(&self) -> bool {
         self.1.away.load(Ordering::SeqCst)
     }
@@ -755,6 +768,7 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub directory: SocketAddr,
+    pub peer: SocketAddr,
     pub child: Child,
     settings: PathBuf,
 }
@@ -778,7 +792,7 @@
         let path = folder.join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("settings");
         let child = Self::spawn(&path);
-        Self { name: name.into(), callers, readiness, directory, child, settings: path }
+        Self { name: name.into(), callers, readiness, directory, peer, child, settings: path }
     }
 
     fn spawn(settings: &std::path::Path) -> Child {
@@ -911,6 +925,8 @@
 #[derive(Clone)]
 pub struct Proxy {
     pub address: SocketAddr,
+    /// Whether new connections are silent, too.
+    pub cut: Flag,
     connections: Arc<Mutex<Vec<ProxyConnection>>>,
 }
 
@@ -925,12 +941,14 @@
     pub fn start(target: SocketAddr) -> Self {
         let address = free_address();
         let listener = TcpListener::bind(address).expect("a free address");
-        let proxy = Self { address, connections: Arc::default() };
+        let proxy = Self { address, cut: Flag::default(), connections: Arc::default() };
+        let cut = proxy.cut.clone();
         let connections = proxy.connections.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 let Ok(server) = TcpStream::connect(target) else { continue };
                 let connection = ProxyConnection { silent: Flag::default(), last_request: Arc::default() };
+                connection.silent.set(cut.get());
                 connections.lock().unwrap().push(connection.clone());
                 let (client2, server2) = (client.try_clone().unwrap(), server.try_clone().unwrap());
                 let requests = connection.clone();
