--- a/benches/grants.rs
+++ b/benches/grants.rs
@@ -59,10 +59,29 @@
     }
 }
 
-fn request(number: u64, now: Time) -> GrantRequest {
+/// How the models of the requests are distributed.
+#[derive(Clone, Copy)]
+enum Spread {
+    /// Each model gets as many requests.
+    Even,
+    /// One model gets half of the requests.
+    Half,
+}
+
+impl Spread {
+    /// Returns the model of the request `number`.
+    fn model(self, number: u64) -> Arc<str> {
+        match self {
+            Spread::Half if number.is_multiple_of(2) => model(7),
+            Spread::Even | Spread::Half => model(number as usize / 2 % MODELS),
+        }
+    }
+}
+
+fn request(number: u64, spread: Spread, now: Time) -> GrantRequest {
     let work = ModelWork {
-        model: model(number as usize % MODELS),
-        adapter: number.is_multiple_of(2).then(|| format!("adapter-{}", number % 600).into()),
+        model: spread.model(number),
+        adapter: number.is_multiple_of(3).then(|| format!("adapter-{}", number % 600).into()),
         parts: vec![(number % 977, 2_500), (number, 3_800)],
         prompt_tokens: 9_190,
         output_tokens: 50,
@@ -74,7 +93,7 @@
         charge: 10_000,
         priority: 1,
         due: now + Duration::from_millis(800),
-        deadline: now + Duration::from_secs(50),
+        deadline: now + Duration::from_secs(50_000),
         work: Some(work),
         tried: Vec::new(),
         is_retry: false,
@@ -90,7 +109,9 @@
 
 /// Returns a leader with `waiting` queued requests, the keys of the running ones and the last
 /// number used.
-fn leader(engines: usize, waiting: usize) -> (Scheduler, Vec<GrantKey>, u64) {
+///
+/// The deadlines are so far away that no queued request expires in the run.
+fn leader(engines: usize, waiting: usize, spread: Spread) -> (Scheduler, Vec<GrantKey>, u64) {
     let limits = SchedulerLimits {
         retries: RetryLimits { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) },
         load_window: Duration::from_secs(5),
@@ -112,9 +133,9 @@
     }
     let mut running = Vec::new();
     let mut number = 0;
-    while scheduler.queue_len() < waiting && number < 20_000 {
+    while scheduler.queue_len() < waiting && number < 100_000 {
         number += 1;
-        for action in scheduler.handle_request(key(number), request(number, START), START) {
+        for action in scheduler.handle_request(key(number), request(number, spread, START), START) {
             if let Action::Grant(key, _) = action {
                 running.push(key);
             }
@@ -125,15 +146,22 @@
 
 fn decisions(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("grants");
-    for (engines, waiting) in [(140, 0), (140, 100), (140, 400), (1_200, 400)] {
-        let name = format!("{engines} engines, {waiting} waiting");
-        let (mut scheduler, mut running, mut number) = leader(engines, waiting);
+    let crowded = [0, 400, 2_000, 10_000].map(|waiting| (waiting, Spread::Even, "evenly"));
+    let one_model = [400, 2_000, 10_000].map(|waiting| (waiting, Spread::Half, "half for one"));
+    let cases: Vec<(usize, Spread, &str)> = crowded.into_iter().chain(one_model).collect();
+    for (engines, (waiting, spread, label)) in
+        [140, 1_200].into_iter().flat_map(|engines| cases.iter().map(move |case| (engines, *case)))
+    {
+        let name = format!("{engines} engines, {waiting} waiting, {label}");
+        let (mut scheduler, mut running, mut number) = leader(engines, waiting, spread);
+        assert_eq!(scheduler.queue_len(), waiting, "the queue of {name}");
         let mut now = START + Duration::from_millis(1);
         group.bench_function(BenchmarkId::new("ask and done", &name), |bencher| {
             bencher.iter(|| {
                 number += 1;
                 now = now + Duration::from_micros(2);
-                let mut actions = scheduler.handle_request(key(number), request(number, now), now);
+                let mut actions =
+                    scheduler.handle_request(key(number), request(number, spread, now), now);
                 if let Some(key) = running.pop() {
                     actions.extend(scheduler.handle_outcome(&key, Outcome::Whole, now));
                 }
