--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -289,6 +289,19 @@
         }
     }
 
+    /// Grants the requests that wait for an engine and carries out its next order, after the result of
+    /// an order or a report.
+    pub(super) fn poll_endpoint(self: &Arc<Self>, id: &str) {
+        let now = Time::now();
+        let mode = self.scheduler_mode();
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.set_mode(mode, now);
+            scheduler.poll_endpoint(id, now)
+        };
+        self.apply_actions(actions);
+    }
+
     /// Runs one tick of the scheduler, which covers the queue, the orders and the placement.
     pub(super) fn tick_scheduler(self: &Arc<Self>) {
         let now = Time::now();
--- a/src/gateway/orders.rs
+++ b/src/gateway/orders.rs
@@ -69,7 +69,7 @@
         target.id,
         OrEmpty(holdings),
     );
-    gateway.tick_scheduler();
+    gateway.poll_endpoint(&endpoint);
 }
 
 /// Displays a value, or nothing where there is none.
@@ -128,7 +128,7 @@
         }
         scheduler.handle_report(&endpoint, report, Time::now());
     }
-    gateway.tick_scheduler();
+    gateway.poll_endpoint(&endpoint);
 }
 
 /// Logs a report that shows something else than what the scheduler knew.
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -18,9 +18,11 @@
 mod origins;
 mod placement;
 mod queue;
+mod queues;
 mod rate;
 mod request;
 mod request_limit;
+mod running;
 mod scheduler;
 mod sizes;
 
--- a/src/kernel/grants/adapter.rs
+++ b/src/kernel/grants/adapter.rs
@@ -129,7 +129,6 @@
 
     /// Returns whether a running request uses an adapter.
     fn uses_adapter(&self, model: &Arc<str>, adapter: &Arc<str>) -> bool {
-        let mut works = self.running.values().filter_map(|run| run.request.work.as_ref());
-        works.any(|work| work.model == *model && work.adapter.as_ref() == Some(adapter))
+        self.running.uses_adapter(model, adapter)
     }
 }
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -60,7 +60,12 @@
     /// The request may be sent once its adapter is loaded, at this cost.
     NeedsAdapter(Duration),
     /// The endpoint serves requests like this one but is full.
-    Full,
+    Full {
+        /// When it takes requests again by time alone; `None` if only a further event makes room.
+        until: Option<Time>,
+        /// Whether it is full for every request of this priority or a less urgent one.
+        for_all: bool,
+    },
     /// The endpoint cannot serve the request.
     Unsuitable,
 }
@@ -123,13 +128,10 @@
     // Requests that wait at a brittle endpoint may be refused, which makes it fail.
     let excess = if endpoint.is_brittle() { 0.0 } else { EXCESS_SLOT_FRACTION };
     let limit = (slots * (1.0 + excess) * context.fill_fraction).ceil().max(1.0);
-    let full = endpoint.running.len() as f64 >= limit;
-    if full
-        || !endpoint.accepts_requests(context.now)
-        || !endpoint.has_cold_capacity(context.service, context.now)
-        || !endpoint.is_within_limit(context.rate_share, context.now)
-    {
-        return Fit::Full;
+    let at_capacity = endpoint.running.len() as f64 >= limit;
+    let closed_until = endpoint.closed_until(context.service, context.rate_share, context.now);
+    if at_capacity || closed_until.is_some() {
+        return Fit::Full { until: closed_until.filter(|_| !at_capacity), for_all: true };
     }
     let slot_cost = SLOT_COST.mul_f64(endpoint.running.len() as f64 / slots * endpoint.slowdown);
     Fit::Ready(slot_cost + common_cost(endpoint, request, context))
@@ -157,8 +159,9 @@
         return Fit::Unsuitable;
     }
     let adapter = endpoint.adapter_state(work);
+    let lacks_adapter = Fit::Full { until: None, for_all: false };
     if adapter.is_some_and(|state| !state.is_usable()) {
-        return Fit::Full;
+        return lacks_adapter;
     }
     let adapter_present = work.adapter.is_none() || adapter.is_some();
     if !adapter_present && !context.may_order {
@@ -173,14 +176,13 @@
         || endpoint.reserved_tokens() + work.prompt_tokens + work.output_tokens <= max_reserved;
     let queued_prefill = endpoint.prefill_end.since(context.now);
     let limit = MAX_QUEUED_PREFILL[usize::from(request.priority).min(MAX_QUEUED_PREFILL.len() - 1)];
-    if endpoint.running.len() + reserved >= slots
-        || !kv_fits
-        || (queued_prefill > limit && !idle)
-        || !endpoint.accepts_requests(context.now)
-        || !endpoint.has_cold_capacity(context.service, context.now)
-        || !endpoint.is_within_limit(context.rate_share, context.now)
-    {
-        return Fit::Full;
+    let at_capacity = endpoint.running.len() + reserved >= slots;
+    let prefills_until = (queued_prefill > limit && !idle).then(|| endpoint.prefill_end - limit);
+    let closed_until = endpoint.closed_until(context.service, context.rate_share, context.now);
+    let shut_until = prefills_until.max(closed_until);
+    if at_capacity || !kv_fits || shut_until.is_some() {
+        let until = shut_until.filter(|_| !at_capacity && kv_fits);
+        return Fit::Full { until, for_all: at_capacity || shut_until.is_some() };
     }
     let (_, prefill) = estimate_prefill(endpoint, work, context.model_slowdown);
     let run_cost = RUN_COST * endpoint.running.len() as u32;
@@ -193,6 +195,6 @@
     if endpoint.has_adapter_room(spec) {
         Fit::NeedsAdapter(cost + ADAPTER_LOAD_COST)
     } else {
-        Fit::Full
+        lacks_adapter
     }
 }
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -10,6 +10,7 @@
 use super::{
     FailureRates, GrantKey, GrantRequest, KvCache, RequestLimit, Swap,
     adapter::{AdapterPhase, AdapterState},
+    running::RunTable,
     scheduler::CrashState,
     sizes::KeptSizes,
 };
@@ -147,7 +148,7 @@
     /// Last entry read from the store, to detect changes.
     pub(super) entry: EndpointEntry,
     /// Granted requests that run at the endpoint.
-    pub(super) running: HashMap<GrantKey, ActiveRun>,
+    pub(super) running: RunTable,
     /// When the endpoint stops being cold.
     pub(super) cold_until: Time,
     /// When requests were granted, for the limit of a cold endpoint.
@@ -203,7 +204,7 @@
     /// Creates the state of an endpoint from its entry.
     pub fn new(info: EndpointEntry, now: Time) -> Self {
         let mut endpoint = Self {
-            running: HashMap::new(),
+            running: RunTable::default(),
             cold_until: now + info.cold_remaining,
             recent_grants: VecDeque::new(),
             paused_until: Time::default(),
@@ -389,10 +390,17 @@
         (recent as f64) + 1.0 <= service.cold_rate.max(1.0)
     }
 
-    /// Returns whether a `share` of the instances may send a request without exceeding the rate that
-    /// the endpoint has named.
-    pub(super) fn is_within_limit(&self, share: f64, now: Time) -> bool {
-        self.rate_limit.is_none_or(|limit| limit.allows(share, now))
+    /// Returns until when the endpoint takes no request, whatever it needs: it is paused, at its cold
+    /// rate, or at the rate that it has named, of which this scheduler has a `share`.
+    pub(super) fn closed_until(&self, service: &Service, share: f64, now: Time) -> Option<Time> {
+        let paused = (self.paused_until > now).then_some(self.paused_until);
+        let cold = (!self.has_cold_capacity(service, now)).then(|| {
+            let oldest = self.recent_grants.iter().find(|at| now.since(**at) < COLD_WINDOW);
+            oldest.map_or(now, |at| *at + COLD_WINDOW).min(self.cold_until)
+        });
+        let limit_wait = self.rate_limit.map(|limit| limit.wait(share, now));
+        let limited = limit_wait.filter(|wait| !wait.is_zero()).map(|wait| now + wait);
+        paused.max(cold).max(limited)
     }
 
     /// Records that a request was granted.
@@ -460,13 +468,12 @@
 
     /// Returns whether a granted request runs at the endpoint.
     pub fn runs(&self, key: &GrantKey) -> bool {
-        self.running.contains_key(key)
+        self.running.contains(key)
     }
 
     /// Returns the upper bound of KV cache tokens that running requests use.
     pub(super) fn reserved_tokens(&self) -> u64 {
-        let works = self.running.values().filter_map(|run| run.request.work.as_ref());
-        works.map(|work| work.prompt_tokens + work.output_tokens).sum()
+        self.running.reserved_tokens()
     }
 
     /// Returns whether the engine has a replica of a model that is not about to be unloaded.
@@ -483,7 +490,6 @@
 
     /// Returns how many requests of a model are running.
     pub(super) fn running_count(&self, model: &str) -> usize {
-        let works = self.running.values().filter_map(|run| run.request.work.as_ref());
-        works.filter(|work| &*work.model == model).count()
+        self.running.model_count(model)
     }
 }
--- /dev/null
+++ b/src/kernel/grants/queues.rs
@@ -0,0 +1,482 @@
+//! All requests that wait, in queues by what can serve them.
+//!
+//! Queues whose requests need the same model (or the same plain service) form a group. A group is
+//! evaluated when one of its endpoints has changed, when the time has come at which an endpoint takes
+//! requests again, or when an earlier evaluation was cut short; its other requests cost nothing. So the
+//! cost of a decision does not depend on how many requests wait.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque},
+    ops::Bound,
+    sync::Arc,
+};
+
+use super::{
+    GrantKey, GrantRequest,
+    queue::{GroupKey, KindQueue, QueuedRequest, Rank, RequestKind},
+};
+use crate::clock::Time;
+
+/// Identifies the queue of one kind; never reused.
+type KindId = u64;
+
+/// Where a request waits.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    /// In the queue of its kind, with this rank.
+    Queue(KindId, Rank),
+    /// Beside the queues, until a trial has shown whether it causes crashes.
+    Trial,
+}
+
+/// A request that waits.
+#[derive(Debug)]
+struct Waiting {
+    queued: QueuedRequest,
+    place: Place,
+}
+
+/// How much of a group must be evaluated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wake {
+    /// All queues.
+    Whole,
+    /// The queues whose heads come after this rank. If `again` is set, something has changed since the
+    /// evaluation began, and all queues must be evaluated after that.
+    After { rank: Rank, again: bool },
+}
+
+/// Queues whose requests need the same model or plain service.
+#[derive(Debug, Default)]
+struct Group {
+    /// First request of each queue.
+    heads: BTreeMap<Rank, KindId>,
+    /// Number of requests of each priority; never zero.
+    counts: BTreeMap<u8, usize>,
+    /// What must be evaluated; `None` if nothing has changed since it was last done.
+    wake: Option<Wake>,
+    /// When the group is woken next by time alone.
+    wake_at: Option<Time>,
+}
+
+/// All requests that wait.
+#[derive(Debug, Default)]
+pub(super) struct Queues {
+    last_number: u64,
+    last_kind: KindId,
+    requests: HashMap<u64, Waiting>,
+    numbers: HashMap<GrantKey, u64>,
+    kinds: HashMap<RequestKind, KindId>,
+    queues: HashMap<KindId, KindQueue>,
+    groups: BTreeMap<GroupKey, Group>,
+    /// Groups that must be evaluated.
+    due: BTreeSet<GroupKey>,
+    /// Times at which groups are woken. Those that no longer count differ from the group's time.
+    wake_times: BinaryHeap<Reverse<(Time, GroupKey)>>,
+    /// Times at which requests expire, with their numbers. Some may have left.
+    expiry: BinaryHeap<Reverse<(Time, u64)>>,
+    /// Requests that wait for a trial. Some may have left.
+    trials: VecDeque<u64>,
+}
+
+/// An evaluation of some groups in the order of the ranks of their heads.
+#[derive(Debug, Default)]
+pub(super) struct Round {
+    groups: Vec<GroupKey>,
+    /// Next head of each group that is not done.
+    heads: BinaryHeap<Reverse<(Rank, usize)>>,
+}
+
+/// The next head of a round.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Head {
+    /// Rank of the request.
+    pub rank: Rank,
+    /// Position of its group in the round.
+    group: usize,
+}
+
+impl Queues {
+    /// Returns the number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Adds a request to the queue of its kind. Returns its rank.
+    pub fn push(&mut self, queued: QueuedRequest, now: Time) -> Rank {
+        self.remove(&queued.key);
+        self.last_number += 1;
+        let number = self.last_number;
+        self.numbers.insert(queued.key.clone(), number);
+        self.expiry.push(Reverse((queued.expires_at(), number)));
+        let (id, rank) = self.insert(&queued, number, now);
+        self.requests.insert(number, Waiting { queued, place: Place::Queue(id, rank) });
+        rank
+    }
+
+    /// Adds the rank of a request to the queue of its kind.
+    fn insert(&mut self, queued: &QueuedRequest, number: u64, now: Time) -> (KindId, Rank) {
+        let rank = queued.rank(number, now);
+        let kind = RequestKind::of(&queued.request);
+        let group = kind.group();
+        let id = match self.kinds.get(&kind) {
+            Some(id) => *id,
+            None => {
+                self.last_kind += 1;
+                self.kinds.insert(kind.clone(), self.last_kind);
+                self.queues.insert(self.last_kind, KindQueue::new(kind));
+                self.last_kind
+            }
+        };
+        let queue = self.queues.get_mut(&id).expect("each kind has a queue");
+        *queue.counts.entry(rank.priority).or_default() += 1;
+        let group = self.groups.entry(group).or_default();
+        *group.counts.entry(rank.priority).or_default() += 1;
+        change_order(queue, group, id, |order| {
+            order.insert(rank);
+        });
+        (id, rank)
+    }
+
+    /// Removes the rank of a request from the queue of its kind.
+    fn extract(&mut self, id: KindId, rank: Rank) {
+        let queue = self.queues.get_mut(&id).expect("the queue of a request");
+        let key = queue.kind.group();
+        let group = self.groups.get_mut(&key).expect("the group of a queue");
+        change_order(queue, group, id, |order| {
+            order.remove(&rank);
+        });
+        subtract(&mut queue.counts, rank.priority);
+        subtract(&mut group.counts, rank.priority);
+        let is_group_empty = group.heads.is_empty();
+        if queue.order.is_empty() {
+            self.kinds.remove(&queue.kind);
+            self.queues.remove(&id);
+        }
+        if is_group_empty {
+            self.groups.remove(&key);
+            self.due.remove(&key);
+        }
+    }
+
+    /// Removes a request that is no longer of use. If it was the first of its queue, the next one may
+    /// fit where it did not, so its group is woken.
+    pub fn remove(&mut self, key: &GrantKey) -> Option<QueuedRequest> {
+        let number = *self.numbers.get(key)?;
+        let place = self.requests.get(&number)?.place;
+        if let Place::Queue(id, rank) = place
+            && let Some(queue) = self.queues.get(&id)
+            && queue.order.first() == Some(&rank)
+        {
+            let group = queue.kind.group();
+            self.wake(&group);
+        }
+        self.take_number(number)
+    }
+
+    /// Takes the request with a rank out of its queue, whose next request is evaluated by the caller.
+    pub fn take(&mut self, rank: Rank) -> Option<QueuedRequest> {
+        self.take_number(rank.number)
+    }
+
+    fn take_number(&mut self, number: u64) -> Option<QueuedRequest> {
+        let Waiting { queued, place } = self.requests.remove(&number)?;
+        self.numbers.remove(&queued.key);
+        if let Place::Queue(id, rank) = place {
+            self.extract(id, rank);
+        }
+        Some(queued)
+    }
+
+    /// Removes the requests of an instance.
+    pub fn remove_instance(&mut self, instance: &str) {
+        let own = self.numbers.keys().filter(|key| &*key.instance == instance);
+        for key in own.cloned().collect::<Vec<_>>() {
+            self.remove(&key);
+        }
+    }
+
+    /// Removes a request that has waited too long.
+    pub fn pop_expired(&mut self, now: Time) -> Option<QueuedRequest> {
+        while let Some(Reverse((at, number))) = self.expiry.peek().copied() {
+            if at > now {
+                return None;
+            }
+            self.expiry.pop();
+            if let Some(key) = self.requests.get(&number).map(|it| it.queued.key.clone()) {
+                return self.remove(&key);
+            }
+        }
+        None
+    }
+
+    /// Returns the first request of the same kind as `request` in the order of the ranks.
+    pub fn first_of_kind(&mut self, request: &GrantRequest, now: Time) -> Option<&QueuedRequest> {
+        let id = *self.kinds.get(&RequestKind::of(request))?;
+        loop {
+            let rank = *self.queues.get(&id)?.order.first()?;
+            if !rank.is_outdated(now) {
+                return self.get(rank);
+            }
+            self.mark_late(id, rank);
+        }
+    }
+
+    /// Returns how many requests of the same kind wait that are at least as urgent as `request`.
+    pub fn count_ahead(&self, request: &GrantRequest) -> usize {
+        let id = self.kinds.get(&RequestKind::of(request));
+        let queue = id.and_then(|id| self.queues.get(id));
+        queue.map_or(0, |queue| queue.counts.range(..=request.priority).map(|(_, n)| n).sum())
+    }
+
+    /// Returns the number of requests that wait for each model.
+    pub fn waiting_by_model(&self) -> BTreeMap<Arc<str>, usize> {
+        let mut waiting: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+        for (key, group) in &self.groups {
+            let Some(model) = &key.model else { continue };
+            *waiting.entry(model.clone()).or_default() += group.counts.values().sum::<usize>();
+        }
+        let trials = self.trials.iter().filter_map(|number| self.requests.get(number));
+        let trials = trials.filter(|waiting| matches!(waiting.place, Place::Trial));
+        for work in trials.filter_map(|waiting| waiting.queued.request.work.as_ref()) {
+            *waiting.entry(work.model.clone()).or_default() += 1;
+        }
+        waiting
+    }
+
+    /// Returns the request with a rank.
+    pub fn get(&self, rank: Rank) -> Option<&QueuedRequest> {
+        self.requests.get(&rank.number).map(|waiting| &waiting.queued)
+    }
+
+    /// Returns the request with a rank.
+    pub fn get_mut(&mut self, rank: Rank) -> Option<&mut QueuedRequest> {
+        self.requests.get_mut(&rank.number).map(|waiting| &mut waiting.queued)
+    }
+
+    /// Moves a request behind those of its kind that are not late.
+    fn mark_late(&mut self, id: KindId, rank: Rank) {
+        let late = Rank { late: true, ..rank };
+        let queue = self.queues.get_mut(&id).expect("the queue of a request");
+        let group = self.groups.get_mut(&queue.kind.group()).expect("the group of a queue");
+        change_order(queue, group, id, |order| {
+            order.remove(&rank);
+            order.insert(late);
+        });
+        if let Some(waiting) = self.requests.get_mut(&rank.number) {
+            waiting.place = Place::Queue(id, late);
+        }
+    }
+
+    /// Moves a request beside the queues, until a trial has shown whether it causes crashes.
+    pub fn park(&mut self, rank: Rank) {
+        let Some(waiting) = self.requests.get_mut(&rank.number) else { return };
+        if let Place::Queue(id, rank) = std::mem::replace(&mut waiting.place, Place::Trial) {
+            self.trials.push_back(rank.number);
+            self.extract(id, rank);
+        }
+    }
+
+    /// Puts up to `max` of the requests that wait for a trial back into their queues, which are woken.
+    pub fn unpark(&mut self, max: usize, now: Time) {
+        for _ in 0..max {
+            let Some(number) = self.trials.pop_front() else { return };
+            let Some(mut waiting) = self.requests.remove(&number) else { continue };
+            let (id, rank) = self.insert(&waiting.queued, number, now);
+            waiting.place = Place::Queue(id, rank);
+            let key = RequestKind::of(&waiting.queued.request).group();
+            self.requests.insert(number, waiting);
+            self.wake(&key);
+        }
+    }
+
+    /// Requires an evaluation of a group, after one of its endpoints has changed.
+    pub fn wake(&mut self, key: &GroupKey) {
+        let Some(group) = self.groups.get_mut(key) else { return };
+        match &mut group.wake {
+            Some(Wake::Whole) => {}
+            Some(Wake::After { again, .. }) => *again = true,
+            none => {
+                *none = Some(Wake::Whole);
+                self.due.insert(key.clone());
+            }
+        }
+    }
+
+    /// Requires an evaluation of all groups.
+    pub fn wake_all(&mut self) {
+        for (key, group) in &mut self.groups {
+            group.wake = Some(Wake::Whole);
+            self.due.insert(key.clone());
+        }
+    }
+
+    /// Requires an evaluation of the group of a request at a time.
+    pub fn wake_at(&mut self, request: &GrantRequest, at: Time) {
+        self.wake_group_at(RequestKind::of(request).group(), at);
+    }
+
+    fn wake_group_at(&mut self, key: GroupKey, at: Time) {
+        let Some(group) = self.groups.get_mut(&key) else { return };
+        if group.wake_at.is_none_or(|known| at < known) {
+            group.wake_at = Some(at);
+            self.wake_times.push(Reverse((at, key)));
+        }
+    }
+
+    /// Requires an evaluation of the group of the request with a rank at a time.
+    pub fn wake_at_rank(&mut self, rank: Rank, at: Time) {
+        let key = self.get(rank).map(|queued| RequestKind::of(&queued.request).group());
+        if let Some(key) = key {
+            self.wake_group_at(key, at);
+        }
+    }
+
+    /// Wakes the groups whose time has come.
+    pub fn wake_timed(&mut self, now: Time) {
+        while self.wake_times.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+            let Some(Reverse((at, key))) = self.wake_times.pop() else { return };
+            let group = self.groups.get_mut(&key).filter(|group| group.wake_at == Some(at));
+            if let Some(group) = group {
+                group.wake_at = None;
+                self.wake(&key);
+            }
+        }
+    }
+
+    /// Begins an evaluation of all groups that require one.
+    pub fn due_round(&mut self, now: Time) -> Round {
+        let mut round = Round::default();
+        for key in std::mem::take(&mut self.due) {
+            let Some(group) = self.groups.get_mut(&key) else { continue };
+            let after = match group.wake.take() {
+                Some(Wake::After { rank, again }) => {
+                    if again {
+                        self.due.insert(key.clone());
+                        group.wake = Some(Wake::Whole);
+                    }
+                    Some(rank)
+                }
+                Some(Wake::Whole) | None => None,
+            };
+            self.add_group(&mut round, key, after, now);
+        }
+        round
+    }
+
+    /// Begins an evaluation of these groups, whether they require one or not.
+    pub fn round_of(&mut self, keys: impl Iterator<Item = GroupKey>, now: Time) -> Round {
+        let mut round = Round::default();
+        for key in keys {
+            self.add_group(&mut round, key, None, now);
+        }
+        round
+    }
+
+    fn add_group(&mut self, round: &mut Round, key: GroupKey, after: Option<Rank>, now: Time) {
+        if let Some(rank) = self.next_head(&key, after, now) {
+            round.heads.push(Reverse((rank, round.groups.len())));
+            round.groups.push(key);
+        }
+    }
+
+    /// Returns the first head of a group that comes after a rank.
+    fn next_head(&mut self, key: &GroupKey, after: Option<Rank>, now: Time) -> Option<Rank> {
+        loop {
+            let group = self.groups.get(key)?;
+            let lower = after.map_or(Bound::Unbounded, Bound::Excluded);
+            let (rank, id) = group.heads.range((lower, Bound::Unbounded)).next()?;
+            if !rank.is_outdated(now) {
+                return Some(*rank);
+            }
+            let (id, rank) = (*id, *rank);
+            self.mark_late(id, rank);
+        }
+    }
+
+    /// Takes the next head of a round. It must be passed to [`Queues::go_on`] after its evaluation,
+    /// unless its group is done.
+    pub fn take_head(&self, round: &mut Round) -> Option<Head> {
+        let Reverse((rank, group)) = round.heads.pop()?;
+        Some(Head { rank, group })
+    }
+
+    /// Adds the head that comes after `head` in its group to the round.
+    pub fn go_on(&mut self, round: &mut Round, head: Head, now: Time) {
+        if let Some(rank) = self.next_head(&round.groups[head.group], Some(head.rank), now) {
+            round.heads.push(Reverse((rank, head.group)));
+        }
+    }
+
+    /// Returns whether the group of a head has a request that is more urgent than it.
+    pub fn has_more_urgent(&self, round: &Round, head: Head) -> bool {
+        self.is_any_before(&round.groups[head.group], head.rank.priority)
+    }
+
+    /// Ends the evaluation of the groups of a round in which no request is more urgent than `head`,
+    /// since the endpoint that they have in common takes none that is as urgent or less.
+    pub fn skip_less_urgent(&self, round: &mut Round, head: Head) {
+        let Round { groups, heads } = round;
+        heads.retain(|Reverse((_, index))| self.is_any_before(&groups[*index], head.rank.priority));
+    }
+
+    /// Returns whether a group has a request that is more urgent than `priority`.
+    fn is_any_before(&self, key: &GroupKey, priority: u8) -> bool {
+        let group = self.groups.get(key);
+        let first = group.and_then(|group| group.counts.keys().next());
+        first.is_some_and(|first| *first < priority)
+    }
+
+    /// Leaves the rest of a round that was cut short to the next evaluation.
+    pub fn defer(&mut self, round: Round) {
+        let Round { groups, heads } = round;
+        for Reverse((rank, index)) in heads {
+            let key = &groups[index];
+            let Some(group) = self.groups.get_mut(key) else { continue };
+            // The rank before the next head, so that the evaluation goes on with this one.
+            let rank = Rank { number: rank.number - 1, ..rank };
+            group.wake = Some(match group.wake {
+                None => Wake::After { rank, again: false },
+                Some(Wake::Whole) => Wake::After { rank, again: true },
+                Some(Wake::After { rank, .. }) => Wake::After { rank, again: true },
+            });
+            self.due.insert(key.clone());
+        }
+    }
+}
+
+/// Changes the order of a queue, and its head in the group.
+fn change_order(
+    queue: &mut KindQueue,
+    group: &mut Group,
+    id: KindId,
+    change: impl FnOnce(&mut BTreeSet<Rank>),
+) {
+    let before = queue.order.first().copied();
+    change(&mut queue.order);
+    let after = queue.order.first().copied();
+    if before != after {
+        if let Some(rank) = before {
+            group.heads.remove(&rank);
+        }
+        if let Some(rank) = after {
+            group.heads.insert(rank, id);
+        }
+    }
+}
+
+/// Subtracts one from the number of requests of a priority.
+fn subtract(counts: &mut BTreeMap<u8, usize>, priority: u8) {
+    if let Some(count) = counts.get_mut(&priority) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&priority);
+        }
+    }
+}
--- /dev/null
+++ b/src/kernel/grants/running.rs
@@ -0,0 +1,124 @@
+//! The runs of one endpoint, with sums that each evaluation of the endpoint needs.
+//!
+//! An evaluation must not walk over all runs: an engine has tens of them, and is evaluated for each
+//! request that it may serve.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{GrantKey, ModelWork, endpoint::ActiveRun};
+
+/// Sums over the runs of one model.
+#[derive(Clone, Debug, Default)]
+struct ModelRuns {
+    /// Number of runs.
+    count: usize,
+    /// Number of runs with each adapter; never zero.
+    adapters: HashMap<Arc<str>, usize>,
+    /// Tokens to prefill of the runs without a first event.
+    queued_tokens: u64,
+}
+
+/// The runs of one endpoint.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RunTable {
+    runs: HashMap<GrantKey, ActiveRun>,
+    /// Prompt and response tokens of all runs.
+    reserved_tokens: u64,
+    /// Sums of each model that has runs.
+    models: HashMap<Arc<str>, ModelRuns>,
+}
+
+impl RunTable {
+    /// Returns the number of runs.
+    pub fn len(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Returns whether there is no run.
+    pub fn is_empty(&self) -> bool {
+        self.runs.is_empty()
+    }
+
+    /// Returns whether a granted request runs.
+    pub fn contains(&self, key: &GrantKey) -> bool {
+        self.runs.contains_key(key)
+    }
+
+    /// Returns the upper bound of tokens that the runs use.
+    pub fn reserved_tokens(&self) -> u64 {
+        self.reserved_tokens
+    }
+
+    /// Returns the number of runs of a model.
+    pub fn model_count(&self, model: &str) -> usize {
+        self.models.get(model).map_or(0, |runs| runs.count)
+    }
+
+    /// Returns whether a run uses an adapter of a model.
+    pub fn uses_adapter(&self, model: &str, adapter: &str) -> bool {
+        self.models.get(model).is_some_and(|runs| runs.adapters.contains_key(adapter))
+    }
+
+    /// Returns the tokens to prefill of the runs without a first event, by model.
+    pub fn queued_tokens(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.models.iter().map(|(model, runs)| (model, runs.queued_tokens))
+    }
+
+    /// Adds a run, which replaces an earlier one with the same key.
+    pub fn insert(&mut self, key: GrantKey, run: ActiveRun) {
+        self.remove(&key);
+        if let Some(work) = &run.request.work {
+            self.reserved_tokens += work.prompt_tokens + work.output_tokens;
+            let model = self.models.entry(work.model.clone()).or_default();
+            model.count += 1;
+            if let Some(adapter) = &work.adapter {
+                *model.adapters.entry(adapter.clone()).or_default() += 1;
+            }
+            if !run.started {
+                model.queued_tokens += run.prefill_tokens;
+            }
+        }
+        self.runs.insert(key, run);
+    }
+
+    /// Removes a run.
+    pub fn remove(&mut self, key: &GrantKey) -> Option<ActiveRun> {
+        let run = self.runs.remove(key)?;
+        if let Some(work) = &run.request.work {
+            self.reserved_tokens -= work.prompt_tokens + work.output_tokens;
+            self.remove_work(work, if run.started { 0 } else { run.prefill_tokens });
+        }
+        Some(run)
+    }
+
+    /// Subtracts the work of a run that has ended from the sums of its model.
+    fn remove_work(&mut self, work: &ModelWork, queued_tokens: u64) {
+        let Some(model) = self.models.get_mut(&work.model) else { return };
+        model.count -= 1;
+        model.queued_tokens -= queued_tokens;
+        if let Some(adapter) = &work.adapter
+            && let Some(count) = model.adapters.get_mut(adapter)
+        {
+            *count -= 1;
+            if *count == 0 {
+                model.adapters.remove(adapter);
+            }
+        }
+        if model.count == 0 {
+            self.models.remove(&work.model);
+        }
+    }
+
+    /// Records the first event of a run. Returns the run, or `None` if it is not known or its first
+    /// event was recorded before.
+    pub fn record_first_event(&mut self, key: &GrantKey) -> Option<&ActiveRun> {
+        let run = self.runs.get_mut(key).filter(|run| !run.started)?;
+        run.started = true;
+        if let Some(work) = &run.request.work
+            && let Some(model) = self.models.get_mut(&work.model)
+        {
+            model.queued_tokens -= run.prefill_tokens;
+        }
+        Some(run)
+    }
+}
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -7,6 +7,7 @@
 mod rate_limits;
 mod retries;
 mod runs;
+mod selection;
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
@@ -19,17 +20,12 @@
 };
 
 use super::{
-    Action, Command, Demand, Endpoint, EndpointEntry, EngineReport, Grant, GrantKey, GrantRequest,
-    Holdings, ModelWork, Order, OrderResult, RetryBudget, RetryLimits, StreamOrigins, TokenBucket,
-    choice,
-    choice::{Fit, FitContext},
-    crash_causes::{CrashCauses, CrashCheck, possible_causes},
-    index::Index,
-    order_state::OrderIds,
-    queue::QueuedRequest,
+    Action, Command, Demand, Endpoint, EndpointEntry, EngineReport, GrantKey, GrantRequest,
+    Holdings, Order, OrderResult, RetryBudget, RetryLimits, StreamOrigins, TokenBucket,
+    crash_causes::CrashCauses, index::Index, order_state::OrderIds, queues::Queues,
 };
 use crate::{
-    catalog::{Catalog, EngineSpec, Service},
+    catalog::{Catalog, EngineSpec, Team},
     clock::Time,
     kernel::request_rate::RequestRate,
 };
@@ -75,13 +71,15 @@
     mode: Mode,
     limits: SchedulerLimits,
     catalog: Arc<Catalog>,
+    /// The catalog's teams by name.
+    teams: HashMap<Arc<str>, Arc<Team>>,
     /// Data centres whose endpoints receive no requests.
     evacuated: HashSet<Arc<str>>,
     endpoints: BTreeMap<Arc<str>, Endpoint>,
     index: Index,
     /// Endpoint that runs each granted request.
     endpoint_of: HashMap<GrantKey, Arc<str>>,
-    queue: Vec<QueuedRequest>,
+    queue: Queues,
     /// Token bucket of each team.
     buckets: HashMap<Arc<str>, TokenBucket>,
     /// Retry budget of each service.
@@ -108,20 +106,6 @@
     started_at: Time,
 }
 
-/// Result of selecting an endpoint for a request.
-enum Selection {
-    /// An endpoint runs the request.
-    Granted(Grant),
-    /// The endpoint first has to load the adapter.
-    LoadingAdapter(Arc<str>),
-    /// The request may cause a crash, and waits for the end of a run that shows whether it does.
-    AwaitsTrial,
-    /// Endpoints serve such requests but are full.
-    Full,
-    /// No endpoint has what the request needs.
-    Unavailable,
-}
-
 impl Scheduler {
     /// Creates a scheduler without endpoints and with an empty catalog.
     pub fn new(limits: SchedulerLimits, mode: Mode, now: Time) -> Self {
@@ -129,11 +113,12 @@
             mode,
             limits,
             catalog: Arc::default(),
+            teams: HashMap::new(),
             evacuated: HashSet::new(),
             endpoints: BTreeMap::new(),
             index: Index::default(),
             endpoint_of: HashMap::new(),
-            queue: Vec::new(),
+            queue: Queues::default(),
             buckets: HashMap::new(),
             retry_budgets: HashMap::new(),
             own_retries: HashMap::new(),
@@ -170,6 +155,9 @@
             self.restart_retries();
         }
         let could_order = self.may_order();
+        if self.mode != mode {
+            self.queue.wake_all();
+        }
         self.mode = mode;
         if could_order != self.may_order() {
             self.endpoints.values_mut().for_each(Endpoint::reset_orders);
@@ -184,12 +172,16 @@
                 endpoint.keep_sizes(spec);
             }
         }
+        let teams = catalog.keys.values().map(|team| (team.name.clone(), team.clone()));
+        self.teams = teams.collect();
         self.catalog = catalog;
+        self.queue.wake_all();
     }
 
     /// Sets the data centres whose endpoints receive no requests.
     pub fn set_evacuated(&mut self, evacuated: HashSet<Arc<str>>) {
         self.evacuated = evacuated;
+        self.queue.wake_all();
     }
 
     /// Returns whether an endpoint is in a data centre that is out of service.
@@ -202,8 +194,10 @@
     /// service are unchanged.
     pub fn set_endpoints(&mut self, entries: Vec<EndpointEntry>, now: Time) {
         let mut old = std::mem::take(&mut self.endpoints);
+        let mut has_changed = false;
         for entry in entries {
             let known = old.remove(&entry.id);
+            let is_changed = known.as_ref().is_none_or(|known| known.entry != entry);
             let endpoint = match known {
                 Some(known) if !known.is_incarnation(&entry) => {
                     self.record_loss(known, now);
@@ -216,14 +210,22 @@
                 Some(known) => known,
                 None => Endpoint::new(entry, now),
             };
+            if is_changed {
+                self.index.update(&endpoint);
+            }
+            has_changed |= is_changed;
             self.endpoints.insert(endpoint.info.id.clone(), endpoint);
         }
         for lost in old.into_values() {
+            has_changed = true;
+            self.index.remove(&lost.info.id);
             self.origins.record_version(&lost.info.service, &lost.info.version, now);
             self.record_loss(lost, now);
         }
+        if has_changed {
+            self.queue.wake_all();
+        }
         self.record_versions(now);
-        self.index.invalidate();
     }
 
     /// Returns the endpoints.
@@ -284,51 +286,6 @@
         matches!(self.mode, Mode::Leading { may_order: true, .. })
     }
 
-    /// Grants a request, queues it, or refuses it if waiting is of no use.
-    fn grant_or_queue(
-        &mut self,
-        key: GrantKey,
-        request: GrantRequest,
-        now: Time,
-        actions: &mut Vec<Action>,
-    ) {
-        let ahead = self.queue.iter().any(|queued| {
-            queued.adapter_load.is_none()
-                && is_same_kind(&queued.request, &request)
-                && queued.request.priority <= request.priority
-                && queued.request.due > now
-        });
-        let selection =
-            if ahead { Selection::Full } else { self.select_endpoint(&key, &request, now) };
-        let mut queued = QueuedRequest { key, request, since: now, adapter_load: None };
-        let refusal = match selection {
-            Selection::Granted(grant) => return actions.push(Action::Grant(queued.key, grant)),
-            Selection::LoadingAdapter(endpoint) => {
-                self.collect_orders_of(&endpoint, now, actions);
-                queued.adapter_load = Some((endpoint, now));
-                None
-            }
-            Selection::AwaitsTrial => None,
-            Selection::Full => {
-                self.refuse_long_wait(&queued, self.expected_wait(&queued.request, now))
-            }
-            Selection::Unavailable => {
-                let missing = self.refuse_missing_version(&queued.request);
-                missing.or_else(|| match self.loaded_at(&queued.request) {
-                    Some(ready) => self.refuse_long_wait(&queued, ready.since(now)),
-                    None => self.refuse_unloadable(&queued),
-                })
-            }
-        };
-        match refusal {
-            None => self.queue.push(queued),
-            Some(refusal) => {
-                self.refund(&queued.request);
-                actions.push(Action::Refuse(queued.key, refusal));
-            }
-        }
-    }
-
     fn engine_spec(&self, service: &str) -> Option<&EngineSpec> {
         self.catalog.services.get(service)?.engine.as_ref()
     }
@@ -337,113 +294,6 @@
         self.slowdowns.get(model).copied().unwrap_or(1.0)
     }
 
-    /// Selects the endpoint with the lowest cost and starts the run or the load of the adapter
-    /// there.
-    fn select_endpoint(&mut self, key: &GrantKey, request: &GrantRequest, now: Time) -> Selection {
-        if self.check_crashes(request, now) == CrashCheck::Wait {
-            return Selection::AwaitsTrial;
-        }
-        let Some(service) = self.catalog.services.get(&request.service).cloned() else {
-            return Selection::Unavailable;
-        };
-        let model_slowdown =
-            request.work.as_ref().map_or(1.0, |work| self.model_slowdown(&work.model));
-        let (may_order, fill_fraction) = (self.may_order(), self.fill_fraction());
-        let rate_share = self.rate_share();
-        let context = FitContext {
-            service: &service,
-            may_order,
-            fill_fraction,
-            rate_share,
-            model_slowdown,
-            now,
-        };
-        let mut best: Option<(Duration, bool, Arc<str>)> = None;
-        let mut full = false;
-        self.index.refresh(&self.endpoints);
-        for id in self.index.candidates(request) {
-            let Some(endpoint) = self.endpoints.get(id) else { continue };
-            if self.evacuated.contains(&endpoint.info.data_centre) {
-                continue;
-            }
-            let (cost, ready) = match choice::evaluate(endpoint, request, &context) {
-                Fit::Ready(cost) => (cost, true),
-                Fit::NeedsAdapter(cost) => (cost, false),
-                Fit::Full => {
-                    full = true;
-                    continue;
-                }
-                Fit::Unsuitable => continue,
-            };
-            if best.as_ref().is_none_or(|(lowest, ..)| cost < *lowest) {
-                best = Some((cost, ready, endpoint.info.id.clone()));
-            }
-        }
-        match best {
-            Some((_, true, id)) => self.begin_run(key, request, &service, &id, now),
-            Some((_, false, id)) => {
-                self.want_adapter(&id, request);
-                Selection::LoadingAdapter(id)
-            }
-            None if full => Selection::Full,
-            None => Selection::Unavailable,
-        }
-    }
-
-    /// Returns when the model of a request will be loaded, if an engine is loading it or will load
-    /// it next.
-    fn loaded_at(&self, request: &GrantRequest) -> Option<Time> {
-        let work = request.work.as_ref()?;
-        let spec = self.engine_spec(&request.service)?;
-        let engines = self.endpoints.values().filter(|e| e.info.service == request.service);
-        let times = engines.filter_map(|engine| {
-            let loading = engine.loading.as_ref().filter(|(model, _)| *model == work.model);
-            let swap = engine.swap.as_ref().filter(|swap| swap.load == work.model);
-            let later = swap.map(|swap| swap.since + engine.load_time(spec, &work.model));
-            loading.map(|(_, ready)| *ready).or(later)
-        });
-        times.min()
-    }
-
-    /// Records at an endpoint that a queued request needs an adapter.
-    fn want_adapter(&mut self, id: &str, request: &GrantRequest) {
-        let Some(ModelWork { model, adapter: Some(adapter), .. }) = &request.work else { return };
-        if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.want_adapter(model, adapter);
-        }
-    }
-
-    /// Grants a request at an endpoint, unless its adapter is still being loaded there.
-    fn begin_run(
-        &mut self,
-        key: &GrantKey,
-        request: &GrantRequest,
-        service: &Service,
-        id: &Arc<str>,
-        now: Time,
-    ) -> Selection {
-        let model_slowdown =
-            request.work.as_ref().map_or(1.0, |work| self.model_slowdown(&work.model));
-        let Some(endpoint) = self.endpoints.get_mut(id) else { return Selection::Unavailable };
-        // An adapter that was ordered a moment ago is not ready yet.
-        if let Some(state) = request.work.as_ref().and_then(|work| endpoint.adapter_state(work))
-            && state.ready_at > now
-        {
-            return Selection::LoadingAdapter(id.clone());
-        }
-        let grant = Grant {
-            endpoint: id.clone(),
-            address: endpoint.info.address,
-            incarnation: endpoint.info.incarnation,
-            version: endpoint.info.version.clone(),
-        };
-        runs::start_run(endpoint, key, request, service, model_slowdown, now);
-        self.count_request(id, now);
-        self.endpoint_of.insert(key.clone(), id.clone());
-        self.crash_causes.record_grant(&possible_causes(request), now);
-        Selection::Granted(grant)
-    }
-
     /// Applies the result of an order.
     pub fn handle_order_result(&mut self, id: &str, order: &Order, result: OrderResult, now: Time) {
         let command = &order.command;
@@ -462,9 +312,8 @@
             }
         }
         endpoint.handle_order_result(order.id, result, ready, now);
-        if matches!(command, Command::Load { .. } | Command::Unload { .. }) {
-            self.index.invalidate();
-        }
+        self.index.update(endpoint);
+        self.wake_endpoint(id);
     }
 
     /// Applies the report of an engine, or `None` if none arrived.
@@ -473,7 +322,8 @@
         let requested_at = endpoint.order_state.report_since.unwrap_or_default();
         let has_report = report.is_some();
         endpoint.handle_report(report, now);
-        self.index.invalidate();
+        self.index.update(endpoint);
+        self.wake_endpoint(id);
         if has_report {
             self.record_response(id, requested_at);
         }
@@ -492,14 +342,3 @@
         actions
     }
 }
-
-/// Returns whether the same endpoints can serve both requests.
-fn is_same_kind(a: &GrantRequest, b: &GrantRequest) -> bool {
-    a.service == b.service
-        && a.version == b.version
-        && match (&a.work, &b.work) {
-            (Some(a), Some(b)) => a.model == b.model && a.adapter == b.adapter,
-            (None, None) => true,
-            _ => false,
-        }
-}
--- a/src/kernel/grants/scheduler/admission.rs
+++ b/src/kernel/grants/scheduler/admission.rs
@@ -99,8 +99,7 @@
     /// available.
     fn charge(&mut self, request: &GrantRequest, now: Time) -> Result<(), Duration> {
         let Some(name) = &request.team else { return Ok(()) };
-        let teams = self.catalog.keys.values();
-        let Some(team) = teams.into_iter().find(|team| team.name == *name) else { return Ok(()) };
+        let Some(team) = self.teams.get(name) else { return Ok(()) };
         let share = RateShare { fraction: self.rate_share(), slack: self.limits.rate_slack };
         let fraction = self.initial_burst(team, now);
         let new_bucket = || TokenBucket::new(team, share, fraction, now);
--- a/src/kernel/grants/scheduler/planning.rs
+++ b/src/kernel/grants/scheduler/planning.rs
@@ -1,11 +1,8 @@
 //! Orders to engines, planning of the placement, and the backlog of each model.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
-use super::Scheduler;
+use super::{Scheduler, waiting::groups_of};
 use crate::{
     catalog::{Catalog, Service},
     clock::Time,
@@ -39,10 +36,7 @@
 impl Scheduler {
     /// Returns the models with queued requests, the longest queue first.
     pub fn model_backlogs(&self, now: Time) -> Vec<ModelBacklog> {
-        let mut waiting: BTreeMap<Arc<str>, usize> = BTreeMap::new();
-        for work in self.queue.iter().filter_map(|queued| queued.request.work.as_ref()) {
-            *waiting.entry(work.model.clone()).or_default() += 1;
-        }
+        let waiting = self.queue.waiting_by_model();
         let backlog = |(model, waiting): (Arc<str>, usize)| {
             let serving =
                 || self.endpoints.values().filter(|e| e.is_serving() && e.can_serve(&model));
@@ -68,7 +62,12 @@
             return;
         }
         for endpoint in self.endpoints.values_mut() {
+            let had_swap = endpoint.swap.is_some();
             actions.extend(next_order(&self.catalog, endpoint, &mut self.order_ids, now));
+            // An abandoned swap leaves the models that it would have unloaded.
+            if had_swap && endpoint.swap.is_none() && !self.queue.is_empty() {
+                groups_of(endpoint).for_each(|key| self.queue.wake(&key));
+            }
         }
     }
 
@@ -88,10 +87,7 @@
         while self.store_loads.front().is_some_and(|at| now.since(*at) > load_window) {
             self.store_loads.pop_front();
         }
-        let mut waiting: HashMap<Arc<str>, usize> = HashMap::new();
-        for work in self.queue.iter().filter_map(|queued| queued.request.work.as_ref()) {
-            *waiting.entry(work.model.clone()).or_default() += 1;
-        }
+        let waiting: HashMap<Arc<str>, usize> = self.queue.waiting_by_model().into_iter().collect();
         let services: Vec<Arc<Service>> = self.catalog.services.values().cloned().collect();
         for service in services {
             let Some(spec) = &service.engine else { continue };
--- a/src/kernel/grants/scheduler/rate_limits.rs
+++ b/src/kernel/grants/scheduler/rate_limits.rs
@@ -32,6 +32,9 @@
             (known, rate) => *known = rate.map(|rate| RequestLimit::new(rate, now)),
         }
         let changed = old_rate != limit.rate;
+        if changed {
+            self.wake_endpoint(&limit.endpoint);
+        }
         self.limit_version += u64::from(changed);
         changed
     }
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -35,10 +35,7 @@
     pub fn record_first_event(&mut self, key: &GrantKey, now: Time) {
         let Some(id) = self.endpoint_of.get(key).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        let Some(run) = endpoint.running.get_mut(key) else { return };
-        if std::mem::replace(&mut run.started, true) {
-            return;
-        }
+        let Some(run) = endpoint.running.record_first_event(key) else { return };
         let request = run.request.clone();
         let work = request.work.clone();
         let (granted, queued_prefill, prefill_tokens) =
@@ -59,6 +56,7 @@
         correct_prefill(endpoint, &self.slowdowns, now);
         self.record_origin(&id, &request, now);
         self.record_response(&id, granted);
+        self.wake_endpoint(&id);
     }
 
     /// Records after how many refusals in a second the endpoint that runs a request fails; `None` if its
@@ -79,8 +77,7 @@
 
     /// Removes a queued request and refunds its tokens.
     pub fn cancel_waiting(&mut self, key: &GrantKey) {
-        if let Some(position) = self.queue.iter().position(|queued| queued.key == *key) {
-            let queued = self.queue.swap_remove(position);
+        if let Some(queued) = self.queue.remove(key) {
             self.refund(&queued.request);
         }
     }
@@ -129,11 +126,13 @@
 
     /// Removes the queued and the granted requests of an instance that has left.
     pub fn remove_instance(&mut self, instance: &str, now: Time) -> Vec<Action> {
-        self.queue.retain(|queued| &*queued.key.instance != instance);
+        self.queue.remove_instance(instance);
         let keys: Vec<GrantKey> =
             self.endpoint_of.keys().filter(|key| &*key.instance == instance).cloned().collect();
         for key in keys {
-            self.end_run(&key, Outcome::Left, now);
+            if let Some(endpoint) = self.end_run(&key, Outcome::Left, now) {
+                self.wake_endpoint(&endpoint);
+            }
         }
         self.tick(now)
     }
@@ -168,14 +167,11 @@
 
 /// Limits the expected queued prefill of an endpoint to that of the runs without a first event.
 fn correct_prefill(endpoint: &mut Endpoint, slowdowns: &HashMap<Arc<str>, f64>, now: Time) {
-    let not_started = endpoint.running.values().filter(|run| !run.started);
-    let not_started = not_started
-        .filter_map(|run| run.request.work.as_ref().map(|work| (work, run.prefill_tokens)));
-    let seconds: f64 = not_started
-        .map(|(work, prefill_tokens)| {
-            prefill_tokens as f64 / 4e4 * slowdowns.get(&work.model).copied().unwrap_or(1.0)
-        })
-        .sum();
+    let seconds = endpoint
+        .running
+        .queued_tokens()
+        .map(|(model, tokens)| tokens as f64 / 4e4 * slowdowns.get(model).copied().unwrap_or(1.0));
+    let seconds: f64 = seconds.sum();
     let remaining = Duration::from_secs_f64(seconds * endpoint.slowdown);
     endpoint.prefill_end = endpoint.prefill_end.min(now + remaining);
 }
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -1,13 +1,15 @@
 //! The queue: whether a request may wait, and which requests are granted next.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::time::Duration;
 
-use super::{RETRY_AFTER_RANGE, Scheduler, Selection, is_same_kind};
+use super::{RETRY_AFTER_RANGE, Scheduler, selection::Selection};
 use crate::{
     clock::Time,
     kernel::grants::{
-        Action, Endpoint, GrantRequest, Reason, Refusal, VersionNeed, crash_causes::CrashCheck,
-        queue::QueuedRequest,
+        Action, Endpoint, GrantRequest, Reason, Refusal, choice,
+        choice::Fit,
+        crash_causes::CrashCheck,
+        queue::{GroupKey, QueuedRequest, Rank},
     },
 };
 
@@ -17,43 +19,44 @@
 /// Expected time until a new leader can send orders to engines.
 const LEADER_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Time for which a request waits for an engine to load its adapter.
-const ADAPTER_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Expected rate at which an endpoint without a limit takes queued requests, a second.
 const MAX_GRANT_RATE: f64 = 1.0 / 0.06;
 
 /// Fraction of the time until its deadline for which a request may be expected to wait.
 const MAX_EXPECTED_WAIT_FRACTION: f64 = 0.5;
 
-/// What two requests have in common if the same endpoints can serve both.
-#[derive(PartialEq, Eq, Hash)]
-struct RequestKind {
-    service: Arc<str>,
-    model: Option<Arc<str>>,
-    adapter: Option<Arc<str>>,
-    version: VersionNeed,
-}
+/// Queued requests that one tick may find blocked. It bounds the tick after a change that concerns many
+/// queues; the next tick goes on with the others.
+const MAX_BLOCKED_PER_TICK: usize = 128;
 
-impl RequestKind {
-    fn of(request: &GrantRequest) -> Self {
-        let work = request.work.as_ref();
-        Self {
-            service: request.service.clone(),
-            model: work.map(|work| work.model.clone()),
-            adapter: work.and_then(|work| work.adapter.clone()),
-            version: request.version.clone(),
-        }
-    }
+/// Queued requests that one tick may grant, so that frames of the peers are handled in between.
+const MAX_SERVED_PER_TICK: usize = 512;
+
+/// Queued requests that the end of a run may find blocked. Where more queues compete for the endpoint,
+/// the next tick looks at the others.
+const MAX_BLOCKED_PER_EVENT: usize = 4;
+
+/// Requests waiting for a trial that one tick looks at. Each costs a search of the causes of crashes.
+const MAX_TRIALS_PER_TICK: usize = 32;
+
+/// Requests waiting for a trial that the end of a run looks at.
+const MAX_TRIALS_PER_EVENT: usize = 4;
+
+/// Result of an evaluation of the first request of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeadStep {
+    /// The request is granted or refused.
+    Served,
+    /// The request waits on.
+    Blocked,
+    /// The request waits on, as do all requests of its group that are not more urgent.
+    GroupBlocked,
 }
 
 impl Scheduler {
     /// Returns how long a request is expected to wait behind others of its kind.
     pub(super) fn expected_wait(&self, request: &GrantRequest, now: Time) -> Duration {
-        let same_kind = |w: &&QueuedRequest| {
-            is_same_kind(&w.request, request) && w.request.priority <= request.priority
-        };
-        let ahead = self.queue.iter().filter(same_kind).count();
+        let ahead = self.queue.count_ahead(request);
         let candidates = self.index.candidates(request).iter();
         let candidates: Vec<&Endpoint> =
             candidates.filter_map(|id| self.endpoints.get(id)).collect();
@@ -121,82 +124,162 @@
         engines.map(|engine| engine.load_time(spec, &work.model)).min()
     }
 
-    /// Grants as many queued requests as the endpoints can take.
+    /// Grants queued requests of the groups that must be evaluated, and refuses those that have waited
+    /// too long.
     pub(super) fn grant_queued(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let queue = std::mem::take(&mut self.queue);
-        self.grant_or_requeue(queue, now, actions);
+        self.queue.wake_timed(now);
+        self.queue.unpark(MAX_TRIALS_PER_TICK, now);
+        let mut round = self.queue.due_round(now);
+        let (mut blocked, mut served) = (0, 0);
+        while blocked < MAX_BLOCKED_PER_TICK
+            && served < MAX_SERVED_PER_TICK
+            && let Some(head) = self.queue.take_head(&mut round)
+        {
+            match self.serve_head(head.rank, now, actions) {
+                HeadStep::Served => served += 1,
+                HeadStep::Blocked => blocked += 1,
+                HeadStep::GroupBlocked => {
+                    blocked += 1;
+                    if !self.queue.has_more_urgent(&round, head) {
+                        continue;
+                    }
+                }
+            }
+            self.queue.go_on(&mut round, head, now);
+        }
+        self.queue.defer(round);
+        while let Some(queued) = self.queue.pop_expired(now) {
+            let refusal = Refusal { reason: Reason::NoRoom, retry: RETRY_AFTER_RANGE.0 * 4 };
+            self.refuse(queued, refusal, actions);
+        }
     }
 
     /// Grants queued requests that an endpoint could run, after the endpoint has gained capacity.
     pub(super) fn grant_queued_at(&mut self, id: &str, now: Time, actions: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        // The run may have been the trial that requests wait for.
+        self.queue.unpark(MAX_TRIALS_PER_EVENT, now);
         let Some(endpoint) = self.endpoints.get(id) else { return };
-        let selected = self.queue.extract_if(.., |queued| {
-            queued.request.service == endpoint.info.service
-                && queued.request.work.as_ref().is_none_or(|work| endpoint.can_serve(&work.model))
-        });
-        let selected = selected.collect();
-        self.grant_or_requeue(selected, now, actions);
+        if self.evacuated.contains(&endpoint.info.data_centre) {
+            return;
+        }
+        let mut round = self.queue.round_of(groups_of(endpoint), now);
+        let mut blocked = 0;
+        while blocked < MAX_BLOCKED_PER_EVENT
+            && let Some(head) = self.queue.take_head(&mut round)
+        {
+            // The other endpoints have not changed since the last evaluation, so that only this one
+            // can make a difference.
+            match self.evaluate_head(head.rank, id, now) {
+                Some(Fit::Ready(_) | Fit::NeedsAdapter(_)) => {
+                    let step = self.serve_head(head.rank, now, actions);
+                    blocked += usize::from(step != HeadStep::Served);
+                }
+                Some(Fit::Full { for_all: true, .. }) => {
+                    blocked += 1;
+                    self.queue.skip_less_urgent(&mut round, head);
+                    if !self.queue.has_more_urgent(&round, head) {
+                        continue;
+                    }
+                }
+                Some(Fit::Full { .. } | Fit::Unsuitable) | None => blocked += 1,
+            }
+            self.queue.go_on(&mut round, head, now);
+        }
+        self.queue.defer(round);
     }
 
-    /// Grants the selected requests in the order of their ranks while endpoints have capacity, and
-    /// requeues or refuses the others.
-    fn grant_or_requeue(
-        &mut self,
-        mut selected: Vec<QueuedRequest>,
-        now: Time,
-        actions: &mut Vec<Action>,
-    ) {
-        selected.sort_by_cached_key(|queued| queued.rank(now));
-        let mut full_kinds: HashSet<RequestKind> = HashSet::new();
-        for mut queued in selected {
-            let kind = RequestKind::of(&queued.request);
-            if let Some((_, since)) = &queued.adapter_load {
-                if now.since(*since) > ADAPTER_TIMEOUT {
-                    queued.adapter_load = None;
+    /// Returns how an endpoint fits the request with a rank.
+    fn evaluate_head(&mut self, rank: Rank, id: &str, now: Time) -> Option<Fit> {
+        let request = &self.queue.get(rank)?.request;
+        let endpoint = self.endpoints.get(id)?;
+        let fit =
+            self.with_context(request, now, |context| choice::evaluate(endpoint, request, context));
+        if let Some(Fit::Full { until: Some(until), .. }) = fit {
+            self.queue.wake_at_rank(rank, until);
+        }
+        fit
+    }
+
+    /// Grants the request with a rank, which is the first of its queue, or refuses it if it must not
+    /// wait any longer.
+    fn serve_head(&mut self, rank: Rank, now: Time, actions: &mut Vec<Action>) -> HeadStep {
+        let Some(queued) = self.queue.get(rank) else { return HeadStep::Served };
+        let request = &queued.request;
+        if self.check_crashes(request, now) == CrashCheck::Refuse {
+            return self.refuse_head(rank, Refusal::CRASHES, actions);
+        }
+        let selection = self.select_endpoint(request, now);
+        match &selection {
+            Selection::Ready(endpoint) => {
+                let Some(queued) = self.queue.take(rank) else { return HeadStep::Served };
+                if let Some(grant) = self.begin_run(&queued.key, &queued.request, endpoint, now) {
+                    actions.push(Action::Grant(queued.key, grant));
                 }
-            } else if full_kinds.contains(&kind) {
-                self.requeue_or_refuse(queued, now, actions);
-                continue;
+                return HeadStep::Served;
             }
-            if self.check_crashes(&queued.request, now) == CrashCheck::Refuse {
-                self.refund(&queued.request);
-                actions.push(Action::Refuse(queued.key, Refusal::CRASHES));
-                continue;
+            Selection::AwaitsTrial => {
+                self.queue.park(rank);
+                return HeadStep::Blocked;
             }
-            match self.select_endpoint(&queued.key, &queued.request, now) {
-                Selection::Granted(grant) => {
-                    actions.push(Action::Grant(queued.key, grant));
-                    continue;
-                }
-                Selection::LoadingAdapter(endpoint) => {
-                    self.collect_orders_of(&endpoint, now, actions);
-                    let since = queued.adapter_load.map_or(now, |(_, since)| since);
-                    queued.adapter_load = Some((endpoint, since));
-                }
-                Selection::AwaitsTrial => queued.adapter_load = None,
-                Selection::Unavailable
-                    if let Some(refusal) = self.refuse_missing_version(&queued.request) =>
-                {
-                    self.refund(&queued.request);
-                    actions.push(Action::Refuse(queued.key, refusal));
-                    continue;
-                }
-                Selection::Full | Selection::Unavailable => {
-                    queued.adapter_load = None;
-                    full_kinds.insert(kind);
-                }
+            Selection::Unavailable { .. }
+                if let Some(refusal) = self.refuse_missing_version(request) =>
+            {
+                return self.refuse_head(rank, refusal, actions);
+            }
+            _ => {}
+        }
+        let request = request.clone();
+        self.set_wake_time(&request, &selection, now);
+        let loading = match &selection {
+            Selection::NeedsAdapter { endpoint, .. } => {
+                self.want_adapter(endpoint, &request);
+                self.collect_orders_of(endpoint, now, actions);
+                Some(endpoint.clone())
             }
-            self.requeue_or_refuse(queued, now, actions);
+            _ => None,
+        };
+        if let Some(queued) = self.queue.get_mut(rank) {
+            let since = queued.adapter_load.take().map_or(now, |(_, since)| since);
+            queued.adapter_load = loading.map(|endpoint| (endpoint, since));
+        }
+        match selection {
+            Selection::Full { for_all: true, .. } => HeadStep::GroupBlocked,
+            _ => HeadStep::Blocked,
+        }
+    }
+
+    /// Refuses the request with a rank.
+    fn refuse_head(&mut self, rank: Rank, refusal: Refusal, actions: &mut Vec<Action>) -> HeadStep {
+        if let Some(queued) = self.queue.take(rank) {
+            self.refuse(queued, refusal, actions);
         }
+        HeadStep::Served
     }
 
-    /// Puts a request back into the queue, or refuses it if it has waited too long.
-    fn requeue_or_refuse(&mut self, queued: QueuedRequest, now: Time, actions: &mut Vec<Action>) {
-        if !queued.is_overdue(now) {
-            return self.queue.push(queued);
+    /// Requires an evaluation of the queues that an endpoint can serve, after it has changed.
+    pub(super) fn wake_endpoint(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoints.get(id).filter(|_| !self.queue.is_empty()) {
+            groups_of(endpoint).for_each(|key| self.queue.wake(&key));
         }
-        self.refund(&queued.request);
-        let refusal = Refusal { reason: Reason::NoRoom, retry: RETRY_AFTER_RANGE.0 * 4 };
-        actions.push(Action::Refuse(queued.key, refusal));
     }
+
+    /// Grants the queued requests that an endpoint can serve and returns its next order, after the
+    /// result of an order or a report.
+    pub fn poll_endpoint(&mut self, id: &str, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.grant_queued_at(id, now, &mut actions);
+        self.collect_orders_of(id, now, &mut actions);
+        actions
+    }
+}
+
+/// Returns the groups of queues whose requests an endpoint can serve.
+pub(super) fn groups_of(endpoint: &Endpoint) -> impl Iterator<Item = GroupKey> {
+    let models = endpoint.replicas.keys().map(Some);
+    models
+        .chain([None])
+        .map(|model| GroupKey { service: endpoint.info.service.clone(), model: model.cloned() })
 }
