Skip the evaluation of requests whose endpoints are known to be full

An arrival was evaluated against all endpoints of its model also where an earlier evaluation had found them full and none has changed since, and the end of a run evaluated requests that wait for an adapter at another engine. Groups now remember from which priority they are blocked, until an endpoint changes.

Tests: a random world finds requests that no change wakes (fails without wake times, and without the wake by a limit), bounded ticks go on, the most urgent head of competing queues is granted first, and an arrival after a change is evaluated (fails if a wake keeps the block).

--- a/src/kernel/grants/orders.rs
+++ b/src/kernel/grants/orders.rs
@@ -7,7 +7,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    Command, Endpoint, EngineReport,
+    Command, Endpoint, EngineReport, ModelWork,
     adapter::{AdapterPhase, AdapterState},
     order_state::{Order, OrderId, OrderIds, OrderResult, OrderStep},
 };
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns whether the load of the request's adapter will be ordered.
+    pub(super) fn wants_adapter(&self, work: &ModelWork) -> bool {
+        let is_own = |(model, adapter): &(Arc<str>, Arc<str>)| {
+            *model == work.model && work.adapter.as_ref() == Some(adapter)
+        };
+        self.order_state.wanted_adapters.iter().any(is_own)
+    }
+
     /// Returns the next step; the caller carries it out and passes the result back.
     pub fn next_order(&mut self, spec: &EngineSpec, ids: &mut OrderIds, now: Time) -> OrderStep {
         if self.awaits_result(now) || now < self.order_state.next_at || !self.accepts_requests(now)
--- a/src/kernel/grants/queues.rs
+++ b/src/kernel/grants/queues.rs
@@ -5,10 +5,11 @@
 //! requests again, or when an earlier evaluation was cut short; its other requests cost nothing. So the
 //! cost of a decision does not depend on how many requests wait.
 
+mod round;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque},
-    ops::Bound,
     sync::Arc,
 };
 
@@ -58,6 +59,9 @@
     wake: Option<Wake>,
     /// When the group is woken next by time alone.
     wake_at: Option<Time>,
+    /// Priority from which all endpoints are full for every request of the group, since the last change
+    /// of one of them; `None` if that is not known.
+    blocked_from: Option<u8>,
 }
 
 /// All requests that wait.
@@ -80,23 +84,6 @@
     trials: VecDeque<u64>,
 }
 
-/// An evaluation of some groups in the order of the ranks of their heads.
-#[derive(Debug, Default)]
-pub(super) struct Round {
-    groups: Vec<GroupKey>,
-    /// Next head of each group that is not done.
-    heads: BinaryHeap<Reverse<(Rank, usize)>>,
-}
-
-/// The next head of a round.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Head {
-    /// Rank of the request.
-    pub rank: Rank,
-    /// Position of its group in the round.
-    group: usize,
-}
-
 impl Queues {
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
@@ -299,6 +286,7 @@
     /// Requires an evaluation of a group, after one of its endpoints has changed.
     pub fn wake(&mut self, key: &GroupKey) {
         let Some(group) = self.groups.get_mut(key) else { return };
+        group.blocked_from = None;
         match &mut group.wake {
             Some(Wake::Whole) => {}
             Some(Wake::After { again, .. }) => *again = true,
@@ -313,10 +301,28 @@
     pub fn wake_all(&mut self) {
         for (key, group) in &mut self.groups {
             group.wake = Some(Wake::Whole);
+            group.blocked_from = None;
             self.due.insert(key.clone());
         }
     }
 
+    /// Records that all endpoints are full for each request of the group of `rank` that is not more
+    /// urgent than it.
+    pub fn block(&mut self, rank: Rank) {
+        let key = self.get(rank).map(|queued| RequestKind::of(&queued.request).group());
+        if let Some(group) = key.and_then(|key| self.groups.get_mut(&key)) {
+            let from = group.blocked_from.map_or(rank.priority, |from| from.min(rank.priority));
+            group.blocked_from = Some(from);
+        }
+    }
+
+    /// Returns whether all endpoints are known to be full for a request.
+    pub fn is_blocked(&self, request: &GrantRequest) -> bool {
+        let group = self.groups.get(&RequestKind::of(request).group());
+        let from = group.and_then(|group| group.blocked_from);
+        from.is_some_and(|from| request.priority >= from)
+    }
+
     /// Requires an evaluation of the group of a request at a time.
     pub fn wake_at(&mut self, request: &GrantRequest, at: Time) {
         self.wake_group_at(RequestKind::of(request).group(), at);
@@ -349,106 +355,6 @@
             }
         }
     }
-
-    /// Begins an evaluation of all groups that require one.
-    pub fn due_round(&mut self, now: Time) -> Round {
-        let mut round = Round::default();
-        for key in std::mem::take(&mut self.due) {
-            let Some(group) = self.groups.get_mut(&key) else { continue };
-            let after = match group.wake.take() {
-                Some(Wake::After { rank, again }) => {
-                    if again {
-                        self.due.insert(key.clone());
-                        group.wake = Some(Wake::Whole);
-                    }
-                    Some(rank)
-                }
-                Some(Wake::Whole) | None => None,
-            };
-            self.add_group(&mut round, key, after, now);
-        }
-        round
-    }
-
-    /// Begins an evaluation of these groups, whether they require one or not.
-    pub fn round_of(&mut self, keys: impl Iterator<Item = GroupKey>, now: Time) -> Round {
-        let mut round = Round::default();
-        for key in keys {
-            self.add_group(&mut round, key, None, now);
-        }
-        round
-    }
-
-    fn add_group(&mut self, round: &mut Round, key: GroupKey, after: Option<Rank>, now: Time) {
-        if let Some(rank) = self.next_head(&key, after, now) {
-            round.heads.push(Reverse((rank, round.groups.len())));
-            round.groups.push(key);
-        }
-    }
-
-    /// Returns the first head of a group that comes after a rank.
-    fn next_head(&mut self, key: &GroupKey, after: Option<Rank>, now: Time) -> Option<Rank> {
-        loop {
-            let group = self.groups.get(key)?;
-            let lower = after.map_or(Bound::Unbounded, Bound::Excluded);
-            let (rank, id) = group.heads.range((lower, Bound::Unbounded)).next()?;
-            if !rank.is_outdated(now) {
-                return Some(*rank);
-            }
-            let (id, rank) = (*id, *rank);
-            self.mark_late(id, rank);
-        }
-    }
-
-    /// Takes the next head of a round. It must be passed to [`Queues::go_on`] after its evaluation,
-    /// unless its group is done.
-    pub fn take_head(&self, round: &mut Round) -> Option<Head> {
-        let Reverse((rank, group)) = round.heads.pop()?;
-        Some(Head { rank, group })
-    }
-
-    /// Adds the head that comes after `head` in its group to the round.
-    pub fn go_on(&mut self, round: &mut Round, head: Head, now: Time) {
-        if let Some(rank) = self.next_head(&round.groups[head.group], Some(head.rank), now) {
-            round.heads.push(Reverse((rank, head.group)));
-        }
-    }
-
-    /// Returns whether the group of a head has a request that is more urgent than it.
-    pub fn has_more_urgent(&self, round: &Round, head: Head) -> bool {
-        self.is_any_before(&round.groups[head.group], head.rank.priority)
-    }
-
-    /// Ends the evaluation of the groups of a round in which no request is more urgent than `head`,
-    /// since the endpoint that they have in common takes none that is as urgent or less.
-    pub fn skip_less_urgent(&self, round: &mut Round, head: Head) {
-        let Round { groups, heads } = round;
-        heads.retain(|Reverse((_, index))| self.is_any_before(&groups[*index], head.rank.priority));
-    }
-
-    /// Returns whether a group has a request that is more urgent than `priority`.
-    fn is_any_before(&self, key: &GroupKey, priority: u8) -> bool {
-        let group = self.groups.get(key);
-        let first = group.and_then(|group| group.counts.keys().next());
-        first.is_some_and(|first| *first < priority)
-    }
-
-    /// Leaves the rest of a round that was cut short to the next evaluation.
-    pub fn defer(&mut self, round: Round) {
-        let Round { groups, heads } = round;
-        for Reverse((rank, index)) in heads {
-            let key = &groups[index];
-            let Some(group) = self.groups.get_mut(key) else { continue };
-            // The rank before the next head, so that the evaluation goes on with this one.
-            let rank = Rank { number: rank.number - 1, ..rank };
-            group.wake = Some(match group.wake {
-                None => Wake::After { rank, again: false },
-                Some(Wake::Whole) => Wake::After { rank, again: true },
-                Some(Wake::After { rank, .. }) => Wake::After { rank, again: true },
-            });
-            self.due.insert(key.clone());
-        }
-    }
 }
 
 /// Changes the order of a queue, and its head in the group.
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -14,7 +14,7 @@
 };
 
 /// Time for which a request waits for an engine to load its adapter.
-const ADAPTER_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const ADAPTER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What is known of the endpoints that a request may use.
 #[derive(Clone, Debug)]
@@ -66,7 +66,7 @@
                 && first.request.due > now
         });
         // The queue has a time to be evaluated already if a request of the kind waits.
-        let selection = match is_ahead {
+        let selection = match is_ahead || self.is_blocked(&request, now) {
             true => Selection::Full { until: None, for_all: false },
             false => self.select_endpoint(&request, now),
         };
@@ -96,6 +96,19 @@
         }
     }
 
+    /// Returns whether an earlier evaluation has shown that the endpoints which could run the request
+    /// are full, so that it need not be evaluated itself.
+    fn is_blocked(&self, request: &GrantRequest, now: Time) -> bool {
+        let is_usual = request.tried.is_empty() && request.version == VersionNeed::Any;
+        let max_tokens = self.engine_spec(&request.service).map_or(u64::MAX, |spec| spec.kv_tokens);
+        let tokens =
+            request.work.as_ref().map_or(0, |work| work.prompt_tokens + work.output_tokens);
+        is_usual
+            && tokens <= max_tokens
+            && self.queue.is_blocked(request)
+            && self.check_crashes(request, now) == CrashCheck::Run
+    }
+
     /// Returns a refusal unless an endpoint is expected to have what the request needs in time.
     fn refuse_unavailable(&self, queued: &QueuedRequest, now: Time) -> Option<Refusal> {
         let missing = self.refuse_missing_version(&queued.request);
@@ -111,6 +124,10 @@
         let rank = self.queue.push(queued, now);
         match selection {
             Selection::AwaitsTrial => self.queue.park(rank),
+            Selection::Full { for_all: true, .. } => {
+                self.queue.block(rank);
+                self.set_wake_time(&request, selection, now);
+            }
             selection => self.set_wake_time(&request, selection, now),
         }
     }
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use super::{RETRY_AFTER_RANGE, Scheduler, selection::Selection};
+use super::{
+    RETRY_AFTER_RANGE, Scheduler,
+    selection::{ADAPTER_TIMEOUT, Selection},
+};
 use crate::{
     clock::Time,
     kernel::grants::{
@@ -140,6 +143,7 @@
                 HeadStep::Blocked => blocked += 1,
                 HeadStep::GroupBlocked => {
                     blocked += 1;
+                    self.queue.block(head.rank);
                     if !self.queue.has_more_urgent(&round, head) {
                         continue;
                     }
@@ -170,6 +174,11 @@
         while blocked < MAX_BLOCKED_PER_EVENT
             && let Some(head) = self.queue.take_head(&mut round)
         {
+            if self.awaits_adapter(head.rank, id, now) {
+                blocked += 1;
+                self.queue.go_on(&mut round, head, now);
+                continue;
+            }
             // The other endpoints have not changed since the last evaluation, so that only this one
             // can make a difference.
             match self.evaluate_head(head.rank, id, now) {
@@ -191,6 +200,23 @@
         self.queue.defer(round);
     }
 
+    /// Returns whether the request with a rank waits for an adapter that this endpoint does not have
+    /// ready either, so that its room makes no difference.
+    fn awaits_adapter(&self, rank: Rank, id: &str, now: Time) -> bool {
+        let Some(queued) = self.queue.get(rank) else { return false };
+        let (Some((engine, since)), Some(work), Some(endpoint)) =
+            (&queued.adapter_load, &queued.request.work, self.endpoints.get(id))
+        else {
+            return false;
+        };
+        let is_recent = now.since(*since) <= ADAPTER_TIMEOUT;
+        is_recent
+            && match endpoint.adapter_state(work) {
+                Some(state) => state.ready_at > now,
+                None => **engine != *id || endpoint.wants_adapter(work),
+            }
+    }
+
     /// Returns how an endpoint fits the request with a rank.
     fn evaluate_head(&mut self, rank: Rank, id: &str, now: Time) -> Option<Fit> {
         let request = &self.queue.get(rank)?.request;
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -8,6 +8,7 @@
 mod orders;
 mod origins;
 mod placement;
+mod queue;
 mod rate;
 mod rate_limits;
 mod recovery;
