--- a/src/kernel/grants/placement/layout.rs
+++ b/src/kernel/grants/placement/layout.rs
@@ -1,4 +1,7 @@
 //! Assignment of models to engines during a planning round, and the gain of each possible swap.
+//!
+//! A round of a large fleet weighs each model in need against each engine, so what depends on the
+//! model alone or on the engine alone is computed once.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -64,20 +67,56 @@
     Urgent,
 }
 
+/// A model for which a load is considered.
+pub(super) struct Candidate {
+    /// Name of the model.
+    pub model: Arc<str>,
+    /// Why it is considered.
+    pub need: Need,
+    /// Demand that one more replica would have.
+    added: f64,
+    /// By how much one more replica reduces the sum of squared utilizations of the others.
+    relief: f64,
+}
+
+/// A model at an engine that may be unloaded there.
+struct Unloadable {
+    model: Arc<str>,
+    weights_mb: f64,
+    /// Cost of unloading it, in squared utilization, for the choice among the engine's models.
+    cost: f64,
+    /// Demand that the engine loses.
+    freed: f64,
+    /// By how much the squared utilizations of the model's other engines grow, and the cost of its
+    /// absence if there is none.
+    burden: f64,
+    has_runs: bool,
+}
+
+/// What a round knows of one engine.
+struct EngineState {
+    /// Demand for its models in seconds of work per second.
+    utilization: f64,
+    /// Whether a change is planned or ongoing.
+    changing: bool,
+    /// Whether it takes few requests, while others take as many as they can.
+    limited: bool,
+    free_mb: f64,
+    /// Models that may be unloaded, the cheapest first.
+    unloadable: Vec<Unloadable>,
+}
+
 /// Models and utilization of the engines, including planned and ongoing changes.
-pub(super) struct Layout {
+pub(super) struct Layout<'a> {
+    engines: &'a [&'a Endpoint],
+    input: &'a PlanInput<'a>,
     /// Engines that have or are getting a replica of each model.
     replicas: BTreeMap<Arc<str>, BTreeSet<usize>>,
     /// Number of replicas of each model that are loaded and not about to be unloaded.
-    usable_replicas: BTreeMap<Arc<str>, usize>,
+    usable_replicas: HashMap<Arc<str>, usize>,
     /// Demand for each model in seconds of work per second.
     demand: HashMap<Arc<str>, f64>,
-    /// Utilization of each engine in seconds of work per second.
-    utilization: Vec<f64>,
-    /// Engines at which a change is planned or ongoing.
-    changing: Vec<bool>,
-    /// Engines that take few requests, while others take as many as they can.
-    limited: Vec<bool>,
+    states: Vec<EngineState>,
 }
 
 /// A possible load of a model at an engine.
@@ -86,8 +125,10 @@
     pub engine: usize,
     /// Why the model would be loaded.
     pub need: Need,
-    /// The swap that loads it.
-    pub swap: Swap,
+    /// Model to load.
+    model: Arc<str>,
+    /// Number of the engine's cheapest models to unload first.
+    unloads: usize,
     /// Gain of the swap; the highest is best.
     pub gain: f64,
     /// Whether the weights come from the weight store.
@@ -103,12 +144,15 @@
     engines.iter().map(|engine| !all && engine.rate_limit.is_some()).collect()
 }
 
-impl Layout {
+impl<'a> Layout<'a> {
     /// Creates the layout of the engines with their ongoing and planned changes.
-    pub fn new(engines: &[&Endpoint], input: &PlanInput<'_>) -> Self {
+    pub fn new(engines: &'a [&'a Endpoint], input: &'a PlanInput<'a>) -> Self {
+        let models = input.spec.models.keys();
+        let demand: HashMap<Arc<str>, f64> =
+            models.map(|model| (model.clone(), input.demand.expected(model, input.now))).collect();
+        let demand_of = |model: &str| demand.get(model).copied().unwrap_or(0.0);
         let mut replicas: BTreeMap<Arc<str>, BTreeSet<usize>> = BTreeMap::new();
-        let mut usable_replicas: BTreeMap<Arc<str>, usize> = BTreeMap::new();
-        let demand_of = |model: &str| input.demand.rate(model, input.now);
+        let mut usable_replicas: HashMap<Arc<str>, usize> = HashMap::new();
         let limited = limited_engines(engines);
         for (index, engine) in engines.iter().enumerate() {
             let served = engine.replicas.keys().filter(|model| engine.can_serve(model));
@@ -122,55 +166,116 @@
                 replicas.entry(model.clone()).or_default().insert(index);
             }
         }
-        let models = input.spec.models.keys();
-        let demand = models.map(|model| (model.clone(), demand_of(model)));
-        let mut layout = Self {
-            replicas,
-            usable_replicas,
-            demand: demand.collect(),
-            utilization: vec![0.0; engines.len()],
-            changing: engines.iter().map(|e| e.loading.is_some() || e.swap.is_some()).collect(),
+        let states = engines.iter().zip(limited).map(|(engine, limited)| EngineState {
+            utilization: 0.0,
+            changing: engine.loading.is_some() || engine.swap.is_some(),
             limited,
-        };
+            free_mb: input.spec.weights_mb - engine.used_weights_mb(input.spec),
+            unloadable: Vec::new(),
+        });
+        let states = states.collect();
+        let mut layout = Self { engines, input, replicas, usable_replicas, demand, states };
         layout.update_utilization();
+        layout.update_unloadable(0..engines.len());
         layout
     }
 
     /// Recomputes the utilization of all engines.
     fn update_utilization(&mut self) {
-        self.utilization.fill(0.0);
+        self.states.iter_mut().for_each(|state| state.utilization = 0.0);
         for (model, replicas) in &self.replicas {
-            let per_replica = self.demand_of(model) / replicas.len().max(1) as f64;
+            let demand = self.demand.get(model).copied().unwrap_or(0.0);
+            let per_replica = demand / replicas.len().max(1) as f64;
             for index in replicas {
-                self.utilization[*index] += per_replica;
+                self.states[*index].utilization += per_replica;
+            }
+        }
+    }
+
+    /// Recomputes what unloading each model would cost at these engines.
+    fn update_unloadable(&mut self, indices: impl Iterator<Item = usize>) {
+        let sums = self.utilization_sums();
+        for index in indices {
+            if !self.states[index].changing {
+                self.states[index].unloadable = self.unloadable(index, &sums);
             }
         }
     }
 
+    /// Returns the sum of the utilizations of each model's engines.
+    fn utilization_sums(&self) -> HashMap<Arc<str>, f64> {
+        let sum = |indices: &BTreeSet<usize>| -> f64 {
+            indices.iter().map(|index| self.states[*index].utilization).sum()
+        };
+        self.replicas.iter().map(|(model, indices)| (model.clone(), sum(indices))).collect()
+    }
+
+    /// Returns the models that an engine may unload, the cheapest first.
+    fn unloadable(&self, index: usize, sums: &HashMap<Arc<str>, f64>) -> Vec<Unloadable> {
+        let engine = self.engines[index];
+        let mut unloadable: Vec<Unloadable> = engine
+            .replicas
+            .keys()
+            .map(|model| {
+                let runs = engine.running_count(model);
+                let (freed, burden) = self.unload_effect(index, model, sums);
+                Unloadable {
+                    model: model.clone(),
+                    weights_mb: engine.held_size(model, self.input.spec).weights_mb,
+                    cost: self.unload_cost(engine, model) + RUN_DRAIN_COST * runs as f64,
+                    freed,
+                    burden,
+                    has_runs: runs > 0,
+                }
+            })
+            .collect();
+        unloadable.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        unloadable
+    }
+
+    /// Returns the demand that an engine loses by unloading a model, and by how much the squared
+    /// utilizations of the model's other engines grow. The last replica costs its absence instead.
+    fn unload_effect(
+        &self,
+        index: usize,
+        model: &str,
+        sums: &HashMap<Arc<str>, f64>,
+    ) -> (f64, f64) {
+        let is_last = self.usable_replicas.get(model).is_none_or(|count| *count <= 1);
+        let absence =
+            if is_last { self.absence_cost(self.engines[index], model) } else { 0.0 };
+        let Some(replicas) = self.replicas.get(model).filter(|it| it.contains(&index)) else {
+            return (0.0, absence);
+        };
+        let (demand, count) = (self.demand_of(model), replicas.len() as f64);
+        let freed = demand / count;
+        if replicas.len() == 1 {
+            return (freed, absence);
+        }
+        let growth = demand / (count - 1.0) - freed;
+        let others = sums.get(model).copied().unwrap_or(0.0) - self.states[index].utilization;
+        (freed, 2.0 * growth * others + (count - 1.0) * growth.powi(2) + absence)
+    }
+
     /// Returns the demand for a model in seconds of work per second.
     fn demand_of(&self, model: &str) -> f64 {
         self.demand.get(model).copied().unwrap_or(0.0)
     }
 
-    /// Returns the number of engines that have or are getting a replica of a model.
-    fn replica_count(&self, model: &str) -> usize {
-        self.replicas.get(model).map_or(0, BTreeSet::len)
-    }
-
     /// Returns the models for which another replica would help most.
-    pub fn candidates(&self, input: &PlanInput<'_>) -> Vec<(Arc<str>, Need)> {
+    pub fn candidates(&self) -> Vec<Candidate> {
+        let sums = self.utilization_sums();
         let mut models: Vec<(Need, f64, &Arc<str>)> = Vec::new();
-        for model in input.spec.models.keys() {
+        for model in self.input.spec.models.keys() {
             let demand = self.demand_of(model);
-            let waiting = input.waiting.contains_key(model);
-            match self.replica_count(model) {
+            let waiting = self.input.waiting.contains_key(model);
+            match self.replicas.get(model).map_or(0, BTreeSet::len) {
                 0 if waiting || demand > RECENT_DEMAND => {
                     models.push((Need::Urgent, demand, model))
                 }
                 0 => models.push((Need::Spare, demand, model)),
                 count if demand > IDLE_DEMAND => {
-                    let replicas = self.replicas.get(model).into_iter().flatten();
-                    let utilization: f64 = replicas.map(|index| self.utilization[*index]).sum();
+                    let utilization = sums.get(model).copied().unwrap_or(0.0);
                     models.push((Need::Busy, utilization / count as f64 * demand, model));
                 }
                 _ => {}
@@ -185,36 +290,60 @@
             *count += 1;
             *count <= MAX_MODELS_PER_NEED
         });
-        models.into_iter().map(|(need, _, model)| (model.clone(), need)).collect()
+        let candidates =
+            models.into_iter().map(|(need, _, model)| self.candidate(model, need, &sums));
+        candidates.collect()
+    }
+
+    /// Returns a model as a candidate for a load.
+    fn candidate(&self, model: &Arc<str>, need: Need, sums: &HashMap<Arc<str>, f64>) -> Candidate {
+        let (demand, count) =
+            (self.demand_of(model), self.replicas.get(model).map_or(0, BTreeSet::len) as f64);
+        let added = demand / (count + 1.0);
+        let relief = match count {
+            0.0 => 0.0,
+            count => {
+                let reduction = demand / count - added;
+                let utilization = sums.get(model).copied().unwrap_or(0.0);
+                2.0 * reduction * utilization - count * reduction.powi(2)
+            }
+        };
+        Candidate { model: model.clone(), need, added, relief }
+    }
+
+    /// Returns the best load of a model that the budget of loads from the weight store allows.
+    pub fn best_proposal(&self, candidate: &Candidate, may_use_store: bool) -> Option<Proposal> {
+        let proposals = (0..self.engines.len()).filter_map(|index| self.propose(index, candidate));
+        let allowed = proposals.filter(|proposal| may_use_store || !proposal.from_store);
+        allowed.max_by(|a, b| a.gain.total_cmp(&b.gain))
     }
 
     /// Returns the proposal to load a model at an engine, unless it is impossible or not
     /// worthwhile.
-    pub fn propose(
-        &self,
-        index: usize,
-        engine: &Endpoint,
-        model: &Arc<str>,
-        need: Need,
-        input: &PlanInput<'_>,
-    ) -> Option<Proposal> {
-        let now = input.now;
+    fn propose(&self, index: usize, candidate: &Candidate) -> Option<Proposal> {
+        let (engine, state) = (self.engines[index], &self.states[index]);
+        let Candidate { model, need, .. } = candidate;
+        let (need, input) = (*need, self.input);
+        if state.changing || state.limited {
+            return None;
+        }
         let has_replica =
             self.replicas.get(model).is_some_and(|replicas| replicas.contains(&index));
-        let ready =
-            engine.accepts_requests(now) && (need == Need::Urgent || engine.may_change_models(now));
-        if self.changing[index] || self.limited[index] || has_replica || !ready {
+        let ready = engine.accepts_requests(input.now)
+            && (need == Need::Urgent || engine.may_change_models(input.now));
+        if has_replica || !ready {
             return None;
         }
-        let unload = self.models_to_unload(engine, model, need, input)?;
-        let reduction = self.reduction(index, engine, model, &unload);
+        let unloads = self.unload_count(state, model, need)?;
+        let unload = &state.unloadable[..unloads];
+        let reduction = self.reduction(state, candidate, unload);
         let from_store = !engine.has_local_weights(model);
         let min_gain = if from_store { MIN_STORE_GAIN } else { MIN_LOCAL_GAIN };
         if need == Need::Busy && reduction < min_gain {
             return None;
         }
         // A load waits for the runs of unloaded models, and no adapter is loaded in the meantime.
-        let has_runs = unload.iter().any(|name| engine.running_count(name) > 0);
+        let has_runs = unload.iter().any(|unloadable| unloadable.has_runs);
         let wait = if has_runs { RUN_DRAIN_TIME.as_secs_f64() } else { 0.0 };
         let seconds = engine.load_time(input.spec, model).as_secs_f64() + wait;
         let gain = match need {
@@ -222,55 +351,38 @@
                 // The model with the highest demand comes first, at the engine where the swap costs
                 // least.
                 let priority = URGENT_GAIN * (1.0 + self.demand_of(model));
-                priority + reduction - seconds * (1.0 + self.utilization[index])
+                priority + reduction - seconds * (1.0 + state.utilization)
             }
             Need::Spare => 1e-3 + reduction.min(0.0) * 1e-3 - seconds * 1e-6,
             Need::Busy => {
-                (reduction - ADAPTER_BLOCK_COST * self.utilization[index] * seconds)
-                    / (1.0 + seconds)
+                (reduction - ADAPTER_BLOCK_COST * state.utilization * seconds) / (1.0 + seconds)
             }
         };
         if need == Need::Busy && gain < min_gain / 2.0 {
             return None;
         }
-        let swap = Swap { load: model.clone(), unload, since: now };
-        Some(Proposal { engine: index, need, swap, gain, from_store })
+        Some(Proposal { engine: index, need, model: model.clone(), unloads, gain, from_store })
     }
 
-    /// Chooses the models to unload, those with the lowest cost first; `None` if that frees too
-    /// little memory or costs too much.
-    fn models_to_unload(
-        &self,
-        engine: &Endpoint,
-        model: &Arc<str>,
-        need: Need,
-        input: &PlanInput<'_>,
-    ) -> Option<Vec<Arc<str>>> {
-        let size_mb = input.spec.models.get(model)?.weights_mb;
-        let mut free_mb = input.spec.weights_mb - engine.used_weights_mb(input.spec);
+    /// Returns how many of an engine's cheapest models must be unloaded for a model; `None` if that
+    /// frees too little memory or costs too much.
+    fn unload_count(&self, state: &EngineState, model: &str, need: Need) -> Option<usize> {
+        let size_mb = self.input.spec.models.get(model)?.weights_mb;
         if need == Need::Spare {
-            return (free_mb >= size_mb).then(Vec::new);
+            return (state.free_mb >= size_mb).then_some(0);
         }
-        let costs = engine.replicas.keys().map(|name| {
-            let cost =
-                self.unload_cost(engine, name) + RUN_DRAIN_COST * engine.running_count(name) as f64;
-            (cost, name)
-        });
-        let mut others: Vec<(f64, &Arc<str>)> = costs.collect();
-        others.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let mut unload = Vec::new();
-        let mut cost = 0.0;
-        for (model_cost, name) in others {
+        let (mut free_mb, mut cost, mut count) = (state.free_mb, 0.0, 0);
+        for unloadable in &state.unloadable {
             if free_mb >= size_mb {
                 break;
             }
-            cost += model_cost;
-            free_mb += engine.held_size(name, input.spec).weights_mb;
-            unload.push(name.clone());
+            cost += unloadable.cost;
+            free_mb += unloadable.weights_mb;
+            count += 1;
         }
         let affordable =
             need == Need::Busy || cost <= MAX_URGENT_COST + ABSENCE_COST * self.demand_of(model);
-        (free_mb >= size_mb && affordable).then_some(unload)
+        (free_mb >= size_mb && affordable).then_some(count)
     }
 
     /// Returns the cost of unloading a model at an engine, in squared utilization.
@@ -300,43 +412,42 @@
     }
 
     /// Returns by how much a swap reduces the sum of squared utilizations.
-    fn reduction(&self, index: usize, engine: &Endpoint, model: &str, unload: &[Arc<str>]) -> f64 {
-        let mut change: BTreeMap<usize, f64> = BTreeMap::new();
-        let (demand, count) = (self.demand_of(model), self.replica_count(model) as f64);
-        let per_replica = demand / (count + 1.0);
-        *change.entry(index).or_default() += per_replica;
-        for other in self.replicas.get(model).into_iter().flatten() {
-            *change.entry(*other).or_default() += per_replica - demand / count;
-        }
-        for name in unload {
-            let (demand, count) = (self.demand_of(name), self.replica_count(name) as f64);
-            for other in self.replicas.get(name).into_iter().flatten() {
-                let after = if *other == index { 0.0 } else { demand / (count - 1.0).max(1.0) };
-                *change.entry(*other).or_default() += after - demand / count;
-            }
-        }
-        let reductions = change.into_iter().map(|(other, change)| {
-            let before = self.utilization[other];
-            before.powi(2) - (before + change).powi(2)
-        });
-        let is_last =
-            |name: &&Arc<str>| self.usable_replicas.get(*name).is_none_or(|count| *count <= 1);
-        let absences = unload.iter().filter(is_last).map(|name| self.absence_cost(engine, name));
-        reductions.sum::<f64>() - absences.sum::<f64>()
+    ///
+    /// Engines that have both the loaded and an unloaded model count as if each change were the only
+    /// one there.
+    fn reduction(
+        &self,
+        state: &EngineState,
+        candidate: &Candidate,
+        unload: &[Unloadable],
+    ) -> f64 {
+        let freed: f64 = unload.iter().map(|unloadable| unloadable.freed).sum();
+        let burden: f64 = unload.iter().map(|unloadable| unloadable.burden).sum();
+        let after = state.utilization + candidate.added - freed;
+        candidate.relief + state.utilization.powi(2) - after.powi(2) - burden
     }
 
-    /// Adds a planned swap to the layout.
-    pub fn apply(&mut self, proposal: &Proposal) {
-        self.changing[proposal.engine] = true;
-        for name in &proposal.swap.unload {
+    /// Adds a planned swap to the layout and returns it.
+    pub fn apply(&mut self, proposal: &Proposal) -> Swap {
+        let state = &mut self.states[proposal.engine];
+        state.changing = true;
+        let unloadable = std::mem::take(&mut state.unloadable);
+        let unload: Vec<Arc<str>> =
+            unloadable.into_iter().take(proposal.unloads).map(|it| it.model).collect();
+        // What another engine may unload depends on whether its replica is now the last one.
+        let mut affected: BTreeSet<usize> = BTreeSet::new();
+        for name in &unload {
             if let Some(replicas) = self.replicas.get_mut(name) {
                 replicas.remove(&proposal.engine);
+                affected.extend(replicas.iter());
             }
             if let Some(count) = self.usable_replicas.get_mut(name) {
                 *count -= 1;
             }
         }
-        self.replicas.entry(proposal.swap.load.clone()).or_default().insert(proposal.engine);
+        self.replicas.entry(proposal.model.clone()).or_default().insert(proposal.engine);
         self.update_utilization();
+        self.update_unloadable(affected.into_iter());
+        Swap { load: proposal.model.clone(), unload, since: self.input.now }
     }
 }
--- a/src/kernel/grants/scheduler/planning.rs
+++ b/src/kernel/grants/scheduler/planning.rs
@@ -7,13 +7,13 @@
 
 use super::Scheduler;
 use crate::{
-    catalog::{Catalog, Service},
+    catalog::{Catalog, EngineSpec, Service},
     clock::Time,
     kernel::grants::{Action, Endpoint, OrderStep, PlanInput, order_state::OrderIds, placement},
 };
 
-/// Number of concurrent loads from the weight store for each load per second that the store allows.
-const CONCURRENT_LOAD_FACTOR: f64 = 3.0;
+/// Loads that may run at once at least, whatever the weight store allows a second.
+const MIN_CONCURRENT_LOADS: usize = 2;
 
 /// Divisor of the limit on concurrent loads: models without demand are loaded only while fewer
 /// loads than the quotient are running.
@@ -102,7 +102,7 @@
             let loading =
                 engines.iter().filter(|e| e.loading.is_some() || e.swap.is_some()).count();
             let max_in_window = (spec.load_rate * load_window.as_secs_f64()) as usize;
-            let max_concurrent = (spec.load_rate * CONCURRENT_LOAD_FACTOR) as usize;
+            let max_concurrent = max_concurrent_loads(spec);
             let max_loads = max_in_window
                 .saturating_sub(self.store_loads.len())
                 .min(max_concurrent.saturating_sub(loading));
@@ -118,6 +118,15 @@
     }
 }
 
+/// Returns how many loads may run at once: as many as a weight store needs to have under way if it
+/// starts loads at the rate that it allows and each takes its usual time. With fewer, the allowed rate
+/// would never be reached; with more, each takes longer.
+fn max_concurrent_loads(spec: &EngineSpec) -> usize {
+    let load_time: f64 = spec.models.values().map(|model| model.load_time.as_secs_f64()).sum();
+    let mean_load_time = load_time / spec.models.len().max(1) as f64;
+    ((spec.load_rate * mean_load_time) as usize).max(MIN_CONCURRENT_LOADS)
+}
+
 /// Returns the action that carries out the next step of an engine's orders.
 fn next_order(
     catalog: &Catalog,
