--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -19,9 +19,11 @@
 mod pauses;
 mod placement;
 mod queue;
+mod queues;
 mod rate;
 mod request;
 mod request_limit;
+mod running;
 mod scheduler;
 mod sizes;
 
