--- a/benches/grants.rs
+++ b/benches/grants.rs
@@ -94,6 +94,7 @@
         priority: 1,
         due: now + Duration::from_millis(800),
         deadline: now + Duration::from_secs(50_000),
+        max_pause: Some(Duration::from_millis(400)),
         work: Some(work),
         tried: Vec::new(),
         is_retry: false,
--- a/src/kernel/grants/running.rs
+++ b/src/kernel/grants/running.rs
@@ -39,6 +39,11 @@
         self.runs.is_empty()
     }
 
+    /// Returns a run.
+    pub fn get(&self, key: &GrantKey) -> Option<&ActiveRun> {
+        self.runs.get(key)
+    }
+
     /// Returns whether a granted request runs.
     pub fn contains(&self, key: &GrantKey) -> bool {
         self.runs.contains_key(key)
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -21,8 +21,8 @@
 
 use super::{
     Action, Command, Demand, Endpoint, EndpointEntry, EngineReport, GrantKey, GrantRequest,
-    Holdings, Order, OrderResult, RetryBudget, RetryLimits, StreamOrigins, TokenBucket,
-    crash_causes::CrashCauses, index::Index, order_state::OrderIds, queues::Queues,
+    Holdings, Order, OrderResult, PauseControl, RetryBudget, RetryLimits, StreamOrigins,
+    TokenBucket, crash_causes::CrashCauses, index::Index, order_state::OrderIds, queues::Queues,
 };
 use crate::{
     catalog::{Catalog, EngineSpec, Team},
@@ -95,6 +95,8 @@
     demand: Demand,
     /// Ratio of the measured to the expected time to the first event, by model.
     slowdowns: HashMap<Arc<str>, f64>,
+    /// Bound of the prefill without a break, by service.
+    pauses: HashMap<Arc<str>, PauseControl>,
     /// Rate of the requests that arrive.
     request_rate: RequestRate,
     order_ids: OrderIds,
@@ -128,6 +130,7 @@
             limit_version: 0,
             demand: Demand::default(),
             slowdowns: HashMap::new(),
+            pauses: HashMap::new(),
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -178,6 +178,7 @@
             may_order: self.may_order(),
             fill_fraction: self.fill_fraction(),
             rate_share: self.rate_share(),
+            max_prefill: self.max_prefill(request),
             model_slowdown,
             now,
         };
