Decide on usage reports in the kernel

One deployment asks for a report of the runs of each team in each window of the wall clock. A report may be accepted with one content only, so the content is fixed by a conditional write of one record and then repeated exactly. Counts only grow and are merged by start, window and team, so they can arrive by any path. True time is the median of the instances' clocks.

A window that may have been fixed in what the store lost is given up, unless its exact content is known: a missed report costs less than a second one.

The tests play the failures of holders, store and platform API.

--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -10,6 +10,7 @@
 pub mod configuration;
 pub mod dispatch;
 pub mod drain;
+pub mod duties;
 pub mod endpoint_table;
 pub mod evacuation;
 pub mod event_splitter;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -6,6 +6,7 @@
     mod candidacy;
     mod configuration;
     mod dispatch;
+    mod duties;
     mod endpoint_table;
     mod evacuation;
     mod event_splitter;
--- /dev/null
+++ b/tests/kernel/duties.rs
@@ -0,0 +1,7 @@
+//! Tests of the usage reports, with a store that takes conditional writes and a platform that checks
+//! what it gets.
+
+mod clock;
+mod counts;
+mod failures;
+mod model;
--- /dev/null
+++ b/tests/kernel/duties/clock.rs
@@ -0,0 +1,55 @@
+//! Tests of true time.
+
+use std::time::Duration;
+
+use cardamomshore::{clock::Time, kernel::duties::clock::TrueTime};
+
+const WALL: u64 = 1_767_225_600_000;
+
+fn with_clocks(offsets: &[i64], now: Time) -> TrueTime {
+    let mut time = TrueTime::default();
+    for (number, offset) in offsets.iter().enumerate() {
+        time.record(format!("i{number}").into(), WALL.saturating_add_signed(*offset), now);
+    }
+    time.update(now);
+    time
+}
+
+/// Guards against a stepped clock of one machine that moves true time.
+#[test]
+fn duties_clock_step_of_one_instance_changes_nothing() {
+    let start = Time::from_millis(60_000);
+    for step in [-10_000, 10_000] {
+        let mut time = with_clocks(&[0, 3, -2], start);
+        let now = start + Duration::from_secs(1);
+        for (number, offset) in [0, step, 0].into_iter().enumerate() {
+            let wall = (WALL + 1_000).saturating_add_signed(offset);
+            time.record(format!("i{number}").into(), wall, now);
+        }
+        assert_eq!(time.update(now), None, "step {step}");
+        assert!(time.now(now).expect("a time").abs_diff(WALL + 1_000) < 5, "step {step}");
+    }
+}
+
+/// Guards against a lone instance that follows its own clock when that is stepped.
+#[test]
+fn duties_clock_without_others_keeps_offset() {
+    let start = Time::from_millis(60_000);
+    let mut time = with_clocks(&[0, 0, 0], start);
+    let now = start + Duration::from_secs(10);
+    time.record("i0".into(), WALL + 20_000, now);
+    time.update(now);
+    assert_eq!(time.now(now), Some(WALL + 10_000));
+}
+
+/// Guards against a first clock that was wrong and holds although others disagree.
+#[test]
+fn duties_clock_first_one_yields_to_median() {
+    let start = Time::from_millis(60_000);
+    let mut time = with_clocks(&[9_000], start);
+    for number in 1..4 {
+        time.record(format!("i{number}").into(), WALL, start);
+    }
+    assert_eq!(time.update(start), Some(-9_000));
+    assert_eq!(time.now(start), Some(WALL));
+}
