Report usage to the platform API

The leader fixes and sends the reports.

A buffered run is counted when it is sent, and counted back if it was not run: its response may come after the window's report is fixed.

Without the section duties in the settings nothing changes. The process tests start gateways with a stand-in of the API, kill and freeze the leader, kill all gateways, and disturb the store and the API.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod crashes;
 mod directory;
+mod duties;
 mod entry;
 mod forward;
 mod gate;
@@ -84,6 +85,8 @@
     registry: registry::Registry,
     /// Records of the software versions at which streams began.
     origin_records: origins::OriginRecords,
+    /// Duties towards the platform; `None` unless the settings name its API.
+    duties: Option<duties::Duties>,
     shutdown: shutdown::Shutdown,
     started_at: Time,
 }
@@ -134,6 +137,7 @@
             members: ArcSwap::default(),
             registry: registry::Registry::default(),
             origin_records: origins::OriginRecords::default(),
+            duties: settings.duties.clone().map(duties::Duties::new),
             shutdown: shutdown::Shutdown::default(),
             started_at: Time::now(),
             settings,
@@ -166,6 +170,10 @@
         tokio::spawn(rate_limits::run(self.clone()));
         tokio::spawn(origins::run(self.clone()));
         tokio::spawn(grants::run_scheduler(self.clone()));
+        if self.duties.is_some() {
+            tokio::spawn(duties::share(self.clone()));
+            tokio::spawn(duties::report(self.clone()));
+        }
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
         tokio::spawn(reach::probe_while_cut(self.clone()));
--- /dev/null
+++ b/src/gateway/duties.rs
@@ -0,0 +1,122 @@
+//! Carries out the duties towards the platform.
+//!
+//! Each instance counts the runs of its requests and sends the counts to the leader. The leader fixes
+//! and sends the reports. The decisions are made in [`kernel::duties`](crate::kernel::duties).
+
+mod calls;
+mod share;
+
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use parking_lot::Mutex;
+
+pub use self::{calls::report, share::share};
+use super::{Gateway, settings::DutySettings};
+use crate::{
+    catalog::Team,
+    clock::{Time, wall_millis},
+    http::pool::Pool,
+    kernel::duties::{
+        clock::{TrueTime, WallMillis},
+        counts::{StartId, UsageTable, Window},
+        pace::CallPace,
+        usage::Reporter,
+    },
+};
+
+/// Duties of this instance.
+pub struct Duties {
+    settings: DutySettings,
+    /// Connections to the platform API.
+    pool: Arc<Pool>,
+    state: Mutex<State>,
+}
+
+/// What this instance knows about usage.
+struct State {
+    time: TrueTime,
+    table: UsageTable,
+    /// The start of this process.
+    own: StartId,
+    /// Windows in which this instance has counted since it sent its counts to the leader.
+    unsent: HashSet<Window>,
+    /// Start of each instance that is linked to this one while it leads.
+    linked: HashMap<Arc<str>, StartId>,
+    reporter: Reporter,
+    pace: CallPace,
+}
+
+impl Duties {
+    /// Creates the duties that the settings name.
+    pub fn new(settings: DutySettings) -> Self {
+        let state = State {
+            time: TrueTime::default(),
+            table: UsageTable::default(),
+            own: StartId(rand::random()),
+            unsent: HashSet::new(),
+            linked: HashMap::new(),
+            reporter: Reporter::new(settings.limits),
+            pace: CallPace::new(settings.call_rate),
+        };
+        Self { settings, pool: Arc::default(), state: Mutex::new(state) }
+    }
+
+    /// Counts a run that an endpoint begins now for a team. Returns the window.
+    fn count(&self, team: Arc<str>) -> Window {
+        let mut state = self.state.lock();
+        let window = self.settings.limits.window_at(state.true_time(Time::now()));
+        let own = state.own;
+        state.table.start(own, window).count(window, team);
+        state.unsent.insert(window);
+        window
+    }
+
+    /// Counts that a run of this window, which was counted, has not been run.
+    fn count_not_run(&self, window: Window, team: Arc<str>) {
+        let mut state = self.state.lock();
+        let own = state.own;
+        state.table.start(own, window).count_not_run(window, team);
+        state.unsent.insert(window);
+    }
+}
+
+impl State {
+    /// Returns true time. Before it is known, this instance's wall clock counts.
+    fn true_time(&self, now: Time) -> WallMillis {
+        self.time.now(now).unwrap_or_else(wall_millis)
+    }
+}
+
+/// A run that was counted when its request was sent.
+#[derive(Clone, Debug)]
+pub struct CountedRun {
+    window: Window,
+    team: Arc<str>,
+}
+
+impl Gateway {
+    /// Counts a run that an endpoint begins now, if it is for a team and usage is reported.
+    pub(super) fn count_run(&self, team: Option<&Arc<Team>>) -> Option<CountedRun> {
+        let duties = self.duties.as_ref().filter(|duties| duties.settings.usage)?;
+        let team = team?.name.clone();
+        let window = duties.count(team.clone());
+        Some(CountedRun { window, team })
+    }
+
+    /// Counts that a run has not been run after all.
+    pub(super) fn count_not_run(&self, run: Option<CountedRun>) {
+        if let (Some(duties), Some(run)) = (&self.duties, run) {
+            duties.count_not_run(run.window, run.team);
+        }
+    }
+
+    /// Returns how long this instance has led, and its term; `None` if it does not lead.
+    fn leading_for(&self) -> Option<(u64, Duration)> {
+        let leadership = self.leadership.lock();
+        leadership.leads().then(|| (leadership.term(), leadership.succession(Time::now()).1))
+    }
+}
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -456,8 +456,11 @@
         } else {
             self.time_left()
         };
+        // The run counts from the sending on, since a response may come long after its work has begun.
+        let run = self.gateway.count_run(self.team.as_ref());
         match self.attempt(&permit, None, time_limit).await {
             AttemptResult::NotRun(outcome) => {
+                self.gateway.count_not_run(run);
                 self.record_failure(permit, outcome).await;
                 Next::Retry
             }
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -164,6 +164,7 @@
         gateway.running_requests().into_iter().map(Content::Adopt).collect();
     contents.extend(gateway.leaving_content(leader));
     contents.extend(gateway.earlier_operator_content(leader));
+    contents.extend(gateway.usage_handover());
     let mut scheduler = gateway.scheduler.lock();
     let origins = scheduler.origins().all();
     if !origins.is_empty() {
@@ -272,6 +273,7 @@
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Crashes(frame) => gateway.handle_crashes(frame),
         Content::RateLimits(frame) => gateway.handle_rate_limits(frame),
+        Content::Duties(frame) => gateway.handle_duties(frame),
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
@@ -283,6 +285,7 @@
         | Content::Retries(_)
         | Content::Leaving(_)
         | Content::Origins(_)
+        | Content::Usage(_)
         | Content::Heartbeat(_) => log::warn!("event=frame_unexpected from=leader"),
     }
 }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod crashes;
+mod duties;
 mod endpoints;
 mod members;
 mod origins;
@@ -15,6 +16,7 @@
 pub use self::{
     codec::{EncodedFrame, FrameCodec, FrameError},
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
+    duties::{DutiesFrame, LedgerFrame, StartFrame, UsageFrame, WindowFrame},
     endpoints::{EndpointFrame, EndpointsFrame, LeavingEndpointFrame, LeavingFrame, ModelFrame},
     members::{Announcement, Hello, MemberFrame, MembersFrame},
     origins::{OriginsFrame, VersionStreamsFrame},
@@ -32,7 +34,7 @@
     /// Content of the frame; `None` if this release does not know it.
     #[prost(
         oneof = "Content",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub content: Option<Content>,
 }
@@ -103,6 +105,12 @@
     /// Instance to leader: at which software versions streams began.
     #[prost(message, tag = "20")]
     Origins(OriginsFrame),
+    /// Instance to leader: the instance's clock and the usage counts that it knows.
+    #[prost(message, tag = "21")]
+    Usage(UsageFrame),
+    /// Leader to instance: true time and what is fixed of the usage reports.
+    #[prost(message, tag = "22")]
+    Duties(DutiesFrame),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -307,6 +307,7 @@
         Content::Origins(frame) => {
             gateway.scheduler.lock().origins().merge(frame.into(), now);
         }
+        Content::Usage(frame) => gateway.merge_usage(instance, frame),
         Content::Hello(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
@@ -314,7 +315,8 @@
         | Content::Refuse(_)
         | Content::HeartbeatReply(_)
         | Content::Members(_)
-        | Content::Endpoints(_) => {
+        | Content::Endpoints(_)
+        | Content::Duties(_) => {
             log::warn!("event=frame_unexpected from={instance}");
         }
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -12,7 +12,10 @@
 
 use crate::{
     http::pool::ConnectOptions,
-    kernel::grants::{RetryLimits, SchedulerLimits},
+    kernel::{
+        duties::usage::UsageLimits,
+        grants::{RetryLimits, SchedulerLimits},
+    },
     settings::{LogSettings, SettingsError},
     yaml,
 };
@@ -33,6 +36,8 @@
     source: Option<String>,
     machine: RawResources,
     limits: RawLimits,
+    #[serde(default)]
+    duties: Option<RawDuties>,
     #[serde(default = "default_log")]
     log: String,
 }
@@ -62,6 +67,41 @@
     drain_ms: f64,
 }
 
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct RawDuties {
+    address: String,
+    #[serde(default)]
+    kinds: String,
+    #[serde(default)]
+    calls_per_s: Option<f64>,
+    #[serde(default)]
+    window_s: Option<f64>,
+    #[serde(default)]
+    late_s: Option<f64>,
+}
+
+/// Calls a second, length of a window and time until a report is due where the file names none, as the
+/// platform's page of the API says.
+const DEFAULT_CALL_RATE: f64 = 50.0;
+const DEFAULT_WINDOW_S: f64 = 5.0;
+const DEFAULT_LATE_S: f64 = 10.0;
+
+/// Duties towards the platform, which the leader carries out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DutySettings {
+    /// Address of the platform API.
+    pub address: SocketAddr,
+    /// Whether usage is reported.
+    pub usage: bool,
+    /// Whether services are scaled.
+    pub scaling: bool,
+    /// Calls a second that the platform takes of all instances together.
+    pub call_rate: f64,
+    /// Windows of the usage reports, and when they are due.
+    pub limits: UsageLimits,
+}
+
 /// Resources of the host on which the instance runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Resources {
@@ -126,6 +166,8 @@
     pub address_ttl: Duration,
     /// Time after which an endpoint that drains must receive no more requests.
     pub drain_time: Duration,
+    /// Duties towards the platform; `None` if there are none.
+    pub duties: Option<DutySettings>,
     /// Log settings.
     pub log: LogSettings,
 }
@@ -167,6 +209,9 @@
 /// Longest time without acknowledgement before a connection to an endpoint counts as broken.
 pub const ENDPOINT_ACK_TIMEOUT: Duration = Duration::from_millis(2_900);
 
+/// Least value of a number that must not be zero; times are counted in milliseconds.
+const MIN_POSITIVE: f64 = 1e-3;
+
 /// Timeout of a call to the store, which responds within milliseconds, and within hundreds of them
 /// when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -202,11 +247,33 @@
             stop_timeout: parse_seconds("limits.stop_s", limits.stop_s)?,
             address_ttl: parse_seconds("limits.address_ttl_s", limits.address_ttl_s)?,
             drain_time: parse_seconds("limits.drain_ms", limits.drain_ms / 1e3)?,
+            duties: raw.duties.map(parse_duties).transpose()?.flatten(),
             log: LogSettings { spec: raw.log, json: true },
         })
     }
 }
 
+/// Parses the section `duties`. Returns `None` if its address is empty.
+fn parse_duties(raw: RawDuties) -> Result<Option<DutySettings>, SettingsError> {
+    if raw.address.trim().is_empty() {
+        return Ok(None);
+    }
+    let has = |kind: &str| raw.kinds.split(',').any(|word| word.trim() == kind);
+    Ok(Some(DutySettings {
+        address: parse_address("duties.address", raw.address.trim())?,
+        usage: has("usage_reporting"),
+        scaling: has("autoscaling"),
+        call_rate: positive("duties.calls_per_s", raw.calls_per_s.unwrap_or(DEFAULT_CALL_RATE))?,
+        limits: UsageLimits {
+            window: Duration::from_secs_f64(positive(
+                "duties.window_s",
+                raw.window_s.unwrap_or(DEFAULT_WINDOW_S),
+            )?),
+            due: parse_seconds("duties.late_s", raw.late_s.unwrap_or(DEFAULT_LATE_S))?,
+        },
+    }))
+}
+
 /// Returns the error of a field that is not valid; `reason` says which value is expected.
 fn field_error(path: &str, reason: &str) -> SettingsError {
     SettingsError::Field { line: None, field: path.to_owned(), reason: reason.to_owned() }
@@ -244,6 +311,13 @@
     }
 }
 
+fn positive(path: &str, value: f64) -> Result<f64, SettingsError> {
+    match non_negative(path, value)? {
+        value if value >= MIN_POSITIVE => Ok(value),
+        _ => Err(field_error(path, "write a number of at least 0.001")),
+    }
+}
+
 fn parse_seconds(path: &str, value: f64) -> Result<Duration, SettingsError> {
     Ok(Duration::from_secs_f64(non_negative(path, value)?))
 }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -171,6 +171,7 @@
     match timeout(time_limit.min(time_left), reader.next()).await {
         Ok(Part::Event(first_event, number)) => {
             permit.record_first_event();
+            job.gateway.count_run(job.team.as_ref());
             Start::Started(StartedRun { status, permit, reader, first_event, number })
         }
         Ok(Part::End) => {
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -7,6 +7,7 @@
 pub mod caller;
 pub mod catalog;
 mod client;
+pub mod duties;
 pub(crate) mod encoding;
 pub mod engine;
 mod list;
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -217,7 +217,7 @@
             let (name, data_centre) =
                 (format!("g{index:03}"), DATA_CENTRES[index % DATA_CENTRES.len()]);
             let (binary, folder) = (&options.binary, &options.folder);
-            GatewayProcess::start(binary, folder, name, data_centre, store.clone())
+            GatewayProcess::start(binary, folder, name, data_centre, store.clone(), None)
         };
         let gateways = (0..options.gateways).map(start).collect::<Result<Vec<_>, _>>()?;
         Ok(Self {
--- a/src/soak/process.rs
+++ b/src/soak/process.rs
@@ -29,6 +29,9 @@
 /// Time from SIGTERM to SIGKILL.
 pub const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Length of a usage window.
+pub const DUTY_WINDOW: Duration = Duration::from_secs(3);
+
 /// Longest wait for a gateway to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -120,20 +123,21 @@
 
 impl GatewayProcess {
     /// Writes the settings of the gateway `name` into `folder` and starts it. Its output goes to a
-    /// log file there.
+    /// log file there. The gateway has duties if `duties` names the platform API.
     pub fn start(
         binary: &Path,
         folder: &Path,
         name: String,
         data_centre: &str,
         store: Arc<MetadataStore>,
+        duties: Option<SocketAddr>,
     ) -> Result<Self, ProcessError> {
         let [callers, directory, readiness, peer, relay, metrics] =
             std::array::from_fn(|_| free_address());
         let source = free_host();
         let store = StoreAddress::start(store, free_address());
         let store = store.map_err(io_error("cannot serve the store"))?;
-        let settings = json!({
+        let mut settings = json!({
             "instance": name, "data_centre": data_centre,
             "callers": callers, "directory": directory, "readiness": readiness, "peer": peer,
             "relay": relay, "metrics": metrics, "store": store.address, "source": source,
@@ -145,6 +149,12 @@
             },
             "log": "info",
         });
+        if let Some(address) = duties {
+            settings["duties"] = json!({
+                "address": address, "kinds": "usage_reporting,autoscaling", "calls_per_s": 50.0,
+                "window_s": DUTY_WINDOW.as_secs_f64(), "late_s": 2.0 * DUTY_WINDOW.as_secs_f64(),
+            });
+        }
         std::fs::create_dir_all(folder).map_err(io_error("cannot create the folder"))?;
         let path = folder.join(format!("{name}.yaml"));
         let log = folder.join(format!("{name}.log"));
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -2,6 +2,7 @@
 //! the demo use.
 
 pub mod caller;
+pub mod duties;
 pub mod engine;
 pub mod http1;
 pub mod metadata;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -8,6 +8,7 @@
     mod configuration;
     mod cost;
     mod cut_off;
+    mod duties;
     mod input;
     mod keys;
     mod links;
--- a/tests/product/platform.rs
+++ b/tests/product/platform.rs
@@ -185,6 +185,11 @@
 
 /// Returns the template of the settings with its placeholders filled in, as the platform does.
 fn filled_template() -> String {
+    fill_template(&[])
+}
+
+/// Returns the template with the placeholders of the duties filled in too.
+fn fill_template(duties: &[(&str, &str)]) -> String {
     let values = [
         ("node", "edge-1"),
         ("zone", "a"),
@@ -208,7 +213,13 @@
         ("bounds.drain_ms", "2000"),
     ];
     let mut text = include_str!("../../deploy/gateway.yaml").to_owned();
-    for (name, value) in values {
+    let (begin, end) = ("{{#cloud.address}}", "{{/cloud.address}}");
+    if duties.is_empty() {
+        let (from, to) = (text.find(begin).expect("a section"), text.find(end).expect("its end"));
+        text.replace_range(from..to, "");
+    }
+    text = text.replace(begin, "").replace(end, "");
+    for (name, value) in values.iter().chain(duties) {
         text = text.replace(&format!("{{{{{name}}}}}"), value);
     }
     text
@@ -223,6 +234,41 @@
     assert_eq!(settings.resources.strength(), 1_000);
 }
 
+const DUTIES: [(&str, &str); 5] = [
+    ("cloud.address", "10.0.0.7:90"),
+    ("cloud.duties", "usage_reporting,autoscaling"),
+    ("cloud.duty_per_s", "50"),
+    ("bounds.window_s", "5"),
+    ("bounds.usage_late_s", "10"),
+];
+
+/// Guards against duties on a platform that has no API for them.
+#[test]
+fn template_without_api_gives_no_duties() {
+    let settings = GatewaySettings::parse(&filled_template()).expect("the settings are valid");
+    assert_eq!(settings.duties, None);
+    let mut empty = DUTIES;
+    empty[0].1 = "";
+    let settings = GatewaySettings::parse(&fill_template(&empty)).expect("the settings are valid");
+    assert_eq!(settings.duties, None);
+}
+
+/// Guards against duties that the platform names and nobody carries out.
+#[test]
+fn template_gives_duties() {
+    let settings = GatewaySettings::parse(&fill_template(&DUTIES)).expect("the settings are valid");
+    let duties = settings.duties.expect("there are duties");
+    assert!(duties.usage && duties.scaling);
+    assert_eq!(duties.address.to_string(), "10.0.0.7:90");
+    assert_eq!(duties.limits.window, Duration::from_secs(5));
+    let usage_only = DUTIES.map(|(name, value)| match name {
+        "cloud.duties" => (name, "usage_reporting"),
+        _ => (name, value),
+    });
+    let settings = GatewaySettings::parse(&fill_template(&usage_only)).expect("valid settings");
+    assert!(settings.duties.is_some_and(|duties| duties.usage && !duties.scaling));
+}
+
 #[test]
 fn settings_name_the_wrong_field() {
     let text = filled_template().replace("10.0.0.9:4", "nowhere");
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -8,6 +8,7 @@
     soak::process::{GatewayProcess, free_address},
     standin::{
         caller::{CallerRequest, Prompt, TakeUp, stamped_endpoint},
+        duties::DutyApi,
         metadata::MetadataStore,
         operator::Document,
         worker::{Worker, WorkerLog, WorkerSettings},
@@ -40,6 +41,8 @@
     pub workers: Vec<Worker>,
     /// What the workers have seen.
     pub log: Arc<WorkerLog>,
+    /// Platform API for the duties; `None` if the gateways have none.
+    pub duties: Option<DutyApi>,
     pub version: u64,
     /// Names of the routes that the operators' document has besides the first ones.
     pub added: Vec<String>,
@@ -58,11 +61,22 @@
 
     /// Starts the same with a gateway for each of `homes`, in the data centre that it names.
     pub async fn start_in(name: &str, homes: &[&str], versions: &[&str]) -> Self {
+        Self::start_all(name, homes, versions, false).await
+    }
+
+    /// Starts the same with duties towards a platform API.
+    pub async fn start_with_duties(name: &str, homes: &[&str], versions: &[&str]) -> Self {
+        Self::start_all(name, homes, versions, true).await
+    }
+
+    async fn start_all(name: &str, homes: &[&str], versions: &[&str], has_duties: bool) -> Self {
+        let start_api = || DutyApi::start(free_address()).expect("expected the API to start");
         let mut world = Self {
             store: MetadataStore::start(),
             gateways: Vec::new(),
             workers: Vec::new(),
             log: Arc::default(),
+            duties: has_duties.then(start_api),
             version: 0,
             added: Vec::new(),
         };
@@ -79,7 +93,8 @@
             let binary = Path::new(env!("CARGO_BIN_EXE_cardamomshore"));
             let instance = format!("gateway-{data_centre}-{number}");
             let store = world.store.clone();
-            let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store);
+            let api = world.duties.as_ref().map(|api| api.address);
+            let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store, api);
             world.gateways.push(gateway.expect("expected the gateway to start"));
         }
         world.wait_ready().await;
