Scale services through the platform API

Where a service's entry has scaling, the leader measures demand from the requests that it grants, and orders engines in each data centre. The rate is followed with its trend, since a new engine takes seconds to serve; engines are released only after they were dispensable for two boot times, within a hysteresis band. All data centres but any one together bear the whole demand. A new leader keeps the numbers that it was told of, and releases nothing before it has measured.

The test plays loads on engines that take a while to boot: a rise, idle engines, a swing, and demand that moves to another data centre.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use crate::kernel::duties::scaling::ScalingSpec;
+
 /// One version of the operators' catalog document.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
@@ -118,6 +120,8 @@
     pub cold_rate: f64,
     /// Specification of the engines; `None` for plain services.
     pub engine: Option<EngineSpec>,
+    /// Bounds within which the leader scales the service; `None` if it does not.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// Specification of a service's engines.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -173,6 +173,7 @@
         if self.duties.is_some() {
             tokio::spawn(duties::share(self.clone()));
             tokio::spawn(duties::report(self.clone()));
+            tokio::spawn(duties::scale(self.clone()));
         }
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -4,6 +4,7 @@
 //! and sends the reports. The decisions are made in [`kernel::duties`](crate::kernel::duties).
 
 mod calls;
+mod scale;
 mod share;
 
 use std::{
@@ -14,7 +15,7 @@
 
 use parking_lot::Mutex;
 
-pub use self::{calls::report, share::share};
+pub use self::{calls::report, scale::scale, share::share};
 use super::{Gateway, settings::DutySettings};
 use crate::{
     catalog::Team,
@@ -23,7 +24,9 @@
     kernel::duties::{
         clock::{TrueTime, WallMillis},
         counts::{StartId, UsageTable, Window},
+        demand::{DemandTable, Subject},
         pace::CallPace,
+        scaling::Scaler,
         usage::Reporter,
     },
 };
@@ -34,6 +37,8 @@
     /// Connections to the platform API.
     pool: Arc<Pool>,
     state: Mutex<State>,
+    /// Demand that this instance has seen while it leads.
+    demand: Mutex<DemandTable>,
 }
 
 /// What this instance knows about usage.
@@ -48,6 +53,9 @@
     linked: HashMap<Arc<str>, StartId>,
     reporter: Reporter,
     pace: CallPace,
+    scaler: Scaler,
+    /// Numbers of engines that the leader has ordered last, if this instance keeps a copy.
+    known_orders: Vec<(Subject, u32)>,
 }
 
 impl Duties {
@@ -61,8 +69,10 @@
             linked: HashMap::new(),
             reporter: Reporter::new(settings.limits),
             pace: CallPace::new(settings.call_rate),
+            scaler: Scaler::default(),
+            known_orders: Vec::new(),
         };
-        Self { settings, pool: Arc::default(), state: Mutex::new(state) }
+        Self { settings, pool: Arc::default(), state: Mutex::new(state), demand: Mutex::default() }
     }
 
     /// Counts a run that an endpoint begins now for a team. Returns the window.
--- a/src/gateway/duties/share.rs
+++ b/src/gateway/duties/share.rs
@@ -7,7 +7,7 @@
 use super::{
     super::{
         Gateway,
-        messages::{Content, DutiesFrame, LedgerFrame, StartFrame, UsageFrame},
+        messages::{Content, DutiesFrame, LedgerFrame, ScaleFrame, StartFrame, UsageFrame},
     },
     Duties, State,
 };
@@ -91,10 +91,11 @@
         let true_ms = state.true_time(now);
         let next = state.reporter.known().map_or(0, |ledger| ledger.next);
         state.table.settle(next);
-        let frame = DutiesFrame { true_ms, next, ledger: None, starts: Vec::new() };
+        let frame = DutiesFrame { true_ms, next, ..DutiesFrame::default() };
         let copy = DutiesFrame {
             ledger: state.reporter.known().map(LedgerFrame::from),
             starts: state.unlinked_starts(),
+            orders: state.scaler.ordered().map(ScaleFrame::from).collect(),
             ..frame.clone()
         };
         drop(state);
@@ -160,6 +161,8 @@
                 state.table.merge(usage);
             }
         }
+        // An instance that no longer keeps a copy must not lead by an old one.
+        state.known_orders = frame.orders.into_iter().map(Into::into).collect();
         if let Some(ledger) = frame.ledger {
             state.reporter.learn(ledger.into());
         }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -124,11 +124,6 @@
         self.route.retry.may_retry() && self.runs < self.route.max_attempts
     }
 
-    /// Returns the priority of the route; 0 is the most urgent.
-    fn priority(&self) -> u8 {
-        self.route.priority
-    }
-
     /// Returns the request for a grant.
     fn grant_request(&self) -> GrantRequest {
         let tokens = self.head.tokens;
@@ -153,7 +148,7 @@
             charge: tokens.map_or(default_tokens, |(prompt_tokens, output_tokens)| {
                 prompt_tokens + output_tokens
             }),
-            priority: self.priority(),
+            priority: self.route.priority,
             due: self.due,
             deadline: self.deadline,
             work,
@@ -320,7 +315,7 @@
             endpoint: &permit.grant.endpoint,
             team: self.team.as_ref().map(|team| &*team.name),
             time_left: self.time_left(),
-            priority: is_model.then(|| self.priority().min(9)),
+            priority: is_model.then(|| self.route.priority.min(9)),
             after: after.or(self.head.last_event),
         };
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -456,7 +451,7 @@
         } else {
             self.time_left()
         };
-        // The run counts from the sending on, since a response may come long after its work has begun.
+        // Counted now, since the response may come long after the work has begun.
         let run = self.gateway.count_run(self.team.as_ref());
         match self.attempt(&permit, None, time_limit).await {
             AttemptResult::NotRun(outcome) => {
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -87,7 +87,9 @@
     pub fn record_first_event(&self) {
         let gateway = &self.gateway;
         gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number }));
-        gateway.scheduler.lock().record_first_event(&gateway.grant_key(self.number), Time::now());
+        let key = gateway.grant_key(self.number);
+        gateway.scheduler.lock().record_first_event(&key, Time::now());
+        gateway.record_demand_begun(&key);
     }
 
     /// Records after how many refusals in a second the endpoint fails.
@@ -164,6 +166,7 @@
         if self.uplink.send(Content::GrantRequest(GrantRequestFrame::new(number, &request, now))) {
             return;
         }
+        self.record_demand(&self.grant_key(number), &request);
         let actions = {
             let mut scheduler = self.scheduler.lock();
             scheduler.set_mode(self.scheduler_mode(), now);
@@ -175,6 +178,11 @@
     /// Carries out the actions that a scheduler has decided.
     pub(super) fn apply_actions(self: &Arc<Self>, actions: Vec<Action>) {
         for action in actions {
+            match &action {
+                Action::Grant(key, _) => self.record_demand_granted(key),
+                Action::Refuse(key, _) => self.record_demand_ended(key, None),
+                Action::Order { .. } | Action::Report { .. } => {}
+            }
             match action {
                 Action::Grant(key, grant) if self.is_self(&key.instance) => {
                     self.resolve(key.number, Ok(grant));
@@ -253,6 +261,7 @@
         let frame = EndFrame { max_refusals, ..EndFrame::new(number, outcome) };
         self.uplink.send(Content::Ended(frame));
         let (key, now) = (self.grant_key(number), Time::now());
+        self.record_demand_ended(&key, Some(outcome));
         let actions = {
             let mut scheduler = self.scheduler.lock();
             scheduler.record_max_refusals(&key, max_refusals, outcome);
@@ -285,6 +294,7 @@
         };
         for (number, request) in waiting {
             self.scheduler.lock().cancel_waiting(&self.grant_key(number));
+            self.record_demand_ended(&self.grant_key(number), None);
             self.submit(number, request);
         }
     }
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -16,7 +16,7 @@
 pub use self::{
     codec::{EncodedFrame, FrameCodec, FrameError},
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
-    duties::{DutiesFrame, LedgerFrame, StartFrame, UsageFrame, WindowFrame},
+    duties::{DutiesFrame, LedgerFrame, ScaleFrame, StartFrame, UsageFrame, WindowFrame},
     endpoints::{EndpointFrame, EndpointsFrame, LeavingEndpointFrame, LeavingFrame, ModelFrame},
     members::{Announcement, Hello, MemberFrame, MembersFrame},
     origins::{OriginsFrame, VersionStreamsFrame},
--- a/src/gateway/messages/duties.rs
+++ b/src/gateway/messages/duties.rs
@@ -6,6 +6,7 @@
 
 use crate::kernel::duties::{
     counts::{StartId, StartUsage, TeamCounts, Window, WindowCounts},
+    demand::Subject,
     ledger::Ledger,
 };
 
@@ -40,6 +41,38 @@
     /// Counts of the leader and of starts that are not linked, for an instance that keeps a copy.
     #[prost(message, repeated, tag = "4")]
     pub starts: Vec<StartFrame>,
+    /// Numbers of engines that were ordered last, for an instance that keeps a copy.
+    #[prost(message, repeated, tag = "5")]
+    pub orders: Vec<ScaleFrame>,
+}
+
+/// Number of engines that was ordered last for a service in a data centre.
+#[derive(Clone, PartialEq)]
+#[derive(Message)]
+pub struct ScaleFrame {
+    /// Name of the service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Data centre.
+    #[prost(string, tag = "2")]
+    pub data_centre: String,
+    /// Number of engines.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+}
+
+impl From<(&Subject, u32)> for ScaleFrame {
+    fn from((subject, count): (&Subject, u32)) -> Self {
+        let (service, data_centre) = (subject.service.to_string(), subject.data_centre.to_string());
+        Self { service, data_centre, count }
+    }
+}
+
+impl From<ScaleFrame> for (Subject, u32) {
+    fn from(frame: ScaleFrame) -> Self {
+        let (service, data_centre) = (frame.service.into(), frame.data_centre.into());
+        (Subject { service, data_centre }, frame.count)
+    }
 }
 
 /// Counts of one start of a process.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -168,6 +168,7 @@
         peer.send(gateway.rate_limits_content());
     }
     gateway.peers.table.lock().insert(instance.clone(), peer);
+    gateway.forget_demand(&instance);
     let actions = gateway.scheduler.lock().remove_instance(&instance, Time::now());
     gateway.apply_actions(actions);
     log::info!("event=instance_joined peer={instance} term={term}");
@@ -264,16 +265,18 @@
     match content {
         Content::GrantRequest(frame) => {
             let key = key(frame.number);
-            let mode = gateway.scheduler_mode();
+            let (mode, request) = (gateway.scheduler_mode(), frame.into_request(now));
+            gateway.record_demand(&key, &request);
             let actions = {
                 let mut scheduler = gateway.scheduler.lock();
                 scheduler.set_mode(mode, now);
-                scheduler.handle_request(key, frame.into_request(now), now)
+                scheduler.handle_request(key, request, now)
             };
             gateway.apply_actions(actions);
         }
         Content::FirstEvent(frame) => {
-            gateway.scheduler.lock().record_first_event(&key(frame.number), now)
+            gateway.scheduler.lock().record_first_event(&key(frame.number), now);
+            gateway.record_demand_begun(&key(frame.number));
         }
         Content::Ended(frame) => {
             let key = key(frame.number);
@@ -283,6 +286,7 @@
                 scheduler.record_max_refusals(&key, frame.max_refusals, outcome);
                 scheduler.handle_outcome(&key, outcome, now)
             };
+            gateway.record_demand_ended(&key, Some(frame.to_outcome()));
             gateway.apply_actions(actions);
         }
         Content::Adopt(frame) => {
@@ -290,6 +294,7 @@
             let key = key(request.number);
             let active =
                 ActiveGrant { request: request.into_request(now), endpoint: frame.endpoint.into() };
+            gateway.adopt_demand(&key, &active.request);
             gateway.scheduler.lock().adopt(key, active, now);
         }
         Content::Rates(frame) => {
@@ -353,6 +358,7 @@
             table.remove(instance);
         }
         log::info!("event=instance_left peer={instance}");
+        self.forget_demand(instance);
         let actions = self.scheduler.lock().remove_instance(instance, Time::now());
         self.apply_actions(actions);
         self.updates.notify_members();
--- a/src/kernel/duties.rs
+++ b/src/kernel/duties.rs
@@ -5,6 +5,8 @@
 
 pub mod clock;
 pub mod counts;
+pub mod demand;
 pub mod ledger;
 pub mod pace;
+pub mod scaling;
 pub mod usage;
--- a/src/kernel/duties/pace.rs
+++ b/src/kernel/duties/pace.rs
@@ -35,6 +35,13 @@
         self.next_at
     }
 
+    /// Returns when the next call may be sent, and plans it for then.
+    pub fn reserve(&mut self, now: Time) -> Time {
+        let at = self.next_at.max(now);
+        self.next_at = at + self.interval;
+        at
+    }
+
     /// Records that a call is sent.
     pub fn record_call(&mut self, now: Time) {
         self.next_at = now + self.interval;
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -4,8 +4,9 @@
 
 use serde::Deserialize;
 
-use crate::catalog::{
-    CallerLimits, Catalog, EngineSpec, ModelSpec, RetryPolicy, Route, Service, Team,
+use crate::{
+    catalog::{CallerLimits, Catalog, EngineSpec, ModelSpec, RetryPolicy, Route, Service, Team},
+    kernel::duties::scaling::ScalingSpec,
 };
 
 /// Key of the current document in the store.
@@ -89,6 +90,22 @@
     cold_per_s: f64,
     #[serde(default)]
     engine: Option<RawEngine>,
+    #[serde(default)]
+    scaling: Option<RawScaling>,
+}
+
+#[derive(Deserialize)]
+struct RawScaling {
+    #[serde(default)]
+    min: u32,
+    max: u32,
+    #[serde(default = "default_boot_s")]
+    boot_s: f64,
+}
+
+/// Time until a new engine serves where the document names none.
+fn default_boot_s() -> f64 {
+    8.0
 }
 
 #[derive(Deserialize)]
@@ -219,6 +236,11 @@
             load_rate: engine.loads_per_s,
             models: engine.models.into_iter().map(decode_model).collect(),
         }),
+        scaling: raw.scaling.map(|raw| ScalingSpec {
+            min: raw.min,
+            max: raw.max,
+            boot: seconds(raw.boot_s),
+        }),
     }
 }
 
--- a/src/platform/duties.rs
+++ b/src/platform/duties.rs
@@ -9,6 +9,7 @@
 
 use crate::kernel::duties::{
     counts::{TeamCounts, Window},
+    demand::Subject,
     ledger::Ledger,
     usage::{CallResult, Report},
 };
@@ -17,6 +18,9 @@
 /// only the holder of the duty reads it.
 pub const USAGE_KEY: &str = "cardamomshore-duties/usage";
 
+/// Path of scaling orders.
+const SCALE_PATH: &str = "/scale";
+
 /// Path of usage reports.
 const USAGE_PATH: &str = "/usage";
 
@@ -63,6 +67,23 @@
     caller.request(USAGE_PATH, &RawReport { window_id: report.window, counts })
 }
 
+#[derive(Serialize)]
+struct RawScale<'a> {
+    service: &'a str,
+    zone: &'a str,
+    desired_count: u32,
+}
+
+/// Returns the call that orders a number of engines.
+pub fn scale_request(
+    caller: &Caller<'_>,
+    subject: &Subject,
+    desired_count: u32,
+) -> Request<Full<Bytes>> {
+    let (service, zone) = (&*subject.service, &*subject.data_centre);
+    caller.request(SCALE_PATH, &RawScale { service, zone, desired_count })
+}
+
 /// Returns the result of a call by the status of its response.
 pub fn call_result(status: StatusCode) -> CallResult {
     match status {
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -181,7 +181,7 @@
 fn document(version: u64, has_second_key: bool, added: &[AddedRoute]) -> Document {
     let keys = if has_second_key { vec![KEY, WITHDRAWN_KEY] } else { vec![KEY] };
     let added = added.iter().map(|route| route.name.clone()).collect();
-    Document { version, host: HOST, models: &MODELS, team: TEAM, keys, added }
+    Document { version, host: HOST, models: &MODELS, team: TEAM, keys, added, scaling: None }
 }
 
 /// Returns the key of the record that takes a data centre out of service.
--- a/src/standin/operator.rs
+++ b/src/standin/operator.rs
@@ -12,6 +12,12 @@
 /// Adapters of each model, named a1, a2 and so on.
 pub const ADAPTERS: u64 = 6;
 
+/// Largest number of endpoints of the plain service in each data centre, if it is scaled.
+const MAX_SCALED: u32 = 6;
+
+/// Time until a new endpoint of the plain service serves, in seconds.
+const SCALED_BOOT_S: f64 = 1.0;
+
 /// Tokens a second of the team, which no trial reaches.
 const TEAM_RATE: u64 = 10_000_000;
 
@@ -30,6 +36,8 @@
     pub keys: Vec<&'static str>,
     /// Names of further routes to the plain service.
     pub added: Vec<String>,
+    /// Least number of endpoints of the plain service in each data centre, if it is scaled.
+    pub scaling: Option<u32>,
 }
 
 impl Document {
@@ -52,7 +60,7 @@
             self.route("look", "idempotent", "desk", 2, 2),
         ];
         routes.extend(self.added.iter().map(|name| self.route(name, "idempotent", "desk", 2, 2)));
-        let document = json!({
+        let mut document = json!({
             "version": self.version,
             "routes": routes,
             "services": [
@@ -66,6 +74,10 @@
             "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_048_576,
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000 },
         });
+        if let Some(min) = self.scaling {
+            document["services"][1]["scaling"] =
+                json!({ "min": min, "max": MAX_SCALED, "boot_s": SCALED_BOOT_S });
+        }
         document.to_string()
     }
 
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -26,7 +26,7 @@
 
 use self::inventory::Inventory;
 pub use self::{
-    answer::{LAST_EVENT, event_text, plain_body},
+    answer::{EVENT_INTERVAL, LAST_EVENT, event_text, plain_body},
     record::{Mark, Order, Run, Sign, Told, WorkerLog},
 };
 use super::{
--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -19,7 +19,7 @@
 pub const LAST_EVENT: u64 = 12;
 
 /// Time between two events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+pub const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Time that a plain request takes.
 const PLAIN_TIME: Duration = Duration::from_millis(10);
--- a/tests/kernel/duties.rs
+++ b/tests/kernel/duties.rs
@@ -5,3 +5,4 @@
 mod counts;
 mod failures;
 mod model;
+mod scaling;
