Check the calls to the platform API in the soak

The soak checks for one holder at a time with growing numbers, one report of a window, and the counts of undisturbed windows against what the endpoints ran.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -4,6 +4,7 @@
 //! The store and the endpoints are stand-ins in this process. Each gateway has an address of the store
 //! of its own, so that single gateways can be cut off from it.
 
+mod api;
 mod callers;
 mod check;
 mod fleet;
--- a/src/soak/check.rs
+++ b/src/soak/check.rs
@@ -3,6 +3,7 @@
 //! A promise with a time limit holds for gateways in contact: those that were not disturbed for a while.
 
 mod changes;
+mod duties;
 mod endpoints;
 mod streams;
 
@@ -20,7 +21,10 @@
 };
 use crate::{
     clock::Time,
-    standin::worker::{LAST_EVENT, Mark, Order, Run, Told, event_text, plain_body},
+    standin::{
+        duties::DutyCall,
+        worker::{LAST_EVENT, Mark, Order, Run, Told, event_text, plain_body},
+    },
 };
 
 /// Time without disturbance after which a gateway is in contact.
@@ -86,6 +90,10 @@
     added_routes: &'a [AddedRoute],
     evacuations: &'a [Evacuation],
     cuts: &'a [Cut],
+    /// Calls that the platform API has accepted.
+    duty_calls: Vec<DutyCall>,
+    /// Spans in which the platform API had faults.
+    api_faults: &'a [(Time, Time)],
     told: Vec<Mark<Told>>,
     /// Addresses from which the gateways send.
     sources: Vec<Ipv4Addr>,
@@ -113,6 +121,8 @@
             added_routes: &fleet.added_routes,
             evacuations: &fleet.evacuations,
             cuts: &fleet.cuts,
+            duty_calls: fleet.api.server.log.calls(),
+            api_faults: &fleet.api.faults,
             told: fleet.log.told(),
             sources: fleet.gateways.iter().map(|gateway| gateway.source).collect(),
             memory: memory.collect(),
@@ -140,6 +150,8 @@
         self.check_said_leaving(&mut all);
         self.check_pauses(&mut all);
         self.check_cuts(&mut all);
+        self.check_duty_holders(&mut all);
+        self.check_usage(&mut all);
         self.check_recovery(&mut all);
         all
     }
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Options, PLAIN_SERVERS,
+    api::PlatformApi,
     callers::Callers,
     plan::{Fault, MAX_COPY_AGE_MS, Step},
     process::{GatewayProcess, ProcessError, STOP_TIMEOUT, free_address},
@@ -162,6 +163,8 @@
     pub evacuations: Vec<Evacuation>,
     /// Spans in which a gateway was cut off from the endpoints.
     pub cuts: Vec<Cut>,
+    /// The platform API.
+    pub api: PlatformApi,
     /// What the endpoints have seen.
     pub log: Arc<WorkerLog>,
     /// When endpoints were disturbed on purpose.
@@ -177,11 +180,22 @@
     is_key_valid: bool,
 }
 
+/// Least number of servers of the plain service that is ordered for each data centre.
+const MIN_SERVERS: u32 = 2;
+
 /// Returns the operators' document, with or without the key that is withdrawn at times.
 fn document(version: u64, has_second_key: bool, added: &[AddedRoute]) -> Document {
     let keys = if has_second_key { vec![KEY, WITHDRAWN_KEY] } else { vec![KEY] };
     let added = added.iter().map(|route| route.name.clone()).collect();
-    Document { version, host: HOST, models: &MODELS, team: TEAM, keys, added, scaling: None }
+    Document {
+        version,
+        host: HOST,
+        models: &MODELS,
+        team: TEAM,
+        keys,
+        added,
+        scaling: Some(MIN_SERVERS),
+    }
 }
 
 /// Returns the key of the record that takes a data centre out of service.
@@ -192,6 +206,7 @@
 impl Fleet {
     /// Starts the stand-ins and the gateways.
     pub fn start(options: &Options) -> Result<Self, ProcessError> {
+        let api = PlatformApi::start(options.seed)?;
         let store = MetadataStore::start();
         let log = Arc::new(WorkerLog::default());
         store.put(Document::key(), &document(1, true, &[]).to_text());
@@ -217,7 +232,8 @@
             let (name, data_centre) =
                 (format!("g{index:03}"), DATA_CENTRES[index % DATA_CENTRES.len()]);
             let (binary, folder) = (&options.binary, &options.folder);
-            GatewayProcess::start(binary, folder, name, data_centre, store.clone(), None)
+            let duties = Some(api.server.address);
+            GatewayProcess::start(binary, folder, name, data_centre, store.clone(), duties)
         };
         let gateways = (0..options.gateways).map(start).collect::<Result<Vec<_>, _>>()?;
         Ok(Self {
@@ -228,6 +244,7 @@
             added_routes: Vec::new(),
             evacuations: Vec::new(),
             cuts: Vec::new(),
+            api,
             worker_faults: Vec::new(),
             log,
             workers,
@@ -265,6 +282,7 @@
             }
             self.tend_processes(now);
             self.copy_store(now);
+            self.api.disturb(now);
             if elapsed >= length {
                 return;
             }
