Describe the duties, and take the slots of lost endpoints as known

Where a data centre has lost all endpoints of a service, their slots were taken as one each, so that a soak ordered five servers for the load of one. The most slots that an endpoint of the service has named count now.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -54,6 +54,9 @@
     reporter: Reporter,
     pace: CallPace,
     scaler: Scaler,
+    /// Most slots that an endpoint of each service has named. A data centre may have lost all of its
+    /// endpoints.
+    slots: HashMap<Arc<str>, u32>,
     /// Numbers of engines that the leader has ordered last, if this instance keeps a copy.
     known_orders: Vec<(Subject, u32)>,
 }
@@ -70,6 +73,7 @@
             reporter: Reporter::new(settings.limits),
             pace: CallPace::new(settings.call_rate),
             scaler: Scaler::default(),
+            slots: HashMap::new(),
             known_orders: Vec::new(),
         };
         Self { settings, pool: Arc::default(), state: Mutex::new(state), demand: Mutex::default() }
--- a/src/gateway/duties/scale.rs
+++ b/src/gateway/duties/scale.rs
@@ -94,13 +94,20 @@
     ) -> BTreeMap<Subject, SubjectState> {
         let mut states: BTreeMap<Subject, SubjectState> = BTreeMap::new();
         let mut evacuated: BTreeSet<Subject> = BTreeSet::new();
+        let mut endpoints = gateway.usable_endpoints();
+        endpoints.retain(|entry| entry.service == *service);
+        let slots = {
+            let mut state = self.state.lock();
+            let known = state.slots.entry(service.clone()).or_insert(slots);
+            *known = endpoints.iter().map(|entry| entry.slots).max().unwrap_or(0).max(*known);
+            *known
+        };
         for (subject, _) in self.state.lock().scaler.ordered() {
             if subject.service == *service {
                 states.insert(subject.clone(), empty_state(slots));
             }
         }
-        let endpoints = gateway.usable_endpoints();
-        for entry in endpoints.iter().filter(|entry| entry.service == *service) {
+        for entry in &endpoints {
             let (service, data_centre) = (service.clone(), entry.data_centre.clone());
             let subject = Subject { service, data_centre };
             if gateway.scheduler.lock().is_evacuated(&entry.id) {
@@ -169,7 +176,9 @@
 
 /// Returns the state of a data centre in which no engine serves.
 fn empty_state(slots: u32) -> SubjectState {
-    SubjectState { demand: Demand::default(), ready: 0, slots: slots.max(1) }
+    // Where no endpoint has ever named its slots, the demand says nothing of the number of endpoints.
+    let slots = if slots > 0 { slots } else { u32::MAX };
+    SubjectState { demand: Demand::default(), ready: 0, slots }
 }
 
 fn subject_of(request: &GrantRequest) -> Subject {
