--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -124,11 +124,6 @@
         self.route.retry.may_retry() && self.runs < self.route.max_attempts
     }
 
-    /// Returns the priority of the route; 0 is the most urgent.
-    fn priority(&self) -> u8 {
-        self.route.priority
-    }
-
     /// Returns the request for a grant.
     fn grant_request(&self) -> GrantRequest {
         let tokens = self.head.tokens;
@@ -153,7 +148,7 @@
             charge: tokens.map_or(default_tokens, |(prompt_tokens, output_tokens)| {
                 prompt_tokens + output_tokens
             }),
-            priority: self.priority(),
+            priority: self.route.priority,
             due: self.due,
             deadline: self.deadline,
             max_pause: self.route.max_pause,
@@ -321,7 +316,7 @@
             endpoint: &permit.grant.endpoint,
             team: self.team.as_ref().map(|team| &*team.name),
             time_left: self.time_left(),
-            priority: is_model.then(|| self.priority().min(9)),
+            priority: is_model.then(|| self.route.priority.min(9)),
             after: after.or(self.head.last_event),
         };
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -457,8 +452,11 @@
         } else {
             self.time_left()
         };
+        // Counted now, since the response may come long after the work has begun.
+        let run = self.gateway.count_run(self.team.as_ref());
         match self.attempt(&permit, None, time_limit).await {
             AttemptResult::NotRun(outcome) => {
+                self.gateway.count_not_run(run);
                 self.record_failure(permit, outcome).await;
                 Next::Retry
             }
