Tell leaders apart by the start of their process, not by their name

Cause: Leadership compared names. A record with the own name counted as one from before a restart, and the record of the last leader with the own name as the own last orders.

Change: each start of a process draws a random number. The leader's record, the record of the last leader and announcements carry it, and only it is compared. Records of earlier releases have none and count as another start's. A restarted leader now waits for the end of its former lease and for the gap.

The same class in the send gate: an endpoint that had left stayed closed for 120 s after it was back under its name. What an earlier incarnation has told now closes nothing.

With the guards off, the four new kernel tests fail.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -44,7 +44,7 @@
     http::pool::Pool,
     kernel::{
         grants::{Mode, Scheduler},
-        leadership::Leadership,
+        leadership::{Leadership, StartId},
         record_age::RecordAge,
         send_gate::SendGate,
     },
@@ -123,7 +123,11 @@
             operator: Mutex::default(),
             scheduler: Mutex::new(Scheduler::new(settings.grant_limits(), mode, Time::now())),
             requests: grants::Requests::default(),
-            leadership: Mutex::new(Leadership::new(settings.instance.clone())),
+            leadership: Mutex::new(Leadership::new(
+                settings.instance.clone(),
+                // Zero stands for an unknown start in announcements.
+                StartId(rand::random_range(1..=u64::MAX)),
+            )),
             record_age: RecordAge::new(Time::now()),
             gate: Mutex::default(),
             reach: reach::EndpointReach::default(),
--- a/src/gateway/gate.rs
+++ b/src/gateway/gate.rs
@@ -30,7 +30,8 @@
 
     /// Returns the endpoints to which this instance sends nothing, as they have told it.
     pub(super) fn closed_endpoints(&self) -> Vec<Arc<str>> {
-        self.gate.lock().closed(Time::now()).cloned().collect()
+        let current = |id: &str| self.known_incarnation(id);
+        self.gate.lock().closed(current, Time::now()).cloned().collect()
     }
 
     /// Returns the outcome of a grant that this instance must not use; `None` if it may send the
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -20,7 +20,7 @@
     http::pool::connect,
     kernel::{
         candidacy::candidate_wait,
-        leadership::{HeldLease, LEASE_TTL, LastLeader, Leader, LeaderChange, LeaseStep},
+        leadership::{HeldLease, LEASE_TTL, LastLeader, Leader, LeaderChange, LeaseStep, StartId},
         membership::{should_hand_over, weakness},
         revision::Revision,
     },
@@ -80,6 +80,9 @@
 #[derive(Serialize, Deserialize)]
 struct RawLeader {
     instance: String,
+    /// Start of the leader's process; earlier releases name none.
+    #[serde(default)]
+    start: Option<u64>,
     address: SocketAddr,
 }
 
@@ -90,7 +93,12 @@
             .inspect_err(|err| log::warn!("event=leader_unreadable reason={err}"))
             .ok()?;
         let term = item.revision.ordinal();
-        Some(Leader { instance: record.instance.into(), address: record.address, term })
+        Some(Leader {
+            instance: record.instance.into(),
+            start: record.start.map(StartId),
+            address: record.address,
+            term,
+        })
     }
 }
 
@@ -98,6 +106,9 @@
 #[derive(Serialize, Deserialize)]
 struct RawLastLeader {
     instance: String,
+    /// Start of the leader's process; earlier releases name none.
+    #[serde(default)]
+    start: Option<u64>,
     /// Era of the store in which the record was written.
     era: u64,
 }
@@ -105,7 +116,8 @@
 impl RawLastLeader {
     /// Returns the value of the record that this instance writes in `era`.
     fn encode(gateway: &Gateway, era: u64) -> Vec<u8> {
-        let record = Self { instance: gateway.settings.instance.to_string(), era };
+        let start = Some(gateway.leadership.lock().start().0);
+        let record = Self { instance: gateway.settings.instance.to_string(), start, era };
         serde_json::to_vec(&record).unwrap_or_default()
     }
 
@@ -114,10 +126,12 @@
         match serde_json::from_slice::<Self>(&item.value) {
             Ok(record) => LastLeader {
                 instance: record.instance.into(),
+                start: record.start.map(StartId),
                 is_current: record.era == item.revision.era(),
             },
             Err(_) => LastLeader {
                 instance: String::from_utf8_lossy(&item.value).as_ref().into(),
+                start: None,
                 is_current: false,
             },
         }
@@ -147,7 +161,8 @@
             return log::warn!("event=announcement_unreadable leader={}", frame.instance);
         };
         let instance = frame.instance.as_str().into();
-        let leader = Leader { instance, address, term: frame.term };
+        let start = (frame.start > 0).then_some(StartId(frame.start));
+        let leader = Leader { instance, start, address, term: frame.term };
         let change = self.leadership.lock().apply_announcement(leader);
         self.log_change(change);
     }
@@ -320,7 +335,9 @@
     let settings = &gateway.settings;
     let sent_at = Time::now();
     let lease = gateway.store.grant(LEASE_TTL).await?;
-    let record = RawLeader { instance: settings.instance.to_string(), address: settings.peer };
+    let start = gateway.leadership.lock().start();
+    let instance = settings.instance.to_string();
+    let record = RawLeader { instance, start: Some(start.0), address: settings.peer };
     let value = serde_json::to_vec(&record).unwrap_or_default();
     let last_leader = RawLastLeader::encode(gateway, lease.era);
     let puts = [
@@ -380,7 +397,8 @@
     // The members are in the order of their names, so those of one data centre follow each other.
     addresses.shuffle(&mut rand::rng());
     let (instance, address) = (gateway.settings.instance.clone(), gateway.settings.peer);
-    let announcement = Announcement::from(&Leader { instance, address, term });
+    let start = Some(gateway.leadership.lock().start());
+    let announcement = Announcement::from(&Leader { instance, start, address, term });
     let frame = EncodedFrame::from(Content::Announcement(announcement));
     let sends = addresses.into_iter().map(|address| send_frame(address, frame.clone()));
     let sends = futures_util::stream::iter(sends).buffer_unordered(CONCURRENT_ANNOUNCEMENTS);
--- a/src/gateway/messages/members.rs
+++ b/src/gateway/messages/members.rs
@@ -32,6 +32,9 @@
     /// Term of the leader.
     #[prost(uint64, tag = "3")]
     pub term: u64,
+    /// Start of the leader's process; zero if it is not known.
+    #[prost(uint64, tag = "4")]
+    pub start: u64,
 }
 
 /// Changes of the instances that serve callers.
@@ -86,6 +89,7 @@
             instance: leader.instance.to_string(),
             address: leader.address.to_string(),
             term: leader.term,
+            start: leader.start.map_or(0, |start| start.0),
         }
     }
 }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -123,6 +123,11 @@
         self.registry.table.lock().presence(endpoint, incarnation)
     }
 
+    /// Returns the incarnation of an endpoint; `None` if it has no entry.
+    pub(super) fn known_incarnation(&self, endpoint: &str) -> Option<Incarnation> {
+        self.registry.table.lock().get(endpoint).map(|entry| entry.incarnation)
+    }
+
     /// Returns the endpoints that do not drain, in the order of their names.
     pub(super) fn usable_endpoints(&self) -> Vec<EndpointEntry> {
         let table = self.registry.table.lock();
--- a/src/kernel/leadership.rs
+++ b/src/kernel/leadership.rs
@@ -4,6 +4,9 @@
 //! record's revision, so it grows with each leader, also when the store has returned from an older
 //! copy. A process that was paused may find that its lease has ended
 //! meanwhile, or that it leads again in a later term; whatever it decided before is void then.
+//!
+//! What leads is one start of one process. A replacement may bear the name of the instance that it
+//! replaces, so names are only shown to operators and never compared.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -19,11 +22,17 @@
 /// Time before the end of the lease in the store at which the leader stops relying on it.
 const LEASE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Random identity of one start of one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StartId(pub u64);
+
 /// A leader of the fleet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Leader {
     /// Name of the instance.
     pub instance: Arc<str>,
+    /// Start of its process; `None` if an earlier release, which names none, has written the record.
+    pub start: Option<StartId>,
     /// Address at which the leader accepts links of other instances.
     pub address: SocketAddr,
     /// Ordinal of the revision of the leader's record, which grows with each leader.
@@ -80,6 +89,8 @@
 pub struct LastLeader {
     /// Name of the instance.
     pub instance: Arc<str>,
+    /// Start of its process; `None` if an earlier release, which names none, has written the record.
+    pub start: Option<StartId>,
     /// Whether the record was written in the store's current era. Another record may have survived a
     /// return of the store that lost a later one.
     pub is_current: bool,
@@ -99,6 +110,8 @@
 pub struct Leadership {
     /// Name of this instance.
     own_name: Arc<str>,
+    /// This start of its process.
+    start: StartId,
     leader: Option<Leader>,
     /// Latest term of a leader that this instance has known.
     latest_term: u64,
@@ -126,10 +139,12 @@
 }
 
 impl Leadership {
-    /// Creates the state of the instance `own_name`, which knows no leader yet.
-    pub fn new(own_name: Arc<str>) -> Self {
+    /// Creates the state of the instance `own_name` in this `start` of its process, which knows no
+    /// leader yet.
+    pub fn new(own_name: Arc<str>, start: StartId) -> Self {
         Self {
             own_name,
+            start,
             leader: None,
             latest_term: 0,
             last_leader: None,
@@ -145,6 +160,16 @@
         }
     }
 
+    /// Returns this start of the process.
+    pub fn start(&self) -> StartId {
+        self.start
+    }
+
+    /// Returns whether `start` is this start of the process.
+    fn is_own(&self, start: Option<StartId>) -> bool {
+        start == Some(self.start)
+    }
+
     /// Returns the leader that is known.
     pub fn leader(&self) -> Option<&Leader> {
         self.leader.as_ref()
@@ -237,7 +262,7 @@
 
     /// Sets the leader. Another leader ends this instance's leadership.
     fn set_leader(&mut self, leader: Option<Leader>) -> LeaderChange {
-        let is_other = leader.as_ref().is_some_and(|leader| leader.instance != self.own_name);
+        let is_other = leader.as_ref().is_some_and(|leader| !self.is_own(leader.start));
         let lost = if is_other { self.held.take() } else { None };
         if is_other {
             self.other_leader = leader.as_ref().map(|leader| leader.instance.clone());
@@ -254,7 +279,8 @@
         let instance = self.own_name.clone();
         let last = self.last_leader.as_ref().map(|last| last.instance.clone());
         self.former_leader = self.other_leader.take().or(last);
-        self.leader = Some(Leader { instance, address, term: held.term });
+        let start = Some(self.start);
+        self.leader = Some(Leader { instance, start, address, term: held.term });
         self.revision = Revision::from_ordinal(held.term);
         self.latest_term = held.term;
         self.held = Some(held);
@@ -269,7 +295,8 @@
         if let Some(held) = self.held.as_mut().filter(|held| held.term == term) {
             held.recorded = true;
             let instance = self.own_name.clone();
-            self.last_leader = Some(LastLeader { instance, is_current: true });
+            let start = Some(self.start);
+            self.last_leader = Some(LastLeader { instance, start, is_current: true });
         }
     }
 
@@ -280,7 +307,7 @@
     /// ago, since any other leader waits so long before its first order.
     pub fn ordered_last(&self, order_gap: Duration, now: Time) -> bool {
         match &self.last_leader {
-            Some(last) if last.is_current => last.instance == self.own_name,
+            Some(last) if last.is_current => self.is_own(last.start),
             _ => self.led_until.is_some_and(|at| now.since(at) < order_gap),
         }
     }
@@ -326,9 +353,10 @@
             }
             (Some(_), _) => LeaseStep::Wait,
             (None, _) if stopping || !self.synced => LeaseStep::Wait,
-            (None, Some(leader)) if leader.instance != self.own_name => LeaseStep::Wait,
-            // If the record names this instance, which holds no lease, it was written before a
-            // restart.
+            // A former start under the same name may still lead, so its lease must end first.
+            (None, Some(leader)) if !self.is_own(leader.start) => LeaseStep::Wait,
+            // A record of this start, which holds no lease, was written by a call whose response was
+            // lost, or before the store returned from an older copy.
             (None, _) => LeaseStep::Acquire(self.revision),
         }
     }
--- a/src/kernel/send_gate.rs
+++ b/src/kernel/send_gate.rs
@@ -78,8 +78,20 @@
         told.map_or(GateState::Open, |told| told.state)
     }
 
-    /// Returns the endpoints to which no requests may be sent.
-    pub fn closed(&self, now: Time) -> impl Iterator<Item = &Arc<str>> {
-        self.told.iter().filter(move |(_, told)| now < told.until).map(|(endpoint, _)| endpoint)
+    /// Returns the endpoints to which no requests may be sent. `current` returns the incarnation of an
+    /// endpoint that is known to serve; what an earlier one has told does not hold for it.
+    pub fn closed(
+        &self,
+        current: impl Fn(&str) -> Option<Incarnation>,
+        now: Time,
+    ) -> impl Iterator<Item = &Arc<str>> {
+        let is_replaced = move |endpoint: &str, told: &Told| {
+            current(endpoint).is_some_and(|current| current.0 > told.incarnation.0)
+        };
+        let closed = self
+            .told
+            .iter()
+            .filter(move |(endpoint, told)| now < told.until && !is_replaced(endpoint, told));
+        closed.map(|(endpoint, _)| endpoint)
     }
 }
--- a/tests/kernel/leadership.rs
+++ b/tests/kernel/leadership.rs
@@ -5,7 +5,7 @@
 use cardamomshore::{
     clock::Time,
     kernel::{
-        leadership::{HeldLease, LEASE_TTL, LastLeader, Leader, Leadership, LeaseStep},
+        leadership::{HeldLease, LEASE_TTL, LastLeader, Leader, Leadership, LeaseStep, StartId},
         revision::{LeaseId, Revision},
     },
 };
@@ -19,8 +19,23 @@
     SocketAddr::from(([10, 0, 0, 1], 7_600))
 }
 
+/// The start of the instance under test.
+const OWN_START: StartId = StartId(1);
+
+/// Returns a leader of a start that each instance name has in these tests.
 fn leader(instance: &str, term: u64) -> Leader {
-    Leader { instance: instance.into(), address: address(), term }
+    let start = Some(if instance == "a" { OWN_START } else { StartId(2) });
+    Leader { instance: instance.into(), start, address: address(), term }
+}
+
+fn last_leader(instance: &str, is_current: bool) -> LastLeader {
+    let Leader { instance, start, .. } = leader(instance, 0);
+    LastLeader { instance, start, is_current }
+}
+
+/// Returns the instance "a", which knows no leader.
+fn newcomer() -> Leadership {
+    Leadership::new("a".into(), OWN_START)
 }
 
 fn lease(term: u64, now: Time) -> HeldLease {
@@ -30,7 +45,7 @@
 
 /// Returns an instance that was elected in `term`.
 fn elected(term: u64) -> Leadership {
-    let mut leadership = Leadership::new("a".into());
+    let mut leadership = newcomer();
     leadership.synced = true;
     leadership.elect(lease(term, START), address());
     leadership
@@ -76,7 +91,7 @@
 
 #[test]
 fn record_older_than_announcement_ignored() {
-    let mut leadership = Leadership::new("a".into());
+    let mut leadership = newcomer();
     leadership.apply_announcement(leader("b", 9));
     assert!(!leadership.apply_record(Some(leader("c", 5))).is_new);
     assert_eq!(leadership.leader(), Some(&leader("b", 9)));
@@ -86,7 +101,7 @@
 
 #[test]
 fn step_candidate_only_without_leader() {
-    let mut leadership = Leadership::new("a".into());
+    let mut leadership = newcomer();
     assert_eq!(leadership.next_step(false, START), LeaseStep::Wait, "nothing was read yet");
     leadership.synced = true;
     leadership.apply_record(Some(leader("b", 5)));
@@ -96,7 +111,41 @@
     assert_eq!(leadership.next_step(true, START), LeaseStep::Wait, "it is stopping");
     leadership.apply_record(Some(leader("a", 7)));
     let own = LeaseStep::Acquire(Revision::new(0, 7));
-    assert_eq!(leadership.next_step(false, START), own, "from before a restart");
+    assert_eq!(leadership.next_step(false, START), own, "the response to its write was lost");
+}
+
+/// Guards against two machines of one name that lead at once: the lost one may only be cut off.
+#[test]
+fn step_record_of_former_start_waits() {
+    for start in [Some(StartId(7)), None] {
+        let mut leadership = newcomer();
+        leadership.synced = true;
+        leadership.apply_record(Some(Leader { start, ..leader("a", 7) }));
+        let step = leadership.next_step(false, START);
+        assert_eq!(step, LeaseStep::Wait, "start {start:?} holds the lease");
+        leadership.apply_record(None);
+        assert_eq!(leadership.next_step(false, START), LeaseStep::Acquire(Revision::default()));
+    }
+}
+
+/// Guards against orders of two machines of one name that are less than the gap apart.
+#[test]
+fn orders_of_former_start_waited_for() {
+    for start in [Some(StartId(7)), None] {
+        let mut leadership = newcomer();
+        leadership.last_leader = Some(LastLeader { start, ..last_leader("a", true) });
+        assert!(!leadership.ordered_last(ORDER_GAP, START), "start {start:?} gave them");
+    }
+}
+
+/// Guards against a leader that keeps its lead beside a later one of the same name.
+#[test]
+fn record_of_later_start_ends_leadership() {
+    let mut leadership = elected(5);
+    let change =
+        leadership.apply_record(Some(Leader { start: Some(StartId(7)), ..leader("a", 9) }));
+    assert_eq!(change.lost_term, Some(5));
+    assert!(!leadership.may_order_in(5, START));
 }
 
 #[test]
@@ -109,8 +158,8 @@
 
 #[test]
 fn succession_names_former_leader() {
-    let mut leadership = Leadership::new("a".into());
-    leadership.last_leader = Some(LastLeader { instance: "b".into(), is_current: true });
+    let mut leadership = newcomer();
+    leadership.last_leader = Some(last_leader("b", true));
     assert!(!leadership.ordered_last(ORDER_GAP, START));
     leadership.elect(lease(5, START), address());
     let later = START + Duration::from_secs(3);
@@ -120,7 +169,7 @@
 
 #[test]
 fn record_lower_number_in_new_era_followed() {
-    let mut leadership = Leadership::new("a".into());
+    let mut leadership = newcomer();
     leadership.apply_record(Some(leader("b", Revision::new(1, 87).ordinal())));
     let restored = leader("c", Revision::new(2, 40).ordinal());
     assert!(leadership.apply_record(Some(restored.clone())).is_new);
@@ -139,11 +188,11 @@
 
 #[test]
 fn orders_after_return_wait() {
-    let mut leadership = Leadership::new("a".into());
+    let mut leadership = newcomer();
     assert!(!leadership.ordered_last(ORDER_GAP, START), "the store may have lost the record");
-    leadership.last_leader = Some(LastLeader { instance: "a".into(), is_current: false });
+    leadership.last_leader = Some(last_leader("a", false));
     assert!(!leadership.ordered_last(ORDER_GAP, START), "a later record may be lost");
-    leadership.last_leader = Some(LastLeader { instance: "a".into(), is_current: true });
+    leadership.last_leader = Some(last_leader("a", true));
     assert!(leadership.ordered_last(ORDER_GAP, START));
 }
 
@@ -151,16 +200,16 @@
 fn orders_of_leader_at_return_go_on() {
     let mut leadership = elected(Revision::new(1, 87).ordinal());
     leadership.step_down_after_return(START + Duration::from_secs(2));
-    leadership.last_leader = Some(LastLeader { instance: "b".into(), is_current: false });
+    leadership.last_leader = Some(last_leader("b", false));
     assert!(leadership.ordered_last(ORDER_GAP, START + Duration::from_secs(2)));
     assert!(!leadership.ordered_last(ORDER_GAP, START + ORDER_GAP), "another may have led since");
-    leadership.last_leader = Some(LastLeader { instance: "b".into(), is_current: true });
+    leadership.last_leader = Some(last_leader("b", true));
     assert!(!leadership.ordered_last(ORDER_GAP, START), "another leads in the new era");
 }
 
 #[test]
 fn fleet_size_lost_by_store_holds() {
-    let mut leadership = Leadership::new("a".into());
+    let mut leadership = newcomer();
     leadership.apply_fleet_size(8, 1);
     leadership.apply_fleet_size(3, 2);
     assert_eq!((leadership.fleet_size(), leadership.is_size_lost()), (8, true));
@@ -174,8 +223,8 @@
 
 #[test]
 fn orders_of_leader_that_ended_while_it_waited_wait() {
-    let mut leadership = Leadership::new("a".into());
-    leadership.last_leader = Some(LastLeader { instance: "b".into(), is_current: true });
+    let mut leadership = newcomer();
+    leadership.last_leader = Some(last_leader("b", true));
     let orders_from = START + ORDER_GAP;
     let held = HeldLease { orders_from, recorded: false, ..lease(5, START) };
     leadership.elect(held, address());
@@ -186,7 +235,7 @@
 
 #[test]
 fn step_orders_recorded_before_first() {
-    let mut leadership = Leadership::new("a".into());
+    let mut leadership = newcomer();
     leadership.elect(HeldLease { recorded: false, ..lease(5, START) }, address());
     assert!(!leadership.may_order(START), "a later leader would not know of its orders");
     let held = HeldLease { recorded: false, ..lease(5, START) };
--- a/tests/kernel/send_gate.rs
+++ b/tests/kernel/send_gate.rs
@@ -34,8 +34,8 @@
     gate.record_pause(&endpoint(), FIRST, Duration::from_secs(3), START);
     assert_eq!(gate.state("e1", FIRST, START + Duration::from_millis(2_999)), GateState::Paused);
     assert_eq!(gate.state("e1", FIRST, START + Duration::from_secs(3)), GateState::Open);
-    assert_eq!(gate.closed(START).count(), 1);
-    assert_eq!(gate.closed(START + Duration::from_secs(3)).count(), 0);
+    assert_eq!(gate.closed(|_| Some(FIRST), START).count(), 1);
+    assert_eq!(gate.closed(|_| Some(FIRST), START + Duration::from_secs(3)).count(), 0);
 }
 
 #[test]
@@ -53,3 +53,15 @@
     gate.record_pause(&endpoint(), FIRST, Duration::from_secs(1), START);
     assert_eq!(gate.state("e1", FIRST, START + Duration::from_secs(9)), GateState::Leaving);
 }
+
+/// Guards against a name that stays closed for the endpoint that is back under it.
+#[test]
+fn gate_left_endpoint_back_open() {
+    let mut gate = SendGate::default();
+    gate.record_leaving(&endpoint(), FIRST, START);
+    assert_eq!(gate.closed(|_| Some(SECOND), START).count(), 0, "the endpoint is back");
+    assert_eq!(gate.closed(|_| Some(FIRST), START).count(), 1);
+    assert_eq!(gate.closed(|_| None, START).count(), 1, "its entry is gone");
+    gate.record_leaving(&endpoint(), SECOND, START);
+    assert_eq!(gate.closed(|_| Some(FIRST), START).count(), 1, "the entry is older than the sign");
+}
