Wait at a planned stop until callers have their responses

Cause: a request counted until its response was handed to the HTTP library, which holds megabytes for a slow caller. Ruled out: the deadline and the route's timeout, which were not reached.

Change: a request counts until the library has dropped its body and has flushed its buffer into the socket. Then the stop waits, up to the grace time, until the operating system's table of sockets shows no unacknowledged bytes on the callers' and the relay port.

A caller that does not read for 2 s was reset after 1.5 s, since Linux applies TCP_USER_TIMEOUT to a side with a closed window too. Connections to endpoints, instances and the store keep it.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -20,6 +20,7 @@
 mod operator;
 mod orders;
 mod origins;
+mod output;
 mod peers;
 mod rate_limits;
 mod reach;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -27,9 +27,10 @@
 use super::{
     Gateway, directory,
     entry::{self, Origin},
+    output::{CountedBody, Output},
     response::{ResponseBody, empty_response},
 };
-use crate::{http::pool::set_socket_options, telemetry};
+use crate::{http::pool::set_caller_options, telemetry};
 
 /// Connections that the operating system queues until they are accepted. If the queue is full, a
 /// caller's connection is delayed by a second.
@@ -99,12 +100,16 @@
 
 /// Serves the requests of one connection until it ends.
 async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, kind: Kind) {
-    set_socket_options(&stream);
+    set_caller_options(&stream);
     let idle_timeout =
         gateway.catalog.load().as_ref().map_or(Duration::from_secs(15), |c| c.limits.idle_timeout);
+    let (stream, output) = Output::track(stream, gateway.shutdown.unwritten.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(respond(gateway, request, kind).await) }
+        let (gateway, guard) = (gateway.clone(), output.begin());
+        async move {
+            let response = respond(gateway, request, kind).await;
+            Ok::<_, Infallible>(response.map(|body| CountedBody::new(body, guard)))
+        }
     });
     let mut builder = http1::Builder::new();
     builder
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -61,7 +61,6 @@
             response.headers_mut().entry(caller::request_id_header()).or_insert(value);
         }
     };
-    let _unanswered = gateway.shutdown.record_request();
     let result = match admit(&gateway, arrived_at, origin, parts, head, body).await {
         Ok(job) => {
             let result = run(job).await;
--- a/src/gateway/output.rs
+++ b/src/gateway/output.rs
@@ -55,12 +55,14 @@
     all: Arc<Unwritten>,
     /// Whether the HTTP library may hold bytes of a response that ended.
     is_held: AtomicBool,
+    /// Whether the connection has ended, so that nothing more is written.
+    is_closed: AtomicBool,
 }
 
 impl Output {
     /// Wraps the stream of a connection, and returns it with its output.
     pub fn track(stream: TcpStream, all: Arc<Unwritten>) -> (TrackedStream, Arc<Self>) {
-        let output = Arc::new(Self { all, is_held: AtomicBool::new(false) });
+        let output = Arc::new(Self { all, is_held: false.into(), is_closed: false.into() });
         (TrackedStream { stream, output: output.clone(), stall: None }, output)
     }
 
@@ -86,17 +88,22 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        self.0.set_held(true);
+        self.0.set_held(!self.0.is_closed.load(Ordering::Acquire));
         self.0.all.requests.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
 /// A response's body, which the HTTP library drops once it has taken all of it.
 pub struct CountedBody {
-    /// The body.
-    pub body: ResponseBody,
-    /// Counts the request of the response.
-    pub guard: RequestGuard,
+    body: ResponseBody,
+    _guard: RequestGuard,
+}
+
+impl CountedBody {
+    /// Creates the body of the response to the request that `guard` counts.
+    pub fn new(body: ResponseBody, guard: RequestGuard) -> Self {
+        Self { body, _guard: guard }
+    }
 }
 
 impl Body for CountedBody {
@@ -146,6 +153,7 @@
 
 impl Drop for TrackedStream {
     fn drop(&mut self) {
+        self.output.is_closed.store(true, Ordering::Release);
         self.output.set_held(false);
     }
 }
--- a/src/gateway/shutdown.rs
+++ b/src/gateway/shutdown.rs
@@ -4,7 +4,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -14,7 +14,10 @@
     time::sleep,
 };
 
-use super::{Gateway, leader};
+use super::{
+    Gateway, leader,
+    output::{Unwritten, has_unacknowledged},
+};
 use crate::{
     clock::Time,
     kernel::stopping::{accepts_new, send_time_left},
@@ -31,17 +34,8 @@
 pub struct Shutdown {
     /// When the signal to stop came; zero before.
     begun_at: AtomicU64,
-    /// Number of requests whose response has not begun.
-    unanswered: AtomicUsize,
-}
-
-/// Counts a request as unanswered until it is dropped.
-pub struct UnansweredGuard<'a>(&'a Shutdown);
-
-impl Drop for UnansweredGuard<'_> {
-    fn drop(&mut self) {
-        self.0.unanswered.fetch_sub(1, Ordering::Relaxed);
-    }
+    /// Requests that arrive or run, and responses that are not passed to a socket yet.
+    pub(super) unwritten: Arc<Unwritten>,
 }
 
 impl Shutdown {
@@ -50,12 +44,6 @@
         self.begun_at.load(Ordering::Acquire) > 0
     }
 
-    /// Counts a request that has arrived, also while its body is read. The process waits for its response.
-    pub fn record_request(&self) -> UnansweredGuard<'_> {
-        self.unanswered.fetch_add(1, Ordering::Relaxed);
-        UnansweredGuard(self)
-    }
-
     /// Returns the time since the signal to stop; zero before.
     fn elapsed(&self) -> Duration {
         match self.begun_at.load(Ordering::Acquire) {
@@ -66,10 +54,16 @@
 }
 
 impl Gateway {
-    /// Returns whether a request arrives, waits or runs.
+    /// Returns whether a request arrives, waits or runs, or its response is to be passed to a socket.
     fn has_requests(&self) -> bool {
-        let unanswered = self.shutdown.unanswered.load(Ordering::Relaxed);
-        unanswered + self.requests.count() + self.relay.count() > 0
+        self.shutdown.unwritten.has_any() || self.requests.count() + self.relay.count() > 0
+    }
+
+    /// Returns whether callers have not acknowledged all of their responses.
+    async fn has_unacknowledged(&self) -> bool {
+        let listeners = [self.settings.callers, self.settings.relay];
+        let check = tokio::task::spawn_blocking(move || has_unacknowledged(&listeners));
+        check.await.unwrap_or(false)
     }
 
     /// Returns the time that is left to send accepted requests to endpoints; without a bound unless the
@@ -88,7 +82,7 @@
     }
 }
 
-/// Waits for the signal to stop, resigns as leader, and waits for the requests to end.
+/// Waits for the signal to stop, resigns as leader, and waits until callers have all responses.
 pub async fn wait(gateway: Arc<Gateway>) {
     wait_for_signal().await;
     log::info!("event=stopping instance={}", gateway.settings.instance);
@@ -96,13 +90,14 @@
     leader::resign(&gateway).await;
     let timeout = gateway.settings.stop_timeout.saturating_sub(EXIT_MARGIN);
     while gateway.shutdown.elapsed() < timeout {
-        if gateway.refuses_requests() && !gateway.has_requests() {
+        if gateway.refuses_requests()
+            && !gateway.has_requests()
+            && !gateway.has_unacknowledged().await
+        {
             break;
         }
         sleep(POLL_INTERVAL).await;
     }
-    // The last responses are still being written.
-    sleep(POLL_INTERVAL).await;
 }
 
 /// Waits for SIGTERM or SIGINT. SIGHUP means that the settings file has changed. The file is only
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -106,10 +106,17 @@
 
 /// Sets the socket options by which the loss of the other side is detected soon.
 pub fn set_socket_options(stream: &TcpStream) {
-    set_options(stream, ACK_TIMEOUT);
+    set_options(stream, Some(ACK_TIMEOUT));
 }
 
-fn set_options(stream: &TcpStream, ack_timeout: Duration) {
+/// Sets the socket options of a connection to a caller. It has no timeout of acknowledgements, which
+/// Linux also applies to a side that acknowledges everything but has no room for more bytes, as a caller
+/// that does not read for a while. The probes find an idle side that is lost.
+pub fn set_caller_options(stream: &TcpStream) {
+    set_options(stream, None);
+}
+
+fn set_options(stream: &TcpStream, ack_timeout: Option<Duration>) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(PROBE_INTERVAL)
@@ -117,7 +124,7 @@
         .with_retries(MAX_PROBES);
     let result = stream.set_nodelay(true);
     let result = result.and_then(|()| socket.set_tcp_keepalive(&probes));
-    if let Err(err) = result.and_then(|()| socket.set_tcp_user_timeout(Some(ack_timeout))) {
+    if let Err(err) = result.and_then(|()| socket.set_tcp_user_timeout(ack_timeout)) {
         log::debug!("event=socket_option_failed reason={err}");
     }
 }
@@ -140,7 +147,7 @@
         socket.connect(address).await
     };
     let stream = timeout(time_limit, open).await.map_err(|_| ErrorKind::TimedOut)??;
-    set_options(&stream, options.ack_timeout);
+    set_options(&stream, Some(options.ack_timeout));
     Ok(stream)
 }
 
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -82,6 +82,12 @@
     pub late_orders: f64,
     /// Whether its responses say that it leaves, although its entry does not.
     pub leaving: bool,
+    /// Bytes that are added to the answers to plain requests.
+    pub added_bytes: usize,
+    /// Pause in the middle of each stream, which then goes on.
+    pub stream_pause: Duration,
+    /// Pause before the first event of each stream.
+    pub start_pause: Duration,
     /// Fraction of the requests that are refused, and for how long their senders must pause.
     pub refusing: Option<(f64, Duration)>,
 }
--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -171,7 +171,9 @@
         if rand::rng().random_bool(faults.breaking) {
             return Err(Broken);
         }
-        whole_response(StatusCode::OK, plain_body(&request, &endpoint))
+        let mut body = plain_body(&request, &endpoint);
+        body.extend(std::iter::repeat_n(' ', faults.added_bytes));
+        whole_response(StatusCode::OK, body)
     } else {
         let after = header(headers, "last-event-id").parse().unwrap_or(0);
         let (tx, response) = streamed_response(StatusCode::OK);
@@ -210,8 +212,12 @@
         let mut rng = rand::rng();
         (rng.random_bool(faults.endless), rng.random_bool(faults.breaking))
     };
+    sleep(faults.start_pause).await;
     for number in after + 1..=LAST_EVENT {
         sleep(EVENT_INTERVAL).await;
+        if number == LAST_EVENT / 2 {
+            sleep(faults.stream_pause).await;
+        }
         if breaks && number == LAST_EVENT / 2 {
             let _ = tx.send(Err(Broken)).await;
             return;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -21,6 +21,7 @@
     mod rate;
     mod returns;
     mod shutdown;
+    mod slow_callers;
     mod soak;
     mod streams;
     mod take_up;
