Keep silent runs until another endpoint is granted; look requests up again when they are sent

Cause: the relay dropped the connection before it asked for a grant. Ruled out: the shutdown, without which the streams were cut in the same way. Now a silent run goes on while another endpoint is asked for, and is given up only for a grant; without one the caller and the deadline alone end it. The same holds before the first event and for plain idempotent requests. The endpoint is probed when the silence begins.

Cause: admit looked the key up again after the body, but dropped the result. Now team, route and service are those of the newest configuration after the body, before each request for a grant, and when the connection to the endpoint is open; another team or service needs another grant.

On the former code stream_that_pauses_at_only_engine_goes_on, stream_that_begins_late_at_only_engine_goes_on and key_moved_while_body_arrives_counts_for_next_team fail.

--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -93,6 +93,11 @@
 }
 
 impl Route {
+    /// Returns the time for a request whose caller waits for `time`.
+    pub fn limit_time(&self, time: Duration) -> Duration {
+        if self.timeout.is_zero() { time } else { time.min(self.timeout) }
+    }
+
     /// Chooses a service at random by the weights; `draw` is the random number to use.
     ///
     /// Returns `None` if the weights add up to zero.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! instance that holds a lease in the platform's store. An instance that cannot reach the leader
 //! grants its own requests, within its share of the limits.
 
+mod buffered;
 mod callers;
 mod crashes;
 mod directory;
@@ -29,6 +30,8 @@
 mod response;
 pub mod settings;
 mod shutdown;
+mod silence;
+mod standing;
 mod stream;
 pub mod updates;
 
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -15,10 +15,11 @@
     forward::Job,
     relay,
     response::{Rejection, ResponseBody},
+    standing::authorize,
     stream,
 };
 use crate::{
-    catalog::{Catalog, Route, Team},
+    catalog::Catalog,
     clock::Time,
     kernel::grants::VersionNeed,
     platform::caller::{self, CallerHead},
@@ -132,28 +133,28 @@
     if gateway.refuses_requests() {
         return Err(Rejection::Stopping);
     }
-    let (route, team) = authorize(&catalog, &head, parts.uri.path())?;
-    let draw = rand::random::<u32>();
-    let service = route.choose_service(draw).cloned().ok_or(Rejection::NoRoute)?;
+    let (route, _) = authorize(&catalog, &head, parts.uri.path())?;
     let caller_timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT).saturating_sub(TRANSIT_TIME);
-    let time_limit =
-        if route.timeout.is_zero() { caller_timeout } else { caller_timeout.min(route.timeout) };
-    let deadline = arrived_at + time_limit;
-    let body = read_body(body, catalog.limits.max_body, time_limit).await?;
+    let body_timeout = route.limit_time(caller_timeout);
+    let body = read_body(body, catalog.limits.max_body, body_timeout).await?;
     // The process may have been told to stop while the body arrived.
     if gateway.refuses_requests() {
         return Err(Rejection::Stopping);
     }
-    // The key may have been withdrawn meanwhile.
-    if let Some(catalog) = gateway.catalog.load_full() {
-        authorize(&catalog, &head, parts.uri.path())?;
-    }
+    // The key or the route may have changed meanwhile.
+    let catalog = gateway.catalog.load_full().unwrap_or(catalog);
+    let (route, team) = authorize(&catalog, &head, parts.uri.path())?;
+    let draw = rand::random::<u32>();
+    let service = route.choose_service(draw).cloned().ok_or(Rejection::NoRoute)?;
+    let deadline = arrived_at + route.limit_time(caller_timeout);
     let fingerprint = fingerprint(&parts, &head, &body);
     Ok(Job {
         gateway: gateway.clone(),
+        catalog,
         due: arrived_at + route.target_latency,
         deadline,
         service,
+        draw,
         team,
         method: parts.method,
         uri: parts.uri,
@@ -161,6 +162,7 @@
         body,
         fingerprint,
         tried: Vec::new(),
+        granted: None,
         attempts: 0,
         version: if head.last_event.is_some() { VersionNeed::Origin } else { VersionNeed::Any },
         runs: 0,
@@ -186,21 +188,6 @@
     }
 }
 
-/// Returns the route of a request and the team of its key. Fails if no route matches, or if the
-/// route needs a key and the request has no valid one.
-fn authorize(
-    catalog: &Catalog,
-    head: &CallerHead,
-    path: &str,
-) -> Result<(Arc<Route>, Option<Arc<Team>>), Rejection> {
-    let route = catalog.route(&head.host, path).ok_or(Rejection::NoRoute)?;
-    let team = head.key.as_deref().and_then(|key| catalog.keys.get(key));
-    if team.is_none() && catalog.keys_required && !route.is_public {
-        return Err(Rejection::NoKey);
-    }
-    Ok((route.clone(), team.cloned()))
-}
-
 /// Reads the body of a caller's request, which fails if it is larger than `max_bytes` or slower
 /// than `time_limit`.
 async fn read_body(
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -20,7 +20,7 @@
     response::{Rejection, ResponseBody},
 };
 use crate::{
-    catalog::{RetryPolicy, Route, Team},
+    catalog::{Catalog, Route, Team},
     clock::Time,
     http::pool::{Connection, SendError},
     kernel::{
@@ -47,12 +47,6 @@
 /// instance, since a server in trouble may send bytes without end.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// Response timeout in multiples of the route's target latency, where a retry is possible.
-const RESPONSE_TIMEOUT_FACTOR: f64 = 2.5;
-
-/// Lower bound of the response timeout where a retry is possible.
-const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Factor by which the output may exceed the caller's estimate of its length.
 const LENGTH_HINT_FACTOR: f64 = 1.5;
 
@@ -62,11 +56,15 @@
 /// A caller's request while it is being served.
 pub struct Job {
     pub(super) gateway: Arc<Gateway>,
+    /// Configuration in which the route, the team and the service were looked up.
+    pub(super) catalog: Arc<Catalog>,
     pub(super) route: Arc<Route>,
     pub(super) head: CallerHead,
     pub(super) deadline: Time,
     /// Service that was chosen among those of the route.
     pub(super) service: Arc<str>,
+    /// Random number by which the service is chosen.
+    pub(super) draw: u32,
     /// Team of the caller's key; `None` if the request has no valid key.
     pub(super) team: Option<Arc<Team>>,
     pub(super) method: Method,
@@ -79,6 +77,8 @@
     pub(super) fingerprint: u64,
     /// Endpoints on which an attempt has failed.
     pub(super) tried: Vec<Arc<str>>,
+    /// Grant of the next attempt, if it was given while the last one was silent.
+    pub(super) granted: Option<Permit>,
     /// Attempts so far.
     pub(super) attempts: u32,
     /// Software version that the endpoint must have.
@@ -130,7 +130,7 @@
     }
 
     /// Returns the request for a grant.
-    fn grant_request(&self) -> GrantRequest {
+    pub(super) fn grant_request(&self) -> GrantRequest {
         let tokens = self.head.tokens;
         let default_tokens = self.team.as_ref().map_or(0, |team| team.default_tokens);
         let work = self.head.model.clone().map(|model| {
@@ -179,7 +179,10 @@
     /// request, at the deadline, or after [`MAX_ATTEMPTS`].
     pub(super) async fn acquire(&mut self) -> Result<Permit, Refusal> {
         loop {
-            let permit = self.acquire_any().await?;
+            let permit = match self.granted.take() {
+                Some(permit) => permit,
+                None => self.acquire_any().await?,
+            };
             match self.gateway.held_back(&permit.grant) {
                 None => {
                     self.attempts += 1;
@@ -227,7 +230,7 @@
     }
 
     /// Requests a grant and waits for it until the deadline, or until it is too late to send it.
-    async fn request_grant(&self, request: GrantRequest) -> Result<Permit, Refusal> {
+    pub(super) async fn request_grant(&self, request: GrantRequest) -> Result<Permit, Refusal> {
         let granted = timeout(self.grant_time_left(), acquire(&self.gateway, request)).await;
         granted.unwrap_or(Err(NO_GRANT))
     }
@@ -248,7 +251,9 @@
             self.fingerprint,
             self.part_list()
         );
-        self.tried.push(endpoint.clone());
+        if outcome != Outcome::Left {
+            self.tried.push(endpoint.clone());
+        }
         self.was_unreached = outcome == Outcome::Unreached;
         if matches!(outcome, Outcome::Broke | Outcome::Unreached) {
             self.gateway.check_path().await;
@@ -285,8 +290,9 @@
                 self.gateway.record_reached(&grant.endpoint, false);
                 return AttemptResult::NotRun(Outcome::Unreached);
             };
-            if self.time_left().is_zero() {
-                // The process was paused, or opening the connection took all of the time.
+            if self.time_left().is_zero() || !self.is_current() {
+                // The process was paused, opening the connection took all of the time, or the
+                // configuration has changed since the grant was requested.
                 return AttemptResult::NotRun(Outcome::Left);
             }
             let sent_at = Time::now();
@@ -410,26 +416,6 @@
         self.gateway.pool.release(connection, keep_alive);
     }
 
-    /// Runs a request whose response is read as a whole before it is passed on.
-    pub(super) async fn run_buffered(&mut self) -> Result<Response<ResponseBody>, Rejection> {
-        // The last response of an endpoint that failed, for the caller if no retry succeeds.
-        let mut failed: Option<Response<ResponseBody>> = None;
-        loop {
-            if let Some(result) = self.avoid_cut().await {
-                return result;
-            }
-            let permit = match self.acquire().await {
-                Ok(permit) => permit,
-                Err(refusal) => return failed.map_or_else(|| Err(self.rejection(refusal)), Ok),
-            };
-            match self.attempt_buffered(permit, &mut failed).await {
-                Next::Return(response) => return Ok(response),
-                Next::Retry => {}
-                Next::Reject(rejection) => return failed.ok_or(rejection),
-            }
-        }
-    }
-
     /// Returns the rejection of a request that gets no further grant.
     pub(super) fn rejection(&self, refusal: Refusal) -> Rejection {
         match self.runs {
@@ -439,54 +425,6 @@
         }
     }
 
-    /// Makes one attempt and reads the whole response. Stores the response of an endpoint's failure
-    /// in `failed`, which the caller gets if no retry succeeds.
-    async fn attempt_buffered(
-        &mut self,
-        permit: Permit,
-        failed: &mut Option<Response<ResponseBody>>,
-    ) -> Next {
-        let has_retry =
-            self.route.retry == RetryPolicy::Idempotent && self.runs + 1 < self.route.max_attempts;
-        let response_timeout =
-            self.route.target_latency.mul_f64(RESPONSE_TIMEOUT_FACTOR).max(MIN_RESPONSE_TIMEOUT);
-        // The attempt may use this fraction of the time left; the rest is for the retry.
-        let time_limit = if has_retry {
-            response_timeout.min(self.time_left().mul_f64(0.6))
-        } else {
-            self.time_left()
-        };
-        match self.attempt(&permit, None, time_limit).await {
-            AttemptResult::NotRun(outcome) => {
-                self.record_failure(permit, outcome).await;
-                Next::Retry
-            }
-            AttemptResult::Unknown(outcome) => {
-                self.runs += 1;
-                self.record_failure(permit, outcome).await;
-                self.next_after_unknown()
-            }
-            AttemptResult::Response(response, connection, head) => {
-                self.runs += 1;
-                let Some(response) = self.collect_response(response, connection, &head).await
-                else {
-                    self.record_failure(permit, Outcome::Broke).await;
-                    return self.next_after_unknown();
-                };
-                if !response.status().is_server_error() {
-                    permit.end(Outcome::Whole);
-                    return Next::Return(response);
-                }
-                self.record_failure(permit, Outcome::Failed).await;
-                if !self.may_retry() {
-                    return Next::Return(response);
-                }
-                *failed = Some(response);
-                Next::Retry
-            }
-        }
-    }
-
     /// Returns the next step after an attempt for which it is not known whether the request ran.
     pub(super) fn next_after_unknown(&self) -> Next {
         match () {
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -95,6 +95,8 @@
     NotRun(Refusal),
     /// The process is stopping, so the request was not sent.
     Stopping,
+    /// The kind of the route has changed since the request arrived, so it was not sent.
+    Changed,
     /// No instance that could be asked reaches the endpoints, so the request was not sent.
     CutOff,
     /// The request was sent, and it is not known whether it ran.
@@ -106,7 +108,8 @@
 /// `Retry-After` of an instance that has no configuration yet.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// `Retry-After` of an instance that stops. It is short because other instances serve at once.
+/// `Retry-After` of an instance that stops, or whose configuration has just changed. It is short because
+/// the request can be served at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// `Retry-After` of an instance that is cut off from the endpoints, as others are.
@@ -121,6 +124,7 @@
                 | Rejection::NoRoute
                 | Rejection::NoKey
                 | Rejection::Stopping
+                | Rejection::Changed
                 | Rejection::CutOff
         )
     }
@@ -138,6 +142,7 @@
             Rejection::NotRun(_)
             | Rejection::NoCatalog
             | Rejection::Stopping
+            | Rejection::Changed
             | Rejection::CutOff => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::Unknown => StatusCode::BAD_GATEWAY,
             Rejection::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -150,7 +155,7 @@
         match self {
             Rejection::NotRun(refusal) => Some(refusal.retry),
             Rejection::NoCatalog => Some(UNREADY_RETRY_AFTER),
-            Rejection::Stopping => Some(STOPPING_RETRY_AFTER),
+            Rejection::Stopping | Rejection::Changed => Some(STOPPING_RETRY_AFTER),
             Rejection::CutOff => Some(CUT_OFF_RETRY_AFTER),
             _ => None,
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,6 +15,7 @@
     forward::{AttemptResult, Job, Next},
     grants::Permit,
     response::{PartSender, Rejection, ResponseBody, Truncated},
+    silence::Waited,
 };
 use crate::{
     clock::Time,
@@ -26,14 +27,14 @@
     platform::caller::{self, ResponseHead},
 };
 
-/// Lower bound of the timeout for the first event, where a retry is possible.
+/// Lower bound of the time to the first event after which another endpoint is asked for, where a retry
+/// is possible.
 const MIN_FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// Timeout for the first event in multiples of the route's target latency, where a retry is
-/// possible.
+/// The same time in multiples of the route's target latency.
 const FIRST_EVENT_TIMEOUT_FACTOR: f64 = 2.0;
 
-/// Timeout for each further event, where a retry is possible.
+/// Time to each further event after which another endpoint is asked for, where a retry is possible.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Splits the body of an endpoint's response into events.
@@ -111,6 +112,9 @@
         if let Some(result) = job.avoid_cut().await {
             return result;
         }
+        if let Err(rejection) = job.look_up_again() {
+            return failed.ok_or(rejection);
+        }
         let permit = match job.acquire().await {
             Ok(permit) => permit,
             Err(refusal) => return failed.map_or_else(|| Err(job.rejection(refusal)), Ok),
@@ -147,46 +151,69 @@
     let time_limit =
         job.route.target_latency.mul_f64(FIRST_EVENT_TIMEOUT_FACTOR).max(MIN_FIRST_EVENT_TIMEOUT);
     let time_limit = if is_last_run { Duration::MAX } else { time_limit };
-    let (response, connection, head) = match job.attempt(&permit, after, time_limit).await {
-        AttemptResult::NotRun(outcome) => {
-            job.record_failure(permit, outcome).await;
-            return Start::NotStarted(Next::Retry);
-        }
-        AttemptResult::Unknown(outcome) => {
+    let begun = begin(job, &permit, after);
+    match job.wait_or_switch(&permit, time_limit, begun).await {
+        Waited::Done(begun) => finish_start(job, permit, begun).await,
+        Waited::Granted(next) => {
             job.runs += 1;
-            job.record_failure(permit, outcome).await;
-            return Start::NotStarted(job.next_after_unknown());
+            job.switch(permit, next).await;
+            Start::NotStarted(job.next_after_unknown())
         }
+    }
+}
+
+/// What an endpoint has done with a request for a stream.
+enum Begun {
+    /// The first event has arrived, or the deadline has passed.
+    First { status: StatusCode, reader: EventReader, part: Option<Part> },
+    /// The response is no success; its body is not read yet.
+    Error(Response<Incoming>, Connection, ResponseHead),
+    /// The attempt failed.
+    Failed(AttemptResult),
+}
+
+/// Sends the request to an endpoint and waits for the first event until the deadline.
+async fn begin(job: &Job, permit: &Permit, after: Option<u64>) -> Begun {
+    let (response, connection, head) = match job.attempt(permit, after, job.time_left()).await {
         AttemptResult::Response(response, connection, head) => (response, connection, head),
+        failed => return Begun::Failed(failed),
     };
-    job.runs += 1;
     if !response.status().is_success() {
-        return handle_error_response(job, permit, response, connection, &head).await;
+        return Begun::Error(response, connection, head);
     }
     let (parts, body) = response.into_parts();
     let (status, headers) = (parts.status, parts.headers);
     let splitter = EventSplitter::default();
     let mut reader = EventReader { body, splitter, connection, headers, head };
-    let time_left = job.deadline.since(Time::now());
-    match timeout(time_limit.min(time_left), reader.next()).await {
-        Ok(Part::Event(first_event, number)) => {
-            permit.record_first_event();
-            Start::Started(StartedRun { status, permit, reader, first_event, number })
-        }
-        Ok(Part::End) => {
-            // A successful response without events is no stream, so there is nothing to pass on.
-            job.record_failure(permit, Outcome::Broke).await;
-            Start::NotStarted(job.next_after_unknown())
+    let part = timeout(job.time_left(), reader.next()).await.ok();
+    Begun::First { status, reader, part }
+}
+
+/// Returns the result of an attempt to start a stream.
+async fn finish_start(job: &mut Job, permit: Permit, begun: Begun) -> Start {
+    let outcome = match begun {
+        Begun::Failed(AttemptResult::NotRun(outcome)) => {
+            job.record_failure(permit, outcome).await;
+            return Start::NotStarted(Next::Retry);
         }
-        Ok(Part::Broken) => {
-            job.record_failure(permit, Outcome::Broke).await;
-            Start::NotStarted(job.next_after_unknown())
+        Begun::Error(response, connection, head) => {
+            job.runs += 1;
+            return handle_error_response(job, permit, response, connection, &head).await;
         }
-        Err(_) => {
-            job.record_failure(permit, Outcome::Silent).await;
-            Start::NotStarted(job.next_after_unknown())
+        Begun::First { status, reader, part: Some(Part::Event(first_event, number)) } => {
+            job.runs += 1;
+            permit.record_first_event();
+            return Start::Started(StartedRun { status, permit, reader, first_event, number });
         }
-    }
+        Begun::Failed(AttemptResult::Unknown(outcome)) => outcome,
+        // A successful response without events is no stream, so there is nothing to pass on.
+        Begun::First { part: Some(Part::End | Part::Broken), .. } => Outcome::Broke,
+        Begun::First { part: None, .. } => Outcome::Silent,
+        Begun::Failed(AttemptResult::Response(..)) => Outcome::Broke,
+    };
+    job.runs += 1;
+    job.record_failure(permit, outcome).await;
+    Start::NotStarted(job.next_after_unknown())
 }
 
 /// Reads a response whose status is not a success, and makes it the next step to return it.
@@ -229,6 +256,8 @@
     Left,
     /// The endpoint failed before the end of the stream.
     Broken(Outcome),
+    /// The endpoint is silent, and another one may go on.
+    Switched(Permit),
     /// The deadline has passed.
     TimedOut,
 }
@@ -259,6 +288,10 @@
                 drop(reader);
                 job.record_failure(permit, outcome).await;
             }
+            Ending::Switched(next) => {
+                drop(reader);
+                job.switch(permit, next).await;
+            }
         }
         match resume(&mut job, &tx, last).await {
             Some(resumed) => run = resumed,
@@ -275,7 +308,7 @@
 /// possible, or if the caller left.
 async fn resume(job: &mut Job, tx: &PartSender, last: Option<u64>) -> Option<StartedRun> {
     loop {
-        if !job.may_retry() || last.is_none() {
+        if !job.may_retry() || last.is_none() || job.look_up_again().is_err() {
             return None;
         }
         let started = async {
@@ -333,11 +366,14 @@
         if time_left.is_zero() {
             return Ending::TimedOut;
         }
-        let time_limit = if job.may_retry() { EVENT_TIMEOUT.min(time_left) } else { time_left };
+        // Without a number of the last event, no other endpoint could go on.
+        let can_switch = job.may_retry() && last.is_some();
+        let time_limit = if can_switch { EVENT_TIMEOUT } else { Duration::MAX };
+        let next_part = job.wait_or_switch(&run.permit, time_limit, run.reader.next());
         part = tokio::select! {
-            part = timeout(time_limit, run.reader.next()) => match part {
-                Ok(part) => part,
-                Err(_) if time_limit < time_left => return Ending::Broken(Outcome::Silent),
+            waited = timeout(time_left, next_part) => match waited {
+                Ok(Waited::Done(part)) => part,
+                Ok(Waited::Granted(next)) => return Ending::Switched(next),
                 Err(_) => return Ending::TimedOut,
             },
             () = tx.closed() => return Ending::Left,
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -13,6 +13,7 @@
     mod links;
     mod membership;
     mod memory;
+    mod moved_keys;
     mod once;
     mod operators;
     mod path;
@@ -21,6 +22,7 @@
     mod rate;
     mod returns;
     mod shutdown;
+    mod silence;
     mod slow_callers;
     mod soak;
     mod streams;
--- a/tests/process/slow_callers.rs
+++ b/tests/process/slow_callers.rs
@@ -35,12 +35,6 @@
     stream
 }
 
-/// Lets the servers add `bytes` to each answer.
-fn set_added_bytes(world: &World, bytes: usize) {
-    let faults = WorkerFaults { added_bytes: bytes, ..WorkerFaults::default() };
-    world.workers.iter().for_each(|worker| worker.set_faults(faults));
-}
-
 /// Reads at most `chunk` bytes in each interval until `bytes` have arrived or the connection ends.
 /// Returns the number of bytes.
 async fn read_slowly(stream: &mut TcpStream, chunk: usize, bytes: usize) -> usize {
@@ -63,7 +57,7 @@
     const BYTES: usize = 3_500_000;
     block_on(async {
         let mut world = World::start("slow-callers").await;
-        set_added_bytes(&world, BYTES);
+        world.set_faults(WorkerFaults { added_bytes: BYTES, ..WorkerFaults::default() });
         let mut callers = Vec::new();
         for _ in 0..3 {
             callers.push(begin(&world, 0).await);
@@ -91,7 +85,7 @@
     const BYTES: usize = 3_000_000;
     block_on(async {
         let world = World::start("pausing-caller").await;
-        set_added_bytes(&world, BYTES);
+        world.set_faults(WorkerFaults { added_bytes: BYTES, ..WorkerFaults::default() });
         let mut caller = begin(&world, 0).await;
         sleep(Duration::from_millis(3_500)).await;
         let received = read_slowly(&mut caller, 1 << 20, BYTES).await;
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -10,7 +10,7 @@
         caller::{CallerRequest, Prompt, TakeUp, stamped_endpoint},
         metadata::MetadataStore,
         operator::Document,
-        worker::{Worker, WorkerLog, WorkerSettings},
+        worker::{Worker, WorkerFaults, WorkerLog, WorkerSettings},
     },
 };
 use http_body_util::BodyExt;
@@ -43,6 +43,10 @@
     pub version: u64,
     /// Names of the routes that the operators' document has besides the first ones.
     pub added: Vec<String>,
+    /// Name of the team that holds the key.
+    pub team: &'static str,
+    /// Time for which callers wait.
+    pub timeout: Duration,
 }
 
 impl World {
@@ -65,6 +69,8 @@
             log: Arc::default(),
             version: 0,
             added: Vec::new(),
+            team: TEAM,
+            timeout: TIMEOUT,
         };
         world.write_document();
         for data_centre in DATA_CENTRES {
@@ -140,7 +146,7 @@
             version: self.version,
             host: HOST,
             models: &[MODEL],
-            team: TEAM,
+            team: self.team,
             keys: vec![KEY],
             added: self.added.clone(),
         };
@@ -161,7 +167,7 @@
     /// Sends a request on a route to a gateway; `None` without a whole response.
     pub async fn call(&self, gateway: usize, route: &str) -> Option<Answer> {
         let id = format!("{:016x}", rand::random::<u64>());
-        let request = CallerRequest { path: format!("/{route}/1"), ..request(id) };
+        let request = CallerRequest { path: format!("/{route}/1"), ..self.request(id) };
         let pool: Arc<Pool> = Arc::default();
         let address = self.gateways[gateway].callers;
         let mut connection = pool.acquire(address, TIMEOUT).await.ok()?;
@@ -184,7 +190,7 @@
         let prompt = Prompt { model: MODEL.to_owned(), parts: vec!["aa".to_owned()] };
         let path = "/chat/1".to_owned();
         let message =
-            CallerRequest { path, prompt: Some(prompt), take_up, ..request(id.to_owned()) };
+            CallerRequest { path, prompt: Some(prompt), take_up, ..self.request(id.to_owned()) };
         let pool: Arc<Pool> = Arc::default();
         let address = self.gateways[gateway].callers;
         let mut connection = pool.acquire(address, TIMEOUT).await.ok()?;
@@ -221,17 +227,28 @@
         }
         true
     }
-}
 
-/// Returns a request without a path.
-fn request(id: String) -> CallerRequest {
-    CallerRequest {
-        id,
-        host: HOST,
-        path: String::new(),
-        key: KEY,
-        timeout: TIMEOUT,
-        prompt: None,
-        take_up: None,
+    /// Returns a request without a path.
+    fn request(&self, id: String) -> CallerRequest {
+        CallerRequest {
+            id,
+            host: HOST,
+            path: String::new(),
+            key: KEY,
+            timeout: self.timeout,
+            prompt: None,
+            take_up: None,
+        }
+    }
+
+    /// Returns the team for which a request ran; `None` if it has not run.
+    pub fn team_of(&self, id: &str) -> Option<String> {
+        let runs = self.log.runs().into_iter();
+        runs.filter(|run| run.request == id).find_map(|run| run.team)
+    }
+
+    /// Sets the faults of all endpoints.
+    pub fn set_faults(&self, faults: WorkerFaults) {
+        self.workers.iter().for_each(|worker| worker.set_faults(faults));
     }
 }
