Count the age of the store's records from the watches' own responses

Ruled out: the reading of the records by other instances, which works once they know that the leader's knowledge is old.

Change: the age that a leader tells is that of the older of its own watches, of the operators' records and of endpoints. Their calls wait 400 ms at the leader and at those that watch beside it, and 2 s elsewhere, as all instances of a large fleet may watch at once. The watch of the leader's record waits 2 s. A call without a response also closes all idle connections to the store, which may be silent as well.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,7 +49,7 @@
     kernel::{
         grants::{Mode, Scheduler},
         leadership::{Leadership, StartId},
-        record_age::RecordAge,
+        record_age::{RecordAge, WatchTimes},
         send_gate::SendGate,
     },
     platform::store::Store,
@@ -70,6 +70,8 @@
     leadership: Mutex<Leadership>,
     /// Age of what this instance knows of the store's records.
     record_age: RecordAge,
+    /// When this instance's own watches of the store last got a response.
+    watch_times: WatchTimes,
     /// What endpoints have told this instance.
     gate: Mutex<SendGate>,
     /// What this instance has seen of its path to the endpoints.
@@ -133,6 +135,7 @@
                 StartId(rand::random_range(1..=u64::MAX)),
             )),
             record_age: RecordAge::new(Time::now()),
+            watch_times: WatchTimes::default(),
             gate: Mutex::default(),
             reach: reach::EndpointReach::default(),
             relay: relay::Relay::default(),
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -55,8 +55,9 @@
 /// answer until their timeout, and must not delay the others.
 const CONCURRENT_ANNOUNCEMENTS: usize = 256;
 
-/// Longest wait of one watch call to the store.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
+/// Longest wait of one watch call to the store. A watch whose connection falls silent hides the loss of the
+/// leader until then.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Wait before the store is called again after an error.
 const ERROR_BACKOFF: Duration = Duration::from_millis(300);
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -290,7 +290,7 @@
 impl Gateway {
     /// Returns the heartbeat of this instance.
     pub(super) fn heartbeat(&self) -> Heartbeat {
-        let response_age = self.store.response_age(Time::now());
+        let response_age = self.watch_times.age(Time::now());
         let operator = self.operator.lock();
         Heartbeat {
             ready: self.is_ready(),
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -10,7 +10,9 @@
     clock::Time,
     kernel::{
         membership::{Member, lone_share, store_watchers},
-        record_age::{MAX_OPERATOR_AGE, max_record_age, read_backoff},
+        record_age::{
+            MAX_OPERATOR_AGE, OWN_WATCH_WAIT, SOURCE_WATCH_WAIT, max_record_age, read_backoff,
+        },
     },
 };
 
@@ -104,11 +106,20 @@
     /// Returns the wait before this instance reads records again after an error of the store. Those
     /// that tell others what they read do not wait for others.
     pub(super) fn read_backoff(&self, backoff: Duration) -> Duration {
-        let is_source = self.leads() || self.is_watcher();
-        let fleet_size = if is_source { 1 } else { self.fleet_size() };
+        let fleet_size = if self.is_source() { 1 } else { self.fleet_size() };
         read_backoff(backoff, fleet_size, rand::random())
     }
 
+    /// Returns the longest wait of a watch call of this instance.
+    pub(super) fn watch_wait(&self) -> Duration {
+        if self.is_source() { SOURCE_WATCH_WAIT } else { OWN_WATCH_WAIT }
+    }
+
+    /// Returns whether this instance tells others what it reads from the store.
+    fn is_source(&self) -> bool {
+        self.leads() || self.is_watcher()
+    }
+
     /// Returns whether this instance has just started and may soon have a link to the leader. It has
     /// none soon if the leader ended at the same time, which shows when a first attempt fails.
     pub(super) fn expects_first_link(&self) -> bool {
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -29,9 +29,6 @@
     },
 };
 
-/// Longest wait of one watch call to the store.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
-
 /// Largest document in bytes, which is the largest value of the store.
 const MAX_DOCUMENT_BYTES: u64 = 4 << 20;
 
@@ -256,7 +253,9 @@
 
 /// Reads the records, then watches their changes; fails on the first error of the store.
 async fn follow_records(gateway: &Gateway, store_lost: &mut bool) -> Result<(), StoreError> {
+    let began_at = Time::now();
     let page = gateway.store.range(OPERATOR_PREFIX).await?;
+    gateway.watch_times.record_operator(began_at);
     if std::mem::take(store_lost) {
         log::info!("event=store_back what=config revision={}", page.revision);
     }
@@ -270,12 +269,13 @@
             gateway.send_operator();
         }
         let revision = records.revision;
-        match gateway.store.watch(OPERATOR_PREFIX, revision, WATCH_TIMEOUT).await? {
+        match gateway.store.watch(OPERATOR_PREFIX, revision, gateway.watch_wait()).await? {
             WatchResult::Missed => {
                 log::info!("event=watch_restarted what=config revision={revision}");
                 return Ok(());
             }
             WatchResult::Events(events, newest) => {
+                gateway.watch_times.record_operator(Time::now());
                 for event in events {
                     apply_event(event, &mut records);
                 }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -32,9 +32,6 @@
     },
 };
 
-/// Longest wait of one watch call to the store.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
-
 /// Interval at which an instance checks whether it must read the store.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -183,15 +180,18 @@
 
 /// Reads all entries, then watches their changes; fails on the first error of the store.
 async fn follow_entries(gateway: &Gateway) -> Result<(), StoreError> {
+    let began_at = Time::now();
     let page = gateway.store.range(ENDPOINT_PREFIX).await?;
+    gateway.watch_times.record_endpoints(began_at);
     let entries = page.items.iter().filter_map(|item| decode_entry(&item.key, &item.value));
     gateway.registry.table.lock().load(page.revision.era(), entries, Time::now());
     gateway.apply_table();
     let mut revision = page.revision;
     while gateway.must_watch_endpoints() {
-        match gateway.store.watch(ENDPOINT_PREFIX, revision, WATCH_TIMEOUT).await? {
+        match gateway.store.watch(ENDPOINT_PREFIX, revision, gateway.watch_wait()).await? {
             WatchResult::Missed => return Ok(()),
             WatchResult::Events(events, newest) => {
+                gateway.watch_times.record_endpoints(Time::now());
                 let changed = !events.is_empty();
                 events.into_iter().for_each(|event| apply_event(gateway, event));
                 if changed {
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -209,6 +209,11 @@
         }
     }
 
+    /// Closes the idle connections to an address. Where one has fallen silent, the others may have too.
+    pub fn remove_idle(&self, address: SocketAddr) {
+        self.idle.lock().remove(&address);
+    }
+
     /// Closes the idle connections that have expired.
     pub fn remove_expired(&self) {
         let now = Instant::now();
--- a/src/kernel/record_age.rs
+++ b/src/kernel/record_age.rs
@@ -20,8 +20,43 @@
 /// Time of the store for reading the records for one instance.
 const READ_TIME: Duration = Duration::from_millis(1);
 
-/// When the store last responded to the source of an instance's records: the leader, as far as its
-/// heartbeats say.
+/// Longest wait of a watch call of an instance that tells others what it reads. Open connections may fall
+/// silent while other calls still get responses, so only the watch's own responses show that it lives.
+/// They must come well within [`MAX_OPERATOR_AGE`], or all other instances would read the store.
+pub const SOURCE_WATCH_WAIT: Duration = Duration::from_millis(400);
+
+/// The same wait of another instance. A large fleet whose leader lacks the store makes so many calls at
+/// once, and a withdrawn key is still refused within 5 s where the watch falls silent.
+pub const OWN_WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// When this instance last heard from the store itself that it knows the newest records, by what it
+/// watches. The responses to other calls, also to other watches, say nothing about that.
+#[derive(Debug, Default)]
+pub struct WatchTimes {
+    operator: AtomicU64,
+    endpoints: AtomicU64,
+}
+
+impl WatchTimes {
+    /// Records that the operators' records were the newest ones at `at`.
+    pub fn record_operator(&self, at: Time) {
+        self.operator.fetch_max(at.0, Ordering::Relaxed);
+    }
+
+    /// Records that the endpoints' entries were the newest ones at `at`.
+    pub fn record_endpoints(&self, at: Time) {
+        self.endpoints.fetch_max(at.0, Ordering::Relaxed);
+    }
+
+    /// Returns the age of what is known of both.
+    pub fn age(&self, now: Time) -> Duration {
+        let (operator, endpoints) = (&self.operator, &self.endpoints);
+        now.since(Time(operator.load(Ordering::Relaxed).min(endpoints.load(Ordering::Relaxed))))
+    }
+}
+
+/// When the source of an instance's records last heard from the store that it knows the newest ones: the
+/// leader, as far as its heartbeats say.
 #[derive(Debug)]
 pub struct RecordAge {
     /// The time in microseconds, see [`Time`].
@@ -34,7 +69,7 @@
         Self { responded_at: AtomicU64::new(now.0) }
     }
 
-    /// Records a heartbeat of the leader, which says how long ago the store responded to it.
+    /// Records a heartbeat of the leader, which says how old what it knows is.
     pub fn record(&self, response_age: Duration, now: Time) {
         self.responded_at.fetch_max((now - response_age).0, Ordering::Relaxed);
     }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -24,7 +24,6 @@
     RawCondition, RawEvents, RawLease, RawPage, RawPut, RawRevision, RawTtl, RawTxn,
 };
 use crate::{
-    clock::Time,
     http::pool::{Pool, SendError},
     kernel::revision::{LeaseId, Revision},
 };
@@ -110,8 +109,6 @@
     unreachable: AtomicBool,
     /// Number of times that the store became reachable after a failed call, or began a new era.
     recoveries: watch::Sender<u64>,
-    /// When the store last carried out a call of this client; zero before the first time.
-    responded_at: AtomicU64,
     /// One more than the latest era in which the store has responded; zero if none is known.
     next_era: AtomicU64,
 }
@@ -141,7 +138,6 @@
             timeout,
             unreachable: AtomicBool::new(false),
             recoveries,
-            responded_at: AtomicU64::new(0),
             next_era: AtomicU64::new(0),
         }
     }
@@ -151,11 +147,6 @@
         self.next_era.load(Ordering::Relaxed).saturating_sub(1)
     }
 
-    /// Returns the time since the store last carried out a call of this client, a watch included.
-    pub fn response_age(&self, now: Time) -> Duration {
-        now.since(Time(self.responded_at.load(Ordering::Relaxed)))
-    }
-
     /// Returns whether the last call other than a watch got a response.
     pub fn is_reachable(&self) -> bool {
         !self.unreachable.load(Ordering::Relaxed)
@@ -334,13 +325,13 @@
             let body = body.map_err(|err| StoreError::Unknown(err.to_string()))?.to_bytes();
             self.pool.release(connection, KEEP_ALIVE);
             let era = self.record_era(era)?;
-            if !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS {
-                self.responded_at.store(Time::now().0, Ordering::Relaxed);
-            }
             Ok(Response { status, body, era })
         };
         let result = timeout(time_limit, exchange).await;
-        result.unwrap_or_else(|_| Err(StoreError::Unknown("no answer in time".to_owned())))
+        result.unwrap_or_else(|_| {
+            self.pool.remove_idle(self.address);
+            Err(StoreError::Unknown("no answer in time".to_owned()))
+        })
     }
 
     /// Records the era of a response and returns it. A response that names none is of the latest era.
--- a/src/standin/http1.rs
+++ b/src/standin/http1.rs
@@ -6,6 +6,7 @@
     io,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     os::fd::AsFd,
+    sync::atomic::{AtomicU64, Ordering},
 };
 
 use bytes::Bytes;
@@ -108,6 +109,13 @@
 #[derive(Clone, Copy, Debug)]
 pub struct SenderHost(pub IpAddr);
 
+/// Number of the connection of a request, as an extension of the request. It grows with each connection
+/// to any server of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionNumber(pub u64);
+
+static NEXT_CONNECTION: AtomicU64 = AtomicU64::new(1);
+
 /// A running server. Dropping it closes the listener and breaks all connections.
 pub struct Server {
     task: AbortHandle,
@@ -203,7 +211,9 @@
     F: Future<Output = Result<Response<Body>, Broken>>,
 {
     let _ = stream.set_nodelay(true);
+    let number = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
     let service = service_fn(|mut request: Request<Incoming>| {
+        request.extensions_mut().insert(ConnectionNumber(number));
         request.extensions_mut().insert(SenderHost(host));
         handler(request)
     });
--- a/src/standin/metadata.rs
+++ b/src/standin/metadata.rs
@@ -4,7 +4,7 @@
 mod calls;
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     io,
     net::SocketAddr,
     sync::Arc,
@@ -16,7 +16,7 @@
 use rand::RngExt;
 use tokio::{sync::watch, time::sleep};
 
-use super::http1::{Broken, Server};
+use super::http1::{Broken, ConnectionNumber, Server};
 use crate::clock::Time;
 
 /// Changes that are remembered for watches.
@@ -28,6 +28,9 @@
 /// Header of all responses that carries the era.
 const ERA_HEADER: &str = "store-era";
 
+/// Path of watch calls.
+const WATCH_PATH: &str = "/api/kv-watch";
+
 /// How a store treats the calls that arrive at one of its addresses.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct StoreFaults {
@@ -237,19 +240,35 @@
     /// Address at which the store is served.
     pub address: SocketAddr,
     faults: Arc<Mutex<StoreFaults>>,
+    channels: Arc<Channels>,
     _server: Server,
 }
 
+/// Connections to an address, by their number.
+#[derive(Debug, Default)]
+struct Channels {
+    /// Those on which a watch waits.
+    watching: Mutex<HashSet<u64>>,
+    /// Those on which no call gets a response any more.
+    silent: Mutex<HashSet<u64>>,
+}
+
 impl StoreAddress {
     /// Serves a store at `address`.
     pub fn start(store: Arc<MetadataStore>, address: SocketAddr) -> io::Result<Self> {
         let faults: Arc<Mutex<StoreFaults>> = Arc::default();
-        let shared = faults.clone();
+        let channels: Arc<Channels> = Arc::default();
+        let shared = (faults.clone(), channels.clone());
         let server = Server::start(address, move |request| {
-            let (store, faults) = (store.clone(), shared.clone());
-            async move { respond(&store, &faults, request).await }
+            let (store, (faults, channels)) = (store.clone(), shared.clone());
+            async move { respond(&store, &faults, &channels, request).await }
         })?;
-        Ok(Self { address, faults, _server: server })
+        Ok(Self { address, faults, channels, _server: server })
+    }
+
+    /// Lets the connections fall silent on which watches wait now. All others work.
+    pub fn silence_watches(&self) {
+        self.channels.silent.lock().extend(self.channels.watching.lock().drain());
     }
 
     /// Replaces the faults.
@@ -263,11 +282,18 @@
 async fn respond(
     store: &MetadataStore,
     shared: &Mutex<StoreFaults>,
+    channels: &Channels,
     request: http::Request<hyper::body::Incoming>,
 ) -> Result<http::Response<super::http1::Body>, Broken> {
     let faults = *shared.lock();
     sleep(faults.delay).await;
-    if faults.silent {
+    let number = request.extensions().get::<ConnectionNumber>().map_or(0, |number| number.0);
+    if request.uri().path() == WATCH_PATH {
+        channels.watching.lock().insert(number);
+    }
+    let is_silent =
+        |faults: &StoreFaults| faults.silent || channels.silent.lock().contains(&number);
+    if is_silent(&faults) {
         return std::future::pending().await;
     }
     if faults.refusing {
@@ -275,9 +301,10 @@
     }
     let is_lost = request.method() == http::Method::POST && rand::rng().random_bool(faults.lost);
     let mut response = store.call(request).await?;
+    channels.watching.lock().remove(&number);
     let era = HeaderValue::from(*store.era.borrow());
     response.headers_mut().insert(HeaderName::from_static(ERA_HEADER), era);
-    if is_lost || shared.lock().silent {
+    if is_lost || is_silent(&shared.lock()) {
         return std::future::pending().await;
     }
     Ok(response)
--- a/tests/kernel/record_age.rs
+++ b/tests/kernel/record_age.rs
@@ -4,7 +4,7 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::record_age::{MAX_OPERATOR_AGE, RecordAge, max_record_age, read_backoff},
+    kernel::record_age::{MAX_OPERATOR_AGE, RecordAge, WatchTimes, max_record_age, read_backoff},
 };
 
 /// Time in which a confirmed change must be in force.
@@ -70,3 +70,17 @@
     assert_eq!(read_backoff(backoff, 9, 0.5), backoff);
     assert!(read_backoff(backoff, LARGE_FLEET, 0.0) > backoff);
 }
+
+/// Guards against a watch that falls silent while others, or other calls, still get responses.
+#[test]
+fn watch_times_as_old_as_older_watch() {
+    let at = |ms| Time::from_millis(ms);
+    let times = WatchTimes::default();
+    times.record_operator(at(10_000));
+    assert_eq!(times.age(at(10_500)), Duration::from_millis(10_500), "no endpoints were read");
+    times.record_endpoints(at(10_200));
+    times.record_endpoints(at(13_000));
+    assert_eq!(times.age(at(13_000)), Duration::from_secs(3), "the operators' records are old");
+    times.record_operator(at(12_900));
+    assert_eq!(times.age(at(13_000)), Duration::from_millis(100));
+}
--- a/tests/process/changes.rs
+++ b/tests/process/changes.rs
@@ -90,6 +90,20 @@
     });
 }
 
+/// Guards against watches that wait on silent connections while other calls get responses.
+/// The bound is that of a withdrawn key.
+#[test]
+fn changes_in_force_while_watches_are_silent() {
+    block_on(async {
+        let (mut world, _) = start("changes-silent").await;
+        world.gateways.iter().for_each(|gateway| gateway.store.silence_watches());
+        sleep(CHANGE_DELAY).await;
+        world.add_route("after-silence");
+        let time = Duration::from_secs(5);
+        wait_until("the change in force", time, || world.all_serve("after-silence")).await;
+    });
+}
+
 #[test]
 fn changes_of_endpoints_known_while_leader_lacks_store() {
     block_on(async {
