--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! instance that holds a lease in the platform's store. An instance that cannot reach the leader
 //! grants its own requests, within its share of the limits.
 
+mod buffered;
 mod callers;
 mod crashes;
 mod directory;
@@ -21,6 +22,7 @@
 mod operator;
 mod orders;
 mod origins;
+mod output;
 mod peers;
 mod rate_limits;
 mod reach;
@@ -29,6 +31,8 @@
 mod response;
 pub mod settings;
 mod shutdown;
+mod silence;
+mod standing;
 mod stream;
 pub mod updates;
 
@@ -45,8 +49,8 @@
     http::pool::Pool,
     kernel::{
         grants::{Mode, Scheduler},
-        leadership::Leadership,
-        record_age::RecordAge,
+        leadership::{Leadership, StartId},
+        record_age::{RecordAge, WatchTimes},
         send_gate::SendGate,
     },
     platform::store::Store,
@@ -67,6 +71,8 @@
     leadership: Mutex<Leadership>,
     /// Age of what this instance knows of the store's records.
     record_age: RecordAge,
+    /// When this instance's own watches of the store last got a response.
+    watch_times: WatchTimes,
     /// What endpoints have told this instance.
     gate: Mutex<SendGate>,
     /// What this instance has seen of its path to the endpoints.
@@ -126,8 +132,13 @@
             operator: Mutex::default(),
             scheduler: Mutex::new(Scheduler::new(settings.grant_limits(), mode, Time::now())),
             requests: grants::Requests::default(),
-            leadership: Mutex::new(Leadership::new(settings.instance.clone())),
+            leadership: Mutex::new(Leadership::new(
+                settings.instance.clone(),
+                // Zero stands for an unknown start in announcements.
+                StartId(rand::random_range(1..=u64::MAX)),
+            )),
             record_age: RecordAge::new(Time::now()),
+            watch_times: WatchTimes::default(),
             gate: Mutex::default(),
             reach: reach::EndpointReach::default(),
             relay: relay::Relay::default(),
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -14,6 +14,7 @@
     mod links;
     mod membership;
     mod memory;
+    mod moved_keys;
     mod once;
     mod operators;
     mod path;
@@ -22,6 +23,8 @@
     mod rate;
     mod returns;
     mod shutdown;
+    mod silence;
+    mod slow_callers;
     mod soak;
     mod streams;
     mod take_up;
