Hold duty calls after a jump of the machine's clocks

The monotonic clock of a suspended machine may not count the suspension, so a leader that resumes may take its lease for valid until it tries to renew it. A jump of the wall clock against the monotonic clock now holds calls for the TTL of the lease; a lease that is still valid then has been renewed.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -22,7 +22,7 @@
     clock::{Time, wall_millis},
     http::pool::Pool,
     kernel::duties::{
-        clock::{TrueTime, WallMillis},
+        clock::{JumpGuard, TrueTime, WallMillis},
         counts::{StartId, UsageTable, Window},
         demand::{DemandTable, Subject},
         pace::CallPace,
@@ -44,6 +44,7 @@
 /// What this instance knows about usage.
 struct State {
     time: TrueTime,
+    jumps: JumpGuard,
     table: UsageTable,
     /// The start of this process.
     own: StartId,
@@ -66,6 +67,7 @@
     pub fn new(settings: DutySettings) -> Self {
         let state = State {
             time: TrueTime::default(),
+            jumps: JumpGuard::default(),
             table: UsageTable::default(),
             own: StartId(rand::random()),
             unsent: HashSet::new(),
@@ -99,6 +101,15 @@
 }
 
 impl State {
+    /// Compares the clocks of this machine. Returns whether they have not jumped lately.
+    fn has_settled_clocks(&mut self, now: Time) -> bool {
+        if self.jumps.observe(wall_millis(), now) {
+            log::warn!("event=clocks_jumped");
+            self.time.forget_samples();
+        }
+        self.jumps.is_settled(now)
+    }
+
     /// Returns true time. Before it is known, this instance's wall clock counts.
     fn true_time(&self, now: Time) -> WallMillis {
         self.time.now(now).unwrap_or_else(wall_millis)
--- a/src/gateway/duties/calls.rs
+++ b/src/gateway/duties/calls.rs
@@ -61,6 +61,8 @@
         if holding.term != last_term {
             log::info!("event=duty_holder term={} former_term={last_term}", holding.term);
             last_term = holding.term;
+            metrics::gauge!("cardamomshore_duty_term").set(last_term as f64);
+            metrics::counter!("cardamomshore_duty_changes_total").increment(1);
         }
         let step = duties.next_step(holding, now);
         match step {
@@ -102,6 +104,10 @@
 
     /// Returns whether this instance may call the platform API as the leader of `term`.
     pub(super) fn may_call_in(&self, term: u64, now: Time) -> bool {
+        let Some(duties) = &self.duties else { return false };
+        if !duties.state.lock().has_settled_clocks(now) {
+            return false;
+        }
         let leadership = self.leadership.lock();
         let (_, led_for) = leadership.succession(now);
         led_for >= self.settings.order_gap + HOLDER_MARGIN && leadership.may_order_in(term, now)
--- a/src/gateway/duties/share.rs
+++ b/src/gateway/duties/share.rs
@@ -55,6 +55,7 @@
     /// window is new.
     fn advance(&self, gateway: &Gateway, now: Time) -> bool {
         let mut state = self.state.lock();
+        state.has_settled_clocks(now);
         if gateway.leads() || state.time.now(now).is_none() {
             state.time.record(gateway.settings.instance.clone(), wall_millis(), now);
             if let Some(change_ms) = state.time.update(now) {
--- a/src/kernel/duties/clock.rs
+++ b/src/kernel/duties/clock.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use crate::clock::Time;
+use crate::{clock::Time, kernel::leadership::LEASE_TTL};
 
 /// Time since the start of 1970 in milliseconds.
 pub type WallMillis = u64;
@@ -28,6 +28,36 @@
     at: Time,
 }
 
+/// Time after a jump of this machine's clocks in which no call may be sent. A leader that was
+/// suspended may take its lease for valid until it has tried to renew it; the TTL of the lease after the
+/// jump, a lease that is still valid has been renewed since.
+const JUMP_WAIT: Duration = LEASE_TTL;
+
+/// Detects that the machine was suspended: its wall clock has gone on, its monotonic clock has not.
+#[derive(Clone, Debug, Default)]
+pub struct JumpGuard {
+    offset_ms: Option<i64>,
+    held_until: Time,
+}
+
+impl JumpGuard {
+    /// Compares the clocks of this machine. Returns whether they have jumped since the last time.
+    pub fn observe(&mut self, wall: WallMillis, now: Time) -> bool {
+        let offset_ms = offset_of(wall, now);
+        let known = self.offset_ms.replace(offset_ms);
+        let has_jumped = known.is_some_and(|known| (offset_ms - known).abs() > MAX_DRIFT_MS);
+        if has_jumped {
+            self.held_until = now + JUMP_WAIT;
+        }
+        has_jumped
+    }
+
+    /// Returns whether the clocks have not jumped lately.
+    pub fn is_settled(&self, now: Time) -> bool {
+        now >= self.held_until
+    }
+}
+
 /// What an instance knows of true time.
 #[derive(Clone, Debug, Default)]
 pub struct TrueTime {
@@ -53,6 +83,11 @@
         self.samples.insert(instance, Sample { offset_ms: offset_of(wall, now), at: now });
     }
 
+    /// Forgets the clocks, after this machine's clocks have jumped against each other.
+    pub fn forget_samples(&mut self) {
+        self.samples.clear();
+    }
+
     /// Sets true time as the leader knows it.
     pub fn follow(&mut self, wall: WallMillis, now: Time) {
         self.offset_ms = Some(offset_of(wall, now));
--- a/tests/kernel/duties/clock.rs
+++ b/tests/kernel/duties/clock.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cardamomshore::{clock::Time, kernel::duties::clock::TrueTime};
+use cardamomshore::{
+    clock::Time,
+    kernel::duties::clock::{JumpGuard, TrueTime},
+};
 
 const WALL: u64 = 1_767_225_600_000;
 
@@ -53,3 +56,17 @@
     assert_eq!(time.update(start), Some(-9_000));
     assert_eq!(time.now(start), Some(WALL));
 }
+
+/// Guards against a call of a holder whose machine was suspended, and whose monotonic clock does not
+/// show that its lease has ended.
+#[test]
+fn duties_clock_jump_holds_calls() {
+    let start = Time::from_millis(60_000);
+    let mut guard = JumpGuard::default();
+    assert!(!guard.observe(WALL, start) && guard.is_settled(start));
+    let now = start + Duration::from_millis(50);
+    assert!(!guard.observe(WALL + 52, now) && guard.is_settled(now));
+    assert!(guard.observe(WALL + 5_000, now));
+    assert!(!guard.is_settled(now + Duration::from_millis(1_400)));
+    assert!(guard.is_settled(now + Duration::from_millis(1_500)));
+}
--- a/tests/kernel/duties/scaling.rs
+++ b/tests/kernel/duties/scaling.rs
@@ -222,3 +222,27 @@
     play.play(Duration::from_secs(90), |_, _| 0.0);
     assert!(play.sites.values().flat_map(|site| &site.orders).all(|count| *count >= SPEC.min));
 }
+
+/// Guards against engines that are ordered for the load of now, although it will have risen once they
+/// serve. Without other data centres there is no spare capacity for their loss.
+#[test]
+fn duties_scaling_is_ahead_of_steady_rise() {
+    let mut play = Play::new(&[("a", 4)]);
+    play.play(Duration::from_secs(30), |_, _| 14.0);
+    play.take_longest_wait("a");
+    play.play(Duration::from_secs(20), |_, at| 14.0 + 2.0 * at);
+    let wait = play.take_longest_wait("a");
+    assert!(wait < Duration::from_millis(600), "waits of {wait:?} during the rise");
+}
+
+/// Guards against orders up and down under a load that swings more slowly than engines are released.
+#[test]
+fn duties_scaling_does_not_follow_slow_swing() {
+    let mut play = Play::new(&[("a", 6)]);
+    let swing = |at: f64| 30.0 + 3.0 * (at * std::f64::consts::TAU / 80.0).sin();
+    play.play(Duration::from_secs(80), |_, at| swing(at));
+    play.sites.values_mut().for_each(|site| site.orders.clear());
+    play.play(Duration::from_secs(240), |_, at| swing(at));
+    let orders = &play.sites["a"].orders;
+    assert!(orders.len() <= 1, "orders {orders:?}");
+}
