--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use crate::kernel::duties::scaling::ScalingSpec;
+
 /// One version of the operators' catalog document.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
@@ -84,6 +86,9 @@
     pub timeout: Duration,
     /// Target for the time to the response, or to the first event of a stream.
     pub target_latency: Duration,
+    /// Longest pause between two events of a stream with which the response is still in time; `None` if
+    /// the route names none.
+    pub max_pause: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Maximum number of endpoints that one request is sent to.
@@ -123,6 +128,8 @@
     pub cold_rate: f64,
     /// Specification of the engines; `None` for plain services.
     pub engine: Option<EngineSpec>,
+    /// Bounds within which the leader scales the service; `None` if it does not.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// Specification of a service's engines.
--- a/src/gateway/buffered.rs
+++ b/src/gateway/buffered.rs
@@ -60,6 +60,8 @@
         } else {
             self.time_left()
         };
+        // Counted now, since the response may come long after the work has begun.
+        let run = self.gateway.count_run(self.team.as_ref());
         let attempt = self.attempt(&permit, None, self.time_left());
         let result = match self.wait_or_switch(&permit, time_limit, attempt).await {
             Waited::Done(result) => result,
@@ -71,6 +73,7 @@
         };
         match result {
             AttemptResult::NotRun(outcome) => {
+                self.gateway.count_not_run(run);
                 self.record_failure(permit, outcome).await;
                 Next::Retry
             }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -203,6 +203,7 @@
         Begun::First { status, reader, part: Some(Part::Event(first_event, number)) } => {
             job.runs += 1;
             permit.record_first_event();
+            job.gateway.count_run(job.team.as_ref());
             return Start::Started(StartedRun { status, permit, reader, first_event, number });
         }
         Begun::Failed(AttemptResult::Unknown(outcome)) => outcome,
@@ -347,6 +348,7 @@
     last: &mut Option<u64>,
 ) -> Ending {
     let mut part = Part::Event(std::mem::take(&mut run.first_event), run.number);
+    let mut longest_pause = Duration::ZERO;
     loop {
         match part {
             Part::Event(event, number) => match continuity(*last, number) {
@@ -359,13 +361,17 @@
                 Continuity::Duplicate => {}
                 Continuity::Gap => return Ending::Broken(Outcome::Broke),
             },
-            Part::End => return Ending::Complete,
+            Part::End => {
+                run.permit.record_pause(longest_pause);
+                return Ending::Complete;
+            }
             Part::Broken => return Ending::Broken(Outcome::Broke),
         }
         let time_left = job.deadline.since(Time::now());
         if time_left.is_zero() {
             return Ending::TimedOut;
         }
+        let awaited_at = Time::now();
         // Without a number of the last event, no other endpoint could go on.
         let can_switch = job.may_retry() && last.is_some();
         let time_limit = if can_switch { EVENT_TIMEOUT } else { Duration::MAX };
@@ -378,6 +384,7 @@
             },
             () = tx.closed() => return Ending::Left,
         };
+        longest_pause = longest_pause.max(Time::now().since(awaited_at));
     }
 }
 
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -16,11 +16,14 @@
 mod order_state;
 mod orders;
 mod origins;
+mod pauses;
 mod placement;
 mod queue;
+mod queues;
 mod rate;
 mod request;
 mod request_limit;
+mod running;
 mod scheduler;
 mod sizes;
 
@@ -33,6 +36,7 @@
     holdings::Holdings,
     order_state::{Order, OrderId, OrderIds, OrderResult, OrderStep},
     origins::{Decider, Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
+    pauses::PauseControl,
     placement::{Demand, PlanInput, Swap, plan},
     rate::{RateShare, TokenBucket},
     request::{
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -10,6 +10,8 @@
 use super::{
     FailureRates, GrantKey, GrantRequest, KvCache, RequestLimit, Swap,
     adapter::{AdapterPhase, AdapterState},
+    pauses::PREFILL_BREAK,
+    running::RunTable,
     scheduler::CrashState,
     sizes::KeptSizes,
 };
@@ -147,7 +149,7 @@
     /// Last entry read from the store, to detect changes.
     pub(super) entry: EndpointEntry,
     /// Granted requests that run at the endpoint.
-    pub(super) running: HashMap<GrantKey, ActiveRun>,
+    pub(super) running: RunTable,
     /// When the endpoint stops being cold.
     pub(super) cold_until: Time,
     /// When requests were granted, for the limit of a cold endpoint.
@@ -177,6 +179,8 @@
     pub(super) kv_cache: KvCache,
     /// When the queued prefill is expected to be done.
     pub(super) prefill_end: Time,
+    /// When the engine last began to prefill after a break.
+    prefill_start: Time,
     /// Decaying average of prefill work in seconds per second, and when it was updated.
     usage: (f64, Time),
     /// Ratio of the endpoint's measured to the expected time to the first event.
@@ -203,7 +207,7 @@
     /// Creates the state of an endpoint from its entry.
     pub fn new(info: EndpointEntry, now: Time) -> Self {
         let mut endpoint = Self {
-            running: HashMap::new(),
+            running: RunTable::default(),
             cold_until: now + info.cold_remaining,
             recent_grants: VecDeque::new(),
             paused_until: Time::default(),
@@ -218,6 +222,7 @@
             reported: false,
             kv_cache: KvCache::default(),
             prefill_end: Time::default(),
+            prefill_start: Time::default(),
             usage: (0.0, now),
             slowdown: 1.0,
             swap: None,
@@ -389,10 +394,17 @@
         (recent as f64) + 1.0 <= service.cold_rate.max(1.0)
     }
 
-    /// Returns whether a `share` of the instances may send a request without exceeding the rate that
-    /// the endpoint has named.
-    pub(super) fn is_within_limit(&self, share: f64, now: Time) -> bool {
-        self.rate_limit.is_none_or(|limit| limit.allows(share, now))
+    /// Returns until when the endpoint takes no request, whatever it needs: it is paused, at its cold
+    /// rate, or at the rate that it has named, of which this scheduler has a `share`.
+    pub(super) fn closed_until(&self, service: &Service, share: f64, now: Time) -> Option<Time> {
+        let paused = (self.paused_until > now).then_some(self.paused_until);
+        let cold = (!self.has_cold_capacity(service, now)).then(|| {
+            let oldest = self.recent_grants.iter().find(|at| now.since(**at) < COLD_WINDOW);
+            oldest.map_or(now, |at| *at + COLD_WINDOW).min(self.cold_until)
+        });
+        let limit_wait = self.rate_limit.map(|limit| limit.wait(share, now));
+        let limited = limit_wait.filter(|wait| !wait.is_zero()).map(|wait| now + wait);
+        paused.max(cold).max(limited)
     }
 
     /// Records that a request was granted.
@@ -430,9 +442,34 @@
     pub(super) fn add_prefill(&mut self, work: Duration, now: Time) {
         let added = work.as_secs_f64() / USAGE_TIME_CONSTANT.as_secs_f64();
         self.usage = (self.usage(now) + added, now);
+        if !self.prefills_without_break(now) {
+            self.prefill_start = now;
+        }
         self.prefill_end = self.prefill_end.max(now) + work;
     }
 
+    /// Returns whether the engine has had no break of its prefill that lets running streams go on.
+    fn prefills_without_break(&self, now: Time) -> bool {
+        now < self.prefill_break_end()
+    }
+
+    /// Returns when the engine has had a break of its prefill, if it gets no further prompt.
+    pub(super) fn prefill_break_end(&self) -> Time {
+        self.prefill_end + PREFILL_BREAK
+    }
+
+    /// Returns whether the engine would prefill for longer than `max_prefill` without a break if it took
+    /// a prompt that takes `prefill`. The first prompt after a break is always taken.
+    pub(super) fn needs_prefill_break(
+        &self,
+        prefill: Duration,
+        max_prefill: Duration,
+        now: Time,
+    ) -> bool {
+        let end = self.prefill_end.max(now) + prefill;
+        self.prefills_without_break(now) && end.since(self.prefill_start) > max_prefill
+    }
+
     /// Records that the endpoint could not be reached.
     pub(super) fn record_unreachable(&mut self, now: Time) {
         self.unreachable = true;
@@ -460,13 +497,12 @@
 
     /// Returns whether a granted request runs at the endpoint.
     pub fn runs(&self, key: &GrantKey) -> bool {
-        self.running.contains_key(key)
+        self.running.contains(key)
     }
 
     /// Returns the upper bound of KV cache tokens that running requests use.
     pub(super) fn reserved_tokens(&self) -> u64 {
-        let works = self.running.values().filter_map(|run| run.request.work.as_ref());
-        works.map(|work| work.prompt_tokens + work.output_tokens).sum()
+        self.running.reserved_tokens()
     }
 
     /// Returns whether the engine has a replica of a model that is not about to be unloaded.
@@ -483,7 +519,6 @@
 
     /// Returns how many requests of a model are running.
     pub(super) fn running_count(&self, model: &str) -> usize {
-        let works = self.running.values().filter_map(|run| run.request.work.as_ref());
-        works.filter(|work| &*work.model == model).count()
+        self.running.model_count(model)
     }
 }
