Use the load and pace that endpoints report

Cause: X-Server-Load was decoded and used nowhere, so the leader did not see requests that others had sent to an endpoint, nor that an engine's machine was busy. The speed of plain services was not measured.

Change: all four figures go from the instances to the leader with the first event and the end of a request. They are kept with time and incarnation. Old reports, those of another incarnation and figures out of range are ignored. The speed of plain services is learned from their service times and fades, so that a slow endpoint is tried again.

--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -355,6 +355,7 @@
         if let Some(max_refusals) = head.max_refusals {
             permit.record_max_refusals(max_refusals);
         }
+        permit.record_load(head.load.filter(|_| !misdirected));
         if head.not_run && !head.refuses(&self.head.request, connection.is_fresh()) {
             log::info!("event=refusal_not_named request={}", self.head.request);
             return AttemptResult::Unknown(Outcome::Broke);
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -15,13 +15,16 @@
 use super::{
     Gateway,
     messages::{
-        AdoptFrame, Content, EndFrame, GrantFrame, GrantRequestFrame, RefuseFrame, RequestRef,
+        AdoptFrame, Content, EndFrame, GrantFrame, GrantRequestFrame, LoadFrame, RefuseFrame,
+        RequestRef,
     },
     orders,
 };
 use crate::{
     clock::Time,
-    kernel::grants::{Action, ActiveGrant, Grant, GrantKey, GrantRequest, Outcome, Refusal},
+    kernel::grants::{
+        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Outcome, Refusal,
+    },
 };
 
 /// Interval of the scheduler's ticks while some requests wait.
@@ -79,15 +82,22 @@
     pub grant: Grant,
     /// Refusals in a second after which the endpoint fails, if its response names such a number.
     max_refusals: OnceLock<u32>,
+    /// Load that the response states and when it arrived, until the leader is told.
+    load: Mutex<Option<(LoadFigures, Time)>>,
 }
 
 impl Permit {
     /// Records that the first event of the response has arrived, in this instance's scheduler and
     /// at the leader.
     pub fn record_first_event(&self) {
-        let gateway = &self.gateway;
-        gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number }));
-        gateway.scheduler.lock().record_first_event(&gateway.grant_key(self.number), Time::now());
+        let (gateway, now) = (&self.gateway, Time::now());
+        let load = self.take_load(now);
+        let own_load = load.as_ref().and_then(|load| load.to_load(now));
+        gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number, load }));
+        let key = gateway.grant_key(self.number);
+        let mut scheduler = gateway.scheduler.lock();
+        scheduler.record_load(&key, own_load, now);
+        scheduler.record_first_event(&key, now);
     }
 
     /// Records after how many refusals in a second the endpoint fails.
@@ -95,16 +105,31 @@
         let _ = self.max_refusals.set(max_refusals);
     }
 
+    /// Records the load that the response states, if it states one.
+    pub fn record_load(&self, figures: Option<LoadFigures>) {
+        *self.load.lock() = figures.map(|figures| (figures, Time::now()));
+    }
+
+    /// Takes the load that the leader was not told of yet.
+    fn take_load(&self, now: Time) -> Option<LoadFrame> {
+        let (figures, seen_at) = self.load.lock().take()?;
+        Some(LoadFrame::new(figures, self.grant.incarnation, seen_at, now))
+    }
+
     /// Ends the request with `outcome`, which releases the grant.
     pub fn end(self, outcome: Outcome) {
-        self.gateway.end_request(self.number, outcome, self.max_refusals.get().copied());
+        self.end_with(outcome);
+    }
+
+    fn end_with(&self, outcome: Outcome) {
+        let (max_refusals, load) = (self.max_refusals.get().copied(), self.take_load(Time::now()));
+        self.gateway.end_request(self.number, outcome, max_refusals, load);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let max_refusals = self.max_refusals.get().copied();
-        self.gateway.end_request(self.number, Outcome::Left, max_refusals);
+        self.end_with(Outcome::Left);
     }
 }
 
@@ -118,7 +143,7 @@
 impl Drop for WithdrawGuard<'_> {
     fn drop(&mut self) {
         if let Some(number) = self.number {
-            self.gateway.end_request(number, Outcome::Left, None);
+            self.gateway.end_request(number, Outcome::Left, None, None);
         }
     }
 }
@@ -141,7 +166,8 @@
     match result {
         Ok(Ok(grant)) => {
             gateway.scheduler.lock().record_own_grant(service, is_retry, Time::now());
-            Ok(Permit { gateway, number, grant, max_refusals: OnceLock::new() })
+            let (max_refusals, load) = (OnceLock::new(), Mutex::default());
+            Ok(Permit { gateway, number, grant, max_refusals, load })
         }
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => {
@@ -246,16 +272,24 @@
 
     /// Ends a request in this instance's scheduler and at the leader; does nothing if it has ended
     /// already.
-    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome, max_refusals: Option<u32>) {
+    fn end_request(
+        self: &Arc<Self>,
+        number: u64,
+        outcome: Outcome,
+        max_refusals: Option<u32>,
+        load: Option<LoadFrame>,
+    ) {
         if self.requests.table.lock().remove(&number).is_none() {
             return;
         }
-        let frame = EndFrame { max_refusals, ..EndFrame::new(number, outcome) };
-        self.uplink.send(Content::Ended(frame));
         let (key, now) = (self.grant_key(number), Time::now());
+        let own_load = load.as_ref().and_then(|load| load.to_load(now));
+        let frame = EndFrame { max_refusals, load, ..EndFrame::new(number, outcome) };
+        self.uplink.send(Content::Ended(frame));
         let actions = {
             let mut scheduler = self.scheduler.lock();
             scheduler.record_max_refusals(&key, max_refusals, outcome);
+            scheduler.record_load(&key, own_load, now);
             scheduler.handle_outcome(&key, outcome, now)
         };
         self.apply_actions(actions);
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -3,6 +3,7 @@
 mod codec;
 mod crashes;
 mod endpoints;
+mod load;
 mod members;
 mod origins;
 mod rate_limits;
@@ -16,6 +17,7 @@
     codec::{EncodedFrame, FrameCodec, FrameError},
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
     endpoints::{EndpointFrame, EndpointsFrame, LeavingEndpointFrame, LeavingFrame, ModelFrame},
+    load::LoadFrame,
     members::{Announcement, Hello, MemberFrame, MembersFrame},
     origins::{OriginsFrame, VersionStreamsFrame},
     rate_limits::{RateLimitFrame, RateLimitsFrame},
--- a/src/gateway/messages/requests.rs
+++ b/src/gateway/messages/requests.rs
@@ -5,6 +5,7 @@
 
 use prost::Message;
 
+use super::LoadFrame;
 use crate::{
     clock::Time,
     kernel::grants::{
@@ -20,6 +21,9 @@
     /// Number of the request.
     #[prost(uint64, tag = "1")]
     pub number: u64,
+    /// Load that the response states; missing if it states none.
+    #[prost(message, optional, tag = "10")]
+    pub load: Option<LoadFrame>,
 }
 
 /// A part of a prompt.
@@ -289,6 +293,9 @@
     /// no such number, or has not responded.
     #[prost(uint32, optional, tag = "3")]
     pub max_refusals: Option<u32>,
+    /// Load that the response states, unless the first event told it.
+    #[prost(message, optional, tag = "10")]
+    pub load: Option<LoadFrame>,
 }
 
 /// Outcome of a request, as encoded in a frame.
@@ -333,7 +340,7 @@
             Outcome::Leaving => OutcomeFrame::Leaving,
             Outcome::CutOff => OutcomeFrame::CutOff,
         };
-        Self { number, outcome: outcome.into(), max_refusals: None }
+        Self { number, outcome: outcome.into(), max_refusals: None, load: None }
     }
 
     /// Returns the outcome.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -273,7 +273,10 @@
             gateway.apply_actions(actions);
         }
         Content::FirstEvent(frame) => {
-            gateway.scheduler.lock().record_first_event(&key(frame.number), now)
+            let (key, load) = (key(frame.number), frame.load.and_then(|load| load.to_load(now)));
+            let mut scheduler = gateway.scheduler.lock();
+            scheduler.record_load(&key, load, now);
+            scheduler.record_first_event(&key, now);
         }
         Content::Ended(frame) => {
             let key = key(frame.number);
@@ -281,6 +284,8 @@
                 let mut scheduler = gateway.scheduler.lock();
                 let outcome = frame.to_outcome();
                 scheduler.record_max_refusals(&key, frame.max_refusals, outcome);
+                let load = frame.load.and_then(|load| load.to_load(now));
+                scheduler.record_load(&key, load, now);
                 scheduler.handle_outcome(&key, outcome, now)
             };
             gateway.apply_actions(actions);
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -16,11 +16,13 @@
 mod order_state;
 mod orders;
 mod origins;
+mod pace;
 mod placement;
 mod queue;
 mod rate;
 mod request;
 mod request_limit;
+mod run;
 mod scheduler;
 mod sizes;
 
@@ -33,6 +35,7 @@
     holdings::Holdings,
     order_state::{Order, OrderId, OrderIds, OrderResult, OrderStep},
     origins::{Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
+    pace::{LoadFigures, LoadReport, OutOfRange, SightedLoad},
     placement::{Demand, PlanInput, Swap, plan},
     rate::{RateShare, TokenBucket},
     request::{
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -32,8 +32,9 @@
 /// Cost of a cold endpoint, as prefill time.
 const COLD_COST: Duration = Duration::from_millis(40);
 
-/// Cost of a plain service's endpoint whose slots are all in use, as prefill time.
-const SLOT_COST: Duration = Duration::from_millis(60);
+/// Time that a plain endpoint with all slots in use takes longer than an idle one, as a fraction. It
+/// spreads requests over endpoints of equal speed.
+const CROWD_FRACTION: f64 = 0.5;
 
 /// Fraction of an engine's KV cache that requests may reserve.
 const MAX_RESERVED_FRACTION: f64 = 0.95;
@@ -77,6 +78,8 @@
     pub rate_share: f64,
     /// Ratio of the model's measured time to the first event to the expected time.
     pub model_slowdown: f64,
+    /// Seconds that a request of a plain service takes.
+    pub service_time: f64,
     /// Current time.
     pub now: Time,
 }
@@ -86,9 +89,11 @@
     endpoint: &Endpoint,
     work: &ModelWork,
     model_slowdown: f64,
+    now: Time,
 ) -> (u64, Duration) {
     let tokens = work.prompt_tokens.saturating_sub(endpoint.kv_cache.cached_tokens(work)).max(1);
-    let ms = tokens as f64 / PREFILL_TOKENS_PER_MS * model_slowdown * endpoint.slowdown;
+    let slowdown = model_slowdown * endpoint.pace.start.ratio(now) * endpoint.pace.pace(now);
+    let ms = tokens as f64 / PREFILL_TOKENS_PER_MS * slowdown;
     (tokens, Duration::from_secs_f64(ms / 1e3))
 }
 
@@ -119,11 +124,12 @@
 
 /// Returns how an endpoint of a plain service, which is not an engine, fits a request.
 fn evaluate_plain(endpoint: &Endpoint, request: &GrantRequest, context: &FitContext<'_>) -> Fit {
-    let slots = f64::from(endpoint.info.slots.max(1));
+    let slots = f64::from(endpoint.pace.slots(endpoint.info.slots));
+    let requests = endpoint.expected_requests(context.now);
     // Requests that wait at a brittle endpoint may be refused, which makes it fail.
     let excess = if endpoint.is_brittle() { 0.0 } else { EXCESS_SLOT_FRACTION };
     let limit = (slots * (1.0 + excess) * context.fill_fraction).ceil().max(1.0);
-    let full = endpoint.running.len() as f64 >= limit;
+    let full = requests >= limit;
     if full
         || !endpoint.accepts_requests(context.now)
         || !endpoint.has_cold_capacity(context.service, context.now)
@@ -131,8 +137,11 @@
     {
         return Fit::Full;
     }
-    let slot_cost = SLOT_COST.mul_f64(endpoint.running.len() as f64 / slots * endpoint.slowdown);
-    Fit::Ready(slot_cost + common_cost(endpoint, request, context))
+    // The request waits for a place behind those beyond the slots, then it runs.
+    let turns = 1.0 + CROWD_FRACTION * requests / slots + (requests + 1.0 - slots).max(0.0) / slots;
+    let (speed, pace) = (endpoint.pace.start.ratio(context.now), endpoint.pace.pace(context.now));
+    let time = Duration::from_secs_f64(context.service_time * speed * pace * turns);
+    Fit::Ready(time + common_cost(endpoint, request, context))
 }
 
 /// Returns the cost that endpoints of all kinds have in common.
@@ -182,7 +191,7 @@
     {
         return Fit::Full;
     }
-    let (_, prefill) = estimate_prefill(endpoint, work, context.model_slowdown);
+    let (_, prefill) = estimate_prefill(endpoint, work, context.model_slowdown, context.now);
     let run_cost = RUN_COST * endpoint.running.len() as u32;
     let usage_cost = USAGE_COST.mul_f64(endpoint.usage(context.now));
     let cost =
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -8,8 +8,10 @@
 };
 
 use super::{
-    FailureRates, GrantKey, GrantRequest, KvCache, RequestLimit, Swap,
+    FailureRates, GrantKey, KvCache, RequestLimit, Swap,
     adapter::{AdapterPhase, AdapterState},
+    pace::EndpointPace,
+    run::ActiveRun,
     scheduler::CrashState,
     sizes::KeptSizes,
 };
@@ -105,21 +107,6 @@
     pub last_used: Time,
 }
 
-/// A granted request that runs at an endpoint.
-#[derive(Clone, Debug)]
-pub(super) struct ActiveRun {
-    /// The request that was granted.
-    pub request: GrantRequest,
-    /// When it was granted.
-    pub granted_at: Time,
-    /// Tokens that the engine was expected to prefill.
-    pub prefill_tokens: u64,
-    /// Prefill time that was queued at the engine ahead of the request when it was granted.
-    pub queued_prefill: Duration,
-    /// Whether the first event of the response has arrived.
-    pub started: bool,
-}
-
 /// Window over which the rate of a cold endpoint is limited.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -151,7 +138,7 @@
     /// When the endpoint stops being cold.
     pub(super) cold_until: Time,
     /// When requests were granted, for the limit of a cold endpoint.
-    recent_grants: VecDeque<Time>,
+    pub(super) recent_grants: VecDeque<Time>,
     /// No requests are granted before this time.
     pub(super) paused_until: Time,
     /// Backoff after the next failed connection attempt.
@@ -179,8 +166,8 @@
     pub(super) prefill_end: Time,
     /// Decaying average of prefill work in seconds per second, and when it was updated.
     usage: (f64, Time),
-    /// Ratio of the endpoint's measured to the expected time to the first event.
-    pub(super) slowdown: f64,
+    /// Reported load and pace, and measured speed.
+    pub(super) pace: EndpointPace,
     /// Planned change of the models, until the engine has accepted its load.
     pub(super) swap: Option<Swap>,
     /// State of the orders to the engine.
@@ -219,7 +206,7 @@
             kv_cache: KvCache::default(),
             prefill_end: Time::default(),
             usage: (0.0, now),
-            slowdown: 1.0,
+            pace: EndpointPace::default(),
             swap: None,
             order_state: super::order_state::OrderState::default(),
             last_load: Time::default(),
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -26,6 +26,7 @@
     crash_causes::{CrashCauses, CrashCheck, possible_causes},
     index::Index,
     order_state::OrderIds,
+    pace::Speeds,
     queue::QueuedRequest,
 };
 use crate::{
@@ -95,8 +96,8 @@
     /// Grows with each change of the rates that endpoints name.
     limit_version: u64,
     demand: Demand,
-    /// Ratio of the measured to the expected time to the first event, by model.
-    slowdowns: HashMap<Arc<str>, f64>,
+    /// Measured speeds of models and plain services.
+    speeds: Speeds,
     /// Rate of the requests that arrive.
     request_rate: RequestRate,
     order_ids: OrderIds,
@@ -142,7 +143,7 @@
             broken: VecDeque::new(),
             limit_version: 0,
             demand: Demand::default(),
-            slowdowns: HashMap::new(),
+            speeds: Speeds::default(),
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
@@ -334,7 +335,7 @@
     }
 
     fn model_slowdown(&self, model: &str) -> f64 {
-        self.slowdowns.get(model).copied().unwrap_or(1.0)
+        self.speeds.model(model).prefill
     }
 
     /// Selects the endpoint with the lowest cost and starts the run or the load of the adapter
@@ -356,6 +357,7 @@
             fill_fraction,
             rate_share,
             model_slowdown,
+            service_time: self.speeds.service(&request.service),
             now,
         };
         let mut best: Option<(Duration, bool, Arc<str>)> = None;
--- a/src/kernel/grants/scheduler/crashes.rs
+++ b/src/kernel/grants/scheduler/crashes.rs
@@ -13,7 +13,7 @@
         grants::{
             CrashRecord, Endpoint, GrantRequest, Incarnation, Mode, Outcome,
             crash_causes::{Cause, CrashCheck, possible_causes},
-            endpoint::ActiveRun,
+            run::ActiveRun,
         },
         suspect::CrashId,
     },
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -1,19 +1,26 @@
 //! Start and end of runs, and what the scheduler records about their endpoints.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use super::Scheduler;
 use crate::{
     catalog::Service,
     clock::Time,
     kernel::grants::{
-        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, choice, endpoint::ActiveRun,
+        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, SightedLoad, choice,
+        pace::Speeds, run::ActiveRun,
     },
 };
 
 /// Expected time from the grant to the first event, without the prefill.
 const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(25);
 
+/// Weight of one time to the first event in the learned speed of an endpoint.
+const START_WEIGHT: f64 = 0.1;
+
+/// Weight of the time of one run in the learned speed of an endpoint. Runs differ in length.
+const END_WEIGHT: f64 = 0.05;
+
 /// Backoff after an endpoint rejected a request because it was full.
 const FULL_BACKOFF: Duration = Duration::from_millis(60);
 
@@ -31,6 +38,13 @@
         self.endpoint_of.insert(key, id);
     }
 
+    /// Records the load that the response to a request states.
+    pub fn record_load(&mut self, key: &GrantKey, load: Option<SightedLoad>, now: Time) {
+        let endpoint = self.endpoint_of.get(key).and_then(|id| self.endpoints.get_mut(id));
+        let (Some(endpoint), Some(load)) = (endpoint, load) else { return };
+        endpoint.record_load(&load, now);
+    }
+
     /// Records that the first event of a response has arrived.
     pub fn record_first_event(&mut self, key: &GrantKey, now: Time) {
         let Some(id) = self.endpoint_of.get(key).cloned() else { return };
@@ -41,22 +55,24 @@
         }
         let request = run.request.clone();
         let work = request.work.clone();
-        let (granted, queued_prefill, prefill_tokens) =
-            (run.granted_at, run.queued_prefill, run.prefill_tokens);
+        run.started_at = now;
+        let (granted, queued_prefill, prefill_tokens, pace) =
+            (run.granted_at, run.queued_prefill, run.prefill_tokens, run.pace);
         endpoint.record_reachable();
         if let Some(work) = work {
             endpoint.confirm_adapter(&work, granted);
-            let model_slowdown = self.slowdowns.entry(work.model.clone()).or_insert(1.0);
+            let speed = self.speeds.model_mut(&work.model);
+            let pace = (pace + endpoint.pace.pace(now)) / 2.0;
             let own_prefill = Duration::from_secs_f64(
-                prefill_tokens as f64 / 4e4 * *model_slowdown * endpoint.slowdown,
+                prefill_tokens as f64 / 4e4 * speed.prefill * endpoint.pace.start.ratio(now) * pace,
             );
-            let ratio = now.since(granted).as_secs_f64()
-                / (queued_prefill + own_prefill + FIRST_EVENT_OVERHEAD).as_secs_f64();
-            let ratio = ratio.clamp(0.25, 4.0);
-            *model_slowdown = (*model_slowdown * ratio.powf(0.06)).clamp(0.2, 3.0);
-            endpoint.slowdown = (endpoint.slowdown * ratio.powf(0.1)).clamp(0.6, 6.0);
+            let measured = now.since(granted).as_secs_f64();
+            let expected = (queued_prefill + own_prefill + FIRST_EVENT_OVERHEAD).as_secs_f64();
+            let ratio = (measured / expected).clamp(0.25, 4.0);
+            speed.prefill = (speed.prefill * ratio.powf(0.06)).clamp(0.2, 3.0);
+            endpoint.pace.start.record(measured, expected, START_WEIGHT, now);
         }
-        correct_prefill(endpoint, &self.slowdowns, now);
+        correct_prefill(endpoint, &self.speeds, now);
         self.record_origin(&id, &request, now);
         self.record_response(&id, granted);
     }
@@ -105,6 +121,7 @@
             Outcome::Whole => {
                 endpoint.record_reachable();
                 endpoint.failures.record(&data_centre, false, now);
+                record_end(endpoint, &run, &mut self.speeds, now);
             }
             Outcome::Failed | Outcome::Silent | Outcome::Broke => {
                 endpoint.failures.record(&data_centre, true, now);
@@ -118,7 +135,7 @@
             Outcome::Leaving => endpoint.said_leaving = true,
             Outcome::CutOff | Outcome::Left => {}
         }
-        correct_prefill(endpoint, &self.slowdowns, now);
+        correct_prefill(endpoint, &self.speeds, now);
         self.end_origin(run.request.stream, outcome, now);
         self.record_crash_evidence(&id, &run, outcome, now);
         if outcome.is_not_run() {
@@ -151,7 +168,7 @@
     let (mut prefill_tokens, mut cache_capacity) = (0, 0);
     let queued_prefill = endpoint.prefill_end.since(now);
     if let (Some(work), Some(spec)) = (&request.work, &service.engine) {
-        let (tokens, prefill) = choice::estimate_prefill(endpoint, work, model_slowdown);
+        let (tokens, prefill) = choice::estimate_prefill(endpoint, work, model_slowdown, now);
         prefill_tokens = tokens;
         endpoint.add_prefill(prefill, now);
         cache_capacity = spec.kv_tokens.saturating_sub(endpoint.reserved_tokens());
@@ -162,20 +179,52 @@
         prefill_tokens,
         queued_prefill,
         started: false,
+        started_at: now,
+        pace: endpoint.pace.pace(now),
+        load: (endpoint.expected_requests(now) + 1.0)
+            / f64::from(endpoint.pace.slots(endpoint.info.slots)),
     };
     endpoint.record_grant(key.clone(), run, cache_capacity, now);
 }
 
+/// Learns from a complete run how fast the endpoint decodes, or serves a plain service.
+///
+/// Only the time that the endpoint's own speed explains is passed to the average of all endpoints, so
+/// that the two don't learn the same difference twice.
+fn record_end(endpoint: &mut Endpoint, run: &ActiveRun, speeds: &mut Speeds, now: Time) {
+    let pace = (run.pace + endpoint.pace.pace(now)) / 2.0;
+    let measured = now.since(run.started_at).as_secs_f64() / pace;
+    match &run.request.work {
+        Some(work) if run.started && work.output_tokens > 1 => {
+            let measured = measured / work.output_tokens as f64;
+            let ratio = endpoint.pace.decode.ratio(now);
+            let expected = speeds.model(&work.model).token * ratio;
+            endpoint.pace.decode.record(measured, expected, END_WEIGHT, now);
+            speeds.record_token(&work.model, measured / ratio);
+        }
+        Some(_) => {}
+        None => {
+            // Requests beyond the slots wait at the endpoint.
+            let measured = measured / run.load.max(1.0);
+            let ratio = endpoint.pace.start.ratio(now);
+            let expected = speeds.service(&run.request.service) * ratio;
+            endpoint.pace.start.record(measured, expected, END_WEIGHT, now);
+            speeds.record_service(&run.request.service, measured / ratio);
+        }
+    }
+}
+
 /// Limits the expected queued prefill of an endpoint to that of the runs without a first event.
-fn correct_prefill(endpoint: &mut Endpoint, slowdowns: &HashMap<Arc<str>, f64>, now: Time) {
+fn correct_prefill(endpoint: &mut Endpoint, speeds: &Speeds, now: Time) {
     let not_started = endpoint.running.values().filter(|run| !run.started);
     let not_started = not_started
         .filter_map(|run| run.request.work.as_ref().map(|work| (work, run.prefill_tokens)));
     let seconds: f64 = not_started
         .map(|(work, prefill_tokens)| {
-            prefill_tokens as f64 / 4e4 * slowdowns.get(&work.model).copied().unwrap_or(1.0)
+            prefill_tokens as f64 / 4e4 * speeds.model(&work.model).prefill
         })
         .sum();
-    let remaining = Duration::from_secs_f64(seconds * endpoint.slowdown);
+    let remaining =
+        Duration::from_secs_f64(seconds * endpoint.pace.start.ratio(now) * endpoint.pace.pace(now));
     endpoint.prefill_end = endpoint.prefill_end.min(now + remaining);
 }
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -4,6 +4,8 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, header, request::Parts};
 
+use crate::kernel::grants::LoadFigures;
+
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const DEADLINE: HeaderName = HeaderName::from_static("x-deadline-ms");
 const MODEL: HeaderName = HeaderName::from_static("x-model");
@@ -223,8 +225,8 @@
     pub stamped: bool,
     /// Id of the request that the response belongs to.
     pub request: Option<String>,
-    /// Requests that run at the endpoint, and that wait there.
-    pub load: Option<(u32, u32)>,
+    /// Load of the endpoint; `None` if the response does not state it.
+    pub load: Option<LoadFigures>,
     /// Requests a second that the endpoint takes from all instances together; `None` if it names no
     /// limit.
     pub rate_limit: Option<f64>,
@@ -253,10 +255,7 @@
 /// Decodes the headers of an endpoint's response.
 pub fn response_head(status: http::StatusCode, headers: &HeaderMap) -> ResponseHead {
     let misdirected = status == http::StatusCode::MISDIRECTED_REQUEST;
-    let load = header_text(headers, &LOAD).and_then(|value| {
-        let mut numbers = value.split(',').map(|number| number.trim().parse().ok());
-        Some((numbers.next()??, numbers.next()??))
-    });
+    let load = header_text(headers, &LOAD).and_then(parse_load);
     let keep_alive =
         header_text(headers, &HeaderName::from_static("keep-alive")).and_then(|value| {
             let timeout =
@@ -278,6 +277,20 @@
     }
 }
 
+/// Parses `running,waiting[,slots[,pace]]`. A list with a figure that is no number is no load.
+fn parse_load(value: &str) -> Option<LoadFigures> {
+    let mut figures = value.split(',').map(str::trim);
+    let (running, waiting) = (figures.next()?.parse().ok()?, figures.next()?.parse().ok()?);
+    let slots = figures.next().map(|slots| slots.parse().ok());
+    let pace = figures.next().map(|pace| pace.parse::<f64>().ok().map(|pace| pace.round() as u32));
+    Some(LoadFigures {
+        running,
+        waiting,
+        slots: slots.map_or(Some(None), |slots| slots.map(Some))?,
+        pace: pace.map_or(Some(None), |pace| pace.map(Some))?,
+    })
+}
+
 /// Parses a time in seconds, which may have a fraction.
 fn parse_seconds(value: &str) -> Option<Duration> {
     let seconds: f64 = value.trim().parse().ok()?;
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -7,6 +7,7 @@
 mod order_world;
 mod orders;
 mod origins;
+mod pace;
 mod placement;
 mod rate;
 mod rate_limits;
--- a/tests/product/platform.rs
+++ b/tests/product/platform.rs
@@ -5,6 +5,7 @@
 use cardamomshore::{
     catalog::RetryPolicy,
     gateway::settings::GatewaySettings,
+    kernel::grants::LoadFigures,
     platform::{caller, catalog, engine, registration},
 };
 use http::{HeaderMap, HeaderValue, Request, StatusCode};
@@ -171,7 +172,8 @@
     headers.insert("x-server-load", HeaderValue::from_static("3,1,8"));
     let head = caller::response_head(StatusCode::SERVICE_UNAVAILABLE, &headers);
     assert!(head.not_run);
-    assert_eq!((head.load, head.keep_alive), (Some((3, 1)), Some(Duration::from_secs(10))));
+    let load = LoadFigures { running: 3, waiting: 1, slots: Some(8), pace: None };
+    assert_eq!((head.load, head.keep_alive), (Some(load), Some(Duration::from_secs(10))));
 }
 
 #[test]
