Choose the engine where a request is expected to end first

Cause: the cost of an engine added prefill times and constants that stood for decoding. Parts of a prompt counted as cached from the grant on, also when the run was refused, and evictions ignored what running requests use, so requests were sent to engines that had lost their prompt or away from those that had it.

Change: forecast.rs gives the times of the place, the first and the last event, from prefill and decoding speeds that are learned for each model and engine, and the pace. A part is kept once its run has prefilled it, counts for prefills that are queued behind that run, and is evicted, least recently used first, when running requests and parts exceed the memory. A request may queue at an engine longer by the time that the engine's cache saves. The errors of the forecasts, the expected use of the cache and the reported paces are metrics.

--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -23,7 +23,8 @@
 use crate::{
     clock::Time,
     kernel::grants::{
-        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Outcome, Refusal,
+        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Observations, Outcome,
+        Refusal,
     },
 };
 
@@ -327,12 +328,33 @@
     pub(super) fn tick_scheduler(self: &Arc<Self>) {
         let now = Time::now();
         let mode = self.scheduler_mode();
-        let actions = {
+        let (actions, observations) = {
             let mut scheduler = self.scheduler.lock();
             scheduler.set_mode(mode, now);
-            scheduler.tick(now)
+            let actions = scheduler.tick(now);
+            (actions, scheduler.take_observations())
         };
         self.apply_actions(actions);
+        if self.leads() {
+            record_observations(&observations);
+        }
+    }
+}
+
+/// Adds the leader's observations to the metrics. Other instances know only a part of the requests.
+fn record_observations(observations: &Observations) {
+    let Observations { first_event_ratios, end_ratios, paces, cached_tokens, prefill_tokens } =
+        observations;
+    let first_event = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "first_event");
+    first_event_ratios.iter().for_each(|ratio| first_event.record(*ratio));
+    let end = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "end");
+    end_ratios.iter().for_each(|ratio| end.record(*ratio));
+    let reported = metrics::histogram!("cardamomshore_reported_pace");
+    paces.iter().for_each(|pace| reported.record(*pace));
+    let tokens = [("cached", cached_tokens), ("prefill", prefill_tokens)];
+    for (expected, tokens) in tokens {
+        metrics::counter!("cardamomshore_prompt_tokens_total", "expected" => expected)
+            .increment(*tokens);
     }
 }
 
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -11,6 +11,7 @@
 mod crash_causes;
 mod endpoint;
 mod failures;
+mod forecast;
 mod holdings;
 mod index;
 mod order_state;
@@ -43,5 +44,7 @@
         Reason, Refusal,
     },
     request_limit::RequestLimit,
-    scheduler::{Mode, ModelBacklog, RetryUsage, Scheduler, SchedulerLimits, UnusedRate},
+    scheduler::{
+        Mode, ModelBacklog, Observations, RetryUsage, Scheduler, SchedulerLimits, UnusedRate,
+    },
 };
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -1,25 +1,16 @@
 //! Evaluates how well an endpoint fits a request; the scheduler grants the one with the lowest
-//! cost.
+//! cost: the one where the request is expected to end first.
 
 use std::time::Duration;
 
-use super::{Endpoint, GrantRequest, ModelWork, VersionNeed};
+use super::{
+    Endpoint, GrantRequest, ModelWork, VersionNeed, forecast, forecast::Forecast, pace::ModelSpeed,
+};
 use crate::{
     catalog::{EngineSpec, Service},
     clock::Time,
 };
 
-/// Prompt tokens that an engine prefills in a millisecond, before its slowdown is known.
-const PREFILL_TOKENS_PER_MS: f64 = 40.0;
-
-/// Cost of each running request at an engine, as prefill time.
-const RUN_COST: Duration = Duration::from_millis(2);
-
-/// Cost of an engine that prefills all the time, as prefill time.
-///
-/// Each chunk of prefill delays the next token of every request that runs there.
-const USAGE_COST: Duration = Duration::from_millis(300);
-
 /// Cost of loading an adapter, as prefill time.
 const ADAPTER_LOAD_COST: Duration = Duration::from_millis(15);
 
@@ -32,10 +23,6 @@
 /// Cost of a cold endpoint, as prefill time.
 const COLD_COST: Duration = Duration::from_millis(40);
 
-/// Time that a plain endpoint with all slots in use takes longer than an idle one, as a fraction. It
-/// spreads requests over endpoints of equal speed.
-const CROWD_FRACTION: f64 = 0.5;
-
 /// Fraction of an engine's KV cache that requests may reserve.
 const MAX_RESERVED_FRACTION: f64 = 0.95;
 
@@ -49,7 +36,8 @@
 /// Prefill time that may be queued at an engine ahead of a request, by its priority.
 ///
 /// Urgent requests may queue at the engine. Other requests wait in the scheduler, so that urgent
-/// ones find a short queue at the engine.
+/// ones find a short queue at the engine. A request may queue longer by the time that the engine's
+/// prefix cache saves.
 const MAX_QUEUED_PREFILL: [Duration; 3] =
     [Duration::from_millis(400), Duration::from_millis(250), Duration::from_millis(120)];
 
@@ -76,27 +64,14 @@
     pub fill_fraction: f64,
     /// Fraction of the rates that endpoints name which this scheduler may use.
     pub rate_share: f64,
-    /// Ratio of the model's measured time to the first event to the expected time.
-    pub model_slowdown: f64,
+    /// Measured speed of the request's model.
+    pub speed: ModelSpeed,
     /// Seconds that a request of a plain service takes.
     pub service_time: f64,
     /// Current time.
     pub now: Time,
 }
 
-/// Returns the tokens of a prompt that are not in the KV cache and the time to prefill them.
-pub(super) fn estimate_prefill(
-    endpoint: &Endpoint,
-    work: &ModelWork,
-    model_slowdown: f64,
-    now: Time,
-) -> (u64, Duration) {
-    let tokens = work.prompt_tokens.saturating_sub(endpoint.kv_cache.cached_tokens(work)).max(1);
-    let slowdown = model_slowdown * endpoint.pace.start.ratio(now) * endpoint.pace.pace(now);
-    let ms = tokens as f64 / PREFILL_TOKENS_PER_MS * slowdown;
-    (tokens, Duration::from_secs_f64(ms / 1e3))
-}
-
 /// Returns how an endpoint fits a request.
 pub(super) fn evaluate(
     endpoint: &Endpoint,
@@ -137,11 +112,8 @@
     {
         return Fit::Full;
     }
-    // The request waits for a place behind those beyond the slots, then it runs.
-    let turns = 1.0 + CROWD_FRACTION * requests / slots + (requests + 1.0 - slots).max(0.0) / slots;
-    let (speed, pace) = (endpoint.pace.start.ratio(context.now), endpoint.pace.pace(context.now));
-    let time = Duration::from_secs_f64(context.service_time * speed * pace * turns);
-    Fit::Ready(time + common_cost(endpoint, request, context))
+    let forecast = forecast::at_plain(endpoint, context.service_time, context.now);
+    Fit::Ready(forecast.last_event + common_cost(endpoint, request, context))
 }
 
 /// Returns the cost that endpoints of all kinds have in common.
@@ -180,22 +152,19 @@
     let idle = endpoint.running.is_empty();
     let kv_fits = idle
         || endpoint.reserved_tokens() + work.prompt_tokens + work.output_tokens <= max_reserved;
-    let queued_prefill = endpoint.prefill_end.since(context.now);
+    let Forecast { place, last_event, saved, .. } =
+        forecast::at_engine(endpoint, work, context.speed, context.now);
     let limit = MAX_QUEUED_PREFILL[usize::from(request.priority).min(MAX_QUEUED_PREFILL.len() - 1)];
     if endpoint.running.len() + reserved >= slots
         || !kv_fits
-        || (queued_prefill > limit && !idle)
+        || (place > limit + saved && !idle)
         || !endpoint.accepts_requests(context.now)
         || !endpoint.has_cold_capacity(context.service, context.now)
         || !endpoint.is_within_limit(context.rate_share, context.now)
     {
         return Fit::Full;
     }
-    let (_, prefill) = estimate_prefill(endpoint, work, context.model_slowdown, context.now);
-    let run_cost = RUN_COST * endpoint.running.len() as u32;
-    let usage_cost = USAGE_COST.mul_f64(endpoint.usage(context.now));
-    let cost =
-        queued_prefill + prefill + run_cost + usage_cost + common_cost(endpoint, request, context);
+    let cost = last_event + common_cost(endpoint, request, context);
     if adapter_present {
         return Fit::Ready(cost);
     }
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -383,19 +383,13 @@
     }
 
     /// Records that a request was granted.
-    pub(super) fn record_grant(
-        &mut self,
-        key: GrantKey,
-        run: ActiveRun,
-        cache_capacity: u64,
-        now: Time,
-    ) {
+    pub(super) fn record_grant(&mut self, key: GrantKey, run: ActiveRun, now: Time) {
         while self.recent_grants.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW) {
             self.recent_grants.pop_front();
         }
         self.recent_grants.push_back(now);
         if let Some(work) = &run.request.work {
-            self.kv_cache.record_prefill(work, cache_capacity, now);
+            self.kv_cache.begin_prefill(work);
             if let Some(replica) = self.replicas.get_mut(&work.model) {
                 replica.last_used = now;
                 let state = work.adapter.as_ref().and_then(|a| replica.adapters.get_mut(a));
--- /dev/null
+++ b/src/kernel/grants/forecast.rs
@@ -0,0 +1,100 @@
+//! When a request would get a place at an endpoint, its first event and its last.
+//!
+//! The functions are pure. They use measured speeds, the runs at the endpoint and its pace.
+
+use std::time::Duration;
+
+use super::{Endpoint, ModelWork, pace::ModelSpeed};
+use crate::clock::Time;
+
+/// Prompt tokens that an engine prefills in a second, before its speed is known.
+const PREFILL_TOKENS_PER_S: f64 = 40_000.0;
+
+/// Time from the grant to the first event, without the prefill.
+pub(super) const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(25);
+
+/// Time by which each request at an engine delays a further one, which shares its batches.
+const RUN_DELAY: Duration = Duration::from_millis(2);
+
+/// Time that a plain endpoint with all slots in use takes longer than an idle one, as a fraction. It
+/// spreads requests over endpoints of equal speed.
+const CROWD_FRACTION: f64 = 0.5;
+
+/// Expected times of a request at an endpoint, counted from now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Forecast {
+    /// When the endpoint begins to work on the request.
+    pub place: Duration,
+    /// When the first event, or the response of a plain service, is due.
+    pub first_event: Duration,
+    /// When the last event is due.
+    pub last_event: Duration,
+    /// Prompt tokens that must be prefilled.
+    pub prefill_tokens: u64,
+    /// Time of the prefill alone.
+    pub prefill: Duration,
+    /// Prefill time that the prefix cache saves.
+    pub saved: Duration,
+}
+
+/// Returns the time to prefill `tokens` at an engine.
+pub(super) fn prefill_time(
+    endpoint: &Endpoint,
+    tokens: u64,
+    speed: ModelSpeed,
+    now: Time,
+) -> Duration {
+    let ratio = speed.prefill * endpoint.pace.start.ratio(now) * endpoint.pace.pace(now);
+    Duration::from_secs_f64(tokens as f64 / PREFILL_TOKENS_PER_S * ratio)
+}
+
+/// Returns the time from the first to the last event of a request at an engine.
+///
+/// Each chunk of prefill delays the next token of every request that runs there.
+pub(super) fn decode_time(
+    endpoint: &Endpoint,
+    output_tokens: u64,
+    speed: ModelSpeed,
+    now: Time,
+) -> Duration {
+    let ratio = endpoint.pace.decode.ratio(now) * endpoint.pace.pace(now);
+    let seconds = output_tokens as f64 * speed.token * ratio * (1.0 + endpoint.usage(now));
+    Duration::from_secs_f64(seconds)
+}
+
+/// Returns the expected times of a request at an engine that has a place for it.
+pub(super) fn at_engine(
+    endpoint: &Endpoint,
+    work: &ModelWork,
+    speed: ModelSpeed,
+    now: Time,
+) -> Forecast {
+    let cached = endpoint.kv_cache.cached_tokens(work).min(work.prompt_tokens);
+    let prefill_tokens = (work.prompt_tokens - cached).max(1);
+    let prefill = prefill_time(endpoint, prefill_tokens, speed, now);
+    let place = endpoint.prefill_end.since(now);
+    // Others' requests are not in the queued prefill; each takes about a turn of the batch.
+    let crowd = RUN_DELAY.mul_f64(endpoint.expected_requests(now));
+    let first_event = place + prefill + crowd + FIRST_EVENT_OVERHEAD;
+    Forecast {
+        place,
+        first_event,
+        last_event: first_event + decode_time(endpoint, work.output_tokens, speed, now),
+        prefill_tokens,
+        prefill,
+        saved: prefill_time(endpoint, cached, speed, now),
+    }
+}
+
+/// Returns the expected times of a request at an endpoint of a plain service, whose requests take
+/// `service_time` seconds on average.
+pub(super) fn at_plain(endpoint: &Endpoint, service_time: f64, now: Time) -> Forecast {
+    let slots = f64::from(endpoint.pace.slots(endpoint.info.slots));
+    let requests = endpoint.expected_requests(now);
+    let time = service_time * endpoint.pace.start.ratio(now) * endpoint.pace.pace(now);
+    let place = time * (requests + 1.0 - slots).max(0.0) / slots;
+    let run = time * (1.0 + CROWD_FRACTION * requests / slots);
+    let first_event = Duration::from_secs_f64(place + run);
+    let place = Duration::from_secs_f64(place);
+    Forecast { place, first_event, last_event: first_event, ..Forecast::default() }
+}
--- a/src/kernel/grants/run.rs
+++ b/src/kernel/grants/run.rs
@@ -1,8 +1,6 @@
 //! A granted request while it runs.
 
-use std::time::Duration;
-
-use super::GrantRequest;
+use super::{GrantRequest, forecast::Forecast};
 use crate::clock::Time;
 
 /// A granted request that runs at an endpoint.
@@ -12,10 +10,8 @@
     pub request: GrantRequest,
     /// When it was granted.
     pub granted_at: Time,
-    /// Tokens that the engine was expected to prefill.
-    pub prefill_tokens: u64,
-    /// Prefill time that was queued at the engine ahead of the request when it was granted.
-    pub queued_prefill: Duration,
+    /// Times that were expected when it was granted.
+    pub forecast: Forecast,
     /// Whether the first event of the response has arrived.
     pub started: bool,
     /// When the first event arrived; the time of the grant before that.
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod crashes;
+mod observations;
 mod origins;
 mod planning;
 mod rate_limits;
@@ -10,7 +11,9 @@
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
-pub use self::{admission::UnusedRate, planning::ModelBacklog, retries::RetryUsage};
+pub use self::{
+    admission::UnusedRate, observations::Observations, planning::ModelBacklog, retries::RetryUsage,
+};
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -26,7 +29,7 @@
     crash_causes::{CrashCauses, CrashCheck, possible_causes},
     index::Index,
     order_state::OrderIds,
-    pace::Speeds,
+    pace::{ModelSpeed, Speeds},
     queue::QueuedRequest,
 };
 use crate::{
@@ -98,6 +101,7 @@
     demand: Demand,
     /// Measured speeds of models and plain services.
     speeds: Speeds,
+    observations: Observations,
     /// Rate of the requests that arrive.
     request_rate: RequestRate,
     order_ids: OrderIds,
@@ -144,6 +148,7 @@
             limit_version: 0,
             demand: Demand::default(),
             speeds: Speeds::default(),
+            observations: Observations::default(),
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
@@ -334,8 +339,10 @@
         self.catalog.services.get(service)?.engine.as_ref()
     }
 
-    fn model_slowdown(&self, model: &str) -> f64 {
-        self.speeds.model(model).prefill
+    /// Returns the measured speed of the request's model.
+    fn model_speed(&self, request: &GrantRequest) -> ModelSpeed {
+        let model = request.work.as_ref().map(|work| &work.model);
+        model.map_or_else(ModelSpeed::default, |model| self.speeds.model(model))
     }
 
     /// Selects the endpoint with the lowest cost and starts the run or the load of the adapter
@@ -347,8 +354,7 @@
         let Some(service) = self.catalog.services.get(&request.service).cloned() else {
             return Selection::Unavailable;
         };
-        let model_slowdown =
-            request.work.as_ref().map_or(1.0, |work| self.model_slowdown(&work.model));
+        let speed = self.model_speed(request);
         let (may_order, fill_fraction) = (self.may_order(), self.fill_fraction());
         let rate_share = self.rate_share();
         let context = FitContext {
@@ -356,7 +362,7 @@
             may_order,
             fill_fraction,
             rate_share,
-            model_slowdown,
+            speed,
             service_time: self.speeds.service(&request.service),
             now,
         };
@@ -424,8 +430,6 @@
         id: &Arc<str>,
         now: Time,
     ) -> Selection {
-        let model_slowdown =
-            request.work.as_ref().map_or(1.0, |work| self.model_slowdown(&work.model));
         let Some(endpoint) = self.endpoints.get_mut(id) else { return Selection::Unavailable };
         // An adapter that was ordered a moment ago is not ready yet.
         if let Some(state) = request.work.as_ref().and_then(|work| endpoint.adapter_state(work))
@@ -439,7 +443,10 @@
             incarnation: endpoint.info.incarnation,
             version: endpoint.info.version.clone(),
         };
-        runs::start_run(endpoint, key, request, service, model_slowdown, now);
+        let forecast = runs::start_run(endpoint, key, request, service, &self.speeds, now);
+        if let Some(work) = &request.work {
+            self.observations.record_prompt(work.prompt_tokens, &forecast);
+        }
         self.count_request(id, now);
         self.endpoint_of.insert(key.clone(), id.clone());
         self.crash_causes.record_grant(&possible_causes(request), now);
--- a/src/kernel/grants/scheduler/admission.rs
+++ b/src/kernel/grants/scheduler/admission.rs
@@ -86,8 +86,9 @@
             refuse(Reason::OverRate, wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1))
         })?;
         if let Some(work) = request.work.as_ref().filter(|_| !request.is_retry) {
-            let prefill_seconds =
-                work.prompt_tokens as f64 / 40.0 / 1e3 * self.model_slowdown(&work.model) * 0.5;
+            let prefill_seconds = work.prompt_tokens as f64 / 40.0 / 1e3
+                * self.speeds.model(&work.model).prefill
+                * 0.5;
             let engine_time = Duration::from_secs_f64(prefill_seconds)
                 + OUTPUT_TOKEN_WORK * work.output_tokens as u32;
             self.demand.record(&work.model, engine_time, now);
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -7,14 +7,11 @@
     catalog::Service,
     clock::Time,
     kernel::grants::{
-        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, SightedLoad, choice,
-        pace::Speeds, run::ActiveRun,
+        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, SightedLoad, forecast,
+        forecast::Forecast, pace::Speeds, run::ActiveRun,
     },
 };
 
-/// Expected time from the grant to the first event, without the prefill.
-const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(25);
-
 /// Weight of one time to the first event in the learned speed of an endpoint.
 const START_WEIGHT: f64 = 0.1;
 
@@ -33,7 +30,7 @@
         let ActiveGrant { request, endpoint: id } = granted;
         let Some(service) = self.catalog.services.get(&request.service).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        start_run(endpoint, &key, &request, &service, 1.0, now);
+        start_run(endpoint, &key, &request, &service, &self.speeds, now);
         self.count_request(&id, now);
         self.endpoint_of.insert(key, id);
     }
@@ -42,7 +39,9 @@
     pub fn record_load(&mut self, key: &GrantKey, load: Option<SightedLoad>, now: Time) {
         let endpoint = self.endpoint_of.get(key).and_then(|id| self.endpoints.get_mut(id));
         let (Some(endpoint), Some(load)) = (endpoint, load) else { return };
-        endpoint.record_load(&load, now);
+        if endpoint.record_load(&load, now) {
+            self.observations.record_load(&load.report);
+        }
     }
 
     /// Records that the first event of a response has arrived.
@@ -56,18 +55,17 @@
         let request = run.request.clone();
         let work = request.work.clone();
         run.started_at = now;
-        let (granted, queued_prefill, prefill_tokens, pace) =
-            (run.granted_at, run.queued_prefill, run.prefill_tokens, run.pace);
+        let (granted, forecast, pace) = (run.granted_at, run.forecast, run.pace);
         endpoint.record_reachable();
         if let Some(work) = work {
             endpoint.confirm_adapter(&work, granted);
+            endpoint.kv_cache.finish_prefill(&work);
             let speed = self.speeds.model_mut(&work.model);
-            let pace = (pace + endpoint.pace.pace(now)) / 2.0;
-            let own_prefill = Duration::from_secs_f64(
-                prefill_tokens as f64 / 4e4 * speed.prefill * endpoint.pace.start.ratio(now) * pace,
-            );
+            // The pace may have changed since the grant; half of its change has taken effect.
+            let pace_change = (1.0 + endpoint.pace.pace(now) / pace) / 2.0;
             let measured = now.since(granted).as_secs_f64();
-            let expected = (queued_prefill + own_prefill + FIRST_EVENT_OVERHEAD).as_secs_f64();
+            let expected = forecast.first_event.as_secs_f64() * pace_change;
+            self.observations.record_first_event(measured / forecast.first_event.as_secs_f64());
             let ratio = (measured / expected).clamp(0.25, 4.0);
             speed.prefill = (speed.prefill * ratio.powf(0.06)).clamp(0.2, 3.0);
             endpoint.pace.start.record(measured, expected, START_WEIGHT, now);
@@ -117,11 +115,21 @@
         let endpoint = self.endpoints.get_mut(&id)?;
         let run = endpoint.running.remove(key)?;
         let data_centre = run.request.data_centre.clone();
+        if let Some(work) = &run.request.work {
+            match outcome {
+                _ if run.started => {}
+                Outcome::Whole => endpoint.kv_cache.finish_prefill(work),
+                _ => endpoint.kv_cache.drop_prefill(work),
+            }
+            endpoint.kv_cache.end_run(work);
+        }
         match outcome {
             Outcome::Whole => {
                 endpoint.record_reachable();
                 endpoint.failures.record(&data_centre, false, now);
                 record_end(endpoint, &run, &mut self.speeds, now);
+                let measured = now.since(run.granted_at).as_secs_f64();
+                self.observations.record_end(measured / run.forecast.last_event.as_secs_f64());
             }
             Outcome::Failed | Outcome::Silent | Outcome::Broke => {
                 endpoint.failures.record(&data_centre, true, now);
@@ -156,35 +164,37 @@
     }
 }
 
-/// Records at an endpoint that a request was granted, with its expected prefill.
+/// Records at an endpoint that a request was granted, and returns the times that are expected.
 pub(super) fn start_run(
     endpoint: &mut Endpoint,
     key: &GrantKey,
     request: &GrantRequest,
     service: &Service,
-    model_slowdown: f64,
+    speeds: &Speeds,
     now: Time,
-) {
-    let (mut prefill_tokens, mut cache_capacity) = (0, 0);
-    let queued_prefill = endpoint.prefill_end.since(now);
-    if let (Some(work), Some(spec)) = (&request.work, &service.engine) {
-        let (tokens, prefill) = choice::estimate_prefill(endpoint, work, model_slowdown, now);
-        prefill_tokens = tokens;
-        endpoint.add_prefill(prefill, now);
-        cache_capacity = spec.kv_tokens.saturating_sub(endpoint.reserved_tokens());
+) -> Forecast {
+    let forecast = match &request.work {
+        Some(work) => forecast::at_engine(endpoint, work, speeds.model(&work.model), now),
+        None => forecast::at_plain(endpoint, speeds.service(&request.service), now),
+    };
+    if request.work.is_some() && service.engine.is_some() {
+        endpoint.add_prefill(forecast.prefill, now);
     }
     let run = ActiveRun {
         request: request.clone(),
         granted_at: now,
-        prefill_tokens,
-        queued_prefill,
+        forecast,
         started: false,
         started_at: now,
         pace: endpoint.pace.pace(now),
         load: (endpoint.expected_requests(now) + 1.0)
             / f64::from(endpoint.pace.slots(endpoint.info.slots)),
     };
-    endpoint.record_grant(key.clone(), run, cache_capacity, now);
+    endpoint.record_grant(key.clone(), run, now);
+    if let Some(spec) = &service.engine {
+        endpoint.kv_cache.limit(spec.kv_tokens);
+    }
+    forecast
 }
 
 /// Learns from a complete run how fast the endpoint decodes, or serves a plain service.
@@ -217,8 +227,9 @@
 /// Limits the expected queued prefill of an endpoint to that of the runs without a first event.
 fn correct_prefill(endpoint: &mut Endpoint, speeds: &Speeds, now: Time) {
     let not_started = endpoint.running.values().filter(|run| !run.started);
-    let not_started = not_started
-        .filter_map(|run| run.request.work.as_ref().map(|work| (work, run.prefill_tokens)));
+    let not_started = not_started.filter_map(|run| {
+        run.request.work.as_ref().map(|work| (work, run.forecast.prefill_tokens))
+    });
     let seconds: f64 = not_started
         .map(|(work, prefill_tokens)| {
             prefill_tokens as f64 / 4e4 * speeds.model(&work.model).prefill
