--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -20,10 +20,12 @@
 mod pace;
 mod placement;
 mod queue;
+mod queues;
 mod rate;
 mod request;
 mod request_limit;
 mod run;
+mod running;
 mod scheduler;
 mod sizes;
 
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -23,6 +23,9 @@
 /// Cost of a cold endpoint, as prefill time.
 const COLD_COST: Duration = Duration::from_millis(40);
 
+/// Interval at which an endpoint is looked at again that is full of requests of others.
+const OTHERS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Fraction of an engine's KV cache that requests may reserve.
 const MAX_RESERVED_FRACTION: f64 = 0.95;
 
@@ -49,7 +52,12 @@
     /// The request may be sent once its adapter is loaded, at this cost.
     NeedsAdapter(Duration),
     /// The endpoint serves requests like this one but is full.
-    Full,
+    Full {
+        /// When it takes requests again by time alone; `None` if only a further event makes room.
+        until: Option<Time>,
+        /// Whether it is full for every request of this priority or a less urgent one.
+        for_all: bool,
+    },
     /// The endpoint cannot serve the request.
     Unsuitable,
 }
@@ -104,13 +112,14 @@
     // Requests that wait at a brittle endpoint may be refused, which makes it fail.
     let excess = if endpoint.is_brittle() { 0.0 } else { EXCESS_SLOT_FRACTION };
     let limit = (slots * (1.0 + excess) * context.fill_fraction).ceil().max(1.0);
-    let full = requests >= limit;
-    if full
-        || !endpoint.accepts_requests(context.now)
-        || !endpoint.has_cold_capacity(context.service, context.now)
-        || !endpoint.is_within_limit(context.rate_share, context.now)
-    {
-        return Fit::Full;
+    let at_capacity = requests >= limit;
+    let closed_until = endpoint.closed_until(context.service, context.rate_share, context.now);
+    if at_capacity || closed_until.is_some() {
+        // Requests of others fade with time, which no event tells.
+        let only_others = (endpoint.running.len() as f64) < limit;
+        let fades_at = (at_capacity && only_others).then(|| context.now + OTHERS_CHECK_INTERVAL);
+        let until = closed_until.max(fades_at).filter(|_| !at_capacity || only_others);
+        return Fit::Full { until, for_all: true };
     }
     let forecast = forecast::at_plain(endpoint, context.service_time, context.now);
     Fit::Ready(forecast.last_event + common_cost(endpoint, request, context))
@@ -138,8 +147,9 @@
         return Fit::Unsuitable;
     }
     let adapter = endpoint.adapter_state(work);
+    let lacks_adapter = Fit::Full { until: None, for_all: false };
     if adapter.is_some_and(|state| !state.is_usable()) {
-        return Fit::Full;
+        return lacks_adapter;
     }
     let adapter_present = work.adapter.is_none() || adapter.is_some();
     if !adapter_present && !context.may_order {
@@ -155,14 +165,14 @@
     let Forecast { place, last_event, saved, .. } =
         forecast::at_engine(endpoint, work, context.speed, context.now);
     let limit = MAX_QUEUED_PREFILL[usize::from(request.priority).min(MAX_QUEUED_PREFILL.len() - 1)];
-    if endpoint.running.len() + reserved >= slots
-        || !kv_fits
-        || (place > limit + saved && !idle)
-        || !endpoint.accepts_requests(context.now)
-        || !endpoint.has_cold_capacity(context.service, context.now)
-        || !endpoint.is_within_limit(context.rate_share, context.now)
-    {
-        return Fit::Full;
+    let at_capacity = endpoint.running.len() + reserved >= slots;
+    let limit = limit + saved;
+    let prefills_until = (place > limit && !idle).then(|| endpoint.prefill_end - limit);
+    let closed_until = endpoint.closed_until(context.service, context.rate_share, context.now);
+    let shut_until = prefills_until.max(closed_until);
+    if at_capacity || !kv_fits || shut_until.is_some() {
+        let until = shut_until.filter(|_| !at_capacity && kv_fits);
+        return Fit::Full { until, for_all: at_capacity || shut_until.is_some() };
     }
     let cost = last_event + common_cost(endpoint, request, context);
     if adapter_present {
@@ -171,6 +181,6 @@
     if endpoint.has_adapter_room(spec) {
         Fit::NeedsAdapter(cost + ADAPTER_LOAD_COST)
     } else {
-        Fit::Full
+        lacks_adapter
     }
 }
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -48,13 +48,9 @@
     pub fn record_first_event(&mut self, key: &GrantKey, now: Time) {
         let Some(id) = self.endpoint_of.get(key).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        let Some(run) = endpoint.running.get_mut(key) else { return };
-        if std::mem::replace(&mut run.started, true) {
-            return;
-        }
+        let Some(run) = endpoint.running.record_first_event(key, now) else { return };
         let request = run.request.clone();
         let work = request.work.clone();
-        run.started_at = now;
         let (granted, forecast, pace) = (run.granted_at, run.forecast, run.pace);
         endpoint.record_reachable();
         if let Some(work) = work {
@@ -73,6 +69,7 @@
         correct_prefill(endpoint, &self.speeds, now);
         self.record_origin(&id, &request, now);
         self.record_response(&id, granted);
+        self.wake_endpoint(&id);
     }
 
     /// Records after how many refusals in a second the endpoint that runs a request fails; `None` if its
@@ -93,8 +90,7 @@
 
     /// Removes a queued request and refunds its tokens.
     pub fn cancel_waiting(&mut self, key: &GrantKey) {
-        if let Some(position) = self.queue.iter().position(|queued| queued.key == *key) {
-            let queued = self.queue.swap_remove(position);
+        if let Some(queued) = self.queue.remove(key) {
             self.refund(&queued.request);
         }
     }
@@ -154,11 +150,13 @@
 
     /// Removes the queued and the granted requests of an instance that has left.
     pub fn remove_instance(&mut self, instance: &str, now: Time) -> Vec<Action> {
-        self.queue.retain(|queued| &*queued.key.instance != instance);
+        self.queue.remove_instance(instance);
         let keys: Vec<GrantKey> =
             self.endpoint_of.keys().filter(|key| &*key.instance == instance).cloned().collect();
         for key in keys {
-            self.end_run(&key, Outcome::Left, now);
+            if let Some(endpoint) = self.end_run(&key, Outcome::Left, now) {
+                self.wake_endpoint(&endpoint);
+            }
         }
         self.tick(now)
     }
@@ -226,16 +224,9 @@
 
 /// Limits the expected queued prefill of an endpoint to that of the runs without a first event.
 fn correct_prefill(endpoint: &mut Endpoint, speeds: &Speeds, now: Time) {
-    let not_started = endpoint.running.values().filter(|run| !run.started);
-    let not_started = not_started.filter_map(|run| {
-        run.request.work.as_ref().map(|work| (work, run.forecast.prefill_tokens))
-    });
-    let seconds: f64 = not_started
-        .map(|(work, prefill_tokens)| {
-            prefill_tokens as f64 / 4e4 * speeds.model(&work.model).prefill
-        })
+    let queued = endpoint.running.queued_tokens();
+    let remaining: Duration = queued
+        .map(|(model, tokens)| forecast::prefill_time(endpoint, tokens, speeds.model(model), now))
         .sum();
-    let remaining =
-        Duration::from_secs_f64(seconds * endpoint.pace.start.ratio(now) * endpoint.pace.pace(now));
     endpoint.prefill_end = endpoint.prefill_end.min(now + remaining);
 }
