Decide from the forecast whether a request waits, and order the queue by need

Cause: a request was let into the queue as if each replica took one every 60 ms, whatever its prompt took, and was refused after 0.6 of its time. Late requests of an urgent kind waited behind less urgent ones, and one team could crowd out the others.

Change: Decision (send, wait until, refuse with a time) comes from the work that waits before a request, what the endpoints can take and the latest start. What cannot end in time is refused on arrival; Retry-After gives refused callers one place after the other within the third of their time for which they wait. The order is: priority, teams within their fair share, what can be in time, returning callers, due time, size. A prompt that is too large for its target at an idle engine is not late for that.

--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -14,6 +14,7 @@
 mod forecast;
 mod holdings;
 mod index;
+mod order;
 mod order_state;
 mod orders;
 mod origins;
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -36,13 +36,13 @@
 /// slots.
 const EXCESS_SLOT_FRACTION: f64 = 1.0;
 
-/// Prefill time that may be queued at an engine ahead of a request, by its priority.
+/// Prefill that is queued at an engine ahead of a request when the request is sent there: a wake-up of the
+/// scheduler, a grant, and the request's way, so that the engine is never idle meanwhile.
 ///
-/// Urgent requests may queue at the engine. Other requests wait in the scheduler, so that urgent
-/// ones find a short queue at the engine. A request may queue longer by the time that the engine's
-/// prefix cache saves.
-const MAX_QUEUED_PREFILL: [Duration; 3] =
-    [Duration::from_millis(400), Duration::from_millis(250), Duration::from_millis(120)];
+/// Other requests wait in the scheduler, where they can be ordered. A request may queue longer by the
+/// time that the engine's prefix cache saves. What is less urgent is not counted, since the engine
+/// prefills urgent prompts first.
+const QUEUE_LEAD: Duration = Duration::from_millis(150);
 
 /// How an endpoint fits a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -163,11 +163,11 @@
     let kv_fits = idle
         || endpoint.reserved_tokens() + work.prompt_tokens + work.output_tokens <= max_reserved;
     let Forecast { place, last_event, saved, .. } =
-        forecast::at_engine(endpoint, work, context.speed, context.now);
-    let limit = MAX_QUEUED_PREFILL[usize::from(request.priority).min(MAX_QUEUED_PREFILL.len() - 1)];
+        forecast::at_engine(endpoint, work, request.priority, context.speed, context.now);
     let at_capacity = endpoint.running.len() + reserved >= slots;
-    let limit = limit + saved;
-    let prefills_until = (place > limit && !idle).then(|| endpoint.prefill_end - limit);
+    let limit = QUEUE_LEAD + saved;
+    let prefills_until =
+        (place > limit && !idle).then(|| context.now + place.saturating_sub(limit));
     let closed_until = endpoint.closed_until(context.service, context.rate_share, context.now);
     let shut_until = prefills_until.max(closed_until);
     if at_capacity || !kv_fits || shut_until.is_some() {
--- a/src/kernel/grants/forecast.rs
+++ b/src/kernel/grants/forecast.rs
@@ -2,9 +2,9 @@
 //!
 //! The functions are pure. They use measured speeds, the runs at the endpoint and its pace.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use super::{Endpoint, ModelWork, pace::ModelSpeed};
+use super::{Endpoint, ModelWork, pace::ModelSpeed, run::ActiveRun};
 use crate::clock::Time;
 
 /// Prompt tokens that an engine prefills in a second, before its speed is known.
@@ -66,13 +66,16 @@
 pub(super) fn at_engine(
     endpoint: &Endpoint,
     work: &ModelWork,
+    priority: u8,
     speed: ModelSpeed,
     now: Time,
 ) -> Forecast {
     let cached = endpoint.kv_cache.cached_tokens(work).min(work.prompt_tokens);
     let prefill_tokens = (work.prompt_tokens - cached).max(1);
     let prefill = prefill_time(endpoint, prefill_tokens, speed, now);
-    let place = endpoint.prefill_end.since(now);
+    // The engine prefills urgent prompts first.
+    let queued = endpoint.prefill_end.since(now);
+    let place = queued.mul_f64(endpoint.running.queued_fraction(priority));
     // Others' requests are not in the queued prefill; each takes about a turn of the batch.
     let crowd = RUN_DELAY.mul_f64(endpoint.expected_requests(now));
     let first_event = place + prefill + crowd + FIRST_EVENT_OVERHEAD;
@@ -98,3 +101,103 @@
     let place = Duration::from_secs_f64(place);
     Forecast { place, first_event, last_event: first_event, ..Forecast::default() }
 }
+
+/// Returns the time until a run is expected to end; zero for one that should have ended.
+pub(super) fn remaining_time(
+    endpoint: &Endpoint,
+    run: &ActiveRun,
+    speed: ModelSpeed,
+    service_time: f64,
+    now: Time,
+) -> Duration {
+    let total = match &run.request.work {
+        Some(work) if run.started => decode_time(endpoint, work.output_tokens, speed, now),
+        Some(work) => {
+            let prefill = prefill_time(endpoint, run.forecast.prefill_tokens, speed, now);
+            run.forecast.place + prefill + decode_time(endpoint, work.output_tokens, speed, now)
+        }
+        None => {
+            let ratio = endpoint.pace.start.ratio(now) * endpoint.pace.pace(now);
+            Duration::from_secs_f64(service_time * ratio * run.load.max(1.0))
+        }
+    };
+    total.saturating_sub(now.since(run.started_at))
+}
+
+/// Part of the expected time of a response that a refusal counts. Responses are often shorter than their
+/// bound, and a request that can end in time must not be refused.
+const COUNTED_DECODE_FRACTION: f64 = 0.5;
+
+/// Returns the time from the start of a request to its first event and to its end at an endpoint of
+/// average speed, without a wait.
+pub(super) fn run_time(
+    work: Option<&ModelWork>,
+    speed: ModelSpeed,
+    service_time: f64,
+) -> (Duration, Duration) {
+    let Some(work) = work else {
+        let time = Duration::from_secs_f64(service_time);
+        return (time, time);
+    };
+    let prefill = work.prompt_tokens as f64 / PREFILL_TOKENS_PER_S * speed.prefill * speed.uncached;
+    let decode = work.output_tokens as f64 * speed.token * COUNTED_DECODE_FRACTION;
+    let first_event = FIRST_EVENT_OVERHEAD + Duration::from_secs_f64(prefill);
+    (first_event, first_event + Duration::from_secs_f64(decode))
+}
+
+/// What endpoints can take of the requests that wait for the same model or plain service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Supply {
+    /// Time until the first place comes free.
+    pub place: Duration,
+    /// Seconds of prefill a second, at the average speed.
+    pub prefill: f64,
+    /// Requests a second.
+    pub requests: f64,
+}
+
+/// Requests that wait before another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Ahead {
+    /// Number of requests.
+    pub count: usize,
+    /// Tokens of their prompts.
+    pub prompt_tokens: u64,
+}
+
+impl Supply {
+    /// Returns the time until a request has a place that waits behind others.
+    pub fn wait(&self, ahead: Ahead, speed: ModelSpeed) -> Duration {
+        let prefill =
+            ahead.prompt_tokens as f64 / PREFILL_TOKENS_PER_S * speed.prefill * speed.uncached;
+        let by_prefill = if prefill > 0.0 { prefill / self.prefill } else { 0.0 };
+        let by_count = if ahead.count > 0 { ahead.count as f64 / self.requests } else { 0.0 };
+        let behind = Duration::try_from_secs_f64(by_prefill.max(by_count));
+        self.place.saturating_add(behind.unwrap_or(Duration::MAX))
+    }
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Decision {
+    /// Send it to this endpoint.
+    Send(Arc<str>),
+    /// Let it wait; it is expected to have a place at this time.
+    Wait(Time),
+    /// Refuse it; a place comes free for a retry after this time.
+    Refuse(Duration),
+}
+
+/// Decides about a request that gets a place after `wait` and must start until `start_by`. `retry` is the
+/// time after which its caller may return if it is refused.
+pub(super) fn decide(
+    wait: Duration,
+    start_by: Time,
+    now: Time,
+    retry: impl FnOnce() -> Duration,
+) -> Decision {
+    match now + wait {
+        place if place <= start_by => Decision::Wait(place),
+        _ => Decision::Refuse(retry()),
+    }
+}
--- a/src/kernel/grants/pace.rs
+++ b/src/kernel/grants/pace.rs
@@ -43,9 +43,6 @@
 /// Service time of a plain service before one was measured, in seconds.
 const INITIAL_SERVICE_TIME: f64 = 0.06;
 
-/// Time for an output token before one was measured, in seconds.
-const INITIAL_TOKEN_TIME: f64 = 0.01;
-
 /// Weight of one measured time in the average of its service or model.
 const AVERAGE_WEIGHT: f64 = 0.02;
 
@@ -251,13 +248,15 @@
 pub(super) struct ModelSpeed {
     /// Ratio of the measured time to the first event to the expected one.
     pub prefill: f64,
-    /// Seconds for a token of the expected output.
+    /// Seconds for a token of the expected output; zero until one was measured.
     pub token: f64,
+    /// Part of the prompt tokens that were not expected to be cached.
+    pub uncached: f64,
 }
 
 impl Default for ModelSpeed {
     fn default() -> Self {
-        Self { prefill: 1.0, token: INITIAL_TOKEN_TIME }
+        Self { prefill: 1.0, token: 0.0, uncached: 1.0 }
     }
 }
 
@@ -286,7 +285,14 @@
     /// Records the seconds for a token of a model, relative to its endpoint's speed.
     pub fn record_token(&mut self, model: &Arc<str>, seconds: f64) {
         let token = &mut self.model_mut(model).token;
-        *token += AVERAGE_WEIGHT * (seconds - *token);
+        let weight = if *token > 0.0 { AVERAGE_WEIGHT } else { 1.0 };
+        *token += weight * (seconds - *token);
+    }
+
+    /// Records the part of a prompt that is not expected to be cached.
+    pub fn record_uncached(&mut self, model: &Arc<str>, part: f64) {
+        let uncached = &mut self.model_mut(model).uncached;
+        *uncached += AVERAGE_WEIGHT * (part - *uncached);
     }
 }
 
--- a/src/kernel/grants/queues.rs
+++ b/src/kernel/grants/queues.rs
@@ -14,7 +14,8 @@
 
 use super::{
     GrantKey, GrantRequest,
-    queue::{GroupKey, KindQueue, QueuedRequest, Rank, RequestKind},
+    forecast::Ahead,
+    queue::{Backlog, GroupKey, KindQueue, QueuedRequest, Rank, RequestKind},
 };
 use crate::clock::Time;
 
@@ -52,8 +53,8 @@
 struct Group {
     /// First request of each queue.
     heads: BTreeMap<Rank, KindId>,
-    /// Number of requests of each priority; never zero.
-    counts: BTreeMap<u8, usize>,
+    /// Numbers of requests by class.
+    backlog: Backlog,
     /// What must be evaluated; `None` if nothing has changed since it was last done.
     wake: Option<Wake>,
     /// When the group is woken next by time alone.
@@ -135,9 +136,8 @@
             }
         };
         let queue = self.queues.get_mut(&id).expect("each kind has a queue");
-        *queue.counts.entry(rank.priority).or_default() += 1;
         let group = self.groups.entry(group).or_default();
-        *group.counts.entry(rank.priority).or_default() += 1;
+        group.backlog.add(&rank);
         change_order(queue, group, id, |order| {
             order.insert(rank);
         });
@@ -152,8 +152,7 @@
         change_order(queue, group, id, |order| {
             order.remove(&rank);
         });
-        subtract(&mut queue.counts, rank.priority);
-        subtract(&mut group.counts, rank.priority);
+        group.backlog.subtract(&rank);
         let is_group_empty = group.heads.is_empty();
         if queue.order.is_empty() {
             self.kinds.remove(&queue.kind);
@@ -217,22 +216,25 @@
     }
 
     /// Returns the first request of the same kind as `request` in the order of the ranks.
-    pub fn first_of_kind(&mut self, request: &GrantRequest, now: Time) -> Option<&QueuedRequest> {
+    pub fn first_of_kind(&mut self, request: &GrantRequest, now: Time) -> Option<Rank> {
         let id = *self.kinds.get(&RequestKind::of(request))?;
         loop {
             let rank = *self.queues.get(&id)?.order.first()?;
             if !rank.is_outdated(now) {
-                return self.get(rank);
+                return Some(rank);
             }
             self.mark_late(id, rank);
         }
     }
 
-    /// Returns how many requests of the same kind wait that are at least as urgent as `request`.
-    pub fn count_ahead(&self, request: &GrantRequest) -> usize {
-        let id = self.kinds.get(&RequestKind::of(request));
-        let queue = id.and_then(|id| self.queues.get(id));
-        queue.map_or(0, |queue| queue.counts.range(..=request.priority).map(|(_, n)| n).sum())
+    /// Returns what waits before a request in its group.
+    pub fn ahead_of(&self, key: &GroupKey, rank: &Rank) -> Ahead {
+        self.groups.get(key).map_or_else(Ahead::default, |group| group.backlog.ahead_of(rank.class))
+    }
+
+    /// Returns the number of requests that wait in a group.
+    pub fn group_len(&self, key: &GroupKey) -> usize {
+        self.groups.get(key).map_or(0, |group| group.backlog.len())
     }
 
     /// Returns the number of requests that wait for each model.
@@ -240,7 +242,7 @@
         let mut waiting: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         for (key, group) in &self.groups {
             let Some(model) = &key.model else { continue };
-            *waiting.entry(model.clone()).or_default() += group.counts.values().sum::<usize>();
+            *waiting.entry(model.clone()).or_default() += group.backlog.len();
         }
         let trials = self.trials.iter().filter_map(|number| self.requests.get(number));
         let trials = trials.filter(|waiting| matches!(waiting.place, Place::Trial));
@@ -262,9 +264,11 @@
 
     /// Moves a request behind those of its kind that are not late.
     fn mark_late(&mut self, id: KindId, rank: Rank) {
-        let late = Rank { late: true, ..rank };
+        let late = rank.late();
         let queue = self.queues.get_mut(&id).expect("the queue of a request");
         let group = self.groups.get_mut(&queue.kind.group()).expect("the group of a queue");
+        group.backlog.subtract(&rank);
+        group.backlog.add(&late);
         change_order(queue, group, id, |order| {
             order.remove(&rank);
             order.insert(late);
@@ -416,21 +420,22 @@
 
     /// Returns whether the group of a head has a request that is more urgent than it.
     pub fn has_more_urgent(&self, round: &Round, head: Head) -> bool {
-        self.is_any_before(&round.groups[head.group], head.rank.priority)
+        self.is_any_before(&round.groups[head.group], head.rank.class.priority)
     }
 
     /// Ends the evaluation of the groups of a round in which no request is more urgent than `head`,
     /// since the endpoint that they have in common takes none that is as urgent or less.
     pub fn skip_less_urgent(&self, round: &mut Round, head: Head) {
         let Round { groups, heads } = round;
-        heads.retain(|Reverse((_, index))| self.is_any_before(&groups[*index], head.rank.priority));
+        heads.retain(|Reverse((_, index))| {
+            self.is_any_before(&groups[*index], head.rank.class.priority)
+        });
     }
 
     /// Returns whether a group has a request that is more urgent than `priority`.
     fn is_any_before(&self, key: &GroupKey, priority: u8) -> bool {
         let group = self.groups.get(key);
-        let first = group.and_then(|group| group.counts.keys().next());
-        first.is_some_and(|first| *first < priority)
+        group.is_some_and(|group| group.backlog.has_more_urgent(priority))
     }
 
     /// Leaves the rest of a round that was cut short to the next evaluation.
@@ -470,13 +475,3 @@
         }
     }
 }
-
-/// Subtracts one from the number of requests of a priority.
-fn subtract(counts: &mut BTreeMap<u8, usize>, priority: u8) {
-    if let Some(count) = counts.get_mut(&priority) {
-        *count -= 1;
-        if *count == 0 {
-            counts.remove(&priority);
-        }
-    }
-}
--- a/src/kernel/grants/running.rs
+++ b/src/kernel/grants/running.rs
@@ -3,11 +3,19 @@
 //! An evaluation must not walk over all runs: an engine has tens of them, and is evaluated for each
 //! request that it may serve.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use super::{GrantKey, ModelWork, run::ActiveRun};
 use crate::clock::Time;
 
+/// Priorities that are told apart in the sums.
+const PRIORITIES: usize = 4;
+
+/// Returns the position of a run's priority in the sums.
+fn priority(run: &ActiveRun) -> usize {
+    usize::from(run.request.priority).min(PRIORITIES - 1)
+}
+
 /// Sums over the runs of one model.
 #[derive(Clone, Debug, Default)]
 struct ModelRuns {
@@ -25,6 +33,9 @@
     runs: HashMap<GrantKey, ActiveRun>,
     /// Prompt and response tokens of all runs.
     reserved_tokens: u64,
+    /// Tokens to prefill of the runs without a first event, by priority. The last stands for all that
+    /// are less urgent.
+    queued: [u64; PRIORITIES],
     /// Sums of each model that has runs.
     models: HashMap<Arc<str>, ModelRuns>,
 }
@@ -65,6 +76,19 @@
         self.models.iter().map(|(model, runs)| (model, runs.queued_tokens))
     }
 
+    /// Returns the part of the queued prefill that an engine does before that of a new request, since it
+    /// is as urgent or more.
+    pub fn queued_fraction(&self, priority: u8) -> f64 {
+        let all: u64 = self.queued.iter().sum();
+        let before: u64 = self.queued.iter().take(usize::from(priority) + 1).sum();
+        if all == 0 { 1.0 } else { before as f64 / all as f64 }
+    }
+
+    /// Returns the expected ends of the runs, as `end` gives them.
+    pub fn first_end(&self, end: impl Fn(&ActiveRun) -> Duration) -> Duration {
+        self.runs.values().map(end).min().unwrap_or_default()
+    }
+
     /// Adds a run, which replaces an earlier one with the same key.
     pub fn insert(&mut self, key: GrantKey, run: ActiveRun) {
         self.remove(&key);
@@ -77,6 +101,7 @@
             }
             if !run.started {
                 model.queued_tokens += run.forecast.prefill_tokens;
+                self.queued[priority(&run)] += run.forecast.prefill_tokens;
             }
         }
         self.runs.insert(key, run);
@@ -87,6 +112,9 @@
         let run = self.runs.remove(key)?;
         if let Some(work) = &run.request.work {
             self.reserved_tokens -= work.prompt_tokens + work.output_tokens;
+            if !run.started {
+                self.queued[priority(&run)] -= run.forecast.prefill_tokens;
+            }
             self.remove_work(work, if run.started { 0 } else { run.forecast.prefill_tokens });
         }
         Some(run)
@@ -119,6 +147,7 @@
             && let Some(model) = self.models.get_mut(&work.model)
         {
             model.queued_tokens -= run.forecast.prefill_tokens;
+            self.queued[priority(run)] -= run.forecast.prefill_tokens;
         }
         Some(run)
     }
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -9,6 +9,7 @@
 mod retries;
 mod runs;
 mod selection;
+mod supply;
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
@@ -27,6 +28,7 @@
     Holdings, Order, OrderResult, RetryBudget, RetryLimits, StreamOrigins, TokenBucket,
     crash_causes::CrashCauses,
     index::Index,
+    order::{FairShares, Refused},
     order_state::OrderIds,
     pace::{ModelSpeed, Speeds},
     queues::Queues,
@@ -103,6 +105,9 @@
     /// Measured speeds of models and plain services.
     speeds: Speeds,
     observations: Observations,
+    supplies: supply::Supplies,
+    shares: FairShares,
+    refused: Refused,
     /// Rate of the requests that arrive.
     request_rate: RequestRate,
     order_ids: OrderIds,
@@ -137,6 +142,9 @@
             demand: Demand::default(),
             speeds: Speeds::default(),
             observations: Observations::default(),
+            supplies: supply::Supplies::default(),
+            shares: FairShares::default(),
+            refused: Refused::default(),
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -172,7 +172,9 @@
     now: Time,
 ) -> Forecast {
     let forecast = match &request.work {
-        Some(work) => forecast::at_engine(endpoint, work, speeds.model(&work.model), now),
+        Some(work) => {
+            forecast::at_engine(endpoint, work, request.priority, speeds.model(&work.model), now)
+        }
         None => forecast::at_plain(endpoint, speeds.service(&request.service), now),
     };
     if request.work.is_some() && service.engine.is_some() {
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -6,9 +6,11 @@
 use crate::{
     clock::Time,
     kernel::grants::{
-        Action, Endpoint, Grant, GrantKey, GrantRequest, ModelWork, Refusal, VersionNeed, choice,
+        Action, Endpoint, Grant, GrantKey, GrantRequest, ModelWork, Reason, Refusal, VersionNeed,
+        choice,
         choice::{Fit, FitContext},
         crash_causes::{CrashCheck, possible_causes},
+        forecast::Decision,
         queue::QueuedRequest,
     },
 };
@@ -59,24 +61,30 @@
         now: Time,
         actions: &mut Vec<Action>,
     ) {
-        let first = self.queue.first_of_kind(&request, now);
+        let standing = self.standing(&request, now);
+        let mut queued = QueuedRequest { key, request, standing, adapter_load: None };
+        let rank = queued.rank(u64::MAX, now);
+        let first = self.queue.first_of_kind(&queued.request, now);
         let is_ahead = first.is_some_and(|first| {
-            first.adapter_load.is_none()
-                && first.request.priority <= request.priority
-                && first.request.due > now
+            let loads = self.queue.get(first).is_some_and(|first| first.adapter_load.is_some());
+            first < rank && !loads
         });
         // The queue has a time to be evaluated already if a request of the kind waits.
         let selection = match is_ahead {
             true => Selection::Full { until: None, for_all: false },
-            false => self.select_endpoint(&request, now),
+            false => self.select_endpoint(&queued.request, now),
         };
-        let mut queued = QueuedRequest { key, request, since: now, adapter_load: None };
         let refusal = match &selection {
-            Selection::Ready(endpoint) => {
-                if let Some(grant) = self.begin_run(&queued.key, &queued.request, endpoint, now) {
-                    actions.push(Action::Grant(queued.key, grant));
+            Selection::Ready(_) | Selection::Full { .. } => {
+                match self.decide(&queued, &selection, &rank, now) {
+                    Decision::Send(endpoint) => {
+                        let grant = self.begin_run(&queued.key, &queued.request, &endpoint, now);
+                        actions.extend(grant.map(|grant| Action::Grant(queued.key, grant)));
+                        return;
+                    }
+                    Decision::Wait(_) => None,
+                    Decision::Refuse(retry) => Some(Refusal { reason: Reason::NoRoom, retry }),
                 }
-                return;
             }
             Selection::NeedsAdapter { endpoint, .. } => {
                 self.want_adapter(endpoint, &queued.request);
@@ -85,23 +93,20 @@
                 None
             }
             Selection::AwaitsTrial => None,
-            Selection::Full { .. } => {
-                self.refuse_long_wait(&queued, self.expected_wait(&queued.request, now))
-            }
             Selection::Unavailable { .. } => self.refuse_unavailable(&queued, now),
         };
         match refusal {
             None => self.enqueue(queued, &selection, now),
-            Some(refusal) => self.refuse(queued, refusal, actions),
+            Some(refusal) => self.refuse(queued, refusal, now, actions),
         }
     }
 
     /// Returns a refusal unless an endpoint is expected to have what the request needs in time.
-    fn refuse_unavailable(&self, queued: &QueuedRequest, now: Time) -> Option<Refusal> {
+    fn refuse_unavailable(&mut self, queued: &QueuedRequest, now: Time) -> Option<Refusal> {
         let missing = self.refuse_missing_version(&queued.request);
         missing.or_else(|| match self.loaded_at(&queued.request) {
-            Some(ready) => self.refuse_long_wait(queued, ready.since(now)),
-            None => self.refuse_unloadable(queued),
+            Some(ready) => self.refuse_late(queued, ready.since(now), now),
+            None => self.refuse_unloadable(queued, now),
         })
     }
 
@@ -139,9 +144,11 @@
         &mut self,
         queued: QueuedRequest,
         refusal: Refusal,
+        now: Time,
         actions: &mut Vec<Action>,
     ) {
         self.refund(&queued.request);
+        self.refused.record(&queued.request, now);
         actions.push(Action::Refuse(queued.key, refusal));
     }
 
@@ -268,6 +275,8 @@
         let forecast = runs::start_run(endpoint, key, request, &service, &self.speeds, now);
         if let Some(work) = &request.work {
             self.observations.record_prompt(work.prompt_tokens, &forecast);
+            let part = forecast.prefill_tokens as f64 / work.prompt_tokens.max(1) as f64;
+            self.speeds.record_uncached(&work.model, part.min(1.0));
         }
         self.count_request(id, now);
         self.endpoint_of.insert(key.clone(), id.clone());
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -19,12 +19,6 @@
 /// Expected time until a new leader can send orders to engines.
 const LEADER_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Expected rate at which an endpoint without a limit takes queued requests, a second.
-const MAX_GRANT_RATE: f64 = 1.0 / 0.06;
-
-/// Fraction of the time until its deadline for which a request may be expected to wait.
-const MAX_EXPECTED_WAIT_FRACTION: f64 = 0.5;
-
 /// Queued requests that one tick may find blocked. It bounds the tick after a change that concerns many
 /// queues; the next tick goes on with the others.
 const MAX_BLOCKED_PER_TICK: usize = 128;
@@ -54,50 +48,11 @@
 }
 
 impl Scheduler {
-    /// Returns how long a request is expected to wait behind others of its kind.
-    pub(super) fn expected_wait(&self, request: &GrantRequest, now: Time) -> Duration {
-        let ahead = self.queue.count_ahead(request);
-        let candidates = self.index.candidates(request).iter();
-        let candidates: Vec<&Endpoint> =
-            candidates.filter_map(|id| self.endpoints.get(id)).collect();
-        let rate = match candidates.is_empty() {
-            true => MAX_GRANT_RATE,
-            false => candidates.iter().map(|endpoint| self.grant_rate(endpoint)).sum(),
-        };
-        let behind_others = Duration::try_from_secs_f64(ahead as f64 / rate);
-        let limit_waits = candidates.iter().map(|endpoint| self.limit_wait(endpoint, now));
-        let limit_wait = limit_waits.min().unwrap_or_default();
-        behind_others.unwrap_or(Duration::MAX).saturating_add(limit_wait)
-    }
-
-    /// Returns the time until an endpoint that names a limit takes the next request.
-    fn limit_wait(&self, endpoint: &Endpoint, now: Time) -> Duration {
-        endpoint.rate_limit.map_or(Duration::ZERO, |limit| limit.wait(self.rate_share(), now))
-    }
-
-    /// Returns the expected rate at which an endpoint takes queued requests, a second.
-    fn grant_rate(&self, endpoint: &Endpoint) -> f64 {
-        let limit = endpoint.rate_limit.map(|limit| limit.usable_rate(self.rate_share()));
-        limit.unwrap_or(MAX_GRANT_RATE).min(MAX_GRANT_RATE)
-    }
-
-    /// Returns a refusal if the request would wait too long.
-    pub(super) fn refuse_long_wait(
-        &self,
-        queued: &QueuedRequest,
-        wait: Duration,
-    ) -> Option<Refusal> {
-        let time_left = queued.request.deadline.since(queued.since);
-        let retry = wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
-        (wait > time_left.mul_f64(MAX_EXPECTED_WAIT_FRACTION))
-            .then_some(Refusal { reason: Reason::NoRoom, retry })
-    }
-
     /// Returns a refusal unless the model of the request can be loaded in time.
-    pub(super) fn refuse_unloadable(&self, queued: &QueuedRequest) -> Option<Refusal> {
+    pub(super) fn refuse_unloadable(&self, queued: &QueuedRequest, now: Time) -> Option<Refusal> {
         let request = &queued.request;
         if self.endpoints.is_empty() {
-            return self.refuse_long_wait(queued, STARTUP_WAIT);
+            return self.refuse_late(queued, STARTUP_WAIT, now);
         }
         let usable = |e: &&Endpoint| e.info.service == request.service && !e.is_leaving();
         if !self.endpoints.values().any(|e| usable(&e)) {
@@ -110,7 +65,7 @@
         let refusal = Refusal { reason: Reason::NoModel, retry };
         let leader_wait = if self.may_order() { Duration::ZERO } else { LEADER_WAIT };
         match load_time {
-            Some(time) => self.refuse_long_wait(queued, time + leader_wait).map(|_| refusal),
+            Some(time) => self.refuse_late(queued, time + leader_wait, now).map(|_| refusal),
             None => Some(refusal),
         }
     }
@@ -150,7 +105,7 @@
         self.queue.defer(round);
         while let Some(queued) = self.queue.pop_expired(now) {
             let refusal = Refusal { reason: Reason::NoRoom, retry: RETRY_AFTER_RANGE.0 * 4 };
-            self.refuse(queued, refusal, actions);
+            self.refuse(queued, refusal, now, actions);
         }
     }
 
@@ -209,7 +164,7 @@
         let Some(queued) = self.queue.get(rank) else { return HeadStep::Served };
         let request = &queued.request;
         if self.check_crashes(request, now) == CrashCheck::Refuse {
-            return self.refuse_head(rank, Refusal::CRASHES, actions);
+            return self.refuse_head(rank, Refusal::CRASHES, now, actions);
         }
         let selection = self.select_endpoint(request, now);
         match &selection {
@@ -227,7 +182,7 @@
             Selection::Unavailable { .. }
                 if let Some(refusal) = self.refuse_missing_version(request) =>
             {
-                return self.refuse_head(rank, refusal, actions);
+                return self.refuse_head(rank, refusal, now, actions);
             }
             _ => {}
         }
@@ -252,9 +207,15 @@
     }
 
     /// Refuses the request with a rank.
-    fn refuse_head(&mut self, rank: Rank, refusal: Refusal, actions: &mut Vec<Action>) -> HeadStep {
+    fn refuse_head(
+        &mut self,
+        rank: Rank,
+        refusal: Refusal,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) -> HeadStep {
         if let Some(queued) = self.queue.take(rank) {
-            self.refuse(queued, refusal, actions);
+            self.refuse(queued, refusal, now, actions);
         }
         HeadStep::Served
     }
