--- a/src/kernel/grants/forecast.rs
+++ b/src/kernel/grants/forecast.rs
@@ -8,10 +8,7 @@
 use crate::clock::Time;
 
 /// Prompt tokens that an engine prefills in a second, before its speed is known.
-const PREFILL_TOKENS_PER_S: f64 = 40_000.0;
-
-/// Time from the grant to the first event, without the prefill.
-pub(super) const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(25);
+pub(super) const PREFILL_TOKENS_PER_S: f64 = 40_000.0;
 
 /// Time by which each request at an engine delays a further one, which shares its batches.
 const RUN_DELAY: Duration = Duration::from_millis(2);
@@ -48,6 +45,19 @@
     Duration::from_secs_f64(tokens as f64 / PREFILL_TOKENS_PER_S * ratio)
 }
 
+/// Returns the least time that the queued prefill still takes.
+///
+/// An engine that is slower than expected still has all prompts without a first event before it, except
+/// for what it has done of the first one.
+fn late_prefill(endpoint: &Endpoint, speed: ModelSpeed, now: Time) -> Duration {
+    let (tokens, prompts) = endpoint.running.queued_prompts();
+    if prompts < 2 {
+        return Duration::ZERO;
+    }
+    let left = (prompts - 1) as f64 / prompts as f64;
+    prefill_time(endpoint, tokens, speed, now).mul_f64(left)
+}
+
 /// Returns the time from the first to the last event of a request at an engine.
 ///
 /// Each chunk of prefill delays the next token of every request that runs there.
@@ -74,11 +84,11 @@
     let prefill_tokens = (work.prompt_tokens - cached).max(1);
     let prefill = prefill_time(endpoint, prefill_tokens, speed, now);
     // The engine prefills urgent prompts first.
-    let queued = endpoint.prefill_end.since(now);
+    let queued = endpoint.prefill_end.since(now).max(late_prefill(endpoint, speed, now));
     let place = queued.mul_f64(endpoint.running.queued_fraction(priority));
     // Others' requests are not in the queued prefill; each takes about a turn of the batch.
     let crowd = RUN_DELAY.mul_f64(endpoint.expected_requests(now));
-    let first_event = place + prefill + crowd + FIRST_EVENT_OVERHEAD;
+    let first_event = place + prefill + crowd + Duration::from_secs_f64(speed.overhead);
     Forecast {
         place,
         first_event,
@@ -141,7 +151,7 @@
     };
     let prefill = work.prompt_tokens as f64 / PREFILL_TOKENS_PER_S * speed.prefill * speed.uncached;
     let decode = work.output_tokens as f64 * speed.token * COUNTED_DECODE_FRACTION;
-    let first_event = FIRST_EVENT_OVERHEAD + Duration::from_secs_f64(prefill);
+    let first_event = Duration::from_secs_f64(speed.overhead + prefill);
     (first_event, first_event + Duration::from_secs_f64(decode))
 }
 
--- a/src/kernel/grants/pace.rs
+++ b/src/kernel/grants/pace.rs
@@ -33,9 +33,9 @@
 /// Time constant with which a measured speed is forgotten, so that a slow endpoint is tried again.
 const SPEED_TIME_CONSTANT: Duration = Duration::from_secs(20);
 
-/// Bounds of the ratio of one measured time to the expected one. A single run may be delayed by
-/// causes that say nothing about the endpoint.
-const SAMPLE_RANGE: (f64, f64) = (0.25, 4.0);
+/// Seconds that count as measured with the usual speed, beside the measured ones. They keep single runs
+/// from deciding.
+const USUAL_TIME: f64 = 0.2;
 
 /// Bounds of a learned ratio of measured to expected times.
 const RATIO_RANGE: (f64, f64) = (0.4, 8.0);
@@ -43,6 +43,18 @@
 /// Service time of a plain service before one was measured, in seconds.
 const INITIAL_SERVICE_TIME: f64 = 0.06;
 
+/// Seconds from the grant to the first event beside the prefill, before they were measured.
+const INITIAL_OVERHEAD: f64 = 0.025;
+
+/// Upper bound of these seconds. What takes longer is a queue that was not expected.
+const MAX_OVERHEAD: f64 = 0.2;
+
+/// Seconds of expected prefill up to which the time to the first event shows the rest.
+const SHORT_PREFILL: f64 = 0.03;
+
+/// Seconds of prefill from which on older ones count less in the speed of a model.
+const MODEL_MEMORY: f64 = 30.0;
+
 /// Weight of one measured time in the average of its service or model.
 const AVERAGE_WEIGHT: f64 = 0.02;
 
@@ -105,28 +117,39 @@
 }
 
 /// Learned ratio of measured to expected times, which fades to one.
+///
+/// It is the ratio of sums, so that long times count more, and that times which the endpoint divides
+/// differently between its requests still add up.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Speed {
-    /// Logarithm of the ratio.
-    log_ratio: f64,
+    /// Sums of the measured and the expected seconds, as of `updated_at`.
+    measured: f64,
+    expected: f64,
     updated_at: Time,
 }
 
 impl Speed {
+    /// Returns how much of the sums is left.
+    fn left(&self, now: Time) -> f64 {
+        (-now.since(self.updated_at).as_secs_f64() / SPEED_TIME_CONSTANT.as_secs_f64()).exp()
+    }
+
     /// Returns the ratio.
     pub fn ratio(&self, now: Time) -> f64 {
-        let age = now.since(self.updated_at).as_secs_f64();
-        (self.log_ratio * (-age / SPEED_TIME_CONSTANT.as_secs_f64()).exp()).exp()
+        let left = self.left(now);
+        let ratio = (self.measured * left + USUAL_TIME) / (self.expected * left + USUAL_TIME);
+        ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1)
     }
 
-    /// Records a time that was expected with the present ratio.
-    pub fn record(&mut self, measured: f64, expected: f64, weight: f64, now: Time) {
-        if measured <= 0.0 || expected <= 0.0 {
+    /// Records a time and what was expected of a usual endpoint, in seconds.
+    pub fn record(&mut self, measured: f64, expected: f64, now: Time) {
+        if expected <= 0.0 {
             return;
         }
-        let sample = (measured / expected).clamp(SAMPLE_RANGE.0, SAMPLE_RANGE.1);
-        let ratio = self.ratio(now) * sample.powf(weight);
-        self.log_ratio = ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1).ln();
+        let left = self.left(now);
+        let measured = measured.clamp(0.0, expected * RATIO_RANGE.1);
+        self.measured = self.measured * left + measured;
+        self.expected = self.expected * left + expected;
         self.updated_at = now;
     }
 }
@@ -193,6 +216,8 @@
     pub start: Speed,
     /// Ratio of the measured to the expected time for an output token.
     pub decode: Speed,
+    /// When the last first event arrived. The engine has prefilled the next prompt since then.
+    pub last_first_event: Time,
 }
 
 impl EndpointPace {
@@ -252,11 +277,23 @@
     pub token: f64,
     /// Part of the prompt tokens that were not expected to be cached.
     pub uncached: f64,
+    /// Seconds from the grant to the first event beside the prefill.
+    pub overhead: f64,
+    /// Sums of the measured and the expected seconds of prefill.
+    measured: f64,
+    expected: f64,
 }
 
 impl Default for ModelSpeed {
     fn default() -> Self {
-        Self { prefill: 1.0, token: 0.0, uncached: 1.0 }
+        Self {
+            prefill: 1.0,
+            token: 0.0,
+            uncached: 1.0,
+            overhead: INITIAL_OVERHEAD,
+            measured: 0.0,
+            expected: 0.0,
+        }
     }
 }
 
@@ -266,8 +303,30 @@
         self.models.get(model).copied().unwrap_or_default()
     }
 
+    /// Records the seconds that a prefill took, relative to its engine's speed, and those that were
+    /// expected of a model of the usual speed.
+    pub fn record_prefill(&mut self, model: &Arc<str>, measured: f64, expected: f64) {
+        let speed = self.model_mut(model);
+        let left = (1.0 - expected / MODEL_MEMORY).max(0.0);
+        let measured = measured.clamp(0.0, expected * RATIO_RANGE.1);
+        speed.measured = speed.measured * left + measured;
+        speed.expected = speed.expected * left + expected;
+        let ratio = (speed.measured + USUAL_TIME) / (speed.expected + USUAL_TIME);
+        speed.prefill = ratio.clamp(RATIO_RANGE.0, RATIO_RANGE.1);
+    }
+
+    /// Records the seconds from a grant to the first event, of which `prefill` were expected for the
+    /// prompts. A short prefill shows how long the rest takes.
+    pub fn record_overhead(&mut self, model: &Arc<str>, measured: f64, prefill: f64) {
+        if prefill < SHORT_PREFILL {
+            let speed = self.model_mut(model);
+            let rest = (measured - prefill).clamp(0.0, MAX_OVERHEAD);
+            speed.overhead += AVERAGE_WEIGHT * (rest - speed.overhead);
+        }
+    }
+
     /// Returns the speed of a model, to change it.
-    pub fn model_mut(&mut self, model: &Arc<str>) -> &mut ModelSpeed {
+    fn model_mut(&mut self, model: &Arc<str>) -> &mut ModelSpeed {
         self.models.entry(model.clone()).or_default()
     }
 
--- a/src/kernel/grants/running.rs
+++ b/src/kernel/grants/running.rs
@@ -36,6 +36,8 @@
     /// Tokens to prefill of the runs without a first event, by priority. The last stands for all that
     /// are less urgent.
     queued: [u64; PRIORITIES],
+    /// Number of runs of engines without a first event.
+    queued_prompts: usize,
     /// Sums of each model that has runs.
     models: HashMap<Arc<str>, ModelRuns>,
 }
@@ -76,6 +78,11 @@
         self.models.iter().map(|(model, runs)| (model, runs.queued_tokens))
     }
 
+    /// Returns the tokens to prefill and the number of the runs without a first event.
+    pub fn queued_prompts(&self) -> (u64, usize) {
+        (self.queued.iter().sum(), self.queued_prompts)
+    }
+
     /// Returns the part of the queued prefill that an engine does before that of a new request, since it
     /// is as urgent or more.
     pub fn queued_fraction(&self, priority: u8) -> f64 {
@@ -102,6 +109,7 @@
             if !run.started {
                 model.queued_tokens += run.forecast.prefill_tokens;
                 self.queued[priority(&run)] += run.forecast.prefill_tokens;
+                self.queued_prompts += 1;
             }
         }
         self.runs.insert(key, run);
@@ -114,6 +122,7 @@
             self.reserved_tokens -= work.prompt_tokens + work.output_tokens;
             if !run.started {
                 self.queued[priority(&run)] -= run.forecast.prefill_tokens;
+                self.queued_prompts -= 1;
             }
             self.remove_work(work, if run.started { 0 } else { run.forecast.prefill_tokens });
         }
@@ -148,6 +157,7 @@
         {
             model.queued_tokens -= run.forecast.prefill_tokens;
             self.queued[priority(run)] -= run.forecast.prefill_tokens;
+            self.queued_prompts -= 1;
         }
         Some(run)
     }
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -12,12 +12,6 @@
     },
 };
 
-/// Weight of one time to the first event in the learned speed of an endpoint.
-const START_WEIGHT: f64 = 0.1;
-
-/// Weight of the time of one run in the learned speed of an endpoint. Runs differ in length.
-const END_WEIGHT: f64 = 0.05;
-
 /// Backoff after an endpoint rejected a request because it was full.
 const FULL_BACKOFF: Duration = Duration::from_millis(60);
 
@@ -56,15 +50,22 @@
         if let Some(work) = work {
             endpoint.confirm_adapter(&work, granted);
             endpoint.kv_cache.finish_prefill(&work);
-            let speed = self.speeds.model_mut(&work.model);
-            // The pace may have changed since the grant; half of its change has taken effect.
-            let pace_change = (1.0 + endpoint.pace.pace(now) / pace) / 2.0;
-            let measured = now.since(granted).as_secs_f64();
-            let expected = forecast.first_event.as_secs_f64() * pace_change;
-            self.observations.record_first_event(measured / forecast.first_event.as_secs_f64());
-            let ratio = (measured / expected).clamp(0.25, 4.0);
-            speed.prefill = (speed.prefill * ratio.powf(0.06)).clamp(0.2, 3.0);
-            endpoint.pace.start.record(measured, expected, START_WEIGHT, now);
+            let whole = now.since(granted).as_secs_f64();
+            self.observations.record_first_event(whole / forecast.first_event.as_secs_f64());
+            let expected = (forecast.place + forecast.prefill).as_secs_f64();
+            self.speeds.record_overhead(&work.model, whole, expected);
+            // An engine prefills one prompt after the other, so this one took the time since the last
+            // first event, or since its arrival. The pace may have changed since the grant.
+            let speed = self.speeds.model(&work.model);
+            let arrived = granted + Duration::from_secs_f64(speed.overhead);
+            let begun = arrived.max(endpoint.pace.last_first_event);
+            let pace = (pace + endpoint.pace.pace(now)) / 2.0;
+            let measured = now.since(begun).as_secs_f64() / pace;
+            let usual = forecast.prefill_tokens as f64 / forecast::PREFILL_TOKENS_PER_S;
+            let ratio = endpoint.pace.start.ratio(now);
+            endpoint.pace.start.record(measured, usual * speed.prefill, now);
+            self.speeds.record_prefill(&work.model, measured / ratio, usual);
+            endpoint.pace.last_first_event = now;
         }
         correct_prefill(endpoint, &self.speeds, now);
         self.record_origin(&id, &request, now);
@@ -206,19 +207,19 @@
     let measured = now.since(run.started_at).as_secs_f64() / pace;
     match &run.request.work {
         Some(work) if run.started && work.output_tokens > 1 => {
-            let measured = measured / work.output_tokens as f64;
+            // The expected time grows with the use of the engine in the same way.
+            let measured = measured / (1.0 + endpoint.usage(now));
+            let tokens = work.output_tokens as f64;
             let ratio = endpoint.pace.decode.ratio(now);
-            let expected = speeds.model(&work.model).token * ratio;
-            endpoint.pace.decode.record(measured, expected, END_WEIGHT, now);
-            speeds.record_token(&work.model, measured / ratio);
+            endpoint.pace.decode.record(measured, speeds.model(&work.model).token * tokens, now);
+            speeds.record_token(&work.model, measured / tokens / ratio);
         }
         Some(_) => {}
         None => {
             // Requests beyond the slots wait at the endpoint.
             let measured = measured / run.load.max(1.0);
             let ratio = endpoint.pace.start.ratio(now);
-            let expected = speeds.service(&run.request.service) * ratio;
-            endpoint.pace.start.record(measured, expected, END_WEIGHT, now);
+            endpoint.pace.start.record(measured, speeds.service(&run.request.service), now);
             speeds.record_service(&run.request.service, measured / ratio);
         }
     }
--- a/tests/kernel/grants/order.rs
+++ b/tests/kernel/grants/order.rs
@@ -212,7 +212,7 @@
 #[test]
 fn slow_engine_found_out_in_the_middle_of_its_runs() {
     let mut play = play(&[("e1", &["m0"])]);
-    play.slowdown = 4;
+    play.slowdown = 400;
     for number in 0..100 {
         let request = request(&play, number, 4_000, "shop", 1);
         play.send(number, request);
--- a/tests/kernel/grants/play.rs
+++ b/tests/kernel/grants/play.rs
@@ -17,9 +17,15 @@
 /// Prompt tokens that an engine prefills in a millisecond.
 const PREFILL_TOKENS_PER_MS: u64 = 40;
 
+/// Time from a grant to the first event beside the prefill.
+const LATENCY: Duration = Duration::from_millis(10);
+
 /// Time from the first event of a response to its end.
 const DECODE_TIME: Duration = Duration::from_millis(50);
 
+/// Tokens of prompt parts that an engine keeps; its memory also holds running requests.
+const KEPT_TOKENS: u32 = 190_000;
+
 /// Interval of the scheduler's ticks.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -49,8 +55,12 @@
     events: BinaryHeap<Reverse<(Time, Event)>>,
     /// When each engine has prefilled all prompts that it has.
     prefilled_at: HashMap<Arc<str>, Time>,
-    /// Factor by which the engines are slower than usual.
+    /// Prompt parts that each engine has prefilled, with their tokens; the most recently used come last.
+    cached: HashMap<Arc<str>, Vec<(u64, u32)>>,
+    /// Time that work takes at all engines, in percent of the usual time.
     pub slowdown: u64,
+    /// Time that work takes at single engines beside that, in percent.
+    pub slow_engines: HashMap<Arc<str>, u64>,
 }
 
 impl Play {
@@ -62,7 +72,9 @@
             requests: HashMap::new(),
             events: BinaryHeap::new(),
             prefilled_at: HashMap::new(),
-            slowdown: 1,
+            cached: HashMap::new(),
+            slowdown: 100,
+            slow_engines: HashMap::new(),
         }
     }
 
@@ -109,13 +121,14 @@
         for action in actions {
             match action {
                 Action::Grant(key, grant) => {
-                    let work = self.requests[&key.number].1.work.as_ref();
-                    let tokens = work.map_or(0, |work| work.prompt_tokens);
+                    let tokens = self.tokens_to_prefill(key.number, &grant.endpoint);
+                    let slow = self.slow_engines.get(&grant.endpoint).copied().unwrap_or(100);
+                    let prefill = tokens * 1_000 / PREFILL_TOKENS_PER_MS * self.slowdown * slow;
                     let free_at = self.prefilled_at.entry(grant.endpoint).or_default();
-                    let prefill = tokens / PREFILL_TOKENS_PER_MS * self.slowdown;
-                    *free_at = (*free_at).max(self.now) + Duration::from_millis(prefill);
-                    let end = *free_at + DECODE_TIME;
-                    self.events.push(Reverse((*free_at, Event::FirstEvent(key.number))));
+                    *free_at = (*free_at).max(self.now) + Duration::from_micros(prefill / 10_000);
+                    let first_event = *free_at + LATENCY;
+                    let end = first_event + DECODE_TIME;
+                    self.events.push(Reverse((first_event, Event::FirstEvent(key.number))));
                     self.events.push(Reverse((end, Event::End(key.number))));
                 }
                 Action::Refuse(key, refusal) => {
@@ -126,6 +139,23 @@
         }
     }
 
+    /// Returns the prompt tokens of a request that an engine has not prefilled before, which it will.
+    fn tokens_to_prefill(&mut self, number: u64, engine: &Arc<str>) -> u64 {
+        let Some(work) = &self.requests[&number].1.work else { return 0 };
+        let kept = self.cached.entry(engine.clone()).or_default();
+        let parts = work.parts.iter();
+        let known = parts.take_while(|(id, _)| kept.iter().any(|(known, _)| known == id));
+        let cached: u64 = known.map(|(_, tokens)| u64::from(*tokens)).sum();
+        for part in &work.parts {
+            kept.retain(|(known, _)| *known != part.0);
+            kept.push(*part);
+        }
+        while kept.iter().map(|(_, tokens)| *tokens).sum::<u32>() > KEPT_TOKENS {
+            kept.remove(0);
+        }
+        work.prompt_tokens - cached
+    }
+
     /// Returns how many of the requests with these numbers were served.
     pub fn served(&self, is_counted: impl Fn(u64) -> bool) -> usize {
         let counted = self.fates.iter().filter(|(number, _)| is_counted(**number));
