--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -74,6 +74,17 @@
     }
 }
 
+/// What the response to an ended request has shown of its endpoint.
+#[derive(Clone, Debug, Default)]
+struct EndSigns {
+    /// Refusals in a second after which the endpoint fails, if the response names such a number.
+    max_refusals: Option<u32>,
+    /// Longest pause between two events of a whole stream.
+    longest_pause: Option<Duration>,
+    /// Load that the response states, unless the leader was told of it.
+    load: Option<LoadFrame>,
+}
+
 /// A grant in use. A permit that is dropped without [`Permit::end`] ends its request with
 /// [`Outcome::Left`], as if the caller had left.
 pub struct Permit {
@@ -85,6 +96,8 @@
     max_refusals: OnceLock<u32>,
     /// Load that the response states and when it arrived, until the leader is told.
     load: Mutex<Option<(LoadFigures, Time)>>,
+    /// Longest pause between two events of a whole stream.
+    longest_pause: OnceLock<Duration>,
 }
 
 impl Permit {
@@ -96,9 +109,12 @@
         let own_load = load.as_ref().and_then(|load| load.to_load(now));
         gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number, load }));
         let key = gateway.grant_key(self.number);
-        let mut scheduler = gateway.scheduler.lock();
-        scheduler.record_load(&key, own_load, now);
-        scheduler.record_first_event(&key, now);
+        {
+            let mut scheduler = gateway.scheduler.lock();
+            scheduler.record_load(&key, own_load, now);
+            scheduler.record_first_event(&key, now);
+        }
+        gateway.record_demand_begun(&key);
     }
 
     /// Records after how many refusals in a second the endpoint fails.
@@ -106,6 +122,11 @@
         let _ = self.max_refusals.set(max_refusals);
     }
 
+    /// Records the longest pause between two events of a whole stream.
+    pub fn record_pause(&self, longest: Duration) {
+        let _ = self.longest_pause.set(longest);
+    }
+
     /// Records the load that the response states, if it states one.
     pub fn record_load(&self, figures: Option<LoadFigures>) {
         *self.load.lock() = figures.map(|figures| (figures, Time::now()));
@@ -119,18 +140,22 @@
 
     /// Ends the request with `outcome`, which releases the grant.
     pub fn end(self, outcome: Outcome) {
-        self.end_with(outcome);
+        self.report_end(outcome);
     }
 
-    fn end_with(&self, outcome: Outcome) {
-        let (max_refusals, load) = (self.max_refusals.get().copied(), self.take_load(Time::now()));
-        self.gateway.end_request(self.number, outcome, max_refusals, load);
+    fn report_end(&self, outcome: Outcome) {
+        let signs = EndSigns {
+            max_refusals: self.max_refusals.get().copied(),
+            longest_pause: self.longest_pause.get().copied(),
+            load: self.take_load(Time::now()),
+        };
+        self.gateway.end_request(self.number, outcome, signs);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.end_with(Outcome::Left);
+        self.report_end(Outcome::Left);
     }
 }
 
@@ -144,7 +169,7 @@
 impl Drop for WithdrawGuard<'_> {
     fn drop(&mut self) {
         if let Some(number) = self.number {
-            self.gateway.end_request(number, Outcome::Left, None, None);
+            self.gateway.end_request(number, Outcome::Left, EndSigns::default());
         }
     }
 }
@@ -167,8 +192,14 @@
     match result {
         Ok(Ok(grant)) => {
             gateway.scheduler.lock().record_own_grant(service, is_retry, Time::now());
-            let (max_refusals, load) = (OnceLock::new(), Mutex::default());
-            Ok(Permit { gateway, number, grant, max_refusals, load })
+            Ok(Permit {
+                gateway,
+                number,
+                grant,
+                max_refusals: OnceLock::new(),
+                longest_pause: OnceLock::new(),
+                load: Mutex::default(),
+            })
         }
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => {
@@ -191,6 +222,7 @@
         if self.uplink.send(Content::GrantRequest(GrantRequestFrame::new(number, &request, now))) {
             return;
         }
+        self.record_demand(&self.grant_key(number), &request);
         let actions = {
             let mut scheduler = self.scheduler.lock();
             scheduler.set_mode(self.scheduler_mode(), now);
@@ -202,6 +234,11 @@
     /// Carries out the actions that a scheduler has decided.
     pub(super) fn apply_actions(self: &Arc<Self>, actions: Vec<Action>) {
         for action in actions {
+            match &action {
+                Action::Grant(key, _) => self.record_demand_granted(key),
+                Action::Refuse(key, _) => self.record_demand_ended(key, None),
+                Action::Order { .. } | Action::Report { .. } => {}
+            }
             match action {
                 Action::Grant(key, grant) if self.is_self(&key.instance) => {
                     self.resolve(key.number, Ok(grant));
@@ -273,23 +310,24 @@
 
     /// Ends a request in this instance's scheduler and at the leader; does nothing if it has ended
     /// already.
-    fn end_request(
-        self: &Arc<Self>,
-        number: u64,
-        outcome: Outcome,
-        max_refusals: Option<u32>,
-        load: Option<LoadFrame>,
-    ) {
+    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome, signs: EndSigns) {
         if self.requests.table.lock().remove(&number).is_none() {
             return;
         }
+        let EndSigns { max_refusals, longest_pause, load } = signs;
+        let longest_pause_ms = longest_pause.map(|pause| pause.as_millis() as u32);
         let (key, now) = (self.grant_key(number), Time::now());
         let own_load = load.as_ref().and_then(|load| load.to_load(now));
-        let frame = EndFrame { max_refusals, load, ..EndFrame::new(number, outcome) };
+        let frame =
+            EndFrame { max_refusals, longest_pause_ms, load, ..EndFrame::new(number, outcome) };
         self.uplink.send(Content::Ended(frame));
+        self.record_demand_ended(&key, Some(outcome));
         let actions = {
             let mut scheduler = self.scheduler.lock();
             scheduler.record_max_refusals(&key, max_refusals, outcome);
+            if let Some(pause) = longest_pause {
+                scheduler.record_pause(&key, pause);
+            }
             scheduler.record_load(&key, own_load, now);
             scheduler.handle_outcome(&key, outcome, now)
         };
@@ -320,6 +358,7 @@
         };
         for (number, request) in waiting {
             self.scheduler.lock().cancel_waiting(&self.grant_key(number));
+            self.record_demand_ended(&self.grant_key(number), None);
             self.submit(number, request);
         }
     }
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -19,6 +19,7 @@
 mod orders;
 mod origins;
 mod pace;
+mod pauses;
 mod placement;
 mod queue;
 mod queues;
@@ -40,6 +41,7 @@
     order_state::{Order, OrderId, OrderIds, OrderResult, OrderStep},
     origins::{Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
     pace::{LoadFigures, LoadReport, OutOfRange, SightedLoad},
+    pauses::PauseControl,
     placement::{Demand, PlanInput, Swap, plan},
     rate::{RateShare, TokenBucket},
     request::{
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -39,11 +39,16 @@
 /// Prefill that is queued at an engine ahead of a request when the request is sent there: a wake-up of the
 /// scheduler, a grant, and the request's way, so that the engine is never idle meanwhile.
 ///
-/// Other requests wait in the scheduler, where they can be ordered. A request may queue longer by the
-/// time that the engine's prefix cache saves. What is less urgent is not counted, since the engine
-/// prefills urgent prompts first.
+/// Other requests wait in the scheduler, where they can be ordered. What is less urgent is not
+/// counted, since the engine prefills urgent prompts first.
 const QUEUE_LEAD: Duration = Duration::from_millis(150);
 
+/// The same for the most urgent requests. They may queue longer, since no later one goes before them.
+const URGENT_QUEUE_LEAD: Duration = Duration::from_millis(300);
+
+/// Longest time by which a request may queue longer at an engine whose prefix cache saves as much.
+const MAX_CACHE_LEAD: Duration = Duration::from_millis(500);
+
 /// How an endpoint fits a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Fit {
@@ -72,6 +77,9 @@
     pub fill_fraction: f64,
     /// Fraction of the rates that endpoints name which this scheduler may use.
     pub rate_share: f64,
+    /// Longest prefill without a break at engines with running streams; `None` if the route of the
+    /// request allows any pause, or if the request is one of the most urgent.
+    pub max_prefill: Option<Duration>,
     /// Measured speed of the request's model.
     pub speed: ModelSpeed,
     /// Seconds that a request of a plain service takes.
@@ -162,19 +170,28 @@
     let idle = endpoint.running.is_empty();
     let kv_fits = idle
         || endpoint.reserved_tokens() + work.prompt_tokens + work.output_tokens <= max_reserved;
-    let Forecast { place, last_event, saved, .. } =
+    let Forecast { place, prefill, last_event, saved, .. } =
         forecast::at_engine(endpoint, work, request.priority, context.speed, context.now);
     let at_capacity = endpoint.running.len() + reserved >= slots;
-    let limit = QUEUE_LEAD + saved;
+    // A second of prefill at a busy engine also delays those that come later.
+    let load = endpoint.usage(context.now).min(1.0);
+    let lead = if request.priority == 0 { URGENT_QUEUE_LEAD } else { QUEUE_LEAD };
+    let limit = lead + saved.mul_f64(1.0 + load).min(MAX_CACHE_LEAD);
     let prefills_until =
         (place > limit && !idle).then(|| context.now + place.saturating_sub(limit));
     let closed_until = endpoint.closed_until(context.service, context.rate_share, context.now);
     let shut_until = prefills_until.max(closed_until);
     if at_capacity || !kv_fits || shut_until.is_some() {
         let until = shut_until.filter(|_| !at_capacity && kv_fits);
-        return Fit::Full { until, for_all: at_capacity || shut_until.is_some() };
+        // Another request may queue longer if its prompt is cached.
+        let is_long = place > lead + MAX_CACHE_LEAD && !idle;
+        return Fit::Full { until, for_all: at_capacity || closed_until.is_some() || is_long };
+    }
+    let needs_break = |max| endpoint.needs_prefill_break(prefill, max, context.now);
+    if !idle && context.max_prefill.is_some_and(needs_break) {
+        return Fit::Full { until: Some(endpoint.prefill_break_end()), for_all: false };
     }
-    let cost = last_event + common_cost(endpoint, request, context);
+    let cost = last_event + prefill.mul_f64(load) + common_cost(endpoint, request, context);
     if adapter_present {
         return Fit::Ready(cost);
     }
--- a/src/kernel/grants/forecast.rs
+++ b/src/kernel/grants/forecast.rs
@@ -83,7 +83,7 @@
     let cached = endpoint.kv_cache.cached_tokens(work).min(work.prompt_tokens);
     let prefill_tokens = (work.prompt_tokens - cached).max(1);
     let prefill = prefill_time(endpoint, prefill_tokens, speed, now);
-    // The engine prefills urgent prompts first.
+    // The engine prefills urgent prompts first, but ends the one that it has begun.
     let queued = endpoint.prefill_end.since(now).max(late_prefill(endpoint, speed, now));
     let place = queued.mul_f64(endpoint.running.queued_fraction(priority));
     // Others' requests are not in the queued prefill; each takes about a turn of the batch.
--- a/src/kernel/grants/running.rs
+++ b/src/kernel/grants/running.rs
@@ -53,6 +53,11 @@
         self.runs.is_empty()
     }
 
+    /// Returns a run.
+    pub fn get(&self, key: &GrantKey) -> Option<&ActiveRun> {
+        self.runs.get(key)
+    }
+
     /// Returns whether a granted request runs.
     pub fn contains(&self, key: &GrantKey) -> bool {
         self.runs.contains_key(key)
@@ -84,11 +89,12 @@
     }
 
     /// Returns the part of the queued prefill that an engine does before that of a new request, since it
-    /// is as urgent or more.
+    /// is as urgent or more, or has begun.
     pub fn queued_fraction(&self, priority: u8) -> f64 {
         let all: u64 = self.queued.iter().sum();
         let before: u64 = self.queued.iter().take(usize::from(priority) + 1).sum();
-        if all == 0 { 1.0 } else { before as f64 / all as f64 }
+        let begun = 1.0 / self.queued_prompts.max(1) as f64;
+        if all == 0 { 1.0 } else { begun.max(before as f64 / all as f64) }
     }
 
     /// Returns the expected ends of the runs, as `end` gives them.
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -25,7 +25,8 @@
 
 use super::{
     Action, Command, Demand, Endpoint, EndpointEntry, EngineReport, GrantKey, GrantRequest,
-    Holdings, Order, OrderResult, RetryBudget, RetryLimits, StreamOrigins, TokenBucket,
+    Holdings, Order, OrderResult, PauseControl, RetryBudget, RetryLimits, StreamOrigins,
+    TokenBucket,
     crash_causes::CrashCauses,
     index::Index,
     order::{FairShares, Refused},
@@ -108,6 +109,8 @@
     supplies: supply::Supplies,
     shares: FairShares,
     refused: Refused,
+    /// Bound of the prefill without a break, by service.
+    pauses: HashMap<Arc<str>, PauseControl>,
     /// Rate of the requests that arrive.
     request_rate: RequestRate,
     order_ids: OrderIds,
@@ -145,6 +148,7 @@
             supplies: supply::Supplies::default(),
             shares: FairShares::default(),
             refused: Refused::default(),
+            pauses: HashMap::new(),
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -11,12 +11,12 @@
         choice::{Fit, FitContext},
         crash_causes::{CrashCheck, possible_causes},
         forecast::Decision,
-        queue::QueuedRequest,
+        queue::{QueuedRequest, RequestKind},
     },
 };
 
 /// Time for which a request waits for an engine to load its adapter.
-const ADAPTER_TIMEOUT: Duration = Duration::from_millis(400);
+pub(super) const ADAPTER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What is known of the endpoints that a request may use.
 #[derive(Clone, Debug)]
@@ -70,7 +70,7 @@
             first < rank && !loads
         });
         // The queue has a time to be evaluated already if a request of the kind waits.
-        let selection = match is_ahead {
+        let selection = match is_ahead || self.is_blocked(&queued.request, now) {
             true => Selection::Full { until: None, for_all: false },
             false => self.select_endpoint(&queued.request, now),
         };
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Returns whether an earlier evaluation has shown that the endpoints which could run the request
+    /// are full, so that it need not be evaluated itself.
+    fn is_blocked(&self, request: &GrantRequest, now: Time) -> bool {
+        let is_usual = request.tried.is_empty() && request.version == VersionNeed::Any;
+        let max_tokens = self.engine_spec(&request.service).map_or(u64::MAX, |spec| spec.kv_tokens);
+        let tokens =
+            request.work.as_ref().map_or(0, |work| work.prompt_tokens + work.output_tokens);
+        is_usual
+            && tokens <= max_tokens
+            && self.queue.is_blocked(request)
+            && self.check_crashes(request, now) == CrashCheck::Run
+    }
+
     /// Returns a refusal unless an endpoint is expected to have what the request needs in time.
     fn refuse_unavailable(&mut self, queued: &QueuedRequest, now: Time) -> Option<Refusal> {
         let missing = self.refuse_missing_version(&queued.request);
@@ -116,6 +129,10 @@
         let rank = self.queue.push(queued, now);
         match selection {
             Selection::AwaitsTrial => self.queue.park(rank),
+            Selection::Full { for_all: true, .. } => {
+                self.queue.block(rank);
+                self.set_wake_time(&request, selection, now);
+            }
             selection => self.set_wake_time(&request, selection, now),
         }
     }
@@ -166,6 +183,7 @@
             may_order: self.may_order(),
             fill_fraction: self.fill_fraction(),
             rate_share: self.rate_share(),
+            max_prefill: self.max_prefill(request),
             speed: self.model_speed(request),
             service_time: self.speeds.service(&request.service),
             now,
@@ -277,6 +295,10 @@
             self.observations.record_prompt(work.prompt_tokens, &forecast);
             let part = forecast.prefill_tokens as f64 / work.prompt_tokens.max(1) as f64;
             self.speeds.record_uncached(&work.model, part.min(1.0));
+            // Requests with the same prompt may queue longer at this engine from now on.
+            if !work.parts.is_empty() && !self.queue.is_empty() {
+                self.queue.wake(&RequestKind::of(request).group());
+            }
         }
         self.count_request(id, now);
         self.endpoint_of.insert(key.clone(), id.clone());
--- a/src/kernel/grants/scheduler/supply.rs
+++ b/src/kernel/grants/scheduler/supply.rs
@@ -167,8 +167,10 @@
             supply.place = supply.place.min(self.next_place(endpoint, request, slots, now));
         }
         match supply.place {
-            // No endpoint takes such requests now, for example since a version is being replaced.
-            Duration::MAX => Supply { place: Duration::ZERO, prefill: 1.0, requests: 1.0 },
+            // No endpoint takes such requests now, so nothing shows how many one will take.
+            Duration::MAX => {
+                Supply { place: Duration::ZERO, prefill: f64::INFINITY, requests: f64::INFINITY }
+            }
             _ => supply,
         }
     }
