--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -39,7 +39,7 @@
     failures::FailureRates,
     holdings::Holdings,
     order_state::{Order, OrderId, OrderIds, OrderResult, OrderStep},
-    origins::{Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
+    origins::{Decider, Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
     pace::{LoadFigures, LoadReport, OutOfRange, SightedLoad},
     pauses::PauseControl,
     placement::{Demand, PlanInput, Swap, plan},
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -11,7 +11,6 @@
     FailureRates, GrantKey, KvCache, RequestLimit, Swap,
     adapter::{AdapterPhase, AdapterState},
     pace::EndpointPace,
-    pauses::PREFILL_BREAK,
     run::ActiveRun,
     running::RunTable,
     scheduler::CrashState,
@@ -167,7 +166,7 @@
     /// When the queued prefill is expected to be done.
     pub(super) prefill_end: Time,
     /// When the engine last began to prefill after a break.
-    prefill_start: Time,
+    pub(super) prefill_start: Time,
     /// Decaying average of prefill work in seconds per second, and when it was updated.
     usage: (f64, Time),
     /// Reported load and pace, and measured speed.
@@ -429,28 +428,6 @@
         self.prefill_end = self.prefill_end.max(now) + work;
     }
 
-    /// Returns whether the engine has had no break of its prefill that lets running streams go on.
-    fn prefills_without_break(&self, now: Time) -> bool {
-        now < self.prefill_break_end()
-    }
-
-    /// Returns when the engine has had a break of its prefill, if it gets no further prompt.
-    pub(super) fn prefill_break_end(&self) -> Time {
-        self.prefill_end + PREFILL_BREAK
-    }
-
-    /// Returns whether the engine would prefill for longer than `max_prefill` without a break if it took
-    /// a prompt that takes `prefill`. The first prompt after a break is always taken.
-    pub(super) fn needs_prefill_break(
-        &self,
-        prefill: Duration,
-        max_prefill: Duration,
-        now: Time,
-    ) -> bool {
-        let end = self.prefill_end.max(now) + prefill;
-        self.prefills_without_break(now) && end.since(self.prefill_start) > max_prefill
-    }
-
     /// Records that the endpoint could not be reached.
     pub(super) fn record_unreachable(&mut self, now: Time) {
         self.unreachable = true;
