--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -15,13 +15,17 @@
 use super::{
     Gateway,
     messages::{
-        AdoptFrame, Content, EndFrame, GrantFrame, GrantRequestFrame, RefuseFrame, RequestRef,
+        AdoptFrame, Content, EndFrame, GrantFrame, GrantRequestFrame, LoadFrame, RefuseFrame,
+        RequestRef,
     },
     orders,
 };
 use crate::{
     clock::Time,
-    kernel::grants::{Action, ActiveGrant, Grant, GrantKey, GrantRequest, Outcome, Refusal},
+    kernel::grants::{
+        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Observations, Outcome,
+        Refusal,
+    },
 };
 
 /// Interval of the scheduler's ticks while some requests wait.
@@ -71,12 +75,14 @@
 }
 
 /// What the response to an ended request has shown of its endpoint.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct EndSigns {
     /// Refusals in a second after which the endpoint fails, if the response names such a number.
     max_refusals: Option<u32>,
     /// Longest pause between two events of a whole stream.
     longest_pause: Option<Duration>,
+    /// Load that the response states, unless the leader was told of it.
+    load: Option<LoadFrame>,
 }
 
 /// A grant in use. A permit that is dropped without [`Permit::end`] ends its request with
@@ -88,6 +94,8 @@
     pub grant: Grant,
     /// Refusals in a second after which the endpoint fails, if its response names such a number.
     max_refusals: OnceLock<u32>,
+    /// Load that the response states and when it arrived, until the leader is told.
+    load: Mutex<Option<(LoadFigures, Time)>>,
     /// Longest pause between two events of a whole stream.
     longest_pause: OnceLock<Duration>,
 }
@@ -96,10 +104,16 @@
     /// Records that the first event of the response has arrived, in this instance's scheduler and
     /// at the leader.
     pub fn record_first_event(&self) {
-        let gateway = &self.gateway;
-        gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number }));
+        let (gateway, now) = (&self.gateway, Time::now());
+        let load = self.take_load(now);
+        let own_load = load.as_ref().and_then(|load| load.to_load(now));
+        gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number, load }));
         let key = gateway.grant_key(self.number);
-        gateway.scheduler.lock().record_first_event(&key, Time::now());
+        {
+            let mut scheduler = gateway.scheduler.lock();
+            scheduler.record_load(&key, own_load, now);
+            scheduler.record_first_event(&key, now);
+        }
         gateway.record_demand_begun(&key);
     }
 
@@ -113,6 +127,17 @@
         let _ = self.longest_pause.set(longest);
     }
 
+    /// Records the load that the response states, if it states one.
+    pub fn record_load(&self, figures: Option<LoadFigures>) {
+        *self.load.lock() = figures.map(|figures| (figures, Time::now()));
+    }
+
+    /// Takes the load that the leader was not told of yet.
+    fn take_load(&self, now: Time) -> Option<LoadFrame> {
+        let (figures, seen_at) = self.load.lock().take()?;
+        Some(LoadFrame::new(figures, self.grant.incarnation, seen_at, now))
+    }
+
     /// Ends the request with `outcome`, which releases the grant.
     pub fn end(self, outcome: Outcome) {
         self.report_end(outcome);
@@ -122,6 +147,7 @@
         let signs = EndSigns {
             max_refusals: self.max_refusals.get().copied(),
             longest_pause: self.longest_pause.get().copied(),
+            load: self.take_load(Time::now()),
         };
         self.gateway.end_request(self.number, outcome, signs);
     }
@@ -172,6 +198,7 @@
                 grant,
                 max_refusals: OnceLock::new(),
                 longest_pause: OnceLock::new(),
+                load: Mutex::default(),
             })
         }
         Ok(Err(refusal)) => Err(refusal),
@@ -287,11 +314,13 @@
         if self.requests.table.lock().remove(&number).is_none() {
             return;
         }
-        let EndSigns { max_refusals, longest_pause } = signs;
+        let EndSigns { max_refusals, longest_pause, load } = signs;
         let longest_pause_ms = longest_pause.map(|pause| pause.as_millis() as u32);
-        let frame = EndFrame { max_refusals, longest_pause_ms, ..EndFrame::new(number, outcome) };
-        self.uplink.send(Content::Ended(frame));
         let (key, now) = (self.grant_key(number), Time::now());
+        let own_load = load.as_ref().and_then(|load| load.to_load(now));
+        let frame =
+            EndFrame { max_refusals, longest_pause_ms, load, ..EndFrame::new(number, outcome) };
+        self.uplink.send(Content::Ended(frame));
         self.record_demand_ended(&key, Some(outcome));
         let actions = {
             let mut scheduler = self.scheduler.lock();
@@ -299,6 +328,7 @@
             if let Some(pause) = longest_pause {
                 scheduler.record_pause(&key, pause);
             }
+            scheduler.record_load(&key, own_load, now);
             scheduler.handle_outcome(&key, outcome, now)
         };
         self.apply_actions(actions);
@@ -350,12 +380,33 @@
     pub(super) fn tick_scheduler(self: &Arc<Self>) {
         let now = Time::now();
         let mode = self.scheduler_mode();
-        let actions = {
+        let (actions, observations) = {
             let mut scheduler = self.scheduler.lock();
             scheduler.set_mode(mode, now);
-            scheduler.tick(now)
+            let actions = scheduler.tick(now);
+            (actions, scheduler.take_observations())
         };
         self.apply_actions(actions);
+        if self.leads() {
+            record_observations(&observations);
+        }
+    }
+}
+
+/// Adds the leader's observations to the metrics. Other instances know only a part of the requests.
+fn record_observations(observations: &Observations) {
+    let Observations { first_event_ratios, end_ratios, paces, cached_tokens, prefill_tokens } =
+        observations;
+    let first_event = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "first_event");
+    first_event_ratios.iter().for_each(|ratio| first_event.record(*ratio));
+    let end = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "end");
+    end_ratios.iter().for_each(|ratio| end.record(*ratio));
+    let reported = metrics::histogram!("cardamomshore_reported_pace");
+    paces.iter().for_each(|pace| reported.record(*pace));
+    let tokens = [("cached", cached_tokens), ("prefill", prefill_tokens)];
+    for (expected, tokens) in tokens {
+        metrics::counter!("cardamomshore_prompt_tokens_total", "expected" => expected)
+            .increment(*tokens);
     }
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -275,8 +275,13 @@
             gateway.apply_actions(actions);
         }
         Content::FirstEvent(frame) => {
-            gateway.scheduler.lock().record_first_event(&key(frame.number), now);
-            gateway.record_demand_begun(&key(frame.number));
+            let (key, load) = (key(frame.number), frame.load.and_then(|load| load.to_load(now)));
+            {
+                let mut scheduler = gateway.scheduler.lock();
+                scheduler.record_load(&key, load, now);
+                scheduler.record_first_event(&key, now);
+            }
+            gateway.record_demand_begun(&key);
         }
         Content::Ended(frame) => {
             let key = key(frame.number);
@@ -287,6 +292,8 @@
                 if let Some(ms) = frame.longest_pause_ms {
                     scheduler.record_pause(&key, Duration::from_millis(ms.into()));
                 }
+                let load = frame.load.as_ref().and_then(|load| load.to_load(now));
+                scheduler.record_load(&key, load, now);
                 scheduler.handle_outcome(&key, outcome, now)
             };
             gateway.record_demand_ended(&key, Some(frame.to_outcome()));
--- a/src/kernel/grants/running.rs
+++ b/src/kernel/grants/running.rs
@@ -3,9 +3,18 @@
 //! An evaluation must not walk over all runs: an engine has tens of them, and is evaluated for each
 //! request that it may serve.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use super::{GrantKey, ModelWork, endpoint::ActiveRun};
+use super::{GrantKey, ModelWork, run::ActiveRun};
+use crate::clock::Time;
+
+/// Priorities that are told apart in the sums.
+const PRIORITIES: usize = 4;
+
+/// Returns the position of a run's priority in the sums.
+fn priority(run: &ActiveRun) -> usize {
+    usize::from(run.request.priority).min(PRIORITIES - 1)
+}
 
 /// Sums over the runs of one model.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +33,11 @@
     runs: HashMap<GrantKey, ActiveRun>,
     /// Prompt and response tokens of all runs.
     reserved_tokens: u64,
+    /// Tokens to prefill of the runs without a first event, by priority. The last stands for all that
+    /// are less urgent.
+    queued: [u64; PRIORITIES],
+    /// Number of runs of engines without a first event.
+    queued_prompts: usize,
     /// Sums of each model that has runs.
     models: HashMap<Arc<str>, ModelRuns>,
 }
@@ -69,6 +83,25 @@
         self.models.iter().map(|(model, runs)| (model, runs.queued_tokens))
     }
 
+    /// Returns the tokens to prefill and the number of the runs without a first event.
+    pub fn queued_prompts(&self) -> (u64, usize) {
+        (self.queued.iter().sum(), self.queued_prompts)
+    }
+
+    /// Returns the part of the queued prefill that an engine does before that of a new request, since it
+    /// is as urgent or more, or has begun.
+    pub fn queued_fraction(&self, priority: u8) -> f64 {
+        let all: u64 = self.queued.iter().sum();
+        let before: u64 = self.queued.iter().take(usize::from(priority) + 1).sum();
+        let begun = 1.0 / self.queued_prompts.max(1) as f64;
+        if all == 0 { 1.0 } else { begun.max(before as f64 / all as f64) }
+    }
+
+    /// Returns the expected ends of the runs, as `end` gives them.
+    pub fn first_end(&self, end: impl Fn(&ActiveRun) -> Duration) -> Duration {
+        self.runs.values().map(end).min().unwrap_or_default()
+    }
+
     /// Adds a run, which replaces an earlier one with the same key.
     pub fn insert(&mut self, key: GrantKey, run: ActiveRun) {
         self.remove(&key);
@@ -80,7 +113,9 @@
                 *model.adapters.entry(adapter.clone()).or_default() += 1;
             }
             if !run.started {
-                model.queued_tokens += run.prefill_tokens;
+                model.queued_tokens += run.forecast.prefill_tokens;
+                self.queued[priority(&run)] += run.forecast.prefill_tokens;
+                self.queued_prompts += 1;
             }
         }
         self.runs.insert(key, run);
@@ -91,7 +126,11 @@
         let run = self.runs.remove(key)?;
         if let Some(work) = &run.request.work {
             self.reserved_tokens -= work.prompt_tokens + work.output_tokens;
-            self.remove_work(work, if run.started { 0 } else { run.prefill_tokens });
+            if !run.started {
+                self.queued[priority(&run)] -= run.forecast.prefill_tokens;
+                self.queued_prompts -= 1;
+            }
+            self.remove_work(work, if run.started { 0 } else { run.forecast.prefill_tokens });
         }
         Some(run)
     }
@@ -116,13 +155,15 @@
 
     /// Records the first event of a run. Returns the run, or `None` if it is not known or its first
     /// event was recorded before.
-    pub fn record_first_event(&mut self, key: &GrantKey) -> Option<&ActiveRun> {
+    pub fn record_first_event(&mut self, key: &GrantKey, now: Time) -> Option<&ActiveRun> {
         let run = self.runs.get_mut(key).filter(|run| !run.started)?;
-        run.started = true;
+        (run.started, run.started_at) = (true, now);
         if let Some(work) = &run.request.work
             && let Some(model) = self.models.get_mut(&work.model)
         {
-            model.queued_tokens -= run.prefill_tokens;
+            model.queued_tokens -= run.forecast.prefill_tokens;
+            self.queued[priority(run)] -= run.forecast.prefill_tokens;
+            self.queued_prompts -= 1;
         }
         Some(run)
     }
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -1,15 +1,19 @@
 //! Tests of grants without a network: rates, retries, choice of endpoints, queue, orders and
 //! placement.
 
+mod cache;
 mod choice;
 mod crashes;
 mod fleet;
+mod order;
 mod order_world;
 mod orders;
 mod origins;
+mod pace;
 mod pauses;
 mod placement;
 mod placement_rise;
+mod play;
 mod queue;
 mod rate;
 mod rate_limits;
