Refuse requests that an overloaded leader cannot decide in time

Frames of a peer were handled until its socket was empty, so that one peer with many waiting frames kept the processor from heartbeats, other links and the renewal of the lease. Frames are now handled and written in batches of 32. The time for which a link has not been found empty bounds the age of its oldest frame; a request whose age exceeds half of the time until it is due (at least 100 ms) is refused at once with a time for the retry, until the link is empty again. First events, ends and heartbeats are always handled.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -27,6 +27,7 @@
 mod relay;
 mod response;
 pub mod settings;
+mod shedding;
 mod shutdown;
 mod stream;
 pub mod updates;
@@ -74,6 +75,8 @@
     relay: relay::Relay,
     /// Link to the leader.
     uplink: link::Uplink,
+    /// Requests that this instance has refused because its decisions fall behind.
+    shedding: shedding::Shedding,
     /// Instances that are linked to this one while it leads.
     peers: peers::Peers,
     /// State that this instance sends to its peers while it leads.
@@ -129,6 +132,7 @@
             reach: reach::EndpointReach::default(),
             relay: relay::Relay::default(),
             uplink: link::Uplink::default(),
+            shedding: shedding::Shedding::default(),
             peers: peers::Peers::default(),
             updates: updates::Updates::new(settings.resources.link_mbps),
             members: ArcSwap::default(),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,13 +6,14 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use futures_util::{
-    SinkExt, StreamExt,
+    FutureExt, SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
 use parking_lot::Mutex;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, mpsc::error::TrySendError},
+    task::yield_now,
     time::{sleep, sleep_until, timeout},
 };
 use tokio_util::codec::Framed;
@@ -28,8 +29,9 @@
     clock::Time,
     http::pool::set_socket_options,
     kernel::{
-        grants::{ActiveGrant, GrantKey, UnusedRate},
+        grants::{Action, ActiveGrant, GrantKey, GrantRequest, Reason, Refusal, UnusedRate},
         membership::{LinkedInstance, Member},
+        overload::{Intake, LinkBacklog, intake},
     },
 };
 
@@ -43,6 +45,10 @@
 /// it starts again from the current state.
 const MAX_QUEUED_FRAMES: usize = 4_096;
 
+/// Frames of one peer that are handled, or written, before other tasks run. Heartbeats, the renewal of
+/// the lease and the other links must not wait for all frames that one peer has sent.
+const FRAMES_PER_BATCH: usize = 32;
+
 /// Wait after accepting failed.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(200);
 
@@ -203,10 +209,25 @@
     term: u64,
     mut source: SplitStream<Wire>,
 ) -> Result<(), FrameError> {
+    let mut backlog = LinkBacklog::default();
+    let mut batch_len = 0;
     while gateway.leads() && gateway.leadership.lock().term() == term {
-        match timeout(PEER_TIMEOUT, source.next()).await {
-            Ok(Some(frame)) => handle_frame(gateway, instance, frame?),
-            Ok(None) | Err(_) => return Ok(()),
+        let frame = match source.next().now_or_never() {
+            Some(frame) => frame,
+            None => {
+                backlog.record_empty();
+                batch_len = 0;
+                let Ok(frame) = timeout(PEER_TIMEOUT, source.next()).await else { return Ok(()) };
+                frame
+            }
+        };
+        let Some(frame) = frame else { return Ok(()) };
+        let age = backlog.record_frame(Time::now());
+        handle_frame(gateway, instance, frame?, age);
+        batch_len += 1;
+        if batch_len >= FRAMES_PER_BATCH {
+            batch_len = 0;
+            yield_now().await;
         }
     }
     Ok(())
@@ -228,7 +249,8 @@
             content = rx.recv() => {
                 let Some(content) = content else { return Ok(()) };
                 sink.feed(content.into()).await?;
-                while let Ok(content) = rx.try_recv() {
+                for _ in 1..FRAMES_PER_BATCH {
+                    let Ok(content) = rx.try_recv() else { break };
                     sink.feed(content.into()).await?;
                 }
             }
@@ -258,19 +280,14 @@
 }
 
 /// Handles a frame from a peer.
-fn handle_frame(gateway: &Arc<Gateway>, instance: &str, content: Content) {
+///
+/// `age` is an upper bound of the time for which it has waited.
+fn handle_frame(gateway: &Arc<Gateway>, instance: &str, content: Content, age: Duration) {
     let now = Time::now();
     let key = |number| GrantKey { instance: instance.into(), number };
     match content {
         Content::GrantRequest(frame) => {
-            let key = key(frame.number);
-            let mode = gateway.scheduler_mode();
-            let actions = {
-                let mut scheduler = gateway.scheduler.lock();
-                scheduler.set_mode(mode, now);
-                scheduler.handle_request(key, frame.into_request(now), now)
-            };
-            gateway.apply_actions(actions);
+            gateway.decide_request(key(frame.number), frame.into_request(now), age, now);
         }
         Content::FirstEvent(frame) => {
             gateway.scheduler.lock().record_first_event(&key(frame.number), now)
@@ -324,6 +341,29 @@
 }
 
 impl Gateway {
+    /// Decides on a request of a peer that has waited for `age`, or refuses it because the leader falls
+    /// behind.
+    fn decide_request(
+        self: &Arc<Self>,
+        key: GrantKey,
+        request: GrantRequest,
+        age: Duration,
+        now: Time,
+    ) {
+        if let Intake::Shed(retry) = intake(age, request.due, request.deadline, now) {
+            self.shedding.record(&key.instance, age, now);
+            let refusal = Refusal { reason: Reason::NoRoom, retry };
+            return self.apply_actions(vec![Action::Refuse(key, refusal)]);
+        }
+        let mode = self.scheduler_mode();
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.set_mode(mode, now);
+            scheduler.handle_request(key, request, now)
+        };
+        self.apply_actions(actions);
+    }
+
     /// Replies to a heartbeat, with the operators' records if those of the peer are older.
     fn handle_heartbeat(&self, instance: &str, heartbeat: &Heartbeat) {
         let changed = match self.peers.table.lock().get_mut(instance) {
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -19,6 +19,7 @@
 pub mod ledger;
 pub mod membership;
 pub mod once;
+pub mod overload;
 pub mod pacing;
 pub mod placement;
 pub mod quota;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -16,6 +16,7 @@
     mod lending;
     mod membership;
     mod once;
+    mod overload;
     mod pacing;
     mod placement;
     mod quota;
