Hand out allotments for the time without a leader

Without a leader each instance had an equal share of each team's rate, while requests arrive at few instances, so that thousands below their team's rate were refused. The leader now hands out in advance, by where requests arrive, a fraction of each team's rate and of each service's slots (frames 23 and 24). An increase is handed out only from what nobody may hold, so the fractions add up to at most 1 where frames or confirmations are lost. An instance subtracts what the leader grants it from its part of the tokens, and a new leader counts what is left (Rates). A leader that lost its links has its own allotment.

Tests: leader killed below the limit (nothing refused) and under a flood, cut off beside a new one, half of the instances killed, frames and confirmations lost, a new leader with the rates of some only.

--- a/benches/grants.rs
+++ b/benches/grants.rs
@@ -120,6 +120,7 @@
     };
     let mut scheduler =
         Scheduler::new(limits, Mode::Leading { may_order: true, share: 1.0 }, START);
+    scheduler.set_instance("leader".into());
     scheduler.set_catalog(catalog());
     scheduler.set_endpoints((0..engines).map(engine).collect(), START);
     for action in scheduler.tick(START) {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! instance that holds a lease in the platform's store. An instance that cannot reach the leader
 //! grants its own requests, within its share of the limits.
 
+mod allotments;
 mod callers;
 mod crashes;
 mod directory;
@@ -119,12 +120,14 @@
     /// Creates a gateway; nothing runs before [`Gateway::run`].
     pub fn new(settings: GatewaySettings) -> Arc<Self> {
         let mode = Mode::Alone { share: 1.0 };
+        let mut scheduler = Scheduler::new(settings.grant_limits(), mode, Time::now());
+        scheduler.set_instance(settings.instance.clone());
         Arc::new(Self {
             pool: Arc::new(Pool::new(settings.endpoint_connections())),
             store: Store::new(settings.store, settings.store_timeout()),
             catalog: ArcSwapOption::empty(),
             operator: Mutex::default(),
-            scheduler: Mutex::new(Scheduler::new(settings.grant_limits(), mode, Time::now())),
+            scheduler: Mutex::new(scheduler),
             requests: grants::Requests::default(),
             leadership: Mutex::new(Leadership::new(settings.instance.clone())),
             record_age: RecordAge::new(Time::now()),
@@ -171,6 +174,7 @@
         tokio::spawn(origins::run(self.clone()));
         tokio::spawn(grants::run_scheduler(self.clone()));
         tokio::spawn(grants::log_backlogs(self.clone()));
+        tokio::spawn(allotments::run(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
         tokio::spawn(reach::probe_while_cut(self.clone()));
         tokio::spawn(callers::serve(self.clone(), relay, callers::Kind::Relay));
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -264,7 +264,11 @@
             return;
         };
         let active = ActiveGrant { request, endpoint: grant.endpoint.clone() };
-        self.scheduler.lock().adopt(self.grant_key(number), active, Time::now());
+        {
+            let (mut scheduler, now) = (self.scheduler.lock(), Time::now());
+            scheduler.charge_leader_grant(&active.request, now);
+            scheduler.adopt(self.grant_key(number), active, now);
+        }
         self.resolve(number, Ok(grant));
     }
 
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -104,16 +104,12 @@
         {
             let result = join_leader(&gateway, &leader).await;
             if gateway.uplink.tx.lock().take().is_some() {
+                let allotments = gateway.lose_leader();
                 log::warn!(
-                    "event=leader_lost leader={} reason={}",
+                    "event=leader_lost leader={} reason={} allotments={allotments}",
                     leader.instance,
                     describe_end(&result)
                 );
-                {
-                    let mut scheduler = gateway.scheduler.lock();
-                    scheduler.restart_rates(Time::now());
-                    scheduler.restart_retries();
-                }
                 gateway.resubmit_waiting();
             } else {
                 gateway.uplink.failed_attempts.fetch_add(1, Ordering::Relaxed);
@@ -164,6 +160,7 @@
         gateway.running_requests().into_iter().map(Content::Adopt).collect();
     contents.extend(gateway.leaving_content(leader));
     contents.extend(gateway.earlier_operator_content(leader));
+    contents.push(gateway.held_allotments_content());
     let mut scheduler = gateway.scheduler.lock();
     let origins = scheduler.origins().all();
     if !origins.is_empty() {
@@ -272,7 +269,9 @@
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Crashes(frame) => gateway.handle_crashes(frame),
         Content::RateLimits(frame) => gateway.handle_rate_limits(frame),
+        Content::Allotments(frame) => gateway.handle_allotments(frame),
         Content::Hello(_)
+        | Content::HeldAllotments(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
         | Content::GrantRequest(_)
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -1,5 +1,6 @@
 //! Frames that are exchanged on the link between an instance and the leader.
 
+mod allotments;
 mod codec;
 mod crashes;
 mod endpoints;
@@ -13,6 +14,7 @@
 use prost::{Message, Oneof};
 
 pub use self::{
+    allotments::{AllotmentFrame, AllotmentsFrame, HeldAllotmentsFrame},
     codec::{EncodedFrame, FrameCodec, FrameError},
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
     endpoints::{EndpointFrame, EndpointsFrame, LeavingEndpointFrame, LeavingFrame, ModelFrame},
@@ -32,7 +34,7 @@
     /// Content of the frame; `None` if this release does not know it.
     #[prost(
         oneof = "Content",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 23, 24"
     )]
     pub content: Option<Content>,
 }
@@ -103,6 +105,12 @@
     /// Instance to leader: at which software versions streams began.
     #[prost(message, tag = "20")]
     Origins(OriginsFrame),
+    /// Leader to instance: what the instance may grant without a leader.
+    #[prost(message, tag = "23")]
+    Allotments(AllotmentsFrame),
+    /// Instance to leader: what the instance holds, or that it has applied what it was sent.
+    #[prost(message, tag = "24")]
+    HeldAllotments(HeldAllotmentsFrame),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -327,7 +327,9 @@
         Content::Origins(frame) => {
             gateway.scheduler.lock().origins().merge(frame.into(), now);
         }
+        Content::HeldAllotments(frame) => gateway.record_held_allotments(instance, frame),
         Content::Hello(_)
+        | Content::Allotments(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
         | Content::Grant(_)
@@ -394,7 +396,12 @@
             table.remove(instance);
         }
         log::info!("event=instance_left peer={instance}");
-        let actions = self.scheduler.lock().remove_instance(instance, Time::now());
+        let now = Time::now();
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.leave_allotments(instance, now);
+            scheduler.remove_instance(instance, now)
+        };
         self.apply_actions(actions);
         self.updates.notify_members();
     }
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -5,6 +5,8 @@
 //! the scheduler takes events with a timestamp and returns [`Action`]s.
 
 mod adapter;
+mod allotment;
+mod availability;
 mod budget;
 mod cache;
 mod choice;
@@ -28,6 +30,7 @@
 mod sizes;
 
 pub use self::{
+    allotment::{Allotment, AllotmentTable, Allotments, Subject},
     budget::{RetryBudget, RetryLimits, RetryStep},
     cache::KvCache,
     crash_causes::{Cause, CrashRecord},
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -15,7 +15,7 @@
     scheduler::CrashState,
     sizes::KeptSizes,
 };
-use crate::{catalog::Service, clock::Time};
+use crate::clock::Time;
 
 /// Identifies one start of an endpoint; a later incarnation has lost the state of all earlier ones.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -123,7 +123,7 @@
 }
 
 /// Window over which the rate of a cold endpoint is limited.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
+pub(super) const COLD_WINDOW: Duration = Duration::from_secs(1);
 
 /// Time for which an entry may still list a model after it was unloaded.
 const ENTRY_LAG: Duration = Duration::from_millis(1_500);
@@ -153,7 +153,7 @@
     /// When the endpoint stops being cold.
     pub(super) cold_until: Time,
     /// When requests were granted, for the limit of a cold endpoint.
-    recent_grants: VecDeque<Time>,
+    pub(super) recent_grants: VecDeque<Time>,
     /// No requests are granted before this time.
     pub(super) paused_until: Time,
     /// Backoff after the next failed connection attempt.
@@ -385,28 +385,6 @@
         now < self.cold_until
     }
 
-    /// Returns whether the endpoint can take one more request without exceeding its cold rate.
-    pub(super) fn has_cold_capacity(&self, service: &Service, now: Time) -> bool {
-        if !self.is_cold(now) || service.cold_rate <= 0.0 {
-            return true;
-        }
-        let recent = self.recent_grants.iter().filter(|at| now.since(**at) < COLD_WINDOW).count();
-        (recent as f64) + 1.0 <= service.cold_rate.max(1.0)
-    }
-
-    /// Returns until when the endpoint takes no request, whatever it needs: it is paused, at its cold
-    /// rate, or at the rate that it has named, of which this scheduler has a `share`.
-    pub(super) fn closed_until(&self, service: &Service, share: f64, now: Time) -> Option<Time> {
-        let paused = (self.paused_until > now).then_some(self.paused_until);
-        let cold = (!self.has_cold_capacity(service, now)).then(|| {
-            let oldest = self.recent_grants.iter().find(|at| now.since(**at) < COLD_WINDOW);
-            oldest.map_or(now, |at| *at + COLD_WINDOW).min(self.cold_until)
-        });
-        let limit_wait = self.rate_limit.map(|limit| limit.wait(share, now));
-        let limited = limit_wait.filter(|wait| !wait.is_zero()).map(|wait| now + wait);
-        paused.max(cold).max(limited)
-    }
-
     /// Records that a request was granted.
     pub(super) fn record_grant(
         &mut self,
--- a/src/kernel/grants/rate.rs
+++ b/src/kernel/grants/rate.rs
@@ -70,6 +70,16 @@
         self.tokens
     }
 
+    /// Discards tokens that might be used a second time, after the loss of a leader: what it granted to
+    /// others in its last second is not known here. What all instances keep together is within the
+    /// platform's tolerance, beside what the leader may have used of it.
+    pub fn limit_after_loss(&mut self, team: &Team, share: RateShare, now: Time) {
+        self.refill(team, share, 0.0, now);
+        let slack = share.slack * (1.0 - SLACK_FRACTION);
+        let kept = (team.burst * BURST_EXCESS_FRACTION + slack) * share.fraction;
+        self.tokens = self.tokens.min(kept);
+    }
+
     /// Adds tokens that another scheduler had and did not use; negative for its debt.
     pub fn add(&mut self, tokens: f64) {
         self.tokens += tokens;
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -1,6 +1,7 @@
 //! The scheduler: handles events and decides which request is sent to which endpoint.
 
 mod admission;
+mod allotments;
 mod crashes;
 mod origins;
 mod planning;
@@ -20,9 +21,10 @@
 };
 
 use super::{
-    Action, Command, Demand, Endpoint, EndpointEntry, EngineReport, GrantKey, GrantRequest,
-    Holdings, Order, OrderResult, PauseControl, RetryBudget, RetryLimits, StreamOrigins,
-    TokenBucket, crash_causes::CrashCauses, index::Index, order_state::OrderIds, queues::Queues,
+    Action, AllotmentTable, Allotments, Command, Demand, Endpoint, EndpointEntry, EngineReport,
+    GrantKey, GrantRequest, Holdings, Order, OrderResult, PauseControl, RetryBudget, RetryLimits,
+    StreamOrigins, TokenBucket, crash_causes::CrashCauses, index::Index, order_state::OrderIds,
+    queues::Queues,
 };
 use crate::{
     catalog::{Catalog, EngineSpec, Team},
@@ -104,6 +106,14 @@
     store_loads: VecDeque<Time>,
     /// When the placement was last planned.
     planned_at: Time,
+    /// Name of this instance; `None` if it hands out no allotments.
+    instance: Option<Arc<str>>,
+    /// What this instance may grant without a leader; `None` if no leader has handed out anything.
+    allotments: Option<Allotments>,
+    /// What the other instances hold, while this one leads.
+    handed_out: AllotmentTable,
+    /// Balance of each team that the other instances count on.
+    handed_out_balances: HashMap<Arc<str>, f64>,
     /// When the scheduler was created, or last started or stopped leading.
     started_at: Time,
 }
@@ -135,6 +145,10 @@
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
             planned_at: Time::default(),
+            instance: None,
+            allotments: None,
+            handed_out: AllotmentTable::default(),
+            handed_out_balances: HashMap::new(),
             started_at: now,
         }
     }
@@ -151,9 +165,12 @@
                 let unused = self.release_rates(now);
                 self.add_rates(&unused, now);
             }
-            (true, false) => self.restart_rates(now),
+            (true, false) if self.allotments.is_none() => self.restart_rates(now),
             _ => {}
         }
+        if leads && !was_leading {
+            self.begin_handing_out();
+        }
         if was_leading != leads {
             self.restart_retries();
         }
@@ -162,6 +179,9 @@
             self.queue.wake_all();
         }
         self.mode = mode;
+        if was_leading && !leads && self.allotments.is_some() {
+            self.keep_own_part(now);
+        }
         if could_order != self.may_order() {
             self.endpoints.values_mut().for_each(Endpoint::reset_orders);
         }
@@ -259,6 +279,7 @@
         now: Time,
     ) -> Vec<Action> {
         self.request_rate.record(now);
+        self.record_arrival(&key, &request, now);
         self.confirm_silent_crashes(now);
         let mut actions = Vec::new();
         let origin = self.find_origin(&mut request, now);
@@ -276,14 +297,6 @@
         }
     }
 
-    /// Returns the fraction of each endpoint's capacity that this scheduler may use.
-    fn fill_fraction(&self) -> f64 {
-        match self.mode {
-            Mode::Leading { .. } => 1.0,
-            Mode::Alone { share } => share,
-        }
-    }
-
     /// Returns whether this scheduler may send orders to engines.
     fn may_order(&self) -> bool {
         matches!(self.mode, Mode::Leading { may_order: true, .. })
--- a/src/kernel/grants/scheduler/admission.rs
+++ b/src/kernel/grants/scheduler/admission.rs
@@ -6,9 +6,7 @@
 use crate::{
     catalog::Team,
     clock::Time,
-    kernel::grants::{
-        GrantRequest, RateShare, Reason, Refusal, TokenBucket, crash_causes::CrashCheck,
-    },
+    kernel::grants::{GrantRequest, Reason, Refusal, TokenBucket, crash_causes::CrashCheck},
 };
 
 /// Initial fraction of a team's burst, since an earlier scheduler may have spent the rest.
@@ -33,12 +31,12 @@
     /// Callers that were refused without a leader return together when there is one. The tokens that
     /// no instance could use meanwhile are for them.
     pub fn release_rates(&mut self, now: Time) -> Vec<UnusedRate> {
-        let share = RateShare { fraction: self.rate_share(), slack: self.limits.rate_slack };
         let mut buckets = std::mem::take(&mut self.buckets);
         let catalog = self.catalog.clone();
         let teams = catalog.keys.values().filter(|team| team.rate > 0.0);
         let teams: BTreeMap<&Arc<str>, &Arc<Team>> = teams.map(|t| (&t.name, t)).collect();
         let unused = teams.into_iter().map(|(name, team)| {
+            let share = self.team_rate_share(name);
             let bucket = buckets.remove(name).unwrap_or_else(|| {
                 TokenBucket::new(team, share, self.initial_burst(team, now), now)
             });
@@ -100,7 +98,7 @@
     fn charge(&mut self, request: &GrantRequest, now: Time) -> Result<(), Duration> {
         let Some(name) = &request.team else { return Ok(()) };
         let Some(team) = self.teams.get(name) else { return Ok(()) };
-        let share = RateShare { fraction: self.rate_share(), slack: self.limits.rate_slack };
+        let share = self.team_rate_share(name);
         let fraction = self.initial_burst(team, now);
         let new_bucket = || TokenBucket::new(team, share, fraction, now);
         let bucket = self.buckets.entry(name.clone()).or_insert_with(new_bucket);
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -176,7 +176,7 @@
         let context = FitContext {
             service,
             may_order: self.may_order(),
-            fill_fraction: self.fill_fraction(),
+            fill_fraction: self.fill_fraction(&request.service),
             rate_share: self.rate_share(),
             max_prefill: self.max_prefill(request),
             model_slowdown,
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -1,6 +1,7 @@
 //! Tests of grants without a network: rates, retries, choice of endpoints, queue, orders and
 //! placement.
 
+mod allotments;
 mod choice;
 mod crashes;
 mod fleet;
