--- a/tests/process.rs
+++ b/tests/process.rs
@@ -7,6 +7,7 @@
     mod cold;
     mod configuration;
     mod cost;
+    mod crowd;
     mod cut_off;
     mod input;
     mod keys;
