--- a/src/kernel/grants/scheduler/supply.rs
+++ b/src/kernel/grants/scheduler/supply.rs
@@ -143,6 +143,7 @@
         let (_, run_time) = forecast::run_time(request.work.as_ref(), speed, service_time);
         let run_time = run_time.as_secs_f64().max(1e-3);
         let mut supply = Supply { place: Duration::MAX, prefill: 0.0, requests: 0.0 };
+        let fill_fraction = self.fill_fraction(&key.service);
         let candidates = self.index.candidates(request).iter();
         for endpoint in candidates.filter_map(|id| self.endpoints.get(id)) {
             let is_usable = endpoint.info.service == key.service
@@ -159,10 +160,10 @@
                 None => endpoint.pace.slots(endpoint.info.slots),
             };
             let limit = endpoint.rate_limit.map(|limit| limit.usable_rate(self.rate_share()));
-            let requests = f64::from(slots) * self.fill_fraction() / (run_time * ratio);
+            let requests = f64::from(slots) * fill_fraction / (run_time * ratio);
             let cold = endpoint.is_cold(now).then(|| self.cold_rate(&key.service)).flatten();
             let limit = limit.into_iter().chain(cold).reduce(f64::min);
-            supply.prefill += share * self.fill_fraction() / ratio;
+            supply.prefill += share * fill_fraction / ratio;
             supply.requests += (requests * share).min(limit.unwrap_or(f64::INFINITY));
             supply.place = supply.place.min(self.next_place(endpoint, request, slots, now));
         }
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -17,6 +17,7 @@
     mod lending;
     mod membership;
     mod once;
+    mod overload;
     mod pacing;
     mod placement;
     mod quota;
