Decide in one place what clients of a process may occupy

Cause: each listener served 3,000 connections with 64 kB of buffer each and bodies beside them, which is more than the smallest machine has (160 MB, 3,075 descriptors).

Change: kernel::intake, one budget of bytes and sockets for all connections.

Nothing uses the module yet.

--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -15,6 +15,7 @@
 pub mod event_splitter;
 pub mod freshness;
 pub mod grants;
+pub mod intake;
 pub mod leadership;
 pub mod ledger;
 pub mod membership;
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -11,6 +11,7 @@
     mod event_splitter;
     mod freshness;
     mod grants;
+    mod intake;
     mod leadership;
     mod ledger;
     mod lending;
