Bound what callers and other instances may occupy in a gateway

Cause: bodies were kept as frames of the HTTP layer, each with its read buffer; bodies, waiting responses and connections had no common bound; links took frames of 4 MB before a hello; connections to endpoints read 400 kB ahead.

Change: all connections count for the budget of kernel::intake. Bodies are copied into memory that grows with what arrived, wait while it is short, and are refused with a true 503 after 2 s; a body that is announced too large is refused before it is read. Responses are read as a whole once there is room. A pipelined request is served after the response before it was written. Streams queue 64 kB. Heads beyond max_header_bytes get 431. Accepted links take 16 kB before a valid hello.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod gate;
 mod grants;
+mod intake;
 mod leader;
 mod link;
 mod members;
@@ -85,6 +86,8 @@
     /// Records of the software versions at which streams began.
     origin_records: origins::OriginRecords,
     shutdown: shutdown::Shutdown,
+    /// What clients may occupy.
+    budget: Arc<intake::Budget>,
     started_at: Time,
 }
 
@@ -135,6 +138,7 @@
             registry: registry::Registry::default(),
             origin_records: origins::OriginRecords::default(),
             shutdown: shutdown::Shutdown::default(),
+            budget: intake::Budget::new(settings.intake),
             started_at: Time::now(),
             settings,
         })
@@ -168,6 +172,7 @@
         tokio::spawn(grants::run_scheduler(self.clone()));
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
+        tokio::spawn(intake::run(self.clone()));
         tokio::spawn(reach::probe_while_cut(self.clone()));
         tokio::spawn(callers::serve(self.clone(), relay, callers::Kind::Relay));
         tokio::spawn(callers::serve(self.clone(), directory, callers::Kind::Directory));
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -4,16 +4,7 @@
 //! library's own runner would stop on SIGHUP, which in this process only means that the settings
 //! file has changed.
 
-use std::{
-    convert::Infallible,
-    io,
-    net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
-    time::Duration,
-};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -21,28 +12,36 @@
 use socket2::{Domain, Socket, Type};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use super::{
     Gateway, directory,
     entry::{self, Origin},
-    response::{ResponseBody, empty_response},
+    intake::{Account, CountedBody, CountedStream, OpenConnection},
+    response::{Rejection, ResponseBody, empty_response},
+};
+use crate::{
+    http::pool::set_socket_options,
+    kernel::intake::{Listener, READ_BUFFER_BYTES},
+    telemetry,
 };
-use crate::{http::pool::set_socket_options, telemetry};
 
 /// Connections that the operating system queues until they are accepted. If the queue is full, a
 /// caller's connection is delayed by a second.
 const LISTEN_QUEUE_LEN: i32 = 1_024;
 
-/// Connections that one listener serves at once.
-const MAX_CONNECTIONS: usize = 3_000;
-
-/// Wait after accepting failed, or while [`MAX_CONNECTIONS`] are open.
+/// Wait after accepting failed, or while there is no room for another connection.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
-/// Bytes that are buffered for one connection.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
+/// Bytes beyond the configured size of a head that are read, since callers may count it differently.
+const HEAD_MARGIN: usize = 1 << 10;
+
+/// Memory of a field of a head beyond its bytes.
+const FIELD_BYTES: usize = 128;
+
+/// Time in which a connection that must be closed may end in order.
+const CLOSE_GRACE: Duration = Duration::from_millis(100);
 
 /// Time beyond the configured idle timeout after which an idle connection is closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(3);
@@ -62,6 +61,19 @@
     Metrics,
 }
 
+impl Kind {
+    /// Returns the part of the budget from which connections are taken.
+    fn listener(self) -> Listener {
+        match self {
+            Kind::Requests => Listener::Callers,
+            Kind::Relay => Listener::Relay,
+            Kind::Directory => Listener::Directory,
+            Kind::Readiness => Listener::Readiness,
+            Kind::Metrics => Listener::Metrics,
+        }
+    }
+}
+
 /// Opens a listener on `address` with a listen queue of [`LISTEN_QUEUE_LEN`] connections.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
@@ -74,20 +86,16 @@
 
 /// Accepts connections and serves each in a task of its own until the process ends.
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener, kind: Kind) {
-    let connections = Arc::new(AtomicUsize::new(0));
     loop {
-        if connections.load(Ordering::Relaxed) >= MAX_CONNECTIONS {
-            sleep(ACCEPT_BACKOFF).await;
-            continue;
-        }
         match listener.accept().await {
-            Ok((stream, _)) => {
-                connections.fetch_add(1, Ordering::Relaxed);
-                let (gateway, connections) = (gateway.clone(), connections.clone());
-                tokio::spawn(async move {
-                    serve_connection(gateway, stream, kind).await;
-                    connections.fetch_sub(1, Ordering::Relaxed);
-                });
+            Ok((stream, peer)) => {
+                let connection = loop {
+                    match gateway.budget.open(kind.listener(), peer.ip()) {
+                        Some(connection) => break connection,
+                        None => sleep(ACCEPT_BACKOFF).await,
+                    }
+                };
+                tokio::spawn(serve_connection(gateway.clone(), stream, kind, connection));
             }
             Err(err) => {
                 log::warn!("event=accept_failed what={kind:?} reason={err}");
@@ -97,37 +105,95 @@
     }
 }
 
-/// Serves the requests of one connection until it ends.
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream, kind: Kind) {
+/// Serves the requests of one connection until it ends or must be closed.
+async fn serve_connection(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    kind: Kind,
+    connection: OpenConnection,
+) {
     set_socket_options(&stream);
-    let idle_timeout =
-        gateway.catalog.load().as_ref().map_or(Duration::from_secs(15), |c| c.limits.idle_timeout);
+    let account = connection.account().clone();
+    let limits = gateway.catalog.load().as_ref().map(|catalog| catalog.limits);
+    let idle_timeout = limits.as_ref().map_or(Duration::from_secs(15), |it| it.idle_timeout);
+    let max_head = limits.map_or(0, |it| it.max_headers) + HEAD_MARGIN;
+    let max_fields = gateway.settings.max_header_fields;
+    let stream = CountedStream::new(stream, account.clone());
     let service = service_fn(move |request: Request<Incoming>| {
-        let gateway = gateway.clone();
-        async move { Ok::<_, Infallible>(respond(gateway, request, kind).await) }
+        let (gateway, account) = (gateway.clone(), account.clone());
+        async move { Ok::<_, Infallible>(respond_counted(gateway, request, kind, account).await) }
     });
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
         .header_read_timeout(idle_timeout + IDLE_MARGIN)
-        .max_buf_size(MAX_BUFFER_BYTES);
-    if let Err(err) = builder.serve_connection(TokioIo::new(stream), service).await {
+        .max_buf_size(READ_BUFFER_BYTES.max(max_head + HEAD_MARGIN))
+        .max_headers(max_fields);
+    let mut served = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let result = tokio::select! {
+        result = served.as_mut() => result,
+        () = connection.account().closing() => {
+            served.as_mut().graceful_shutdown();
+            timeout(CLOSE_GRACE, served).await.unwrap_or(Ok(()))
+        }
+    };
+    if let Err(err) = result {
         log::debug!("event=connection_ended what={kind:?} reason={err}");
     }
 }
 
+/// Returns the response to one request, which counts for its connection. Waits for the response before
+/// it, which the client may not have read.
+async fn respond_counted(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    kind: Kind,
+    account: Account,
+) -> Response<CountedBody> {
+    account.flushed().await;
+    let (head, cost) = head_size(&request);
+    let max_head = gateway.catalog.load().as_ref().map(|catalog| catalog.limits.max_headers);
+    let guard = match account.begin_request(cost) {
+        Ok(_) if max_head.is_some_and(|max| head > max + HEAD_MARGIN) => {
+            Err(account.refuse("large_head", Rejection::HeadTooLarge))
+        }
+        admitted => admitted,
+    };
+    let (response, guard) = match guard {
+        Ok(guard) => (respond(gateway, request, kind, &account).await, Some(guard)),
+        Err(rejection) => {
+            let mut response = rejection.response();
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+            (response, None)
+        }
+    };
+    response.map(|body| CountedBody::new(body, &account, guard))
+}
+
+/// Returns the bytes of a head, and the memory that it needs.
+fn head_size(request: &Request<Incoming>) -> (usize, usize) {
+    let fields = request.headers().iter();
+    let bytes: usize = fields.map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    let path = request.uri().path_and_query().map_or(0, |path| path.as_str().len());
+    let head = path + bytes;
+    // A field may list many short items, each of which is decoded to some more bytes.
+    (head, 4 * head + FIELD_BYTES * request.headers().len())
+}
+
 /// Returns the response to one request, by the kind of the listener.
 async fn respond(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
     kind: Kind,
+    account: &Account,
 ) -> Response<ResponseBody> {
     let path = request.uri().path();
     match kind {
         Kind::Requests | Kind::Relay => {
             let stopping = gateway.shutdown.has_begun();
             let origin = if kind == Kind::Relay { Origin::Instance } else { Origin::Caller };
-            let mut response = entry::serve(gateway, request, origin).await;
+            let mut response = entry::serve(gateway, request, origin, account).await;
             if stopping {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -3,16 +3,15 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{
     Gateway,
     forward::Job,
+    intake::{Account, read_body},
     relay,
     response::{Rejection, ResponseBody},
     stream,
@@ -46,11 +45,21 @@
     Instance,
 }
 
+/// How a request has arrived.
+struct Arrival<'a> {
+    /// When its head was complete.
+    at: Time,
+    origin: Origin,
+    /// Its connection.
+    account: &'a Account,
+}
+
 /// Serves a caller's request and returns the response. The response carries the request's id.
 pub async fn serve(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
     origin: Origin,
+    account: &Account,
 ) -> Response<ResponseBody> {
     let arrived_at = Time::now();
     let (parts, body) = request.into_parts();
@@ -62,7 +71,8 @@
         }
     };
     let _unanswered = gateway.shutdown.record_request();
-    let result = match admit(&gateway, arrived_at, origin, parts, head, body).await {
+    let arrival = Arrival { at: arrived_at, origin, account };
+    let result = match admit(&gateway, arrival, parts, head, body).await {
         Ok(job) => {
             let result = run(job).await;
             let elapsed = Time::now().since(arrived_at).as_secs_f64();
@@ -70,7 +80,9 @@
             result
         }
         Err(rejection) => {
-            log::info!("event=rejected request={id} status={}", rejection.status().as_u16());
+            if !rejection.is_of_client() {
+                log::info!("event=rejected request={id} status={}", rejection.status().as_u16());
+            }
             count_response(rejection.status());
             Err(rejection)
         }
@@ -123,12 +135,12 @@
 /// Admits a request: checks its route and its key and reads its body.
 async fn admit(
     gateway: &Arc<Gateway>,
-    arrived_at: Time,
-    origin: Origin,
+    arrival: Arrival<'_>,
     parts: http::request::Parts,
     head: CallerHead,
     body: Incoming,
 ) -> Result<Job, Rejection> {
+    let Arrival { at: arrived_at, origin, account } = arrival;
     let catalog = wait_for_catalog(gateway).await.ok_or(Rejection::NoCatalog)?;
     if gateway.refuses_requests() {
         return Err(Rejection::Stopping);
@@ -140,7 +152,8 @@
     let time_limit =
         if route.timeout.is_zero() { caller_timeout } else { caller_timeout.min(route.timeout) };
     let deadline = arrived_at + time_limit;
-    let body = read_body(body, catalog.limits.max_body, time_limit).await?;
+    let body = read_body(body, catalog.limits.max_body, time_limit, account).await?;
+    account.start_run()?;
     // The process may have been told to stop while the body arrived.
     if gateway.refuses_requests() {
         return Err(Rejection::Stopping);
@@ -165,6 +178,7 @@
         attempts: 0,
         version: if head.last_event.is_some() { VersionNeed::Origin } else { VersionNeed::Any },
         runs: 0,
+        account: account.clone(),
         origin,
         was_unreached: false,
         was_declined: false,
@@ -202,21 +216,6 @@
     Ok((route.clone(), team.cloned()))
 }
 
-/// Reads the body of a caller's request, which fails if it is larger than `max_bytes` or slower
-/// than `time_limit`.
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    time_limit: Duration,
-) -> Result<Bytes, Rejection> {
-    match timeout(time_limit, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => Err(Rejection::TooLarge),
-        Ok(Err(_)) => Err(Rejection::BadBody),
-        Err(_) => Err(Rejection::TimedOut),
-    }
-}
-
 /// Returns a hash of the request, by which the scheduler recognizes a request that crashes
 /// endpoints when its caller retries it.
 fn fingerprint(parts: &http::request::Parts, head: &CallerHead, body: &[u8]) -> u64 {
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
@@ -16,6 +16,7 @@
     Gateway,
     entry::Origin,
     grants::{Permit, acquire},
+    intake::{Account, read_response},
     reach::SuspicionGuard,
     response::{Rejection, ResponseBody},
 };
@@ -85,6 +86,8 @@
     pub(super) version: VersionNeed,
     /// Attempts that may have run the request. Only these count against the route's `max_attempts`.
     pub(super) runs: u32,
+    /// The connection of the caller.
+    pub(super) account: Account,
     /// Who has sent the request to this instance.
     pub(super) origin: Origin,
     /// Whether the last attempt failed to reach its endpoint.
@@ -373,8 +376,7 @@
         AttemptResult::Response(response, connection, head)
     }
 
-    /// Reads the body of a response and returns the connection to the pool. Returns `None` if the
-    /// body is too large or not complete before the deadline.
+    /// Reads a response and returns its connection to the pool; `None` if it is too large or late.
     pub(super) async fn collect_response(
         &self,
         response: Response<Incoming>,
@@ -382,9 +384,8 @@
         head: &ResponseHead,
     ) -> Option<Response<ResponseBody>> {
         let (parts, body) = response.into_parts();
-        let body =
-            timeout(self.time_left(), Limited::new(body, MAX_RESPONSE_BYTES).collect()).await;
-        let body = body.ok()?.ok()?.to_bytes();
+        let body = read_response(body, MAX_RESPONSE_BYTES, &self.account);
+        let body = timeout(self.time_left(), body).await.ok()??;
         self.release_connection(connection, &parts.headers, head);
         let mut response = Response::new(ResponseBody::from(body));
         *response.status_mut() = parts.status;
--- a/src/gateway/messages/codec.rs
+++ b/src/gateway/messages/codec.rs
@@ -9,6 +9,9 @@
 /// Largest frame in bytes. It must hold the operators' document, which is the largest content.
 const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Largest first frame of a link, which holds a hello or an announcement of some hundred bytes.
+const MAX_FIRST_FRAME_BYTES: usize = 16 << 10;
+
 /// Why a frame could not be read or written.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -48,6 +51,21 @@
     }
 }
 
+impl FrameCodec {
+    /// Returns the codec of a link that was accepted, which takes no larger frame than a hello before
+    /// [`allow_all`](Self::allow_all).
+    pub fn before_hello() -> Self {
+        let mut codec = Self::default();
+        codec.0.set_max_frame_length(MAX_FIRST_FRAME_BYTES);
+        codec
+    }
+
+    /// Takes frames of all contents from now on.
+    pub fn allow_all(&mut self) {
+        self.0.set_max_frame_length(MAX_FRAME_BYTES);
+    }
+}
+
 impl Decoder for FrameCodec {
     type Item = Content;
     type Error = FrameError;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -19,6 +19,7 @@
 
 use super::{
     Gateway,
+    intake::OpenConnection,
     messages::{
         Announcement, Content, EncodedFrame, FrameCodec, FrameError, Heartbeat, Hello, Welcome,
     },
@@ -29,6 +30,7 @@
     http::pool::set_socket_options,
     kernel::{
         grants::{ActiveGrant, GrantKey, UnusedRate},
+        intake::Listener,
         membership::{LinkedInstance, Member},
     },
 };
@@ -46,6 +48,9 @@
 /// Wait after accepting failed.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(200);
 
+/// Wait while too many connections have not sent their hello.
+const ADMIT_BACKOFF: Duration = Duration::from_millis(10);
+
 /// A connection to a peer that carries frames.
 type Wire = Framed<TcpStream, FrameCodec>;
 
@@ -113,9 +118,15 @@
     let mut number = 0;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 number += 1;
-                tokio::spawn(serve(gateway.clone(), stream, number));
+                let connection = loop {
+                    match gateway.budget.open(Listener::Hellos, peer.ip()) {
+                        Some(connection) => break connection,
+                        None => sleep(ADMIT_BACKOFF).await,
+                    }
+                };
+                tokio::spawn(serve(gateway.clone(), stream, number, connection));
             }
             Err(err) => {
                 log::warn!("event=accept_failed what=peers reason={err}");
@@ -127,13 +138,22 @@
 
 /// Serves a connection of another instance: its link while this instance leads, or the announcement
 /// of a new leader.
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream, link: u64) {
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream, link: u64, connection: OpenConnection) {
     set_socket_options(&stream);
-    let mut wire = Framed::new(stream, FrameCodec::default());
-    match timeout(HELLO_TIMEOUT, wire.next()).await {
-        Ok(Some(Ok(Content::Hello(hello)))) => serve_link(&gateway, hello, wire, link).await,
+    let account = connection.account();
+    let mut wire = Framed::new(stream, FrameCodec::before_hello());
+    let first = tokio::select! {
+        first = timeout(HELLO_TIMEOUT, wire.next()) => first,
+        () = account.closing() => return,
+    };
+    match first {
+        Ok(Some(Ok(Content::Hello(hello)))) if account.establish_link() => {
+            wire.codec_mut().allow_all();
+            serve_link(&gateway, hello, wire, link).await;
+        }
+        Ok(Some(Ok(Content::Hello(_)))) => account.refuse_link(),
         Ok(Some(Ok(Content::Announcement(frame)))) => gateway.handle_announcement(&frame),
-        _ => {}
+        _ => account.refuse_link(),
     }
 }
 
--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -2,6 +2,7 @@
 
 use std::{
     pin::Pin,
+    sync::{Arc, OnceLock},
     task::{Context, Poll},
     time::Duration,
 };
@@ -10,8 +11,9 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body::{Body, Frame, SizeHint};
 use serde::Serialize;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
+use super::intake::Account;
 use crate::kernel::grants::{Reason, Refusal};
 
 /// Events of a stream that may wait for a caller that reads slowly.
@@ -23,22 +25,75 @@
 #[error("the answer is not complete")]
 pub struct Truncated;
 
+/// Bytes of a stream that may wait for a caller that reads slowly.
+const STREAM_QUEUE_BYTES: usize = 64 << 10;
+
+/// A part of a streamed body, and its room in the queue.
+type QueuedPart = (Result<Bytes, Truncated>, Option<OwnedSemaphorePermit>);
+
 /// Sends the parts of a streamed body; an error closes the caller's connection.
-pub type PartSender = mpsc::Sender<Result<Bytes, Truncated>>;
+pub struct PartSender {
+    tx: mpsc::Sender<QueuedPart>,
+    /// Bytes that may still be queued.
+    room: Arc<Semaphore>,
+    /// The caller's connection, once the response has reached it.
+    account: Arc<OnceLock<Account>>,
+}
+
+impl PartSender {
+    /// Queues a part as soon as there is room for it. Fails if the caller has left.
+    pub async fn send(&self, part: Result<Bytes, Truncated>) -> Result<(), Truncated> {
+        let length = part.as_ref().map_or(0, Bytes::len);
+        let permit = tokio::select! {
+            permit = self.room.clone().acquire_many_owned(length.min(STREAM_QUEUE_BYTES) as u32) => {
+                permit.ok()
+            }
+            () = self.tx.closed() => return Err(Truncated),
+        };
+        if let Some(account) = self.account.get() {
+            account.record_output(length);
+        }
+        self.tx.send((part, permit)).await.map_err(|_| Truncated)
+    }
+
+    /// Waits until the caller has left.
+    pub async fn closed(&self) {
+        self.tx.closed().await;
+    }
+}
+
+/// The receiving side of a streamed body.
+pub struct PartReceiver {
+    rx: mpsc::Receiver<QueuedPart>,
+    account: Arc<OnceLock<Account>>,
+}
 
 /// Body of a response to a caller.
 pub enum ResponseBody {
     /// A body in one piece; `None` if the body is empty or has been sent.
     Whole(Option<Bytes>),
     /// A streamed body, whose parts are sent as they arrive.
-    Stream(mpsc::Receiver<Result<Bytes, Truncated>>),
+    Stream(PartReceiver),
 }
 
 impl ResponseBody {
     /// Creates a streamed body and the sender of its parts.
     pub fn stream() -> (PartSender, Self) {
         let (tx, rx) = mpsc::channel(STREAM_QUEUE_LEN);
-        (tx, ResponseBody::Stream(rx))
+        let room = Arc::new(Semaphore::new(STREAM_QUEUE_BYTES));
+        let account: Arc<OnceLock<Account>> = Arc::default();
+        let sender = PartSender { tx, room, account: account.clone() };
+        (sender, ResponseBody::Stream(PartReceiver { rx, account }))
+    }
+
+    /// Counts the body for the connection on which it is sent.
+    pub fn attach(&self, account: &Account) {
+        match self {
+            ResponseBody::Whole(bytes) => {
+                account.record_output(bytes.as_ref().map_or(0, Bytes::len));
+            }
+            ResponseBody::Stream(parts) => drop(parts.account.set(account.clone())),
+        }
     }
 }
 
@@ -58,8 +113,8 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
         match self.get_mut() {
             ResponseBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            ResponseBody::Stream(rx) => {
-                rx.poll_recv(cx).map(|part| part.map(|part| part.map(Frame::data)))
+            ResponseBody::Stream(parts) => {
+                parts.rx.poll_recv(cx).map(|part| part.map(|(part, _)| part.map(Frame::data)))
             }
         }
     }
@@ -91,6 +146,12 @@
     TooLarge,
     /// The body ended early or is not valid.
     BadBody,
+    /// The head is larger than the limit.
+    HeadTooLarge,
+    /// Clients occupy all that the process may give them, so the request was not sent.
+    Overloaded,
+    /// The body stopped arriving, so the request was not sent.
+    Stalled,
     /// The request got no grant, so it was not sent.
     NotRun(Refusal),
     /// The process is stopping, so the request was not sent.
@@ -112,6 +173,10 @@
 /// `Retry-After` of an instance that is cut off from the endpoints, as others are.
 const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` of an instance whose budget for clients is used up. Stalled clients lose theirs after a
+/// second.
+const OVERLOADED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 impl Rejection {
     /// Returns whether another instance may serve the request, which has not run.
     pub fn is_local(&self) -> bool {
@@ -122,6 +187,20 @@
                 | Rejection::NoKey
                 | Rejection::Stopping
                 | Rejection::CutOff
+                | Rejection::Overloaded
+        )
+    }
+
+    /// Returns whether the budget for clients or their own body is the cause. Such rejections come in
+    /// floods, and are logged together.
+    pub fn is_of_client(&self) -> bool {
+        matches!(
+            self,
+            Rejection::TooLarge
+                | Rejection::BadBody
+                | Rejection::HeadTooLarge
+                | Rejection::Overloaded
+                | Rejection::Stalled
         )
     }
 
@@ -132,13 +211,16 @@
             Rejection::NoKey => StatusCode::UNAUTHORIZED,
             Rejection::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Rejection::BadBody => StatusCode::BAD_REQUEST,
+            Rejection::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            Rejection::Stalled => StatusCode::REQUEST_TIMEOUT,
             Rejection::NotRun(Refusal { reason: Reason::OverRate, .. }) => {
                 StatusCode::TOO_MANY_REQUESTS
             }
             Rejection::NotRun(_)
             | Rejection::NoCatalog
             | Rejection::Stopping
-            | Rejection::CutOff => StatusCode::SERVICE_UNAVAILABLE,
+            | Rejection::CutOff
+            | Rejection::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
             Rejection::Unknown => StatusCode::BAD_GATEWAY,
             Rejection::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -152,6 +234,7 @@
             Rejection::NoCatalog => Some(UNREADY_RETRY_AFTER),
             Rejection::Stopping => Some(STOPPING_RETRY_AFTER),
             Rejection::CutOff => Some(CUT_OFF_RETRY_AFTER),
+            Rejection::Overloaded => Some(OVERLOADED_RETRY_AFTER),
             _ => None,
         }
     }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -8,11 +8,15 @@
     time::Duration,
 };
 
+use rustix::process::{Resource, getrlimit};
 use serde::Deserialize;
 
 use crate::{
     http::pool::ConnectOptions,
-    kernel::grants::{RetryLimits, SchedulerLimits},
+    kernel::{
+        grants::{RetryLimits, SchedulerLimits},
+        intake::{CONNECTION_BYTES, IntakeLimits},
+    },
     settings::{LogSettings, SettingsError},
     yaml,
 };
@@ -33,6 +37,8 @@
     source: Option<String>,
     machine: RawResources,
     limits: RawLimits,
+    #[serde(default)]
+    intake: RawIntake,
     #[serde(default = "default_log")]
     log: String,
 }
@@ -60,6 +66,17 @@
     stop_s: f64,
     address_ttl_s: f64,
     drain_ms: f64,
+    memory_mb: Option<f64>,
+    max_fds: Option<usize>,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+struct RawIntake {
+    bytes_mb: Option<f64>,
+    sockets: Option<usize>,
+    peer_fraction: Option<f64>,
+    max_header_fields: Option<usize>,
 }
 
 /// Resources of the host on which the instance runs.
@@ -126,6 +143,10 @@
     pub address_ttl: Duration,
     /// Time after which an endpoint that drains must receive no more requests.
     pub drain_time: Duration,
+    /// What clients may occupy.
+    pub intake: IntakeLimits,
+    /// Fields that the head of a request may have.
+    pub max_header_fields: usize,
     /// Log settings.
     pub log: LogSettings,
 }
@@ -176,6 +197,11 @@
 
     fn try_from(raw: RawGateway) -> Result<Self, Self::Error> {
         let limits = raw.limits;
+        let intake = parse_intake(&limits, &raw.intake)?;
+        let max_header_fields = raw.intake.max_header_fields.unwrap_or(MAX_HEADER_FIELDS);
+        if !(16..=1_000).contains(&max_header_fields) {
+            return Err(field_error("intake.max_header_fields", "write a number from 16 to 1000"));
+        }
         Ok(Self {
             instance: parse_name("instance", raw.instance)?,
             data_centre: parse_name("data_centre", raw.data_centre)?,
@@ -202,11 +228,68 @@
             stop_timeout: parse_seconds("limits.stop_s", limits.stop_s)?,
             address_ttl: parse_seconds("limits.address_ttl_s", limits.address_ttl_s)?,
             drain_time: parse_seconds("limits.drain_ms", limits.drain_ms / 1e3)?,
+            intake,
+            max_header_fields,
             log: LogSettings { spec: raw.log, json: true },
         })
     }
 }
 
+/// Memory of the smallest machine, which counts where the settings name none.
+const DEFAULT_MEMORY_MB: f64 = 160.0;
+
+/// Descriptors of the smallest machine, which count where the settings name none.
+const DEFAULT_FDS: usize = 3_075;
+
+/// Descriptors that are left to files, the store and other uses.
+const FILE_FDS: usize = 200;
+
+/// Fraction of the memory that clients may occupy. The process itself needs 20 to 30 MB, and memory that
+/// is freed in pieces cannot be reused at once.
+const MEMORY_FRACTION: f64 = 0.4;
+
+/// Fraction of the sockets that listeners and requests may use. The rest is for idle connections to
+/// endpoints and for connections that are being closed.
+const SOCKET_FRACTION: f64 = 0.9;
+
+/// Fraction of the budget that one peer address may use. Many callers may share an address, and less than
+/// what all bodies may use together leaves others some.
+const PEER_FRACTION: f64 = 0.7;
+
+/// Fraction of the bytes that connections without a request may use, which bounds their number.
+const CONNECTION_FRACTION: f64 = 0.5;
+
+/// Fields of a head where the settings name no number.
+const MAX_HEADER_FIELDS: usize = 100;
+
+/// Least budget of bytes, in megabytes, and of sockets.
+const MIN_INTAKE_MB: f64 = 4.0;
+const MIN_SOCKETS: usize = 64;
+
+/// Returns the budget for clients, by default from the limits of the machine.
+fn parse_intake(limits: &RawLimits, raw: &RawIntake) -> Result<IntakeLimits, SettingsError> {
+    let memory = non_negative("limits.memory_mb", limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB))?;
+    let default_mb = (memory * MEMORY_FRACTION).max(MIN_INTAKE_MB);
+    let bytes_mb = non_negative("intake.bytes_mb", raw.bytes_mb.unwrap_or(default_mb))?;
+    if bytes_mb < MIN_INTAKE_MB {
+        return Err(field_error("intake.bytes_mb", "write a number of at least 4"));
+    }
+    let system = getrlimit(Resource::Nofile).current.map_or(usize::MAX, |limit| limit as usize);
+    let fds = limits.max_fds.unwrap_or(DEFAULT_FDS).min(system);
+    let by_fds = (fds.saturating_sub(FILE_FDS) as f64 * SOCKET_FRACTION) as usize;
+    let bytes = bytes_mb * (1 << 20) as f64;
+    let by_bytes = (bytes * CONNECTION_FRACTION) as usize / CONNECTION_BYTES;
+    let sockets = raw.sockets.unwrap_or(by_fds.min(by_bytes).max(MIN_SOCKETS));
+    if sockets < MIN_SOCKETS {
+        return Err(field_error("intake.sockets", "write a number of at least 64"));
+    }
+    let peer_fraction = raw.peer_fraction.unwrap_or(PEER_FRACTION);
+    if !(peer_fraction > 0.0 && peer_fraction <= 1.0) {
+        return Err(field_error("intake.peer_fraction", "write a number above 0, up to 1"));
+    }
+    Ok(IntakeLimits { bytes: bytes as usize, sockets, peer_fraction })
+}
+
 /// Returns the error of a field that is not valid; `reason` says which value is expected.
 fn field_error(path: &str, reason: &str) -> SettingsError {
     SettingsError::Field { line: None, field: path.to_owned(), reason: reason.to_owned() }
--- a/src/http/pool.rs
+++ b/src/http/pool.rs
@@ -43,6 +43,10 @@
 /// Idle connections that are kept to one address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
+/// Largest read buffer of a connection. A response that waits for memory leaves the rest of its bytes to
+/// the system; with the default of 400 kB, some hundred such responses fill a small machine.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Why a request could not be sent or has no response.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -169,7 +173,9 @@
             ErrorKind::ConnectionRefused => SendError::Refused,
             _ => SendError::NotSent(err.to_string()),
         })?;
-        let handshake = http1::handshake(TokioIo::new(ResetStream::from(stream))).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(READ_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(ResetStream::from(stream))).await;
         let (sender, driver) = handshake.map_err(|err| SendError::NotSent(err.to_string()))?;
         metrics::counter!("cardamomshore_connections_opened_total").increment(1);
         log::debug!("event=connection_opened address={address}");
--- a/tests/product/platform.rs
+++ b/tests/product/platform.rs
@@ -206,6 +206,8 @@
         ("bounds.grace_s", "8"),
         ("bounds.ttl_max_s", "5"),
         ("bounds.drain_ms", "2000"),
+        ("limits.memory_mb", "120"),
+        ("limits.max_fds", "3075"),
     ];
     let mut text = include_str!("../../deploy/gateway.yaml").to_owned();
     for (name, value) in values {
@@ -223,6 +225,25 @@
     assert_eq!(settings.resources.strength(), 1_000);
 }
 
+/// Guards against a process that does not start with the settings of an older template, and against a
+/// budget beyond the limits of the machine.
+#[test]
+fn settings_without_limits_of_machine_have_a_budget() {
+    let with = GatewaySettings::parse(&filled_template()).expect("the settings are valid");
+    assert_eq!(with.intake.bytes, 48 << 20);
+    assert_eq!(with.intake.sockets, 1_536, "half of the bytes, 16 kB a connection");
+    let text: Vec<String> = filled_template()
+        .lines()
+        .filter(|line| !line.contains("memory_mb") && !line.contains("max_fds"))
+        .map(str::to_owned)
+        .collect();
+    let without = GatewaySettings::parse(&text.join("\n")).expect("the settings are valid");
+    assert_eq!(without.intake.bytes, 64 << 20);
+    let wrong = format!("{}\nintake: {{ peer_fraction: 0 }}\n", filled_template());
+    let error = GatewaySettings::parse(&wrong).expect_err("the fraction is not valid").to_string();
+    assert!(error.contains("intake.peer_fraction"), "{error}");
+}
+
 #[test]
 fn settings_name_the_wrong_field() {
     let text = filled_template().replace("10.0.0.9:4", "nowhere");
