--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod crashes;
 mod directory;
+mod duties;
 mod entry;
 mod forward;
 mod gate;
@@ -85,6 +86,8 @@
     registry: registry::Registry,
     /// Records of the software versions at which streams began.
     origin_records: origins::OriginRecords,
+    /// Duties towards the platform; `None` unless the settings name its API.
+    duties: Option<duties::Duties>,
     shutdown: shutdown::Shutdown,
     /// What clients may occupy.
     budget: Arc<intake::Budget>,
@@ -137,6 +140,7 @@
             members: ArcSwap::default(),
             registry: registry::Registry::default(),
             origin_records: origins::OriginRecords::default(),
+            duties: settings.duties.clone().map(duties::Duties::new),
             shutdown: shutdown::Shutdown::default(),
             budget: intake::Budget::new(settings.intake),
             started_at: Time::now(),
@@ -170,6 +174,11 @@
         tokio::spawn(rate_limits::run(self.clone()));
         tokio::spawn(origins::run(self.clone()));
         tokio::spawn(grants::run_scheduler(self.clone()));
+        if self.duties.is_some() {
+            tokio::spawn(duties::share(self.clone()));
+            tokio::spawn(duties::report(self.clone()));
+            tokio::spawn(duties::scale(self.clone()));
+        }
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
         tokio::spawn(intake::run(self.clone()));
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -70,6 +70,15 @@
     }
 }
 
+/// What the response to an ended request has shown of its endpoint.
+#[derive(Clone, Copy, Debug, Default)]
+struct EndSigns {
+    /// Refusals in a second after which the endpoint fails, if the response names such a number.
+    max_refusals: Option<u32>,
+    /// Longest pause between two events of a whole stream.
+    longest_pause: Option<Duration>,
+}
+
 /// A grant in use. A permit that is dropped without [`Permit::end`] ends its request with
 /// [`Outcome::Left`], as if the caller had left.
 pub struct Permit {
@@ -79,6 +88,8 @@
     pub grant: Grant,
     /// Refusals in a second after which the endpoint fails, if its response names such a number.
     max_refusals: OnceLock<u32>,
+    /// Longest pause between two events of a whole stream.
+    longest_pause: OnceLock<Duration>,
 }
 
 impl Permit {
@@ -87,7 +98,9 @@
     pub fn record_first_event(&self) {
         let gateway = &self.gateway;
         gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number }));
-        gateway.scheduler.lock().record_first_event(&gateway.grant_key(self.number), Time::now());
+        let key = gateway.grant_key(self.number);
+        gateway.scheduler.lock().record_first_event(&key, Time::now());
+        gateway.record_demand_begun(&key);
     }
 
     /// Records after how many refusals in a second the endpoint fails.
@@ -95,16 +108,28 @@
         let _ = self.max_refusals.set(max_refusals);
     }
 
+    /// Records the longest pause between two events of a whole stream.
+    pub fn record_pause(&self, longest: Duration) {
+        let _ = self.longest_pause.set(longest);
+    }
+
     /// Ends the request with `outcome`, which releases the grant.
     pub fn end(self, outcome: Outcome) {
-        self.gateway.end_request(self.number, outcome, self.max_refusals.get().copied());
+        self.report_end(outcome);
+    }
+
+    fn report_end(&self, outcome: Outcome) {
+        let signs = EndSigns {
+            max_refusals: self.max_refusals.get().copied(),
+            longest_pause: self.longest_pause.get().copied(),
+        };
+        self.gateway.end_request(self.number, outcome, signs);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let max_refusals = self.max_refusals.get().copied();
-        self.gateway.end_request(self.number, Outcome::Left, max_refusals);
+        self.report_end(Outcome::Left);
     }
 }
 
@@ -118,7 +143,7 @@
 impl Drop for WithdrawGuard<'_> {
     fn drop(&mut self) {
         if let Some(number) = self.number {
-            self.gateway.end_request(number, Outcome::Left, None);
+            self.gateway.end_request(number, Outcome::Left, EndSigns::default());
         }
     }
 }
@@ -141,7 +166,13 @@
     match result {
         Ok(Ok(grant)) => {
             gateway.scheduler.lock().record_own_grant(service, is_retry, Time::now());
-            Ok(Permit { gateway, number, grant, max_refusals: OnceLock::new() })
+            Ok(Permit {
+                gateway,
+                number,
+                grant,
+                max_refusals: OnceLock::new(),
+                longest_pause: OnceLock::new(),
+            })
         }
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => {
@@ -164,6 +195,7 @@
         if self.uplink.send(Content::GrantRequest(GrantRequestFrame::new(number, &request, now))) {
             return;
         }
+        self.record_demand(&self.grant_key(number), &request);
         let actions = {
             let mut scheduler = self.scheduler.lock();
             scheduler.set_mode(self.scheduler_mode(), now);
@@ -175,6 +207,11 @@
     /// Carries out the actions that a scheduler has decided.
     pub(super) fn apply_actions(self: &Arc<Self>, actions: Vec<Action>) {
         for action in actions {
+            match &action {
+                Action::Grant(key, _) => self.record_demand_granted(key),
+                Action::Refuse(key, _) => self.record_demand_ended(key, None),
+                Action::Order { .. } | Action::Report { .. } => {}
+            }
             match action {
                 Action::Grant(key, grant) if self.is_self(&key.instance) => {
                     self.resolve(key.number, Ok(grant));
@@ -246,16 +283,22 @@
 
     /// Ends a request in this instance's scheduler and at the leader; does nothing if it has ended
     /// already.
-    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome, max_refusals: Option<u32>) {
+    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome, signs: EndSigns) {
         if self.requests.table.lock().remove(&number).is_none() {
             return;
         }
-        let frame = EndFrame { max_refusals, ..EndFrame::new(number, outcome) };
+        let EndSigns { max_refusals, longest_pause } = signs;
+        let longest_pause_ms = longest_pause.map(|pause| pause.as_millis() as u32);
+        let frame = EndFrame { max_refusals, longest_pause_ms, ..EndFrame::new(number, outcome) };
         self.uplink.send(Content::Ended(frame));
         let (key, now) = (self.grant_key(number), Time::now());
+        self.record_demand_ended(&key, Some(outcome));
         let actions = {
             let mut scheduler = self.scheduler.lock();
             scheduler.record_max_refusals(&key, max_refusals, outcome);
+            if let Some(pause) = longest_pause {
+                scheduler.record_pause(&key, pause);
+            }
             scheduler.handle_outcome(&key, outcome, now)
         };
         self.apply_actions(actions);
@@ -285,10 +328,24 @@
         };
         for (number, request) in waiting {
             self.scheduler.lock().cancel_waiting(&self.grant_key(number));
+            self.record_demand_ended(&self.grant_key(number), None);
             self.submit(number, request);
         }
     }
 
+    /// Grants the requests that wait for an engine and carries out its next order, after the result of
+    /// an order or a report.
+    pub(super) fn poll_endpoint(self: &Arc<Self>, id: &str) {
+        let now = Time::now();
+        let mode = self.scheduler_mode();
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.set_mode(mode, now);
+            scheduler.poll_endpoint(id, now)
+        };
+        self.apply_actions(actions);
+    }
+
     /// Runs one tick of the scheduler, which covers the queue, the orders and the placement.
     pub(super) fn tick_scheduler(self: &Arc<Self>) {
         let now = Time::now();
