Spare time for each event of a stream, and bear links that open at once

All instances of a fleet open their link to a new leader at once, and 0.02 of the sockets, given up from 50 ms, could close valid ones.

Change: connections are in a table by place instead of a hash map, a peer's bytes are added up only when many are in use, and a part of a stream that has room takes no slow path. Connections without a hello have 0.08 of the sockets, at least 64, and 250 ms; links count among the shared sockets, so that all parts together stay within the descriptors.

--- a/src/gateway/response.rs
+++ b/src/gateway/response.rs
@@ -44,11 +44,13 @@
     /// Queues a part as soon as there is room for it. Fails if the caller has left.
     pub async fn send(&self, part: Result<Bytes, Truncated>) -> Result<(), Truncated> {
         let length = part.as_ref().map_or(0, Bytes::len);
-        let permit = tokio::select! {
-            permit = self.room.clone().acquire_many_owned(length.min(STREAM_QUEUE_BYTES) as u32) => {
-                permit.ok()
-            }
-            () = self.tx.closed() => return Err(Truncated),
+        let needed = length.min(STREAM_QUEUE_BYTES) as u32;
+        let permit = match self.room.clone().try_acquire_many_owned(needed) {
+            Ok(permit) => Some(permit),
+            Err(_) => tokio::select! {
+                permit = self.room.clone().acquire_many_owned(needed) => permit.ok(),
+                () = self.tx.closed() => return Err(Truncated),
+            },
         };
         if let Some(account) = self.account.get() {
             account.record_output(length);
--- a/src/kernel/intake.rs
+++ b/src/kernel/intake.rs
@@ -8,11 +8,13 @@
 
 mod connection;
 mod limits;
+mod table;
 
 use std::{collections::HashMap, net::IpAddr, time::Duration};
 
 use self::connection::{Connection, Phase, Rank};
 pub use self::limits::{IntakeLimits, Listener, Timeouts};
+use self::table::Table;
 use crate::clock::Time;
 
 /// Memory of an open connection beyond what is counted for its request: its task and its first buffers.
@@ -24,7 +26,7 @@
 /// Longest time for which a body waits for bytes before its request is refused.
 pub const MAX_BODY_WAIT: Duration = Duration::from_secs(2);
 
-/// Number of a connection, which is never used again.
+/// Number of a connection. It is not given to another one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(pub u64);
 
@@ -83,14 +85,13 @@
 #[derive(Debug)]
 pub struct Intake {
     limits: IntakeLimits,
-    connections: HashMap<ConnectionId, Connection>,
-    next_id: u64,
+    connections: Table,
     /// Bytes that all connections use.
     used: usize,
     /// Bytes of the connections that are being closed.
     freeing: usize,
-    /// Bytes and connections of each peer address.
-    peers: HashMap<IpAddr, (usize, usize)>,
+    /// Connections of each peer address.
+    peers: HashMap<IpAddr, usize>,
     /// Open connections of each listener, and those that are being closed.
     open: HashMap<Listener, (usize, usize)>,
     /// Requests that may have a connection to an endpoint.
@@ -108,8 +109,7 @@
     pub fn new(limits: IntakeLimits) -> Self {
         Self {
             limits,
-            connections: HashMap::new(),
-            next_id: 0,
+            connections: Table::default(),
             used: 0,
             freeing: 0,
             peers: HashMap::new(),
@@ -131,7 +131,7 @@
 
     /// Decides on a connection that a client has opened.
     pub fn open(&mut self, listener: Listener, peer: IpAddr, now: Time) -> Opening {
-        let (_, of_peer) = self.peers.get(&peer).copied().unwrap_or_default();
+        let of_peer = self.peers.get(&peer).copied().unwrap_or_default();
         let peer_full = listener.is_shared() && of_peer >= self.limits.peer_sockets();
         let mut close = None;
         if peer_full || !self.has_socket(listener) {
@@ -148,11 +148,9 @@
             };
             close = Some(self.close(id, Cause::Sockets));
         }
-        self.next_id += 1;
-        let id = ConnectionId(self.next_id);
-        self.connections.insert(id, Connection::new(listener, peer, now));
+        let id = self.connections.insert(Connection::new(listener, peer, now));
         self.open.entry(listener).or_default().0 += 1;
-        self.peers.entry(peer).or_default().1 += 1;
+        *self.peers.entry(peer).or_default() += 1;
         self.add_bytes(id, CONNECTION_BYTES as isize);
         Opening::Admit(id, close)
     }
@@ -168,7 +166,7 @@
         if connection.closing {
             *closing -= 1;
         }
-        if let Some((_, count)) = self.peers.get_mut(&connection.peer) {
+        if let Some(count) = self.peers.get_mut(&connection.peer) {
             *count -= 1;
             if *count == 0 {
                 self.peers.remove(&connection.peer);
@@ -242,8 +240,9 @@
     pub fn grow_body(&mut self, id: ConnectionId, bytes: usize, now: Time) -> Growth {
         let Some(connection) = self.connections.get(&id) else { return Growth::Wait(Vec::new()) };
         let peer = connection.peer;
-        let (of_peer, _) = self.peers.get(&peer).copied().unwrap_or_default();
-        let peer_fits = of_peer + bytes <= self.limits.peer_bytes();
+        // No peer has more than all together, so its own bytes are only added up when these are many.
+        let peer_fits = self.used + bytes <= self.limits.peer_bytes()
+            || self.bytes_of(peer) + bytes <= self.limits.peer_bytes();
         let fits = peer_fits && self.used + bytes <= self.limits.body_bytes();
         if fits || self.is_sole(id) {
             self.set_waiting(id, false, now);
@@ -255,7 +254,7 @@
             return Growth::Wait(self.make_room(bytes, self.limits.body_bytes(), |_| true, now));
         }
         // Only what this peer has already is in the way.
-        let excess = (of_peer + bytes).saturating_sub(self.limits.peer_bytes());
+        let excess = (self.bytes_of(peer) + bytes).saturating_sub(self.limits.peer_bytes());
         let limit = self.used.saturating_sub(excess);
         Growth::Wait(self.make_room(0, limit, |it| it.peer == peer, now))
     }
@@ -323,7 +322,7 @@
     /// Returns the connections whose clients have been too slow, whatever the load is.
     pub fn expired(&mut self, timeouts: Timeouts, now: Time) -> Vec<Close> {
         let expired = self.connections.iter().filter(|(_, it)| !it.closing);
-        let expired = expired.filter_map(|(id, it)| Some((*id, it.expiry(timeouts, now)?)));
+        let expired = expired.filter_map(|(id, it)| Some((id, it.expiry(timeouts, now)?)));
         let expired: Vec<_> = expired.collect();
         expired.into_iter().map(|(id, cause)| self.close(id, cause)).collect()
     }
@@ -337,13 +336,20 @@
         open - closing < self.limits.sockets_of(listener)
     }
 
-    /// Returns the sockets that callers' requests use: their connections and those to endpoints.
+    /// Returns the sockets that callers' requests use, their connections and those to endpoints, and
+    /// those of links.
     fn shared_sockets(&self) -> usize {
-        let shared = self.open.iter().filter(|(listener, _)| listener.is_shared());
+        let is_counted = |it: &Listener| it.is_shared() || *it == Listener::Links;
+        let shared = self.open.iter().filter(|(listener, _)| is_counted(listener));
         let open: usize = shared.map(|(_, (open, closing))| open - closing).sum();
         open + self.running
     }
 
+    /// Returns the bytes of all connections of a peer address.
+    fn bytes_of(&self, peer: IpAddr) -> usize {
+        self.connections.iter().filter(|(_, it)| it.peer == peer).map(|(_, it)| it.bytes).sum()
+    }
+
     /// Returns whether no other connection has a request, so that this one is served whatever the budget
     /// is.
     fn is_sole(&self, id: ConnectionId) -> bool {
@@ -379,7 +385,7 @@
             return None;
         }
         let group = self.connections.iter().filter(|(_, it)| !it.closing && of_group(it));
-        let ranked = group.filter_map(|(id, it)| Some((rank(it)?, *id)));
+        let ranked = group.filter_map(|(id, it)| Some((rank(it)?, id)));
         let chosen = ranked.max().map(|(_, id)| id);
         if chosen.is_none() {
             self.next_scan_at = now + SCAN_INTERVAL;
@@ -423,6 +429,5 @@
         if connection.closing {
             add(&mut self.freeing);
         }
-        add(&mut self.peers.entry(connection.peer).or_default().0);
     }
 }
--- a/src/kernel/intake/connection.rs
+++ b/src/kernel/intake/connection.rs
@@ -9,6 +9,9 @@
 /// sends its head with the connection or a round trip later.
 const MIN_FRESH_AGE: Duration = Duration::from_millis(50);
 
+/// The same for a connection of another instance, which may be paused or have little processor time.
+const MIN_HELLO_AGE: Duration = Duration::from_millis(250);
+
 /// Least time for which a connection was idle after a request before it may give up its socket.
 const MIN_IDLE: Duration = Duration::from_millis(250);
 
@@ -155,8 +158,10 @@
         let stalled = self.stalled(now);
         if self.phase == Phase::Head && self.output == 0 {
             let age = now.since(self.since);
+            let is_hello = self.listener == Listener::Hellos;
+            let least_age = if is_hello { MIN_HELLO_AGE } else { MIN_FRESH_AGE };
             return match (self.is_used, self.arrived > 0) {
-                (false, _) | (true, true) if age >= MIN_FRESH_AGE => Some(Rank::Fresh(micros(age))),
+                (false, _) | (true, true) if age >= least_age => Some(Rank::Fresh(micros(age))),
                 (true, false) if stalled >= MIN_IDLE => Some(Rank::Idle(micros(stalled))),
                 _ => None,
             };
--- a/src/kernel/intake/limits.rs
+++ b/src/kernel/intake/limits.rs
@@ -57,6 +57,10 @@
 /// Sockets that each of the small listeners has at least.
 const MIN_SOCKETS: usize = 16;
 
+/// Connections without a hello that are open at once at least. All instances of a fleet open their link
+/// to a new leader within milliseconds.
+const MIN_HELLOS: usize = 64;
+
 /// Part of `whole`, rounded down.
 fn part(whole: usize, fraction: f64) -> usize {
     (whole as f64 * fraction) as usize
@@ -88,8 +92,10 @@
         let fraction = match listener {
             Listener::Callers | Listener::Relay => return self.shared_sockets(),
             Listener::Directory => 0.08,
-            Listener::Readiness | Listener::Metrics | Listener::Hellos => 0.02,
-            // The leader has a link of each other instance and few callers.
+            Listener::Readiness | Listener::Metrics => 0.02,
+            Listener::Hellos => return part(self.sockets, 0.08).max(MIN_HELLOS),
+            // The leader has a link of each other instance and few callers. Links count among the
+            // shared sockets.
             Listener::Links => return part(self.sockets, 0.5),
         };
         part(self.sockets, fraction).max(MIN_SOCKETS)
--- a/tests/abuse.rs
+++ b/tests/abuse.rs
@@ -8,6 +8,7 @@
 
 mod abuse {
     mod bodies;
+    mod compare;
     mod connections;
     mod heads;
     mod instances;
--- a/tests/abuse/target.rs
+++ b/tests/abuse/target.rs
@@ -14,13 +14,13 @@
 use cardamomshore::{
     soak::process::free_address,
     standin::{
-        http1::{Server, whole_response},
+        http1::{Body, Server, streamed_response, whole_response},
         metadata::{MetadataStore, StoreAddress},
     },
 };
 use http::StatusCode;
 use http_body_util::BodyExt;
-use parking_lot::{Mutex, MutexGuard};
+use parking_lot::Mutex;
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -53,7 +53,7 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 
 /// The tests run one at a time, since each needs the machine's loopback and memory for its load.
-static TURN: Mutex<()> = Mutex::new(());
+static TURN: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
 /// A gateway process under load. It is killed when it is dropped.
 pub struct Target {
@@ -70,7 +70,7 @@
     _sampler: tokio::task::JoinHandle<()>,
     _store: StoreAddress,
     _endpoint: Server,
-    _turn: MutexGuard<'static, ()>,
+    _turn: Option<tokio::sync::MutexGuard<'static, ()>>,
 }
 
 impl Drop for Target {
@@ -81,15 +81,19 @@
     }
 }
 
-/// Returns the operators' document: one route to one plain service.
+fn route(name: &str, kind: &str) -> serde_json::Value {
+    json!({
+        "name": name, "host": "abuse.example", "path_prefix": format!("/{name}/"), "type": kind,
+        "timeout_ms": 12_000, "target_latency_ms": 500, "priority": 1, "service": "desk",
+        "max_attempts": 2,
+    })
+}
+
+/// Returns the operators' document: two routes to one plain service.
 fn document() -> String {
     json!({
         "version": 1,
-        "routes": [{
-            "name": "look", "host": "abuse.example", "path_prefix": "/look/", "type": "idempotent",
-            "timeout_ms": 12_000, "target_latency_ms": 500, "priority": 1, "service": "desk",
-            "max_attempts": 2,
-        }],
+        "routes": [route("look", "idempotent"), route("flow", "streaming")],
         "services": [{ "name": "desk", "health_path": "/h", "max_conns": 2_000 }],
         "tenants": [{ "name": "kites", "api_keys": ["abuse-key"], "unit": "tokens",
             "plain_tokens": 10, "rate_per_s": 10_000_000, "burst": 10_000_000 }],
@@ -100,6 +104,23 @@
     .to_string()
 }
 
+/// Events of each stream.
+pub const EVENT_COUNT: usize = 2_000;
+
+/// Returns a stream whose events are sent as fast as they are taken.
+fn stream() -> http::Response<Body> {
+    let (tx, response) = streamed_response(StatusCode::OK);
+    tokio::spawn(async move {
+        for number in 1..=EVENT_COUNT {
+            let event = format!("id: {number}\ndata: {}\n\n", "x".repeat(180));
+            if tx.send(Ok(event.into())).await.is_err() {
+                return;
+            }
+        }
+    });
+    response
+}
+
 /// Starts an endpoint and registers it. Its response to `/look/big` is as large as a body may be.
 fn start_endpoint(store: &MetadataStore) -> Server {
     let address = free_address();
@@ -108,10 +129,14 @@
         let big = big.clone();
         async move {
             let is_big = request.uri().path() == "/look/big";
+            let is_stream = request.uri().path().starts_with("/flow/");
             let body = request.into_body().collect().await;
             let length = body.map(|body| body.to_bytes().len()).unwrap_or(0);
             let body = if is_big { big } else { Bytes::from(format!("{length} bytes")) };
-            let mut response = whole_response(StatusCode::OK, body);
+            let mut response = match is_stream {
+                true => stream(),
+                false => whole_response(StatusCode::OK, body),
+            };
             let stamp = http::HeaderValue::from_static("stamp.desk-1");
             response.headers_mut().insert("x-server-stamp", stamp);
             Ok(response)
@@ -126,13 +151,13 @@
     server.expect("expected the endpoint to start")
 }
 
-fn spawn(name: &str, settings: &serde_json::Value) -> Child {
+fn spawn(name: &str, binary: &str, settings: &serde_json::Value) -> Child {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("abuse");
     std::fs::create_dir_all(&folder).expect("expected to create the folder");
     let path: PathBuf = folder.join(format!("{name}.yaml"));
     std::fs::write(&path, settings.to_string()).expect("expected to write the settings");
     let log = File::create(folder.join(format!("{name}.log"))).expect("expected to create the log");
-    Command::new(env!("CARGO_BIN_EXE_cardamomshore"))
+    Command::new(binary)
         .args(["gateway", "--settings"])
         .arg(&path)
         .stdin(Stdio::null())
@@ -145,7 +170,18 @@
 impl Target {
     /// Starts the gateway with the lowered limits and waits until it serves an ordinary request.
     pub async fn start(name: &'static str) -> Self {
-        let turn = TURN.lock();
+        let turn = TURN.lock().await;
+        let target = Self::start_binary(name, env!("CARGO_BIN_EXE_cardamomshore")).await;
+        target.with_turn(turn)
+    }
+
+    fn with_turn(mut self, turn: tokio::sync::MutexGuard<'static, ()>) -> Self {
+        self._turn = Some(turn);
+        self
+    }
+
+    /// Starts the same with another binary, beside other gateways.
+    pub async fn start_binary(name: &'static str, binary: &str) -> Self {
         let store = MetadataStore::start();
         store.put("op/config", &document());
         let endpoint = start_endpoint(&store);
@@ -165,7 +201,7 @@
             },
             "log": "info",
         });
-        let child = spawn(name, &settings);
+        let child = spawn(name, binary, &settings);
         let max_open = Arc::new(Mutex::new(0));
         let sampler = tokio::spawn(sample_descriptors(child.id(), max_open.clone()));
         let target = Self {
@@ -181,7 +217,7 @@
             _sampler: sampler,
             _store: store,
             _endpoint: endpoint,
-            _turn: turn,
+            _turn: None,
         };
         target.wait_served().await;
         target
@@ -203,6 +239,15 @@
         assert!(open <= MAX_FDS, "{open} open descriptors, bound {MAX_FDS}");
     }
 
+    /// Returns the processor time that the process has used, in clock ticks of 10 ms.
+    pub fn cpu_ticks(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        // The name of the process, which may contain spaces, ends with the last parenthesis.
+        let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+        fields.skip(11).take(2).filter_map(|ticks| ticks.parse::<u64>().ok()).sum()
+    }
+
     /// Waits until an ordinary request is answered.
     async fn wait_served(&self) {
         let served = || async { ordinary_status(self.callers).await == Some(200) };
--- a/tests/kernel/grants/placement_rise.rs
+++ b/tests/kernel/grants/placement_rise.rs
@@ -34,7 +34,7 @@
         load_rate: LOAD_RATE,
         models: (0..MODELS).map(|n| (Arc::from(format!("m{n}")), model.clone())).collect(),
     };
-    let service = Service { name: "llm".into(), cold_rate: 0.0, engine: Some(spec) };
+    let service = Service { name: "llm".into(), cold_rate: 0.0, scaling: None, engine: Some(spec) };
     let services = HashMap::from([(service.name.clone(), Arc::new(service))]);
     Arc::new(Catalog { version: 1, services, ..Catalog::default() })
 }
--- a/tests/kernel/intake.rs
+++ b/tests/kernel/intake.rs
@@ -258,9 +258,12 @@
         panic!("expected the connection to be admitted")
     };
     assert!(intake.establish_link(link));
-    for _ in 0..16 {
+    for _ in 0..64 {
         intake.open(Listener::Hellos, peer(2), START);
     }
+    // A fleet opens its links at once, and an instance with little processor time is late.
+    let soon = START + Duration::from_millis(200);
+    assert_eq!(intake.open(Listener::Hellos, peer(3), soon), Opening::Wait);
     let opening = intake.open(Listener::Hellos, peer(3), START + SECOND);
     let Opening::Admit(_, Some(close)) = opening else { panic!("unexpected: {opening:?}") };
     assert_ne!(close.id, link);
