--- a/src/gateway/output.rs
+++ b/src/gateway/output.rs
@@ -15,16 +15,12 @@
     time::Duration,
 };
 
-use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     time::{Sleep, sleep},
 };
 
-use super::response::{ResponseBody, Truncated};
-
 /// Time without a byte taken by the socket after which a connection is given up. Callers that read
 /// nothing for some seconds of their deadline of 10 s must get the rest; a caller whose machine is gone
 /// must not hold its connection for the quarter of an hour of the operating system's retransmissions.
@@ -61,7 +57,7 @@
 
 impl Output {
     /// Wraps the stream of a connection, and returns it with its output.
-    pub fn track(stream: TcpStream, all: Arc<Unwritten>) -> (TrackedStream, Arc<Self>) {
+    pub fn track<S>(stream: S, all: Arc<Unwritten>) -> (TrackedStream<S>, Arc<Self>) {
         let output = Arc::new(Self { all, is_held: false.into(), is_closed: false.into() });
         (TrackedStream { stream, output: output.clone(), stall: None }, output)
     }
@@ -94,26 +90,26 @@
 }
 
 /// A response's body, which the HTTP library drops once it has taken all of it.
-pub struct CountedBody {
-    body: ResponseBody,
+pub struct TrackedBody<B> {
+    body: B,
     _guard: RequestGuard,
 }
 
-impl CountedBody {
+impl<B> TrackedBody<B> {
     /// Creates the body of the response to the request that `guard` counts.
-    pub fn new(body: ResponseBody, guard: RequestGuard) -> Self {
+    pub fn new(body: B, guard: RequestGuard) -> Self {
         Self { body, _guard: guard }
     }
 }
 
-impl Body for CountedBody {
-    type Data = Bytes;
-    type Error = Truncated;
+impl<B: Body + Unpin> Body for TrackedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
@@ -127,14 +123,14 @@
 }
 
 /// The stream of a caller's connection.
-pub struct TrackedStream {
-    stream: TcpStream,
+pub struct TrackedStream<S> {
+    stream: S,
     output: Arc<Output>,
     /// Ends when the socket has taken nothing for [`STALL_TIMEOUT`]; `None` while it takes bytes.
     stall: Option<Pin<Box<Sleep>>>,
 }
 
-impl TrackedStream {
+impl<S> TrackedStream<S> {
     /// Fails a write that the socket has not taken for [`STALL_TIMEOUT`].
     fn limit_stall(
         &mut self,
@@ -151,14 +147,14 @@
     }
 }
 
-impl Drop for TrackedStream {
+impl<S> Drop for TrackedStream<S> {
     fn drop(&mut self) {
         self.output.is_closed.store(true, Ordering::Release);
         self.output.set_held(false);
     }
 }
 
-impl AsyncRead for TrackedStream {
+impl<S: AsyncRead + Unpin> AsyncRead for TrackedStream<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -168,7 +164,7 @@
     }
 }
 
-impl AsyncWrite for TrackedStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for TrackedStream<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
