--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -86,6 +86,9 @@
     pub timeout: Duration,
     /// Target for the time to the response, or to the first event of a stream.
     pub target_latency: Duration,
+    /// Longest pause between two events of a stream with which the response is still in time; `None` if
+    /// the route names none.
+    pub max_pause: Option<Duration>,
     /// Priority; 0 is the most urgent.
     pub priority: u8,
     /// Maximum number of endpoints that one request is sent to.
@@ -95,6 +98,11 @@
 }
 
 impl Route {
+    /// Returns the time for a request whose caller waits for `time`.
+    pub fn limit_time(&self, time: Duration) -> Duration {
+        if self.timeout.is_zero() { time } else { time.min(self.timeout) }
+    }
+
     /// Chooses a service at random by the weights; `draw` is the random number to use.
     ///
     /// Returns `None` if the weights add up to zero.
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -15,13 +15,17 @@
 use super::{
     Gateway,
     messages::{
-        AdoptFrame, Content, EndFrame, GrantFrame, GrantRequestFrame, RefuseFrame, RequestRef,
+        AdoptFrame, Content, EndFrame, GrantFrame, GrantRequestFrame, LoadFrame, RefuseFrame,
+        RequestRef,
     },
     orders,
 };
 use crate::{
     clock::Time,
-    kernel::grants::{Action, ActiveGrant, Grant, GrantKey, GrantRequest, Outcome, Refusal},
+    kernel::grants::{
+        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Observations, Outcome,
+        Refusal,
+    },
 };
 
 /// Interval of the scheduler's ticks while some requests wait.
@@ -70,6 +74,17 @@
     }
 }
 
+/// What the response to an ended request has shown of its endpoint.
+#[derive(Clone, Debug, Default)]
+struct EndSigns {
+    /// Refusals in a second after which the endpoint fails, if the response names such a number.
+    max_refusals: Option<u32>,
+    /// Longest pause between two events of a whole stream.
+    longest_pause: Option<Duration>,
+    /// Load that the response states, unless the leader was told of it.
+    load: Option<LoadFrame>,
+}
+
 /// A grant in use. A permit that is dropped without [`Permit::end`] ends its request with
 /// [`Outcome::Left`], as if the caller had left.
 pub struct Permit {
@@ -79,16 +94,26 @@
     pub grant: Grant,
     /// Refusals in a second after which the endpoint fails, if its response names such a number.
     max_refusals: OnceLock<u32>,
+    /// Load that the response states and when it arrived, until the leader is told.
+    load: Mutex<Option<(LoadFigures, Time)>>,
+    /// Longest pause between two events of a whole stream.
+    longest_pause: OnceLock<Duration>,
 }
 
 impl Permit {
     /// Records that the first event of the response has arrived, in this instance's scheduler and
     /// at the leader.
     pub fn record_first_event(&self) {
-        let gateway = &self.gateway;
-        gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number }));
+        let (gateway, now) = (&self.gateway, Time::now());
+        let load = self.take_load(now);
+        let own_load = load.as_ref().and_then(|load| load.to_load(now));
+        gateway.uplink.send(Content::FirstEvent(RequestRef { number: self.number, load }));
         let key = gateway.grant_key(self.number);
-        gateway.scheduler.lock().record_first_event(&key, Time::now());
+        {
+            let mut scheduler = gateway.scheduler.lock();
+            scheduler.record_load(&key, own_load, now);
+            scheduler.record_first_event(&key, now);
+        }
         gateway.record_demand_begun(&key);
     }
 
@@ -97,16 +122,40 @@
         let _ = self.max_refusals.set(max_refusals);
     }
 
+    /// Records the longest pause between two events of a whole stream.
+    pub fn record_pause(&self, longest: Duration) {
+        let _ = self.longest_pause.set(longest);
+    }
+
+    /// Records the load that the response states, if it states one.
+    pub fn record_load(&self, figures: Option<LoadFigures>) {
+        *self.load.lock() = figures.map(|figures| (figures, Time::now()));
+    }
+
+    /// Takes the load that the leader was not told of yet.
+    fn take_load(&self, now: Time) -> Option<LoadFrame> {
+        let (figures, seen_at) = self.load.lock().take()?;
+        Some(LoadFrame::new(figures, self.grant.incarnation, seen_at, now))
+    }
+
     /// Ends the request with `outcome`, which releases the grant.
     pub fn end(self, outcome: Outcome) {
-        self.gateway.end_request(self.number, outcome, self.max_refusals.get().copied());
+        self.report_end(outcome);
+    }
+
+    fn report_end(&self, outcome: Outcome) {
+        let signs = EndSigns {
+            max_refusals: self.max_refusals.get().copied(),
+            longest_pause: self.longest_pause.get().copied(),
+            load: self.take_load(Time::now()),
+        };
+        self.gateway.end_request(self.number, outcome, signs);
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let max_refusals = self.max_refusals.get().copied();
-        self.gateway.end_request(self.number, Outcome::Left, max_refusals);
+        self.report_end(Outcome::Left);
     }
 }
 
@@ -120,7 +169,7 @@
 impl Drop for WithdrawGuard<'_> {
     fn drop(&mut self) {
         if let Some(number) = self.number {
-            self.gateway.end_request(number, Outcome::Left, None);
+            self.gateway.end_request(number, Outcome::Left, EndSigns::default());
         }
     }
 }
@@ -143,7 +192,14 @@
     match result {
         Ok(Ok(grant)) => {
             gateway.scheduler.lock().record_own_grant(service, is_retry, Time::now());
-            Ok(Permit { gateway, number, grant, max_refusals: OnceLock::new() })
+            Ok(Permit {
+                gateway,
+                number,
+                grant,
+                max_refusals: OnceLock::new(),
+                longest_pause: OnceLock::new(),
+                load: Mutex::default(),
+            })
         }
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => {
@@ -254,17 +310,25 @@
 
     /// Ends a request in this instance's scheduler and at the leader; does nothing if it has ended
     /// already.
-    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome, max_refusals: Option<u32>) {
+    fn end_request(self: &Arc<Self>, number: u64, outcome: Outcome, signs: EndSigns) {
         if self.requests.table.lock().remove(&number).is_none() {
             return;
         }
-        let frame = EndFrame { max_refusals, ..EndFrame::new(number, outcome) };
-        self.uplink.send(Content::Ended(frame));
+        let EndSigns { max_refusals, longest_pause, load } = signs;
+        let longest_pause_ms = longest_pause.map(|pause| pause.as_millis() as u32);
         let (key, now) = (self.grant_key(number), Time::now());
+        let own_load = load.as_ref().and_then(|load| load.to_load(now));
+        let frame =
+            EndFrame { max_refusals, longest_pause_ms, load, ..EndFrame::new(number, outcome) };
+        self.uplink.send(Content::Ended(frame));
         self.record_demand_ended(&key, Some(outcome));
         let actions = {
             let mut scheduler = self.scheduler.lock();
             scheduler.record_max_refusals(&key, max_refusals, outcome);
+            if let Some(pause) = longest_pause {
+                scheduler.record_pause(&key, pause);
+            }
+            scheduler.record_load(&key, own_load, now);
             scheduler.handle_outcome(&key, outcome, now)
         };
         self.apply_actions(actions);
@@ -299,16 +363,50 @@
         }
     }
 
+    /// Grants the requests that wait for an engine and carries out its next order, after the result of
+    /// an order or a report.
+    pub(super) fn poll_endpoint(self: &Arc<Self>, id: &str) {
+        let now = Time::now();
+        let mode = self.scheduler_mode();
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.set_mode(mode, now);
+            scheduler.poll_endpoint(id, now)
+        };
+        self.apply_actions(actions);
+    }
+
     /// Runs one tick of the scheduler, which covers the queue, the orders and the placement.
     pub(super) fn tick_scheduler(self: &Arc<Self>) {
         let now = Time::now();
         let mode = self.scheduler_mode();
-        let actions = {
+        let (actions, observations) = {
             let mut scheduler = self.scheduler.lock();
             scheduler.set_mode(mode, now);
-            scheduler.tick(now)
+            let actions = scheduler.tick(now);
+            (actions, scheduler.take_observations())
         };
         self.apply_actions(actions);
+        if self.leads() {
+            record_observations(&observations);
+        }
+    }
+}
+
+/// Adds the leader's observations to the metrics. Other instances know only a part of the requests.
+fn record_observations(observations: &Observations) {
+    let Observations { first_event_ratios, end_ratios, paces, cached_tokens, prefill_tokens } =
+        observations;
+    let first_event = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "first_event");
+    first_event_ratios.iter().for_each(|ratio| first_event.record(*ratio));
+    let end = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "end");
+    end_ratios.iter().for_each(|ratio| end.record(*ratio));
+    let reported = metrics::histogram!("cardamomshore_reported_pace");
+    paces.iter().for_each(|pace| reported.record(*pace));
+    let tokens = [("cached", cached_tokens), ("prefill", prefill_tokens)];
+    for (expected, tokens) in tokens {
+        metrics::counter!("cardamomshore_prompt_tokens_total", "expected" => expected)
+            .increment(*tokens);
     }
 }
 
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod duties;
 mod endpoints;
+mod load;
 mod members;
 mod origins;
 mod rate_limits;
@@ -18,6 +19,7 @@
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
     duties::{DutiesFrame, LedgerFrame, ScaleFrame, StartFrame, UsageFrame, WindowFrame},
     endpoints::{EndpointFrame, EndpointsFrame, LeavingEndpointFrame, LeavingFrame, ModelFrame},
+    load::LoadFrame,
     members::{Announcement, Hello, MemberFrame, MembersFrame},
     origins::{OriginsFrame, VersionStreamsFrame},
     rate_limits::{RateLimitFrame, RateLimitsFrame},
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -32,9 +32,6 @@
     },
 };
 
-/// Longest wait of one watch call to the store.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
-
 /// Interval at which an instance checks whether it must read the store.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -123,6 +120,11 @@
         self.registry.table.lock().presence(endpoint, incarnation)
     }
 
+    /// Returns the incarnation of an endpoint; `None` if it has no entry.
+    pub(super) fn known_incarnation(&self, endpoint: &str) -> Option<Incarnation> {
+        self.registry.table.lock().get(endpoint).map(|entry| entry.incarnation)
+    }
+
     /// Returns the endpoints that do not drain, in the order of their names.
     pub(super) fn usable_endpoints(&self) -> Vec<EndpointEntry> {
         let table = self.registry.table.lock();
@@ -178,15 +180,18 @@
 
 /// Reads all entries, then watches their changes; fails on the first error of the store.
 async fn follow_entries(gateway: &Gateway) -> Result<(), StoreError> {
+    let began_at = Time::now();
     let page = gateway.store.range(ENDPOINT_PREFIX).await?;
+    gateway.watch_times.record_endpoints(began_at);
     let entries = page.items.iter().filter_map(|item| decode_entry(&item.key, &item.value));
     gateway.registry.table.lock().load(page.revision.era(), entries, Time::now());
     gateway.apply_table();
     let mut revision = page.revision;
     while gateway.must_watch_endpoints() {
-        match gateway.store.watch(ENDPOINT_PREFIX, revision, WATCH_TIMEOUT).await? {
+        match gateway.store.watch(ENDPOINT_PREFIX, revision, gateway.watch_wait()).await? {
             WatchResult::Missed => return Ok(()),
             WatchResult::Events(events, newest) => {
+                gateway.watch_times.record_endpoints(Time::now());
                 let changed = !events.is_empty();
                 events.into_iter().for_each(|event| apply_event(gateway, event));
                 if changed {
@@ -201,7 +206,7 @@
 }
 
 /// Decodes the record of an entry; `None` if it names no usable endpoint.
-fn decode_entry(key: &str, value: &[u8]) -> Option<EndpointEntry> {
+pub(super) fn decode_entry(key: &str, value: &[u8]) -> Option<EndpointEntry> {
     decode(key.strip_prefix(ENDPOINT_PREFIX)?, value)
 }
 
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -11,16 +11,23 @@
 mod crash_causes;
 mod endpoint;
 mod failures;
+mod forecast;
 mod holdings;
 mod index;
+mod order;
 mod order_state;
 mod orders;
 mod origins;
+mod pace;
+mod pauses;
 mod placement;
 mod queue;
+mod queues;
 mod rate;
 mod request;
 mod request_limit;
+mod run;
+mod running;
 mod scheduler;
 mod sizes;
 
@@ -32,7 +39,9 @@
     failures::FailureRates,
     holdings::Holdings,
     order_state::{Order, OrderId, OrderIds, OrderResult, OrderStep},
-    origins::{Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
+    origins::{Decider, Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
+    pace::{LoadFigures, LoadReport, OutOfRange, SightedLoad},
+    pauses::PauseControl,
     placement::{Demand, PlanInput, Swap, plan},
     rate::{RateShare, TokenBucket},
     request::{
@@ -40,5 +49,7 @@
         Reason, Refusal,
     },
     request_limit::RequestLimit,
-    scheduler::{Mode, ModelBacklog, RetryUsage, Scheduler, SchedulerLimits, UnusedRate},
+    scheduler::{
+        Mode, ModelBacklog, Observations, RetryUsage, Scheduler, SchedulerLimits, UnusedRate,
+    },
 };
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -8,8 +8,11 @@
 };
 
 use super::{
-    FailureRates, GrantKey, GrantRequest, KvCache, RequestLimit, Swap,
+    FailureRates, GrantKey, KvCache, RequestLimit, Swap,
     adapter::{AdapterPhase, AdapterState},
+    pace::EndpointPace,
+    run::ActiveRun,
+    running::RunTable,
     scheduler::CrashState,
     sizes::KeptSizes,
 };
@@ -105,21 +108,6 @@
     pub last_used: Time,
 }
 
-/// A granted request that runs at an endpoint.
-#[derive(Clone, Debug)]
-pub(super) struct ActiveRun {
-    /// The request that was granted.
-    pub request: GrantRequest,
-    /// When it was granted.
-    pub granted_at: Time,
-    /// Tokens that the engine was expected to prefill.
-    pub prefill_tokens: u64,
-    /// Prefill time that was queued at the engine ahead of the request when it was granted.
-    pub queued_prefill: Duration,
-    /// Whether the first event of the response has arrived.
-    pub started: bool,
-}
-
 /// Window over which the rate of a cold endpoint is limited.
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -147,11 +135,11 @@
     /// Last entry read from the store, to detect changes.
     pub(super) entry: EndpointEntry,
     /// Granted requests that run at the endpoint.
-    pub(super) running: HashMap<GrantKey, ActiveRun>,
+    pub(super) running: RunTable,
     /// When the endpoint stops being cold.
     pub(super) cold_until: Time,
     /// When requests were granted, for the limit of a cold endpoint.
-    recent_grants: VecDeque<Time>,
+    pub(super) recent_grants: VecDeque<Time>,
     /// No requests are granted before this time.
     pub(super) paused_until: Time,
     /// Backoff after the next failed connection attempt.
@@ -177,10 +165,12 @@
     pub(super) kv_cache: KvCache,
     /// When the queued prefill is expected to be done.
     pub(super) prefill_end: Time,
+    /// When the engine last began to prefill after a break.
+    pub(super) prefill_start: Time,
     /// Decaying average of prefill work in seconds per second, and when it was updated.
     usage: (f64, Time),
-    /// Ratio of the endpoint's measured to the expected time to the first event.
-    pub(super) slowdown: f64,
+    /// Reported load and pace, and measured speed.
+    pub(super) pace: EndpointPace,
     /// Planned change of the models, until the engine has accepted its load.
     pub(super) swap: Option<Swap>,
     /// State of the orders to the engine.
@@ -203,7 +193,7 @@
     /// Creates the state of an endpoint from its entry.
     pub fn new(info: EndpointEntry, now: Time) -> Self {
         let mut endpoint = Self {
-            running: HashMap::new(),
+            running: RunTable::default(),
             cold_until: now + info.cold_remaining,
             recent_grants: VecDeque::new(),
             paused_until: Time::default(),
@@ -218,8 +208,9 @@
             reported: false,
             kv_cache: KvCache::default(),
             prefill_end: Time::default(),
+            prefill_start: Time::default(),
             usage: (0.0, now),
-            slowdown: 1.0,
+            pace: EndpointPace::default(),
             swap: None,
             order_state: super::order_state::OrderState::default(),
             last_load: Time::default(),
@@ -389,26 +380,27 @@
         (recent as f64) + 1.0 <= service.cold_rate.max(1.0)
     }
 
-    /// Returns whether a `share` of the instances may send a request without exceeding the rate that
-    /// the endpoint has named.
-    pub(super) fn is_within_limit(&self, share: f64, now: Time) -> bool {
-        self.rate_limit.is_none_or(|limit| limit.allows(share, now))
+    /// Returns until when the endpoint takes no request, whatever it needs: it is paused, at its cold
+    /// rate, or at the rate that it has named, of which this scheduler has a `share`.
+    pub(super) fn closed_until(&self, service: &Service, share: f64, now: Time) -> Option<Time> {
+        let paused = (self.paused_until > now).then_some(self.paused_until);
+        let cold = (!self.has_cold_capacity(service, now)).then(|| {
+            let oldest = self.recent_grants.iter().find(|at| now.since(**at) < COLD_WINDOW);
+            oldest.map_or(now, |at| *at + COLD_WINDOW).min(self.cold_until)
+        });
+        let limit_wait = self.rate_limit.map(|limit| limit.wait(share, now));
+        let limited = limit_wait.filter(|wait| !wait.is_zero()).map(|wait| now + wait);
+        paused.max(cold).max(limited)
     }
 
     /// Records that a request was granted.
-    pub(super) fn record_grant(
-        &mut self,
-        key: GrantKey,
-        run: ActiveRun,
-        cache_capacity: u64,
-        now: Time,
-    ) {
+    pub(super) fn record_grant(&mut self, key: GrantKey, run: ActiveRun, now: Time) {
         while self.recent_grants.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW) {
             self.recent_grants.pop_front();
         }
         self.recent_grants.push_back(now);
         if let Some(work) = &run.request.work {
-            self.kv_cache.record_prefill(work, cache_capacity, now);
+            self.kv_cache.begin_prefill(work);
             if let Some(replica) = self.replicas.get_mut(&work.model) {
                 replica.last_used = now;
                 let state = work.adapter.as_ref().and_then(|a| replica.adapters.get_mut(a));
@@ -430,6 +422,9 @@
     pub(super) fn add_prefill(&mut self, work: Duration, now: Time) {
         let added = work.as_secs_f64() / USAGE_TIME_CONSTANT.as_secs_f64();
         self.usage = (self.usage(now) + added, now);
+        if !self.prefills_without_break(now) {
+            self.prefill_start = now;
+        }
         self.prefill_end = self.prefill_end.max(now) + work;
     }
 
@@ -460,13 +455,12 @@
 
     /// Returns whether a granted request runs at the endpoint.
     pub fn runs(&self, key: &GrantKey) -> bool {
-        self.running.contains_key(key)
+        self.running.contains(key)
     }
 
     /// Returns the upper bound of KV cache tokens that running requests use.
     pub(super) fn reserved_tokens(&self) -> u64 {
-        let works = self.running.values().filter_map(|run| run.request.work.as_ref());
-        works.map(|work| work.prompt_tokens + work.output_tokens).sum()
+        self.running.reserved_tokens()
     }
 
     /// Returns whether the engine has a replica of a model that is not about to be unloaded.
@@ -483,7 +477,6 @@
 
     /// Returns how many requests of a model are running.
     pub(super) fn running_count(&self, model: &str) -> usize {
-        let works = self.running.values().filter_map(|run| run.request.work.as_ref());
-        works.filter(|work| &*work.model == model).count()
+        self.running.model_count(model)
     }
 }
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -1,13 +1,18 @@
 //! The queue: whether a request may wait, and which requests are granted next.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::time::Duration;
 
-use super::{RETRY_AFTER_RANGE, Scheduler, Selection, is_same_kind};
+use super::{
+    RETRY_AFTER_RANGE, Scheduler,
+    selection::{ADAPTER_TIMEOUT, Selection},
+};
 use crate::{
     clock::Time,
     kernel::grants::{
-        Action, Endpoint, GrantRequest, Reason, Refusal, VersionNeed, crash_causes::CrashCheck,
-        queue::QueuedRequest,
+        Action, Endpoint, GrantRequest, Reason, Refusal, choice,
+        choice::Fit,
+        crash_causes::CrashCheck,
+        queue::{GroupKey, QueuedRequest, Rank},
     },
 };
 
@@ -17,84 +22,40 @@
 /// Expected time until a new leader can send orders to engines.
 const LEADER_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Time for which a request waits for an engine to load its adapter.
-const ADAPTER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Queued requests that one tick may find blocked. It bounds the tick after a change that concerns many
+/// queues; the next tick goes on with the others.
+const MAX_BLOCKED_PER_TICK: usize = 128;
 
-/// Expected rate at which an endpoint without a limit takes queued requests, a second.
-const MAX_GRANT_RATE: f64 = 1.0 / 0.06;
+/// Queued requests that one tick may grant, so that frames of the peers are handled in between.
+const MAX_SERVED_PER_TICK: usize = 512;
 
-/// Fraction of the time until its deadline for which a request may be expected to wait.
-const MAX_EXPECTED_WAIT_FRACTION: f64 = 0.5;
+/// Queued requests that the end of a run may find blocked. Where more queues compete for the endpoint,
+/// the next tick looks at the others.
+const MAX_BLOCKED_PER_EVENT: usize = 4;
 
-/// What two requests have in common if the same endpoints can serve both.
-#[derive(PartialEq, Eq, Hash)]
-struct RequestKind {
-    service: Arc<str>,
-    model: Option<Arc<str>>,
-    adapter: Option<Arc<str>>,
-    version: VersionNeed,
-}
+/// Requests waiting for a trial that one tick looks at. Each costs a search of the causes of crashes.
+const MAX_TRIALS_PER_TICK: usize = 32;
 
-impl RequestKind {
-    fn of(request: &GrantRequest) -> Self {
-        let work = request.work.as_ref();
-        Self {
-            service: request.service.clone(),
-            model: work.map(|work| work.model.clone()),
-            adapter: work.and_then(|work| work.adapter.clone()),
-            version: request.version.clone(),
-        }
-    }
+/// Requests waiting for a trial that the end of a run looks at.
+const MAX_TRIALS_PER_EVENT: usize = 4;
+
+/// Result of an evaluation of the first request of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HeadStep {
+    /// The request is granted or refused.
+    Served,
+    /// The request waits on.
+    Blocked,
+    /// The request waits on, as do all requests of its group that are not more urgent.
+    GroupBlocked,
 }
 
 impl Scheduler {
-    /// Returns how long a request is expected to wait behind others of its kind.
-    pub(super) fn expected_wait(&self, request: &GrantRequest, now: Time) -> Duration {
-        let same_kind = |w: &&QueuedRequest| {
-            is_same_kind(&w.request, request) && w.request.priority <= request.priority
-        };
-        let ahead = self.queue.iter().filter(same_kind).count();
-        let candidates = self.index.candidates(request).iter();
-        let candidates: Vec<&Endpoint> =
-            candidates.filter_map(|id| self.endpoints.get(id)).collect();
-        let rate = match candidates.is_empty() {
-            true => MAX_GRANT_RATE,
-            false => candidates.iter().map(|endpoint| self.grant_rate(endpoint)).sum(),
-        };
-        let behind_others = Duration::try_from_secs_f64(ahead as f64 / rate);
-        let limit_waits = candidates.iter().map(|endpoint| self.limit_wait(endpoint, now));
-        let limit_wait = limit_waits.min().unwrap_or_default();
-        behind_others.unwrap_or(Duration::MAX).saturating_add(limit_wait)
-    }
-
-    /// Returns the time until an endpoint that names a limit takes the next request.
-    fn limit_wait(&self, endpoint: &Endpoint, now: Time) -> Duration {
-        endpoint.rate_limit.map_or(Duration::ZERO, |limit| limit.wait(self.rate_share(), now))
-    }
-
-    /// Returns the expected rate at which an endpoint takes queued requests, a second.
-    fn grant_rate(&self, endpoint: &Endpoint) -> f64 {
-        let limit = endpoint.rate_limit.map(|limit| limit.usable_rate(self.rate_share()));
-        limit.unwrap_or(MAX_GRANT_RATE).min(MAX_GRANT_RATE)
-    }
-
-    /// Returns a refusal if the request would wait too long.
-    pub(super) fn refuse_long_wait(
-        &self,
-        queued: &QueuedRequest,
-        wait: Duration,
-    ) -> Option<Refusal> {
-        let time_left = queued.request.deadline.since(queued.since);
-        let retry = wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
-        (wait > time_left.mul_f64(MAX_EXPECTED_WAIT_FRACTION))
-            .then_some(Refusal { reason: Reason::NoRoom, retry })
-    }
-
     /// Returns a refusal unless the model of the request can be loaded in time.
-    pub(super) fn refuse_unloadable(&self, queued: &QueuedRequest) -> Option<Refusal> {
+    pub(super) fn refuse_unloadable(&self, queued: &QueuedRequest, now: Time) -> Option<Refusal> {
         let request = &queued.request;
         if self.endpoints.is_empty() {
-            return self.refuse_long_wait(queued, STARTUP_WAIT);
+            return self.refuse_late(queued, STARTUP_WAIT, now);
         }
         let usable = |e: &&Endpoint| e.info.service == request.service && !e.is_leaving();
         if !self.endpoints.values().any(|e| usable(&e)) {
@@ -107,7 +68,7 @@
         let refusal = Refusal { reason: Reason::NoModel, retry };
         let leader_wait = if self.may_order() { Duration::ZERO } else { LEADER_WAIT };
         match load_time {
-            Some(time) => self.refuse_long_wait(queued, time + leader_wait).map(|_| refusal),
+            Some(time) => self.refuse_late(queued, time + leader_wait, now).map(|_| refusal),
             None => Some(refusal),
         }
     }
@@ -121,82 +82,191 @@
         engines.map(|engine| engine.load_time(spec, &work.model)).min()
     }
 
-    /// Grants as many queued requests as the endpoints can take.
+    /// Grants queued requests of the groups that must be evaluated, and refuses those that have waited
+    /// too long.
     pub(super) fn grant_queued(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let queue = std::mem::take(&mut self.queue);
-        self.grant_or_requeue(queue, now, actions);
+        self.queue.wake_timed(now);
+        self.queue.unpark(MAX_TRIALS_PER_TICK, now);
+        let mut round = self.queue.due_round(now);
+        let (mut blocked, mut served) = (0, 0);
+        while blocked < MAX_BLOCKED_PER_TICK
+            && served < MAX_SERVED_PER_TICK
+            && let Some(head) = self.queue.take_head(&mut round)
+        {
+            match self.serve_head(head.rank, now, actions) {
+                HeadStep::Served => served += 1,
+                HeadStep::Blocked => blocked += 1,
+                HeadStep::GroupBlocked => {
+                    blocked += 1;
+                    self.queue.block(head.rank);
+                    if !self.queue.has_more_urgent(&round, head) {
+                        continue;
+                    }
+                }
+            }
+            self.queue.go_on(&mut round, head, now);
+        }
+        self.queue.defer(round);
+        while let Some(queued) = self.queue.pop_expired(now) {
+            let refusal = Refusal { reason: Reason::NoRoom, retry: RETRY_AFTER_RANGE.0 * 4 };
+            self.refuse(queued, refusal, now, actions);
+        }
     }
 
     /// Grants queued requests that an endpoint could run, after the endpoint has gained capacity.
     pub(super) fn grant_queued_at(&mut self, id: &str, now: Time, actions: &mut Vec<Action>) {
+        if self.queue.is_empty() {
+            return;
+        }
+        // The run may have been the trial that requests wait for.
+        self.queue.unpark(MAX_TRIALS_PER_EVENT, now);
         let Some(endpoint) = self.endpoints.get(id) else { return };
-        let selected = self.queue.extract_if(.., |queued| {
-            queued.request.service == endpoint.info.service
-                && queued.request.work.as_ref().is_none_or(|work| endpoint.can_serve(&work.model))
-        });
-        let selected = selected.collect();
-        self.grant_or_requeue(selected, now, actions);
-    }
-
-    /// Grants the selected requests in the order of their ranks while endpoints have capacity, and
-    /// requeues or refuses the others.
-    fn grant_or_requeue(
-        &mut self,
-        mut selected: Vec<QueuedRequest>,
-        now: Time,
-        actions: &mut Vec<Action>,
-    ) {
-        selected.sort_by_cached_key(|queued| queued.rank(now));
-        let mut full_kinds: HashSet<RequestKind> = HashSet::new();
-        for mut queued in selected {
-            let kind = RequestKind::of(&queued.request);
-            if let Some((_, since)) = &queued.adapter_load {
-                if now.since(*since) > ADAPTER_TIMEOUT {
-                    queued.adapter_load = None;
-                }
-            } else if full_kinds.contains(&kind) {
-                self.requeue_or_refuse(queued, now, actions);
-                continue;
-            }
-            if self.check_crashes(&queued.request, now) == CrashCheck::Refuse {
-                self.refund(&queued.request);
-                actions.push(Action::Refuse(queued.key, Refusal::CRASHES));
+        if self.evacuated.contains(&endpoint.info.data_centre) {
+            return;
+        }
+        let mut round = self.queue.round_of(groups_of(endpoint), now);
+        let mut blocked = 0;
+        while blocked < MAX_BLOCKED_PER_EVENT
+            && let Some(head) = self.queue.take_head(&mut round)
+        {
+            if self.awaits_adapter(head.rank, id, now) {
+                blocked += 1;
+                self.queue.go_on(&mut round, head, now);
                 continue;
             }
-            match self.select_endpoint(&queued.key, &queued.request, now) {
-                Selection::Granted(grant) => {
-                    actions.push(Action::Grant(queued.key, grant));
-                    continue;
-                }
-                Selection::LoadingAdapter(endpoint) => {
-                    self.collect_orders_of(&endpoint, now, actions);
-                    let since = queued.adapter_load.map_or(now, |(_, since)| since);
-                    queued.adapter_load = Some((endpoint, since));
+            // The other endpoints have not changed since the last evaluation, so that only this one
+            // can make a difference.
+            match self.evaluate_head(head.rank, id, now) {
+                Some(Fit::Ready(_) | Fit::NeedsAdapter(_)) => {
+                    let step = self.serve_head(head.rank, now, actions);
+                    blocked += usize::from(step != HeadStep::Served);
                 }
-                Selection::AwaitsTrial => queued.adapter_load = None,
-                Selection::Unavailable
-                    if let Some(refusal) = self.refuse_missing_version(&queued.request) =>
-                {
-                    self.refund(&queued.request);
-                    actions.push(Action::Refuse(queued.key, refusal));
-                    continue;
+                Some(Fit::Full { for_all: true, .. }) => {
+                    blocked += 1;
+                    self.queue.skip_less_urgent(&mut round, head);
+                    if !self.queue.has_more_urgent(&round, head) {
+                        continue;
+                    }
                 }
-                Selection::Full | Selection::Unavailable => {
-                    queued.adapter_load = None;
-                    full_kinds.insert(kind);
+                Some(Fit::Full { .. } | Fit::Unsuitable) | None => blocked += 1,
+            }
+            self.queue.go_on(&mut round, head, now);
+        }
+        self.queue.defer(round);
+    }
+
+    /// Returns whether the request with a rank waits for an adapter that this endpoint does not have
+    /// ready either, so that its room makes no difference.
+    fn awaits_adapter(&self, rank: Rank, id: &str, now: Time) -> bool {
+        let Some(queued) = self.queue.get(rank) else { return false };
+        let (Some((engine, since)), Some(work), Some(endpoint)) =
+            (&queued.adapter_load, &queued.request.work, self.endpoints.get(id))
+        else {
+            return false;
+        };
+        let is_recent = now.since(*since) <= ADAPTER_TIMEOUT;
+        is_recent
+            && match endpoint.adapter_state(work) {
+                Some(state) => state.ready_at > now,
+                None => **engine != *id || endpoint.wants_adapter(work),
+            }
+    }
+
+    /// Returns how an endpoint fits the request with a rank.
+    fn evaluate_head(&mut self, rank: Rank, id: &str, now: Time) -> Option<Fit> {
+        let request = &self.queue.get(rank)?.request;
+        let endpoint = self.endpoints.get(id)?;
+        let fit =
+            self.with_context(request, now, |context| choice::evaluate(endpoint, request, context));
+        if let Some(Fit::Full { until: Some(until), .. }) = fit {
+            self.queue.wake_at_rank(rank, until);
+        }
+        fit
+    }
+
+    /// Grants the request with a rank, which is the first of its queue, or refuses it if it must not
+    /// wait any longer.
+    fn serve_head(&mut self, rank: Rank, now: Time, actions: &mut Vec<Action>) -> HeadStep {
+        let Some(queued) = self.queue.get(rank) else { return HeadStep::Served };
+        let request = &queued.request;
+        if self.check_crashes(request, now) == CrashCheck::Refuse {
+            return self.refuse_head(rank, Refusal::CRASHES, now, actions);
+        }
+        let selection = self.select_endpoint(request, now);
+        match &selection {
+            Selection::Ready(endpoint) => {
+                let Some(queued) = self.queue.take(rank) else { return HeadStep::Served };
+                if let Some(grant) = self.begin_run(&queued.key, &queued.request, endpoint, now) {
+                    actions.push(Action::Grant(queued.key, grant));
                 }
+                return HeadStep::Served;
+            }
+            Selection::AwaitsTrial => {
+                self.queue.park(rank);
+                return HeadStep::Blocked;
             }
-            self.requeue_or_refuse(queued, now, actions);
+            Selection::Unavailable { .. }
+                if let Some(refusal) = self.refuse_missing_version(request) =>
+            {
+                return self.refuse_head(rank, refusal, now, actions);
+            }
+            _ => {}
+        }
+        let request = request.clone();
+        self.set_wake_time(&request, &selection, now);
+        let loading = match &selection {
+            Selection::NeedsAdapter { endpoint, .. } => {
+                self.want_adapter(endpoint, &request);
+                self.collect_orders_of(endpoint, now, actions);
+                Some(endpoint.clone())
+            }
+            _ => None,
+        };
+        if let Some(queued) = self.queue.get_mut(rank) {
+            let since = queued.adapter_load.take().map_or(now, |(_, since)| since);
+            queued.adapter_load = loading.map(|endpoint| (endpoint, since));
+        }
+        match selection {
+            Selection::Full { for_all: true, .. } => HeadStep::GroupBlocked,
+            _ => HeadStep::Blocked,
         }
     }
 
-    /// Puts a request back into the queue, or refuses it if it has waited too long.
-    fn requeue_or_refuse(&mut self, queued: QueuedRequest, now: Time, actions: &mut Vec<Action>) {
-        if !queued.is_overdue(now) {
-            return self.queue.push(queued);
+    /// Refuses the request with a rank.
+    fn refuse_head(
+        &mut self,
+        rank: Rank,
+        refusal: Refusal,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) -> HeadStep {
+        if let Some(queued) = self.queue.take(rank) {
+            self.refuse(queued, refusal, now, actions);
         }
-        self.refund(&queued.request);
-        let refusal = Refusal { reason: Reason::NoRoom, retry: RETRY_AFTER_RANGE.0 * 4 };
-        actions.push(Action::Refuse(queued.key, refusal));
+        HeadStep::Served
     }
+
+    /// Requires an evaluation of the queues that an endpoint can serve, after it has changed.
+    pub(super) fn wake_endpoint(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoints.get(id).filter(|_| !self.queue.is_empty()) {
+            groups_of(endpoint).for_each(|key| self.queue.wake(&key));
+        }
+    }
+
+    /// Grants the queued requests that an endpoint can serve and returns its next order, after the
+    /// result of an order or a report.
+    pub fn poll_endpoint(&mut self, id: &str, now: Time) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.grant_queued_at(id, now, &mut actions);
+        self.collect_orders_of(id, now, &mut actions);
+        actions
+    }
+}
+
+/// Returns the groups of queues whose requests an endpoint can serve.
+pub(super) fn groups_of(endpoint: &Endpoint) -> impl Iterator<Item = GroupKey> {
+    let models = endpoint.replicas.keys().map(Some);
+    models
+        .chain([None])
+        .map(|model| GroupKey { service: endpoint.info.service.clone(), model: model.cloned() })
 }
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -11,7 +11,7 @@
         duties::DutyApi,
         metadata::MetadataStore,
         operator::Document,
-        worker::{Worker, WorkerLog, WorkerSettings},
+        worker::{Worker, WorkerFaults, WorkerLog, WorkerSettings},
     },
 };
 use http_body_util::BodyExt;
@@ -48,6 +48,10 @@
     pub added: Vec<String>,
     /// Least number of endpoints of the plain service in each data centre, if it is scaled.
     pub scaling: Option<u32>,
+    /// Name of the team that holds the key.
+    pub team: &'static str,
+    /// Time for which callers wait.
+    pub timeout: Duration,
 }
 
 impl World {
@@ -82,6 +86,8 @@
             version: 0,
             added: Vec::new(),
             scaling: None,
+            team: TEAM,
+            timeout: TIMEOUT,
         };
         world.write_document();
         for data_centre in DATA_CENTRES {
@@ -158,7 +164,7 @@
             version: self.version,
             host: HOST,
             models: &[MODEL],
-            team: TEAM,
+            team: self.team,
             keys: vec![KEY],
             added: self.added.clone(),
             scaling: self.scaling,
@@ -180,7 +186,7 @@
     /// Sends a request on a route to a gateway; `None` without a whole response.
     pub async fn call(&self, gateway: usize, route: &str) -> Option<Answer> {
         let id = format!("{:016x}", rand::random::<u64>());
-        let request = CallerRequest { path: format!("/{route}/1"), ..request(id) };
+        let request = CallerRequest { path: format!("/{route}/1"), ..self.request(id) };
         let pool: Arc<Pool> = Arc::default();
         let address = self.gateways[gateway].callers;
         let mut connection = pool.acquire(address, TIMEOUT).await.ok()?;
@@ -203,7 +209,7 @@
         let prompt = Prompt { model: MODEL.to_owned(), parts: vec!["aa".to_owned()] };
         let path = "/chat/1".to_owned();
         let message =
-            CallerRequest { path, prompt: Some(prompt), take_up, ..request(id.to_owned()) };
+            CallerRequest { path, prompt: Some(prompt), take_up, ..self.request(id.to_owned()) };
         let pool: Arc<Pool> = Arc::default();
         let address = self.gateways[gateway].callers;
         let mut connection = pool.acquire(address, TIMEOUT).await.ok()?;
@@ -240,17 +246,28 @@
         }
         true
     }
-}
 
-/// Returns a request without a path.
-fn request(id: String) -> CallerRequest {
-    CallerRequest {
-        id,
-        host: HOST,
-        path: String::new(),
-        key: KEY,
-        timeout: TIMEOUT,
-        prompt: None,
-        take_up: None,
+    /// Returns a request without a path.
+    fn request(&self, id: String) -> CallerRequest {
+        CallerRequest {
+            id,
+            host: HOST,
+            path: String::new(),
+            key: KEY,
+            timeout: self.timeout,
+            prompt: None,
+            take_up: None,
+        }
+    }
+
+    /// Returns the team for which a request ran; `None` if it has not run.
+    pub fn team_of(&self, id: &str) -> Option<String> {
+        let runs = self.log.runs().into_iter();
+        runs.filter(|run| run.request == id).find_map(|run| run.team)
+    }
+
+    /// Sets the faults of all endpoints.
+    pub fn set_faults(&self, faults: WorkerFaults) {
+        self.workers.iter().for_each(|worker| worker.set_faults(faults));
     }
 }
