Keep watch calls waiting for 2 s while the store responds to other calls

A watch is silent once its last response is older than its wait; until then any response of the store shows that it is reachable. Spare watchers wait for 10 s.

--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -292,7 +292,8 @@
 impl Gateway {
     /// Returns the heartbeat of this instance.
     pub(super) fn heartbeat(&self) -> Heartbeat {
-        let response_age = self.watch_times.age(Time::now());
+        let now = Time::now();
+        let response_age = self.watch_times.source_age(self.store.response_age(now), now);
         let operator = self.operator.lock();
         Heartbeat {
             ready: self.is_ready(),
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -11,7 +11,7 @@
     kernel::{
         membership::{Member, lone_share, store_watchers},
         record_age::{
-            MAX_OPERATOR_AGE, OWN_WATCH_WAIT, SOURCE_WATCH_WAIT, max_record_age, read_backoff,
+            MAX_OPERATOR_AGE, SPARE_WATCH_WAIT, WATCH_WAIT, max_record_age, read_backoff,
         },
     },
 };
@@ -112,7 +112,7 @@
 
     /// Returns the longest wait of a watch call of this instance.
     pub(super) fn watch_wait(&self) -> Duration {
-        if self.is_source() { SOURCE_WATCH_WAIT } else { OWN_WATCH_WAIT }
+        if self.leads() || !self.uplink.is_open() { WATCH_WAIT } else { SPARE_WATCH_WAIT }
     }
 
     /// Returns whether this instance tells others what it reads from the store.
--- a/src/kernel/record_age.rs
+++ b/src/kernel/record_age.rs
@@ -20,14 +20,18 @@
 /// Time of the store for reading the records for one instance.
 const READ_TIME: Duration = Duration::from_millis(1);
 
-/// Longest wait of a watch call of an instance that tells others what it reads. Open connections may fall
-/// silent while other calls still get responses, so only the watch's own responses show that it lives.
-/// They must come well within [`MAX_OPERATOR_AGE`], or all other instances would read the store.
-pub const SOURCE_WATCH_WAIT: Duration = Duration::from_millis(400);
+/// Longest wait of a watch call of the leader, and of an instance without a leader. Open connections may
+/// fall silent while other calls still get responses, so only the watch's own responses show that it
+/// lives, and a withdrawn key must be refused within 5 s.
+pub const WATCH_WAIT: Duration = Duration::from_secs(2);
 
-/// The same wait of another instance. A large fleet whose leader lacks the store makes so many calls at
-/// once, and a withdrawn key is still refused within 5 s where the watch falls silent.
-pub const OWN_WATCH_WAIT: Duration = Duration::from_secs(2);
+/// The same wait of an instance that watches beside the leader. What it knows is not needed before the
+/// leader is lost.
+pub const SPARE_WATCH_WAIT: Duration = Duration::from_secs(10);
+
+/// Age of a watch's last own response above which its connection counts as silent. The rest beyond
+/// [`WATCH_WAIT`] is for a store that responds slowly.
+const MAX_WATCH_AGE: Duration = Duration::from_millis(2_600);
 
 /// When this instance last heard from the store itself that it knows the newest records, by what it
 /// watches. The responses to other calls, also to other watches, say nothing about that.
@@ -48,7 +52,14 @@
         self.endpoints.fetch_max(at.0, Ordering::Relaxed);
     }
 
-    /// Returns the age of what is known of both.
+    /// Returns the age of what this instance knows, if the store last carried out any of its calls
+    /// `contact` ago. While its watches live, that is the age; the age of a silent watch is its own.
+    pub fn source_age(&self, contact: Duration, now: Time) -> Duration {
+        let age = self.age(now);
+        if age > MAX_WATCH_AGE { age } else { contact.min(age) }
+    }
+
+    /// Returns the age of the older of both watches.
     pub fn age(&self, now: Time) -> Duration {
         let (operator, endpoints) = (&self.operator, &self.endpoints);
         now.since(Time(operator.load(Ordering::Relaxed).min(endpoints.load(Ordering::Relaxed))))
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -24,6 +24,7 @@
     RawCondition, RawEvents, RawLease, RawPage, RawPut, RawRevision, RawTtl, RawTxn,
 };
 use crate::{
+    clock::Time,
     http::pool::{Pool, SendError},
     kernel::revision::{LeaseId, Revision},
 };
@@ -109,6 +110,8 @@
     unreachable: AtomicBool,
     /// Number of times that the store became reachable after a failed call, or began a new era.
     recoveries: watch::Sender<u64>,
+    /// When the store last carried out a call of this client; zero before the first time.
+    responded_at: AtomicU64,
     /// One more than the latest era in which the store has responded; zero if none is known.
     next_era: AtomicU64,
 }
@@ -138,6 +141,7 @@
             timeout,
             unreachable: AtomicBool::new(false),
             recoveries,
+            responded_at: AtomicU64::new(0),
             next_era: AtomicU64::new(0),
         }
     }
@@ -147,6 +151,11 @@
         self.next_era.load(Ordering::Relaxed).saturating_sub(1)
     }
 
+    /// Returns the time since the store last carried out a call of this client, a watch included.
+    pub fn response_age(&self, now: Time) -> Duration {
+        now.since(Time(self.responded_at.load(Ordering::Relaxed)))
+    }
+
     /// Returns whether the last call other than a watch got a response.
     pub fn is_reachable(&self) -> bool {
         !self.unreachable.load(Ordering::Relaxed)
@@ -325,6 +334,9 @@
             let body = body.map_err(|err| StoreError::Unknown(err.to_string()))?.to_bytes();
             self.pool.release(connection, KEEP_ALIVE);
             let era = self.record_era(era)?;
+            if !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS {
+                self.responded_at.store(Time::now().0, Ordering::Relaxed);
+            }
             Ok(Response { status, body, era })
         };
         let result = timeout(time_limit, exchange).await;
--- a/tests/kernel/record_age.rs
+++ b/tests/kernel/record_age.rs
@@ -4,7 +4,9 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::record_age::{MAX_OPERATOR_AGE, RecordAge, WatchTimes, max_record_age, read_backoff},
+    kernel::record_age::{
+        MAX_OPERATOR_AGE, RecordAge, WATCH_WAIT, WatchTimes, max_record_age, read_backoff,
+    },
 };
 
 /// Time in which a confirmed change must be in force.
@@ -84,3 +86,23 @@
     times.record_operator(at(12_900));
     assert_eq!(times.age(at(13_000)), Duration::from_millis(100));
 }
+
+#[test]
+fn watch_times_contact_counts_while_watches_live() {
+    // Guards against a short wait of each watch call only to show that the store responds.
+    let times = WatchTimes::default();
+    times.record_operator(START);
+    times.record_endpoints(START);
+    let now = START + WATCH_WAIT;
+    assert_eq!(times.source_age(Duration::from_millis(300), now), Duration::from_millis(300));
+}
+
+#[test]
+fn watch_times_silent_watch_counts_despite_contact() {
+    // Guards against a withdrawn key in use while one watch is silent and other calls get responses.
+    let times = WatchTimes::default();
+    times.record_operator(START);
+    let now = START + WATCH_WAIT + Duration::from_secs(1);
+    times.record_endpoints(now);
+    assert!(times.source_age(Duration::ZERO, now) > MAX_OPERATOR_AGE);
+}
