Look up what instances without a link hold

Each charge of a leader with less than all links summed over all instances. The sums are now kept by team and service, and change with joins and leaves.

--- a/src/kernel/grants/allotment.rs
+++ b/src/kernel/grants/allotment.rs
@@ -120,6 +120,8 @@
     /// Arrivals of each subject by instance.
     arrivals: HashMap<Subject, HashMap<Arc<str>, Weight>>,
     holders: BTreeMap<Arc<str>, Holder>,
+    /// Sums of what the holders without a link may hold. Each request of the leader looks one up.
+    unlinked: HashMap<Subject, f64>,
     /// Number of the last allotment.
     version: u64,
     /// Term and version of `inherited`.
@@ -149,6 +151,7 @@
             self.inherited = held.totals();
         }
         let fractions = held.fractions();
+        self.link(instance);
         if !self.holders.contains_key(instance) {
             for (subject, fraction) in &fractions {
                 *self.reported.entry(subject.clone()).or_default() += fraction;
@@ -161,8 +164,23 @@
 
     /// Records that the link to an instance has ended. The instance goes on with what it holds.
     pub fn leave(&mut self, instance: &str) {
-        if let Some(holder) = self.holders.get_mut(instance) {
-            holder.linked = false;
+        let Some(holder) = self.holders.get_mut(instance) else { return };
+        if std::mem::replace(&mut holder.linked, false) {
+            for (subject, fraction) in &holder.largest {
+                *self.unlinked.entry(subject.clone()).or_default() += fraction;
+            }
+        }
+    }
+
+    /// Subtracts what an instance may hold from the sums of those without a link.
+    fn link(&mut self, instance: &str) {
+        let Some(holder) = self.holders.get_mut(instance) else { return };
+        if !std::mem::replace(&mut holder.linked, true) {
+            for (subject, fraction) in &holder.largest {
+                if let Some(sum) = self.unlinked.get_mut(subject) {
+                    *sum = (*sum - fraction).max(0.0);
+                }
+            }
         }
     }
 
@@ -178,6 +196,7 @@
     /// Forgets what instances without a link hold, since all instances of the fleet are linked.
     pub fn forget_unlinked(&mut self) {
         self.holders.retain(|_, holder| holder.linked);
+        self.unlinked.clear();
         self.inherited.clear();
         self.reported.clear();
     }
@@ -205,8 +224,7 @@
         if self.is_empty() || linked >= 1.0 {
             return linked;
         }
-        let unlinked = self.holders.values().filter(|holder| !holder.linked);
-        let held: f64 = unlinked.filter_map(|holder| holder.largest.get(subject)).sum();
+        let held = self.unlinked.get(subject).copied().unwrap_or(0.0);
         let reserve = RESERVE_FRACTION * (1.0 - linked);
         (1.0 - held - self.unreported(subject) - reserve).clamp(0.0, 1.0)
     }
@@ -222,7 +240,8 @@
         everyone: bool,
         now: Time,
     ) -> Vec<(Arc<str>, Allotments)> {
-        self.holders.entry(own.clone()).or_default().linked = true;
+        let new = Holder { linked: true, ..Holder::default() };
+        self.holders.entry(own.clone()).or_insert(new);
         self.forget_old(now);
         let open = |holder: &Holder| holder.linked && holder.unconfirmed.is_none();
         let mut plans: BTreeMap<Arc<str>, HashMap<Subject, f64>> = self
--- a/src/kernel/grants/scheduler/allotments.rs
+++ b/src/kernel/grants/scheduler/allotments.rs
@@ -131,7 +131,7 @@
     }
 
     /// Records that an instance has lost its link to this leader. It may use its part of the tokens from
-    /// now on.
+    /// now on, so that the leader goes on without it.
     pub fn leave_allotments(&mut self, instance: &str, now: Time) {
         let parts = self.teams.values().filter_map(|team| {
             let subject = Subject::Team(team.name.clone());
