--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use crate::kernel::duties::scaling::ScalingSpec;
+
 /// One version of the operators' catalog document.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Catalog {
@@ -96,6 +98,11 @@
 }
 
 impl Route {
+    /// Returns the time for a request whose caller waits for `time`.
+    pub fn limit_time(&self, time: Duration) -> Duration {
+        if self.timeout.is_zero() { time } else { time.min(self.timeout) }
+    }
+
     /// Chooses a service at random by the weights; `draw` is the random number to use.
     ///
     /// Returns `None` if the weights add up to zero.
@@ -121,6 +128,8 @@
     pub cold_rate: f64,
     /// Specification of the engines; `None` for plain services.
     pub engine: Option<EngineSpec>,
+    /// Bounds within which the leader scales the service; `None` if it does not.
+    pub scaling: Option<ScalingSpec>,
 }
 
 /// Specification of a service's engines.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,9 +7,11 @@
 //! grants its own requests, within its share of the limits.
 
 mod allotments;
+mod buffered;
 mod callers;
 mod crashes;
 mod directory;
+mod duties;
 mod entry;
 mod forward;
 mod gate;
@@ -21,6 +23,7 @@
 mod operator;
 mod orders;
 mod origins;
+mod output;
 mod peers;
 mod rate_limits;
 mod reach;
@@ -30,6 +33,8 @@
 pub mod settings;
 mod shedding;
 mod shutdown;
+mod silence;
+mod standing;
 mod stream;
 pub mod updates;
 
@@ -46,8 +51,8 @@
     http::pool::Pool,
     kernel::{
         grants::{Mode, Scheduler},
-        leadership::Leadership,
-        record_age::RecordAge,
+        leadership::{Leadership, StartId},
+        record_age::{RecordAge, WatchTimes},
         send_gate::SendGate,
     },
     platform::store::Store,
@@ -68,6 +73,8 @@
     leadership: Mutex<Leadership>,
     /// Age of what this instance knows of the store's records.
     record_age: RecordAge,
+    /// When this instance's own watches of the store last got a response.
+    watch_times: WatchTimes,
     /// What endpoints have told this instance.
     gate: Mutex<SendGate>,
     /// What this instance has seen of its path to the endpoints.
@@ -88,6 +95,8 @@
     registry: registry::Registry,
     /// Records of the software versions at which streams began.
     origin_records: origins::OriginRecords,
+    /// Duties towards the platform; `None` unless the settings name its API.
+    duties: Option<duties::Duties>,
     shutdown: shutdown::Shutdown,
     started_at: Time,
 }
@@ -129,8 +138,13 @@
             operator: Mutex::default(),
             scheduler: Mutex::new(scheduler),
             requests: grants::Requests::default(),
-            leadership: Mutex::new(Leadership::new(settings.instance.clone())),
+            leadership: Mutex::new(Leadership::new(
+                settings.instance.clone(),
+                // Zero stands for an unknown start in announcements.
+                StartId(rand::random_range(1..=u64::MAX)),
+            )),
             record_age: RecordAge::new(Time::now()),
+            watch_times: WatchTimes::default(),
             gate: Mutex::default(),
             reach: reach::EndpointReach::default(),
             relay: relay::Relay::default(),
@@ -141,6 +155,7 @@
             members: ArcSwap::default(),
             registry: registry::Registry::default(),
             origin_records: origins::OriginRecords::default(),
+            duties: settings.duties.clone().map(duties::Duties::new),
             shutdown: shutdown::Shutdown::default(),
             started_at: Time::now(),
             settings,
@@ -173,6 +188,11 @@
         tokio::spawn(rate_limits::run(self.clone()));
         tokio::spawn(origins::run(self.clone()));
         tokio::spawn(grants::run_scheduler(self.clone()));
+        if self.duties.is_some() {
+            tokio::spawn(duties::share(self.clone()));
+            tokio::spawn(duties::report(self.clone()));
+            tokio::spawn(duties::scale(self.clone()));
+        }
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(allotments::run(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -160,6 +160,7 @@
         gateway.running_requests().into_iter().map(Content::Adopt).collect();
     contents.extend(gateway.leaving_content(leader));
     contents.extend(gateway.earlier_operator_content(leader));
+    contents.extend(gateway.usage_handover());
     contents.push(gateway.held_allotments_content());
     let mut scheduler = gateway.scheduler.lock();
     let origins = scheduler.origins().all();
@@ -269,6 +270,7 @@
         Content::Operator(frame) => gateway.handle_operator(frame),
         Content::Crashes(frame) => gateway.handle_crashes(frame),
         Content::RateLimits(frame) => gateway.handle_rate_limits(frame),
+        Content::Duties(frame) => gateway.handle_duties(frame),
         Content::Allotments(frame) => gateway.handle_allotments(frame),
         Content::Hello(_)
         | Content::HeldAllotments(_)
@@ -282,6 +284,7 @@
         | Content::Retries(_)
         | Content::Leaving(_)
         | Content::Origins(_)
+        | Content::Usage(_)
         | Content::Heartbeat(_) => log::warn!("event=frame_unexpected from=leader"),
     }
 }
@@ -289,7 +292,7 @@
 impl Gateway {
     /// Returns the heartbeat of this instance.
     pub(super) fn heartbeat(&self) -> Heartbeat {
-        let response_age = self.store.response_age(Time::now());
+        let response_age = self.watch_times.age(Time::now());
         let operator = self.operator.lock();
         Heartbeat {
             ready: self.is_ready(),
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -3,7 +3,9 @@
 mod allotments;
 mod codec;
 mod crashes;
+mod duties;
 mod endpoints;
+mod load;
 mod members;
 mod origins;
 mod rate_limits;
@@ -17,7 +19,9 @@
     allotments::{AllotmentFrame, AllotmentsFrame, HeldAllotmentsFrame},
     codec::{EncodedFrame, FrameCodec, FrameError},
     crashes::{CauseFrame, CrashRecordFrame, CrashesFrame},
+    duties::{DutiesFrame, LedgerFrame, ScaleFrame, StartFrame, UsageFrame, WindowFrame},
     endpoints::{EndpointFrame, EndpointsFrame, LeavingEndpointFrame, LeavingFrame, ModelFrame},
+    load::LoadFrame,
     members::{Announcement, Hello, MemberFrame, MembersFrame},
     origins::{OriginsFrame, VersionStreamsFrame},
     rate_limits::{RateLimitFrame, RateLimitsFrame},
@@ -34,7 +38,7 @@
     /// Content of the frame; `None` if this release does not know it.
     #[prost(
         oneof = "Content",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 23, 24"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
     )]
     pub content: Option<Content>,
 }
@@ -105,6 +109,12 @@
     /// Instance to leader: at which software versions streams began.
     #[prost(message, tag = "20")]
     Origins(OriginsFrame),
+    /// Instance to leader: the instance's clock and the usage counts that it knows.
+    #[prost(message, tag = "21")]
+    Usage(UsageFrame),
+    /// Leader to instance: true time and what is fixed of the usage reports.
+    #[prost(message, tag = "22")]
+    Duties(DutiesFrame),
     /// Leader to instance: what the instance may grant without a leader.
     #[prost(message, tag = "23")]
     Allotments(AllotmentsFrame),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -174,6 +174,7 @@
         peer.send(gateway.rate_limits_content());
     }
     gateway.peers.table.lock().insert(instance.clone(), peer);
+    gateway.forget_demand(&instance);
     let actions = gateway.scheduler.lock().remove_instance(&instance, Time::now());
     gateway.apply_actions(actions);
     log::info!("event=instance_joined peer={instance} term={term}");
@@ -287,10 +288,18 @@
     let key = |number| GrantKey { instance: instance.into(), number };
     match content {
         Content::GrantRequest(frame) => {
-            gateway.decide_request(key(frame.number), frame.into_request(now), age, now);
+            let (key, request) = (key(frame.number), frame.into_request(now));
+            gateway.record_demand(&key, &request);
+            gateway.decide_request(key, request, age, now);
         }
         Content::FirstEvent(frame) => {
-            gateway.scheduler.lock().record_first_event(&key(frame.number), now)
+            let (key, load) = (key(frame.number), frame.load.and_then(|load| load.to_load(now)));
+            {
+                let mut scheduler = gateway.scheduler.lock();
+                scheduler.record_load(&key, load, now);
+                scheduler.record_first_event(&key, now);
+            }
+            gateway.record_demand_begun(&key);
         }
         Content::Ended(frame) => {
             let key = key(frame.number);
@@ -301,8 +310,11 @@
                 if let Some(ms) = frame.longest_pause_ms {
                     scheduler.record_pause(&key, Duration::from_millis(ms.into()));
                 }
+                let load = frame.load.as_ref().and_then(|load| load.to_load(now));
+                scheduler.record_load(&key, load, now);
                 scheduler.handle_outcome(&key, outcome, now)
             };
+            gateway.record_demand_ended(&key, Some(frame.to_outcome()));
             gateway.apply_actions(actions);
         }
         Content::Adopt(frame) => {
@@ -310,6 +322,7 @@
             let key = key(request.number);
             let active =
                 ActiveGrant { request: request.into_request(now), endpoint: frame.endpoint.into() };
+            gateway.adopt_demand(&key, &active.request);
             gateway.scheduler.lock().adopt(key, active, now);
         }
         Content::Rates(frame) => {
@@ -327,6 +340,7 @@
         Content::Origins(frame) => {
             gateway.scheduler.lock().origins().merge(frame.into(), now);
         }
+        Content::Usage(frame) => gateway.merge_usage(instance, frame),
         Content::HeldAllotments(frame) => gateway.record_held_allotments(instance, frame),
         Content::Hello(_)
         | Content::Allotments(_)
@@ -336,7 +350,8 @@
         | Content::Refuse(_)
         | Content::HeartbeatReply(_)
         | Content::Members(_)
-        | Content::Endpoints(_) => {
+        | Content::Endpoints(_)
+        | Content::Duties(_) => {
             log::warn!("event=frame_unexpected from={instance}");
         }
     }
@@ -396,6 +411,7 @@
             table.remove(instance);
         }
         log::info!("event=instance_left peer={instance}");
+        self.forget_demand(instance);
         let now = Time::now();
         let actions = {
             let mut scheduler = self.scheduler.lock();
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -1,25 +1,16 @@
 //! Evaluates how well an endpoint fits a request; the scheduler grants the one with the lowest
-//! cost.
+//! cost: the one where the request is expected to end first.
 
 use std::time::Duration;
 
-use super::{Endpoint, GrantRequest, ModelWork, VersionNeed};
+use super::{
+    Endpoint, GrantRequest, ModelWork, VersionNeed, forecast, forecast::Forecast, pace::ModelSpeed,
+};
 use crate::{
     catalog::{EngineSpec, Service},
     clock::Time,
 };
 
-/// Prompt tokens that an engine prefills in a millisecond, before its slowdown is known.
-const PREFILL_TOKENS_PER_MS: f64 = 40.0;
-
-/// Cost of each running request at an engine, as prefill time.
-const RUN_COST: Duration = Duration::from_millis(2);
-
-/// Cost of an engine that prefills all the time, as prefill time.
-///
-/// Each chunk of prefill delays the next token of every request that runs there.
-const USAGE_COST: Duration = Duration::from_millis(300);
-
 /// Cost of loading an adapter, as prefill time.
 const ADAPTER_LOAD_COST: Duration = Duration::from_millis(15);
 
@@ -32,8 +23,8 @@
 /// Cost of a cold endpoint, as prefill time.
 const COLD_COST: Duration = Duration::from_millis(40);
 
-/// Cost of a plain service's endpoint whose slots are all in use, as prefill time.
-const SLOT_COST: Duration = Duration::from_millis(60);
+/// Interval at which an endpoint is looked at again that is full of requests of others.
+const OTHERS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Fraction of an engine's KV cache that requests may reserve.
 const MAX_RESERVED_FRACTION: f64 = 0.95;
@@ -45,12 +36,18 @@
 /// slots.
 const EXCESS_SLOT_FRACTION: f64 = 1.0;
 
-/// Prefill time that may be queued at an engine ahead of a request, by its priority.
+/// Prefill that is queued at an engine ahead of a request when the request is sent there: a wake-up of the
+/// scheduler, a grant, and the request's way, so that the engine is never idle meanwhile.
 ///
-/// Urgent requests may queue at the engine. Other requests wait in the scheduler, so that urgent
-/// ones find a short queue at the engine.
-const MAX_QUEUED_PREFILL: [Duration; 3] =
-    [Duration::from_millis(400), Duration::from_millis(250), Duration::from_millis(120)];
+/// Other requests wait in the scheduler, where they can be ordered. What is less urgent is not
+/// counted, since the engine prefills urgent prompts first.
+const QUEUE_LEAD: Duration = Duration::from_millis(150);
+
+/// The same for the most urgent requests. They may queue longer, since no later one goes before them.
+const URGENT_QUEUE_LEAD: Duration = Duration::from_millis(300);
+
+/// Longest time by which a request may queue longer at an engine whose prefix cache saves as much.
+const MAX_CACHE_LEAD: Duration = Duration::from_millis(500);
 
 /// How an endpoint fits a request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -83,23 +80,14 @@
     /// Longest prefill without a break at engines with running streams; `None` if the route of the
     /// request allows any pause, or if the request is one of the most urgent.
     pub max_prefill: Option<Duration>,
-    /// Ratio of the model's measured time to the first event to the expected time.
-    pub model_slowdown: f64,
+    /// Measured speed of the request's model.
+    pub speed: ModelSpeed,
+    /// Seconds that a request of a plain service takes.
+    pub service_time: f64,
     /// Current time.
     pub now: Time,
 }
 
-/// Returns the tokens of a prompt that are not in the KV cache and the time to prefill them.
-pub(super) fn estimate_prefill(
-    endpoint: &Endpoint,
-    work: &ModelWork,
-    model_slowdown: f64,
-) -> (u64, Duration) {
-    let tokens = work.prompt_tokens.saturating_sub(endpoint.kv_cache.cached_tokens(work)).max(1);
-    let ms = tokens as f64 / PREFILL_TOKENS_PER_MS * model_slowdown * endpoint.slowdown;
-    (tokens, Duration::from_secs_f64(ms / 1e3))
-}
-
 /// Returns how an endpoint fits a request.
 pub(super) fn evaluate(
     endpoint: &Endpoint,
@@ -127,17 +115,22 @@
 
 /// Returns how an endpoint of a plain service, which is not an engine, fits a request.
 fn evaluate_plain(endpoint: &Endpoint, request: &GrantRequest, context: &FitContext<'_>) -> Fit {
-    let slots = f64::from(endpoint.info.slots.max(1));
+    let slots = f64::from(endpoint.pace.slots(endpoint.info.slots));
+    let requests = endpoint.expected_requests(context.now);
     // Requests that wait at a brittle endpoint may be refused, which makes it fail.
     let excess = if endpoint.is_brittle() { 0.0 } else { EXCESS_SLOT_FRACTION };
     let limit = (slots * (1.0 + excess) * context.fill_fraction).ceil().max(1.0);
-    let at_capacity = endpoint.running.len() as f64 >= limit;
+    let at_capacity = requests >= limit;
     let closed_until = endpoint.closed_until(context.service, context.rate_share, context.now);
     if at_capacity || closed_until.is_some() {
-        return Fit::Full { until: closed_until.filter(|_| !at_capacity), for_all: true };
+        // Requests of others fade with time, which no event tells.
+        let only_others = (endpoint.running.len() as f64) < limit;
+        let fades_at = (at_capacity && only_others).then(|| context.now + OTHERS_CHECK_INTERVAL);
+        let until = closed_until.max(fades_at).filter(|_| !at_capacity || only_others);
+        return Fit::Full { until, for_all: true };
     }
-    let slot_cost = SLOT_COST.mul_f64(endpoint.running.len() as f64 / slots * endpoint.slowdown);
-    Fit::Ready(slot_cost + common_cost(endpoint, request, context))
+    let forecast = forecast::at_plain(endpoint, context.service_time, context.now);
+    Fit::Ready(forecast.last_event + common_cost(endpoint, request, context))
 }
 
 /// Returns the cost that endpoints of all kinds have in common.
@@ -177,25 +170,28 @@
     let idle = endpoint.running.is_empty();
     let kv_fits = idle
         || endpoint.reserved_tokens() + work.prompt_tokens + work.output_tokens <= max_reserved;
-    let queued_prefill = endpoint.prefill_end.since(context.now);
-    let limit = MAX_QUEUED_PREFILL[usize::from(request.priority).min(MAX_QUEUED_PREFILL.len() - 1)];
+    let Forecast { place, prefill, last_event, saved, .. } =
+        forecast::at_engine(endpoint, work, request.priority, context.speed, context.now);
     let at_capacity = endpoint.running.len() + reserved >= slots;
-    let prefills_until = (queued_prefill > limit && !idle).then(|| endpoint.prefill_end - limit);
+    // A second of prefill at a busy engine also delays those that come later.
+    let load = endpoint.usage(context.now).min(1.0);
+    let lead = if request.priority == 0 { URGENT_QUEUE_LEAD } else { QUEUE_LEAD };
+    let limit = lead + saved.mul_f64(1.0 + load).min(MAX_CACHE_LEAD);
+    let prefills_until =
+        (place > limit && !idle).then(|| context.now + place.saturating_sub(limit));
     let closed_until = endpoint.closed_until(context.service, context.rate_share, context.now);
     let shut_until = prefills_until.max(closed_until);
     if at_capacity || !kv_fits || shut_until.is_some() {
         let until = shut_until.filter(|_| !at_capacity && kv_fits);
-        return Fit::Full { until, for_all: at_capacity || shut_until.is_some() };
+        // Another request may queue longer if its prompt is cached.
+        let is_long = place > lead + MAX_CACHE_LEAD && !idle;
+        return Fit::Full { until, for_all: at_capacity || closed_until.is_some() || is_long };
     }
-    let (_, prefill) = estimate_prefill(endpoint, work, context.model_slowdown);
     let needs_break = |max| endpoint.needs_prefill_break(prefill, max, context.now);
     if !idle && context.max_prefill.is_some_and(needs_break) {
         return Fit::Full { until: Some(endpoint.prefill_break_end()), for_all: false };
     }
-    let run_cost = RUN_COST * endpoint.running.len() as u32;
-    let usage_cost = USAGE_COST.mul_f64(endpoint.usage(context.now));
-    let cost =
-        queued_prefill + prefill + run_cost + usage_cost + common_cost(endpoint, request, context);
+    let cost = last_event + prefill.mul_f64(load) + common_cost(endpoint, request, context);
     if adapter_present {
         return Fit::Ready(cost);
     }
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -8,9 +8,10 @@
 };
 
 use super::{
-    FailureRates, GrantKey, GrantRequest, KvCache, RequestLimit, Swap,
+    FailureRates, GrantKey, KvCache, RequestLimit, Swap,
     adapter::{AdapterPhase, AdapterState},
-    pauses::PREFILL_BREAK,
+    pace::EndpointPace,
+    run::ActiveRun,
     running::RunTable,
     scheduler::CrashState,
     sizes::KeptSizes,
@@ -107,21 +108,6 @@
     pub last_used: Time,
 }
 
-/// A granted request that runs at an endpoint.
-#[derive(Clone, Debug)]
-pub(super) struct ActiveRun {
-    /// The request that was granted.
-    pub request: GrantRequest,
-    /// When it was granted.
-    pub granted_at: Time,
-    /// Tokens that the engine was expected to prefill.
-    pub prefill_tokens: u64,
-    /// Prefill time that was queued at the engine ahead of the request when it was granted.
-    pub queued_prefill: Duration,
-    /// Whether the first event of the response has arrived.
-    pub started: bool,
-}
-
 /// Window over which the rate of a cold endpoint is limited.
 pub(super) const COLD_WINDOW: Duration = Duration::from_secs(1);
 
@@ -180,11 +166,11 @@
     /// When the queued prefill is expected to be done.
     pub(super) prefill_end: Time,
     /// When the engine last began to prefill after a break.
-    prefill_start: Time,
+    pub(super) prefill_start: Time,
     /// Decaying average of prefill work in seconds per second, and when it was updated.
     usage: (f64, Time),
-    /// Ratio of the endpoint's measured to the expected time to the first event.
-    pub(super) slowdown: f64,
+    /// Reported load and pace, and measured speed.
+    pub(super) pace: EndpointPace,
     /// Planned change of the models, until the engine has accepted its load.
     pub(super) swap: Option<Swap>,
     /// State of the orders to the engine.
@@ -224,7 +210,7 @@
             prefill_end: Time::default(),
             prefill_start: Time::default(),
             usage: (0.0, now),
-            slowdown: 1.0,
+            pace: EndpointPace::default(),
             swap: None,
             order_state: super::order_state::OrderState::default(),
             last_load: Time::default(),
@@ -386,19 +372,13 @@
     }
 
     /// Records that a request was granted.
-    pub(super) fn record_grant(
-        &mut self,
-        key: GrantKey,
-        run: ActiveRun,
-        cache_capacity: u64,
-        now: Time,
-    ) {
+    pub(super) fn record_grant(&mut self, key: GrantKey, run: ActiveRun, now: Time) {
         while self.recent_grants.front().is_some_and(|at| now.since(*at) >= COLD_WINDOW) {
             self.recent_grants.pop_front();
         }
         self.recent_grants.push_back(now);
         if let Some(work) = &run.request.work {
-            self.kv_cache.record_prefill(work, cache_capacity, now);
+            self.kv_cache.begin_prefill(work);
             if let Some(replica) = self.replicas.get_mut(&work.model) {
                 replica.last_used = now;
                 let state = work.adapter.as_ref().and_then(|a| replica.adapters.get_mut(a));
@@ -426,28 +406,6 @@
         self.prefill_end = self.prefill_end.max(now) + work;
     }
 
-    /// Returns whether the engine has had no break of its prefill that lets running streams go on.
-    fn prefills_without_break(&self, now: Time) -> bool {
-        now < self.prefill_break_end()
-    }
-
-    /// Returns when the engine has had a break of its prefill, if it gets no further prompt.
-    pub(super) fn prefill_break_end(&self) -> Time {
-        self.prefill_end + PREFILL_BREAK
-    }
-
-    /// Returns whether the engine would prefill for longer than `max_prefill` without a break if it took
-    /// a prompt that takes `prefill`. The first prompt after a break is always taken.
-    pub(super) fn needs_prefill_break(
-        &self,
-        prefill: Duration,
-        max_prefill: Duration,
-        now: Time,
-    ) -> bool {
-        let end = self.prefill_end.max(now) + prefill;
-        self.prefills_without_break(now) && end.since(self.prefill_start) > max_prefill
-    }
-
     /// Records that the endpoint could not be reached.
     pub(super) fn record_unreachable(&mut self, now: Time) {
         self.unreachable = true;
--- a/src/kernel/grants/pauses.rs
+++ b/src/kernel/grants/pauses.rs
@@ -8,8 +8,11 @@
 
 use std::time::Duration;
 
+use super::Endpoint;
+use crate::clock::Time;
+
 /// Time in which an engine that prefills nothing produces at least one event of each stream.
-pub(super) const PREFILL_BREAK: Duration = Duration::from_millis(60);
+const PREFILL_BREAK: Duration = Duration::from_millis(60);
 
 /// Range of the bound, as multiples of the allowed pause. At the upper end the bound has no effect, as
 /// no more than that is queued at an engine.
@@ -48,3 +51,27 @@
         max_pause.mul_f64(self.factor)
     }
 }
+
+impl Endpoint {
+    /// Returns whether the engine has had no break of its prefill that lets running streams go on.
+    pub(super) fn prefills_without_break(&self, now: Time) -> bool {
+        now < self.prefill_break_end()
+    }
+
+    /// Returns when the engine has had a break of its prefill, if it gets no further prompt.
+    pub(super) fn prefill_break_end(&self) -> Time {
+        self.prefill_end + PREFILL_BREAK
+    }
+
+    /// Returns whether the engine would prefill for longer than `max_prefill` without a break if it took
+    /// a prompt that takes `prefill`. The first prompt after a break is always taken.
+    pub(super) fn needs_prefill_break(
+        &self,
+        prefill: Duration,
+        max_prefill: Duration,
+        now: Time,
+    ) -> bool {
+        let end = self.prefill_end.max(now) + prefill;
+        self.prefills_without_break(now) && end.since(self.prefill_start) > max_prefill
+    }
+}
--- a/src/kernel/grants/queues.rs
+++ b/src/kernel/grants/queues.rs
@@ -15,7 +15,8 @@
 
 use super::{
     GrantKey, GrantRequest,
-    queue::{GroupKey, KindQueue, QueuedRequest, Rank, RequestKind},
+    forecast::Ahead,
+    queue::{Backlog, GroupKey, KindQueue, QueuedRequest, Rank, RequestKind},
 };
 use crate::clock::Time;
 
@@ -53,8 +54,8 @@
 struct Group {
     /// First request of each queue.
     heads: BTreeMap<Rank, KindId>,
-    /// Number of requests of each priority; never zero.
-    counts: BTreeMap<u8, usize>,
+    /// Numbers of requests by class.
+    backlog: Backlog,
     /// What must be evaluated; `None` if nothing has changed since it was last done.
     wake: Option<Wake>,
     /// When the group is woken next by time alone.
@@ -122,9 +123,8 @@
             }
         };
         let queue = self.queues.get_mut(&id).expect("each kind has a queue");
-        *queue.counts.entry(rank.priority).or_default() += 1;
         let group = self.groups.entry(group).or_default();
-        *group.counts.entry(rank.priority).or_default() += 1;
+        group.backlog.add(&rank);
         change_order(queue, group, id, |order| {
             order.insert(rank);
         });
@@ -139,8 +139,7 @@
         change_order(queue, group, id, |order| {
             order.remove(&rank);
         });
-        subtract(&mut queue.counts, rank.priority);
-        subtract(&mut group.counts, rank.priority);
+        group.backlog.subtract(&rank);
         let is_group_empty = group.heads.is_empty();
         if queue.order.is_empty() {
             self.kinds.remove(&queue.kind);
@@ -204,22 +203,25 @@
     }
 
     /// Returns the first request of the same kind as `request` in the order of the ranks.
-    pub fn first_of_kind(&mut self, request: &GrantRequest, now: Time) -> Option<&QueuedRequest> {
+    pub fn first_of_kind(&mut self, request: &GrantRequest, now: Time) -> Option<Rank> {
         let id = *self.kinds.get(&RequestKind::of(request))?;
         loop {
             let rank = *self.queues.get(&id)?.order.first()?;
             if !rank.is_outdated(now) {
-                return self.get(rank);
+                return Some(rank);
             }
             self.mark_late(id, rank);
         }
     }
 
-    /// Returns how many requests of the same kind wait that are at least as urgent as `request`.
-    pub fn count_ahead(&self, request: &GrantRequest) -> usize {
-        let id = self.kinds.get(&RequestKind::of(request));
-        let queue = id.and_then(|id| self.queues.get(id));
-        queue.map_or(0, |queue| queue.counts.range(..=request.priority).map(|(_, n)| n).sum())
+    /// Returns what waits before a request in its group.
+    pub fn ahead_of(&self, key: &GroupKey, rank: &Rank) -> Ahead {
+        self.groups.get(key).map_or_else(Ahead::default, |group| group.backlog.ahead_of(rank.class))
+    }
+
+    /// Returns the number of requests that wait in a group.
+    pub fn group_len(&self, key: &GroupKey) -> usize {
+        self.groups.get(key).map_or(0, |group| group.backlog.len())
     }
 
     /// Returns the number of requests that wait for each model.
@@ -227,7 +229,7 @@
         let mut waiting: BTreeMap<Arc<str>, usize> = BTreeMap::new();
         for (key, group) in &self.groups {
             let Some(model) = &key.model else { continue };
-            *waiting.entry(model.clone()).or_default() += group.counts.values().sum::<usize>();
+            *waiting.entry(model.clone()).or_default() += group.backlog.len();
         }
         let trials = self.trials.iter().filter_map(|number| self.requests.get(number));
         let trials = trials.filter(|waiting| matches!(waiting.place, Place::Trial));
@@ -249,9 +251,11 @@
 
     /// Moves a request behind those of its kind that are not late.
     fn mark_late(&mut self, id: KindId, rank: Rank) {
-        let late = Rank { late: true, ..rank };
+        let late = rank.late();
         let queue = self.queues.get_mut(&id).expect("the queue of a request");
         let group = self.groups.get_mut(&queue.kind.group()).expect("the group of a queue");
+        group.backlog.subtract(&rank);
+        group.backlog.add(&late);
         change_order(queue, group, id, |order| {
             order.remove(&rank);
             order.insert(late);
@@ -311,7 +315,9 @@
     pub fn block(&mut self, rank: Rank) {
         let key = self.get(rank).map(|queued| RequestKind::of(&queued.request).group());
         if let Some(group) = key.and_then(|key| self.groups.get_mut(&key)) {
-            let from = group.blocked_from.map_or(rank.priority, |from| from.min(rank.priority));
+            let from = group
+                .blocked_from
+                .map_or(rank.class.priority, |from| from.min(rank.class.priority));
             group.blocked_from = Some(from);
         }
     }
@@ -376,13 +382,3 @@
         }
     }
 }
-
-/// Subtracts one from the number of requests of a priority.
-fn subtract(counts: &mut BTreeMap<u8, usize>, priority: u8) {
-    if let Some(count) = counts.get_mut(&priority) {
-        *count -= 1;
-        if *count == 0 {
-            counts.remove(&priority);
-        }
-    }
-}
--- a/src/kernel/grants/queues/round.rs
+++ b/src/kernel/grants/queues/round.rs
@@ -97,7 +97,7 @@
 
     /// Returns whether the group of a head has a request that is more urgent than it.
     pub fn has_more_urgent(&self, round: &Round, head: Head) -> bool {
-        self.is_any_before(&round.groups[head.group], head.rank.priority)
+        self.is_any_before(&round.groups[head.group], head.rank.class.priority)
     }
 
     /// Ends the evaluation of the groups of a round in which no request is more urgent than `head`,
@@ -107,17 +107,18 @@
         let Round { groups, blocked_from, heads } = round;
         for (key, blocked_from) in groups.iter().zip(blocked_from) {
             if let Some(group) = self.groups.get_mut(key) {
-                group.blocked_from = blocked_from.map(|from| from.max(head.rank.priority));
+                group.blocked_from = blocked_from.map(|from| from.max(head.rank.class.priority));
             }
         }
-        heads.retain(|Reverse((_, index))| self.is_any_before(&groups[*index], head.rank.priority));
+        heads.retain(|Reverse((_, index))| {
+            self.is_any_before(&groups[*index], head.rank.class.priority)
+        });
     }
 
     /// Returns whether a group has a request that is more urgent than `priority`.
     fn is_any_before(&self, key: &GroupKey, priority: u8) -> bool {
         let group = self.groups.get(key);
-        let first = group.and_then(|group| group.counts.keys().next());
-        first.is_some_and(|first| *first < priority)
+        group.is_some_and(|group| group.backlog.has_more_urgent(priority))
     }
 
     /// Leaves the rest of a round that was cut short to the next evaluation.
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -3,16 +3,20 @@
 mod admission;
 mod allotments;
 mod crashes;
+mod observations;
 mod origins;
 mod planning;
 mod rate_limits;
 mod retries;
 mod runs;
 mod selection;
+mod supply;
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
-pub use self::{admission::UnusedRate, planning::ModelBacklog, retries::RetryUsage};
+pub use self::{
+    admission::UnusedRate, observations::Observations, planning::ModelBacklog, retries::RetryUsage,
+};
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -23,7 +27,12 @@
 use super::{
     Action, AllotmentTable, Allotments, Command, Demand, Endpoint, EndpointEntry, EngineReport,
     GrantKey, GrantRequest, Holdings, Order, OrderResult, PauseControl, RetryBudget, RetryLimits,
-    StreamOrigins, TokenBucket, crash_causes::CrashCauses, index::Index, order_state::OrderIds,
+    StreamOrigins, TokenBucket,
+    crash_causes::CrashCauses,
+    index::Index,
+    order::{FairShares, Refused},
+    order_state::OrderIds,
+    pace::{ModelSpeed, Speeds},
     queues::Queues,
 };
 use crate::{
@@ -95,8 +104,12 @@
     /// Grows with each change of the rates that endpoints name.
     limit_version: u64,
     demand: Demand,
-    /// Ratio of the measured to the expected time to the first event, by model.
-    slowdowns: HashMap<Arc<str>, f64>,
+    /// Measured speeds of models and plain services.
+    speeds: Speeds,
+    observations: Observations,
+    supplies: supply::Supplies,
+    shares: FairShares,
+    refused: Refused,
     /// Bound of the prefill without a break, by service.
     pauses: HashMap<Arc<str>, PauseControl>,
     /// Rate of the requests that arrive.
@@ -139,7 +152,11 @@
             broken: VecDeque::new(),
             limit_version: 0,
             demand: Demand::default(),
-            slowdowns: HashMap::new(),
+            speeds: Speeds::default(),
+            observations: Observations::default(),
+            supplies: supply::Supplies::default(),
+            shares: FairShares::default(),
+            refused: Refused::default(),
             pauses: HashMap::new(),
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
@@ -306,8 +323,10 @@
         self.catalog.services.get(service)?.engine.as_ref()
     }
 
-    fn model_slowdown(&self, model: &str) -> f64 {
-        self.slowdowns.get(model).copied().unwrap_or(1.0)
+    /// Returns the measured speed of the request's model.
+    fn model_speed(&self, request: &GrantRequest) -> ModelSpeed {
+        let model = request.work.as_ref().map(|work| &work.model);
+        model.map_or_else(ModelSpeed::default, |model| self.speeds.model(model))
     }
 
     /// Applies the result of an order.
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -1,19 +1,17 @@
 //! Start and end of runs, and what the scheduler records about their endpoints.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use super::Scheduler;
 use crate::{
     catalog::Service,
     clock::Time,
     kernel::grants::{
-        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, choice, endpoint::ActiveRun,
+        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, SightedLoad, forecast,
+        forecast::Forecast, pace::Speeds, run::ActiveRun,
     },
 };
 
-/// Expected time from the grant to the first event, without the prefill.
-const FIRST_EVENT_OVERHEAD: Duration = Duration::from_millis(25);
-
 /// Backoff after an endpoint rejected a request because it was full.
 const FULL_BACKOFF: Duration = Duration::from_millis(60);
 
@@ -26,34 +24,50 @@
         let ActiveGrant { request, endpoint: id } = granted;
         let Some(service) = self.catalog.services.get(&request.service).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        start_run(endpoint, &key, &request, &service, 1.0, now);
+        start_run(endpoint, &key, &request, &service, &self.speeds, now);
         self.count_request(&id, now);
         self.endpoint_of.insert(key, id);
     }
 
+    /// Records the load that the response to a request states.
+    pub fn record_load(&mut self, key: &GrantKey, load: Option<SightedLoad>, now: Time) {
+        let endpoint = self.endpoint_of.get(key).and_then(|id| self.endpoints.get_mut(id));
+        let (Some(endpoint), Some(load)) = (endpoint, load) else { return };
+        if endpoint.record_load(&load, now) {
+            self.observations.record_load(&load.report);
+        }
+    }
+
     /// Records that the first event of a response has arrived.
     pub fn record_first_event(&mut self, key: &GrantKey, now: Time) {
         let Some(id) = self.endpoint_of.get(key).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        let Some(run) = endpoint.running.record_first_event(key) else { return };
+        let Some(run) = endpoint.running.record_first_event(key, now) else { return };
         let request = run.request.clone();
         let work = request.work.clone();
-        let (granted, queued_prefill, prefill_tokens) =
-            (run.granted_at, run.queued_prefill, run.prefill_tokens);
+        let (granted, forecast, pace) = (run.granted_at, run.forecast, run.pace);
         endpoint.record_reachable();
         if let Some(work) = work {
             endpoint.confirm_adapter(&work, granted);
-            let model_slowdown = self.slowdowns.entry(work.model.clone()).or_insert(1.0);
-            let own_prefill = Duration::from_secs_f64(
-                prefill_tokens as f64 / 4e4 * *model_slowdown * endpoint.slowdown,
-            );
-            let ratio = now.since(granted).as_secs_f64()
-                / (queued_prefill + own_prefill + FIRST_EVENT_OVERHEAD).as_secs_f64();
-            let ratio = ratio.clamp(0.25, 4.0);
-            *model_slowdown = (*model_slowdown * ratio.powf(0.06)).clamp(0.2, 3.0);
-            endpoint.slowdown = (endpoint.slowdown * ratio.powf(0.1)).clamp(0.6, 6.0);
+            endpoint.kv_cache.finish_prefill(&work);
+            let whole = now.since(granted).as_secs_f64();
+            self.observations.record_first_event(whole / forecast.first_event.as_secs_f64());
+            let expected = (forecast.place + forecast.prefill).as_secs_f64();
+            self.speeds.record_overhead(&work.model, whole, expected);
+            // An engine prefills one prompt after the other, so this one took the time since the last
+            // first event, or since its arrival. The pace may have changed since the grant.
+            let speed = self.speeds.model(&work.model);
+            let arrived = granted + Duration::from_secs_f64(speed.overhead);
+            let begun = arrived.max(endpoint.pace.last_first_event);
+            let pace = (pace + endpoint.pace.pace(now)) / 2.0;
+            let measured = now.since(begun).as_secs_f64() / pace;
+            let usual = forecast.prefill_tokens as f64 / forecast::PREFILL_TOKENS_PER_S;
+            let ratio = endpoint.pace.start.ratio(now);
+            endpoint.pace.start.record(measured, usual * speed.prefill, now);
+            self.speeds.record_prefill(&work.model, measured / ratio, usual);
+            endpoint.pace.last_first_event = now;
         }
-        correct_prefill(endpoint, &self.slowdowns, now);
+        correct_prefill(endpoint, &self.speeds, now);
         self.record_origin(&id, &request, now);
         self.record_response(&id, granted);
         self.wake_endpoint(&id);
@@ -114,10 +128,21 @@
         let endpoint = self.endpoints.get_mut(&id)?;
         let run = endpoint.running.remove(key)?;
         let data_centre = run.request.data_centre.clone();
+        if let Some(work) = &run.request.work {
+            match outcome {
+                _ if run.started => {}
+                Outcome::Whole => endpoint.kv_cache.finish_prefill(work),
+                _ => endpoint.kv_cache.drop_prefill(work),
+            }
+            endpoint.kv_cache.end_run(work);
+        }
         match outcome {
             Outcome::Whole => {
                 endpoint.record_reachable();
                 endpoint.failures.record(&data_centre, false, now);
+                record_end(endpoint, &run, &mut self.speeds, now);
+                let measured = now.since(run.granted_at).as_secs_f64();
+                self.observations.record_end(measured / run.forecast.last_event.as_secs_f64());
             }
             Outcome::Failed | Outcome::Silent | Outcome::Broke => {
                 endpoint.failures.record(&data_centre, true, now);
@@ -131,7 +156,7 @@
             Outcome::Leaving => endpoint.said_leaving = true,
             Outcome::CutOff | Outcome::Left => {}
         }
-        correct_prefill(endpoint, &self.slowdowns, now);
+        correct_prefill(endpoint, &self.speeds, now);
         self.end_origin(run.request.stream, outcome, now);
         self.record_crash_evidence(&id, &run, outcome, now);
         if outcome.is_not_run() {
@@ -154,40 +179,73 @@
     }
 }
 
-/// Records at an endpoint that a request was granted, with its expected prefill.
+/// Records at an endpoint that a request was granted, and returns the times that are expected.
 pub(super) fn start_run(
     endpoint: &mut Endpoint,
     key: &GrantKey,
     request: &GrantRequest,
     service: &Service,
-    model_slowdown: f64,
+    speeds: &Speeds,
     now: Time,
-) {
-    let (mut prefill_tokens, mut cache_capacity) = (0, 0);
-    let queued_prefill = endpoint.prefill_end.since(now);
-    if let (Some(work), Some(spec)) = (&request.work, &service.engine) {
-        let (tokens, prefill) = choice::estimate_prefill(endpoint, work, model_slowdown);
-        prefill_tokens = tokens;
-        endpoint.add_prefill(prefill, now);
-        cache_capacity = spec.kv_tokens.saturating_sub(endpoint.reserved_tokens());
+) -> Forecast {
+    let forecast = match &request.work {
+        Some(work) => {
+            forecast::at_engine(endpoint, work, request.priority, speeds.model(&work.model), now)
+        }
+        None => forecast::at_plain(endpoint, speeds.service(&request.service), now),
+    };
+    if request.work.is_some() && service.engine.is_some() {
+        endpoint.add_prefill(forecast.prefill, now);
     }
     let run = ActiveRun {
         request: request.clone(),
         granted_at: now,
-        prefill_tokens,
-        queued_prefill,
+        forecast,
         started: false,
+        started_at: now,
+        pace: endpoint.pace.pace(now),
+        load: (endpoint.expected_requests(now) + 1.0)
+            / f64::from(endpoint.pace.slots(endpoint.info.slots)),
     };
-    endpoint.record_grant(key.clone(), run, cache_capacity, now);
+    endpoint.record_grant(key.clone(), run, now);
+    if let Some(spec) = &service.engine {
+        endpoint.kv_cache.limit(spec.kv_tokens);
+    }
+    forecast
+}
+
+/// Learns from a complete run how fast the endpoint decodes, or serves a plain service.
+///
+/// Only the time that the endpoint's own speed explains is passed to the average of all endpoints, so
+/// that the two don't learn the same difference twice.
+fn record_end(endpoint: &mut Endpoint, run: &ActiveRun, speeds: &mut Speeds, now: Time) {
+    let pace = (run.pace + endpoint.pace.pace(now)) / 2.0;
+    let measured = now.since(run.started_at).as_secs_f64() / pace;
+    match &run.request.work {
+        Some(work) if run.started && work.output_tokens > 1 => {
+            // The expected time grows with the use of the engine in the same way.
+            let measured = measured / (1.0 + endpoint.usage(now));
+            let tokens = work.output_tokens as f64;
+            let ratio = endpoint.pace.decode.ratio(now);
+            endpoint.pace.decode.record(measured, speeds.model(&work.model).token * tokens, now);
+            speeds.record_token(&work.model, measured / tokens / ratio);
+        }
+        Some(_) => {}
+        None => {
+            // Requests beyond the slots wait at the endpoint.
+            let measured = measured / run.load.max(1.0);
+            let ratio = endpoint.pace.start.ratio(now);
+            endpoint.pace.start.record(measured, speeds.service(&run.request.service), now);
+            speeds.record_service(&run.request.service, measured / ratio);
+        }
+    }
 }
 
 /// Limits the expected queued prefill of an endpoint to that of the runs without a first event.
-fn correct_prefill(endpoint: &mut Endpoint, slowdowns: &HashMap<Arc<str>, f64>, now: Time) {
-    let seconds = endpoint
-        .running
-        .queued_tokens()
-        .map(|(model, tokens)| tokens as f64 / 4e4 * slowdowns.get(model).copied().unwrap_or(1.0));
-    let seconds: f64 = seconds.sum();
-    let remaining = Duration::from_secs_f64(seconds * endpoint.slowdown);
+fn correct_prefill(endpoint: &mut Endpoint, speeds: &Speeds, now: Time) {
+    let queued = endpoint.running.queued_tokens();
+    let remaining: Duration = queued
+        .map(|(model, tokens)| forecast::prefill_time(endpoint, tokens, speeds.model(model), now))
+        .sum();
     endpoint.prefill_end = endpoint.prefill_end.min(now + remaining);
 }
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -2,15 +2,19 @@
 //! placement.
 
 mod allotments;
+mod cache;
 mod choice;
 mod crashes;
 mod fleet;
+mod order;
 mod order_world;
 mod orders;
 mod origins;
+mod pace;
 mod pauses;
 mod placement;
 mod placement_rise;
+mod play;
 mod queue;
 mod rate;
 mod rate_limits;
--- a/tests/kernel/grants/queue.rs
+++ b/tests/kernel/grants/queue.rs
@@ -202,14 +202,18 @@
 fn outcome_grants_most_urgent_of_all_queues() {
     let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0", "m1"])]);
     deliver_reports(&mut scheduler, START);
-    let request = |model: &str, priority: u8| GrantRequest {
-        team: None,
-        priority,
-        ..model_request(model, 90_000, START)
+    let request = |number: u64, model: &str, priority: u8| {
+        let mut request =
+            GrantRequest { team: None, priority, ..model_request(model, 90_000, START) };
+        if let Some(work) = request.work.as_mut() {
+            work.parts = vec![(number, 90_000)];
+        }
+        request
     };
-    assert!(granted(&scheduler.handle_request(key(1), request("m0", 1), START)).is_some());
+    assert!(granted(&scheduler.handle_request(key(1), request(1, "m0", 1), START)).is_some());
     for (number, model, priority) in [(2, "m0", 2), (3, "m1", 1), (4, "m0", 1), (5, "m1", 0)] {
-        let actions = scheduler.handle_request(key(number), request(model, priority), START);
+        let actions =
+            scheduler.handle_request(key(number), request(number, model, priority), START);
         assert!(granted(&actions).is_none(), "{number}: the engine prefills a long prompt");
     }
     let mut order = Vec::new();
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -9,11 +9,13 @@
     mod cost;
     mod crowd;
     mod cut_off;
+    mod duties;
     mod input;
     mod keys;
     mod links;
     mod membership;
     mod memory;
+    mod moved_keys;
     mod once;
     mod operators;
     mod path;
@@ -22,6 +24,8 @@
     mod rate;
     mod returns;
     mod shutdown;
+    mod silence;
+    mod slow_callers;
     mod soak;
     mod streams;
     mod take_up;
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -8,9 +8,10 @@
     soak::process::{GatewayProcess, free_address},
     standin::{
         caller::{CallerRequest, Prompt, TakeUp, stamped_endpoint},
+        duties::DutyApi,
         metadata::MetadataStore,
         operator::Document,
-        worker::{Worker, WorkerLog, WorkerSettings},
+        worker::{Worker, WorkerFaults, WorkerLog, WorkerSettings},
     },
 };
 use http_body_util::BodyExt;
@@ -40,9 +41,17 @@
     pub workers: Vec<Worker>,
     /// What the workers have seen.
     pub log: Arc<WorkerLog>,
+    /// Platform API for the duties; `None` if the gateways have none.
+    pub duties: Option<DutyApi>,
     pub version: u64,
     /// Names of the routes that the operators' document has besides the first ones.
     pub added: Vec<String>,
+    /// Least number of endpoints of the plain service in each data centre, if it is scaled.
+    pub scaling: Option<u32>,
+    /// Name of the team that holds the key.
+    pub team: &'static str,
+    /// Time for which callers wait.
+    pub timeout: Duration,
 }
 
 impl World {
@@ -58,13 +67,27 @@
 
     /// Starts the same with a gateway for each of `homes`, in the data centre that it names.
     pub async fn start_in(name: &str, homes: &[&str], versions: &[&str]) -> Self {
+        Self::start_all(name, homes, versions, false).await
+    }
+
+    /// Starts the same with duties towards a platform API.
+    pub async fn start_with_duties(name: &str, homes: &[&str], versions: &[&str]) -> Self {
+        Self::start_all(name, homes, versions, true).await
+    }
+
+    async fn start_all(name: &str, homes: &[&str], versions: &[&str], has_duties: bool) -> Self {
+        let start_api = || DutyApi::start(free_address()).expect("expected the API to start");
         let mut world = Self {
             store: MetadataStore::start(),
             gateways: Vec::new(),
             workers: Vec::new(),
             log: Arc::default(),
+            duties: has_duties.then(start_api),
             version: 0,
             added: Vec::new(),
+            scaling: None,
+            team: TEAM,
+            timeout: TIMEOUT,
         };
         world.write_document();
         for data_centre in DATA_CENTRES {
@@ -79,14 +102,15 @@
             let binary = Path::new(env!("CARGO_BIN_EXE_cardamomshore"));
             let instance = format!("gateway-{data_centre}-{number}");
             let store = world.store.clone();
-            let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store);
+            let api = world.duties.as_ref().map(|api| api.address);
+            let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store, api);
             world.gateways.push(gateway.expect("expected the gateway to start"));
         }
         world.wait_ready().await;
         world
     }
 
-    fn start_worker(
+    pub fn start_worker(
         &mut self,
         service: &str,
         data_centre: &str,
@@ -140,9 +164,10 @@
             version: self.version,
             host: HOST,
             models: &[MODEL],
-            team: TEAM,
+            team: self.team,
             keys: vec![KEY],
             added: self.added.clone(),
+            scaling: self.scaling,
         };
         self.store.put(Document::key(), &document.to_text());
     }
@@ -161,7 +186,7 @@
     /// Sends a request on a route to a gateway; `None` without a whole response.
     pub async fn call(&self, gateway: usize, route: &str) -> Option<Answer> {
         let id = format!("{:016x}", rand::random::<u64>());
-        let request = CallerRequest { path: format!("/{route}/1"), ..request(id) };
+        let request = CallerRequest { path: format!("/{route}/1"), ..self.request(id) };
         let pool: Arc<Pool> = Arc::default();
         let address = self.gateways[gateway].callers;
         let mut connection = pool.acquire(address, TIMEOUT).await.ok()?;
@@ -184,7 +209,7 @@
         let prompt = Prompt { model: MODEL.to_owned(), parts: vec!["aa".to_owned()] };
         let path = "/chat/1".to_owned();
         let message =
-            CallerRequest { path, prompt: Some(prompt), take_up, ..request(id.to_owned()) };
+            CallerRequest { path, prompt: Some(prompt), take_up, ..self.request(id.to_owned()) };
         let pool: Arc<Pool> = Arc::default();
         let address = self.gateways[gateway].callers;
         let mut connection = pool.acquire(address, TIMEOUT).await.ok()?;
@@ -221,17 +246,28 @@
         }
         true
     }
-}
 
-/// Returns a request without a path.
-fn request(id: String) -> CallerRequest {
-    CallerRequest {
-        id,
-        host: HOST,
-        path: String::new(),
-        key: KEY,
-        timeout: TIMEOUT,
-        prompt: None,
-        take_up: None,
+    /// Returns a request without a path.
+    fn request(&self, id: String) -> CallerRequest {
+        CallerRequest {
+            id,
+            host: HOST,
+            path: String::new(),
+            key: KEY,
+            timeout: self.timeout,
+            prompt: None,
+            take_up: None,
+        }
+    }
+
+    /// Returns the team for which a request ran; `None` if it has not run.
+    pub fn team_of(&self, id: &str) -> Option<String> {
+        let runs = self.log.runs().into_iter();
+        runs.filter(|run| run.request == id).find_map(|run| run.team)
+    }
+
+    /// Sets the faults of all endpoints.
+    pub fn set_faults(&self, faults: WorkerFaults) {
+        self.workers.iter().for_each(|worker| worker.set_faults(faults));
     }
 }
