Let large requests wait for tokens while there is no leader

The part of one instance is small against a request of 10,000 tokens: a team below its rate was refused until the tokens had accumulated.

Test: at 0.8 of the rate with requests of 10,000 tokens nothing is refused in four seconds without a leader, and a flood after it stays within the limit.

--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod allotments;
 mod crashes;
+mod delayed;
 mod observations;
 mod origins;
 mod planning;
@@ -91,6 +92,8 @@
     /// Endpoint that runs each granted request.
     endpoint_of: HashMap<GrantKey, Arc<str>>,
     queue: Queues,
+    /// Requests that wait for tokens of their team.
+    delayed: delayed::Delayed,
     /// Token bucket of each team.
     buckets: HashMap<Arc<str>, TokenBucket>,
     /// Retry budget of each service.
@@ -144,6 +147,7 @@
             index: Index::default(),
             endpoint_of: HashMap::new(),
             queue: Queues::default(),
+            delayed: delayed::Delayed::default(),
             buckets: HashMap::new(),
             retry_budgets: HashMap::new(),
             own_retries: HashMap::new(),
@@ -280,7 +284,7 @@
 
     /// Returns the number of queued requests.
     pub fn queue_len(&self) -> usize {
-        self.queue.len()
+        self.queue.len() + self.delayed.len()
     }
 
     /// Returns the peak of the rate at which requests have arrived lately, a second.
@@ -301,7 +305,8 @@
         let mut actions = Vec::new();
         let origin = self.find_origin(&mut request, now);
         match origin.and_then(|()| self.admit(&request, now)) {
-            Ok(()) => self.grant_or_queue(key, request, now, &mut actions),
+            Ok(None) => self.grant_or_queue(key, request, now, &mut actions),
+            Ok(Some(at)) => self.delayed.push(key, request, at),
             Err(refusal) => actions.push(Action::Refuse(key, refusal)),
         }
         actions
@@ -372,6 +377,7 @@
             self.planned_at = now;
             self.plan(now);
         }
+        self.grant_delayed(now, &mut actions);
         self.grant_queued(now, &mut actions);
         self.collect_orders(now, &mut actions);
         actions
--- a/src/kernel/grants/scheduler/admission.rs
+++ b/src/kernel/grants/scheduler/admission.rs
@@ -64,9 +64,13 @@
         }
     }
 
-    /// Charges a request to its team and to the retry budget; fails if it must be refused.
-    pub(super) fn admit(&mut self, request: &GrantRequest, now: Time) -> Result<(), Refusal> {
-        let refuse = |reason, retry| Err(Refusal { reason, retry });
+    /// Charges a request to its team and to the retry budget; fails if it must be refused. Returns from
+    /// when on it may be granted if that is later than now.
+    pub(super) fn admit(
+        &mut self,
+        request: &GrantRequest,
+        now: Time,
+    ) -> Result<Option<Time>, Refusal> {
         if self.check_crashes(request, now) == CrashCheck::Refuse {
             return Err(Refusal::CRASHES);
         }
@@ -75,14 +79,22 @@
         let budget = self.retry_budgets.entry(request.service.clone()).or_default();
         if request.is_retry {
             if !budget.try_retry(&limits, share, now) {
-                return refuse(Reason::NoRepeat, Duration::from_secs(1));
+                let retry = Duration::from_secs(1);
+                return Err(Refusal { reason: Reason::NoRepeat, retry });
             }
         } else {
             budget.record_request(&limits, now);
         }
-        self.charge(request, now).or_else(|wait| {
-            refuse(Reason::OverRate, wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1))
-        })?;
+        let granted_from = match self.charge(request, now) {
+            Ok(()) => None,
+            Err(wait) => match self.charge_later(request, wait, now) {
+                Some(at) => Some(at),
+                None => {
+                    let retry = wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
+                    return Err(Refusal { reason: Reason::OverRate, retry });
+                }
+            },
+        };
         if let Some(work) = request.work.as_ref().filter(|_| !request.is_retry) {
             let prefill_seconds = work.prompt_tokens as f64 / 40.0 / 1e3
                 * self.speeds.model(&work.model).prefill
@@ -91,7 +103,7 @@
                 + OUTPUT_TOKEN_WORK * work.output_tokens as u32;
             self.demand.record(&work.model, engine_time, now);
         }
-        Ok(())
+        Ok(granted_from)
     }
 
     /// Takes the request's tokens from its team's bucket, or returns the time until they are
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -107,6 +107,9 @@
 
     /// Removes a queued request and refunds its tokens.
     pub fn cancel_waiting(&mut self, key: &GrantKey) {
+        if let Some(request) = self.delayed.remove(key) {
+            self.refund(&request);
+        }
         if let Some(queued) = self.queue.remove(key) {
             self.refund(&queued.request);
         }
--- a/tests/kernel/grants/allotments.rs
+++ b/tests/kernel/grants/allotments.rs
@@ -4,11 +4,13 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::grants::{Allotments, GrantKey, GrantRequest, Mode, Outcome, Scheduler, Subject},
+    kernel::grants::{
+        Action, Allotments, GrantKey, GrantRequest, Mode, Outcome, Scheduler, Subject,
+    },
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use super::fleet::{START, desk, granted, plain_request, scheduler};
+use super::fleet::{START, desk, granted, plain_request, refused, scheduler};
 
 /// Instances of the fleet.
 const SIZE: usize = 8;
@@ -22,9 +24,6 @@
 /// Interval between the requests of a test.
 const STEP: Duration = Duration::from_millis(10);
 
-/// Tokens of each request.
-const TOKENS: u64 = 1_000;
-
 fn name(instance: usize) -> Arc<str> {
     format!("i{instance}").into()
 }
@@ -43,6 +42,8 @@
     /// When tokens of the team were granted.
     granted: Vec<Time>,
     refused: u64,
+    /// Tokens of each request.
+    tokens: u64,
     /// Credit of each instance for its next request.
     credit: [f64; SIZE],
     /// Fraction of the frames with allotments that are lost, or whose confirmation is.
@@ -60,6 +61,7 @@
             number: 0,
             granted: Vec::new(),
             refused: 0,
+            tokens: 1_000,
             credit: [0.0; SIZE],
             loss: 0.0,
             rng: StdRng::seed_from_u64(7),
@@ -134,10 +136,11 @@
     fn request(&mut self, instance: usize) -> bool {
         self.number += 1;
         let key = GrantKey { instance: name(instance), number: self.number };
-        let request = GrantRequest { charge: TOKENS, ..plain_request(self.now) };
+        let request = GrantRequest { charge: self.tokens, ..plain_request(self.now) };
         let decider = self.leader_of[instance].unwrap_or(instance);
         let actions =
             self.schedulers[decider].handle_request(key.clone(), request.clone(), self.now);
+        self.refused += u64::from(refused(&actions).is_some());
         let is_granted = granted(&actions).is_some();
         if is_granted {
             self.granted.push(self.now);
@@ -158,6 +161,23 @@
             }
             arrive(self);
             self.now = self.now + STEP;
+            self.tick();
+        }
+    }
+
+    /// Grants the requests that waited for tokens without a leader.
+    fn tick(&mut self) {
+        for scheduler in &mut self.schedulers {
+            for action in scheduler.tick(self.now) {
+                match action {
+                    Action::Grant(key, _) => {
+                        self.granted.push(self.now);
+                        scheduler.handle_outcome(&key, Outcome::Whole, self.now);
+                    }
+                    Action::Refuse(..) => self.refused += 1,
+                    Action::Order { .. } | Action::Report { .. } => {}
+                }
+            }
         }
     }
 
@@ -173,9 +193,9 @@
         let sum: f64 = weights.iter().sum();
         for (instance, weight) in weights.into_iter().enumerate() {
             self.credit[instance] += rate * STEP.as_secs_f64() * weight / sum;
-            while self.credit[instance] >= TOKENS as f64 {
-                self.credit[instance] -= TOKENS as f64;
-                self.refused += u64::from(!self.request(instance));
+            while self.credit[instance] >= self.tokens as f64 {
+                self.credit[instance] -= self.tokens as f64;
+                self.request(instance);
             }
         }
     }
@@ -190,7 +210,7 @@
             }
             most = most.max(index + 1 - first);
         }
-        (most as u64 * TOKENS) as f64
+        (most as u64 * self.tokens) as f64
     }
 
     fn assert_within_limit(&self) {
@@ -220,6 +240,23 @@
     assert_eq!(fleet.refused, 0, "with the next leader");
 }
 
+/// Guards against refusals of requests that are large against the part of one instance.
+#[test]
+fn leader_killed_large_requests_wait_for_tokens() {
+    let mut fleet = Fleet::led();
+    fleet.tokens = 10_000;
+    fleet.run(20.0, |fleet| fleet.send(0.8 * RATE, UNEVEN));
+    assert_eq!(fleet.refused, 0, "the leader refuses nothing");
+    fleet.unlink(&ALL[1..]);
+    let from = fleet.granted.len();
+    fleet.run(4.0, |fleet| fleet.send(0.8 * RATE, UNEVEN));
+    assert_eq!(fleet.refused, 0, "without a leader");
+    let tokens = (fleet.granted.len() - from) as u64 * fleet.tokens;
+    assert!(tokens as f64 >= 2.0 * RATE, "{tokens} tokens in four seconds");
+    fleet.run(4.0, |fleet| fleet.flood(&ALL[1..]));
+    fleet.assert_within_limit();
+}
+
 /// Guards against tokens that are used by the former leader and again without it or by the next one.
 #[test]
 fn leader_killed_under_flood_within_limit() {
@@ -267,7 +304,7 @@
     fleet.run(10.0, |fleet| fleet.flood(&[0, 1, 2, 3]));
     let from = fleet.granted.len();
     fleet.run(10.0, |fleet| fleet.flood(&[0, 1, 2, 3]));
-    let tokens = (fleet.granted.len() - from) as u64 * TOKENS;
+    let tokens = (fleet.granted.len() - from) as u64 * fleet.tokens;
     assert!(tokens as f64 >= 10.0 * RATE, "{tokens} tokens in ten seconds");
 }
 
