--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! instance that holds a lease in the platform's store. An instance that cannot reach the leader
 //! grants its own requests, within its share of the limits.
 
+mod allotments;
 mod buffered;
 mod callers;
 mod crashes;
@@ -15,6 +16,7 @@
 mod forward;
 mod gate;
 mod grants;
+mod intake;
 mod leader;
 mod link;
 mod members;
@@ -30,6 +32,7 @@
 mod relay;
 mod response;
 pub mod settings;
+mod shedding;
 mod shutdown;
 mod silence;
 mod standing;
@@ -81,6 +84,8 @@
     relay: relay::Relay,
     /// Link to the leader.
     uplink: link::Uplink,
+    /// Requests that this instance has refused because its decisions fall behind.
+    shedding: shedding::Shedding,
     /// Instances that are linked to this one while it leads.
     peers: peers::Peers,
     /// State that this instance sends to its peers while it leads.
@@ -94,6 +99,8 @@
     /// Duties towards the platform; `None` unless the settings name its API.
     duties: Option<duties::Duties>,
     shutdown: shutdown::Shutdown,
+    /// What clients may occupy.
+    budget: Arc<intake::Budget>,
     started_at: Time,
 }
 
@@ -125,12 +132,14 @@
     /// Creates a gateway; nothing runs before [`Gateway::run`].
     pub fn new(settings: GatewaySettings) -> Arc<Self> {
         let mode = Mode::Alone { share: 1.0 };
+        let mut scheduler = Scheduler::new(settings.grant_limits(), mode, Time::now());
+        scheduler.set_instance(settings.instance.clone());
         Arc::new(Self {
             pool: Arc::new(Pool::new(settings.endpoint_connections())),
             store: Store::new(settings.store, settings.store_timeout()),
             catalog: ArcSwapOption::empty(),
             operator: Mutex::default(),
-            scheduler: Mutex::new(Scheduler::new(settings.grant_limits(), mode, Time::now())),
+            scheduler: Mutex::new(scheduler),
             requests: grants::Requests::default(),
             leadership: Mutex::new(Leadership::new(
                 settings.instance.clone(),
@@ -143,6 +152,7 @@
             reach: reach::EndpointReach::default(),
             relay: relay::Relay::default(),
             uplink: link::Uplink::default(),
+            shedding: shedding::Shedding::default(),
             peers: peers::Peers::default(),
             updates: updates::Updates::new(settings.resources.link_mbps),
             members: ArcSwap::default(),
@@ -150,6 +160,7 @@
             origin_records: origins::OriginRecords::default(),
             duties: settings.duties.clone().map(duties::Duties::new),
             shutdown: shutdown::Shutdown::default(),
+            budget: intake::Budget::new(settings.intake),
             started_at: Time::now(),
             settings,
         })
@@ -187,7 +198,9 @@
             tokio::spawn(duties::scale(self.clone()));
         }
         tokio::spawn(grants::log_backlogs(self.clone()));
+        tokio::spawn(allotments::run(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
+        tokio::spawn(intake::run(self.clone()));
         tokio::spawn(reach::probe_while_cut(self.clone()));
         tokio::spawn(callers::serve(self.clone(), relay, callers::Kind::Relay));
         tokio::spawn(callers::serve(self.clone(), directory, callers::Kind::Directory));
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -104,16 +104,12 @@
         {
             let result = join_leader(&gateway, &leader).await;
             if gateway.uplink.tx.lock().take().is_some() {
+                let allotments = gateway.lose_leader();
                 log::warn!(
-                    "event=leader_lost leader={} reason={}",
+                    "event=leader_lost leader={} reason={} allotments={allotments}",
                     leader.instance,
                     describe_end(&result)
                 );
-                {
-                    let mut scheduler = gateway.scheduler.lock();
-                    scheduler.restart_rates(Time::now());
-                    scheduler.restart_retries();
-                }
                 gateway.resubmit_waiting();
             } else {
                 gateway.uplink.failed_attempts.fetch_add(1, Ordering::Relaxed);
@@ -165,6 +161,7 @@
     contents.extend(gateway.leaving_content(leader));
     contents.extend(gateway.earlier_operator_content(leader));
     contents.extend(gateway.usage_handover());
+    contents.push(gateway.held_allotments_content());
     let mut scheduler = gateway.scheduler.lock();
     let origins = scheduler.origins().all();
     if !origins.is_empty() {
@@ -274,7 +271,9 @@
         Content::Crashes(frame) => gateway.handle_crashes(frame),
         Content::RateLimits(frame) => gateway.handle_rate_limits(frame),
         Content::Duties(frame) => gateway.handle_duties(frame),
+        Content::Allotments(frame) => gateway.handle_allotments(frame),
         Content::Hello(_)
+        | Content::HeldAllotments(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
         | Content::GrantRequest(_)
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,19 +6,21 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use futures_util::{
-    SinkExt, StreamExt,
+    FutureExt, SinkExt, StreamExt,
     stream::{SplitSink, SplitStream},
 };
 use parking_lot::Mutex;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, mpsc::error::TrySendError},
+    task::yield_now,
     time::{sleep, sleep_until, timeout},
 };
 use tokio_util::codec::Framed;
 
 use super::{
     Gateway,
+    intake::OpenConnection,
     messages::{
         Announcement, Content, EncodedFrame, FrameCodec, FrameError, Heartbeat, Hello, Welcome,
     },
@@ -28,8 +30,10 @@
     clock::Time,
     http::pool::set_socket_options,
     kernel::{
-        grants::{ActiveGrant, GrantKey, UnusedRate},
+        grants::{Action, ActiveGrant, GrantKey, GrantRequest, Reason, Refusal, UnusedRate},
+        intake::Listener,
         membership::{LinkedInstance, Member},
+        overload::{Intake, LinkBacklog, intake},
     },
 };
 
@@ -43,9 +47,16 @@
 /// it starts again from the current state.
 const MAX_QUEUED_FRAMES: usize = 4_096;
 
+/// Frames of one peer that are handled, or written, before other tasks run. Heartbeats, the renewal of
+/// the lease and the other links must not wait for all frames that one peer has sent.
+const FRAMES_PER_BATCH: usize = 32;
+
 /// Wait after accepting failed.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(200);
 
+/// Wait while too many connections have not sent their hello.
+const ADMIT_BACKOFF: Duration = Duration::from_millis(10);
+
 /// A connection to a peer that carries frames.
 type Wire = Framed<TcpStream, FrameCodec>;
 
@@ -113,9 +124,15 @@
     let mut number = 0;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, peer)) => {
                 number += 1;
-                tokio::spawn(serve(gateway.clone(), stream, number));
+                let connection = loop {
+                    match gateway.budget.open(Listener::Hellos, peer.ip()) {
+                        Some(connection) => break connection,
+                        None => sleep(ADMIT_BACKOFF).await,
+                    }
+                };
+                tokio::spawn(serve(gateway.clone(), stream, number, connection));
             }
             Err(err) => {
                 log::warn!("event=accept_failed what=peers reason={err}");
@@ -127,13 +144,22 @@
 
 /// Serves a connection of another instance: its link while this instance leads, or the announcement
 /// of a new leader.
-async fn serve(gateway: Arc<Gateway>, stream: TcpStream, link: u64) {
+async fn serve(gateway: Arc<Gateway>, stream: TcpStream, link: u64, connection: OpenConnection) {
     set_socket_options(&stream);
-    let mut wire = Framed::new(stream, FrameCodec::default());
-    match timeout(HELLO_TIMEOUT, wire.next()).await {
-        Ok(Some(Ok(Content::Hello(hello)))) => serve_link(&gateway, hello, wire, link).await,
+    let account = connection.account();
+    let mut wire = Framed::new(stream, FrameCodec::before_hello());
+    let first = tokio::select! {
+        first = timeout(HELLO_TIMEOUT, wire.next()) => first,
+        () = account.closing() => return,
+    };
+    match first {
+        Ok(Some(Ok(Content::Hello(hello)))) if account.establish_link() => {
+            wire.codec_mut().allow_all();
+            serve_link(&gateway, hello, wire, link).await;
+        }
+        Ok(Some(Ok(Content::Hello(_)))) => account.refuse_link(),
         Ok(Some(Ok(Content::Announcement(frame)))) => gateway.handle_announcement(&frame),
-        _ => {}
+        _ => account.refuse_link(),
     }
 }
 
@@ -204,10 +230,25 @@
     term: u64,
     mut source: SplitStream<Wire>,
 ) -> Result<(), FrameError> {
+    let mut backlog = LinkBacklog::default();
+    let mut batch_len = 0;
     while gateway.leads() && gateway.leadership.lock().term() == term {
-        match timeout(PEER_TIMEOUT, source.next()).await {
-            Ok(Some(frame)) => handle_frame(gateway, instance, frame?),
-            Ok(None) | Err(_) => return Ok(()),
+        let frame = match source.next().now_or_never() {
+            Some(frame) => frame,
+            None => {
+                backlog.record_empty();
+                batch_len = 0;
+                let Ok(frame) = timeout(PEER_TIMEOUT, source.next()).await else { return Ok(()) };
+                frame
+            }
+        };
+        let Some(frame) = frame else { return Ok(()) };
+        let age = backlog.record_frame(Time::now());
+        handle_frame(gateway, instance, frame?, age);
+        batch_len += 1;
+        if batch_len >= FRAMES_PER_BATCH {
+            batch_len = 0;
+            yield_now().await;
         }
     }
     Ok(())
@@ -229,7 +270,8 @@
             content = rx.recv() => {
                 let Some(content) = content else { return Ok(()) };
                 sink.feed(content.into()).await?;
-                while let Ok(content) = rx.try_recv() {
+                for _ in 1..FRAMES_PER_BATCH {
+                    let Ok(content) = rx.try_recv() else { break };
                     sink.feed(content.into()).await?;
                 }
             }
@@ -259,20 +301,16 @@
 }
 
 /// Handles a frame from a peer.
-fn handle_frame(gateway: &Arc<Gateway>, instance: &str, content: Content) {
+///
+/// `age` is an upper bound of the time for which it has waited.
+fn handle_frame(gateway: &Arc<Gateway>, instance: &str, content: Content, age: Duration) {
     let now = Time::now();
     let key = |number| GrantKey { instance: instance.into(), number };
     match content {
         Content::GrantRequest(frame) => {
-            let key = key(frame.number);
-            let (mode, request) = (gateway.scheduler_mode(), frame.into_request(now));
+            let (key, request) = (key(frame.number), frame.into_request(now));
             gateway.record_demand(&key, &request);
-            let actions = {
-                let mut scheduler = gateway.scheduler.lock();
-                scheduler.set_mode(mode, now);
-                scheduler.handle_request(key, request, now)
-            };
-            gateway.apply_actions(actions);
+            gateway.decide_request(key, request, age, now);
         }
         Content::FirstEvent(frame) => {
             let (key, load) = (key(frame.number), frame.load.and_then(|load| load.to_load(now)));
@@ -323,7 +361,9 @@
             gateway.scheduler.lock().origins().merge(frame.into(), now);
         }
         Content::Usage(frame) => gateway.merge_usage(instance, frame),
+        Content::HeldAllotments(frame) => gateway.record_held_allotments(instance, frame),
         Content::Hello(_)
+        | Content::Allotments(_)
         | Content::Announcement(_)
         | Content::Welcome(_)
         | Content::Grant(_)
@@ -338,6 +378,29 @@
 }
 
 impl Gateway {
+    /// Decides on a request of a peer that has waited for `age`, or refuses it because the leader falls
+    /// behind.
+    fn decide_request(
+        self: &Arc<Self>,
+        key: GrantKey,
+        request: GrantRequest,
+        age: Duration,
+        now: Time,
+    ) {
+        if let Intake::Shed(retry) = intake(age, request.due, request.deadline, now) {
+            self.shedding.record(&key.instance, age, now);
+            let refusal = Refusal { reason: Reason::NoRoom, retry };
+            return self.apply_actions(vec![Action::Refuse(key, refusal)]);
+        }
+        let mode = self.scheduler_mode();
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.set_mode(mode, now);
+            scheduler.handle_request(key, request, now)
+        };
+        self.apply_actions(actions);
+    }
+
     /// Replies to a heartbeat, with the operators' records if those of the peer are older.
     fn handle_heartbeat(&self, instance: &str, heartbeat: &Heartbeat) {
         let changed = match self.peers.table.lock().get_mut(instance) {
@@ -369,7 +432,12 @@
         }
         log::info!("event=instance_left peer={instance}");
         self.forget_demand(instance);
-        let actions = self.scheduler.lock().remove_instance(instance, Time::now());
+        let now = Time::now();
+        let actions = {
+            let mut scheduler = self.scheduler.lock();
+            scheduler.leave_allotments(instance, now);
+            scheduler.remove_instance(instance, now)
+        };
         self.apply_actions(actions);
         self.updates.notify_members();
     }
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -12,11 +12,13 @@
     mod event_splitter;
     mod freshness;
     mod grants;
+    mod intake;
     mod leadership;
     mod ledger;
     mod lending;
     mod membership;
     mod once;
+    mod overload;
     mod pacing;
     mod placement;
     mod quota;
