Count only streams as prompts that an engine has not prefilled yet

Cause: prompts without a first event keep the forecast of an engine's queue long. No first event is reported of responses that are no streams, so an engine that runs them would have looked busy until they end.

Change: the lower bound of the queue covers streams only.

--- a/src/kernel/grants/forecast.rs
+++ b/src/kernel/grants/forecast.rs
@@ -47,14 +47,14 @@
 
 /// Returns the least time that the queued prefill still takes.
 ///
-/// An engine that is slower than expected still has all prompts without a first event before it, except
-/// for what it has done of the first one.
+/// An engine that is slower than expected still has all streams without a first event before it, except
+/// for what it has done of the first one. Of other responses nothing shows when their prompts are done.
 fn late_prefill(endpoint: &Endpoint, speed: ModelSpeed, now: Time) -> Duration {
-    let (tokens, prompts) = endpoint.running.queued_prompts();
-    if prompts < 2 {
+    let (streams, tokens) = endpoint.running.queued_streams();
+    if streams < 2 {
         return Duration::ZERO;
     }
-    let left = (prompts - 1) as f64 / prompts as f64;
+    let left = (streams - 1) as f64 / streams as f64;
     prefill_time(endpoint, tokens, speed, now).mul_f64(left)
 }
 
--- a/src/kernel/grants/request.rs
+++ b/src/kernel/grants/request.rs
@@ -64,6 +64,13 @@
     pub version: VersionNeed,
 }
 
+impl GrantRequest {
+    /// Returns whether the response is known to be a stream, whose first event is reported.
+    pub fn is_stream(&self) -> bool {
+        self.stream.is_some() || self.max_pause.is_some()
+    }
+}
+
 /// Permission to send a request to an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Grant {
--- a/src/kernel/grants/running.rs
+++ b/src/kernel/grants/running.rs
@@ -36,8 +36,9 @@
     /// Tokens to prefill of the runs without a first event, by priority. The last stands for all that
     /// are less urgent.
     queued: [u64; PRIORITIES],
-    /// Number of runs of engines without a first event.
-    queued_prompts: usize,
+    /// Number of streams without a first event, and their tokens to prefill. Of other responses no first
+    /// event is reported.
+    queued_streams: (usize, u64),
     /// Sums of each model that has runs.
     models: HashMap<Arc<str>, ModelRuns>,
 }
@@ -83,9 +84,20 @@
         self.models.iter().map(|(model, runs)| (model, runs.queued_tokens))
     }
 
-    /// Returns the tokens to prefill and the number of the runs without a first event.
-    pub fn queued_prompts(&self) -> (u64, usize) {
-        (self.queued.iter().sum(), self.queued_prompts)
+    /// Returns the number of streams without a first event, and their tokens to prefill.
+    pub fn queued_streams(&self) -> (usize, u64) {
+        self.queued_streams
+    }
+
+    fn count_stream(&mut self, run: &ActiveRun, is_added: bool) {
+        let (count, tokens) = &mut self.queued_streams;
+        match (run.request.is_stream(), is_added) {
+            (false, _) => {}
+            (true, true) => (*count, *tokens) = (*count + 1, *tokens + run.forecast.prefill_tokens),
+            (true, false) => {
+                (*count, *tokens) = (*count - 1, *tokens - run.forecast.prefill_tokens);
+            }
+        }
     }
 
     /// Returns the part of the queued prefill that an engine does before that of a new request, since it
@@ -93,7 +105,7 @@
     pub fn queued_fraction(&self, priority: u8) -> f64 {
         let all: u64 = self.queued.iter().sum();
         let before: u64 = self.queued.iter().take(usize::from(priority) + 1).sum();
-        let begun = 1.0 / self.queued_prompts.max(1) as f64;
+        let begun = 1.0 / self.queued_streams.0.max(1) as f64;
         if all == 0 { 1.0 } else { begun.max(before as f64 / all as f64) }
     }
 
@@ -115,7 +127,7 @@
             if !run.started {
                 model.queued_tokens += run.forecast.prefill_tokens;
                 self.queued[priority(&run)] += run.forecast.prefill_tokens;
-                self.queued_prompts += 1;
+                self.count_stream(&run, true);
             }
         }
         self.runs.insert(key, run);
@@ -128,7 +140,7 @@
             self.reserved_tokens -= work.prompt_tokens + work.output_tokens;
             if !run.started {
                 self.queued[priority(&run)] -= run.forecast.prefill_tokens;
-                self.queued_prompts -= 1;
+                self.count_stream(&run, false);
             }
             self.remove_work(work, if run.started { 0 } else { run.forecast.prefill_tokens });
         }
@@ -163,7 +175,12 @@
         {
             model.queued_tokens -= run.forecast.prefill_tokens;
             self.queued[priority(run)] -= run.forecast.prefill_tokens;
-            self.queued_prompts -= 1;
+            let is_stream = run.request.is_stream();
+            let tokens = run.forecast.prefill_tokens;
+            if is_stream {
+                self.queued_streams.0 -= 1;
+                self.queued_streams.1 -= tokens;
+            }
         }
         Some(run)
     }
--- a/tests/kernel/grants/order.rs
+++ b/tests/kernel/grants/order.rs
@@ -240,3 +240,18 @@
     let actions = play.scheduler.handle_request(key(1), next, later);
     assert_ne!(granted(&actions).expect("the request is granted").endpoint, silent);
 }
+
+/// Guards against responses that are no streams, of which no first event is reported, and which would count
+/// as prompts that the engine has not prefilled until they end.
+#[test]
+fn responses_without_events_leave_engine_usable() {
+    let mut play = play(&[("e1", &["m0"])]);
+    for number in 0..20 {
+        let now = START + MS * 200 * number as u32;
+        let request =
+            GrantRequest { fingerprint: number, ..request(&play, number, 4_000, "shop", 1) };
+        let request = GrantRequest { due: now + MS * 800, deadline: now + MS * 9_000, ..request };
+        let actions = play.scheduler.handle_request(key(number), request, now);
+        assert!(granted(&actions).is_some(), "{number}: the engine prefills half of the time");
+    }
+}
--- a/tests/kernel/grants/play.rs
+++ b/tests/kernel/grants/play.rs
@@ -9,7 +9,7 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::grants::{Action, GrantRequest, Outcome, Scheduler},
+    kernel::grants::{Action, GrantRequest, Outcome, Scheduler, StreamId},
 };
 
 use super::fleet::key;
@@ -80,6 +80,7 @@
 
     /// Sends a request now.
     pub fn send(&mut self, number: u64, request: GrantRequest) {
+        let request = GrantRequest { stream: Some(StreamId(number)), ..request };
         self.requests.insert(number, (self.now, request.clone()));
         let actions = self.scheduler.handle_request(key(number), request, self.now);
         self.carry_out(actions);
