Let instances join again in the test of lost allotments

Without that an instance whose first frame was lost got no further one, and the test did not notice if a decrease counted before its confirmation. The crowd test says what it does not show: it also passed on the code before this part.

--- a/tests/kernel/grants/allotments.rs
+++ b/tests/kernel/grants/allotments.rs
@@ -81,13 +81,16 @@
     fn lead(&mut self, leader: usize, others: &[usize]) {
         self.set_linked(leader, others.len() + 1);
         self.leader_of[leader] = Some(leader);
-        for other in others {
-            let held = self.schedulers[*other].allotments().cloned().unwrap_or_default();
-            let unused = self.schedulers[*other].release_rates(self.now);
-            self.schedulers[leader].join_allotments(&name(*other), &held);
-            self.schedulers[leader].add_rates(&unused, self.now);
-            self.leader_of[*other] = Some(leader);
-        }
+        others.iter().for_each(|other| self.link(leader, *other));
+    }
+
+    /// Links an instance to a leader.
+    fn link(&mut self, leader: usize, other: usize) {
+        let held = self.schedulers[other].allotments().cloned().unwrap_or_default();
+        let unused = self.schedulers[other].release_rates(self.now);
+        self.schedulers[leader].join_allotments(&name(other), &held);
+        self.schedulers[leader].add_rates(&unused, self.now);
+        self.leader_of[other] = Some(leader);
     }
 
     /// Sets the mode of a leader to which `count` instances are linked, itself among them.
@@ -318,7 +321,13 @@
         for weight in &mut weights {
             *weight = f64::from(fleet.rng.random_range(0..8u8)) + 0.01;
         }
-        fleet.run(1.0, |fleet| fleet.send(0.5 * RATE, weights));
+        // An instance whose frame was lost gets none until it has joined again.
+        for instance in [1 + round % 7, 1 + (round + 3) % 7] {
+            fleet.unlink(&[instance]);
+            fleet.link(0, instance);
+            fleet.set_linked(0, SIZE);
+        }
+        fleet.run(2.0, |fleet| fleet.send(0.5 * RATE, weights));
         let held = fleet.schedulers.iter().filter_map(Scheduler::allotments);
         let sum: f64 = held.map(|held| held.fraction(&shop())).sum();
         assert!(sum <= 1.000_1, "{sum} in round {round}");
--- a/tests/process/crowd.rs
+++ b/tests/process/crowd.rs
@@ -48,6 +48,9 @@
 
 /// Guards against a leader whose heartbeats and lease wait behind requests: the others would leave it and
 /// decide alone.
+///
+/// This load also leaves the leader in place without the bounded batches and the refusals, which tests of
+/// the kernel cover.
 #[test]
 fn crowd_leaves_leader_in_place() {
     const NAME: &str = "crowd-leader";
