--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 mod forward;
 mod gate;
 mod grants;
+mod intake;
 mod leader;
 mod link;
 mod members;
@@ -98,6 +99,8 @@
     /// Duties towards the platform; `None` unless the settings name its API.
     duties: Option<duties::Duties>,
     shutdown: shutdown::Shutdown,
+    /// What clients may occupy.
+    budget: Arc<intake::Budget>,
     started_at: Time,
 }
 
@@ -157,6 +160,7 @@
             origin_records: origins::OriginRecords::default(),
             duties: settings.duties.clone().map(duties::Duties::new),
             shutdown: shutdown::Shutdown::default(),
+            budget: intake::Budget::new(settings.intake),
             started_at: Time::now(),
             settings,
         })
@@ -196,6 +200,7 @@
         tokio::spawn(grants::log_backlogs(self.clone()));
         tokio::spawn(allotments::run(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
+        tokio::spawn(intake::run(self.clone()));
         tokio::spawn(reach::probe_while_cut(self.clone()));
         tokio::spawn(callers::serve(self.clone(), relay, callers::Kind::Relay));
         tokio::spawn(callers::serve(self.clone(), directory, callers::Kind::Directory));
