Make two tests of the queue's order fail without what they guard

The loads were too small: the small teams were served without fair shares, and the large prompts also if they counted as late at once.

--- a/tests/kernel/grants/order.rs
+++ b/tests/kernel/grants/order.rs
@@ -59,13 +59,13 @@
 #[test]
 fn team_below_fair_share_served_beside_flood() {
     let mut play = play(&[("e1", &["m0"])]);
-    // One team asks for 1.5 s of prefill a second, two others for 0.15 s each.
+    // One team asks for 1 s of prefill a second, two others for 0.27 s each, in larger requests.
     for number in 0..600 {
         let team = ["flood", "small", "flood", "flood", "tiny", "flood"][number as usize % 6];
-        let tokens = if team == "flood" { 3_000 } else { 1_200 };
+        let tokens = if team == "flood" { 3_000 } else { 3_200 };
         let request = request(&play, number, tokens, team, 1);
         play.send(number, request);
-        play.pass(MS * 33);
+        play.pass(MS * 50);
     }
     for (first, team) in [(1, "small"), (4, "tiny")] {
         let served = play.served(one_of(6, first));
@@ -200,7 +200,7 @@
     let mut play = play(&[("e1", &["m0"])]);
     for number in 0..300 {
         // A large prompt alone takes longer than the target latency of 800 ms.
-        let tokens = if number % 30 == 0 { 36_000 } else { 1_400 };
+        let tokens = if number % 30 == 0 { 36_000 } else { 1_950 };
         let request = request(&play, number, tokens, "shop", 1);
         play.send(number, request);
         play.pass(MS * 50);
