--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -10,9 +10,7 @@
     clock::Time,
     kernel::{
         membership::{Member, lone_share, store_watchers},
-        record_age::{
-            MAX_OPERATOR_AGE, SPARE_WATCH_WAIT, WATCH_WAIT, max_record_age, read_backoff,
-        },
+        record_age::{MAX_OPERATOR_AGE, max_record_age, read_backoff},
     },
 };
 
@@ -110,11 +108,6 @@
         read_backoff(backoff, fleet_size, rand::random())
     }
 
-    /// Returns the longest wait of a watch call of this instance.
-    pub(super) fn watch_wait(&self) -> Duration {
-        if self.leads() || !self.uplink.is_open() { WATCH_WAIT } else { SPARE_WATCH_WAIT }
-    }
-
     /// Returns whether this instance tells others what it reads from the store.
     fn is_source(&self) -> bool {
         self.leads() || self.is_watcher()
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -22,7 +22,9 @@
 use crate::{
     catalog::Catalog,
     clock::Time,
-    kernel::{evacuation::Evacuations, leadership::Leader, revision::Revision},
+    kernel::{
+        evacuation::Evacuations, leadership::Leader, record_age::WATCH_WAIT, revision::Revision,
+    },
     platform::{
         catalog::{DOCUMENT_KEY, EVACUATE_PREFIX, OPERATOR_PREFIX, decode},
         store::{Event, StoreError, WatchResult},
@@ -269,7 +271,7 @@
             gateway.send_operator();
         }
         let revision = records.revision;
-        match gateway.store.watch(OPERATOR_PREFIX, revision, gateway.watch_wait()).await? {
+        match gateway.store.watch(OPERATOR_PREFIX, revision, WATCH_WAIT).await? {
             WatchResult::Missed => {
                 log::info!("event=watch_restarted what=config revision={revision}");
                 return Ok(());
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -24,6 +24,7 @@
         endpoint_table::{EndpointTable, Presence},
         grants::{EndpointEntry, Incarnation},
         leadership::Leader,
+        record_age::WATCH_WAIT,
         revision::Revision,
     },
     platform::{
@@ -188,7 +189,7 @@
     gateway.apply_table();
     let mut revision = page.revision;
     while gateway.must_watch_endpoints() {
-        match gateway.store.watch(ENDPOINT_PREFIX, revision, gateway.watch_wait()).await? {
+        match gateway.store.watch(ENDPOINT_PREFIX, revision, WATCH_WAIT).await? {
             WatchResult::Missed => return Ok(()),
             WatchResult::Events(events, newest) => {
                 gateway.watch_times.record_endpoints(Time::now());
--- a/src/kernel/record_age.rs
+++ b/src/kernel/record_age.rs
@@ -20,15 +20,12 @@
 /// Time of the store for reading the records for one instance.
 const READ_TIME: Duration = Duration::from_millis(1);
 
-/// Longest wait of a watch call of the leader, and of an instance without a leader. Open connections may
-/// fall silent while other calls still get responses, so only the watch's own responses show that it
-/// lives, and a withdrawn key must be refused within 5 s.
+/// Longest wait of a watch call. Open connections may fall silent while other calls still get responses,
+/// so only the watch's own responses show that it lives, and a withdrawn key must be refused within 5 s.
+/// Instances that watch beside the leader wait no longer: one that becomes leader in the middle of a long
+/// wait would count as silent, and all others would read the store.
 pub const WATCH_WAIT: Duration = Duration::from_secs(2);
 
-/// The same wait of an instance that watches beside the leader. What it knows is not needed before the
-/// leader is lost.
-pub const SPARE_WATCH_WAIT: Duration = Duration::from_secs(10);
-
 /// Age of a watch's last own response above which its connection counts as silent. The rest beyond
 /// [`WATCH_WAIT`] is for a store that responds slowly.
 const MAX_WATCH_AGE: Duration = Duration::from_millis(2_600);
