--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -30,6 +30,7 @@
 mod reach;
 mod registry;
 mod relay;
+mod reporting;
 mod response;
 pub mod settings;
 mod shedding;
@@ -197,7 +198,7 @@
             tokio::spawn(duties::report(self.clone()));
             tokio::spawn(duties::scale(self.clone()));
         }
-        tokio::spawn(grants::log_backlogs(self.clone()));
+        tokio::spawn(reporting::run(self.clone()));
         tokio::spawn(allotments::run(self.clone()));
         tokio::spawn(callers::serve(self.clone(), callers, callers::Kind::Requests));
         tokio::spawn(intake::run(self.clone()));
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -18,13 +18,12 @@
         AdoptFrame, Content, EndFrame, GrantFrame, GrantRequestFrame, LoadFrame, RefuseFrame,
         RequestRef,
     },
-    orders,
+    orders, reporting,
 };
 use crate::{
     clock::Time,
     kernel::grants::{
-        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Observations, Outcome,
-        Refusal,
+        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Outcome, Refusal,
     },
 };
 
@@ -392,49 +391,7 @@
         };
         self.apply_actions(actions);
         if self.leads() {
-            record_observations(&observations);
-        }
-    }
-}
-
-/// Adds the leader's observations to the metrics. Other instances know only a part of the requests.
-fn record_observations(observations: &Observations) {
-    let Observations { first_event_ratios, end_ratios, paces, cached_tokens, prefill_tokens } =
-        observations;
-    let first_event = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "first_event");
-    first_event_ratios.iter().for_each(|ratio| first_event.record(*ratio));
-    let end = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "end");
-    end_ratios.iter().for_each(|ratio| end.record(*ratio));
-    let reported = metrics::histogram!("cardamomshore_reported_pace");
-    paces.iter().for_each(|pace| reported.record(*pace));
-    let tokens = [("cached", cached_tokens), ("prefill", prefill_tokens)];
-    for (expected, tokens) in tokens {
-        metrics::counter!("cardamomshore_prompt_tokens_total", "expected" => expected)
-            .increment(*tokens);
-    }
-}
-
-/// Interval of the log lines about waiting requests.
-const BACKLOG_LOG_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Models that are logged in each interval, one line each.
-const MAX_LOGGED_BACKLOGS: usize = 4;
-
-/// Logs the models for which requests wait.
-pub async fn log_backlogs(gateway: Arc<Gateway>) {
-    loop {
-        sleep(BACKLOG_LOG_INTERVAL).await;
-        let backlogs = gateway.scheduler.lock().model_backlogs(Time::now());
-        for backlog in backlogs.iter().take(MAX_LOGGED_BACKLOGS) {
-            log::info!(
-                "event=waiting model={} waiting={} copies={} coming={} work={:.2} usage={:.2}",
-                backlog.model,
-                backlog.waiting,
-                backlog.replicas,
-                backlog.loading,
-                backlog.demand,
-                backlog.usage
-            );
+            reporting::record_observations(&observations);
         }
     }
 }
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -53,6 +53,7 @@
     },
     request_limit::RequestLimit,
     scheduler::{
-        Mode, ModelBacklog, Observations, RetryUsage, Scheduler, SchedulerLimits, UnusedRate,
+        Mode, ModelBacklog, Observations, RetryUsage, Scheduler, SchedulerLimits, TeamUse,
+        UnusedRate,
     },
 };
--- a/src/kernel/grants/pauses.rs
+++ b/src/kernel/grants/pauses.rs
@@ -45,6 +45,11 @@
         self.factor = (self.factor * change).clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
     }
 
+    /// Returns the bound as a multiple of the allowed pause.
+    pub fn factor(&self) -> f64 {
+        self.factor
+    }
+
     /// Returns the longest prefill without a break at an engine with streams that allow pauses up to
     /// `max_pause`.
     pub fn max_prefill(&self, max_pause: Duration) -> Duration {
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -12,11 +12,14 @@
 mod runs;
 mod selection;
 mod supply;
+mod team_use;
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
+use self::team_use::TeamUses;
 pub use self::{
     admission::UnusedRate, observations::Observations, planning::ModelBacklog, retries::RetryUsage,
+    team_use::TeamUse,
 };
 
 use std::{
@@ -96,6 +99,8 @@
     delayed: delayed::Delayed,
     /// Token bucket of each team.
     buckets: HashMap<Arc<str>, TokenBucket>,
+    /// What teams have asked for and got since the last report.
+    team_uses: TeamUses,
     /// Retry budget of each service.
     retry_budgets: HashMap<Arc<str>, RetryBudget>,
     /// Granted requests and retries of this instance alone, by service.
@@ -149,6 +154,7 @@
             queue: Queues::default(),
             delayed: delayed::Delayed::default(),
             buckets: HashMap::new(),
+            team_uses: TeamUses::default(),
             retry_budgets: HashMap::new(),
             own_retries: HashMap::new(),
             crash_causes: CrashCauses::default(),
--- a/src/kernel/grants/scheduler/admission.rs
+++ b/src/kernel/grants/scheduler/admission.rs
@@ -90,11 +90,13 @@
             Err(wait) => match self.charge_later(request, wait, now) {
                 Some(at) => Some(at),
                 None => {
+                    self.team_uses.record(request, false);
                     let retry = wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1);
                     return Err(Refusal { reason: Reason::OverRate, retry });
                 }
             },
         };
+        self.team_uses.record(request, true);
         if let Some(work) = request.work.as_ref().filter(|_| !request.is_retry) {
             let prefill_seconds = work.prompt_tokens as f64 / 40.0 / 1e3
                 * self.speeds.model(&work.model).prefill
@@ -137,5 +139,6 @@
         if let Some(bucket) = bucket {
             bucket.refund(request.charge);
         }
+        self.team_uses.record_refund(request);
     }
 }
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -98,6 +98,12 @@
         self.pauses.entry(service).or_default().record(longest, max_pause);
     }
 
+    /// Returns the bound of the prefill without a break of each service, as a multiple of the pause that
+    /// its routes allow.
+    pub fn prefill_bounds(&self) -> Vec<(Arc<str>, f64)> {
+        self.pauses.iter().map(|(service, pauses)| (service.clone(), pauses.factor())).collect()
+    }
+
     /// Returns the longest prefill without a break at engines with running streams, for a request that
     /// can wait for the break. The most urgent ones need not.
     pub(super) fn max_prefill(&self, request: &GrantRequest) -> Option<Duration> {
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -20,3 +20,4 @@
 mod rate_limits;
 mod recovery;
 mod retries;
+mod team_use;
