--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -281,10 +281,9 @@
 
     /// Sends the request on an idle connection, or on a new one if the idle ones have been closed.
     async fn send(&self, permit: &Permit, after: Option<u64>) -> AttemptResult {
-        let pool = &self.gateway.pool;
         loop {
             let grant = &permit.grant;
-            let acquired = pool.acquire(grant.address, CONNECT_TIMEOUT).await;
+            let acquired = self.connect_watched(grant, CONNECT_TIMEOUT).await;
             let Ok(mut connection) = acquired else {
                 self.gateway.record_reached(&grant.endpoint, false);
                 return AttemptResult::NotRun(Outcome::Unreached);
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -48,6 +48,11 @@
 /// Time after which an endpoint that has not begun to respond to a caller that leaves is probed.
 const MIN_SUSPICIOUS_WAIT: Duration = Duration::from_millis(90);
 
+/// Time after which a connection that is not open yet lets this instance check its path. Connections
+/// open within milliseconds, and a check that begins only when the attempt has failed would double the
+/// time until an instance that is cut off passes the request on or rejects it.
+const SLOW_CONNECT: Duration = Duration::from_millis(50);
+
 /// Time after which an endpoint that has not begun to respond is probed.
 const SUSPICIOUS_WAIT: Duration = Duration::from_millis(400);
 
@@ -199,6 +204,22 @@
         }
     }
 
+    /// Opens a connection to the granted endpoint, or takes an idle one. While it takes long, the path to
+    /// the endpoints is checked.
+    pub(super) async fn connect_watched(
+        &self,
+        grant: &Grant,
+        time_limit: Duration,
+    ) -> Result<Connection, SendError> {
+        let mut acquired = std::pin::pin!(self.gateway.pool.acquire(grant.address, time_limit));
+        if let Ok(result) = timeout(SLOW_CONNECT, &mut acquired).await {
+            return result;
+        }
+        let gateway = self.gateway.clone();
+        tokio::spawn(async move { gateway.check_path().await });
+        acquired.await
+    }
+
     /// Sends a request on a connection and waits for the head of the response. An endpoint that lets
     /// it wait is probed, since the path to it may be cut.
     pub(super) async fn send_watched(
