Let an instance that restarts at its address replace its former start's record

A machine that takes over the name of a lost one has another address; at the same address no former start can be listening any more. The wait before the first order is unchanged.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -174,6 +174,7 @@
         let directory = bind("the directory", settings.directory).await?;
         let readiness = bind("readiness", settings.readiness).await?;
         let peers = bind("peers", settings.peer).await?;
+        self.leadership.lock().set_address(settings.peer);
         let relay = bind("relay", settings.relay).await?;
         let metrics = bind("metrics", settings.metrics).await?;
         // The age of the leader's last frame counts from the start until a first frame arrives.
--- a/src/kernel/leadership.rs
+++ b/src/kernel/leadership.rs
@@ -112,6 +112,8 @@
     own_name: Arc<str>,
     /// This start of its process.
     start: StartId,
+    /// Address at which this process listens for links; `None` before it does.
+    address: Option<SocketAddr>,
     leader: Option<Leader>,
     /// Latest term of a leader that this instance has known.
     latest_term: u64,
@@ -145,6 +147,7 @@
         Self {
             own_name,
             start,
+            address: None,
             leader: None,
             latest_term: 0,
             last_leader: None,
@@ -170,6 +173,18 @@
         start == Some(self.start)
     }
 
+    /// Records that this process listens at `address` for links, so that no former start does any more.
+    pub fn set_address(&mut self, address: SocketAddr) {
+        self.address = Some(address);
+    }
+
+    /// Returns whether a leader was a former start of this instance at the same address. It has ended,
+    /// since two processes cannot listen there. A machine that has taken over the name has another
+    /// address.
+    fn replaces(&self, leader: &Leader) -> bool {
+        leader.instance == self.own_name && self.address == Some(leader.address)
+    }
+
     /// Returns the leader that is known.
     pub fn leader(&self) -> Option<&Leader> {
         self.leader.as_ref()
@@ -353,8 +368,10 @@
             }
             (Some(_), _) => LeaseStep::Wait,
             (None, _) if stopping || !self.synced => LeaseStep::Wait,
-            // A former start under the same name may still lead, so its lease must end first.
-            (None, Some(leader)) if !self.is_own(leader.start) => LeaseStep::Wait,
+            // Another process under the same name may still lead, so its lease must end first.
+            (None, Some(leader)) if !self.is_own(leader.start) && !self.replaces(leader) => {
+                LeaseStep::Wait
+            }
             // A record of this start, which holds no lease, was written by a call whose response was
             // lost, or before the store returned from an older copy.
             (None, _) => LeaseStep::Acquire(self.revision),
--- a/tests/kernel/leadership.rs
+++ b/tests/kernel/leadership.rs
@@ -128,6 +128,20 @@
     }
 }
 
+/// Guards against a lease that is waited for although its holder has ended: a fleet that lost power would
+/// have no leader for that time.
+#[test]
+fn step_record_of_former_start_at_same_address_replaced() {
+    let former = Leader { start: Some(StartId(7)), ..leader("a", 7) };
+    let mut leadership = newcomer();
+    leadership.synced = true;
+    leadership.set_address(former.address);
+    leadership.apply_record(Some(former));
+    assert!(matches!(leadership.next_step(false, START), LeaseStep::Acquire(_)));
+    leadership.apply_record(Some(Leader { start: Some(StartId(7)), ..leader("b", 8) }));
+    assert_eq!(leadership.next_step(false, START), LeaseStep::Wait, "another instance leads");
+}
+
 /// Guards against orders of two machines of one name that are less than the gap apart.
 #[test]
 fn orders_of_former_start_waited_for() {
