Check the configuration document of the users' platform

`config check` read only the YAML configuration; mistakes in the JSON document of the platform showed up when instances had put it in force. It works on the document as written: the decoded catalog hides entries that replace each other and corrects values. The store is read by a client that has no call to write, and a test records the calls.

A YAML service with two routes of the same method and path is refused by `config check`, `diff` and `apply`. Instances still accept it: a fleet that has such a document in force must be able to withdraw a key.

Ruled out: refusing unknown fields, since the platform has fields that the gateway does not read; finding lines with the YAML parser, which names no field where a document is malformed.

The list of exit codes in the test of the help has the two new codes.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -2,6 +2,7 @@
 
 mod args;
 pub(crate) mod change;
+mod check;
 mod config;
 mod data_centre;
 mod demo;
@@ -32,6 +33,13 @@
 /// Exit code of a change that may be in force or may come into force.
 const EXIT_UNKNOWN: u8 = 4;
 
+/// Exit code of a check that found warnings and no errors.
+const EXIT_WARNED: u8 = 5;
+
+/// Exit code of a check that found a difference from the document in force, where the operator asks
+/// for it.
+const EXIT_DIFFERS: u8 = 6;
+
 const HELP: &str = "\
 Serves many models on fewer accelerators.
 
@@ -60,6 +68,8 @@
   2  The command line cannot be understood
   3  Conflict: the configuration changed since it was read
   4  Unknown: the change may be in force, or may come into force
+  5  Checked: there are warnings and no errors
+  6  Checked: the document differs from the one in force (only with --exit-code)
 ";
 
 /// Why a command failed.
@@ -78,6 +88,12 @@
     /// It is not known whether the change is or will be in force.
     #[error("{0}")]
     Unknown(String),
+    /// A check found warnings and no errors.
+    #[error("{0}")]
+    Warned(String),
+    /// A document differs from the one in force.
+    #[error("{0}")]
+    Differs(String),
 }
 
 impl CliError {
@@ -88,6 +104,17 @@
             CliError::Failed(_) => EXIT_FAILED,
             CliError::Conflict(_) => EXIT_CONFLICT,
             CliError::Unknown(_) => EXIT_UNKNOWN,
+            CliError::Warned(_) => EXIT_WARNED,
+            CliError::Differs(_) => EXIT_DIFFERS,
+        }
+    }
+
+    /// Returns the word with which the message begins.
+    fn label(&self) -> &'static str {
+        match self {
+            CliError::Warned(_) => "warning",
+            CliError::Differs(_) => "note",
+            _ => "error",
         }
     }
 }
@@ -103,7 +130,7 @@
     match run(Parser::from_env()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
-            eprintln!("error: {err}");
+            eprintln!("{}: {err}", err.label());
             ExitCode::from(err.exit_code())
         }
     }
@@ -156,6 +183,12 @@
     }
 }
 
+/// Reads a file. Fails with its path if it cannot be read.
+fn read_file(path: &str) -> Result<String, CliError> {
+    std::fs::read_to_string(path)
+        .map_err(|err| CliError::Failed(format!("cannot read {path}: {err}")))
+}
+
 /// Runs a future to its end on a runtime with several threads.
 fn block_on<T>(future: impl Future<Output = T>) -> Result<T, CliError> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,6 +1,9 @@
 //! Arguments of the commands that connect to a running instance.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use lexopt::{Arg, Parser, ValueExt};
 
@@ -13,6 +16,8 @@
     values: Vec<String>,
     /// Values of the options, by the options' names without `--`.
     options: BTreeMap<&'static str, String>,
+    /// Options without a value that are given.
+    flags: BTreeSet<&'static str>,
     /// Addresses of `--to`.
     addresses: Vec<SocketAddr>,
 }
@@ -20,8 +25,18 @@
 impl Args {
     /// Parses the arguments that are left. If they ask for help, prints it and returns `None`.
     pub fn parse(
+        parser: Parser,
+        options: &[&'static str],
+        help: &str,
+    ) -> Result<Option<Self>, CliError> {
+        Self::parse_flags(parser, options, &[], help)
+    }
+
+    /// Parses the arguments as [`Args::parse`] does; `flags` are options without a value.
+    pub fn parse_flags(
         mut parser: Parser,
         options: &[&'static str],
+        flags: &[&'static str],
         help: &str,
     ) -> Result<Option<Self>, CliError> {
         let mut args = Args::default();
@@ -32,12 +47,15 @@
                     return Ok(None);
                 }
                 Arg::Long("to") => args.addresses.push(parser.value()?.parse()?),
-                Arg::Long(name) => match options.iter().find(|option| **option == name) {
-                    Some(option) => {
+                Arg::Long(name) => {
+                    if let Some(option) = options.iter().find(|option| **option == name) {
                         args.options.insert(option, parser.value()?.string()?);
+                    } else if let Some(flag) = flags.iter().find(|flag| **flag == name) {
+                        args.flags.insert(flag);
+                    } else {
+                        return Err(arg.unexpected().into());
                     }
-                    None => return Err(arg.unexpected().into()),
-                },
+                }
                 Arg::Value(value) => args.values.push(value.string()?),
                 Arg::Short(_) => return Err(arg.unexpected().into()),
             }
@@ -64,6 +82,11 @@
         self.options.get(name).map(String::as_str)
     }
 
+    /// Returns whether an option without a value is given.
+    pub fn has_flag(&self, name: &str) -> bool {
+        self.flags.contains(name)
+    }
+
     /// Returns a client of the instances at the addresses of `--to`. Fails if there is none.
     pub fn remote(&self) -> Result<Remote, CliError> {
         if self.addresses.is_empty() {
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod checked;
+mod duplicates;
 mod keys;
 mod policies;
 mod raw;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod gateway;
 pub mod http;
+pub mod json;
 pub mod kernel;
 pub mod measure;
 pub mod names;
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -10,6 +10,7 @@
 pub mod duties;
 pub(crate) mod encoding;
 pub mod engine;
+mod in_force;
 mod list;
 pub mod registration;
 pub mod store;
@@ -17,5 +18,6 @@
 pub use self::{
     client::{Change, Client, Kv, LeaseId, PlatformError, Put, Snapshot, Txn, TxnReply, Watch},
     encoding::range_end,
+    in_force::DocumentReader,
     list::{InstanceList, ListedEndpoint, ListedInstance, ListedState},
 };
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -1,5 +1,8 @@
 //! Decodes the operators' configuration document into the catalog of routes, services and teams.
 
+pub mod check;
+pub mod diff;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use serde::Deserialize;
@@ -162,6 +165,9 @@
 /// Longest time that a document can set, in seconds.
 const MAX_TIME_S: f64 = 24.0 * 3_600.0;
 
+/// Parts of a weight that are told apart. Weights may be fractional; thousandths keep their ratios.
+const WEIGHT_SCALE: f64 = 1e3;
+
 /// Converts seconds to a duration within zero and [`MAX_TIME_S`].
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds.clamp(0.0, MAX_TIME_S))
@@ -202,15 +208,13 @@
 }
 
 fn decode_route(raw: RawRoute) -> Result<Route, DocumentError> {
-    let retry = match raw.kind.as_str() {
-        "idempotent" => RetryPolicy::Idempotent,
-        "non_idempotent" => RetryPolicy::Once,
-        "streaming" => RetryPolicy::Stream { resumable: raw.resumable },
-        kind => return Err(DocumentError::UnknownType { route: raw.name, kind: kind.to_owned() }),
+    let Some(retry) = decode_type(&raw.kind, raw.resumable) else {
+        return Err(DocumentError::UnknownType { route: raw.name, kind: raw.kind });
     };
-    // Weights may be fractional; thousandths keep their ratios.
-    let split =
-        raw.split.iter().map(|target| (Arc::from(&*target.service), (target.weight * 1e3) as u32));
+    let split = raw.split.iter().map(|target| {
+        let weight = target.weight * WEIGHT_SCALE;
+        (Arc::from(&*target.service), weight as u32)
+    });
     let mut targets: Vec<(Arc<str>, u32)> = split.collect();
     targets.extend(raw.service.map(|service| (Arc::from(service), 1)));
     Ok(Route {
@@ -227,6 +231,16 @@
     })
 }
 
+/// Decodes the type of a route; `None` if it is not known.
+fn decode_type(kind: &str, resumable: bool) -> Option<RetryPolicy> {
+    match kind {
+        "idempotent" => Some(RetryPolicy::Idempotent),
+        "non_idempotent" => Some(RetryPolicy::Once),
+        "streaming" => Some(RetryPolicy::Stream { resumable }),
+        _ => None,
+    }
+}
+
 fn decode_service(raw: RawService) -> Service {
     Service {
         name: raw.name.into(),
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -4,6 +4,7 @@
     mod addresses;
     mod cli;
     mod config;
+    mod config_check;
     mod docs;
     mod measure;
     mod platform;
--- a/tests/product/cli.rs
+++ b/tests/product/cli.rs
@@ -52,6 +52,8 @@
               2  The command line cannot be understood
               3  Conflict: the configuration changed since it was read
               4  Unknown: the change may be in force, or may come into force
+              5  Checked: there are warnings and no errors
+              6  Checked: the document differs from the one in force (only with --exit-code)
         "#]],
     );
 }
--- a/tests/product/docs.rs
+++ b/tests/product/docs.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::BTreeSet, path::Path};
 
-use cardamomshore::{codes::Code, config::Config, events::Event, settings::Settings};
+use cardamomshore::{
+    codes::Code, config::Config, events::Event, platform::catalog::check::Rule, settings::Settings,
+};
 
 /// Page of the error codes.
 const CODES_PAGE: &str = include_str!("../../docs/CODES.md");
@@ -30,6 +32,19 @@
     assert_eq!(numbered_rows(CODES_PAGE), expected);
 }
 
+/// The page of the error codes could lack a rule of the configuration check, or list another one.
+#[test]
+fn rules_table_matches_code() {
+    let expected: Vec<String> = Rule::ALL
+        .iter()
+        .map(|rule| format!("| {} | {} | {} |", rule.name(), rule.severity(), rule.text()))
+        .collect();
+    let (_, table) =
+        CODES_PAGE.split_once("| Rule | Severity | Meaning |\n|---|---|---|\n").expect("a table");
+    let found: Vec<&str> = table.lines().take_while(|line| line.starts_with("| ")).collect();
+    assert_eq!(found, expected);
+}
+
 /// The page of the events could differ from the table in the code.
 #[test]
 fn events_table_matches_code() {
