Let a new holder wait for the counts of instances that have not joined it

Cause: a window counted as complete once each start that is known had completed it. A new leader learns the start of an instance only when that one joins. Each other new leader could do the same with instances that join late, since copies leave out the starts that were linked to the former leader. A window past half of the time until its report is due was fixed without waiting for joins, too.

Ruled out: the counts of the killed leader itself, which its copies carry whole at the end of a window; a frame that is late under the same leader, whose start is known and waited for.

Change: a roster of the members that a holder knew before its election and of the number of instances that the store records. In the window of the election and the next one a window is complete only when all of them have joined. No window is fixed without them in the first 3 s, before which no call is made anyway.

--- a/src/gateway/duties/calls.rs
+++ b/src/gateway/duties/calls.rs
@@ -13,7 +13,9 @@
     http::pool::SendError,
     kernel::{
         duties::{
+            counts::{UsageTable, Window},
             ledger::Ledger,
+            roster::Roster,
             usage::{CallResult, GiveUpReason, Holding, Report, UsageStep},
         },
         revision::Revision,
@@ -61,6 +63,7 @@
         if holding.term != last_term {
             log::info!("event=duty_holder term={} former_term={last_term}", holding.term);
             last_term = holding.term;
+            duties.begin_term(&gateway, now);
             metrics::gauge!("cardamomshore_duty_term").set(last_term as f64);
             metrics::counter!("cardamomshore_duty_changes_total").increment(1);
         }
@@ -93,10 +96,16 @@
     /// Returns what this instance may do as the holder of the duties.
     fn duty_holding(&self, now: Time) -> Holding {
         let Some((term, led_for)) = self.leading_for() else {
-            return Holding { term: 0, may_record: false, may_call: false };
+            return Holding {
+                term: 0,
+                led_for: Duration::ZERO,
+                may_record: false,
+                may_call: false,
+            };
         };
         Holding {
             term,
+            led_for,
             may_record: self.leadership.lock().holds_lease(now) && self.has_clocks(led_for),
             may_call: self.may_call_in(term, now),
         }
@@ -122,6 +131,17 @@
 }
 
 impl Duties {
+    /// Waits from now on for the counts of the instances that this one knows of.
+    fn begin_term(&self, gateway: &Gateway, now: Time) {
+        let members = gateway.members.load();
+        let others = members.list.iter().filter(|member| !gateway.is_self(&member.instance));
+        let others = others.map(|member| member.instance.clone());
+        let count = gateway.fleet_size().saturating_sub(1);
+        let mut state = self.state.lock();
+        let since = self.settings.limits.window_at(state.true_time(now));
+        state.table.set_roster(Roster::new(others, count, since));
+    }
+
     fn next_step(&self, holding: Holding, now: Time) -> UsageStep {
         let mut state = self.state.lock();
         let wall = state.true_time(now);
@@ -171,6 +191,7 @@
         match written {
             Ok(PutResult::Done(revision)) => {
                 for report in state.reporter.record_written(ledger, revision) {
+                    log_missing(&state.table, report.window);
                     log_report("usage_fixed", self, &report, state.true_time(now), "recorded");
                 }
             }
@@ -241,6 +262,14 @@
     }
 }
 
+/// Logs that counts of instances which have not joined are missing in the report of a window.
+fn log_missing(table: &UsageTable, window: Window) {
+    let missing = table.roster().missing_in(window);
+    if missing > 0 {
+        log::warn!("event=usage_instances_missing window={window} instances={missing}");
+    }
+}
+
 /// Logs a report: its age since the end of its window, the number of teams and the sum of the counts.
 fn log_report(event: &str, duties: &Duties, report: &Report, wall: u64, result: &str) {
     let age_ms = wall.saturating_sub(duties.settings.limits.end_of(report.window));
--- a/src/gateway/duties/share.rs
+++ b/src/gateway/duties/share.rs
@@ -143,6 +143,7 @@
         let mut state = duties.state.lock();
         let instance: Arc<str> = instance.into();
         state.time.record(instance.clone(), frame.wall_ms, Time::now());
+        state.table.record_joined(&instance);
         state.linked.insert(instance, StartId(frame.sender));
         for usage in frame.starts.into_iter().map(StartUsage::from) {
             if usage.start != state.own {
--- a/src/kernel/duties.rs
+++ b/src/kernel/duties.rs
@@ -8,5 +8,6 @@
 pub mod demand;
 pub mod ledger;
 pub mod pace;
+pub mod roster;
 pub mod scaling;
 pub mod usage;
--- a/src/kernel/duties/counts.rs
+++ b/src/kernel/duties/counts.rs
@@ -8,6 +8,8 @@
     sync::Arc,
 };
 
+use super::roster::Roster;
+
 /// Number of a usage window since the start of 1970.
 pub type Window = u64;
 
@@ -56,7 +58,7 @@
 const MAX_WINDOWS: u64 = 120;
 
 /// Windows after its last sign in which a start that is not heard of is still waited for.
-const AWAITED_WINDOWS: u64 = 1;
+pub const AWAITED_WINDOWS: u64 = 1;
 
 /// Windows after its last sign for which a start is remembered.
 const REMEMBERED_WINDOWS: u64 = 24;
@@ -107,9 +109,26 @@
     starts: HashMap<StartId, StartUsage>,
     /// Windows below this one are settled, so their counts are no longer needed.
     settled: Window,
+    /// Instances whose starts are not known yet.
+    roster: Roster,
 }
 
 impl UsageTable {
+    /// Sets the instances whose counts a new holder lacks.
+    pub fn set_roster(&mut self, roster: Roster) {
+        self.roster = roster;
+    }
+
+    /// Returns the instances whose counts a new holder lacks.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Records that an instance has sent all that it has counted.
+    pub fn record_joined(&mut self, instance: &Arc<str>) {
+        self.roster.record_joined(instance);
+    }
+
     /// Merges a state of a start.
     pub fn merge(&mut self, mut usage: StartUsage) {
         usage.windows = usage.windows.split_off(&self.settled);
@@ -146,10 +165,11 @@
     }
 
     /// Returns whether all starts have completed a window, except those that have fallen silent before
-    /// it.
+    /// it, and no instance is missing whose start is not known.
     pub fn is_complete(&self, window: Window) -> bool {
         let mut all = self.starts.values();
         all.all(|start| start.open > window || start.open + AWAITED_WINDOWS < window)
+            && self.roster.missing_in(window) == 0
     }
 
     /// Returns whether a start that is known began to count before a window, so that no run of the
--- a/src/kernel/duties/usage.rs
+++ b/src/kernel/duties/usage.rs
@@ -18,6 +18,11 @@
 /// the record and for some attempts of the call.
 const WAIT_FRACTION: f64 = 0.5;
 
+/// Time after its election for which a holder waits for the instances to join. They know the counts
+/// that the former holder had not fixed. The first call is made 150 ms later at the earliest, so the
+/// wait delays no report.
+pub const JOIN_WAIT: Duration = Duration::from_millis(3_000);
+
 /// Times that the platform may refuse a report before it is given up, so that it does not hold up later
 /// ones.
 const MAX_REFUSALS: u32 = 5;
@@ -93,6 +98,8 @@
 pub struct Holding {
     /// Term in which this instance leads; zero if it does not.
     pub term: u64,
+    /// Time since the election.
+    pub led_for: Duration,
     /// Whether it certainly holds the lease, so that it may fix reports.
     pub may_record: bool,
     /// Whether it may call the platform.
@@ -190,7 +197,7 @@
         let Some((ledger, revision)) = self.stored.clone().filter(|_| self.opened.is_none()) else {
             return if can_use_store { UsageStep::Read } else { UsageStep::Wait(self.store_from) };
         };
-        if can_use_store && let Some(fixed) = self.fix(&ledger, table, wall) {
+        if can_use_store && let Some(fixed) = self.fix(&ledger, table, holding.led_for, wall) {
             return UsageStep::Record(fixed, revision);
         }
         let unsent = ledger.reports.iter().find(|(window, _)| !self.done.contains_key(window));
@@ -206,10 +213,16 @@
     }
 
     /// Returns the record with all windows that can be fixed now; `None` if there are none.
-    fn fix(&mut self, ledger: &Ledger, table: &UsageTable, wall: WallMillis) -> Option<Ledger> {
+    fn fix(
+        &mut self,
+        ledger: &Ledger,
+        table: &UsageTable,
+        led_for: Duration,
+        wall: WallMillis,
+    ) -> Option<Ledger> {
         let mut fixed = ledger.clone();
         fixed.reports.retain(|window, _| !self.done.contains_key(window));
-        while fixed.reports.len() < MAX_REPORTS && self.is_ready(fixed.next, table, wall) {
+        while fixed.reports.len() < MAX_REPORTS && self.is_ready(fixed.next, table, led_for, wall) {
             let window = fixed.next;
             // Nobody counted before the first window of all, so what was counted in it is the whole.
             let is_covered =
@@ -223,11 +236,18 @@
     }
 
     /// Returns whether the counts of a window are complete, or can be waited for no longer.
-    fn is_ready(&self, window: Window, table: &UsageTable, wall: WallMillis) -> bool {
+    fn is_ready(
+        &self,
+        window: Window,
+        table: &UsageTable,
+        led_for: Duration,
+        wall: WallMillis,
+    ) -> bool {
         let age = wall.saturating_sub(self.limits.end_of(window));
         let longest_wait = self.limits.due.mul_f64(WAIT_FRACTION).as_millis() as u64;
         let settle_ms = SETTLE_TIME.as_millis() as u64;
-        age >= longest_wait || (age >= settle_ms && table.is_complete(window))
+        let is_overdue = age >= longest_wait && led_for >= JOIN_WAIT;
+        is_overdue || (age >= settle_ms && table.is_complete(window))
     }
 
     /// Records what was read from the store in `era` while the window `current` is open.
--- a/tests/kernel/duties/failures.rs
+++ b/tests/kernel/duties/failures.rs
@@ -1,11 +1,15 @@
 //! Tests of the reports under the failures of holders, the store and the platform API.
 
+use std::sync::Arc;
+
 use cardamomshore::kernel::duties::{
     counts::StartId,
+    ledger::Ledger,
+    roster::Roster,
     usage::{GiveUpReason, UsageStep},
 };
 
-use super::model::{FIRST, Platform, Process, store};
+use super::model::{FIRST, Platform, Process, Store, store};
 
 fn is_record(step: &UsageStep) -> bool {
     matches!(step, UsageStep::Record(ledger, _) if !ledger.reports.is_empty())
@@ -40,6 +44,89 @@
     assert_eq!(platform.count(FIRST), Some(10), "a lost instance is waited for 5 s only");
 }
 
+/// Creates a store whose record has no window yet.
+fn empty_store() -> Store {
+    Store { record: Some((Ledger::new(1, FIRST), 1)), number: 1, ..store() }
+}
+
+/// Creates a holder that is elected at `ms` in a fleet of three. It has its own counts of the first
+/// window, and the copy of the counts of the former holder, which had completed the window.
+fn elected_at(ms: u64, members: &[&str]) -> Process {
+    let mut holder = Process::new(2);
+    holder.elected_ms = Some(ms);
+    holder.count(1, FIRST, 60);
+    holder.count(7, FIRST, 60);
+    holder.table.start(StartId(7), FIRST).open = FIRST + 1;
+    let members = members.iter().map(|name| Arc::from(*name));
+    holder.table.set_roster(Roster::new(members, 2, FIRST + 1));
+    holder
+}
+
+/// Lets an instance join a holder with what it has counted in the first window.
+fn join(holder: &mut Process, instance: &str, start: u64, runs: u64) {
+    holder.count(start, FIRST, runs);
+    holder.table.start(StartId(start), FIRST).open = FIRST + 2;
+    holder.table.record_joined(&instance.into());
+}
+
+/// Guards against a new holder that takes a window for complete before an instance has joined it of
+/// whose counts it knows nothing. A former holder that has restarted and leads again knows the number
+/// of instances only.
+#[test]
+fn duties_usage_new_holder_waits_for_instances() {
+    for members in [&["first", "other"][..], &[]] {
+        let (mut store, mut platform) = (empty_store(), Platform::default());
+        let mut holder = elected_at(6_700, members);
+        holder.run(&mut store, &mut platform, 6_700, 7_500);
+        join(&mut holder, "first", 8, 0);
+        holder.run(&mut store, &mut platform, 7_500, 9_000);
+        join(&mut holder, "other", 9, 60);
+        holder.run(&mut store, &mut platform, 9_000, 10_500);
+        assert_eq!(platform.count(FIRST), Some(180), "with members {members:?}");
+    }
+}
+
+/// Guards against an instance that is new to the fleet and takes the place of one that is waited for.
+#[test]
+fn duties_usage_new_instances_stand_for_no_member() {
+    let (mut store, mut platform) = (empty_store(), Platform::default());
+    let mut holder = elected_at(6_700, &["first", "other"]);
+    holder.run(&mut store, &mut platform, 6_700, 7_500);
+    join(&mut holder, "first", 8, 0);
+    join(&mut holder, "new", 10, 0);
+    holder.run(&mut store, &mut platform, 7_500, 9_000);
+    join(&mut holder, "other", 9, 60);
+    holder.run(&mut store, &mut platform, 9_000, 10_500);
+    assert_eq!(platform.count(FIRST), Some(180));
+}
+
+/// Guards against a new holder that fixes a window at once because its report is due soon.
+#[test]
+fn duties_usage_new_holder_waits_with_old_windows() {
+    let (mut store, mut platform) = (empty_store(), Platform::default());
+    let mut holder = elected_at(11_000, &["first", "other"]);
+    holder.run(&mut store, &mut platform, 11_000, 12_000);
+    join(&mut holder, "first", 8, 0);
+    join(&mut holder, "other", 9, 60);
+    holder.run(&mut store, &mut platform, 12_000, 14_500);
+    assert_eq!(platform.count(FIRST), Some(180));
+}
+
+/// Guards against reports that come late because an instance was lost with the former holder.
+#[test]
+fn duties_usage_lost_instances_delay_no_report() {
+    let (mut store, mut platform) = (empty_store(), Platform::default());
+    let mut holder = elected_at(6_700, &["first", "other"]);
+    holder.run(&mut store, &mut platform, 6_700, 10_100);
+    assert_eq!(platform.count(FIRST), Some(120), "5 s after the end of the window");
+    holder.run(&mut store, &mut platform, 10_100, 15_500);
+    assert_eq!(platform.windows(), [FIRST, FIRST + 1]);
+    holder.run(&mut store, &mut platform, 15_500, 20_500);
+    // The last window has ended 500 ms before.
+    let windows = [FIRST, FIRST + 1, FIRST + 2, FIRST + 3];
+    assert_eq!(platform.windows(), windows, "lost instances are waited for in two windows");
+}
+
 /// Guards against a second content after the holder was killed between the record and the call.
 #[test]
 fn duties_usage_killed_between_record_and_call() {
--- a/tests/kernel/duties/model.rs
+++ b/tests/kernel/duties/model.rs
@@ -9,7 +9,9 @@
             counts::{StartId, TeamCounts, UsageTable, Window},
             ledger::Ledger,
             pace::CallPace,
-            usage::{CallResult, GiveUpReason, Holding, Reporter, UsageLimits, UsageStep},
+            usage::{
+                CallResult, GiveUpReason, Holding, JOIN_WAIT, Reporter, UsageLimits, UsageStep,
+            },
         },
         revision::Revision,
     },
@@ -21,6 +23,9 @@
 /// First window of the tests.
 pub const FIRST: Window = 353_445_120;
 
+/// Time since the election of a holder that waits for nobody.
+const LONG_LED: Duration = Duration::from_secs(60);
+
 const LIMITS: UsageLimits =
     UsageLimits { window: Duration::from_millis(WINDOW_MS), due: Duration::from_secs(10) };
 
@@ -29,7 +34,8 @@
 pub struct Store {
     pub record: Option<(Ledger, u64)>,
     pub era: u64,
-    number: u64,
+    /// Number of the latest revision.
+    pub number: u64,
     /// Whether writes take effect and get no response.
     pub loses_responses: bool,
     pub is_down: bool,
@@ -77,6 +83,9 @@
     pub term: u64,
     pub holds: bool,
     pub may_call: bool,
+    /// When it was elected, in milliseconds after the begin of the first window; `None` if that is long
+    /// ago.
+    pub elected_ms: Option<u64>,
     pub given_up: Vec<(Window, GiveUpReason)>,
 }
 
@@ -92,6 +101,7 @@
             term,
             holds: true,
             may_call: true,
+            elected_ms: None,
             given_up: Vec::new(),
         }
     }
@@ -105,7 +115,13 @@
     /// Takes the step that is due at `ms` after the begin of the first window, and carries it out.
     pub fn step(&mut self, store: &mut Store, platform: &mut Platform, ms: u64) -> UsageStep {
         let (now, wall) = (Time::from_millis(1_000_000 + ms), FIRST * WINDOW_MS + ms);
-        let holding = Holding { term: self.term, may_record: self.holds, may_call: self.may_call };
+        let led_for = self.elected_ms.map_or(LONG_LED, |at| Duration::from_millis(ms - at));
+        let holding = Holding {
+            term: self.term,
+            led_for,
+            may_record: self.holds,
+            may_call: self.may_call && led_for > JOIN_WAIT,
+        };
         for start in [1, 2] {
             if self.table.get(StartId(start)).is_some() {
                 let usage = self.table.start(StartId(start), FIRST - 1);
--- a/tests/process/duties.rs
+++ b/tests/process/duties.rs
@@ -19,7 +19,7 @@
     gateways::{DATA_CENTRES, World},
 };
 
-const HOMES: [&str; 3] = [DATA_CENTRES[0], DATA_CENTRES[1], DATA_CENTRES[0]];
+pub const HOMES: [&str; 3] = [DATA_CENTRES[0], DATA_CENTRES[1], DATA_CENTRES[0]];
 
 /// Deviation of a count from the truth that a report may have.
 const TOLERANCE: f64 = 0.05;
@@ -28,9 +28,9 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 
 /// Time after the end of a window at which its report is due.
-const DUE: Duration = Duration::from_secs(6);
+pub const DUE: Duration = Duration::from_secs(6);
 
-async fn start(name: &str) -> World {
+pub async fn start(name: &str) -> World {
     World::start_with_duties(name, &HOMES, &["v1"]).await
 }
 
@@ -38,7 +38,7 @@
 const LANES: usize = 3;
 
 /// Sends requests to these gateways until the time is over.
-async fn send_for(world: &World, gateways: &[usize], time: Duration) {
+pub async fn send_for(world: &World, gateways: &[usize], time: Duration) {
     let until = Instant::now() + time;
     let lanes = gateways.iter().flat_map(|gateway| std::iter::repeat_n(*gateway, LANES));
     futures_util::future::join_all(lanes.map(|gateway| send_until(world, gateway, until))).await;
@@ -73,7 +73,7 @@
     runs
 }
 
-fn reported(world: &World) -> BTreeMap<u64, u64> {
+pub fn reported(world: &World) -> BTreeMap<u64, u64> {
     let api = world.duties.as_ref().expect("an API");
     let reports = api.log.reports().into_iter();
     reports.map(|(window, counts)| (window, counts.values().sum())).collect()
@@ -85,7 +85,7 @@
 const TURN_TIME: Duration = Duration::from_secs(3);
 
 /// Checks that calls are of one holder at a time, and no window has two reports.
-fn assert_one_holder(world: &World) {
+pub fn assert_one_holder(world: &World) {
     let calls = world.duties.as_ref().expect("an API").log.calls();
     let violations = violations(&calls);
     assert!(violations.is_empty(), "{violations:#?}");
@@ -114,7 +114,7 @@
 }
 
 /// Checks that all windows from `from` on are reported, except for `missed` of them.
-fn assert_reported(world: &World, from: u64, missed: usize) {
+pub fn assert_reported(world: &World, from: u64, missed: usize) {
     let compared = compare(world, from);
     assert!(compared.len() > missed, "{compared:?}");
     assert!(compared.iter().filter(|(_, _, run)| *run > 40).count() >= 2, "{compared:?}");
@@ -122,7 +122,19 @@
     assert!(wrong.len() <= missed, "wrong {wrong:?} of {compared:?}");
 }
 
-fn window_now() -> u64 {
+/// Time that a stream of a test takes at most.
+const STREAM_TIME: Duration = Duration::from_millis(600);
+
+/// Time for which an instance is frozen while the others join a restarted leader.
+const LATE_JOIN: Duration = Duration::from_millis(2_000);
+
+/// Returns the time until a window ends.
+fn time_to_end(window: u64) -> Duration {
+    let end_ms = (window + 1) * DUTY_WINDOW.as_millis() as u64;
+    Duration::from_millis(end_ms.saturating_sub(wall_millis()))
+}
+
+pub fn window_now() -> u64 {
     window_of(Time::now())
 }
 
@@ -160,6 +172,31 @@
     });
 }
 
+/// Guards against a leader that restarts, leads again and fixes a window without the counts of an
+/// instance that joins it later than the others.
+#[test]
+fn duties_usage_instance_joins_restarted_leader_late() {
+    block_on(async {
+        let mut world = start("duties_late_join").await;
+        let from = window_now() + 1;
+        sleep(time_to_end(window_now())).await;
+        // The runs end before the window does.
+        send_for(&world, &[0, 1, 2], time_to_end(from).saturating_sub(STREAM_TIME)).await;
+        sleep(time_to_end(from) + Duration::from_millis(100)).await;
+        let leader = world.leader().expect("a leader");
+        let late = (leader + 1) % HOMES.len();
+        world.gateways[late].signal(Signal::STOP);
+        world.gateways[leader].kill();
+        world.gateways[leader].restart().expect("a gateway");
+        sleep(LATE_JOIN).await;
+        world.gateways[late].signal(Signal::CONT);
+        send_for(&world, &[0, 1, 2], DUTY_WINDOW).await;
+        sleep(DUE + DUTY_WINDOW).await;
+        assert_one_holder(&world);
+        assert_reported(&world, from, 0);
+    });
+}
+
 /// Guards against a leader that sends after it was frozen beyond its lease.
 #[test]
 fn duties_usage_leader_frozen() {
