Let engines fetch cached prompt parts from one another

Cause: parts of prompts are prefilled at one engine while another engine of the same model and adapter holds them. An engine can fetch them (Kv-Fetch), which takes a fraction of the prefill, but no request named a holder.

A run that fetches does not count in the measured speed of prefill.

Ruled out: a fetch whenever it is faster than the prefill, which moves bytes to save little; a scan of all engines for each request.

--- a/benches/grants.rs
+++ b/benches/grants.rs
@@ -1,9 +1,9 @@
 //! Benchmarks of the leader's decisions, by the size of the fleet and the length of its queue.
 
-use std::{collections::HashMap, hint::black_box, sync::Arc, time::Duration};
+use std::{collections::HashMap, hint::black_box, net::Ipv4Addr, sync::Arc, time::Duration};
 
 use cardamomshore::{
-    catalog::{Catalog, EngineSpec, ModelSpec, Service},
+    catalog::{Catalog, EngineSpec, FetchSpec, ModelSpec, Service},
     clock::Time,
     kernel::grants::{
         Action, EndpointEntry, EngineReport, GrantKey, GrantRequest, Incarnation, Mode, ModelWork,
@@ -15,7 +15,10 @@
 const START: Time = Time::from_millis(100_000);
 const MODELS: usize = 240;
 
-fn catalog() -> Arc<Catalog> {
+/// Engines that fetch prompt parts from one another.
+const FETCH: FetchSpec = FetchSpec { token_bytes: 163_840.0, link_mbps: 700_000.0 };
+
+fn catalog(fetch: Option<FetchSpec>) -> Arc<Catalog> {
     let spec = ModelSpec {
         weights_mb: 70_000.0,
         adapter_mb: 66.0,
@@ -30,6 +33,7 @@
         adapter_slots: 8,
         load_rate: 20.0,
         models: (0..MODELS).map(|number| (model(number), spec.clone())).collect(),
+        fetch,
     };
     let service =
         Service { name: "llm".into(), cold_rate: 6.0, engine: Some(engine), scaling: None };
@@ -48,7 +52,7 @@
         version: "v1".into(),
         incarnation: Incarnation(1),
         service: "llm".into(),
-        address: "10.0.0.1:8000".parse().expect("an address"),
+        address: (Ipv4Addr::from_bits(0x0a00_0001 + number as u32), 8_000).into(),
         data_centre: format!("dc-{}", number % 4).into(),
         slots: 48,
         draining: false,
@@ -79,6 +83,17 @@
     }
 }
 
+/// A load of the leader.
+#[derive(Clone, Copy)]
+struct Case {
+    /// Queued requests.
+    waiting: usize,
+    spread: Spread,
+    label: &'static str,
+    /// How engines fetch prompt parts; `None` if they do not.
+    fetch: Option<FetchSpec>,
+}
+
 fn request(number: u64, spread: Spread, now: Time) -> GrantRequest {
     let work = ModelWork {
         model: spread.model(number),
@@ -113,7 +128,8 @@
 /// number used.
 ///
 /// The deadlines are so far away that no queued request expires in the run.
-fn leader(engines: usize, waiting: usize, spread: Spread) -> (Scheduler, Vec<GrantKey>, u64) {
+fn leader(engines: usize, case: Case) -> (Scheduler, Vec<GrantKey>, u64) {
+    let Case { waiting, spread, fetch, .. } = case;
     let limits = SchedulerLimits {
         retries: RetryLimits { ratio: 0.2, slack: 58.0, window: Duration::from_secs(10) },
         load_window: Duration::from_secs(5),
@@ -122,7 +138,7 @@
     let mut scheduler =
         Scheduler::new(limits, Mode::Leading { may_order: true, share: 1.0 }, START);
     scheduler.set_instance("leader".into());
-    scheduler.set_catalog(catalog());
+    scheduler.set_catalog(catalog(fetch));
     scheduler.set_endpoints((0..engines).map(engine).collect(), START);
     for action in scheduler.tick(START) {
         let Action::Report { endpoint, .. } = action else { continue };
@@ -149,14 +165,19 @@
 
 fn decisions(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("grants");
-    let crowded = [0, 400, 2_000, 10_000].map(|waiting| (waiting, Spread::Even, "evenly"));
-    let one_model = [400, 2_000, 10_000].map(|waiting| (waiting, Spread::Half, "half for one"));
-    let cases: Vec<(usize, Spread, &str)> = crowded.into_iter().chain(one_model).collect();
-    for (engines, (waiting, spread, label)) in
+    let even = Case { waiting: 0, spread: Spread::Even, label: "evenly", fetch: None };
+    let crowded = [0, 400, 2_000, 10_000].map(|waiting| Case { waiting, ..even });
+    let half = Case { spread: Spread::Half, label: "half for one", ..even };
+    let one_model = [400, 2_000, 10_000].map(|waiting| Case { waiting, ..half });
+    let fetching = Case { label: "evenly, with fetches", fetch: Some(FETCH), ..even };
+    let fetching = [0, 2_000].map(|waiting| Case { waiting, ..fetching });
+    let cases: Vec<Case> = crowded.into_iter().chain(one_model).chain(fetching).collect();
+    for (engines, case) in
         [140, 1_200].into_iter().flat_map(|engines| cases.iter().map(move |case| (engines, *case)))
     {
+        let Case { waiting, spread, label, .. } = case;
         let name = format!("{engines} engines, {waiting} waiting, {label}");
-        let (mut scheduler, mut running, mut number) = leader(engines, waiting, spread);
+        let (mut scheduler, mut running, mut number) = leader(engines, case);
         assert_eq!(scheduler.queue_len(), waiting, "the queue of {name}");
         let mut now = START + Duration::from_millis(1);
         group.bench_function(BenchmarkId::new("ask and done", &name), |bencher| {
--- a/src/catalog.rs
+++ b/src/catalog.rs
@@ -147,6 +147,25 @@
     pub load_rate: f64,
     /// Models by name.
     pub models: HashMap<Arc<str>, ModelSpec>,
+    /// How engines fetch cached prompt parts from one another; `None` if they cannot.
+    pub fetch: Option<FetchSpec>,
+}
+
+/// How engines fetch cached prompt parts from one another.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FetchSpec {
+    /// Bytes of the KV cache for each token.
+    pub token_bytes: f64,
+    /// Bandwidth of an engine's link in megabits per second.
+    pub link_mbps: f64,
+}
+
+impl FetchSpec {
+    /// Returns the time that the transfer of `tokens` takes over one link.
+    pub fn transfer_time(&self, tokens: u64) -> Duration {
+        let seconds = tokens as f64 * self.token_bytes * 8.0 / (self.link_mbps * 1e6);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
 }
 
 /// Specification of a model.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -25,7 +25,7 @@
     clock::Time,
     http::pool::{Connection, SendError},
     kernel::{
-        grants::{GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
+        grants::{Grant, GrantRequest, ModelWork, Outcome, Reason, Refusal, StreamId, VersionNeed},
         retry::attempt_time,
     },
     platform::caller::{self, AddedHeaders, CallerHead, ResponseHead},
@@ -208,9 +208,11 @@
         let request = &self.head.request;
         match &permit {
             Ok(permit) => {
-                let endpoint = &permit.grant.endpoint;
+                let Grant { endpoint, holder, .. } = &permit.grant;
+                let holder = holder.map(|holder| holder.to_string()).unwrap_or_default();
                 log::debug!(
-                    "event=granted request={request} endpoint={endpoint} waited_ms={waited}"
+                    "event=granted request={request} endpoint={endpoint} waited_ms={waited} \
+                     holder={holder}"
                 );
             }
             Err(refusal) => {
@@ -326,6 +328,7 @@
             time_left: self.time_left(),
             priority: is_model.then(|| self.route.priority.min(9)),
             after: after.or(self.head.last_event),
+            holder: permit.grant.holder,
         };
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
--- a/src/gateway/messages/requests.rs
+++ b/src/gateway/messages/requests.rs
@@ -195,6 +195,10 @@
     /// Version of the endpoint's software; empty if it is not known.
     #[prost(string, tag = "5")]
     pub version: String,
+    /// Address of the engine from which the endpoint fetches the beginning of the prompt; empty if there
+    /// is none.
+    #[prost(string, tag = "12")]
+    pub holder: String,
 }
 
 impl GrantFrame {
@@ -206,15 +210,18 @@
             address: grant.address.to_string(),
             incarnation: grant.incarnation.0,
             version: grant.version.to_string(),
+            holder: grant.holder.map(|holder| holder.to_string()).unwrap_or_default(),
         }
     }
 
-    /// Returns the grant; `None` if the address cannot be parsed.
+    /// Returns the grant; `None` if the address cannot be parsed. A holder whose address cannot be parsed
+    /// counts as none, since the endpoint can prefill the prompt.
     pub fn into_grant(self) -> Option<Grant> {
         let address = self.address.parse().ok()?;
         let incarnation = Incarnation(self.incarnation);
         let (endpoint, version) = (self.endpoint.into(), self.version.into());
-        Some(Grant { endpoint, address, incarnation, version })
+        let holder = self.holder.parse().ok();
+        Some(Grant { endpoint, address, incarnation, version, holder })
     }
 }
 
--- a/src/gateway/reporting.rs
+++ b/src/gateway/reporting.rs
@@ -18,19 +18,28 @@
 
 /// Adds the leader's observations to the metrics. Other instances know only a part of the requests.
 pub(super) fn record_observations(observations: &Observations) {
-    let Observations { first_event_ratios, end_ratios, paces, cached_tokens, prefill_tokens } =
-        observations;
+    let Observations {
+        first_event_ratios,
+        end_ratios,
+        paces,
+        cached_tokens,
+        prefill_tokens,
+        fetched_tokens,
+        fetches,
+    } = observations;
     let first_event = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "first_event");
     first_event_ratios.iter().for_each(|ratio| first_event.record(*ratio));
     let end = metrics::histogram!("cardamomshore_forecast_ratio", "of" => "end");
     end_ratios.iter().for_each(|ratio| end.record(*ratio));
     let reported = metrics::histogram!("cardamomshore_reported_pace");
     paces.iter().for_each(|pace| reported.record(*pace));
-    let tokens = [("cached", cached_tokens), ("prefill", prefill_tokens)];
+    let tokens =
+        [("cached", cached_tokens), ("prefill", prefill_tokens), ("fetched", fetched_tokens)];
     for (expected, tokens) in tokens {
         metrics::counter!("cardamomshore_prompt_tokens_total", "expected" => expected)
             .increment(*tokens);
     }
+    metrics::counter!("cardamomshore_prompt_fetches_total").increment(*fetches);
 }
 
 /// Reports the models for which requests wait, the teams that were refused by their rate, and the bounds
--- a/src/kernel/grants/cache.rs
+++ b/src/kernel/grants/cache.rs
@@ -5,7 +5,10 @@
     sync::Arc,
 };
 
-use super::ModelWork;
+use super::{
+    ModelWork,
+    holders::{PartChange, PartKey},
+};
 
 /// A model and its adapter. A cached prefix can be reused only by requests with the same key.
 type CacheKey = (Arc<str>, Option<Arc<str>>);
@@ -37,9 +40,29 @@
     tokens: u64,
     /// Upper bound of the tokens that running requests need beside the parts of their prompts.
     running: u64,
+    /// What has changed since the changes were last taken.
+    changes: Vec<PartChange>,
 }
 
 impl KvCache {
+    /// Returns how many leading tokens of the prompt are cached now.
+    pub fn held_tokens(&self, work: &ModelWork) -> u64 {
+        let Some(parts) = self.parts.get(&key(work)) else { return 0 };
+        let is_held = |id: &u64| parts.get(id).is_some_and(|part| part.used.is_some());
+        let held = work.parts.iter().take_while(|(id, _)| is_held(id));
+        held.map(|(_, tokens)| u64::from(*tokens)).sum()
+    }
+
+    /// Returns all cached parts.
+    pub(super) fn held_parts(&self) -> impl Iterator<Item = PartKey> {
+        self.by_use.values().map(|(key, id)| part_key(key, *id))
+    }
+
+    /// Returns what has changed since the last call.
+    pub(super) fn take_changes(&mut self) -> impl Iterator<Item = PartChange> {
+        self.changes.drain(..)
+    }
+
     /// Returns how many leading tokens of the prompt are cached, or will be before a further prefill.
     pub fn cached_tokens(&self, work: &ModelWork) -> u64 {
         if work.parts.is_empty() {
@@ -73,6 +96,7 @@
             part.pending = part.pending.saturating_sub(1);
             if part.used.is_none() {
                 self.tokens += u64::from(part.tokens);
+                self.changes.push(PartChange::Cached(part_key(&key, *id)));
             }
             self.touch(&key, *id);
         }
@@ -105,6 +129,7 @@
             let Some(part) = parts.get_mut(&id) else { continue };
             self.tokens -= u64::from(part.tokens);
             part.used = None;
+            self.changes.push(PartChange::Evicted(part_key(&key, id)));
             if part.pending == 0 {
                 parts.remove(&id);
             }
@@ -116,6 +141,8 @@
 
     /// Evicts all parts of a model that is unloaded.
     pub fn evict_model(&mut self, model: &str) {
+        let lost = self.by_use.values().filter(|((name, _), _)| &**name == model);
+        self.changes.extend(lost.map(|(key, id)| PartChange::Evicted(part_key(key, *id))));
         self.parts.retain(|(name, _), _| &**name != model);
         self.by_use.retain(|_, ((name, _), _)| &**name != model);
         let remaining = self.parts.values().flat_map(|parts| parts.values());
@@ -153,6 +180,11 @@
     work.prompt_tokens.saturating_sub(shared) + work.output_tokens
 }
 
+/// Returns the key of a part in the index of holders.
+fn part_key((model, adapter): &CacheKey, id: u64) -> PartKey {
+    PartKey::new(model, adapter.as_deref(), id)
+}
+
 fn key(work: &ModelWork) -> CacheKey {
     (work.model.clone(), work.adapter.clone())
 }
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -1,10 +1,14 @@
 //! Evaluates how well an endpoint fits a request; the scheduler grants the one with the lowest
 //! cost: the one where the request is expected to end first.
 
-use std::time::Duration;
+use std::{cell::LazyCell, time::Duration};
 
 use super::{
-    Endpoint, GrantRequest, ModelWork, VersionNeed, forecast, forecast::Forecast, pace::ModelSpeed,
+    Endpoint, GrantRequest, ModelWork, VersionNeed, fetch,
+    fetch::{FetchStep, Holder},
+    forecast,
+    forecast::Forecast,
+    pace::ModelSpeed,
 };
 use crate::{
     catalog::{EngineSpec, Service},
@@ -67,6 +71,10 @@
     Unsuitable,
 }
 
+/// Engines that hold the beginning of a prompt; they are searched for when an evaluation needs them.
+pub(super) type HolderSearch<'a> =
+    LazyCell<Vec<Holder<'a>>, Box<dyn FnOnce() -> Vec<Holder<'a>> + 'a>>;
+
 /// What an evaluation depends on besides the endpoint and the request.
 pub(super) struct FitContext<'a> {
     /// Service of the request.
@@ -84,6 +92,8 @@
     pub speed: ModelSpeed,
     /// Seconds that a request of a plain service takes.
     pub service_time: f64,
+    /// Engines from which others may fetch the beginning of the prompt.
+    pub holders: HolderSearch<'a>,
     /// Current time.
     pub now: Time,
 }
@@ -170,8 +180,9 @@
     let idle = endpoint.running.is_empty();
     let kv_fits = idle
         || endpoint.reserved_tokens() + work.prompt_tokens + work.output_tokens <= max_reserved;
-    let Forecast { place, prefill, last_event, saved, .. } =
+    let forecast =
         forecast::at_engine(endpoint, work, request.priority, context.speed, context.now);
+    let Forecast { place, saved, .. } = forecast;
     let at_capacity = endpoint.running.len() + reserved >= slots;
     // A second of prefill at a busy engine also delays those that come later.
     let load = endpoint.usage(context.now).min(1.0);
@@ -187,11 +198,19 @@
         let is_long = place > lead + MAX_CACHE_LEAD && !idle;
         return Fit::Full { until, for_all: at_capacity || closed_until.is_some() || is_long };
     }
+    let fetch_step = match &spec.fetch {
+        Some(fetch) => fetch::decide(endpoint, &forecast, &context.holders, fetch, context.now),
+        None => FetchStep::Prefill,
+    };
+    let (Forecast { prefill, last_event, .. }, price) = match fetch_step {
+        FetchStep::Fetch(fetch) => (fetch.apply(&forecast), fetch.price),
+        FetchStep::Prefill => (forecast, Duration::ZERO),
+    };
     let needs_break = |max| endpoint.needs_prefill_break(prefill, max, context.now);
     if !idle && context.max_prefill.is_some_and(needs_break) {
         return Fit::Full { until: Some(endpoint.prefill_break_end()), for_all: false };
     }
-    let cost = last_event + prefill.mul_f64(load) + common_cost(endpoint, request, context);
+    let cost = last_event + price + prefill.mul_f64(load) + common_cost(endpoint, request, context);
     if adapter_present {
         return Fit::Ready(cost);
     }
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -163,6 +163,8 @@
     pub(super) reported: bool,
     /// Estimate of the prompt prefixes in the KV cache.
     pub(super) kv_cache: KvCache,
+    /// When its link is free of the transfers that were granted.
+    pub(super) link_free: Time,
     /// When the queued prefill is expected to be done.
     pub(super) prefill_end: Time,
     /// When the engine last began to prefill after a break.
@@ -207,6 +209,7 @@
             unloaded: HashMap::new(),
             reported: false,
             kv_cache: KvCache::default(),
+            link_free: Time::default(),
             prefill_end: Time::default(),
             prefill_start: Time::default(),
             usage: (0.0, now),
--- a/src/kernel/grants/failures.rs
+++ b/src/kernel/grants/failures.rs
@@ -27,6 +27,12 @@
         self.by_data_centre.insert(data_centre.clone(), (new_rate, now));
     }
 
+    /// Returns the highest decayed failure rate of all data centres.
+    pub fn highest(&self, now: Time) -> f64 {
+        let rates = self.by_data_centre.keys().map(|data_centre| self.rate(data_centre, now));
+        rates.fold(0.0, f64::max)
+    }
+
     /// Returns the decayed failure rate, between 0 and 1.
     pub fn rate(&self, data_centre: &str, now: Time) -> f64 {
         let Some((rate, updated_at)) = self.by_data_centre.get(data_centre) else { return 0.0 };
--- a/src/kernel/grants/forecast.rs
+++ b/src/kernel/grants/forecast.rs
@@ -26,6 +26,10 @@
     pub first_event: Duration,
     /// When the last event is due.
     pub last_event: Duration,
+    /// Prompt tokens that the endpoint has cached.
+    pub cached_tokens: u64,
+    /// Prompt tokens that the endpoint fetches from another one.
+    pub fetched_tokens: u64,
     /// Prompt tokens that must be prefilled.
     pub prefill_tokens: u64,
     /// Time of the prefill alone.
@@ -93,6 +97,8 @@
         place,
         first_event,
         last_event: first_event + decode_time(endpoint, work.output_tokens, speed, now),
+        cached_tokens: cached,
+        fetched_tokens: 0,
         prefill_tokens,
         prefill,
         saved: prefill_time(endpoint, cached, speed, now),
--- a/src/kernel/grants/request.rs
+++ b/src/kernel/grants/request.rs
@@ -82,6 +82,9 @@
     pub incarnation: Incarnation,
     /// Version of the endpoint's software; empty if it is not known.
     pub version: Arc<str>,
+    /// Address of the engine from which this one fetches the beginning of the prompt; `None` if it
+    /// prefills what it lacks.
+    pub holder: Option<SocketAddr>,
 }
 
 /// The limit of the request rate that an endpoint names.
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -4,6 +4,7 @@
 mod allotments;
 mod crashes;
 mod delayed;
+mod fetches;
 mod observations;
 mod origins;
 mod planning;
@@ -33,6 +34,7 @@
     GrantKey, GrantRequest, Holdings, Order, OrderResult, PauseControl, RetryBudget, RetryLimits,
     StreamOrigins, TokenBucket,
     crash_causes::CrashCauses,
+    holders::Holders,
     index::Index,
     order::{FairShares, Refused},
     order_state::OrderIds,
@@ -92,6 +94,8 @@
     evacuated: HashSet<Arc<str>>,
     endpoints: BTreeMap<Arc<str>, Endpoint>,
     index: Index,
+    /// Engines that have each prompt part cached, of services whose engines fetch from one another.
+    holders: Holders,
     /// Endpoint that runs each granted request.
     endpoint_of: HashMap<GrantKey, Arc<str>>,
     queue: Queues,
@@ -150,6 +154,7 @@
             evacuated: HashSet::new(),
             endpoints: BTreeMap::new(),
             index: Index::default(),
+            holders: Holders::default(),
             endpoint_of: HashMap::new(),
             queue: Queues::default(),
             delayed: delayed::Delayed::default(),
@@ -225,6 +230,7 @@
         let teams = catalog.keys.values().map(|team| (team.name.clone(), team.clone()));
         self.teams = teams.collect();
         self.catalog = catalog;
+        self.rebuild_holders();
         self.queue.wake_all();
     }
 
@@ -250,6 +256,7 @@
             let is_changed = known.as_ref().is_none_or(|known| known.entry != entry);
             let endpoint = match known {
                 Some(known) if !known.is_incarnation(&entry) => {
+                    self.remove_holder(&known);
                     self.record_loss(known, now);
                     Endpoint::new(entry, now)
                 }
@@ -264,11 +271,16 @@
                 self.index.update(&endpoint);
             }
             has_changed |= is_changed;
-            self.endpoints.insert(endpoint.info.id.clone(), endpoint);
+            let id = endpoint.info.id.clone();
+            self.endpoints.insert(id.clone(), endpoint);
+            if is_changed {
+                self.update_holders(&id);
+            }
         }
         for lost in old.into_values() {
             has_changed = true;
             self.index.remove(&lost.info.id);
+            self.remove_holder(&lost);
             self.origins.record_version(&lost.info.service, &lost.info.version, now);
             self.record_loss(lost, now);
         }
@@ -359,6 +371,7 @@
         }
         endpoint.handle_order_result(order.id, result, ready, now);
         self.index.update(endpoint);
+        self.update_holders(id);
         self.wake_endpoint(id);
     }
 
@@ -369,6 +382,7 @@
         let has_report = report.is_some();
         endpoint.handle_report(report, now);
         self.index.update(endpoint);
+        self.update_holders(id);
         self.wake_endpoint(id);
         if has_report {
             self.record_response(id, requested_at);
--- a/src/kernel/grants/scheduler/crashes.rs
+++ b/src/kernel/grants/scheduler/crashes.rs
@@ -43,6 +43,13 @@
     Crashed,
 }
 
+impl CrashState {
+    /// Returns whether nothing suggests that the endpoint has crashed.
+    pub fn is_sound(&self) -> bool {
+        matches!(self, Self::Sound)
+    }
+}
+
 /// Returns the id of the crash that ends this incarnation of an endpoint.
 fn crash_id(endpoint: &Endpoint) -> CrashId {
     let Incarnation(incarnation) = endpoint.info.incarnation;
--- a/src/kernel/grants/scheduler/observations.rs
+++ b/src/kernel/grants/scheduler/observations.rs
@@ -19,6 +19,10 @@
     pub cached_tokens: u64,
     /// Prompt tokens of granted requests that were expected to be prefilled.
     pub prefill_tokens: u64,
+    /// Prompt tokens of granted requests that were expected to be fetched.
+    pub fetched_tokens: u64,
+    /// Number of grants that name a holder to fetch from.
+    pub fetches: u64,
 }
 
 /// Adds a value unless there are too many already.
@@ -44,8 +48,14 @@
     }
 
     pub(super) fn record_prompt(&mut self, prompt_tokens: u64, forecast: &Forecast) {
-        self.cached_tokens += prompt_tokens.saturating_sub(forecast.prefill_tokens);
-        self.prefill_tokens += forecast.prefill_tokens;
+        let Forecast { fetched_tokens, prefill_tokens, .. } = *forecast;
+        self.cached_tokens += prompt_tokens.saturating_sub(prefill_tokens + fetched_tokens);
+        self.prefill_tokens += prefill_tokens;
+        self.fetched_tokens += fetched_tokens;
+    }
+
+    pub(super) fn record_fetch(&mut self) {
+        self.fetches += 1;
     }
 }
 
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -7,8 +7,8 @@
     catalog::Service,
     clock::Time,
     kernel::grants::{
-        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, SightedLoad, forecast,
-        forecast::Forecast, pace::Speeds, run::ActiveRun,
+        Action, ActiveGrant, Endpoint, GrantKey, GrantRequest, Outcome, SightedLoad, fetch::Fetch,
+        forecast, forecast::Forecast, pace::Speeds, run::ActiveRun,
     },
 };
 
@@ -24,7 +24,9 @@
         let ActiveGrant { request, endpoint: id } = granted;
         let Some(service) = self.catalog.services.get(&request.service).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        start_run(endpoint, &key, &request, &service, &self.speeds, now);
+        let begin = Begin { key: &key, request: &request, fetch: None };
+        start_run(endpoint, &begin, &service, &self.speeds, now);
+        self.update_holders(&id);
         self.count_request(&id, now);
         self.endpoint_of.insert(key, id);
     }
@@ -47,11 +49,15 @@
         let work = request.work.clone();
         let (granted, forecast, pace) = (run.granted_at, run.forecast, run.pace);
         endpoint.record_reachable();
-        if let Some(work) = work {
-            endpoint.confirm_adapter(&work, granted);
-            endpoint.kv_cache.finish_prefill(&work);
+        if let Some(work) = &work {
+            endpoint.confirm_adapter(work, granted);
+            endpoint.kv_cache.finish_prefill(work);
+            let ratio = now.since(granted).as_secs_f64() / forecast.first_event.as_secs_f64();
+            self.observations.record_first_event(ratio);
+        }
+        // A fetch that failed would count as a slow prefill, so only runs without one show the speed.
+        if let Some(work) = work.filter(|_| forecast.fetched_tokens == 0) {
             let whole = now.since(granted).as_secs_f64();
-            self.observations.record_first_event(whole / forecast.first_event.as_secs_f64());
             let expected = (forecast.place + forecast.prefill).as_secs_f64();
             self.speeds.record_overhead(&work.model, whole, expected);
             // An engine prefills one prompt after the other, so this one took the time since the last
@@ -65,9 +71,12 @@
             let ratio = endpoint.pace.start.ratio(now);
             endpoint.pace.start.record(measured, usual * speed.prefill, now);
             self.speeds.record_prefill(&work.model, measured / ratio, usual);
+        }
+        if request.work.is_some() {
             endpoint.pace.last_first_event = now;
         }
         correct_prefill(endpoint, &self.speeds, now);
+        self.update_holders(&id);
         self.record_origin(&id, &request, now);
         self.record_response(&id, granted);
         self.wake_endpoint(&id);
@@ -166,6 +175,7 @@
             Outcome::CutOff | Outcome::Left => {}
         }
         correct_prefill(endpoint, &self.speeds, now);
+        self.update_holders(&id);
         self.end_origin(run.request.stream, outcome, now);
         self.record_crash_evidence(&id, &run, outcome, now);
         if outcome.is_not_run() {
@@ -188,21 +198,30 @@
     }
 }
 
+/// A request that begins to run at an endpoint.
+pub(super) struct Begin<'a> {
+    pub key: &'a GrantKey,
+    pub request: &'a GrantRequest,
+    /// Transfer of the beginning of its prompt, if there is one.
+    pub fetch: Option<&'a Fetch>,
+}
+
 /// Records at an endpoint that a request was granted, and returns the times that are expected.
 pub(super) fn start_run(
     endpoint: &mut Endpoint,
-    key: &GrantKey,
-    request: &GrantRequest,
+    begin: &Begin<'_>,
     service: &Service,
     speeds: &Speeds,
     now: Time,
 ) -> Forecast {
-    let forecast = match &request.work {
+    let Begin { key, request, fetch } = *begin;
+    let alone = match &request.work {
         Some(work) => {
             forecast::at_engine(endpoint, work, request.priority, speeds.model(&work.model), now)
         }
         None => forecast::at_plain(endpoint, speeds.service(&request.service), now),
     };
+    let forecast = fetch.map_or(alone, |fetch| fetch.apply(&alone));
     if request.work.is_some() && service.engine.is_some() {
         endpoint.add_prefill(forecast.prefill, now);
     }
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -186,6 +186,7 @@
             max_prefill: self.max_prefill(request),
             speed: self.model_speed(request),
             service_time: self.speeds.service(&request.service),
+            holders: self.holder_search(request, now),
             now,
         };
         Some(evaluate(&context))
@@ -283,14 +284,21 @@
         now: Time,
     ) -> Option<Grant> {
         let service = self.catalog.services.get(&request.service)?.clone();
+        let fetch = self.choose_fetch(request, id, now);
         let endpoint = self.endpoints.get_mut(id)?;
         let grant = Grant {
             endpoint: id.clone(),
             address: endpoint.info.address,
             incarnation: endpoint.info.incarnation,
             version: endpoint.info.version.clone(),
+            holder: fetch.as_ref().map(|fetch| fetch.address),
         };
-        let forecast = runs::start_run(endpoint, key, request, &service, &self.speeds, now);
+        let begin = runs::Begin { key, request, fetch: fetch.as_ref() };
+        let forecast = runs::start_run(endpoint, &begin, &service, &self.speeds, now);
+        self.update_holders(id);
+        if let Some(fetch) = &fetch {
+            self.record_fetch(id, fetch, now);
+        }
         if let Some(work) = &request.work {
             self.observations.record_prompt(work.prompt_tokens, &forecast);
             let part = forecast.prefill_tokens as f64 / work.prompt_tokens.max(1) as f64;
--- a/src/platform/caller.rs
+++ b/src/platform/caller.rs
@@ -1,6 +1,6 @@
 //! Headers of callers' requests, and of the responses of endpoints to them.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{HeaderMap, HeaderName, HeaderValue, header, request::Parts};
 
@@ -17,6 +17,7 @@
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const RESUMES: HeaderName = HeaderName::from_static("resumes");
 const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
+const KV_FETCH: HeaderName = HeaderName::from_static("kv-fetch");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 const STAMP: HeaderName = HeaderName::from_static("x-server-stamp");
 const LOAD: HeaderName = HeaderName::from_static("x-server-load");
@@ -156,6 +157,8 @@
     pub priority: Option<u8>,
     /// Number of the event after which the endpoint must resume the stream.
     pub after: Option<u64>,
+    /// Address of the engine from which the endpoint fetches the beginning of the prompt.
+    pub holder: Option<SocketAddr>,
 }
 
 /// Returns the headers of a request to an endpoint: those of the caller that may be forwarded, and
@@ -185,6 +188,9 @@
     if let Some(after) = added.after {
         headers.insert(LAST_EVENT, HeaderValue::from(after));
     }
+    if let Some(holder) = added.holder {
+        insert_header(&mut headers, KV_FETCH, &holder.to_string());
+    }
     headers
 }
 
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -5,7 +5,9 @@
 use serde::Deserialize;
 
 use crate::{
-    catalog::{CallerLimits, Catalog, EngineSpec, ModelSpec, RetryPolicy, Route, Service, Team},
+    catalog::{
+        CallerLimits, Catalog, EngineSpec, FetchSpec, ModelSpec, RetryPolicy, Route, Service, Team,
+    },
     kernel::duties::scaling::ScalingSpec,
 };
 
@@ -121,6 +123,10 @@
     loads_per_s: f64,
     #[serde(default)]
     models: Vec<RawModel>,
+    #[serde(default)]
+    kv_token_bytes: Option<f64>,
+    #[serde(default)]
+    link_mbps: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -237,6 +243,7 @@
             weights_mb: engine.weights_mb,
             adapter_slots: engine.adapter_slots,
             load_rate: engine.loads_per_s,
+            fetch: decode_fetch(&engine),
             models: engine.models.into_iter().map(decode_model).collect(),
         }),
         scaling: raw.scaling.map(|raw| ScalingSpec {
@@ -247,6 +254,13 @@
     }
 }
 
+/// Returns how engines fetch cached prompt parts; `None` unless both fields are positive.
+fn decode_fetch(raw: &RawEngine) -> Option<FetchSpec> {
+    let positive = |value: Option<f64>| value.filter(|value| *value > 0.0 && value.is_finite());
+    let (token_bytes, link_mbps) = (positive(raw.kv_token_bytes)?, positive(raw.link_mbps)?);
+    Some(FetchSpec { token_bytes, link_mbps })
+}
+
 fn decode_model(raw: RawModel) -> (Arc<str>, ModelSpec) {
     let load_time = seconds(raw.load_s);
     let or_load_time = |time: Option<f64>| time.map_or(load_time, seconds);
--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -25,7 +25,8 @@
     http::pool::{Pool, SendError},
     standin::{
         caller::{
-            CallerRequest, Prompt, TakeUp, decode_addresses, resolve_request, stamped_endpoint,
+            CallerRequest, PART_TOKENS, Prompt, TakeUp, decode_addresses, resolve_request,
+            stamped_endpoint,
         },
         operator::ADAPTERS,
         worker::LAST_EVENT,
@@ -347,7 +348,7 @@
 ) -> CallerRequest {
     let part = if kind == Kind::Fatal { FATAL_PART } else { SOUND_PART };
     let parts = [FIRST_PART.to_owned(), part.to_owned(), format!("{number:x}")];
-    let prompt = Prompt { model: model_of(number), parts: parts.into() };
+    let prompt = Prompt { model: model_of(number), parts: parts.into(), part_tokens: PART_TOKENS };
     CallerRequest {
         id: request.to_owned(),
         host: HOST,
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -195,6 +195,7 @@
         keys,
         added,
         scaling: Some(MIN_SERVERS),
+        fetches: false,
     }
 }
 
--- a/src/standin/caller.rs
+++ b/src/standin/caller.rs
@@ -16,6 +16,8 @@
     pub model: String,
     /// Hashes of the parts of the prompt.
     pub parts: Vec<String>,
+    /// Tokens of each part.
+    pub part_tokens: usize,
 }
 
 /// A caller's request.
@@ -46,8 +48,8 @@
     pub after: u64,
 }
 
-/// Tokens of each part of a prompt.
-const PART_TOKENS: usize = 40;
+/// Tokens of each part of a short prompt.
+pub const PART_TOKENS: usize = 40;
 
 /// Upper bound of the tokens of a response.
 const OUTPUT_TOKENS: usize = 20;
@@ -63,12 +65,12 @@
         if let Some(TakeUp { request, after }) = &self.take_up {
             builder = builder.header("resumes", request).header("last-event-id", after.to_string());
         }
-        if let Some(Prompt { model, parts }) = &self.prompt {
+        if let Some(Prompt { model, parts, part_tokens }) = &self.prompt {
             let prefix: Vec<String> =
-                parts.iter().map(|part| format!("{part}:{PART_TOKENS}")).collect();
+                parts.iter().map(|part| format!("{part}:{part_tokens}")).collect();
             builder = builder
                 .header("x-model", model)
-                .header("x-token-count", format!("{},{OUTPUT_TOKENS}", PART_TOKENS * parts.len()))
+                .header("x-token-count", format!("{},{OUTPUT_TOKENS}", part_tokens * parts.len()))
                 .header("x-prompt-prefix", prefix.join(","));
         }
         finish(builder, format!("body of {}", self.id))
--- a/src/standin/operator.rs
+++ b/src/standin/operator.rs
@@ -38,6 +38,8 @@
     pub added: Vec<String>,
     /// Least number of endpoints of the plain service in each data centre, if it is scaled.
     pub scaling: Option<u32>,
+    /// Whether engines fetch cached prompt parts from one another.
+    pub fetches: bool,
 }
 
 impl Document {
@@ -78,6 +80,10 @@
             document["services"][1]["scaling"] =
                 json!({ "min": min, "max": MAX_SCALED, "boot_s": SCALED_BOOT_S });
         }
+        if self.fetches {
+            let engine = &mut document["services"][0]["engine"];
+            (engine["kv_token_bytes"], engine["link_mbps"]) = (163_840.into(), 700_000.into());
+        }
         document.to_string()
     }
 
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -195,6 +195,11 @@
         entry_key(&self.id())
     }
 
+    /// Returns the address at which the endpoint serves.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.settings.address
+    }
+
     /// Returns whether the endpoint is an engine.
     pub fn is_engine(&self) -> bool {
         !self.shared.settings.models.is_empty()
--- a/src/standin/worker/answer.rs
+++ b/src/standin/worker/answer.rs
@@ -154,6 +154,7 @@
         team: headers.get("x-tenant").map(|_| header(headers, "x-tenant").to_owned()),
         shows_key: headers.contains_key("authorization"),
         is_fatal,
+        holder: headers.get("kv-fetch").map(|_| header(headers, "kv-fetch").to_owned()),
         sender,
     });
     if faults.leaving {
--- a/src/standin/worker/record.rs
+++ b/src/standin/worker/record.rs
@@ -30,6 +30,8 @@
     pub shows_key: bool,
     /// Whether the run crashes the endpoint.
     pub is_fatal: bool,
+    /// Address of the engine from which the endpoint was told to fetch the beginning of the prompt.
+    pub holder: Option<String>,
     /// Host that sent it; `None` if it is not known.
     pub sender: Option<IpAddr>,
 }
--- a/tests/kernel/grants.rs
+++ b/tests/kernel/grants.rs
@@ -5,6 +5,7 @@
 mod cache;
 mod choice;
 mod crashes;
+mod fetch;
 mod fleet;
 mod order;
 mod order_world;
--- a/tests/kernel/grants/fleet.rs
+++ b/tests/kernel/grants/fleet.rs
@@ -48,6 +48,7 @@
         adapter_slots: 2,
         load_rate: 2.0,
         models: models.collect(),
+        fetch: None,
     };
     let engines =
         Service { name: "llm".into(), cold_rate: 6.0, engine: Some(engine), scaling: None };
@@ -152,7 +153,7 @@
 /// accepted.
 ///
 /// Returns the action if it was an order.
-fn carry_out(scheduler: &mut Scheduler, action: Action, now: Time) -> Option<Action> {
+pub fn carry_out_order(scheduler: &mut Scheduler, action: Action, now: Time) -> Option<Action> {
     match &action {
         Action::Report { endpoint, .. } => {
             let known = scheduler.endpoints().find(|known| known.info.id == *endpoint);
@@ -172,7 +173,7 @@
 /// Delivers the first reports, so that orders can be sent.
 pub fn deliver_reports(scheduler: &mut Scheduler, now: Time) {
     for action in scheduler.tick(now) {
-        carry_out(scheduler, action, now);
+        carry_out_order(scheduler, action, now);
     }
 }
 
@@ -182,7 +183,7 @@
     let mut now = from;
     while now < from + length {
         for action in scheduler.tick(now) {
-            orders.extend(carry_out(scheduler, action, now));
+            orders.extend(carry_out_order(scheduler, action, now));
         }
         now = now + Duration::from_millis(20);
     }
--- a/tests/kernel/grants/placement_rise.rs
+++ b/tests/kernel/grants/placement_rise.rs
@@ -33,6 +33,7 @@
         adapter_slots: 8,
         load_rate: LOAD_RATE,
         models: (0..MODELS).map(|n| (Arc::from(format!("m{n}")), model.clone())).collect(),
+        fetch: None,
     };
     let service = Service { name: "llm".into(), cold_rate: 0.0, scaling: None, engine: Some(spec) };
     let services = HashMap::from([(service.name.clone(), Arc::new(service))]);
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -10,6 +10,7 @@
     mod crowd;
     mod cut_off;
     mod duties;
+    mod fetch;
     mod input;
     mod keys;
     mod links;
--- a/tests/product/platform.rs
+++ b/tests/product/platform.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cardamomshore::{
-    catalog::RetryPolicy,
+    catalog::{FetchSpec, RetryPolicy},
     gateway::settings::GatewaySettings,
     kernel::grants::LoadFigures,
     platform::{caller, catalog, engine, registration},
@@ -18,6 +18,7 @@
      "target_latency_ms":100,"priority":2,"service":"s2","max_attempts":1,"public":true}],
   "services":[{"name":"s1","health_path":"/h","max_conns":9,"cold_start_s":3.0,"cold_per_s":6.5,
      "engine":{"slots":64,"kv_capacity_tokens":232000,"weights_mb":200000.0,"adapter_slots":8,"loads_per_s":2.1,
+     "kv_token_bytes":163840,"link_mbps":700000,
      "models":[{"name":"m","weights_mb":65100.0,"load_s":3.8,"adapters":3,"adapter_mb":12.0,"warm_s":0.38}]}}],
   "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"unit":"tokens","plain_tokens":200,
      "rate_per_s":1000,"burst":500}],
@@ -41,6 +42,23 @@
         "without a disk time, the load time counts"
     );
     assert_eq!(engine.models["m"].memory_time, Duration::from_millis(380));
+    assert_eq!(engine.fetch, Some(FetchSpec { token_bytes: 163_840.0, link_mbps: 700_000.0 }));
+}
+
+/// Guards against engines that are told to fetch although the document does not say how.
+#[test]
+fn document_without_fetch_fields() {
+    let fields = [("kv_token_bytes", "163840"), ("link_mbps", "700000")];
+    for (name, value) in fields {
+        let field = format!("\"{name}\":{value},");
+        for text in [String::new(), field.replace(value, "0")] {
+            let document = DOCUMENT.replace(&field, &text);
+            assert_ne!(document, DOCUMENT);
+            let catalog = catalog::decode(document.as_bytes()).expect("the document is valid");
+            let engine = catalog.services["s1"].engine.as_ref().expect("the service has engines");
+            assert_eq!(engine.fetch, None, "{name}: {text:?}");
+        }
+    }
 }
 
 #[test]
@@ -146,6 +164,7 @@
         ("x-kept", "1"),
     ]);
     let added = caller::AddedHeaders {
+        holder: None,
         endpoint: "i-1",
         team: Some("t"),
         time_left: Duration::from_millis(900),
@@ -160,6 +179,11 @@
     assert_eq!(names, expected);
     assert_eq!(headers["x-tenant"], "t");
     assert_eq!(headers["x-deadline-ms"], "900");
+    let holder = Some("10.0.0.2:8000".parse().expect("an address"));
+    let added = caller::AddedHeaders { holder, ..added };
+    let headers = caller::request_headers(&parts.headers, &added);
+    let holders: Vec<_> = headers.get_all("kv-fetch").iter().collect();
+    assert_eq!(holders, ["10.0.0.2:8000"], "the holder that was granted, not the caller's");
 }
 
 #[test]
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -7,7 +7,7 @@
     http::pool::Pool,
     soak::process::{GatewayProcess, free_address},
     standin::{
-        caller::{CallerRequest, Prompt, TakeUp, stamped_endpoint},
+        caller::{CallerRequest, PART_TOKENS, Prompt, TakeUp, stamped_endpoint},
         duties::DutyApi,
         metadata::MetadataStore,
         operator::Document,
@@ -32,7 +32,7 @@
 }
 
 /// Model of the engines.
-const MODEL: &str = "m0";
+pub const MODEL: &str = "m0";
 
 /// Gateways, engines and a plain service in two data centres, and the store that they share.
 pub struct World {
@@ -48,6 +48,8 @@
     pub added: Vec<String>,
     /// Least number of endpoints of the plain service in each data centre, if it is scaled.
     pub scaling: Option<u32>,
+    /// Whether engines fetch cached prompt parts from one another.
+    pub fetches: bool,
     /// Name of the team that holds the key.
     pub team: &'static str,
     /// Time for which callers wait.
@@ -86,6 +88,7 @@
             version: 0,
             added: Vec::new(),
             scaling: None,
+            fetches: false,
             team: TEAM,
             timeout: TIMEOUT,
         };
@@ -168,6 +171,7 @@
             keys: vec![KEY],
             added: self.added.clone(),
             scaling: self.scaling,
+            fetches: self.fetches,
         };
         self.store.put(Document::key(), &document.to_text());
     }
@@ -206,7 +210,11 @@
         take_up: Option<TakeUp>,
         last: usize,
     ) -> Option<(u16, usize)> {
-        let prompt = Prompt { model: MODEL.to_owned(), parts: vec!["aa".to_owned()] };
+        let prompt = Prompt {
+            model: MODEL.to_owned(),
+            parts: vec!["aa".to_owned()],
+            part_tokens: PART_TOKENS,
+        };
         let path = "/chat/1".to_owned();
         let message =
             CallerRequest { path, prompt: Some(prompt), take_up, ..self.request(id.to_owned()) };
@@ -248,7 +256,7 @@
     }
 
     /// Returns a request without a path.
-    fn request(&self, id: String) -> CallerRequest {
+    pub fn request(&self, id: String) -> CallerRequest {
         CallerRequest {
             id,
             host: HOST,
