Let unknown streams wait for two heartbeats of the endpoints after a return of the store

Cause: a process that has only a copy of the store at hand refused all unknown streams for 5 s after it had read the records, also those of services with one version, of which there are no records. Callers had spent their retries by then. Ruled out: the records of services with several versions, which are read before the leader announces itself.

Change: the wait ends when each entry of the first read of the endpoints has shown two further heartbeats or has gone, at least 2 s and at most 5 s after that read; it no longer begins anew with the election. Meanwhile streams of services with one version wait for half of the time to their deadline at most, in place of a refusal. The stand-in for an endpoint writes its entry with each heartbeat, with the heartbeat's number, as the platform's endpoints do; after a return of the store the next one comes a whole interval later, as before.

Found on the way: a stream that went on because its service had one version, and was queued, could be granted at another version that began to serve while it waited. It keeps to the one version now.

--- a/src/gateway/origins.rs
+++ b/src/gateway/origins.rs
@@ -83,6 +83,7 @@
     let mut recorder =
         Recorder { lease: None, next_number: 0, recorded_at: Time::default(), confirmed_era: None };
     let mut maintained_at = Time::now();
+    let mut was_settling = false;
     loop {
         sleep(RECORD_INTERVAL).await;
         let now = Time::now();
@@ -90,12 +91,22 @@
             gateway.scheduler.lock().maintain_origins(now);
             maintained_at = now;
         }
+        let (is_settling, held) = {
+            let mut scheduler = gateway.scheduler.lock();
+            (scheduler.origins().awaits_versions(now), scheduler.held_streams())
+        };
+        if was_settling && !is_settling {
+            log::info!("event=origins_settled");
+        }
+        was_settling = is_settling;
         let leads = gateway.leads();
         if leads && gateway.knows_current_endpoints() {
             gateway.scheduler.lock().origins().confirm_versions(now);
         }
-        if leads {
+        if leads || held > 0 {
             gateway.ensure_origins().await;
+        }
+        if leads {
             recorder.record_new(&gateway).await;
         }
     }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -22,14 +22,14 @@
     clock::Time,
     kernel::{
         endpoint_table::{EndpointTable, Presence},
-        grants::{EndpointEntry, Incarnation},
+        grants::{EndpointEntry, Heartbeat, Incarnation},
         leadership::Leader,
         record_age::WATCH_WAIT,
         revision::Revision,
     },
     platform::{
-        registration::{ENDPOINT_PREFIX, decode},
-        store::{Event, StoreError, WatchResult},
+        registration::{ENDPOINT_PREFIX, decode, decode_heartbeat},
+        store::{Event, Item, StoreError, WatchResult},
     },
 };
 
@@ -187,6 +187,7 @@
     let entries = page.items.iter().filter_map(|item| decode_entry(&item.key, &item.value));
     gateway.registry.table.lock().load(page.revision.era(), entries, Time::now());
     gateway.apply_table();
+    gateway.read_heartbeats(page.revision.era(), &page.items, began_at);
     let mut revision = page.revision;
     while gateway.must_watch_endpoints() {
         match gateway.store.watch(ENDPOINT_PREFIX, revision, WATCH_WAIT).await? {
@@ -194,9 +195,10 @@
             WatchResult::Events(events, newest) => {
                 gateway.watch_times.record_endpoints(Time::now());
                 let changed = !events.is_empty();
-                events.into_iter().for_each(|event| apply_event(gateway, event));
+                events.iter().for_each(|event| apply_event(gateway, event));
                 if changed {
                     gateway.apply_table();
+                    gateway.record_heartbeats(&events);
                 }
                 revision = newest.max(revision);
                 sleep(BATCH_DELAY).await;
@@ -212,7 +214,7 @@
 }
 
 /// Applies a change of an entry to the table.
-fn apply_event(gateway: &Gateway, event: Event) {
+fn apply_event(gateway: &Gateway, event: &Event) {
     let mut table = gateway.registry.table.lock();
     match event {
         Event::Put(item) => match decode_entry(&item.key, &item.value) {
@@ -226,3 +228,46 @@
         }
     }
 }
+
+/// Returns the endpoint of an entry and the number of its heartbeat.
+fn heartbeat_of(item: &Item) -> Option<Heartbeat> {
+    let id = item.key.strip_prefix(ENDPOINT_PREFIX)?;
+    Some((id.into(), decode_heartbeat(&item.value)?))
+}
+
+impl Gateway {
+    /// Records the heartbeats of all entries, if they are awaited. The versions of the entries must be
+    /// known already.
+    fn read_heartbeats(&self, era: u64, items: &[Item], began_at: Time) {
+        let now = Time::now();
+        let mut scheduler = self.scheduler.lock();
+        if scheduler.origins().awaits_heartbeats(now) {
+            let heartbeats = items.iter().filter_map(heartbeat_of);
+            scheduler.origins().read_heartbeats(era, heartbeats, began_at, now);
+        }
+    }
+
+    /// Records the heartbeats of entries that have changed, if they are awaited. The versions of the
+    /// entries must be known already.
+    fn record_heartbeats(&self, events: &[Event]) {
+        let now = Time::now();
+        let mut scheduler = self.scheduler.lock();
+        let origins = scheduler.origins();
+        if !origins.awaits_heartbeats(now) {
+            return;
+        }
+        for event in events {
+            match event {
+                Event::Put(item) => {
+                    if let Some((id, number)) = heartbeat_of(item) {
+                        origins.record_heartbeat(&id, number, now);
+                    }
+                }
+                Event::Removed(key) => {
+                    let id = key.strip_prefix(ENDPOINT_PREFIX).unwrap_or(key);
+                    origins.end_heartbeats(id, now);
+                }
+            }
+        }
+    }
+}
--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -14,6 +14,7 @@
 mod endpoint;
 mod failures;
 mod forecast;
+mod heartbeats;
 mod holdings;
 mod index;
 mod order;
@@ -40,6 +41,7 @@
     crash_causes::{Cause, CrashRecord},
     endpoint::{Command, Endpoint, EndpointEntry, EngineReport, Incarnation},
     failures::FailureRates,
+    heartbeats::{Heartbeat, HeartbeatRound},
     holdings::Holdings,
     order_state::{Order, OrderId, OrderIds, OrderResult, OrderStep},
     origins::{Decider, Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
--- a/src/kernel/grants/origins.rs
+++ b/src/kernel/grants/origins.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use super::heartbeats::{Heartbeat, HeartbeatRound};
 use crate::{clock::Time, kernel::endpoint_table::SETTLE_TIME};
 
 /// Time for which a stream that has not ended, and a version that has left, are remembered. No caller
@@ -108,8 +109,11 @@
     known_since: Time,
     /// When the endpoints were last known to be those of the store.
     confirmed_at: Time,
-    /// From when on what was read from the store counts as complete; `None` before the first read.
+    /// From when on what was read from the store counts as complete, also without heartbeats; `None`
+    /// before the first read.
     complete_from: Option<Time>,
+    /// Heartbeats that are awaited in an era of which no leader has confirmed the records.
+    round: Option<HeartbeatRound>,
     /// Era of the store in which streams were recorded last.
     recorded_era: Option<u64>,
 }
@@ -123,6 +127,7 @@
             known_since: now,
             confirmed_at: now,
             complete_from: None,
+            round: None,
             recorded_era: None,
         }
     }
@@ -162,10 +167,69 @@
 
     /// Returns whether all versions are known at which a stream may have begun.
     pub fn is_complete(&self, now: Time) -> bool {
-        let is_read = self.complete_from.is_some_and(|from| now >= from);
+        let round = self.round.as_ref().and_then(HeartbeatRound::complete_from);
+        let is_read = self.complete_from.is_some_and(|from| now >= round.unwrap_or(from).min(from));
         is_read || now.since(self.known_since) >= STREAM_TTL
     }
 
+    /// Returns whether it will soon be known if all streams of a service began at the same version, of
+    /// which only one is known so far.
+    pub fn is_settling(&self, service: &str, now: Time) -> bool {
+        self.awaits_versions(now) && !self.has_several_versions(service, now)
+    }
+
+    /// Returns whether the records were read and versions may still be missing.
+    pub fn awaits_versions(&self, now: Time) -> bool {
+        self.complete_from.is_some() && !self.is_complete(now)
+    }
+
+    /// Returns whether several versions of a service have served lately, so that the version of a stream
+    /// that is not known now will never be.
+    pub fn has_several_versions(&self, service: &str, now: Time) -> bool {
+        self.recent_versions(service, now).len() > 1
+    }
+
+    /// Returns the version of a service that has served lately, if it is the only one.
+    pub fn only_version(&self, service: &str, now: Time) -> Option<Arc<str>> {
+        let versions = self.recent_versions(service, now);
+        versions.into_iter().next().filter(|_| !self.has_several_versions(service, now))
+    }
+
+    /// Returns whether heartbeats of endpoints are of use.
+    pub fn awaits_heartbeats(&self, now: Time) -> bool {
+        !self.is_complete(now)
+    }
+
+    /// Records the heartbeats of all entries that were read in `era` by a read that began at `began_at`.
+    pub fn read_heartbeats(
+        &mut self,
+        era: u64,
+        entries: impl IntoIterator<Item = Heartbeat>,
+        began_at: Time,
+        now: Time,
+    ) {
+        let is_complete = self.is_complete(now);
+        match &mut self.round {
+            Some(round) if round.era() == era => round.read_again(entries, now),
+            _ if is_complete => {}
+            round => *round = Some(HeartbeatRound::new(era, entries, began_at)),
+        }
+    }
+
+    /// Records that an endpoint has written its entry, with the number of its heartbeat.
+    pub fn record_heartbeat(&mut self, id: &str, number: u64, now: Time) {
+        if let Some(round) = &mut self.round {
+            round.record(id, number, now);
+        }
+    }
+
+    /// Records that an endpoint has no entry any more.
+    pub fn end_heartbeats(&mut self, id: &str, now: Time) {
+        if let Some(round) = &mut self.round {
+            round.remove(id, now);
+        }
+    }
+
     /// Returns whether the versions that are known are those of the store, as far as `decider` must know.
     pub fn is_confirmed(&self, decider: Decider, now: Time) -> bool {
         now.since(self.confirmed_at) < decider.confirmation_ttl()
@@ -272,11 +336,16 @@
     /// this era that nothing is missing.
     ///
     /// Otherwise the store may have just returned from an older copy that lacks streams and versions. The
-    /// endpoints write their entries again within [`SETTLE_TIME`], which then shows all versions.
+    /// endpoints write their entries again, which then shows all versions: after a round of heartbeats,
+    /// and within [`SETTLE_TIME`] in any case.
     pub fn load(&mut self, lists: Vec<VersionStreams>, era: u64, is_complete: bool, now: Time) {
         self.add(lists, true, now);
         self.recorded_era.get_or_insert(era);
-        let from = if is_complete { now } else { now + SETTLE_TIME };
+        if !self.is_complete(now) {
+            self.round = self.round.take().filter(|round| round.era() == era);
+        }
+        let read_at = self.round.as_ref().map_or(now, HeartbeatRound::began_at);
+        let from = if is_complete { now } else { read_at + SETTLE_TIME };
         self.complete_from = Some(self.complete_from.map_or(from, |known| known.min(from)));
     }
 
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -4,6 +4,7 @@
 mod allotments;
 mod crashes;
 mod delayed;
+mod held;
 mod observations;
 mod origins;
 mod planning;
@@ -16,11 +17,14 @@
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
-use self::team_use::TeamUses;
 pub use self::{
     admission::UnusedRate, observations::Observations, planning::ModelBacklog, retries::RetryUsage,
     team_use::TeamUse,
 };
+use self::{
+    origins::{OriginStep, UNKNOWN_REFUSAL},
+    team_use::TeamUses,
+};
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -97,6 +101,8 @@
     queue: Queues,
     /// Requests that wait for tokens of their team.
     delayed: delayed::Delayed,
+    /// Streams that wait for their version to be known.
+    held: held::HeldStreams,
     /// Token bucket of each team.
     buckets: HashMap<Arc<str>, TokenBucket>,
     /// What teams have asked for and got since the last report.
@@ -153,6 +159,7 @@
             endpoint_of: HashMap::new(),
             queue: Queues::default(),
             delayed: delayed::Delayed::default(),
+            held: held::HeldStreams::default(),
             buckets: HashMap::new(),
             team_uses: TeamUses::default(),
             retry_budgets: HashMap::new(),
@@ -302,20 +309,35 @@
     pub fn handle_request(
         &mut self,
         key: GrantKey,
-        mut request: GrantRequest,
+        request: GrantRequest,
         now: Time,
     ) -> Vec<Action> {
         self.request_rate.record(now);
         self.record_arrival(&key, &request, now);
         self.confirm_silent_crashes(now);
         let mut actions = Vec::new();
-        let origin = self.find_origin(&mut request, now);
-        match origin.and_then(|()| self.admit(&request, now)) {
-            Ok(None) => self.grant_or_queue(key, request, now, &mut actions),
+        self.decide_request(key, request, now, &mut actions);
+        actions
+    }
+
+    /// Grants, queues, holds or refuses a request that was recorded.
+    fn decide_request(
+        &mut self,
+        key: GrantKey,
+        mut request: GrantRequest,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.find_origin(&mut request, now) {
+            OriginStep::Decide => {}
+            OriginStep::Hold(until) => return self.held.push(key, request, until),
+            OriginStep::Refuse => return actions.push(Action::Refuse(key, UNKNOWN_REFUSAL)),
+        }
+        match self.admit(&request, now) {
+            Ok(None) => self.grant_or_queue(key, request, now, actions),
             Ok(Some(at)) => self.delayed.push(key, request, at),
             Err(refusal) => actions.push(Action::Refuse(key, refusal)),
         }
-        actions
     }
 
     /// Returns the share of the teams' rates and of the retry budgets that this scheduler may use.
@@ -383,6 +405,7 @@
             self.planned_at = now;
             self.plan(now);
         }
+        self.release_held(now, &mut actions);
         self.grant_delayed(now, &mut actions);
         self.grant_queued(now, &mut actions);
         self.collect_orders(now, &mut actions);
--- a/src/kernel/grants/scheduler/origins.rs
+++ b/src/kernel/grants/scheduler/origins.rs
@@ -15,37 +15,58 @@
 /// leader, which knows more.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(500);
 
+/// The refusal of a stream whose version is not known.
+pub(super) const UNKNOWN_REFUSAL: Refusal =
+    Refusal { reason: Reason::NoOrigin, retry: UNKNOWN_RETRY };
+
 /// Time after which a caller may take a stream up whose version does not serve. Endpoints that have
 /// crashed may be back then.
 const MISSING_RETRY: Duration = Duration::from_secs(2);
 
+/// What to do with a request, by the version that it needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum OriginStep {
+    /// Its version is known, or any will do.
+    Decide,
+    /// It waits until this time at most for its version to be known.
+    Hold(Time),
+    /// Its version is not known.
+    Refuse,
+}
+
 impl Scheduler {
     /// Returns the origins of streams.
     pub fn origins(&mut self) -> &mut StreamOrigins {
         &mut self.origins
     }
 
-    /// Sets the version at which a stream must go on. Fails if it is not known.
-    pub(super) fn find_origin(
-        &mut self,
-        request: &mut GrantRequest,
-        now: Time,
-    ) -> Result<(), Refusal> {
-        if request.version != VersionNeed::Origin {
-            return Ok(());
-        }
-        let decider = match self.mode {
+    /// Returns who decides here at which version streams go on.
+    pub(super) fn decider(&self) -> Decider {
+        match self.mode {
             Mode::Leading { .. } => Decider::Leader,
             Mode::Alone { .. } => Decider::Lone,
-        };
+        }
+    }
+
+    /// Sets the version at which a stream must go on, if it is known.
+    pub(super) fn find_origin(&self, request: &mut GrantRequest, now: Time) -> OriginStep {
+        if request.version != VersionNeed::Origin {
+            return OriginStep::Decide;
+        }
+        let decider = self.decider();
         request.version = match self.origins.find(request.stream, &request.service, decider, now) {
             Origin::Version(version) => VersionNeed::Exactly(version),
-            Origin::OnlyOne => VersionNeed::Any,
+            // Another version may begin to serve while the request waits.
+            Origin::OnlyOne => match self.origins.only_version(&request.service, now) {
+                Some(version) => VersionNeed::Exactly(version),
+                None => VersionNeed::Any,
+            },
             Origin::Unknown => {
-                return Err(Refusal { reason: Reason::NoOrigin, retry: UNKNOWN_RETRY });
+                let until = self.hold_until(request, now);
+                return until.map_or(OriginStep::Refuse, OriginStep::Hold);
             }
         };
-        Ok(())
+        OriginStep::Decide
     }
 
     /// Returns the refusal of a stream that no endpoint of its version can go on with; `None` if all
@@ -79,10 +100,8 @@
         let (Some(stream), Some(endpoint)) = (request.stream, self.endpoints.get(id)) else {
             return;
         };
-        if request.version == VersionNeed::Any {
-            let info = &endpoint.info;
-            self.origins.begin(stream, info.service.clone(), info.version.clone(), now);
-        }
+        let info = &endpoint.info;
+        self.origins.begin(stream, info.service.clone(), info.version.clone(), now);
     }
 
     /// Records how a run of a stream has ended.
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -113,6 +113,7 @@
 
     /// Removes a queued request and refunds its tokens.
     pub fn cancel_waiting(&mut self, key: &GrantKey) {
+        self.held.remove(key);
         if let Some(request) = self.delayed.remove(key) {
             self.refund(&request);
         }
@@ -177,6 +178,7 @@
     /// Removes the queued and the granted requests of an instance that has left.
     pub fn remove_instance(&mut self, instance: &str, now: Time) -> Vec<Action> {
         self.queue.remove_instance(instance);
+        self.held.remove_instance(instance);
         let keys: Vec<GrantKey> =
             self.endpoint_of.keys().filter(|key| &*key.instance == instance).cloned().collect();
         for key in keys {
--- a/src/platform/registration.rs
+++ b/src/platform/registration.rs
@@ -9,8 +9,8 @@
 /// Prefix of the keys of endpoints' entries; the name of the endpoint follows.
 pub const ENDPOINT_PREFIX: &str = "servers/";
 
-/// An entry as stored. The entry's field `seq` is not read: it counts heartbeats, unlike the `seq`
-/// of a report, which counts orders.
+/// An entry as stored. The entry's field `seq` counts heartbeats, unlike the `seq` of a report, which
+/// counts orders. It is read by [`decode_heartbeat`] alone, as it would make each heartbeat a change.
 #[derive(Deserialize)]
 struct RawEntry {
     service: String,
@@ -109,3 +109,15 @@
         on_disk: to_names(raw.at_hand.on_disk),
     })
 }
+
+/// The field of an entry that counts heartbeats.
+#[derive(Deserialize)]
+struct RawHeartbeat {
+    #[serde(default)]
+    seq: u64,
+}
+
+/// Decodes the number of the heartbeat with which an entry was written; `None` if the entry is not valid.
+pub fn decode_heartbeat(value: &[u8]) -> Option<u64> {
+    serde_json::from_slice::<RawHeartbeat>(value).ok().map(|raw| raw.seq)
+}
--- a/src/standin/worker.rs
+++ b/src/standin/worker.rs
@@ -21,7 +21,7 @@
 use tokio::{
     sync::{Notify, watch},
     task::AbortHandle,
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use self::inventory::Inventory;
@@ -101,6 +101,8 @@
     /// Version of the software.
     version: String,
     is_draining: bool,
+    /// Number of the last heartbeat.
+    heartbeats: u64,
     inventory: Inventory,
     /// Number of requests that run, by their model and adapter.
     running: HashMap<(String, Option<String>), u32>,
@@ -118,6 +120,7 @@
             born: wall_millis() + number,
             version,
             is_draining: false,
+            heartbeats: 0,
             inventory,
             running: HashMap::new(),
         }
@@ -249,7 +252,7 @@
         let has_crashed = tokio::select! {
             () = shared.crash.notified() => true,
             () = shared.drain() => false,
-            () = shared.register_after_returns() => false,
+            () = shared.send_heartbeats() => false,
             () = shared.follow_filter(&server) => false,
             () = orders::advance(&shared) => false,
         };
@@ -287,7 +290,7 @@
                 "slots": self.settings.slots,
                 "state": if state.is_draining { "draining" } else { "ready" },
                 "cold_remaining_ms": 0,
-                "seq": state.inventory.orders(),
+                "seq": state.heartbeats,
                 "born": state.born,
                 "models": models.collect::<Vec<_>>(),
                 "at_hand": { "in_memory": self.settings.models, "on_disk": [] },
@@ -297,13 +300,15 @@
         self.store.put(&key, &entry.to_string());
     }
 
-    /// Writes the endpoint's entry again each time that the store has returned from a copy. Does not
-    /// end.
-    async fn register_after_returns(&self) {
+    /// Writes the endpoint's entry with each heartbeat. After a return of the store from a copy the next
+    /// one comes a whole interval later, which is the longest time that it may take. Does not end.
+    async fn send_heartbeats(&self) {
         let mut era = self.store.era();
-        while era.changed().await.is_ok() {
-            sleep(HEARTBEAT_INTERVAL).await;
-            self.register();
+        loop {
+            if timeout(HEARTBEAT_INTERVAL, era.changed()).await.is_err() {
+                self.state.lock().heartbeats += 1;
+                self.register();
+            }
         }
     }
 
--- a/tests/kernel/grants/origins.rs
+++ b/tests/kernel/grants/origins.rs
@@ -219,3 +219,221 @@
     let actions = scheduler.handle_request(key(1), request, START);
     assert_eq!(actions, [], "its engine has crashed and loads the model again");
 }
+
+/// Interval of the endpoints' heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// Returns the origins of a process that has just read a copy of the store, with the entries of two
+/// endpoints of one version.
+fn just_read() -> StreamOrigins {
+    let mut origins = StreamOrigins::new(START);
+    origins.record_version(&"llm".into(), &"v1".into(), START);
+    origins.read_heartbeats(2, [("a1".into(), 40), ("a2".into(), 7)], START, START);
+    origins.load(Vec::new(), 2, false, START);
+    origins
+}
+
+/// Records the heartbeat `number` of an endpoint at its time, and returns this time.
+fn beat(origins: &mut StreamOrigins, id: &str, number: u64, at: Duration) -> Time {
+    let now = START + at;
+    origins.record_heartbeat(id, number, now);
+    origins.confirm_versions(now);
+    now
+}
+
+/// Guards against streams that are refused for longer than endpoints take to write their entries again.
+#[test]
+fn origin_of_only_version_known_after_round_of_heartbeats() {
+    let mut origins = just_read();
+    let phase = Duration::from_millis(200);
+    beat(&mut origins, "a1", 50, phase);
+    beat(&mut origins, "a2", 18, phase * 4);
+    let now = beat(&mut origins, "a1", 51, phase + HEARTBEAT);
+    assert!(!origins.is_complete(now), "the other one has shown no interval yet");
+    let now = beat(&mut origins, "a2", 19, phase * 4 + HEARTBEAT);
+    let found = origins.find(Some(StreamId(1)), "llm", Decider::Leader, now);
+    assert_eq!(found, Origin::OnlyOne);
+}
+
+/// Guards against two writes between heartbeats that pass for a whole interval.
+#[test]
+fn origin_unknown_after_writes_without_interval() {
+    let mut origins = just_read();
+    for (number, ms) in [(50, 100), (51, 200)] {
+        beat(&mut origins, "a1", number, Duration::from_millis(ms));
+        beat(&mut origins, "a2", number, Duration::from_millis(ms));
+    }
+    let now = beat(&mut origins, "a1", 51, HEARTBEAT);
+    assert_eq!(origins.find(Some(StreamId(1)), "llm", Decider::Leader, now), Origin::Unknown);
+    let mut origins = just_read();
+    for ms in [100, 1_300, 2_500] {
+        beat(&mut origins, "a1", 50, Duration::from_millis(ms));
+        beat(&mut origins, "a2", 18, Duration::from_millis(ms));
+    }
+    assert!(!origins.is_complete(START + 3 * HEARTBEAT), "the numbers have not grown");
+}
+
+/// Guards against a version that is missed since its endpoint writes its entry last of all.
+#[test]
+fn origin_unknown_if_heartbeat_shows_other_version() {
+    let mut origins = just_read();
+    for round in 1..=2 {
+        beat(&mut origins, "a1", 50 + round, HEARTBEAT * round as u32);
+        beat(&mut origins, "a2", 18 + round, HEARTBEAT * round as u32);
+        origins.record_version(&"llm".into(), &"v2".into(), START + HEARTBEAT);
+    }
+    let now = START + HEARTBEAT * 2;
+    assert!(origins.is_complete(now));
+    assert_eq!(origins.find(Some(StreamId(1)), "llm", Decider::Leader, now), Origin::Unknown);
+}
+
+/// Guards against a wait for endpoints that are gone, and against taking their removal for heartbeats.
+#[test]
+fn round_ends_without_endpoints_that_left() {
+    let mut origins = just_read();
+    origins.end_heartbeats("a2", START + HEARTBEAT);
+    beat(&mut origins, "a1", 50, HEARTBEAT);
+    let now = beat(&mut origins, "a1", 51, HEARTBEAT * 2);
+    assert!(origins.is_complete(now));
+    let mut origins = just_read();
+    origins.end_heartbeats("a1", START + HEARTBEAT);
+    origins.end_heartbeats("a2", START + HEARTBEAT);
+    assert!(!origins.is_complete(START + HEARTBEAT * 3), "no endpoint has shown an interval");
+    assert!(origins.is_complete(START + SETTLE_TIME));
+}
+
+/// Guards against heartbeats of before a return that count for the time after it.
+#[test]
+fn round_begins_again_in_new_era() {
+    let mut origins = just_read();
+    beat(&mut origins, "a1", 50, HEARTBEAT);
+    beat(&mut origins, "a2", 18, HEARTBEAT);
+    let read_at = START + HEARTBEAT;
+    origins.read_heartbeats(3, [("a1".into(), 40), ("a2".into(), 7)], read_at, read_at);
+    origins.load(Vec::new(), 3, false, read_at);
+    beat(&mut origins, "a1", 51, HEARTBEAT * 2);
+    let now = beat(&mut origins, "a2", 19, HEARTBEAT * 2);
+    assert!(!origins.is_complete(now));
+    // A watch that was lost ends no round.
+    let read_at = START + HEARTBEAT * 3;
+    origins.read_heartbeats(3, [("a1".into(), 52), ("a2".into(), 20)], read_at, read_at);
+    assert!(origins.is_complete(read_at));
+}
+
+/// Returns a scheduler of a process that has just read a copy of the store, with two engines of a version.
+fn scheduler_just_started(mode: Mode) -> Scheduler {
+    let mut scheduler = Scheduler::new(limits(), mode, START);
+    scheduler.set_catalog(catalog(100_000.0));
+    scheduler.set_endpoints(vec![engine_of("a1", "v1"), engine_of("a2", "v1")], START);
+    let origins = scheduler.origins();
+    origins.read_heartbeats(2, [("a1".into(), 40), ("a2".into(), 7)], START, START);
+    origins.load(Vec::new(), 2, false, START);
+    origins.confirm_versions(START);
+    scheduler
+}
+
+/// Time for which the callers of streams wait.
+const DEADLINE: Duration = Duration::from_secs(8);
+
+/// Sends the take-up of a stream that nobody knows, and expects that it waits.
+fn hold(scheduler: &mut Scheduler, number: u64) {
+    let mut request = model_request("m0", 100, START);
+    request.stream = Some(StreamId(number));
+    request.version = VersionNeed::Origin;
+    request.deadline = START + DEADLINE;
+    let actions = scheduler.handle_request(key(number), request, START);
+    assert_eq!(actions, [], "expected it to wait");
+}
+
+/// Records a round of heartbeats that ends at the returned time.
+fn end_round(scheduler: &mut Scheduler) -> Time {
+    for round in 1..=2 {
+        beat(scheduler.origins(), "a1", 50 + round, HEARTBEAT * round as u32);
+        beat(scheduler.origins(), "a2", 18 + round, HEARTBEAT * round as u32);
+    }
+    START + HEARTBEAT * 2
+}
+
+/// Guards against callers that spend their retries on refusals while the version is not known yet.
+#[test]
+fn stream_held_until_version_known() {
+    let mut scheduler = scheduler_just_started(LEADING);
+    hold(&mut scheduler, 1);
+    let before = START + HEARTBEAT;
+    scheduler.origins().confirm_versions(before);
+    assert!(granted(&scheduler.tick(before)).is_none(), "its version is not known yet");
+    let now = end_round(&mut scheduler);
+    let actions = scheduler.tick(now);
+    assert!(granted(&actions).is_some(), "expected a grant, got {actions:?}");
+}
+
+#[test]
+fn stream_held_refused_once_other_version_shows() {
+    let mut scheduler = scheduler_just_started(LEADING);
+    hold(&mut scheduler, 1);
+    let now = START + HEARTBEAT;
+    let entries = ["a1", "a2"].map(|id| engine_of(id, "v1")).into_iter();
+    scheduler.set_endpoints(entries.chain([engine_of("b1", "v2")]).collect(), now);
+    let refusal = refused(&scheduler.tick(now)).map(|refusal| refusal.reason);
+    assert_eq!(refusal, Some(Reason::NoOrigin), "nobody will know its version");
+}
+
+/// Guards against a caller that waits for nothing until its deadline.
+#[test]
+fn stream_held_refused_in_time_for_retry() {
+    let mut scheduler = scheduler_just_started(LEADING);
+    hold(&mut scheduler, 1);
+    let now = START + DEADLINE / 2;
+    let refusal = refused(&scheduler.tick(now)).map(|refusal| refusal.reason);
+    assert_eq!(refusal, Some(Reason::NoOrigin));
+}
+
+#[test]
+fn stream_held_goes_on_once_peer_tells_its_version() {
+    let mut scheduler = scheduler_just_started(LEADING);
+    hold(&mut scheduler, 1);
+    let streams = vec![StreamId(1)];
+    let list = VersionStreams { service: "llm".into(), version: "v1".into(), streams };
+    let now = START + Duration::from_millis(100);
+    scheduler.origins().merge(vec![list], now);
+    assert!(granted(&scheduler.tick(now)).is_some(), "a peer knows it");
+}
+
+/// Guards against grants for callers that have left, and for instances that ask another leader.
+#[test]
+fn stream_held_forgotten_with_its_caller() {
+    let mut scheduler = scheduler_just_started(LEADING);
+    hold(&mut scheduler, 1);
+    hold(&mut scheduler, 2);
+    scheduler.cancel_waiting(&key(1));
+    scheduler.remove_instance("entry", START);
+    assert_eq!(scheduler.held_streams(), 0);
+    let now = end_round(&mut scheduler);
+    assert!(granted(&scheduler.tick(now)).is_none());
+}
+
+/// Guards against an instance without a leader that lets a stream go on by versions it read long ago.
+#[test]
+fn stream_held_without_leader_waits_for_fresh_read() {
+    let mut scheduler = scheduler_just_started(Mode::Alone { share: 1.0 });
+    hold(&mut scheduler, 1);
+    let now = end_round(&mut scheduler) + Duration::from_millis(500);
+    assert!(granted(&scheduler.tick(now)).is_none(), "another version may serve since");
+    let now = now + Duration::from_millis(100);
+    scheduler.origins().confirm_versions(now);
+    assert!(granted(&scheduler.tick(now)).is_some());
+}
+
+/// Guards against a stream of the only version that is queued, and goes on at a version that begins to
+/// serve while it waits.
+#[test]
+fn stream_queued_while_one_version_served_keeps_to_it() {
+    let empty = EndpointEntry { models: Vec::new(), ..engine_of("a1", "v1") };
+    let mut scheduler = scheduler(LEADING, vec![empty.clone()]);
+    scheduler.origins().confirm_versions(START);
+    hold(&mut scheduler, 1);
+    let now = START + Duration::from_millis(100);
+    scheduler.set_endpoints(vec![empty, engine_of("b1", "v2")], now);
+    let actions = scheduler.tick(now);
+    assert!(granted(&actions).is_none(), "it began at the other version: {actions:?}");
+}
--- a/tests/process/take_up.rs
+++ b/tests/process/take_up.rs
@@ -2,10 +2,17 @@
 
 use std::time::Duration;
 
-use cardamomshore::standin::{caller::TakeUp, worker::LAST_EVENT};
+use cardamomshore::{
+    soak::process::GatewayProcess,
+    standin::{caller::TakeUp, metadata::StoreCopy, worker::LAST_EVENT},
+};
+use futures_util::future::join_all;
 use tokio::time::{Instant, sleep};
 
-use crate::util::{block_on, gateways::World};
+use crate::util::{
+    block_on,
+    gateways::{DATA_CENTRES, MODEL, World},
+};
 
 /// Software versions of the engines, of which two each serve.
 const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
@@ -102,3 +109,79 @@
         }
     });
 }
+
+/// Times that a caller tries to take a stream up after all gateways were killed.
+const TRIES: usize = 4;
+
+/// Wait of a caller between two tries.
+const RETRY_WAIT: Duration = Duration::from_millis(500);
+
+/// Deadline of the callers of streams.
+const STREAM_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Kills all gateways while the store returns from a copy, and starts them again.
+async fn restart_all_with_copy(world: &mut World, copy: StoreCopy) {
+    world.gateways.iter_mut().for_each(GatewayProcess::kill);
+    world.store.restore(copy);
+    for gateway in &mut world.gateways {
+        gateway.restart().expect("expected the gateway to start");
+    }
+    world.timeout = STREAM_TIMEOUT;
+    world.wait_ready().await;
+}
+
+/// Takes streams up at once, each with a few tries. Returns how many went on, and panics if one did at
+/// another version than the one that began it.
+async fn take_up_at_once(world: &World, ids: &[String]) -> usize {
+    let take_ups = ids.iter().enumerate().map(|(number, id)| async move {
+        for _ in 0..TRIES {
+            let request = format!("{:016x}", rand::random::<u64>());
+            let stream = TakeUp { request: id.to_owned(), after: AFTER as u64 };
+            let gateway = number % world.gateways.len();
+            let answer = world.stream(gateway, &request, Some(stream), LAST_EVENT as usize).await;
+            if answer.is_some_and(|(status, _)| status == 200) {
+                let versions = world.versions_of(&[id, &request]);
+                assert_eq!(versions[0], versions[1], "stream {number} is joined from two versions");
+                return true;
+            }
+            sleep(RETRY_WAIT).await;
+        }
+        false
+    });
+    join_all(take_ups).await.into_iter().filter(|went_on| *went_on).count()
+}
+
+/// Guards against streams that are refused until their callers give up, since a fleet that has only a
+/// copy of the store does not know that all of them began at the only version.
+#[test]
+fn take_up_after_all_killed_and_store_returned_goes_on() {
+    block_on(async {
+        let mut world = World::start_with_engines("take-up-returned", &["v1", "v1"]).await;
+        let copy = world.store.copy();
+        let ids = begin(&world).await;
+        restart_all_with_copy(&mut world, copy).await;
+        assert_eq!(take_up_at_once(&world, &ids).await, STREAMS);
+    });
+}
+
+/// Guards against streams of a new version that go on at the old one, since the copy lacks the entries
+/// of all engines of the new one.
+#[test]
+fn take_up_after_all_killed_and_store_returned_from_before_release() {
+    block_on(async {
+        let mut world = World::start_with_engines("take-up-release", &["v1", "v1"]).await;
+        let copy = world.store.copy();
+        for data_centre in DATA_CENTRES {
+            world.start_worker("engines", data_centre, "v2", vec![MODEL.to_owned()]);
+        }
+        sleep(Duration::from_secs(1)).await;
+        let ids = begin(&world).await;
+        let runs = world.log.runs().into_iter();
+        assert!(
+            runs.filter(|run| run.version == "v2").count() > 0,
+            "none began at the new version"
+        );
+        restart_all_with_copy(&mut world, copy).await;
+        take_up_at_once(&world, &ids).await;
+    });
+}
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -32,7 +32,7 @@
 }
 
 /// Model of the engines.
-const MODEL: &str = "m0";
+pub const MODEL: &str = "m0";
 
 /// Gateways, engines and a plain service in two data centres, and the store that they share.
 pub struct World {
