Give each process of tests folders of its own

Cause: the folder of a fleet was named after its test alone, so that of two runs at once the second removed the settings and logs of the first. A restarted process then read the other fleet's settings. Ruled out for these runs: addresses given out twice, which hold the id of the test's process.

Change: folders hold the id of the test's process; those of processes that have ended are removed at the next run.

--- a/tests/abuse/target.rs
+++ b/tests/abuse/target.rs
@@ -4,7 +4,7 @@
     convert::identity,
     fs::File,
     net::SocketAddr,
-    path::{Path, PathBuf},
+    path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Arc,
     time::Duration,
@@ -28,7 +28,7 @@
     time::{sleep, timeout},
 };
 
-use crate::util::wait_until;
+use crate::util::{run_folder, wait_until};
 
 /// Memory in megabytes that the settings grant the process, and the bound of its resident memory.
 const MEMORY_MB: u64 = 96;
@@ -152,7 +152,7 @@
 }
 
 fn spawn(name: &str, binary: &str, settings: &serde_json::Value) -> Child {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("abuse");
+    let folder = run_folder(name);
     std::fs::create_dir_all(&folder).expect("expected to create the folder");
     let path: PathBuf = folder.join(format!("{name}.yaml"));
     std::fs::write(&path, settings.to_string()).expect("expected to write the settings");
--- a/tests/process/crowd.rs
+++ b/tests/process/crowd.rs
@@ -1,6 +1,6 @@
 //! Test of a crowd of callers at a leader of little processor time.
 
-use std::{path::Path, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep, timeout};
@@ -27,9 +27,9 @@
 const PATIENCE: Duration = Duration::from_millis(800);
 
 /// Returns how often gateways of a world have written a log line of an event.
-fn count_events(name: &str, world: &World, event: &str) -> usize {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let logs = world.gateways.iter().map(|gateway| folder.join(format!("{}.log", gateway.name)));
+fn count_events(world: &World, event: &str) -> usize {
+    let log_of = |name: &str| world.folder.join(format!("{name}.log"));
+    let logs = world.gateways.iter().map(|gateway| log_of(&gateway.name));
     let logs = logs.map(|path| std::fs::read_to_string(path).expect("a log"));
     logs.map(|log| log.matches(&format!("event={event} ")).count()).sum()
 }
@@ -59,8 +59,7 @@
         sleep(Duration::from_millis(1_500)).await;
         let leader = world.leader().expect("expected a leader");
         let record = world.store.value("cardamomshore/leader");
-        let (led, lost) =
-            (count_events(NAME, &world, "leading"), count_events(NAME, &world, "leader_lost"));
+        let (led, lost) = (count_events(&world, "leading"), count_events(&world, "leader_lost"));
         let world = Arc::new(world);
         let until = Instant::now() + CROWD_TIME;
         let throttled = async {
@@ -84,12 +83,12 @@
         }
         println!(
             "answered {answered}, shed lines {}, lost {}",
-            count_events(NAME, &world, "shedding"),
-            count_events(NAME, &world, "leader_lost")
+            count_events(&world, "shedding"),
+            count_events(&world, "leader_lost")
         );
         assert!(answered > 0, "expected answers");
-        assert_eq!(count_events(NAME, &world, "leading"), led, "another leader was elected");
-        assert_eq!(count_events(NAME, &world, "leader_lost"), lost, "links to the leader ended");
+        assert_eq!(count_events(&world, "leading"), led, "another leader was elected");
+        assert_eq!(count_events(&world, "leader_lost"), lost, "links to the leader ended");
         assert_eq!(world.store.value("cardamomshore/leader"), record);
         sleep(Duration::from_secs(1)).await;
         for index in 0..HOMES.len() {
--- a/tests/process/soak.rs
+++ b/tests/process/soak.rs
@@ -1,6 +1,8 @@
 //! A short soak of gateway processes.
 
-use std::{path::Path, process::Command};
+use std::process::Command;
+
+use crate::util::run_folder;
 
 /// Seeds that are played in CI.
 const SEEDS: [u64; 2] = [1, 2];
@@ -10,7 +12,7 @@
 
 /// Plays a soak with a seed; returns its report, which names the broken promises.
 fn play(seed: u64) -> (bool, String) {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("soak");
+    let folder = run_folder(&format!("soak-{seed}"));
     let output = Command::new(env!("CARGO_BIN_EXE_cardamomshore"))
         .args(["soak", "--seed", &seed.to_string(), "--seconds", &SECONDS.to_string()])
         .args(["--gateways", "4", "--engines", "5", "--folder"])
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -9,7 +9,43 @@
 pub mod steward;
 pub mod streaming;
 
-use std::{future::Future, time::Duration};
+use std::{
+    fs,
+    future::Future,
+    path::{Path, PathBuf},
+    sync::OnceLock,
+    time::Duration,
+};
+
+/// Prefix of the names of folders that belong to one process of tests; its id follows.
+const RUN_PREFIX: &str = "run-";
+
+/// Returns the folder `name` of this process of tests, which does not exist yet.
+///
+/// Two runs of the same tests at once must not share a folder: each would replace the settings and the
+/// logs of the other's processes.
+pub fn run_folder(name: &str) -> PathBuf {
+    static FOLDER: OnceLock<PathBuf> = OnceLock::new();
+    let parent = Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let own = FOLDER.get_or_init(|| {
+        remove_former_runs(parent);
+        parent.join(format!("{RUN_PREFIX}{}", std::process::id()))
+    });
+    let folder = own.join(name);
+    let _ = fs::remove_dir_all(&folder);
+    folder
+}
+
+/// Removes the folders of processes of tests that have ended.
+fn remove_former_runs(parent: &Path) {
+    for entry in fs::read_dir(parent).into_iter().flatten().flatten() {
+        let name = entry.file_name();
+        let id = name.to_str().and_then(|name| name.strip_prefix(RUN_PREFIX));
+        if id.is_some_and(|id| !Path::new("/proc").join(id).exists()) {
+            let _ = fs::remove_dir_all(entry.path());
+        }
+    }
+}
 
 /// Runs a future to its end on a multi-threaded runtime.
 pub fn block_on<T>(future: impl Future<Output = T>) -> T {
--- a/tests/util/fleet.rs
+++ b/tests/util/fleet.rs
@@ -18,7 +18,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::json;
 
-use super::{http::call, wait_until};
+use super::{http::call, run_folder, wait_until};
 
 /// Longest wait for a fleet to become ready, and for most other conditions.
 pub const READY_TIMEOUT: Duration = Duration::from_secs(30);
@@ -204,8 +204,7 @@
 
     /// Starts a fleet and publishes its list, but applies no configuration.
     pub async fn start_unconfigured(name: &str, spec: &FleetSpec) -> Self {
-        let dir = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-        let _ = std::fs::remove_dir_all(&dir);
+        let dir = run_folder(name);
         std::fs::create_dir_all(&dir).expect("expected to create the folder of the fleet");
         let platform = free_address();
         let args = ["standin", "platform", "--listen", &platform.to_string()];
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -1,6 +1,10 @@
 //! Gateway processes with the stand-ins for the users' platform.
 
-use std::{path::Path, sync::Arc, time::Duration};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cardamomshore::{
@@ -16,6 +20,8 @@
 };
 use http_body_util::BodyExt;
 
+use super::run_folder;
+
 const HOST: &str = "gateways.example";
 const KEY: &str = "gateways-key";
 const TEAM: &str = "kites";
@@ -52,6 +58,8 @@
     pub team: &'static str,
     /// Time for which callers wait.
     pub timeout: Duration,
+    /// Folder of the gateways' settings and logs.
+    pub folder: PathBuf,
 }
 
 impl World {
@@ -88,6 +96,7 @@
             scaling: None,
             team: TEAM,
             timeout: TIMEOUT,
+            folder: run_folder(name),
         };
         world.write_document();
         for data_centre in DATA_CENTRES {
@@ -97,13 +106,13 @@
             let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
             world.start_worker("engines", data_centre, version, vec![MODEL.to_owned()]);
         }
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         for (number, data_centre) in homes.iter().enumerate() {
             let binary = Path::new(env!("CARGO_BIN_EXE_cardamomshore"));
             let instance = format!("gateway-{data_centre}-{number}");
             let store = world.store.clone();
             let api = world.duties.as_ref().map(|api| api.address);
-            let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store, api);
+            let gateway =
+                GatewayProcess::start(binary, &world.folder, instance, data_centre, store, api);
             world.gateways.push(gateway.expect("expected the gateway to start"));
         }
         world.wait_ready().await;
