Test usage reports with cut links, wrong clocks and a frozen caller

Added, each with real gateways: an instance whose link to the leader is held for 2.4 s (the store's stand-in shows it the address of a relay), a leader that the store does not answer, the same without any linked instance, a holder that is frozen while its connection to the platform API is half open. The clock of a single process cannot be stepped, so instances that the test plays tell a real leader clocks that are wrong by 10 s: one of them, or all but the leader's.

--- a/src/standin/metadata.rs
+++ b/src/standin/metadata.rs
@@ -12,6 +12,7 @@
 };
 
 use http::{HeaderName, HeaderValue, StatusCode};
+use http_body_util::BodyExt;
 use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::{sync::watch, time::sleep};
@@ -240,10 +241,38 @@
     /// Address at which the store is served.
     pub address: SocketAddr,
     faults: Arc<Mutex<StoreFaults>>,
+    redirects: Arc<Mutex<Vec<Redirect>>>,
     channels: Arc<Channels>,
     _server: Server,
 }
 
+/// An address in records that reads as another one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Redirect {
+    from: SocketAddr,
+    to: SocketAddr,
+}
+
+impl Redirect {
+    /// Replaces the address in all values of a response, which are in Base64.
+    fn apply(&self, json: &mut serde_json::Value) {
+        use base64::{Engine, engine::general_purpose::STANDARD};
+        match json {
+            serde_json::Value::Array(all) => all.iter_mut().for_each(|it| self.apply(it)),
+            serde_json::Value::Object(all) => all.values_mut().for_each(|it| self.apply(it)),
+            serde_json::Value::String(text) => {
+                let decoded =
+                    STANDARD.decode(&*text).ok().and_then(|it| String::from_utf8(it).ok());
+                let from = self.from.to_string();
+                if let Some(value) = decoded.filter(|value| value.contains(&from)) {
+                    *text = STANDARD.encode(value.replace(&from, &self.to.to_string()));
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
 /// Connections to an address, by their number.
 #[derive(Debug, Default)]
 struct Channels {
@@ -257,13 +286,28 @@
     /// Serves a store at `address`.
     pub fn start(store: Arc<MetadataStore>, address: SocketAddr) -> io::Result<Self> {
         let faults: Arc<Mutex<StoreFaults>> = Arc::default();
+        let redirects: Arc<Mutex<Vec<Redirect>>> = Arc::default();
         let channels: Arc<Channels> = Arc::default();
-        let shared = (faults.clone(), channels.clone());
+        let shared = (faults.clone(), channels.clone(), redirects.clone());
         let server = Server::start(address, move |request| {
-            let (store, (faults, channels)) = (store.clone(), shared.clone());
-            async move { respond(&store, &faults, &channels, request).await }
+            let (store, (faults, channels, redirects)) = (store.clone(), shared.clone());
+            async move {
+                let response = respond(&store, &faults, &channels, request).await?;
+                let redirects = redirects.lock().clone();
+                if redirects.is_empty() {
+                    Ok(response)
+                } else {
+                    redirect(&redirects, response).await
+                }
+            }
         })?;
-        Ok(Self { address, faults, channels, _server: server })
+        Ok(Self { address, faults, redirects, channels, _server: server })
+    }
+
+    /// Lets records show the address `to` in place of `from`, so that the instance that reads them
+    /// here connects there.
+    pub fn redirect(&self, from: SocketAddr, to: SocketAddr) {
+        self.redirects.lock().push(Redirect { from, to });
     }
 
     /// Lets the connections fall silent on which watches wait now. All others work.
@@ -277,6 +321,20 @@
     }
 }
 
+/// Replaces addresses in the values of a response.
+async fn redirect(
+    redirects: &[Redirect],
+    response: http::Response<super::http1::Body>,
+) -> Result<http::Response<super::http1::Body>, Broken> {
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    let Ok(mut json) = serde_json::from_slice(&body) else { return Err(Broken) };
+    redirects.iter().for_each(|it| it.apply(&mut json));
+    let mut response = super::http1::whole_response(parts.status, json.to_string());
+    *response.headers_mut() = parts.headers;
+    Ok(response)
+}
+
 /// Carries out a call, subject to the faults of its address. An address that is silent when a call
 /// ends, such as a watch that has waited, sends no response either.
 async fn respond(
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -10,6 +10,7 @@
     mod crowd;
     mod cut_off;
     mod duties;
+    mod duty_faults;
     mod input;
     mod keys;
     mod links;
--- a/tests/util.rs
+++ b/tests/util.rs
@@ -3,8 +3,10 @@
 
 pub mod cli;
 pub mod fleet;
+pub mod gate;
 pub mod gateways;
 pub mod http;
+pub mod instance;
 pub mod relay;
 pub mod steward;
 pub mod streaming;
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -1,6 +1,6 @@
 //! Gateway processes with the stand-ins for the users' platform.
 
-use std::{path::Path, sync::Arc, time::Duration};
+use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use cardamomshore::{
@@ -15,6 +15,9 @@
     },
 };
 use http_body_util::BodyExt;
+use serde_json::Value;
+
+use super::gate::Gate;
 
 const HOST: &str = "gateways.example";
 const KEY: &str = "gateways-key";
@@ -24,6 +27,12 @@
 /// Data centres of the gateways and the servers, one of each in each.
 pub const DATA_CENTRES: [&str; 2] = ["dc-a", "dc-b"];
 
+/// Returns the address of the leader in the store's record; `None` if nobody leads.
+pub fn leader_address(store: &MetadataStore) -> Option<SocketAddr> {
+    let record: Value = serde_json::from_str(&store.value("cardamomshore/leader")?).ok()?;
+    record["address"].as_str()?.parse().ok()
+}
+
 /// A response: its status, and the endpoint that made it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
@@ -67,22 +76,34 @@
 
     /// Starts the same with a gateway for each of `homes`, in the data centre that it names.
     pub async fn start_in(name: &str, homes: &[&str], versions: &[&str]) -> Self {
-        Self::start_all(name, homes, versions, false).await
+        Self::start_all(name, homes, versions, None).await
     }
 
     /// Starts the same with duties towards a platform API.
     pub async fn start_with_duties(name: &str, homes: &[&str], versions: &[&str]) -> Self {
-        Self::start_all(name, homes, versions, true).await
+        let api = DutyApi::start(free_address()).expect("expected the API to start");
+        let address = api.address;
+        Self::start_all(name, homes, versions, Some((api, address))).await
+    }
+
+    /// Starts the same with a platform API that gateways reach through `gate`.
+    pub async fn start_with_gate(name: &str, homes: &[&str], api: DutyApi, gate: &Gate) -> Self {
+        Self::start_all(name, homes, &["v1"], Some((api, gate.address))).await
     }
 
-    async fn start_all(name: &str, homes: &[&str], versions: &[&str], has_duties: bool) -> Self {
-        let start_api = || DutyApi::start(free_address()).expect("expected the API to start");
+    async fn start_all(
+        name: &str,
+        homes: &[&str],
+        versions: &[&str],
+        duties: Option<(DutyApi, SocketAddr)>,
+    ) -> Self {
+        let (duties, api) = duties.unzip();
         let mut world = Self {
             store: MetadataStore::start(),
             gateways: Vec::new(),
             workers: Vec::new(),
             log: Arc::default(),
-            duties: has_duties.then(start_api),
+            duties,
             version: 0,
             added: Vec::new(),
             scaling: None,
@@ -102,7 +123,6 @@
             let binary = Path::new(env!("CARGO_BIN_EXE_cardamomshore"));
             let instance = format!("gateway-{data_centre}-{number}");
             let store = world.store.clone();
-            let api = world.duties.as_ref().map(|api| api.address);
             let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store, api);
             world.gateways.push(gateway.expect("expected the gateway to start"));
         }
