--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -10,6 +10,7 @@
 mod buffered;
 mod callers;
 mod crashes;
+mod deflate;
 mod directory;
 mod duties;
 mod entry;
@@ -214,10 +215,11 @@
     }
 
     /// Returns whether this instance can serve callers: it knows the configuration and the
-    /// endpoints, and is not stopping.
+    /// endpoints, or has a link to a leader that does, and is not stopping. Grants name all that is
+    /// needed of an endpoint, so callers need not wait until the table has come.
     fn is_ready(&self) -> bool {
         self.catalog.load().is_some()
-            && self.registry.is_initialized()
+            && (self.registry.is_initialized() || self.uplink.has_ready_leader())
             && !self.shutdown.has_begun()
     }
 
--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, OnceLock,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -23,7 +23,7 @@
 use crate::{
     clock::Time,
     kernel::grants::{
-        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Outcome, Refusal,
+        Action, ActiveGrant, Grant, GrantKey, GrantRequest, LoadFigures, Outcome, Reason, Refusal,
     },
 };
 
@@ -42,6 +42,9 @@
 /// Interval of another instance's ticks while no request waits.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after which callers should retry that got no decision in time.
+const KEPT_RETRY: Duration = Duration::from_millis(500);
+
 /// The decision of a scheduler about one request.
 type GrantResult = Result<Grant, Refusal>;
 
@@ -63,6 +66,9 @@
 #[derive(Default)]
 pub struct Requests {
     next_number: AtomicU64,
+    /// Whether waiting requests are kept from this instance's scheduler, see
+    /// [`Gateway::keeps_requests`].
+    kept: AtomicBool,
     table: Mutex<HashMap<u64, Entry>>,
 }
 
@@ -203,8 +209,7 @@
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => {
             log::error!("event=grant_lost number={number}");
-            let reason = crate::kernel::grants::Reason::NoRoom;
-            Err(Refusal { reason, retry: Duration::from_millis(500) })
+            Err(Refusal { reason: Reason::NoRoom, retry: KEPT_RETRY })
         }
     }
 }
@@ -221,6 +226,10 @@
         if self.uplink.send(Content::GrantRequest(GrantRequestFrame::new(number, &request, now))) {
             return;
         }
+        if self.keeps_requests() {
+            self.requests.kept.store(true, Ordering::Relaxed);
+            return;
+        }
         self.record_demand(&self.grant_key(number), &request);
         let actions = {
             let mut scheduler = self.scheduler.lock();
@@ -353,6 +362,7 @@
 
     /// Submits the waiting requests again, after the link to the leader was opened or lost.
     pub(super) fn resubmit_waiting(self: &Arc<Self>) {
+        self.requests.kept.store(false, Ordering::Relaxed);
         let waiting: Vec<(u64, GrantRequest)> = {
             let table = self.requests.table.lock();
             let waiting =
@@ -366,6 +376,25 @@
         }
     }
 
+    /// Takes the waiting requests from this instance's scheduler, and refuses those whose time is up. The
+    /// others are submitted again to a new leader, or once the endpoints are known.
+    fn keep_waiting(&self, now: Time) {
+        self.requests.kept.store(true, Ordering::Relaxed);
+        let waiting: Vec<(u64, Time)> = {
+            let table = self.requests.table.lock();
+            let waiting =
+                table.iter().filter(|(_, entry)| matches!(entry.state, State::Waiting(_)));
+            waiting.map(|(number, entry)| (*number, entry.request.deadline)).collect()
+        };
+        for (number, deadline) in waiting {
+            self.scheduler.lock().cancel_waiting(&self.grant_key(number));
+            if deadline <= now {
+                let refusal = Refusal { reason: Reason::NoRoom, retry: KEPT_RETRY };
+                self.resolve(number, Err(refusal));
+            }
+        }
+    }
+
     /// Grants the requests that wait for an engine and carries out its next order, after the result of
     /// an order or a report.
     pub(super) fn poll_endpoint(self: &Arc<Self>, id: &str) {
@@ -382,6 +411,12 @@
     /// Runs one tick of the scheduler, which covers the queue, the orders and the placement.
     pub(super) fn tick_scheduler(self: &Arc<Self>) {
         let now = Time::now();
+        if self.keeps_requests() {
+            return self.keep_waiting(now);
+        }
+        if !self.uplink.is_open() && self.requests.kept.load(Ordering::Relaxed) {
+            self.resubmit_waiting();
+        }
         let mode = self.scheduler_mode();
         let (actions, observations) = {
             let mut scheduler = self.scheduler.lock();
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -177,6 +177,15 @@
         should_hand_over(&members.list, &self.settings.instance, cut_off_for, led_for)
     }
 
+    /// Returns the number of instances that may try to become leader together with this one: those that
+    /// watch the store, or all if this one has just started, since then others may have as well.
+    fn candidate_count(&self) -> usize {
+        match self.uplink.was_linked() && self.is_watcher() {
+            true => 1,
+            false => self.fleet_size(),
+        }
+    }
+
     fn log_change(&self, change: LeaderChange) {
         if let Some(term) = change.lost_term {
             log::warn!("event=leadership_lost term={term} reason=another");
@@ -324,7 +333,8 @@
         // Another instance, which reaches the engines, should lead.
         sleep(CUT_OFF_WAIT).await;
     }
-    sleep(candidate_wait(weakness, gateway.uptime(), rand::random())).await;
+    let candidates = gateway.candidate_count();
+    sleep(candidate_wait(weakness, gateway.uptime(), rand::random(), candidates)).await;
     let LeaseStep::Acquire(revision) = next_step(gateway) else { return };
     if let Err(err) = try_acquire(gateway, revision).await {
         log::info!("event=candidacy_failed reason={err}");
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -60,6 +60,8 @@
     linked: AtomicBool,
     /// Attempts to open a link that failed.
     failed_attempts: AtomicU64,
+    /// Whether the leader has said on the present link that it can serve callers.
+    leader_ready: AtomicBool,
 }
 
 impl Uplink {
@@ -73,6 +75,11 @@
         self.tx.lock().is_some()
     }
 
+    /// Returns whether there is a link to a leader that can serve callers.
+    pub fn has_ready_leader(&self) -> bool {
+        self.leader_ready.load(Ordering::Relaxed) && self.is_open()
+    }
+
     /// Returns whether there has been a link since the process started.
     pub fn was_linked(&self) -> bool {
         self.linked.load(Ordering::Relaxed)
@@ -128,7 +135,12 @@
 async fn join_leader(gateway: &Arc<Gateway>, leader: &Leader) -> Result<(), FrameError> {
     let stream = connect(leader.address, OPEN_TIMEOUT).await?;
     let mut wire = Framed::new(stream, FrameCodec::default());
-    let hello = Hello { member: Some(MemberFrame::from(&gateway.own_member())), term: leader.term };
+    let hello = Hello {
+        member: Some(MemberFrame::from(&gateway.own_member())),
+        term: leader.term,
+        digests: gateway.table_digest().map_or(Vec::new(), |digest| digest.as_slice().to_vec()),
+        deflate: true,
+    };
     wire.send(Content::Hello(hello)).await?;
     let first_frame = timeout(OPEN_TIMEOUT, wire.next()).await;
     match first_frame {
@@ -146,6 +158,7 @@
     }
     gateway.uplink.record_frame();
     gateway.uplink.linked.store(true, Ordering::Relaxed);
+    gateway.uplink.leader_ready.store(false, Ordering::Relaxed);
     *gateway.uplink.tx.lock() = Some(tx);
     gateway.resubmit_waiting();
     log::info!("event=leader_joined leader={} term={}", leader.instance, leader.term);
@@ -258,6 +271,7 @@
         Content::HeartbeatReply(heartbeat) => {
             let response_age = Duration::from_millis(heartbeat.response_age.into());
             gateway.record_age.record(response_age, Time::now());
+            gateway.uplink.leader_ready.store(heartbeat.ready, Ordering::Relaxed);
             if let Some(frame) = gateway.operator_update(&heartbeat) {
                 gateway.uplink.send(frame);
             }
@@ -272,6 +286,11 @@
         Content::RateLimits(frame) => gateway.handle_rate_limits(frame),
         Content::Duties(frame) => gateway.handle_duties(frame),
         Content::Allotments(frame) => gateway.handle_allotments(frame),
+        Content::Deflated(deflated) => match Content::inflate(&deflated) {
+            Ok(Some(content)) => handle_frame(gateway, content),
+            Ok(None) => log::warn!("event=frame_unexpected from=leader"),
+            Err(err) => log::warn!("event=frame_unreadable from=leader reason={err}"),
+        },
         Content::Hello(_)
         | Content::HeldAllotments(_)
         | Content::Announcement(_)
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -10,7 +10,7 @@
     clock::Time,
     kernel::{
         membership::{Member, lone_share, store_watchers},
-        record_age::{MAX_OPERATOR_AGE, max_record_age, read_backoff},
+        record_age::{MAX_OPERATOR_AGE, first_read_wait, max_record_age, read_backoff},
     },
 };
 
@@ -52,10 +52,6 @@
 /// old one ends.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(2_200);
 
-/// Time after the start for which an instance expects a link to the leader before it reads the
-/// operators' records and the endpoints from the store.
-const START_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Number of instances that is assumed while none is known.
 const DEFAULT_FLEET_SIZE: usize = 64;
 
@@ -116,14 +112,13 @@
     /// Returns whether this instance has just started and may soon have a link to the leader. It has
     /// none soon if the leader ended at the same time, which shows when a first attempt fails.
     pub(super) fn expects_first_link(&self) -> bool {
-        !self.leads()
-            && !self.uplink.was_linked()
-            && self.uplink.failed_attempts() == 0
-            && self.uplink.frame_age() < START_TIMEOUT
+        let has_failed = self.uplink.failed_attempts() > 0;
+        let wait = first_read_wait(&self.settings.instance, self.fleet_size(), has_failed);
+        !self.leads() && !self.uplink.was_linked() && self.uplink.frame_age() < wait
     }
 
     /// Returns whether this instance is one of the members that watch the store for all others.
-    fn is_watcher(&self) -> bool {
+    pub(super) fn is_watcher(&self) -> bool {
         let leader = self.leader();
         let members = self.members.load();
         let watchers = store_watchers(&members.list, leader.as_ref().map(|l| &*l.instance));
--- a/src/gateway/messages.rs
+++ b/src/gateway/messages.rs
@@ -38,7 +38,7 @@
     /// Content of the frame; `None` if this release does not know it.
     #[prost(
         oneof = "Content",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25"
     )]
     pub content: Option<Content>,
 }
@@ -121,6 +121,9 @@
     /// Instance to leader: what the instance holds, or that it has applied what it was sent.
     #[prost(message, tag = "24")]
     HeldAllotments(HeldAllotmentsFrame),
+    /// Leader to instance: a frame that is deflated because it is large.
+    #[prost(bytes = "bytes", tag = "25")]
+    Deflated(Bytes),
 }
 
 /// Accepts the link of an instance.
--- a/src/gateway/messages/codec.rs
+++ b/src/gateway/messages/codec.rs
@@ -4,7 +4,10 @@
 use prost::Message;
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
-use super::{Content, Frame};
+use super::{
+    super::deflate::{deflate, inflate},
+    Content, Frame,
+};
 
 /// Largest frame in bytes. It must hold the operators' document, which is the largest content.
 const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -12,6 +15,12 @@
 /// Largest first frame of a link, which holds a hello or an announcement of some hundred bytes.
 const MAX_FIRST_FRAME_BYTES: usize = 16 << 10;
 
+/// Largest frame in bytes before it is deflated. It must hold the table of 12,000 endpoints, about 4 MB.
+const MAX_INFLATED_BYTES: u64 = 16 << 20;
+
+/// Size in bytes from which a frame is deflated. A smaller one takes few packets either way.
+const MIN_DEFLATED_BYTES: usize = 4_096;
+
 /// Why a frame could not be read or written.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -35,6 +44,24 @@
     }
 }
 
+impl EncodedFrame {
+    /// Deflates the frame for a receiver that reads deflated frames. A small frame stays as it is.
+    pub fn deflated(self) -> Self {
+        match self.size() >= MIN_DEFLATED_BYTES {
+            true => Self::from(Content::Deflated(deflate(&self.0))),
+            false => self,
+        }
+    }
+}
+
+impl Content {
+    /// Returns the content of a deflated frame; fails if it is not valid, or deflated itself.
+    pub fn inflate(deflated: &[u8]) -> Result<Option<Content>, FrameError> {
+        let content = Frame::decode(inflate(deflated, MAX_INFLATED_BYTES)?)?.content;
+        Ok(content.filter(|content| !matches!(content, Content::Deflated(_))))
+    }
+}
+
 impl From<Content> for EncodedFrame {
     fn from(content: Content) -> Self {
         Self(Frame { content: Some(content) }.encode_to_vec().into())
--- a/src/gateway/messages/endpoints.rs
+++ b/src/gateway/messages/endpoints.rs
@@ -7,6 +7,7 @@
 use crate::kernel::{
     endpoint_table::LeavingEndpoint,
     grants::{EndpointEntry, Incarnation},
+    table_digest::Parts,
     versioned::Changes,
 };
 
@@ -23,6 +24,13 @@
     /// Names of endpoints that no longer exist.
     #[prost(string, repeated, tag = "3")]
     pub removed: Vec<String>,
+    /// Whether `changed` holds all endpoints of the listed parts of the table, see
+    /// [`table_digest`](crate::kernel::table_digest). The other parts are as the receiver knows them.
+    #[prost(bool, tag = "4")]
+    pub partial: bool,
+    /// Numbers of the parts.
+    #[prost(uint32, repeated, tag = "5")]
+    pub parts: Vec<u32>,
 }
 
 /// An endpoint, as the leader knows it.
@@ -71,10 +79,28 @@
             full: changes.full,
             changed: changes.changed,
             removed: changes.removed.iter().map(|id| id.to_string()).collect(),
+            ..Self::default()
         }
     }
 }
 
+impl EndpointsFrame {
+    /// Creates a frame with all endpoints of these parts of the table.
+    pub fn with_parts(parts: &Parts, endpoints: impl Iterator<Item = EndpointFrame>) -> Self {
+        Self {
+            changed: endpoints.filter(|frame| parts.contains_entry(&frame.id)).collect(),
+            partial: true,
+            parts: parts.iter().map(|part| part as u32).collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the parts of the table that the frame holds.
+    pub fn held_parts(&self) -> Parts {
+        self.parts.iter().map(|part| *part as usize).collect()
+    }
+}
+
 /// Endpoints that an instance knew to drain or to be gone when the store returned from an older copy.
 #[derive(Clone, PartialEq)]
 #[derive(Message)]
@@ -160,17 +186,43 @@
 
 impl EndpointFrame {
     /// Returns whether the change to `newer` must be sent to the peers. A change of the adapters
-    /// alone counts only if `include_adapters` is set.
+    /// alone counts only if `include_adapters` is set. That an endpoint is cold for less time than
+    /// before is no change, since the peers count the time themselves.
     pub fn differs(&self, newer: &EndpointFrame, include_adapters: bool) -> bool {
-        if include_adapters {
-            return self != newer;
-        }
-        let without_adapters = |frame: &EndpointFrame| {
-            let mut frame = frame.clone();
-            frame.models.iter_mut().for_each(|model| model.adapters.clear());
-            frame
+        let is_colder = newer.cold_ms > self.cold_ms || (newer.cold_ms == 0) != (self.cold_ms == 0);
+        let has_same_models = match include_adapters {
+            true => self.models == newer.models,
+            false => {
+                let names = |frame: &EndpointFrame| frame.models.len();
+                let mut pairs = self.models.iter().zip(&newer.models);
+                names(self) == names(newer) && pairs.all(|(old, new)| old.model == new.model)
+            }
         };
-        without_adapters(self) != without_adapters(newer)
+        is_colder || !has_same_models || !self.has_same_fields(newer)
+    }
+
+    /// Returns whether `other` differs from this frame at most in its models and in how long the
+    /// endpoint is cold.
+    fn has_same_fields(&self, other: &EndpointFrame) -> bool {
+        self.id == other.id
+            && self.incarnation == other.incarnation
+            && self.service == other.service
+            && self.address == other.address
+            && self.data_centre == other.data_centre
+            && self.slots == other.slots
+            && self.draining == other.draining
+            && self.version == other.version
+    }
+
+    /// Returns the encoding by which two instances compare what they know of the endpoint. It lacks what
+    /// is not sent to a large fleet: the adapters, and how long the endpoint is still cold.
+    pub fn encode_known(&self) -> Vec<u8> {
+        let models = self
+            .models
+            .iter()
+            .map(|model| ModelFrame { model: model.model.clone(), adapters: Vec::new() });
+        Self { models: models.collect(), cold_ms: u64::from(self.cold_ms > 0), ..self.clone() }
+            .encode_to_vec()
     }
 
     /// Returns the endpoint; `None` if its address cannot be parsed.
--- a/src/gateway/messages/members.rs
+++ b/src/gateway/messages/members.rs
@@ -16,6 +16,13 @@
     /// Term in which the sender expects the receiver to lead.
     #[prost(uint64, tag = "2")]
     pub term: u64,
+    /// Digests of the parts of the sender's table of endpoints; empty if the table is small, so that it
+    /// is sent whole.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub digests: Vec<u64>,
+    /// Whether the sender reads deflated frames. Earlier releases do not.
+    #[prost(bool, tag = "4")]
+    pub deflate: bool,
 }
 
 /// First frame of a new leader to an instance that is not linked to it yet. The leader closes the
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -3,20 +3,15 @@
 //! The records are read from the store and passed on between instances, so that an instance which
 //! cannot reach the store still gets them.
 
-use std::{
-    collections::BTreeSet,
-    io::{Read, Write},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use tokio::time::sleep;
 use xxhash_rust::xxh3::Xxh3;
 
 use super::{
     Gateway,
+    deflate::{deflate, inflate},
     messages::{Content, Heartbeat, OperatorFrame},
 };
 use crate::{
@@ -68,21 +63,6 @@
     evacuated: BTreeSet<String>,
 }
 
-/// Compresses the document for other instances.
-fn deflate(document: &[u8]) -> Bytes {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    let result = encoder.write_all(document).and_then(|()| encoder.finish());
-    // Writing to memory cannot fail.
-    result.unwrap_or_default().into()
-}
-
-/// Decompresses the document of another instance; fails if it is not valid.
-fn inflate(deflated: &[u8]) -> std::io::Result<Bytes> {
-    let mut document = Vec::new();
-    DeflateDecoder::new(deflated).take(MAX_DOCUMENT_BYTES).read_to_end(&mut document)?;
-    Ok(document.into())
-}
-
 impl OperatorState {
     /// Returns the version of the document; zero before the first one.
     pub fn version(&self) -> u64 {
@@ -104,6 +84,14 @@
         hash.digest()
     }
 
+    /// Returns a number that differs for states which differ in what a peer may lack.
+    pub fn fingerprint(&self) -> u64 {
+        let mut hash = Xxh3::new();
+        hash.update(&self.version.to_le_bytes());
+        hash.update(&self.hash().to_le_bytes());
+        hash.digest()
+    }
+
     /// Returns whether this state must be sent to the instance that sent `heartbeat`.
     fn is_newer_than(&self, heartbeat: &Heartbeat) -> bool {
         let has_newer_list = self.revision() > heartbeat.revision && self.hash() != heartbeat.hash;
@@ -157,7 +145,7 @@
 impl Gateway {
     /// Handles the operators' records that another instance has sent.
     pub(super) fn handle_operator(&self, frame: OperatorFrame) {
-        let document = match inflate(&frame.document) {
+        let document = match inflate(&frame.document, MAX_DOCUMENT_BYTES) {
             Ok(document) => document,
             Err(err) => return log::warn!("event=config_unreadable from=peer reason={err}"),
         };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -34,6 +34,7 @@
         intake::Listener,
         membership::{LinkedInstance, Member},
         overload::{Intake, LinkBacklog, intake},
+        pacing::Resend,
     },
 };
 
@@ -69,6 +70,8 @@
     member: Member,
     /// Whether the peer is ready to serve callers.
     ready: bool,
+    /// Operators' records that are on their way to the peer.
+    operator: Resend,
 }
 
 impl Peer {
@@ -142,6 +145,15 @@
     }
 }
 
+/// What the frames on a link depend on.
+#[derive(Clone, Debug)]
+struct PeerLink {
+    /// Term in which this instance leads.
+    term: u64,
+    /// What the peer knows of the tables.
+    known: SentVersions,
+}
+
 /// Serves a connection of another instance: its link while this instance leads, or the announcement
 /// of a new leader.
 async fn serve(gateway: Arc<Gateway>, stream: TcpStream, link: u64, connection: OpenConnection) {
@@ -186,7 +198,7 @@
         return;
     }
     let (tx, rx) = mpsc::channel(MAX_QUEUED_FRAMES);
-    let mut peer = Peer { tx: Some(tx), link, member, ready: false };
+    let mut peer = Peer { tx: Some(tx), link, member, ready: false, operator: Resend::default() };
     if gateway.scheduler.lock().crash_version() > 0 {
         peer.send(gateway.crashes_content());
     }
@@ -198,7 +210,8 @@
     let actions = gateway.scheduler.lock().remove_instance(&instance, Time::now());
     gateway.apply_actions(actions);
     log::info!("event=instance_joined peer={instance} term={term}");
-    let result = exchange_frames(gateway, &instance, term, wire, rx).await;
+    let known = SentVersions::of_joining(hello.digests, hello.deflate);
+    let result = exchange_frames(gateway, &instance, PeerLink { term, known }, wire, rx).await;
     if let Err(err) = result {
         log::info!("event=link_failed peer={instance} reason={err}");
     }
@@ -210,7 +223,7 @@
 async fn exchange_frames(
     gateway: &Arc<Gateway>,
     instance: &str,
-    term: u64,
+    link: PeerLink,
     wire: Wire,
     rx: mpsc::Receiver<Content>,
 ) -> Result<(), FrameError> {
@@ -218,8 +231,8 @@
     // Reading goes on while a write is blocked, or two instances that write to each other could
     // both wait forever.
     tokio::select! {
-        result = read_frames(gateway, instance, term, source) => result,
-        result = write_frames(gateway, term, sink, rx) => result,
+        result = read_frames(gateway, instance, link.term, source) => result,
+        result = write_frames(gateway, link, sink, rx) => result,
     }
 }
 
@@ -257,11 +270,11 @@
 /// Writes queued frames and updates to a peer.
 async fn write_frames(
     gateway: &Arc<Gateway>,
-    term: u64,
+    link: PeerLink,
     mut sink: SplitSink<Wire, EncodedFrame>,
     mut rx: mpsc::Receiver<Content>,
 ) -> Result<(), FrameError> {
-    let mut sent = SentVersions::default();
+    let PeerLink { term, known: mut sent } = link;
     let mut changes = gateway.updates.subscribe();
     changes.mark_changed();
     let mut update: Option<PendingUpdate> = None;
@@ -371,6 +384,7 @@
         | Content::HeartbeatReply(_)
         | Content::Members(_)
         | Content::Endpoints(_)
+        | Content::Deflated(_)
         | Content::Duties(_) => {
             log::warn!("event=frame_unexpected from={instance}");
         }
@@ -402,7 +416,7 @@
     }
 
     /// Replies to a heartbeat, with the operators' records if those of the peer are older.
-    fn handle_heartbeat(&self, instance: &str, heartbeat: &Heartbeat) {
+    fn handle_heartbeat(self: &Arc<Self>, instance: &str, heartbeat: &Heartbeat) {
         let changed = match self.peers.table.lock().get_mut(instance) {
             Some(peer) => {
                 let before = (peer.ready, peer.member.cut_off);
@@ -412,14 +426,37 @@
             None => false,
         };
         self.peers.send(instance, Content::HeartbeatReply(self.heartbeat()));
-        if let Some(update) = self.operator_update(heartbeat) {
-            self.peers.send(instance, update);
-        }
+        self.update_operator(instance, heartbeat);
         if changed {
             self.updates.notify_members();
         }
     }
 
+    /// Sends the operators' records to a peer that has older ones, paced by the link, unless they are on
+    /// their way to it.
+    fn update_operator(self: &Arc<Self>, instance: &str, heartbeat: &Heartbeat) {
+        let Some(update) = self.operator_update(heartbeat) else { return };
+        let (state, now) = (self.operator.lock().fingerprint(), Time::now());
+        let wait = {
+            let mut table = self.peers.table.lock();
+            let Some(peer) = table.get_mut(instance) else { return };
+            if !peer.operator.is_due(state, now) {
+                return;
+            }
+            let wait = self.updates.reserve_operator(EncodedFrame::from(update.clone()).size());
+            peer.operator.record(state, wait, now);
+            wait
+        };
+        if wait.is_zero() {
+            return self.peers.send(instance, update);
+        }
+        let (gateway, instance) = (self.clone(), Arc::<str>::from(instance));
+        tokio::spawn(async move {
+            sleep(wait).await;
+            gateway.peers.send(&instance, update);
+        });
+    }
+
     /// Removes a peer and its grants after the end of its link, unless the peer has opened a newer
     /// link.
     fn remove_peer(self: &Arc<Self>, instance: &str, link: u64) {
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Gateway,
-    messages::{Content, EndpointsFrame, LeavingFrame},
+    messages::{Content, EndpointFrame, EndpointsFrame, LeavingFrame},
 };
 use crate::{
     clock::Time,
@@ -24,8 +24,9 @@
         endpoint_table::{EndpointTable, Presence},
         grants::{EndpointEntry, Incarnation},
         leadership::Leader,
-        record_age::WATCH_WAIT,
+        record_age::{LoneStep, WATCH_WAIT, lone_step, max_table_age, watch_delay},
         revision::Revision,
+        table_digest::{MIN_ENTRIES, TableDigest},
     },
     platform::{
         registration::{ENDPOINT_PREFIX, decode},
@@ -42,10 +43,6 @@
 /// Wait after each watch call, so that the next one returns several changes at once.
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 
-/// Fraction of the drain time for which an instance relies on a table that the leader has told. The
-/// rest is for reading the store.
-const TABLE_AGE_FRACTION: f64 = 0.5;
-
 /// Longest silence of a leader whose table counts as up to date.
 const MAX_LEADER_SILENCE: Duration = Duration::from_millis(500);
 
@@ -55,6 +52,9 @@
     table: Mutex<EndpointTable>,
     /// Whether the table was filled at least once.
     initialized: AtomicBool,
+    /// Locked while the table is passed to the scheduler, so that an older state does not replace a
+    /// newer one there.
+    passing: Mutex<()>,
 }
 
 impl Registry {
@@ -67,18 +67,32 @@
 impl Gateway {
     /// Applies the leader's frame about endpoints to the table.
     pub(super) fn handle_endpoints(&self, frame: EndpointsFrame) {
-        let now = Time::now();
+        let (now, parts) = (Time::now(), frame.held_parts());
         let changed = frame.changed.into_iter().filter_map(|frame| frame.into_registration());
-        {
-            let mut table = self.registry.table.lock();
-            if frame.full {
-                table.replace(self.leader_era(), changed.collect(), now);
-            } else {
-                frame.removed.iter().for_each(|id| table.remove(id, now));
-                changed.for_each(|entry| table.put(entry));
-            }
-        }
-        self.apply_table();
+        let mut table = self.registry.table.lock();
+        let changed = if frame.full || frame.partial {
+            let is_sent = |id: &str| frame.full || parts.contains_entry(id);
+            table.replace_where(self.leader_era(), is_sent, changed.collect(), now)
+        } else {
+            let removed = frame.removed.into_iter().filter(|id| table.remove(id, now));
+            let mut names: Vec<Arc<str>> = removed.map(Arc::from).collect();
+            names.extend(changed.filter_map(|entry| {
+                let id = entry.id.clone();
+                table.put(entry).then_some(id)
+            }));
+            names
+        };
+        drop(table);
+        self.apply_entries(&changed);
+    }
+
+    /// Returns the digest of the table, by which a new leader sends only what differs; `None` if the
+    /// table is small.
+    pub(super) fn table_digest(&self) -> Option<TableDigest> {
+        let table = self.registry.table.lock();
+        let frames = table.entries().map(EndpointFrame::from);
+        let is_large = self.registry.is_initialized() && table.len() >= MIN_ENTRIES;
+        is_large.then(|| TableDigest::new(frames.map(|it| (it.id.clone(), it.encode_known()))))
     }
 
     /// Returns the frame that tells a leader of a new era of the store which endpoints leave; `None` if
@@ -104,11 +118,32 @@
 
     /// Passes the table to the scheduler and marks the registry as initialized.
     fn apply_table(&self) {
+        let _passing = self.registry.passing.lock();
         let table: Vec<EndpointEntry> = self.registry.table.lock().entries().cloned().collect();
         self.scheduler.lock().set_endpoints(table, Time::now());
         self.registry.initialized.store(true, Ordering::Release);
     }
 
+    /// Passes those entries to the scheduler that have changed, by their names, and marks the registry
+    /// as initialized.
+    fn apply_entries(&self, changed: &[Arc<str>]) {
+        let _passing = self.registry.passing.lock();
+        let (mut entries, mut lost) = (Vec::new(), Vec::new());
+        {
+            let table = self.registry.table.lock();
+            for id in changed {
+                match table.get(id) {
+                    Some(entry) => entries.push(entry.clone()),
+                    None => lost.push(id.clone()),
+                }
+            }
+        }
+        if !changed.is_empty() {
+            self.scheduler.lock().change_endpoints(entries, &lost, Time::now());
+        }
+        self.registry.initialized.store(true, Ordering::Release);
+    }
+
     /// Returns whether the table is up to date: from a leader that is in contact, or from the store.
     pub(super) fn knows_current_endpoints(&self) -> bool {
         let has_leader = self.uplink.is_open() && self.uplink.frame_age() < MAX_LEADER_SILENCE;
@@ -150,9 +185,28 @@
         self.leads() || is_lost
     }
 
+    /// Returns the wait after each watch call.
+    fn batch_delay(&self) -> Duration {
+        let fleet_size = if self.leads() { 1 } else { self.fleet_size() };
+        watch_delay(BATCH_DELAY, fleet_size)
+    }
+
+    /// Returns whether this instance is without a leader and knows too little of the endpoints to grant
+    /// requests itself.
+    pub(super) fn keeps_requests(&self) -> bool {
+        if self.leads() || self.uplink.is_open() || !self.uplink.was_linked() {
+            return false;
+        }
+        let now = Time::now();
+        let age = self.record_age.get(now).min(self.watch_times.endpoints_age(now));
+        lone_step(age, self.settings.drain_time, self.fleet_size()) == LoneStep::Keep
+    }
+
     /// Returns whether what the leader has told of the endpoints is too old.
     fn has_old_table(&self) -> bool {
-        self.has_old_records(self.settings.drain_time.mul_f64(TABLE_AGE_FRACTION))
+        let (drain_time, instance) = (self.settings.drain_time, &self.settings.instance);
+        let max_age = max_table_age(drain_time, instance, self.fleet_size());
+        self.record_age.get(Time::now()) > max_age
     }
 }
 
@@ -193,13 +247,10 @@
             WatchResult::Missed => return Ok(()),
             WatchResult::Events(events, newest) => {
                 gateway.watch_times.record_endpoints(Time::now());
-                let changed = !events.is_empty();
-                events.into_iter().for_each(|event| apply_event(gateway, event));
-                if changed {
-                    gateway.apply_table();
-                }
+                let changed = events.into_iter().filter_map(|event| apply_event(gateway, event));
+                gateway.apply_entries(&changed.collect::<Vec<_>>());
                 revision = newest.max(revision);
-                sleep(BATCH_DELAY).await;
+                sleep(gateway.batch_delay()).await;
             }
         }
     }
@@ -211,18 +262,22 @@
     decode(key.strip_prefix(ENDPOINT_PREFIX)?, value)
 }
 
-/// Applies a change of an entry to the table.
-fn apply_event(gateway: &Gateway, event: Event) {
+/// Applies a change of an entry to the table. Returns the name of the endpoint if that changes what is
+/// known of it.
+fn apply_event(gateway: &Gateway, event: Event) -> Option<Arc<str>> {
     let mut table = gateway.registry.table.lock();
     match event {
-        Event::Put(item) => match decode_entry(&item.key, &item.value) {
-            Some(entry) => table.put(entry),
-            None => log::debug!("event=endpoint_ignored key={}", item.key),
-        },
+        Event::Put(item) => {
+            let Some(entry) = decode_entry(&item.key, &item.value) else {
+                log::debug!("event=endpoint_ignored key={}", item.key);
+                return None;
+            };
+            let id = entry.id.clone();
+            table.put(entry).then_some(id)
+        }
         Event::Removed(key) => {
-            if let Some(id) = key.strip_prefix(ENDPOINT_PREFIX) {
-                table.remove(id, Time::now());
-            }
+            let id = key.strip_prefix(ENDPOINT_PREFIX)?;
+            table.remove(id, Time::now()).then(|| id.into())
         }
     }
 }
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -22,7 +22,8 @@
     kernel::{
         membership::{LinkedInstance, Member, current_members, name_members},
         pacing::OutputPacer,
-        versioned::{Changes, Version, VersionedTable},
+        table_digest::{Parts, TableDigest},
+        versioned::{Version, VersionedTable},
     },
 };
 
@@ -36,8 +37,9 @@
 /// and calls to the store.
 const LINK_FRACTION: f64 = 0.4;
 
-/// Bytes a second in a megabit a second.
-const BYTES_PER_MEGABIT: f64 = 125_000.0;
+/// Fraction of the rate of the network link for the operators' records of instances that join. They
+/// cannot serve callers without, so the records do not wait for the tables.
+const OPERATOR_LINK_FRACTION: f64 = 0.3;
 
 /// Largest number of peers to which a change of nothing but an engine's adapters is sent. With more
 /// peers, such changes wait for the next other change of the endpoint.
@@ -51,10 +53,46 @@
 }
 
 /// The versions of the tables that a peer was sent last; `None` before the first time.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct SentVersions {
     members: Option<Version>,
     endpoints: Option<Version>,
+    /// Digest of the endpoints that the peer knew when it joined, until it is sent the differences.
+    known_endpoints: Option<TableDigest>,
+    /// Whether the peer reads deflated frames.
+    deflate: bool,
+}
+
+impl SentVersions {
+    /// Returns what a peer has that joins with these digests of its endpoints.
+    pub fn of_joining(digests: Vec<u64>, deflate: bool) -> Self {
+        Self { known_endpoints: TableDigest::from_parts(digests), deflate, ..Self::default() }
+    }
+}
+
+/// What a peer has of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Base {
+    /// Nothing.
+    Nothing,
+    /// The table of this version.
+    Version(Version),
+    /// All but these parts of the newest version.
+    AllBut(Parts),
+}
+
+impl From<Option<Version>> for Base {
+    fn from(version: Option<Version>) -> Self {
+        version.map_or(Self::Nothing, Self::Version)
+    }
+}
+
+/// A frame that leads from what a peer has to the newest version of a table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Step {
+    table: Table,
+    base: Base,
+    deflate: bool,
 }
 
 /// Frames that a peer must be sent, no sooner than at a certain time.
@@ -71,15 +109,21 @@
     term: u64,
     members: VersionedTable<Member>,
     endpoints: VersionedTable<EndpointFrame>,
-    /// Frames that lead from a version to the newest one. Most peers have the same version, so each
-    /// frame is encoded once for all of them.
-    encoded: HashMap<(Table, Option<Version>), EncodedFrame>,
+    /// Whether changes of an endpoint's adapters alone are sent, which the digests do not cover.
+    include_adapters: bool,
+    /// Digest of the endpoints' newest version; `None` until a peer needs it.
+    digest: Option<TableDigest>,
+    /// Frames that lead to the newest version. Most peers have the same version, so each frame is
+    /// encoded once for all of them.
+    encoded: HashMap<Step, EncodedFrame>,
 }
 
 /// The tables that a leader sends to its peers.
 pub struct Updates {
     state: Mutex<State>,
     pacer: Mutex<OutputPacer>,
+    /// Pacer of the operators' records.
+    operator_pacer: Mutex<OutputPacer>,
     /// Notifies the writers of the links that a table has changed.
     changed: watch::Sender<()>,
     /// Notified when an instance has joined, left or changed its readiness.
@@ -89,15 +133,22 @@
 impl Updates {
     /// Creates empty tables for an instance with a network link of `link_mbps` megabits a second.
     pub fn new(link_mbps: f64) -> Self {
-        let rate = link_mbps * BYTES_PER_MEGABIT * LINK_FRACTION;
+        let pacer = |fraction| OutputPacer::new(OutputPacer::link_rate(link_mbps, fraction));
         Self {
             state: Mutex::default(),
-            pacer: Mutex::new(OutputPacer::new(rate)),
+            pacer: Mutex::new(pacer(LINK_FRACTION)),
+            operator_pacer: Mutex::new(pacer(OPERATOR_LINK_FRACTION)),
             changed: watch::Sender::new(()),
             members_changed: Notify::new(),
         }
     }
 
+    /// Reserves output for the operators' records of a peer, and returns how long to wait before they
+    /// are sent.
+    pub fn reserve_operator(&self, bytes: usize) -> Duration {
+        self.operator_pacer.lock().reserve(bytes, Time::now())
+    }
+
     /// Records that an instance has joined, left or changed its readiness.
     pub fn notify_members(&self) {
         self.members_changed.notify_one();
@@ -143,8 +194,10 @@
         let differs = |old: &EndpointFrame, new: &EndpointFrame| old.differs(new, include_adapters);
         let endpoints_changed = state.endpoints.replace(endpoints, differs);
         let is_new_term = std::mem::replace(&mut state.term, term) != term;
+        state.include_adapters = include_adapters;
         if members_changed || endpoints_changed || is_new_term {
             state.encoded.clear();
+            state.digest = None;
             drop(state);
             self.changed.send_replace(());
         }
@@ -153,34 +206,59 @@
 
 impl State {
     fn frames_after(&mut self, sent: &mut SentVersions) -> Vec<EncodedFrame> {
-        let (members, endpoints) = (sent.members, sent.endpoints);
+        let known = sent.known_endpoints.take().filter(|_| !self.include_adapters);
+        let endpoints_base = match known {
+            Some(known) => Base::AllBut(self.digest().differing(&known)),
+            None => sent.endpoints.into(),
+        };
+        let (members_base, deflate) = (sent.members.into(), sent.deflate);
         sent.members = Some(self.members.version());
         sent.endpoints = Some(self.endpoints.version());
-        let encoded = &mut self.encoded;
-        let endpoints = encode_once(encoded, Table::Endpoints, &self.endpoints, endpoints, |it| {
-            Content::Endpoints(EndpointsFrame::from(it))
-        });
-        let members = encode_once(encoded, Table::Members, &self.members, members, |it| {
-            Content::Members(MembersFrame::from(it))
-        });
-        endpoints.into_iter().chain(members).collect()
+        let steps = [(Table::Endpoints, endpoints_base), (Table::Members, members_base)];
+        let steps = steps.map(|(table, base)| Step { table, base, deflate });
+        steps.into_iter().filter_map(|step| self.encode_once(step)).collect()
     }
-}
 
-/// Returns the frame with the changes of a table after `version`; `None` if there are none.
-fn encode_once<V: Clone>(
-    encoded: &mut HashMap<(Table, Option<Version>), EncodedFrame>,
-    table: Table,
-    values: &VersionedTable<V>,
-    version: Option<Version>,
-    to_content: impl FnOnce(Changes<V>) -> Content,
-) -> Option<EncodedFrame> {
-    if let Some(frame) = encoded.get(&(table, version)) {
-        return Some(frame.clone());
+    /// Returns the digest of the endpoints.
+    fn digest(&mut self) -> &TableDigest {
+        let endpoints = &self.endpoints;
+        self.digest.get_or_insert_with(|| {
+            TableDigest::new(endpoints.values().map(|frame| (&frame.id, frame.encode_known())))
+        })
+    }
+
+    /// Returns the frame of a step; `None` if the peer has the newest version.
+    fn encode_once(&mut self, step: Step) -> Option<EncodedFrame> {
+        if let Some(frame) = self.encoded.get(&step) {
+            return Some(frame.clone());
+        }
+        let content = match step.table {
+            Table::Endpoints => Content::Endpoints(self.endpoints_after(step.base)?),
+            Table::Members => {
+                let version = match step.base {
+                    Base::Version(version) => Some(version),
+                    Base::Nothing | Base::AllBut(_) => None,
+                };
+                Content::Members(MembersFrame::from(self.members.changes_after(version)?))
+            }
+        };
+        let frame = EncodedFrame::from(content);
+        let frame = if step.deflate { frame.deflated() } else { frame };
+        self.encoded.insert(step, frame.clone());
+        Some(frame)
+    }
+
+    fn endpoints_after(&self, base: Base) -> Option<EndpointsFrame> {
+        let version = match base {
+            // The frame is sent even if no part differs: the peer learns that it has the newest table.
+            Base::AllBut(parts) => {
+                return Some(EndpointsFrame::with_parts(&parts, self.endpoints.values().cloned()));
+            }
+            Base::Version(version) => Some(version),
+            Base::Nothing => None,
+        };
+        self.endpoints.changes_after(version).map(EndpointsFrame::from)
     }
-    let frame = EncodedFrame::from(to_content(values.changes_after(version)?));
-    encoded.insert((table, version), frame.clone());
-    Some(frame)
 }
 
 impl Gateway {
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -38,5 +38,6 @@
 pub mod stopping;
 pub mod stream;
 pub mod suspect;
+pub mod table_digest;
 pub mod versioned;
 pub mod warmup;
--- a/src/kernel/candidacy.rs
+++ b/src/kernel/candidacy.rs
@@ -20,11 +20,24 @@
 /// instances next, while younger ones were just restarted.
 const LONG_RUNNING_AGE: Duration = Duration::from_secs(25);
 
+/// Candidates that may wait at most [`MAX_RANDOM_WAIT`] together. While the first one writes the leader's
+/// record, about 30 ms with a remote store, a quarter of them also write, which the store bears.
+const CANDIDATES_PER_WAIT: usize = 32;
+
+/// Longest random part of the wait in any fleet.
+const MAX_SPREAD: Duration = Duration::from_secs(2);
+
 /// Returns how long a candidate waits before it tries to become leader.
 ///
 /// `weakness` lies between 0, for an instance that is strong enough to lead a large fleet, and 1.
 /// `age` is the time since the start of the process, and `draw` is a random number between 0 and 1.
-pub fn candidate_wait(weakness: f64, age: Duration, draw: f64) -> Duration {
+/// `candidates` is the number of instances that may be candidates at the same time: the more there are,
+/// the longer is the longest wait, while the shortest of all stays about the same.
+pub fn candidate_wait(weakness: f64, age: Duration, draw: f64, candidates: usize) -> Duration {
     let age_wait = if age >= LONG_RUNNING_AGE { LONG_RUNNING_WAIT } else { Duration::ZERO };
-    MAX_RANDOM_WAIT.mul_f64(draw) + MAX_WEAKNESS_WAIT.mul_f64(weakness) + age_wait
+    let crowding = candidates as f64 / CANDIDATES_PER_WAIT as f64;
+    let spread = MAX_RANDOM_WAIT.mul_f64(crowding.max(1.0)).min(MAX_SPREAD);
+    // A weak instance waits longer than most strong ones also where these are spread over more time.
+    let weakness_wait = MAX_WEAKNESS_WAIT + (spread - MAX_RANDOM_WAIT);
+    spread.mul_f64(draw) + weakness_wait.mul_f64(weakness) + age_wait
 }
--- a/src/kernel/endpoint_table.rs
+++ b/src/kernel/endpoint_table.rs
@@ -4,7 +4,11 @@
 //! drain, and lacks those that have started since, until the endpoints write their entries again. What
 //! was known before therefore holds until then, or for a while.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::grants::{EndpointEntry, Incarnation};
 use crate::clock::Time;
@@ -84,6 +88,16 @@
         self.entries.values()
     }
 
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns whether there are no entries.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns the entry of an endpoint; `None` if it has none.
     pub fn get(&self, id: &str) -> Option<&EndpointEntry> {
         self.entries.get(id)
@@ -101,7 +115,9 @@
             match read.remove(&entry.id) {
                 None if has_returned => self.doubt(&entry.id, None, now + MISSING_GRACE),
                 None if self.is_missing(&entry.id) => {}
-                None => self.remove(&entry.id, now),
+                None => {
+                    self.remove(&entry.id, now);
+                }
                 Some(newer) if has_returned => self.apply_returned(entry, newer, now),
                 Some(newer) => self.apply_read(newer),
             }
@@ -122,7 +138,9 @@
     fn apply_read(&mut self, entry: EndpointEntry) {
         match self.doubts.get(&entry.id) {
             Some(doubt) if doubt.read.as_ref() == Some(&entry) => {}
-            Some(_) => self.put(entry),
+            Some(_) => {
+                self.put(entry);
+            }
             None => {
                 self.removed.remove(&entry.id);
                 self.entries.insert(entry.id.clone(), entry);
@@ -152,21 +170,26 @@
         self.doubts.insert(id.clone(), Doubt { read, until });
     }
 
-    /// Applies an entry that an endpoint has written, or that the leader has sent.
-    pub fn put(&mut self, entry: EndpointEntry) {
+    /// Applies an entry that an endpoint has written, or that the leader has sent. Returns whether it
+    /// differs from the one in use: endpoints write their entries each second, most of them unchanged.
+    pub fn put(&mut self, entry: EndpointEntry) -> bool {
         self.doubts.remove(&entry.id);
         self.removed.remove(&entry.id);
         self.told.retain(|told| told.endpoint.id != entry.id);
+        if self.entries.get(&entry.id) == Some(&entry) {
+            return false;
+        }
         self.entries.insert(entry.id.clone(), entry);
+        true
     }
 
-    /// Removes an endpoint.
-    pub fn remove(&mut self, id: &str, now: Time) {
+    /// Removes an endpoint. Returns whether it was in use.
+    pub fn remove(&mut self, id: &str, now: Time) -> bool {
         self.doubts.remove(id);
-        if let Some(entry) = self.entries.remove(id) {
-            let removed = Removed { incarnation: entry.incarnation, at: now };
-            self.removed.insert(entry.id, removed);
-        }
+        let Some(entry) = self.entries.remove(id) else { return false };
+        let removed = Removed { incarnation: entry.incarnation, at: now };
+        self.removed.insert(entry.id, removed);
+        true
     }
 
     /// Returns what is known of an incarnation of an endpoint that another instance takes for ready.
@@ -223,12 +246,33 @@
 
     /// Replaces all entries by those that a leader has sent, whose table is of `era`.
     pub fn replace(&mut self, era: u64, entries: Vec<EndpointEntry>, now: Time) {
+        self.replace_where(era, |_| true, entries, now);
+    }
+
+    /// Replaces the entries whose names `is_sent` by those that a leader has sent, whose table is of
+    /// `era`. All others are the same in its table. Returns the names of the entries that have changed.
+    pub fn replace_where(
+        &mut self,
+        era: u64,
+        is_sent: impl Fn(&str) -> bool,
+        entries: Vec<EndpointEntry>,
+        now: Time,
+    ) -> Vec<Arc<str>> {
         self.era = Some(era).max(self.era);
-        let is_kept = |id: &Arc<str>| entries.iter().any(|entry| entry.id == *id);
-        let lost: Vec<Arc<str>> = self.entries.keys().filter(|id| !is_kept(id)).cloned().collect();
-        lost.iter().for_each(|id| self.remove(id, now));
+        let kept: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let is_lost = |id: &&Arc<str>| is_sent(id) && !kept.contains(*id);
+        let mut changed: Vec<Arc<str>> = self.entries.keys().filter(is_lost).cloned().collect();
+        for id in &changed {
+            self.remove(id, now);
+        }
         self.doubts.clear();
-        entries.into_iter().for_each(|entry| self.put(entry));
+        for entry in entries {
+            let id = entry.id.clone();
+            if self.put(entry) {
+                changed.push(id);
+            }
+        }
+        changed
     }
 
     /// Lets the entries hold as they were read where their endpoints have not written them in time.
@@ -240,7 +284,7 @@
             match &doubt.read {
                 Some(entry) => self.put(entry.clone()),
                 None => self.remove(id, now),
-            }
+            };
         }
         !due.is_empty()
     }
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -243,39 +243,57 @@
     /// Replaces the table of endpoints, keeping the state of those whose incarnation, address and
     /// service are unchanged.
     pub fn set_endpoints(&mut self, entries: Vec<EndpointEntry>, now: Time) {
-        let mut old = std::mem::take(&mut self.endpoints);
+        let kept: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let is_lost = |id: &&Arc<str>| !kept.contains(*id);
+        let lost: Vec<Arc<str>> = self.endpoints.keys().filter(is_lost).cloned().collect();
+        self.change_endpoints(entries, &lost, now);
+        self.record_versions(now);
+    }
+
+    /// Applies new and changed entries, and removes the endpoints `lost`. All others stay as they are,
+    /// so that the cost does not grow with the number of endpoints.
+    pub fn change_endpoints(&mut self, entries: Vec<EndpointEntry>, lost: &[Arc<str>], now: Time) {
         let mut has_changed = false;
         for entry in entries {
-            let known = old.remove(&entry.id);
-            let is_changed = known.as_ref().is_none_or(|known| known.entry != entry);
-            let endpoint = match known {
-                Some(known) if !known.is_incarnation(&entry) => {
-                    self.record_loss(known, now);
-                    Endpoint::new(entry, now)
-                }
-                Some(mut known) if known.entry != entry => {
-                    known.update(entry, now);
-                    known
-                }
-                Some(known) => known,
-                None => Endpoint::new(entry, now),
-            };
-            if is_changed {
-                self.index.update(&endpoint);
-            }
-            has_changed |= is_changed;
-            self.endpoints.insert(endpoint.info.id.clone(), endpoint);
+            has_changed |= self.put_endpoint(entry, now);
         }
-        for lost in old.into_values() {
-            has_changed = true;
-            self.index.remove(&lost.info.id);
-            self.origins.record_version(&lost.info.service, &lost.info.version, now);
-            self.record_loss(lost, now);
+        for id in lost {
+            has_changed |= self.remove_endpoint(id, now);
         }
         if has_changed {
             self.queue.wake_all();
         }
-        self.record_versions(now);
+    }
+
+    /// Applies an entry. Returns whether it differs from the known one.
+    fn put_endpoint(&mut self, entry: EndpointEntry, now: Time) -> bool {
+        self.origins.record_version(&entry.service, &entry.version, now);
+        if self.endpoints.get(&entry.id).is_some_and(|known| known.entry == entry) {
+            return false;
+        }
+        let endpoint = match self.endpoints.remove(&entry.id) {
+            Some(known) if !known.is_incarnation(&entry) => {
+                self.record_loss(known, now);
+                Endpoint::new(entry, now)
+            }
+            Some(mut known) => {
+                known.update(entry, now);
+                known
+            }
+            None => Endpoint::new(entry, now),
+        };
+        self.index.update(&endpoint);
+        self.endpoints.insert(endpoint.info.id.clone(), endpoint);
+        true
+    }
+
+    /// Removes an endpoint. Returns whether there was one.
+    fn remove_endpoint(&mut self, id: &str, now: Time) -> bool {
+        let Some(lost) = self.endpoints.remove(id) else { return false };
+        self.index.remove(&lost.info.id);
+        self.origins.record_version(&lost.info.service, &lost.info.version, now);
+        self.record_loss(lost, now);
+        true
     }
 
     /// Returns the endpoints.
--- a/src/kernel/pacing.rs
+++ b/src/kernel/pacing.rs
@@ -8,6 +8,9 @@
 
 use crate::clock::Time;
 
+/// Bytes a second in a megabit a second.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
 /// Assigns send times to bulk messages, so that together they keep to a rate.
 #[derive(Clone, Copy, Debug)]
 pub struct OutputPacer {
@@ -23,6 +26,11 @@
         Self { rate, free_at: Time::default() }
     }
 
+    /// Returns the bytes a second of a fraction of a network link of `link_mbps` megabits a second.
+    pub fn link_rate(link_mbps: f64, fraction: f64) -> f64 {
+        link_mbps * BYTES_PER_MEGABIT * fraction
+    }
+
     /// Reserves output for a message of `bytes` and returns how long to wait before it is sent.
     pub fn reserve(&mut self, bytes: usize, now: Time) -> Duration {
         if self.rate <= 0.0 {
@@ -33,3 +41,29 @@
         send_at.since(now)
     }
 }
+
+/// Time after which a message is sent again to a peer that still lacks what it holds. Reading and applying
+/// it takes less, even on a link of 10 megabits a second.
+const RESEND_TIME: Duration = Duration::from_secs(2);
+
+/// What is sent to one peer that says in each of its heartbeats what it has.
+///
+/// The heartbeats that arrive before the message does must not cause another one each: where many peers
+/// join at once, these would fill the link, and the heartbeats behind them would be late.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Resend {
+    /// Version that was sent last, and until when it counts as being on its way.
+    sent: Option<(u64, Time)>,
+}
+
+impl Resend {
+    /// Returns whether `version` must be sent now. The caller then calls [`record`](Self::record).
+    pub fn is_due(&self, version: u64, now: Time) -> bool {
+        self.sent.is_none_or(|(sent, until)| sent != version || now >= until)
+    }
+
+    /// Records that `version` is sent after `wait`.
+    pub fn record(&mut self, version: u64, wait: Duration, now: Time) {
+        self.sent = Some((version, now + wait + RESEND_TIME));
+    }
+}
--- a/src/kernel/record_age.rs
+++ b/src/kernel/record_age.rs
@@ -17,6 +17,10 @@
 /// confirmed change must be in force. The rest is for reading them.
 pub const MAX_OPERATOR_AGE: Duration = Duration::from_millis(1_000);
 
+/// Fraction of the drain time for which an instance relies on a table that the leader has told. The
+/// rest is for reading the store.
+const TABLE_AGE_FRACTION: f64 = 0.5;
+
 /// Time of the store for reading the records for one instance.
 const READ_TIME: Duration = Duration::from_millis(1);
 
@@ -56,6 +60,11 @@
         if age > MAX_WATCH_AGE { age } else { contact.min(age) }
     }
 
+    /// Returns the age of what this instance has read of the endpoints itself.
+    pub fn endpoints_age(&self, now: Time) -> Duration {
+        now.since(Time(self.endpoints.load(Ordering::Relaxed)))
+    }
+
     /// Returns the age of the older of both watches.
     pub fn age(&self, now: Time) -> Duration {
         let (operator, endpoints) = (&self.operator, &self.endpoints);
@@ -88,11 +97,91 @@
     }
 }
 
+/// Largest fleet whose instances all read the endpoints as soon as they lack a leader. There the store
+/// lists the endpoints for all of them within some hundred milliseconds.
+const SMALL_FLEET: usize = 96;
+
+/// Time after its start for which an instance of a small fleet expects a link to the leader before it reads
+/// the store.
+const START_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time within which a large fleet has a new leader, if the store responds: the lease of the old one ends
+/// after 1.5 s, and the instances join within another.
+const LEADER_CHANGE_TIME: Duration = Duration::from_secs(3);
+
+/// Time of the store for listing all endpoints for one instance of a large fleet: 3,000 entries are about
+/// 1.5 MB.
+const LIST_TIME: Duration = Duration::from_millis(10);
+
+/// Fraction of the drain time after which an instance of a large fleet no longer grants requests by a
+/// table that it has not heard of since. The rest is for the leader's updates, which it collects.
+const LONE_FRACTION: f64 = 0.75;
+
+/// Time of the store for a watch call of one instance of a large fleet.
+const WATCH_CALL_TIME: Duration = Duration::from_millis(2);
+
+/// What an instance does with requests while it has no leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoneStep {
+    /// Grants requests by the table as it is.
+    Grant,
+    /// Keeps requests until a new leader or the store has told it the endpoints. In a large fleet a new
+    /// leader is sooner than the store can list the endpoints for all instances.
+    Keep,
+}
+
+/// Decides whether an instance without a leader grants requests. The table was up to date `age` ago, and
+/// an endpoint that drains gets no more requests after `drain_time`.
+pub fn lone_step(age: Duration, drain_time: Duration, fleet_size: usize) -> LoneStep {
+    match fleet_size > SMALL_FLEET && age > drain_time.mul_f64(LONE_FRACTION) {
+        true => LoneStep::Keep,
+        false => LoneStep::Grant,
+    }
+}
+
+/// Returns the time after its start at which `instance` reads the records and the endpoints itself if it
+/// has had no link to a leader. A failed attempt to open the link, which shows that the old leader has ended
+/// too, shortens the wait in a small fleet.
+pub fn first_read_wait(instance: &str, fleet_size: usize, has_failed: bool) -> Duration {
+    match fleet_size > SMALL_FLEET {
+        true => LEADER_CHANGE_TIME + list_wait(instance, fleet_size),
+        false if has_failed => Duration::ZERO,
+        false => START_TIMEOUT,
+    }
+}
+
+/// Returns the age of the table of endpoints above which `instance` reads it itself. In a large fleet a
+/// new leader is sooner, and until then [`lone_step`] guards the endpoints that drain.
+pub fn max_table_age(drain_time: Duration, instance: &str, fleet_size: usize) -> Duration {
+    match fleet_size > SMALL_FLEET {
+        true => LEADER_CHANGE_TIME + list_wait(instance, fleet_size),
+        false => max_record_age(drain_time.mul_f64(TABLE_AGE_FRACTION), instance, fleet_size),
+    }
+}
+
+/// Returns the wait after a watch call about endpoints, so that the next one returns several changes at
+/// once: `least`, and more where all instances of a large fleet may watch.
+pub fn watch_delay(least: Duration, fleet_size: usize) -> Duration {
+    match fleet_size > SMALL_FLEET {
+        true => least.max(WATCH_CALL_TIME * fleet_size as u32),
+        false => least,
+    }
+}
+
+/// Returns the wait of `instance` for those that list the endpoints before it.
+fn list_wait(instance: &str, fleet_size: usize) -> Duration {
+    (LIST_TIME * fleet_size as u32).mul_f64(position(instance))
+}
+
+/// Returns the place of an instance in the order in which instances read, from 0 to 1.
+fn position(instance: &str) -> f64 {
+    xxh3_64(instance.as_bytes()) as f64 / u64::MAX as f64
+}
+
 /// Returns the age above which `instance` reads records itself: `max_age`, and more in a large
 /// fleet, whose instances read one after the other.
 pub fn max_record_age(max_age: Duration, instance: &str, fleet_size: usize) -> Duration {
-    let position = xxh3_64(instance.as_bytes()) as f64 / u64::MAX as f64;
-    max_age + reading_time(fleet_size).mul_f64(position)
+    max_age + reading_time(fleet_size).mul_f64(position(instance))
 }
 
 /// Returns the wait before an instance reads records again after an error: `backoff`, and more in a
--- a/src/kernel/versioned.rs
+++ b/src/kernel/versioned.rs
@@ -67,6 +67,11 @@
         self.entries.get(name).map(|entry| &entry.value)
     }
 
+    /// Returns the values of all entries.
+    pub fn values(&self) -> impl Iterator<Item = &V> {
+        self.entries.values().map(|entry| &entry.value)
+    }
+
     /// Replaces the content of the table. An entry for which `differs` returns `false` keeps its old
     /// value. Returns whether the table has changed.
     pub fn replace(
--- a/src/standin/metadata.rs
+++ b/src/standin/metadata.rs
@@ -7,11 +7,15 @@
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
     io,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
 use http::{HeaderName, HeaderValue, StatusCode};
+use hyper::body::Body as _;
 use parking_lot::Mutex;
 use rand::RngExt;
 use tokio::{sync::watch, time::sleep};
@@ -247,6 +251,8 @@
 /// Connections to an address, by their number.
 #[derive(Debug, Default)]
 struct Channels {
+    /// Bytes of the bodies of all responses.
+    sent_bytes: AtomicU64,
     /// Those on which a watch waits.
     watching: Mutex<HashSet<u64>>,
     /// Those on which no call gets a response any more.
@@ -271,6 +277,11 @@
         self.channels.silent.lock().extend(self.channels.watching.lock().drain());
     }
 
+    /// Returns the bytes of the bodies of all responses at this address.
+    pub fn sent_bytes(&self) -> u64 {
+        self.channels.sent_bytes.load(Ordering::Relaxed)
+    }
+
     /// Replaces the faults.
     pub fn set_faults(&self, faults: StoreFaults) {
         *self.faults.lock() = faults;
@@ -302,6 +313,8 @@
     let is_lost = request.method() == http::Method::POST && rand::rng().random_bool(faults.lost);
     let mut response = store.call(request).await?;
     channels.watching.lock().remove(&number);
+    let size = response.body().size_hint().exact().unwrap_or(0);
+    channels.sent_bytes.fetch_add(size, Ordering::Relaxed);
     let era = HeaderValue::from(*store.era.borrow());
     response.headers_mut().insert(HeaderName::from_static(ERA_HEADER), era);
     if is_lost || is_silent(&shared.lock()) {
--- a/tests/kernel.rs
+++ b/tests/kernel.rs
@@ -34,6 +34,7 @@
     mod stopping;
     mod stream;
     mod suspect;
+    mod table_digest;
     mod versioned;
     mod warmup;
     mod withdrawal;
--- a/tests/kernel/endpoint_table.rs
+++ b/tests/kernel/endpoint_table.rs
@@ -165,3 +165,26 @@
     assert_eq!(table.presence("a", Incarnation(6)), Presence::Usable);
     assert_eq!(table.presence("c", Incarnation(6)), Presence::Usable);
 }
+
+/// Guards against work for each entry that endpoints write again unchanged: 3,000 endpoints write 2,500
+/// entries a second.
+#[test]
+fn table_put_unchanged_is_no_change() {
+    let mut table = table(&[entry("a", 1, false)]);
+    assert!(!table.put(entry("a", 1, false)));
+    assert!(table.put(entry("a", 1, true)), "it drains");
+    assert!(table.remove("a", START));
+    assert!(!table.remove("a", START));
+    assert!(table.put(entry("a", 1, true)), "it is back");
+}
+
+/// Guards against entries outside the sent parts that are lost, and against ones inside that stay.
+#[test]
+fn table_replace_where_keeps_other_entries() {
+    let mut table = table(&["a", "b", "c"].map(|id| entry(id, 1, false)));
+    let sent = vec![entry("a", 1, false), entry("d", 1, true)];
+    let mut changed = table.replace_where(1, |id| id != "c", sent, START);
+    changed.sort();
+    assert_eq!(changed, ["b".into(), "d".into()] as [std::sync::Arc<str>; 2]);
+    assert_eq!(list(&table), ["(d)", "a", "c"]);
+}
--- a/tests/kernel/grants/recovery.rs
+++ b/tests/kernel/grants/recovery.rs
@@ -153,3 +153,20 @@
         );
     }
 }
+
+/// Guards against a change of single endpoints that costs work for all of them, or loses the state of the
+/// others.
+#[test]
+fn change_endpoints_keeps_others() {
+    let mut scheduler = scheduler(LEADING, vec![desk("d1"), desk("d2")]);
+    for number in 0..24 {
+        scheduler.handle_request(key(number), plain_request(START), START);
+    }
+    assert!(granted(&scheduler.handle_request(key(50), plain_request(START), START)).is_none());
+    scheduler.change_endpoints(vec![desk("d1")], &[], START);
+    assert!(granted(&scheduler.tick(START)).is_none(), "nothing has changed, both are full");
+    scheduler.change_endpoints(vec![desk("d3")], &["d2".into()], START);
+    assert_eq!(granted(&scheduler.tick(START)).map(|grant| &*grant.endpoint), Some("d3"));
+    let names: Vec<&str> = scheduler.endpoints().map(|endpoint| &*endpoint.info.id).collect();
+    assert_eq!(names, ["d1", "d3"]);
+}
--- a/tests/kernel/pacing.rs
+++ b/tests/kernel/pacing.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use cardamomshore::{clock::Time, kernel::pacing::OutputPacer};
+use cardamomshore::{
+    clock::Time,
+    kernel::pacing::{OutputPacer, Resend},
+};
 
 const START: Time = Time::from_millis(1_000);
 
@@ -35,3 +38,36 @@
     assert_eq!(pacer.reserve(1 << 30, START), Duration::ZERO);
     assert_eq!(pacer.reserve(1 << 30, START), Duration::ZERO);
 }
+
+/// Interval at which a peer says what it has.
+const HEARTBEAT: Duration = Duration::from_millis(150);
+
+/// Guards against a document that is sent again with each heartbeat of a peer that it has not reached yet:
+/// when 300 instances joined at once, the copies alone filled the leader's link.
+#[test]
+fn resend_once_while_under_way() {
+    let mut pacer = OutputPacer::new(OutputPacer::link_rate(100.0, 0.3));
+    let mut peers = vec![Resend::default(); 300];
+    let mut bytes = 0;
+    for heartbeat in 0..20 {
+        let now = START + HEARTBEAT * heartbeat;
+        for peer in &mut peers {
+            if peer.is_due(7, now) {
+                bytes += 30_000;
+                peer.record(7, pacer.reserve(30_000, now), now);
+            }
+        }
+    }
+    assert!(bytes <= 300 * 30_000 * 3 / 2, "{bytes} bytes for 300 documents of 30 kB");
+}
+
+/// Guards against a peer that waits for a newer document, or for one that was lost.
+#[test]
+fn resend_newer_version_at_once() {
+    let mut peer = Resend::default();
+    assert!(peer.is_due(7, START));
+    peer.record(7, Duration::from_secs(1), START);
+    assert!(!peer.is_due(7, START + Duration::from_secs(2)));
+    assert!(peer.is_due(8, START));
+    assert!(peer.is_due(7, START + Duration::from_secs(3)));
+}
--- a/tests/kernel/record_age.rs
+++ b/tests/kernel/record_age.rs
@@ -5,7 +5,8 @@
 use cardamomshore::{
     clock::Time,
     kernel::record_age::{
-        MAX_OPERATOR_AGE, RecordAge, WATCH_WAIT, WatchTimes, max_record_age, read_backoff,
+        LoneStep, MAX_OPERATOR_AGE, RecordAge, WATCH_WAIT, WatchTimes, first_read_wait, lone_step,
+        max_record_age, max_table_age, read_backoff, watch_delay,
     },
 };
 
@@ -106,3 +107,70 @@
     times.record_endpoints(now);
     assert!(times.source_age(Duration::ZERO, now) > MAX_OPERATOR_AGE);
 }
+
+/// Time after which an endpoint that drains gets no more requests.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
+/// Time after the leader's last heartbeat within which the next one is elected: the rest of its lease,
+/// the wait of the candidates, and two calls to the store.
+const ELECTED_AFTER: Duration = Duration::from_millis(2_000);
+
+fn instances(count: usize) -> impl Iterator<Item = String> {
+    (0..count).map(|number| format!("edge-{number}"))
+}
+
+/// Guards against all instances listing the endpoints while the store must elect a leader: with 300
+/// instances and 3,000 endpoints that is 450 MB within 300 ms.
+#[test]
+fn max_table_age_large_fleet_expects_leader() {
+    for fleet_size in [100, 300, LARGE_FLEET] {
+        let ages = instances(fleet_size).map(|it| max_table_age(DRAIN_TIME, &it, fleet_size));
+        let mut ages: Vec<Duration> = ages.collect();
+        ages.sort();
+        assert!(ages[0] > ELECTED_AFTER, "the first of {fleet_size} reads after {:?}", ages[0]);
+        let in_1_s = ages.iter().filter(|age| **age < ages[0] + Duration::from_secs(1)).count();
+        assert!(in_1_s < 130, "{in_1_s} of {fleet_size} read within a second");
+    }
+}
+
+/// Guards against a change for small fleets, which the store serves at once.
+#[test]
+fn max_table_age_small_fleet_reads_in_time() {
+    for fleet_size in [1, 9, 66, 77] {
+        for instance in instances(fleet_size) {
+            let age = max_table_age(DRAIN_TIME, &instance, fleet_size);
+            assert!(age <= DRAIN_TIME * 6 / 10, "{age:?} of {fleet_size}");
+            assert_eq!(lone_step(DRAIN_TIME * 10, DRAIN_TIME, fleet_size), LoneStep::Grant);
+        }
+    }
+}
+
+/// Guards against requests to an endpoint that drains while an instance without a leader waits for its
+/// turn to read the endpoints.
+#[test]
+fn lone_step_old_table_keeps_requests() {
+    assert_eq!(lone_step(Duration::from_millis(900), DRAIN_TIME, 300), LoneStep::Grant);
+    assert_eq!(lone_step(DRAIN_TIME * 8 / 10, DRAIN_TIME, 300), LoneStep::Keep);
+}
+
+/// Guards against all instances of a fleet that was killed listing the endpoints at once when the former
+/// leader refuses their links.
+#[test]
+fn first_read_wait_large_fleet_expects_leader() {
+    for instance in instances(300) {
+        let wait = first_read_wait(&instance, 300, true);
+        assert!(wait > ELECTED_AFTER && wait < Duration::from_secs(7), "{wait:?}");
+    }
+    assert_eq!(first_read_wait("edge-1", 9, true), Duration::ZERO);
+    assert_eq!(first_read_wait("edge-1", 9, false), Duration::from_millis(500));
+}
+
+/// Guards against more watch calls than the store takes while no instance has a leader.
+#[test]
+fn watch_delay_bounds_calls_of_fleet() {
+    for fleet_size in [9, 77, 300, LARGE_FLEET] {
+        let delay = watch_delay(Duration::from_millis(40), fleet_size);
+        let calls = fleet_size as f64 / delay.as_secs_f64();
+        assert!(calls <= 2_000.0, "{calls} watch calls a second of {fleet_size} instances");
+    }
+}
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -12,6 +12,7 @@
     mod duties;
     mod input;
     mod keys;
+    mod large;
     mod links;
     mod membership;
     mod memory;
--- a/tests/product/updates.rs
+++ b/tests/product/updates.rs
@@ -1,14 +1,15 @@
 //! Bytes that a leader sends to its peers, at the sizes of small and large fleets.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use cardamomshore::{
     gateway::{
         messages::{EncodedFrame, EndpointFrame, ModelFrame},
         updates::{SentVersions, Updates},
     },
-    kernel::membership::Member,
+    kernel::{membership::Member, table_digest::TableDigest},
 };
+use tokio::time::Instant;
 
 /// Numbers of instances; the last is the size that the system is designed for.
 const FLEET_SIZES: [u32; 3] = [30, 195, 960];
@@ -146,3 +147,85 @@
     assert!(fleet.updates.take_pending(TERM + 1, &mut newcomer).is_none(), "tables of an old term");
     assert!(fleet.updates.take_pending(TERM, &mut newcomer).is_some());
 }
+
+/// Link of a leader of a large fleet, in megabits a second.
+const LEADER_LINK_MBPS: f64 = 100.0;
+
+/// Longest time until the last of 300 instances has the tables of a leader that it has followed before.
+const MAX_FOLLOW_TIME: Duration = Duration::from_millis(1_500);
+
+/// Longest time until the last of 300 instances has the tables after all have started. They serve callers by
+/// the leader's grants meanwhile.
+const MAX_START_TIME: Duration = Duration::from_secs(6);
+
+/// Returns the endpoints of a fleet of 300 instances.
+fn many_endpoints() -> Vec<EndpointFrame> {
+    let endpoint = |number: u32| EndpointFrame {
+        id: format!("engine-{number:05}"),
+        incarnation: 1_765_000_000_000 + u64::from(number * 7_919),
+        address: format!("10.{}.{}.{}:9000", number % 4, number >> 8, number & 255),
+        data_centre: format!("data-centre-{}", number % 9),
+        version: "2026.11.3".to_owned(),
+        ..endpoint(number, 1 + number % 3)
+    };
+    (0..2_998).map(endpoint).collect()
+}
+
+fn digest(endpoints: &[EndpointFrame]) -> Vec<u64> {
+    let entries = endpoints.iter().map(|frame| (&frame.id, frame.encode_known()));
+    TableDigest::new(entries).as_slice().to_vec()
+}
+
+/// Returns the bytes that a new leader sends to each of 300 instances, and the time until the last one has
+/// them.
+fn join_cost(endpoints: &[EndpointFrame], joining: &SentVersions) -> (usize, Duration) {
+    let members: Vec<Member> = (0..300).map(member).collect();
+    let updates = Updates::new(LEADER_LINK_MBPS);
+    updates.replace(TERM, &members, endpoints.to_vec(), false);
+    let began_at = Instant::now();
+    let pending = (0..300).filter_map(|_| updates.take_pending(TERM, &mut joining.clone()));
+    let pending: Vec<_> = pending.collect();
+    let bytes: usize = pending.iter().flat_map(|it| &it.frames).map(EncodedFrame::size).sum();
+    let last = pending.iter().map(|it| it.send_at).max().unwrap_or(began_at);
+    (bytes / 300, last - began_at)
+}
+
+/// Guards against a new leader that sends all endpoints to instances which know nearly all of them: the
+/// last of 300 instances had the table after 50 s.
+#[test]
+fn updates_new_leader_sends_differences() {
+    let endpoints = many_endpoints();
+    let mut known = endpoints.clone();
+    for changed in known.iter_mut().step_by(300) {
+        changed.draining = true;
+    }
+    known.pop();
+    let (bytes, time) = join_cost(&endpoints, &SentVersions::of_joining(digest(&known), true));
+    println!("a new leader sends {bytes} bytes to each of 300 instances in {time:?}");
+    assert!(time < MAX_FOLLOW_TIME, "{bytes} bytes each take {time:?}");
+}
+
+/// Guards against a fleet that was killed and waits for the table of its leader.
+#[test]
+fn updates_started_fleet_gets_table_in_time() {
+    let endpoints = many_endpoints();
+    let (whole, whole_time) = join_cost(&endpoints, &SentVersions::default());
+    let (bytes, time) = join_cost(&endpoints, &SentVersions::of_joining(Vec::new(), true));
+    println!("{bytes} bytes in {time:?}; to an earlier release {whole} in {whole_time:?}");
+    assert!(time < MAX_START_TIME, "{bytes} bytes each take {time:?}");
+}
+
+/// Guards against an endpoint that is sent again while it warms up, each time that it writes its entry.
+#[test]
+fn updates_warming_endpoint_sent_once() {
+    let (mut fleet, members, mut endpoints) = Fleet::settled(30);
+    endpoints[3].cold_ms = 5_000;
+    fleet.replace(&members, &endpoints);
+    assert!(fleet.round_bytes() > 0, "it is cold");
+    endpoints[3].cold_ms = 3_800;
+    fleet.replace(&members, &endpoints);
+    assert_eq!(fleet.round_bytes(), 0, "the peers count the time themselves");
+    endpoints[3].cold_ms = 0;
+    fleet.replace(&members, &endpoints);
+    assert!(fleet.round_bytes() > 0, "it is warm");
+}
