--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -227,6 +227,7 @@
             return;
         }
         if self.keeps_requests() {
+            metrics::counter!("cardamomshore_requests_kept_total").increment(1);
             self.requests.kept.store(true, Ordering::Relaxed);
             return;
         }
@@ -379,7 +380,9 @@
     /// Takes the waiting requests from this instance's scheduler, and refuses those whose time is up. The
     /// others are submitted again to a new leader, or once the endpoints are known.
     fn keep_waiting(&self, now: Time) {
-        self.requests.kept.store(true, Ordering::Relaxed);
+        if !self.requests.kept.swap(true, Ordering::Relaxed) {
+            log::info!("event=requests_kept reason=endpoints_unknown");
+        }
         let waiting: Vec<(u64, Time)> = {
             let table = self.requests.table.lock();
             let waiting =
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -180,7 +180,8 @@
     /// Returns the number of instances that may try to become leader together with this one: those that
     /// watch the store, or all if this one has just started, since then others may have as well.
     fn candidate_count(&self) -> usize {
-        match self.uplink.was_linked() && self.is_watcher() {
+        let is_alone = self.leadership.lock().is_sole_candidate();
+        match is_alone || (self.uplink.was_linked() && self.is_watcher()) {
             true => 1,
             false => self.fleet_size(),
         }
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -239,6 +239,7 @@
     let page = gateway.store.range(ENDPOINT_PREFIX).await?;
     gateway.watch_times.record_endpoints(began_at);
     let entries = page.items.iter().filter_map(|item| decode_entry(&item.key, &item.value));
+    log::info!("event=endpoints_read count={}", page.items.len());
     gateway.registry.table.lock().load(page.revision.era(), entries, Time::now());
     gateway.apply_table();
     let mut revision = page.revision;
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -173,7 +173,8 @@
         if frames.is_empty() {
             return None;
         }
-        let bytes = frames.iter().map(EncodedFrame::size).sum();
+        let bytes: usize = frames.iter().map(EncodedFrame::size).sum();
+        metrics::counter!("cardamomshore_update_bytes_total").increment(bytes as u64);
         let wait = self.pacer.lock().reserve(bytes, Time::now());
         Some(PendingUpdate { frames, send_at: Instant::now() + wait })
     }
@@ -244,6 +245,7 @@
         };
         let frame = EncodedFrame::from(content);
         let frame = if step.deflate { frame.deflated() } else { frame };
+        log::debug!("event=update_encoded base={:?} bytes={}", step.base, frame.size());
         self.encoded.insert(step, frame.clone());
         Some(frame)
     }
--- a/src/kernel/leadership.rs
+++ b/src/kernel/leadership.rs
@@ -185,6 +185,12 @@
         leader.instance == self.own_name && self.address == Some(leader.address)
     }
 
+    /// Returns whether no other instance can become leader now: the record names a former start of this
+    /// one, for which all others wait until its lease ends.
+    pub fn is_sole_candidate(&self) -> bool {
+        self.held.is_none() && self.leader.as_ref().is_some_and(|leader| self.replaces(leader))
+    }
+
     /// Returns the leader that is known.
     pub fn leader(&self) -> Option<&Leader> {
         self.leader.as_ref()
--- a/src/kernel/record_age.rs
+++ b/src/kernel/record_age.rs
@@ -117,6 +117,9 @@
 /// table that it has not heard of since. The rest is for the leader's updates, which it collects.
 const LONE_FRACTION: f64 = 0.75;
 
+/// Instances of a large fleet that do not wait for a new leader before they read the endpoints.
+const EARLY_READERS: f64 = 16.0;
+
 /// Time of the store for a watch call of one instance of a large fleet.
 const WATCH_CALL_TIME: Duration = Duration::from_millis(2);
 
@@ -143,19 +146,19 @@
 /// has had no link to a leader. A failed attempt to open the link, which shows that the old leader has ended
 /// too, shortens the wait in a small fleet.
 pub fn first_read_wait(instance: &str, fleet_size: usize, has_failed: bool) -> Duration {
-    match fleet_size > SMALL_FLEET {
-        true => LEADER_CHANGE_TIME + list_wait(instance, fleet_size),
-        false if has_failed => Duration::ZERO,
-        false => START_TIMEOUT,
+    match may_read_early(instance, fleet_size) {
+        false => LEADER_CHANGE_TIME + list_wait(instance, fleet_size),
+        true if has_failed => Duration::ZERO,
+        true => START_TIMEOUT,
     }
 }
 
 /// Returns the age of the table of endpoints above which `instance` reads it itself. In a large fleet a
 /// new leader is sooner, and until then [`lone_step`] guards the endpoints that drain.
 pub fn max_table_age(drain_time: Duration, instance: &str, fleet_size: usize) -> Duration {
-    match fleet_size > SMALL_FLEET {
-        true => LEADER_CHANGE_TIME + list_wait(instance, fleet_size),
-        false => max_record_age(drain_time.mul_f64(TABLE_AGE_FRACTION), instance, fleet_size),
+    match may_read_early(instance, fleet_size) {
+        false => LEADER_CHANGE_TIME + list_wait(instance, fleet_size),
+        true => max_record_age(drain_time.mul_f64(TABLE_AGE_FRACTION), instance, fleet_size),
     }
 }
 
@@ -168,6 +171,12 @@
     }
 }
 
+/// Returns whether an instance reads the endpoints as soon as it lacks a leader: all of a small fleet, and
+/// some of a large one, which serve callers until there is a leader.
+fn may_read_early(instance: &str, fleet_size: usize) -> bool {
+    fleet_size <= SMALL_FLEET || position(instance) * (fleet_size as f64) < EARLY_READERS
+}
+
 /// Returns the wait of `instance` for those that list the endpoints before it.
 fn list_wait(instance: &str, fleet_size: usize) -> Duration {
     (LIST_TIME * fleet_size as u32).mul_f64(position(instance))
--- a/tests/kernel/leadership.rs
+++ b/tests/kernel/leadership.rs
@@ -142,6 +142,19 @@
     assert_eq!(leadership.next_step(false, START), LeaseStep::Wait, "another instance leads");
 }
 
+/// Guards against the long wait of many candidates at the only instance that can take over at once.
+#[test]
+fn sole_candidate_restarted_leader_only() {
+    let former = Leader { start: Some(StartId(7)), ..leader("a", 7) };
+    let mut leadership = newcomer();
+    leadership.set_address(former.address);
+    assert!(!leadership.is_sole_candidate(), "no leader is recorded, so others are candidates too");
+    leadership.apply_record(Some(former));
+    assert!(leadership.is_sole_candidate());
+    leadership.apply_record(Some(Leader { start: Some(StartId(7)), ..leader("b", 8) }));
+    assert!(!leadership.is_sole_candidate(), "another instance leads");
+}
+
 /// Guards against orders of two machines of one name that are less than the gap apart.
 #[test]
 fn orders_of_former_start_waited_for() {
