--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -22,15 +22,15 @@
     clock::Time,
     kernel::{
         endpoint_table::{EndpointTable, Presence},
-        grants::{EndpointEntry, Incarnation},
+        grants::{EndpointEntry, Heartbeat, Incarnation},
         leadership::Leader,
         record_age::{LoneStep, WATCH_WAIT, lone_step, max_table_age, watch_delay},
         revision::Revision,
         table_digest::{MIN_ENTRIES, TableDigest},
     },
     platform::{
-        registration::{ENDPOINT_PREFIX, decode},
-        store::{Event, StoreError, WatchResult},
+        registration::{ENDPOINT_PREFIX, decode, decode_heartbeat},
+        store::{Event, Item, StoreError, WatchResult},
     },
 };
 
@@ -242,14 +242,19 @@
     log::info!("event=endpoints_read count={}", page.items.len());
     gateway.registry.table.lock().load(page.revision.era(), entries, Time::now());
     gateway.apply_table();
+    gateway.read_heartbeats(page.revision.era(), &page.items, began_at);
     let mut revision = page.revision;
     while gateway.must_watch_endpoints() {
         match gateway.store.watch(ENDPOINT_PREFIX, revision, WATCH_WAIT).await? {
             WatchResult::Missed => return Ok(()),
             WatchResult::Events(events, newest) => {
                 gateway.watch_times.record_endpoints(Time::now());
-                let changed = events.into_iter().filter_map(|event| apply_event(gateway, event));
-                gateway.apply_entries(&changed.collect::<Vec<_>>());
+                let changed = events.iter().filter_map(|event| apply_event(gateway, event));
+                let changed: Vec<Arc<str>> = changed.collect();
+                gateway.apply_entries(&changed);
+                if !events.is_empty() {
+                    gateway.record_heartbeats(&events);
+                }
                 revision = newest.max(revision);
                 sleep(gateway.batch_delay()).await;
             }
@@ -265,7 +270,7 @@
 
 /// Applies a change of an entry to the table. Returns the name of the endpoint if that changes what is
 /// known of it.
-fn apply_event(gateway: &Gateway, event: Event) -> Option<Arc<str>> {
+fn apply_event(gateway: &Gateway, event: &Event) -> Option<Arc<str>> {
     let mut table = gateway.registry.table.lock();
     match event {
         Event::Put(item) => {
@@ -282,3 +287,46 @@
         }
     }
 }
+
+/// Returns the endpoint of an entry and the number of its heartbeat.
+fn heartbeat_of(item: &Item) -> Option<Heartbeat> {
+    let id = item.key.strip_prefix(ENDPOINT_PREFIX)?;
+    Some((id.into(), decode_heartbeat(&item.value)?))
+}
+
+impl Gateway {
+    /// Records the heartbeats of all entries, if they are awaited. The versions of the entries must be
+    /// known already.
+    fn read_heartbeats(&self, era: u64, items: &[Item], began_at: Time) {
+        let now = Time::now();
+        let mut scheduler = self.scheduler.lock();
+        if scheduler.origins().awaits_heartbeats(now) {
+            let heartbeats = items.iter().filter_map(heartbeat_of);
+            scheduler.origins().read_heartbeats(era, heartbeats, began_at, now);
+        }
+    }
+
+    /// Records the heartbeats of entries that have changed, if they are awaited. The versions of the
+    /// entries must be known already.
+    fn record_heartbeats(&self, events: &[Event]) {
+        let now = Time::now();
+        let mut scheduler = self.scheduler.lock();
+        let origins = scheduler.origins();
+        if !origins.awaits_heartbeats(now) {
+            return;
+        }
+        for event in events {
+            match event {
+                Event::Put(item) => {
+                    if let Some((id, number)) = heartbeat_of(item) {
+                        origins.record_heartbeat(&id, number, now);
+                    }
+                }
+                Event::Removed(key) => {
+                    let id = key.strip_prefix(ENDPOINT_PREFIX).unwrap_or(key);
+                    origins.end_heartbeats(id, now);
+                }
+            }
+        }
+    }
+}
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -4,6 +4,8 @@
 mod allotments;
 mod crashes;
 mod delayed;
+mod fetches;
+mod held;
 mod observations;
 mod origins;
 mod planning;
@@ -16,11 +18,14 @@
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
-use self::team_use::TeamUses;
 pub use self::{
     admission::UnusedRate, observations::Observations, planning::ModelBacklog, retries::RetryUsage,
     team_use::TeamUse,
 };
+use self::{
+    origins::{OriginStep, UNKNOWN_REFUSAL},
+    team_use::TeamUses,
+};
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -33,6 +38,7 @@
     GrantKey, GrantRequest, Holdings, Order, OrderResult, PauseControl, RetryBudget, RetryLimits,
     StreamOrigins, TokenBucket,
     crash_causes::CrashCauses,
+    holders::Holders,
     index::Index,
     order::{FairShares, Refused},
     order_state::OrderIds,
@@ -92,11 +98,15 @@
     evacuated: HashSet<Arc<str>>,
     endpoints: BTreeMap<Arc<str>, Endpoint>,
     index: Index,
+    /// Engines that have each prompt part cached, of services whose engines fetch from one another.
+    holders: Holders,
     /// Endpoint that runs each granted request.
     endpoint_of: HashMap<GrantKey, Arc<str>>,
     queue: Queues,
     /// Requests that wait for tokens of their team.
     delayed: delayed::Delayed,
+    /// Streams that wait for their version to be known.
+    held: held::HeldStreams,
     /// Token bucket of each team.
     buckets: HashMap<Arc<str>, TokenBucket>,
     /// What teams have asked for and got since the last report.
@@ -150,9 +160,11 @@
             evacuated: HashSet::new(),
             endpoints: BTreeMap::new(),
             index: Index::default(),
+            holders: Holders::default(),
             endpoint_of: HashMap::new(),
             queue: Queues::default(),
             delayed: delayed::Delayed::default(),
+            held: held::HeldStreams::default(),
             buckets: HashMap::new(),
             team_uses: TeamUses::default(),
             retry_budgets: HashMap::new(),
@@ -225,6 +237,7 @@
         let teams = catalog.keys.values().map(|team| (team.name.clone(), team.clone()));
         self.teams = teams.collect();
         self.catalog = catalog;
+        self.rebuild_holders();
         self.queue.wake_all();
     }
 
@@ -273,6 +286,7 @@
         }
         let endpoint = match self.endpoints.remove(&entry.id) {
             Some(known) if !known.is_incarnation(&entry) => {
+                self.remove_holder(&known);
                 self.record_loss(known, now);
                 Endpoint::new(entry, now)
             }
@@ -283,7 +297,9 @@
             None => Endpoint::new(entry, now),
         };
         self.index.update(&endpoint);
-        self.endpoints.insert(endpoint.info.id.clone(), endpoint);
+        let id = endpoint.info.id.clone();
+        self.endpoints.insert(id.clone(), endpoint);
+        self.update_holders(&id);
         true
     }
 
@@ -291,6 +307,7 @@
     fn remove_endpoint(&mut self, id: &str, now: Time) -> bool {
         let Some(lost) = self.endpoints.remove(id) else { return false };
         self.index.remove(&lost.info.id);
+        self.remove_holder(&lost);
         self.origins.record_version(&lost.info.service, &lost.info.version, now);
         self.record_loss(lost, now);
         true
@@ -320,20 +337,35 @@
     pub fn handle_request(
         &mut self,
         key: GrantKey,
-        mut request: GrantRequest,
+        request: GrantRequest,
         now: Time,
     ) -> Vec<Action> {
         self.request_rate.record(now);
         self.record_arrival(&key, &request, now);
         self.confirm_silent_crashes(now);
         let mut actions = Vec::new();
-        let origin = self.find_origin(&mut request, now);
-        match origin.and_then(|()| self.admit(&request, now)) {
-            Ok(None) => self.grant_or_queue(key, request, now, &mut actions),
+        self.decide_request(key, request, now, &mut actions);
+        actions
+    }
+
+    /// Grants, queues, holds or refuses a request that was recorded.
+    fn decide_request(
+        &mut self,
+        key: GrantKey,
+        mut request: GrantRequest,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.find_origin(&mut request, now) {
+            OriginStep::Decide => {}
+            OriginStep::Hold(until) => return self.held.push(key, request, until),
+            OriginStep::Refuse => return actions.push(Action::Refuse(key, UNKNOWN_REFUSAL)),
+        }
+        match self.admit(&request, now) {
+            Ok(None) => self.grant_or_queue(key, request, now, actions),
             Ok(Some(at)) => self.delayed.push(key, request, at),
             Err(refusal) => actions.push(Action::Refuse(key, refusal)),
         }
-        actions
     }
 
     /// Returns the share of the teams' rates and of the retry budgets that this scheduler may use.
@@ -377,6 +409,7 @@
         }
         endpoint.handle_order_result(order.id, result, ready, now);
         self.index.update(endpoint);
+        self.update_holders(id);
         self.wake_endpoint(id);
     }
 
@@ -387,6 +420,7 @@
         let has_report = report.is_some();
         endpoint.handle_report(report, now);
         self.index.update(endpoint);
+        self.update_holders(id);
         self.wake_endpoint(id);
         if has_report {
             self.record_response(id, requested_at);
@@ -401,6 +435,7 @@
             self.planned_at = now;
             self.plan(now);
         }
+        self.release_held(now, &mut actions);
         self.grant_delayed(now, &mut actions);
         self.grant_queued(now, &mut actions);
         self.collect_orders(now, &mut actions);
--- a/src/platform/catalog.rs
+++ b/src/platform/catalog.rs
@@ -1,11 +1,16 @@
 //! Decodes the operators' configuration document into the catalog of routes, services and teams.
 
+pub mod check;
+pub mod diff;
+
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use serde::Deserialize;
 
 use crate::{
-    catalog::{CallerLimits, Catalog, EngineSpec, ModelSpec, RetryPolicy, Route, Service, Team},
+    catalog::{
+        CallerLimits, Catalog, EngineSpec, FetchSpec, ModelSpec, RetryPolicy, Route, Service, Team,
+    },
     kernel::duties::scaling::ScalingSpec,
 };
 
@@ -121,6 +126,10 @@
     loads_per_s: f64,
     #[serde(default)]
     models: Vec<RawModel>,
+    #[serde(default)]
+    kv_token_bytes: Option<f64>,
+    #[serde(default)]
+    link_mbps: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -162,6 +171,9 @@
 /// Longest time that a document can set, in seconds.
 const MAX_TIME_S: f64 = 24.0 * 3_600.0;
 
+/// Parts of a weight that are told apart. Weights may be fractional; thousandths keep their ratios.
+const WEIGHT_SCALE: f64 = 1e3;
+
 /// Converts seconds to a duration within zero and [`MAX_TIME_S`].
 fn seconds(seconds: f64) -> Duration {
     Duration::from_secs_f64(seconds.clamp(0.0, MAX_TIME_S))
@@ -202,15 +214,13 @@
 }
 
 fn decode_route(raw: RawRoute) -> Result<Route, DocumentError> {
-    let retry = match raw.kind.as_str() {
-        "idempotent" => RetryPolicy::Idempotent,
-        "non_idempotent" => RetryPolicy::Once,
-        "streaming" => RetryPolicy::Stream { resumable: raw.resumable },
-        kind => return Err(DocumentError::UnknownType { route: raw.name, kind: kind.to_owned() }),
+    let Some(retry) = decode_type(&raw.kind, raw.resumable) else {
+        return Err(DocumentError::UnknownType { route: raw.name, kind: raw.kind });
     };
-    // Weights may be fractional; thousandths keep their ratios.
-    let split =
-        raw.split.iter().map(|target| (Arc::from(&*target.service), (target.weight * 1e3) as u32));
+    let split = raw.split.iter().map(|target| {
+        let weight = target.weight * WEIGHT_SCALE;
+        (Arc::from(&*target.service), weight as u32)
+    });
     let mut targets: Vec<(Arc<str>, u32)> = split.collect();
     targets.extend(raw.service.map(|service| (Arc::from(service), 1)));
     Ok(Route {
@@ -227,6 +237,16 @@
     })
 }
 
+/// Decodes the type of a route; `None` if it is not known.
+fn decode_type(kind: &str, resumable: bool) -> Option<RetryPolicy> {
+    match kind {
+        "idempotent" => Some(RetryPolicy::Idempotent),
+        "non_idempotent" => Some(RetryPolicy::Once),
+        "streaming" => Some(RetryPolicy::Stream { resumable }),
+        _ => None,
+    }
+}
+
 fn decode_service(raw: RawService) -> Service {
     Service {
         name: raw.name.into(),
@@ -237,6 +257,7 @@
             weights_mb: engine.weights_mb,
             adapter_slots: engine.adapter_slots,
             load_rate: engine.loads_per_s,
+            fetch: decode_fetch(&engine),
             models: engine.models.into_iter().map(decode_model).collect(),
         }),
         scaling: raw.scaling.map(|raw| ScalingSpec {
@@ -247,6 +268,13 @@
     }
 }
 
+/// Returns how engines fetch cached prompt parts; `None` unless both fields are positive.
+fn decode_fetch(raw: &RawEngine) -> Option<FetchSpec> {
+    let positive = |value: Option<f64>| value.filter(|value| *value > 0.0 && value.is_finite());
+    let (token_bytes, link_mbps) = (positive(raw.kv_token_bytes)?, positive(raw.link_mbps)?);
+    Some(FetchSpec { token_bytes, link_mbps })
+}
+
 fn decode_model(raw: RawModel) -> (Arc<str>, ModelSpec) {
     let load_time = seconds(raw.load_s);
     let or_load_time = |time: Option<f64>| time.map_or(load_time, seconds);
