--- a/tests/process.rs
+++ b/tests/process.rs
@@ -14,6 +14,7 @@
     mod fetch;
     mod input;
     mod keys;
+    mod large;
     mod links;
     mod membership;
     mod memory;
