Break the import cycle of entry, forward, reach and relay

`forward` needed the origin of a request from `entry` and the guard of suspicions from `reach`, which both need `forward`. The origin stands in `arrival` now, the guard holds the gateway and not the job, and what `reach` did with a job stands in `detour`. `entry`, `forward`, `reach`, `relay`, `silence`, `standing` and `stream` are free of cycles.

No change of behaviour: apart from imports and the field of the guard, lines were only moved.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,9 +7,11 @@
 //! grants its own requests, within its share of the limits.
 
 mod allotments;
+mod arrival;
 mod buffered;
 mod callers;
 mod crashes;
+mod detour;
 mod directory;
 mod duties;
 mod entry;
--- a/src/gateway/callers.rs
+++ b/src/gateway/callers.rs
@@ -16,8 +16,9 @@
 };
 
 use super::{
-    Gateway, directory,
-    entry::{self, Origin},
+    Gateway,
+    arrival::Origin,
+    directory, entry,
     intake::{Account, CountedBody, CountedStream, OpenConnection},
     output::{Output, TrackedBody},
     response::{Rejection, ResponseBody, empty_response},
--- a/src/gateway/entry.rs
+++ b/src/gateway/entry.rs
@@ -10,6 +10,7 @@
 
 use super::{
     Gateway,
+    arrival::Origin,
     forward::Job,
     intake::{Account, read_body},
     relay,
@@ -37,15 +38,6 @@
 /// timeout.
 const TRANSIT_TIME: Duration = Duration::from_millis(4);
 
-/// Who has sent a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// A caller.
-    Caller,
-    /// Another instance, which is cut off from the endpoints.
-    Instance,
-}
-
 /// How a request has arrived.
 struct Arrival<'a> {
     /// When its head was complete.
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -14,7 +14,7 @@
 
 use super::{
     Gateway,
-    entry::Origin,
+    arrival::Origin,
     grants::{Permit, acquire},
     intake::{Account, read_response},
     reach::SuspicionGuard,
@@ -271,7 +271,7 @@
         let Some(time_limit) = attempt_time(time_limit, self.time_left()) else {
             return AttemptResult::NotRun(Outcome::Left);
         };
-        let guard = SuspicionGuard::new(self, &permit.grant);
+        let guard = SuspicionGuard::new(&self.gateway, &permit.grant);
         let result = timeout(time_limit, self.send(permit, after)).await;
         if result.is_ok() {
             guard.dismiss();
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -5,28 +5,16 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http::{Request, Response};
-use http_body_util::Full;
-use hyper::body::Incoming;
 use parking_lot::Mutex;
 use rand::seq::SliceRandom;
-use tokio::time::{sleep, timeout};
-
-use super::{
-    Gateway,
-    entry::Origin,
-    forward::Job,
-    grants::Permit,
-    relay,
-    response::{Rejection, ResponseBody},
-};
+use tokio::time::sleep;
+
+use super::Gateway;
 use crate::{
     clock::Time,
-    http::pool::{Connection, SendError},
     kernel::{
         grants::{Grant, Outcome},
-        reach::{Path, PendingRequest, Reach, Way, choose_way},
+        reach::{Path, Reach},
     },
 };
 
@@ -48,14 +36,6 @@
 /// Time after which an endpoint that has not begun to respond to a caller that leaves is probed.
 const MIN_SUSPICIOUS_WAIT: Duration = Duration::from_millis(90);
 
-/// Time after which a connection that is not open yet lets this instance check its path. Connections
-/// open within milliseconds, and a check that begins only when the attempt has failed would double the
-/// time until an instance that is cut off passes the request on or rejects it.
-const SLOW_CONNECT: Duration = Duration::from_millis(50);
-
-/// Time after which an endpoint that has not begun to respond is probed.
-const SUSPICIOUS_WAIT: Duration = Duration::from_millis(400);
-
 /// What this instance has seen of its path to the endpoints.
 #[derive(Default)]
 pub struct EndpointReach {
@@ -154,7 +134,7 @@
 /// Probes an endpoint when it is dropped, if the endpoint has let a request wait until the caller left
 /// or the attempt was given up.
 pub struct SuspicionGuard<'a> {
-    job: &'a Job,
+    gateway: &'a Arc<Gateway>,
     grant: &'a Grant,
     /// Since when the request waits; `None` once the endpoint has responded.
     since: Option<Time>,
@@ -162,8 +142,8 @@
 
 impl<'a> SuspicionGuard<'a> {
     /// Begins to watch an attempt at the endpoint of `grant`.
-    pub fn new(job: &'a Job, grant: &'a Grant) -> Self {
-        Self { job, grant, since: Some(Time::now()) }
+    pub fn new(gateway: &'a Arc<Gateway>, grant: &'a Grant) -> Self {
+        Self { gateway, grant, since: Some(Time::now()) }
     }
 
     /// Ends the watch: the attempt has a result.
@@ -175,65 +155,8 @@
 impl Drop for SuspicionGuard<'_> {
     fn drop(&mut self) {
         if self.since.is_some_and(|since| Time::now().since(since) >= MIN_SUSPICIOUS_WAIT) {
-            self.job.gateway.suspect(&self.grant.endpoint, self.grant.address);
-        }
-    }
-}
-
-impl Job {
-    /// Passes the request to another instance, or rejects it, if this one is cut off from the
-    /// endpoints. Returns `None` if the request is to be sent to an endpoint: also if no instance
-    /// takes it, and a few endpoints can still be reached from here.
-    pub(super) async fn avoid_cut(&mut self) -> Option<Result<Response<ResponseBody>, Rejection>> {
-        let request = PendingRequest {
-            is_relayed: self.origin == Origin::Instance,
-            was_declined: self.was_declined,
-            was_unreached: self.was_unreached,
-            may_have_run: self.runs > 0,
-        };
-        match choose_way(self.gateway.path(&self.service), request) {
-            Way::Direct => None,
-            Way::Relay => {
-                let result = relay::run(self).await;
-                self.was_declined = matches!(result, Err(Rejection::CutOff));
-                self.was_unreached = false;
-                let is_last = !self.was_declined || !self.gateway.has_reached(&self.service);
-                is_last.then_some(result)
-            }
-            Way::Reject => Some(Err(Rejection::CutOff)),
-        }
-    }
-
-    /// Opens a connection to the granted endpoint, or takes an idle one. While it takes long, the path to
-    /// the endpoints is checked.
-    pub(super) async fn connect_watched(
-        &self,
-        grant: &Grant,
-        time_limit: Duration,
-    ) -> Result<Connection, SendError> {
-        let mut acquired = std::pin::pin!(self.gateway.pool.acquire(grant.address, time_limit));
-        if let Ok(result) = timeout(SLOW_CONNECT, &mut acquired).await {
-            return result;
-        }
-        let gateway = self.gateway.clone();
-        tokio::spawn(async move { gateway.check_path().await });
-        acquired.await
-    }
-
-    /// Sends a request on a connection and waits for the head of the response. An endpoint that lets
-    /// it wait is probed, since the path to it may be cut.
-    pub(super) async fn send_watched(
-        &self,
-        connection: &mut Connection,
-        request: Request<Full<Bytes>>,
-        permit: &Permit,
-    ) -> Result<Response<Incoming>, SendError> {
-        let mut exchange = std::pin::pin!(connection.send(request));
-        if let Ok(result) = timeout(SUSPICIOUS_WAIT, &mut exchange).await {
-            return result;
+            self.gateway.suspect(&self.grant.endpoint, self.grant.address);
         }
-        self.gateway.suspect(&permit.grant.endpoint, permit.grant.address);
-        exchange.await
     }
 }
 
