Split the settings of a gateway by responsibility

The fields as written, the checks of single fields and the budget for clients have files of their own. Lines were only moved.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,6 +1,10 @@
 //! Settings of a gateway, which are read from a YAML file. The platform creates the file from the
 //! template `deploy/gateway.yaml`.
 
+mod field;
+mod intake;
+mod raw;
+
 use std::{
     net::{IpAddr, SocketAddr},
     path::Path,
@@ -8,94 +12,25 @@
     time::Duration,
 };
 
-use rustix::process::{Resource, getrlimit};
-use serde::Deserialize;
-
+use self::{
+    field::{
+        field_error, non_negative, parse_address, parse_ip, parse_name, parse_relay, parse_seconds,
+        positive,
+    },
+    intake::parse_intake,
+    raw::{RawDuties, RawGateway},
+};
 use crate::{
     http::pool::ConnectOptions,
     kernel::{
         duties::usage::UsageLimits,
         grants::{RetryLimits, SchedulerLimits},
-        intake::{CONNECTION_BYTES, IntakeLimits},
+        intake::IntakeLimits,
     },
     settings::{LogSettings, SettingsError},
     yaml,
 };
 
-/// The settings as written in the file.
-#[derive(Debug)]
-#[derive(Deserialize)]
-struct RawGateway {
-    instance: String,
-    data_centre: String,
-    callers: String,
-    directory: String,
-    readiness: String,
-    peer: String,
-    relay: Option<String>,
-    metrics: String,
-    store: String,
-    source: Option<String>,
-    machine: RawResources,
-    limits: RawLimits,
-    #[serde(default)]
-    intake: RawIntake,
-    #[serde(default)]
-    duties: Option<RawDuties>,
-    #[serde(default = "default_log")]
-    log: String,
-}
-
-fn default_log() -> String {
-    "info".to_owned()
-}
-
-#[derive(Debug)]
-#[derive(Deserialize)]
-struct RawResources {
-    cores: f64,
-    link_mbps: f64,
-}
-
-#[derive(Debug)]
-#[derive(Deserialize)]
-struct RawLimits {
-    repeat_ratio: f64,
-    repeat_slack: f64,
-    repeat_window_s: f64,
-    load_window_s: f64,
-    rate_slack: f64,
-    order_gap_ms: f64,
-    stop_s: f64,
-    address_ttl_s: f64,
-    drain_ms: f64,
-    memory_mb: Option<f64>,
-    max_fds: Option<usize>,
-}
-
-#[derive(Debug, Default)]
-#[derive(Deserialize)]
-struct RawIntake {
-    bytes_mb: Option<f64>,
-    sockets: Option<usize>,
-    peer_fraction: Option<f64>,
-    max_header_fields: Option<usize>,
-}
-
-#[derive(Debug)]
-#[derive(Deserialize)]
-struct RawDuties {
-    address: String,
-    #[serde(default)]
-    kinds: String,
-    #[serde(default)]
-    calls_per_s: Option<f64>,
-    #[serde(default)]
-    window_s: Option<f64>,
-    #[serde(default)]
-    late_s: Option<f64>,
-}
-
 /// Calls a second, length of a window and time until a report is due where the file names none, as the
 /// platform's page of the API says.
 const DEFAULT_CALL_RATE: f64 = 50.0;
@@ -228,9 +163,6 @@
 /// Longest time without acknowledgement before a connection to an endpoint counts as broken.
 pub const ENDPOINT_ACK_TIMEOUT: Duration = Duration::from_millis(2_900);
 
-/// Least value of a number that must not be zero; times are counted in milliseconds.
-const MIN_POSITIVE: f64 = 1e-3;
-
 /// Timeout of a call to the store, which responds within milliseconds, and within hundreds of them
 /// when it is slow.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -279,61 +211,9 @@
     }
 }
 
-/// Memory of the smallest machine, which counts where the settings name none.
-const DEFAULT_MEMORY_MB: f64 = 160.0;
-
-/// Descriptors of the smallest machine, which count where the settings name none.
-const DEFAULT_FDS: usize = 3_075;
-
-/// Descriptors that are left to files, the store and other uses.
-const FILE_FDS: usize = 200;
-
-/// Fraction of the memory that clients may occupy. The process itself needs 20 to 30 MB, and the allocator
-/// keeps memory that is freed in pieces: with 0.4, a process of 96 MB reached 107 MB.
-const MEMORY_FRACTION: f64 = 0.3;
-
-/// Fraction of the sockets that listeners and requests may use. The rest is for idle connections to
-/// endpoints and for connections that are being closed.
-const SOCKET_FRACTION: f64 = 0.9;
-
-/// Fraction of the budget that one peer address may use. Many callers may share an address, and less than
-/// what all bodies may use together leaves others some.
-const PEER_FRACTION: f64 = 0.7;
-
-/// Fraction of the bytes that connections without a request may use, which bounds their number.
-const CONNECTION_FRACTION: f64 = 0.6;
-
 /// Fields of a head where the settings name no number.
 const MAX_HEADER_FIELDS: usize = 100;
 
-/// Least budget of bytes, in megabytes, and of sockets.
-const MIN_INTAKE_MB: f64 = 4.0;
-const MIN_SOCKETS: usize = 64;
-
-/// Returns the budget for clients, by default from the limits of the machine.
-fn parse_intake(limits: &RawLimits, raw: &RawIntake) -> Result<IntakeLimits, SettingsError> {
-    let memory = non_negative("limits.memory_mb", limits.memory_mb.unwrap_or(DEFAULT_MEMORY_MB))?;
-    let default_mb = (memory * MEMORY_FRACTION).max(MIN_INTAKE_MB);
-    let bytes_mb = non_negative("intake.bytes_mb", raw.bytes_mb.unwrap_or(default_mb))?;
-    if bytes_mb < MIN_INTAKE_MB {
-        return Err(field_error("intake.bytes_mb", "write a number of at least 4"));
-    }
-    let system = getrlimit(Resource::Nofile).current.map_or(usize::MAX, |limit| limit as usize);
-    let fds = limits.max_fds.unwrap_or(DEFAULT_FDS).min(system);
-    let by_fds = (fds.saturating_sub(FILE_FDS) as f64 * SOCKET_FRACTION) as usize;
-    let bytes = bytes_mb * (1 << 20) as f64;
-    let by_bytes = (bytes * CONNECTION_FRACTION) as usize / CONNECTION_BYTES;
-    let sockets = raw.sockets.unwrap_or(by_fds.min(by_bytes).max(MIN_SOCKETS));
-    if sockets < MIN_SOCKETS {
-        return Err(field_error("intake.sockets", "write a number of at least 64"));
-    }
-    let peer_fraction = raw.peer_fraction.unwrap_or(PEER_FRACTION);
-    if !(peer_fraction > 0.0 && peer_fraction <= 1.0) {
-        return Err(field_error("intake.peer_fraction", "write a number above 0, up to 1"));
-    }
-    Ok(IntakeLimits { bytes: bytes as usize, sockets, peer_fraction })
-}
-
 /// Parses the section `duties`. Returns `None` if its address is empty.
 fn parse_duties(raw: RawDuties) -> Result<Option<DutySettings>, SettingsError> {
     if raw.address.trim().is_empty() {
@@ -354,51 +234,3 @@
         },
     }))
 }
-
-/// Returns the error of a field that is not valid; `reason` says which value is expected.
-fn field_error(path: &str, reason: &str) -> SettingsError {
-    SettingsError::Field { line: None, field: path.to_owned(), reason: reason.to_owned() }
-}
-
-fn parse_name(path: &str, text: String) -> Result<Arc<str>, SettingsError> {
-    if text.is_empty() { Err(field_error(path, "write a name")) } else { Ok(text.into()) }
-}
-
-fn parse_address(path: &str, text: &str) -> Result<SocketAddr, SettingsError> {
-    text.parse()
-        .map_err(|_| field_error(path, "write an IP number and a port, such as 10.0.0.1:8000"))
-}
-
-fn parse_relay(relay: Option<&str>, peer: &str) -> Result<SocketAddr, SettingsError> {
-    if let Some(relay) = relay {
-        return parse_address("relay", relay);
-    }
-    let peer = parse_address("peer", peer)?;
-    let port = peer.port().checked_add(1);
-    let port =
-        port.ok_or_else(|| field_error("relay", "write an address, `peer` has the last port"));
-    Ok(SocketAddr::new(peer.ip(), port?))
-}
-
-fn parse_ip(path: &str, text: &str) -> Result<IpAddr, SettingsError> {
-    text.parse().map_err(|_| field_error(path, "write an IP number, such as 10.0.0.1"))
-}
-
-fn non_negative(path: &str, value: f64) -> Result<f64, SettingsError> {
-    if value.is_finite() && value >= 0.0 {
-        Ok(value)
-    } else {
-        Err(field_error(path, "write a number of at least 0"))
-    }
-}
-
-fn positive(path: &str, value: f64) -> Result<f64, SettingsError> {
-    match non_negative(path, value)? {
-        value if value >= MIN_POSITIVE => Ok(value),
-        _ => Err(field_error(path, "write a number of at least 0.001")),
-    }
-}
-
-fn parse_seconds(path: &str, value: f64) -> Result<Duration, SettingsError> {
-    Ok(Duration::from_secs_f64(non_negative(path, value)?))
-}
