Split the memory ledger and the bucket of claims

The ledger's planning of orders and its types, and the bucket's writes and its decisions, have files of their own. Lines were only moved.

--- a/src/kernel/ledger.rs
+++ b/src/kernel/ledger.rs
@@ -12,15 +12,18 @@
 
 mod adapters;
 mod entry;
+mod planning;
 mod record;
+mod step;
 mod view;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
 pub use self::{
     adapters::{AdapterKey, AdapterLimits, AdapterPool, AdapterStep},
     entry::{Entry, EntryStatus, Progress},
     record::{EndpointRecord, Intent, StateVersion},
+    step::{Denial, LedgerLimits, Step},
     view::{MemoryView, ReportStatus},
 };
 use super::stewardship::Authority;
@@ -35,61 +38,6 @@
 /// No adapter has this name, so unloading it has no effect.
 const PROBE_ADAPTER: &str = "-";
 
-/// Limits of an endpoint's memory and of the orders to it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LedgerLimits {
-    /// Memory for model weights, in bytes.
-    pub weight_bytes: u64,
-    /// Memory reserved for adapters, in bytes.
-    pub adapter_bytes: u64,
-    /// Largest number of adapter orders in progress at the same time.
-    pub max_orders: usize,
-    /// Time after sending at which an order can no longer take effect.
-    pub order_ttl: Duration,
-}
-
-/// The reason why the ledger did not plan an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(thiserror::Error)]
-pub enum Denial {
-    /// No report has shown the endpoint's current state yet.
-    #[error("memory is not known")]
-    MemoryUnknown,
-    /// The model to load is already resident.
-    #[error("already resident")]
-    AlreadyResident,
-    /// The model to unload is not resident.
-    #[error("not resident")]
-    NotResident,
-    /// An earlier order for the model may still take effect.
-    #[error("an order for the model is open")]
-    OrderPending,
-    /// The model does not fit beside the committed memory.
-    #[error("does not fit into free memory")]
-    NoRoom,
-}
-
-/// The next step of an order, to be carried out by the steward.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Step {
-    /// Write the endpoint's record, so that the record contains the order.
-    Write,
-    /// Read the placement plan. If the plan names another endpoint as the model's keeper, call
-    /// [`Ledger::approve`], and otherwise [`Ledger::cancel`].
-    CheckKeeper,
-    /// Wait until the endpoint runs no request for the model.
-    Drain,
-    /// Send the order, then record its outcome in the ledger.
-    Send(Order),
-    /// Wait until a response or a report arrives.
-    Wait,
-    /// Give up: the ledger dropped the order before it was sent, because this instance may send no
-    /// orders now.
-    Abandon,
-    /// Stop: the effect of the order is confirmed, or the ledger no longer holds the order.
-    Done,
-}
-
 /// The memory ledger of one endpoint, kept by its steward.
 #[derive(Clone, Debug)]
 pub struct Ledger {
@@ -172,78 +120,6 @@
         self.adapter_pool.resident()
     }
 
-    /// Plans the order `order` to load a model of `bytes`.
-    ///
-    /// Fails if the memory is unknown, the model is resident, an order for it may still take
-    /// effect, or it does not fit into free memory.
-    pub fn plan_load(&mut self, order: String, model: Model, bytes: u64) -> Result<(), Denial> {
-        if !self.view.is_current() {
-            return Err(Denial::MemoryUnknown);
-        }
-        if self.view.has_model(&model) {
-            return Err(Denial::AlreadyResident);
-        }
-        let conflicts = |entry: &Entry| {
-            entry.intent.model == model
-                && (entry.intent.kind != OrderKind::Load || !entry.intent.settled)
-        };
-        if self.entries.iter().any(conflicts) {
-            return Err(Denial::OrderPending);
-        }
-        if bytes > self.free_bytes() {
-            return Err(Denial::NoRoom);
-        }
-        self.plan(order, OrderKind::Load, model, bytes);
-        Ok(())
-    }
-
-    /// Plans the order `order` to unload a model.
-    ///
-    /// Fails if the memory is unknown, the model is not resident, or an unload of it may still take
-    /// effect.
-    pub fn plan_unload(&mut self, order: String, model: Model) -> Result<(), Denial> {
-        if !self.view.is_current() {
-            return Err(Denial::MemoryUnknown);
-        }
-        if !self.view.has_model(&model) {
-            return Err(Denial::NotResident);
-        }
-        if self.may_unload(&model) {
-            return Err(Denial::OrderPending);
-        }
-        self.plan(order, OrderKind::Unload, model, 0);
-        Ok(())
-    }
-
-    /// Adds an entry for a planned order, which carries the endpoint's latest known incarnation.
-    fn plan(&mut self, order: String, kind: OrderKind, model: Model, bytes: u64) {
-        let endpoint = self.view.latest().incarnation;
-        let intent = Intent { order, kind, model, adapter: None, bytes, endpoint, settled: false };
-        self.entries.push(Entry { intent, progress: Progress::Planned });
-    }
-
-    /// Returns the next step of an order; `running` is the number of the model's requests that run
-    /// at the endpoint.
-    pub fn next_step(&mut self, order: &str, authority: Authority, running: usize) -> Step {
-        let fence = self.fence;
-        let Some(entry) = self.entry_mut(order) else { return Step::Done };
-        if entry.is_unsent() && authority != Authority::Full {
-            self.cancel(order);
-            return Step::Abandon;
-        }
-        match (entry.progress, entry.intent.kind) {
-            (Progress::Planned, _) => Step::Write,
-            (Progress::Recorded, OrderKind::Unload) => Step::CheckKeeper,
-            (Progress::Approved, _) if running > 0 => Step::Drain,
-            (Progress::Recorded | Progress::Approved, _) => {
-                entry.progress = Progress::Sent;
-                Step::Send(order_from(&entry.intent, fence))
-            }
-            _ if entry.intent.settled => Step::Done,
-            _ => Step::Wait,
-        }
-    }
-
     /// Records that `record` was written, so that the orders in it may be sent.
     pub fn record_write(&mut self, record: &EndpointRecord) {
         for intent in &record.intents {
@@ -261,22 +137,6 @@
         self.last_write = None;
     }
 
-    /// Records that the placement plan allows an unload that is already in the endpoint's record.
-    pub fn approve(&mut self, order: &str) {
-        if let Some(entry) = self.entry_mut(order)
-            && entry.progress == Progress::Recorded
-        {
-            entry.progress = Progress::Approved;
-        }
-    }
-
-    /// Drops an order unless it was sent, and returns whether it was dropped.
-    pub fn cancel(&mut self, order: &str) -> bool {
-        let len_before = self.entries.len();
-        self.entries.retain(|entry| entry.intent.order != order || !entry.is_unsent());
-        self.entries.len() < len_before
-    }
-
     /// Records the endpoint's response to an order.
     pub fn record_response(&mut self, reply: &OrderReply, now: Time) {
         let version = StateVersion { incarnation: reply.incarnation, sequence: reply.sequence };
@@ -425,15 +285,3 @@
         self.entries.iter_mut().find(|entry| entry.intent.order == order)
     }
 }
-
-/// Builds the order to send for an intent.
-fn order_from(intent: &Intent, fence: u64) -> Order {
-    Order {
-        id: intent.order.clone(),
-        fence,
-        kind: intent.kind,
-        model: intent.model.clone(),
-        adapter: intent.adapter.clone(),
-        bytes: intent.bytes,
-    }
-}
--- a/src/kernel/once.rs
+++ b/src/kernel/once.rs
@@ -13,12 +13,12 @@
 //! request does not run a second time.
 
 mod bucket;
+mod decision;
 mod record;
 
 pub use self::{
-    bucket::{
-        Bucket, ClaimDecision, DispatchOutcome, GroupDecision, NextWrite, Write, WriteOutcome,
-    },
+    bucket::Bucket,
+    decision::{ClaimDecision, DispatchOutcome, GroupDecision, NextWrite, Write, WriteOutcome},
     record::{
         ClaimId, ClaimRecord, HeadRecord, SegmentRecord, bucket_of, bucket_prefix, head_key,
         owner_hash, segment_key,
