--- a/src/kernel/shares.rs
+++ b/src/kernel/shares.rs
@@ -9,11 +9,12 @@
 
 mod lending;
 mod table;
+mod view;
 
 pub use self::{
     lending::{ChargeOutcome, LOAN_TTL, MAX_CLOCK_DRIFT, TOTAL_PARTS, TeamLimits, TeamShare},
-    table::{
-        MAX_STALENESS, Membership, Owner, RETURN_GRACE, REUSE_DELAY, REVOKE_DELAY, ROW_TTL,
-        ShareRow, ShareTable, ShareTableView, Step, TABLE_KEY,
+    table::{Owner, ShareRow, ShareTable, Step, TABLE_KEY},
+    view::{
+        MAX_STALENESS, Membership, RETURN_GRACE, REUSE_DELAY, REVOKE_DELAY, ROW_TTL, ShareTableView,
     },
 };
