Split the fleet of a soak by responsibility

Playing the faults, the returns of the store, and the history that the check reads have files of their own. Lines were only moved.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod check;
 mod fleet;
+mod history;
 mod plan;
 pub mod process;
 
--- a/src/soak/check.rs
+++ b/src/soak/check.rs
@@ -17,7 +17,8 @@
 
 use super::{
     callers::{Attempt, Ending, Kind},
-    fleet::{AddedRoute, Cut, DATA_CENTRES, Disturbance, Evacuation, Fleet, KeyChange, TEAM},
+    fleet::{DATA_CENTRES, Fleet, TEAM},
+    history::{AddedRoute, Cut, Disturbance, Evacuation, KeyChange},
 };
 use crate::{
     clock::Time,
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -1,25 +1,26 @@
-//! The processes and stand-ins of a soak, and the faults that are played on them.
+//! The processes and stand-ins of a soak.
+
+mod playing;
+mod returns;
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use rustix::process::Signal;
-use tokio::time::sleep;
 
 use super::{
     Options, PLAIN_SERVERS,
     api::PlatformApi,
     callers::Callers,
-    plan::{Fault, MAX_COPY_AGE_MS, Step},
+    history::{AddedRoute, Cut, Disturbance, Evacuation, KeyChange},
     process::{GatewayProcess, ProcessError, STOP_TIMEOUT, free_address},
 };
 use crate::{
     clock::Time,
-    platform::{catalog::EVACUATE_PREFIX, registration::ENDPOINT_PREFIX},
+    platform::catalog::EVACUATE_PREFIX,
     standin::{
-        http1::PacketFilter,
-        metadata::{MetadataStore, StoreCopy, StoreFaults},
+        metadata::{MetadataStore, StoreCopy},
         operator::Document,
-        worker::{Worker, WorkerFaults, WorkerLog, WorkerSettings},
+        worker::{Worker, WorkerLog, WorkerSettings},
     },
 };
 
@@ -47,97 +48,6 @@
 /// Wait before a gateway that has ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 
-/// Interval at which the store is copied.
-const COPY_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Time from a return of the store until the operators write their records again.
-const REWRITE_DELAY: Duration = Duration::from_millis(1_500);
-
-/// Time from a return of the store until it removes the entries of endpoints that have ended.
-const GHOST_TIMEOUT: Duration = Duration::from_millis(2_400);
-
-/// Writes of others to the store that each return of the store loses.
-const OTHER_WRITES: usize = 200;
-
-/// Interval at which faults are looked for that must begin or end.
-const STEP_INTERVAL: Duration = Duration::from_millis(20);
-
-/// Time for which an endpoint says that it leaves before its entry does.
-const SAY_TIME: Duration = Duration::from_secs(5);
-
-/// Time after which an endpoint that leaves has been replaced.
-const LEAVE_TIME: Duration = Duration::from_secs(6);
-
-/// A span of time in which gateways were disturbed.
-#[derive(Clone, Copy, Debug)]
-pub struct Disturbance {
-    /// The gateway; `None` if all were disturbed.
-    pub gateway: Option<usize>,
-    /// When it began.
-    pub from: Time,
-    /// When it ended; far in the future while it lasts.
-    pub to: Time,
-    /// Whether it is a planned stop.
-    pub is_stop: bool,
-    /// Whether only the store was disturbed.
-    pub is_store: bool,
-}
-
-/// A change of the key that is withdrawn at times.
-#[derive(Clone, Copy, Debug)]
-pub struct KeyChange {
-    /// When it was in the store.
-    pub at: Time,
-    /// Whether the key is valid from then on.
-    pub is_valid: bool,
-}
-
-/// Something that must be undone after a while.
-enum Undo {
-    Resume(usize),
-    MendStore(Option<usize>),
-    MendWorker(usize),
-    ReturnKey,
-    StopFatal,
-    RestoreStore(Time),
-    WriteAgain,
-    RemoveGhosts,
-    EndEvacuation(usize),
-    EndCut,
-    LeaveAfterSaying(usize),
-}
-
-/// A route that was added.
-#[derive(Clone, Debug)]
-pub struct AddedRoute {
-    /// When it was in the store.
-    pub at: Time,
-    /// Name of the route.
-    pub name: String,
-}
-
-/// A span in which a gateway was cut off from all endpoints.
-#[derive(Clone, Copy, Debug)]
-pub struct Cut {
-    /// The gateway.
-    pub gateway: usize,
-    /// When it began.
-    pub from: Time,
-    /// When it ends.
-    pub to: Time,
-}
-
-/// A span in which a data centre was out of service.
-#[derive(Clone, Copy, Debug)]
-pub struct Evacuation {
-    /// Index of the data centre.
-    pub data_centre: usize,
-    /// When it was in the store that the data centre is out of service.
-    pub from: Time,
-    /// When that was ended; `None` while it lasts.
-    pub to: Option<Time>,
-}
-
 /// What has happened to a gateway process.
 #[derive(Clone, Copy, Debug, Default)]
 struct Lifecycle {
@@ -264,205 +174,6 @@
         Ok(())
     }
 
-    /// Plays the faults, for `length` in total.
-    pub async fn play(&mut self, steps: &[Step], callers: &Callers, length: Duration) {
-        let started_at = Time::now();
-        let mut steps = steps.iter().peekable();
-        let mut undo: Vec<(Time, Undo)> = Vec::new();
-        loop {
-            let now = Time::now();
-            let elapsed = now.since(started_at);
-            while let Some(step) = steps.next_if(|step| step.at <= elapsed) {
-                log::info!("event=soak_fault at_ms={} fault={:?}", step.at.as_millis(), step.fault);
-                undo.extend(self.begin(step.fault, callers, now));
-            }
-            let due = undo.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>();
-            for (_, due) in due {
-                undo.extend(self.end(due, callers, now));
-            }
-            self.tend_processes(now);
-            self.copy_store(now);
-            self.api.disturb(now);
-            if elapsed >= length {
-                return;
-            }
-            sleep(STEP_INTERVAL).await;
-        }
-    }
-
-    /// Begins a fault; returns what must be undone, and when.
-    fn begin(&mut self, fault: Fault, callers: &Callers, now: Time) -> Option<(Time, Undo)> {
-        match fault {
-            Fault::Kill(index) => self.kill(index, now),
-            Fault::KillAll => (0..self.gateways.len()).for_each(|index| self.kill(index, now)),
-            Fault::Stop(index) => self.stop(index, now),
-            Fault::Pause(index, length) => {
-                self.gateways[index].signal(Signal::STOP);
-                self.disturb(Some(index), now, now + length, false);
-                return Some((now + length, Undo::Resume(index)));
-            }
-            Fault::StoreCut(index, faults, length) => {
-                self.gateways[index].store.set_faults(faults);
-                self.disturbances.push(Disturbance {
-                    gateway: Some(index),
-                    from: now,
-                    to: now + length,
-                    is_stop: false,
-                    is_store: true,
-                });
-                return Some((now + length, Undo::MendStore(Some(index))));
-            }
-            Fault::StoreDown(faults, length) => {
-                self.gateways.iter().for_each(|gateway| gateway.store.set_faults(faults));
-                self.disturb_store(now, now + length);
-                return Some((now + length, Undo::MendStore(None)));
-            }
-            Fault::ForgetHistory => self.store.forget_history(),
-            Fault::StoreReturn(age, length) => {
-                (0..OTHER_WRITES).for_each(|number| self.store.put("other", &number.to_string()));
-                let away = StoreFaults { refusing: true, ..StoreFaults::default() };
-                self.gateways.iter().for_each(|gateway| gateway.store.set_faults(away));
-                self.disturb_store(now, now + length + REWRITE_DELAY);
-                return Some((now + length, Undo::RestoreStore(now - age)));
-            }
-            Fault::Evacuate(data_centre, length) => {
-                if self.is_evacuated() {
-                    return None;
-                }
-                self.store.put(&evacuation_key(data_centre), "{}");
-                self.evacuations.push(Evacuation { data_centre, from: Time::now(), to: None });
-                return Some((now + length, Undo::EndEvacuation(data_centre)));
-            }
-            Fault::AddRoute => self.add_route(callers),
-            Fault::Release => self.release(),
-            Fault::Crash(index) => {
-                self.worker_faults.push(now);
-                self.workers[index].crash();
-            }
-            Fault::Leave(index) => self.workers[index].leave(),
-            Fault::Unsound(index, faults, length) => {
-                self.worker_faults.push(now);
-                self.workers[index].set_faults(faults);
-                return Some((now + length, Undo::MendWorker(index)));
-            }
-            Fault::CutOff(gateway, closing, length) => {
-                if self.cuts.iter().any(|cut| cut.to > now) {
-                    return None;
-                }
-                let host = self.gateways[gateway].source;
-                let filter = match closing {
-                    true => PacketFilter::Closing(vec![host]),
-                    false => PacketFilter::From(vec![host]),
-                };
-                self.workers.iter().for_each(|worker| worker.set_filter(filter.clone()));
-                self.cuts.push(Cut { gateway, from: now, to: now + length });
-                return Some((now + length, Undo::EndCut));
-            }
-            Fault::SayLeaving(index) => {
-                let faults = WorkerFaults { leaving: true, ..WorkerFaults::default() };
-                self.workers[index].set_faults(faults);
-                return Some((now + SAY_TIME, Undo::LeaveAfterSaying(index)));
-            }
-            Fault::WithdrawKey(length) => {
-                self.set_key(false);
-                return Some((now + length, Undo::ReturnKey));
-            }
-            Fault::FatalRequests(length) => {
-                self.worker_faults.push(now);
-                callers.set_fatal(true);
-                return Some((now + length, Undo::StopFatal));
-            }
-        }
-        None
-    }
-
-    /// Ends a fault. Returns what must be undone of that in turn, and when.
-    fn end(&mut self, undo: Undo, callers: &Callers, now: Time) -> Vec<(Time, Undo)> {
-        match undo {
-            Undo::Resume(index) => self.gateways[index].signal(Signal::CONT),
-            Undo::MendStore(Some(index)) => {
-                self.gateways[index].store.set_faults(StoreFaults::default());
-            }
-            Undo::MendStore(None) => self.mend_store(),
-            Undo::RestoreStore(copied_at) => {
-                self.restore_store(copied_at);
-                let ghosts = (now + GHOST_TIMEOUT, Undo::RemoveGhosts);
-                return vec![(now + REWRITE_DELAY, Undo::WriteAgain), ghosts];
-            }
-            Undo::WriteAgain => self.write_again(),
-            Undo::RemoveGhosts => self.remove_ghosts(),
-            Undo::EndEvacuation(data_centre) => {
-                self.store.delete(&evacuation_key(data_centre));
-                let lasting = self.evacuations.iter_mut().filter(|it| it.to.is_none());
-                lasting.for_each(|it| it.to = Some(now));
-            }
-            Undo::MendWorker(index) => {
-                self.worker_faults.push(now);
-                self.workers[index].set_faults(WorkerFaults::default());
-            }
-            Undo::EndCut => {
-                self.workers.iter().for_each(|worker| worker.set_filter(PacketFilter::Open));
-            }
-            Undo::LeaveAfterSaying(index) => {
-                self.workers[index].leave();
-                return vec![(now + LEAVE_TIME, Undo::MendWorker(index))];
-            }
-            Undo::ReturnKey => self.set_key(true),
-            Undo::StopFatal => {
-                self.worker_faults.push(now);
-                callers.set_fatal(false);
-            }
-        }
-        Vec::new()
-    }
-
-    fn mend_store(&self) {
-        let mend = |gateway: &GatewayProcess| gateway.store.set_faults(StoreFaults::default());
-        self.gateways.iter().for_each(mend);
-    }
-
-    /// Copies the store from time to time.
-    fn copy_store(&mut self, now: Time) {
-        if self.copies.back().is_some_and(|(at, _)| now.since(*at) < COPY_INTERVAL) {
-            return;
-        }
-        let max_age = Duration::from_millis(MAX_COPY_AGE_MS) + COPY_INTERVAL;
-        self.copies.push_back((now, self.store.copy()));
-        while self.copies.front().is_some_and(|(at, _)| now.since(*at) > max_age) {
-            self.copies.pop_front();
-        }
-    }
-
-    /// Lets the store return from the first copy after `copied_at`.
-    fn restore_store(&mut self, copied_at: Time) {
-        if let Some((_, copy)) = self.copies.iter().find(|(at, _)| *at >= copied_at) {
-            self.store.restore(copy.clone());
-        }
-        // What was copied since is not in the history of the store any more.
-        self.copies.retain(|(at, _)| *at <= copied_at);
-        self.mend_store();
-    }
-
-    /// Writes the operators' records again after a return of the store.
-    fn write_again(&self) {
-        self.write_document();
-        for index in 0..DATA_CENTRES.len() {
-            let key = evacuation_key(index);
-            let is_out = self.evacuations.iter().any(|e| e.data_centre == index && e.to.is_none());
-            match is_out {
-                true => self.store.put(&key, "{}"),
-                false => self.store.delete(&key),
-            }
-        }
-    }
-
-    /// Removes the entries of endpoints that the store has from a copy and that have ended.
-    fn remove_ghosts(&self) {
-        let alive: Vec<String> = self.workers.iter().map(Worker::entry_key).collect();
-        let keys = self.store.keys(ENDPOINT_PREFIX).into_iter();
-        keys.filter(|key| !alive.contains(key)).for_each(|key| self.store.delete(&key));
-    }
-
     /// Replaces every other engine by one of the next software version.
     fn release(&mut self) {
         self.release += 1;
