--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -1,15 +1,41 @@
-//! Arguments of the commands that connect to a running instance.
+//! Arguments of the commands.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    path::PathBuf,
 };
 
 use lexopt::{Arg, Parser, ValueExt};
 
 use super::{CliError, remote::Remote};
 
-/// Arguments of a command.
+/// Parses the arguments of a command whose only option is `--settings FILE`; `default` is the file if
+/// the option is not given. If help is requested, prints it and returns `None`.
+pub fn parse_settings(
+    mut parser: Parser,
+    command: &str,
+    default: Option<PathBuf>,
+    help: &str,
+) -> Result<Option<PathBuf>, CliError> {
+    let mut path = default;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("settings") => path = Some(parser.value()?.into()),
+            Arg::Short('h') | Arg::Long("help") => {
+                print!("{help}");
+                return Ok(None);
+            }
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    match path {
+        Some(path) => Ok(Some(path)),
+        None => Err(CliError::Usage(format!("{command} needs --settings FILE"))),
+    }
+}
+
+/// Arguments of a command that connects to a running instance.
 #[derive(Debug, Default)]
 pub struct Args {
     /// Arguments that are not options.
--- a/src/cli/gateway.rs
+++ b/src/cli/gateway.rs
@@ -2,9 +2,9 @@
 
 use std::path::PathBuf;
 
-use lexopt::{Arg, Parser};
+use lexopt::Parser;
 
-use super::CliError;
+use super::{CliError, args::parse_settings};
 use crate::{
     gateway::{Gateway, settings::GatewaySettings},
     telemetry,
@@ -25,19 +25,9 @@
 const SETTINGS_VARIABLE: &str = "CARDAMOMSHORE_CONFIG";
 
 /// Runs `cardamomshore gateway`.
-pub fn run(mut parser: Parser) -> Result<(), CliError> {
-    let mut path: Option<PathBuf> = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Arg::Long("settings") => path = Some(parser.value()?.into()),
-            Arg::Short('h') | Arg::Long("help") => {
-                print!("{HELP}");
-                return Ok(());
-            }
-            _ => return Err(arg.unexpected().into()),
-        }
-    }
-    let path = path.ok_or_else(|| CliError::Usage("gateway needs --settings FILE".to_owned()))?;
+pub fn run(parser: Parser) -> Result<(), CliError> {
+    let default = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
+    let Some(path) = parse_settings(parser, "gateway", default, HELP)? else { return Ok(()) };
     let to_error = |err: &dyn std::fmt::Display| CliError::Failed(err.to_string());
     let settings = GatewaySettings::load(&path).map_err(|err| to_error(&err))?;
     let _logger =
--- a/src/cli/serve.rs
+++ b/src/cli/serve.rs
@@ -1,10 +1,8 @@
 //! `cardamomshore serve`: runs one instance.
 
-use std::path::PathBuf;
+use lexopt::Parser;
 
-use lexopt::{Arg, Parser};
-
-use super::{CliError, block_on};
+use super::{CliError, args::parse_settings, block_on};
 use crate::{
     node::{Listeners, Node},
     settings::Settings,
@@ -22,19 +20,8 @@
 ";
 
 /// Runs `cardamomshore serve`.
-pub fn run(mut parser: Parser) -> Result<(), CliError> {
-    let mut path: Option<PathBuf> = None;
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Arg::Long("settings") => path = Some(parser.value()?.into()),
-            Arg::Short('h') | Arg::Long("help") => {
-                print!("{HELP}");
-                return Ok(());
-            }
-            _ => return Err(arg.unexpected().into()),
-        }
-    }
-    let path = path.ok_or_else(|| CliError::Usage("serve needs --settings FILE".to_owned()))?;
+pub fn run(parser: Parser) -> Result<(), CliError> {
+    let Some(path) = parse_settings(parser, "serve", None, HELP)? else { return Ok(()) };
     let settings = Settings::load(&path).map_err(|err| CliError::Failed(err.to_string()))?;
     let _logger = telemetry::start_log(&settings.log, std::io::stdout())
         .map_err(|err| CliError::Failed(format!("log.level: {err}")))?;
--- a/src/cli/standin.rs
+++ b/src/cli/standin.rs
@@ -4,7 +4,7 @@
 
 use lexopt::{Arg, Parser, ValueExt};
 
-use super::{CliError, block_on};
+use super::{CliError, block_on, read_file};
 use crate::{
     standin::{engine, platform, service},
     yaml,
@@ -50,7 +50,6 @@
 
 /// Reads the settings of an engine. Fails with the path of the file.
 fn read_settings(path: &str) -> Result<engine::EngineSettings, CliError> {
-    let text = std::fs::read_to_string(path)
-        .map_err(|err| CliError::Failed(format!("cannot read {path}: {err}")))?;
+    let text = read_file(path)?;
     yaml::parse(&text).map_err(|err| CliError::Failed(format!("{path}: {err}")))
 }
