List the promise of the configuration check, and count without plurals

The output said "1 differences". The tests that reach a store are plain functions, as in the other tests of the product, so that the page of proofs can name them; what they check is the same. A new test checks that the document of the soak has no findings.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -80,14 +80,14 @@
             decode(text.as_bytes()).map_err(|err| CliError::Failed(format!("{path}: {err}")))?;
         let routes: usize = catalog.routes.values().map(Vec::len).sum();
         println!(
-            "{path}: usable, version {} with {routes} routes, {} services and {} keys",
+            "{path}: usable, version {}, routes: {routes}, services: {}, keys: {}",
             catalog.version,
             catalog.services.len(),
             catalog.keys.len()
         );
     }
     if let (Some(source), Some(differences)) = (source, &outcome.differences) {
-        println!("{} differences from {source}", differences.len());
+        println!("differences from {source}: {}", differences.len());
         for difference in differences {
             println!("{difference}");
         }
@@ -105,7 +105,7 @@
     fn result(&self, path: &str, asks_differences: bool) -> Result<(), CliError> {
         let (errors, warnings) = (self.count(Severity::Error), self.count(Severity::Warning));
         if errors > 0 {
-            let text = format!("{path} has {errors} errors and {warnings} warnings");
+            let text = format!("{path}: errors: {errors}, warnings: {warnings}");
             return Err(CliError::Failed(text));
         }
         let differs = self.differences.as_ref().is_some_and(|found| !found.is_empty());
@@ -114,7 +114,7 @@
         }
         match warnings {
             0 => Ok(()),
-            _ => Err(CliError::Warned(format!("{path} has {warnings} warnings"))),
+            _ => Err(CliError::Warned(format!("{path}: warnings: {warnings}"))),
         }
     }
 }
--- a/tests/product/config_check.rs
+++ b/tests/product/config_check.rs
@@ -14,7 +14,10 @@
         diff::compare,
     },
     soak::process::free_address,
-    standin::metadata::{MetadataStore, StoreAddress},
+    standin::{
+        metadata::{MetadataStore, StoreAddress},
+        operator::Document,
+    },
 };
 use expect_test::{Expect, expect};
 use tokio::{
@@ -66,6 +69,21 @@
     assert_eq!(findings(&GOOD.replace("\n ", "\r\n\t\t")), "");
 }
 
+/// Guards against rules that a document of a fleet that serves breaks.
+#[test]
+fn document_of_soak_has_no_findings() {
+    let document = Document {
+        version: 1,
+        host: "soak.example",
+        models: &["m0", "m1"],
+        team: "kites",
+        keys: vec!["k1"],
+        added: vec!["added0".to_owned()],
+        scaling: Some(2),
+    };
+    assert_eq!(findings(&document.to_text()), "");
+}
+
 /// Guards against entries that no request can reach and that nobody notices.
 #[test]
 fn document_entries_that_never_match() {
@@ -438,12 +456,12 @@
         assert_eq!(actual, code, "{args:?}: {output}");
         assert!(output.contains(part), "{args:?}: {output}");
     };
-    check(&[good.path()], 0, "usable, version 7 with 2 routes, 3 services and 2 keys");
+    check(&[good.path()], 0, "usable, version 7, routes: 2, services: 3, keys: 2");
     check(&[wrong.path()], 1, "line 7: error: routes[1].max_attempts: ");
     check(&[warned.path()], 5, "[no-loads]");
     check(&[next.path(), against[0], against[1]], 0, "~ routes[chat].timeout_ms: 5000 -> 4000");
-    check(&[next.path(), against[0], against[1], "--exit-code"], 6, "1 differences from ");
-    check(&[good.path(), against[0], against[1], "--exit-code"], 0, "0 differences from ");
+    check(&[next.path(), against[0], against[1], "--exit-code"], 6, ".json: 1\n");
+    check(&[good.path(), against[0], against[1], "--exit-code"], 0, ".json: 0\n");
     check(&[good.path(), "--against", next.path()], 1, "line 1: error: version: ");
     check(&[good.path(), "--against", "no/such/file"], 1, "cannot read no/such/file");
     check(&["deploy/harmattan.yaml", against[0], against[1]], 2, "--against");
@@ -465,6 +483,10 @@
     assert!(cardamomshore::config::Config::parse_new(1, &text).is_ok());
 }
 
+fn block_on(test: impl Future<Output = ()>) {
+    tokio::runtime::Runtime::new().expect("the runtime starts").block_on(test);
+}
+
 /// Runs `config check` against a store in this process.
 async fn run_against(path: &str, store: SocketAddr) -> (i32, String) {
     let args = [path.to_owned(), "--against".to_owned(), store.to_string()];
@@ -473,55 +495,59 @@
 }
 
 /// Guards against a comparison with another record than that of the operators.
-#[tokio::test(flavor = "multi_thread")]
-async fn store_names_document_in_force() {
-    let store = MetadataStore::start();
-    let address = StoreAddress::start(store.clone(), free_address()).expect("the port is free");
-    let next = replaced(r#""version": 7"#, r#""version": 8"#).replacen("5000", "4000", 1);
-    let next = TempFile::new("store", &next);
-    store.put("op/configuration", "{}");
-    let (code, output) = run_against(next.path(), address.address).await;
-    assert_eq!(code, 0, "{output}");
-    assert!(output.contains("+ routes\n"), "there is no document: {output}");
-    store.put("op/config", GOOD);
-    let (code, output) = run_against(next.path(), address.address).await;
-    assert_eq!(code, 0, "{output}");
-    assert!(output.contains("1 differences from "), "{output}");
-    assert!(output.contains("~ routes[chat].timeout_ms: 5000 -> 4000\n"), "{output}");
-    assert_eq!(store.value("op/config").as_deref(), Some(GOOD));
-    drop(address);
-    let (code, output) = run_against(next.path(), free_address()).await;
-    assert_eq!(code, 1, "{output}");
-    assert!(output.contains("cannot read the store at "), "{output}");
+#[test]
+fn store_names_document_in_force() {
+    block_on(async {
+        let store = MetadataStore::start();
+        let address = StoreAddress::start(store.clone(), free_address()).expect("the port is free");
+        let next = replaced(r#""version": 7"#, r#""version": 8"#).replacen("5000", "4000", 1);
+        let next = TempFile::new("store", &next);
+        store.put("op/configuration", "{}");
+        let (code, output) = run_against(next.path(), address.address).await;
+        assert_eq!(code, 0, "{output}");
+        assert!(output.contains("+ routes\n"), "there is no document: {output}");
+        store.put("op/config", GOOD);
+        let (code, output) = run_against(next.path(), address.address).await;
+        assert_eq!(code, 0, "{output}");
+        assert!(output.contains(&format!("differences from {}: 1\n", address.address)), "{output}");
+        assert!(output.contains("~ routes[chat].timeout_ms: 5000 -> 4000\n"), "{output}");
+        assert_eq!(store.value("op/config").as_deref(), Some(GOOD));
+        drop(address);
+        let (code, output) = run_against(next.path(), free_address()).await;
+        assert_eq!(code, 1, "{output}");
+        assert!(output.contains("cannot read the store at "), "{output}");
+    });
 }
 
 /// Guards against a check that can change a fleet: it sends nothing but reads.
-#[tokio::test(flavor = "multi_thread")]
-async fn store_is_only_read() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    let address = listener.local_addr().expect("the listener has an address");
-    let (sender, requests) = mpsc::channel();
-    let sender = Arc::new(sender);
-    tokio::spawn(async move {
-        while let Ok((mut stream, _)) = listener.accept().await {
-            let sender = sender.clone();
-            tokio::spawn(async move {
-                let mut buffer = [0; 4_096];
-                while let Ok(length @ 1..) = stream.read(&mut buffer).await {
-                    let head = String::from_utf8_lossy(&buffer[..length]).into_owned();
-                    let _ = sender.send(head.lines().next().unwrap_or_default().to_owned());
-                    let body = r#"{"items":[],"truncated":false,"as_of":7}"#;
-                    let length = body.len();
-                    let response =
-                        format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
-                    let _ = stream.write_all(response.as_bytes()).await;
-                }
-            });
-        }
+#[test]
+fn store_is_only_read() {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+        let address = listener.local_addr().expect("the listener has an address");
+        let (sender, requests) = mpsc::channel();
+        let sender = Arc::new(sender);
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let sender = sender.clone();
+                tokio::spawn(async move {
+                    let mut buffer = [0; 4_096];
+                    while let Ok(length @ 1..) = stream.read(&mut buffer).await {
+                        let head = String::from_utf8_lossy(&buffer[..length]).into_owned();
+                        let _ = sender.send(head.lines().next().unwrap_or_default().to_owned());
+                        let body = r#"{"items":[],"truncated":false,"as_of":7}"#;
+                        let length = body.len();
+                        let response =
+                            format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}");
+                        let _ = stream.write_all(response.as_bytes()).await;
+                    }
+                });
+            }
+        });
+        let file = TempFile::new("reads", GOOD);
+        let (code, output) = run_against(file.path(), address).await;
+        assert_eq!(code, 0, "{output}");
+        let lines: Vec<String> = requests.try_iter().collect();
+        assert_eq!(lines, ["GET /api/kv-range?path_prefix=op/config HTTP/1.1"]);
     });
-    let file = TempFile::new("reads", GOOD);
-    let (code, output) = run_against(file.path(), address).await;
-    assert_eq!(code, 0, "{output}");
-    let lines: Vec<String> = requests.try_iter().collect();
-    assert_eq!(lines, ["GET /api/kv-range?path_prefix=op/config HTTP/1.1"]);
 }
