--- a/src/kernel/grants.rs
+++ b/src/kernel/grants.rs
@@ -13,7 +13,10 @@
 mod crash_causes;
 mod endpoint;
 mod failures;
+mod fetch;
 mod forecast;
+mod heartbeats;
+mod holders;
 mod holdings;
 mod index;
 mod order;
@@ -40,6 +43,7 @@
     crash_causes::{Cause, CrashRecord},
     endpoint::{Command, Endpoint, EndpointEntry, EngineReport, Incarnation},
     failures::FailureRates,
+    heartbeats::{Heartbeat, HeartbeatRound},
     holdings::Holdings,
     order_state::{Order, OrderId, OrderIds, OrderResult, OrderStep},
     origins::{Decider, Origin, STREAM_TTL, StreamId, StreamOrigins, VersionNeed, VersionStreams},
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -1,13 +1,17 @@
 //! Gateway processes with the stand-ins for the users' platform.
 
-use std::{path::Path, sync::Arc, time::Duration};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use cardamomshore::{
     http::pool::Pool,
     soak::process::{GatewayProcess, free_address},
     standin::{
-        caller::{CallerRequest, Prompt, TakeUp, stamped_endpoint},
+        caller::{CallerRequest, PART_TOKENS, Prompt, TakeUp, stamped_endpoint},
         duties::DutyApi,
         metadata::MetadataStore,
         operator::Document,
@@ -16,6 +20,8 @@
 };
 use http_body_util::BodyExt;
 
+use super::run_folder;
+
 const HOST: &str = "gateways.example";
 const KEY: &str = "gateways-key";
 const TEAM: &str = "kites";
@@ -32,7 +38,7 @@
 }
 
 /// Model of the engines.
-const MODEL: &str = "m0";
+pub const MODEL: &str = "m0";
 
 /// Gateways, engines and a plain service in two data centres, and the store that they share.
 pub struct World {
@@ -48,10 +54,14 @@
     pub added: Vec<String>,
     /// Least number of endpoints of the plain service in each data centre, if it is scaled.
     pub scaling: Option<u32>,
+    /// Whether engines fetch cached prompt parts from one another.
+    pub fetches: bool,
     /// Name of the team that holds the key.
     pub team: &'static str,
     /// Time for which callers wait.
     pub timeout: Duration,
+    /// Folder of the gateways' settings and logs.
+    pub folder: PathBuf,
 }
 
 impl World {
@@ -86,8 +96,10 @@
             version: 0,
             added: Vec::new(),
             scaling: None,
+            fetches: false,
             team: TEAM,
             timeout: TIMEOUT,
+            folder: run_folder(name),
         };
         world.write_document();
         for data_centre in DATA_CENTRES {
@@ -97,13 +109,13 @@
             let data_centre = DATA_CENTRES[index % DATA_CENTRES.len()];
             world.start_worker("engines", data_centre, version, vec![MODEL.to_owned()]);
         }
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         for (number, data_centre) in homes.iter().enumerate() {
             let binary = Path::new(env!("CARGO_BIN_EXE_cardamomshore"));
             let instance = format!("gateway-{data_centre}-{number}");
             let store = world.store.clone();
             let api = world.duties.as_ref().map(|api| api.address);
-            let gateway = GatewayProcess::start(binary, &folder, instance, data_centre, store, api);
+            let gateway =
+                GatewayProcess::start(binary, &world.folder, instance, data_centre, store, api);
             world.gateways.push(gateway.expect("expected the gateway to start"));
         }
         world.wait_ready().await;
@@ -168,6 +180,7 @@
             keys: vec![KEY],
             added: self.added.clone(),
             scaling: self.scaling,
+            fetches: self.fetches,
         };
         self.store.put(Document::key(), &document.to_text());
     }
@@ -206,7 +219,11 @@
         take_up: Option<TakeUp>,
         last: usize,
     ) -> Option<(u16, usize)> {
-        let prompt = Prompt { model: MODEL.to_owned(), parts: vec!["aa".to_owned()] };
+        let prompt = Prompt {
+            model: MODEL.to_owned(),
+            parts: vec!["aa".to_owned()],
+            part_tokens: PART_TOKENS,
+        };
         let path = "/chat/1".to_owned();
         let message =
             CallerRequest { path, prompt: Some(prompt), take_up, ..self.request(id.to_owned()) };
@@ -248,7 +265,7 @@
     }
 
     /// Returns a request without a path.
-    fn request(&self, id: String) -> CallerRequest {
+    pub fn request(&self, id: String) -> CallerRequest {
         CallerRequest {
             id,
             host: HOST,
