Check the two numbers for fetches of cached prompt parts

With only one of `kv_token_bytes` and `link_mbps` engines fetch nothing, without a sign of it. The new rule is `no-fetch`.

--- a/src/platform/catalog/check/finding.rs
+++ b/src/platform/catalog/check/finding.rs
@@ -79,6 +79,7 @@
     AdapterBesideModel = "adapter-beside-model", Warning, "A model leaves no memory for one of its adapters.";
     NoAdapterSlots = "no-adapter-slots", Warning, "Models have adapters, and the engine keeps none.";
     NoLoads = "no-loads", Warning, "The weight store allows no loads, so engines keep what they hold.";
+    NoFetch = "no-fetch", Warning, "Only one of the two numbers for fetches of cached prompt parts is set, so engines fetch nothing.";
     ScalingBounds = "scaling-bounds", Error, "The least number of engines is above the largest.";
     ScalingToZero = "scaling-to-zero", Warning, "The largest number of engines is 0.";
     SameKey = "same-key", Error, "An API key is given twice; only the later team has it.";
--- a/src/platform/catalog/check/services.rs
+++ b/src/platform/catalog/check/services.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use super::{
-    super::{RawDocument, RawEngine, RawModel, RawScaling},
+    super::{RawDocument, RawEngine, RawModel, RawScaling, decode_fetch},
     Checker, Rule,
 };
 
@@ -49,6 +49,13 @@
             let message = "nothing can be loaded from the weight store";
             self.add(Rule::NoLoads, format!("{path}.loads_per_s"), message);
         }
+        let fetches = [engine.kv_token_bytes.unwrap_or(0.0), engine.link_mbps.unwrap_or(0.0)];
+        self.check_sign(format!("{path}.kv_token_bytes"), fetches[0]);
+        self.check_sign(format!("{path}.link_mbps"), fetches[1]);
+        if decode_fetch(engine).is_none() && fetches.iter().any(|number| *number > 0.0) {
+            let message = "set both kv_token_bytes and link_mbps, or none of them";
+            self.add(Rule::NoFetch, path, message);
+        }
         if engine.adapter_slots == 0 && engine.models.iter().any(|model| model.adapter_mb > 0.0) {
             let message = "models have adapters, and an engine keeps none";
             self.add(Rule::NoAdapterSlots, format!("{path}.adapter_slots"), message);
--- a/tests/product/config_check.rs
+++ b/tests/product/config_check.rs
@@ -80,6 +80,7 @@
         keys: vec!["k1"],
         added: vec!["added0".to_owned()],
         scaling: Some(2),
+        fetches: true,
     };
     assert_eq!(findings(&document.to_text()), "");
 }
@@ -273,6 +274,13 @@
         line 4: warning: routes[0].timeout_ms: 1000000000 s is cut to a day [long-time]
     "#]],
     );
+    assert_found(
+        r#""slots": 64"#,
+        r#""slots": 64, "link_mbps": 7e5"#,
+        &expect![[r#"
+        line 9: warning: services[0].engine: set both kv_token_bytes and link_mbps, or none of them [no-fetch]
+    "#]],
+    );
 }
 
 /// Guards against errors where a value has a special meaning.
