--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,10 +7,12 @@
 //! grants its own requests, within its share of the limits.
 
 mod allotments;
+mod arrival;
 mod buffered;
 mod callers;
 mod crashes;
 mod deflate;
+mod detour;
 mod directory;
 mod duties;
 mod entry;
