--- a/src/gateway/duties/calls.rs
+++ b/src/gateway/duties/calls.rs
@@ -136,7 +136,7 @@
         let members = gateway.members.load();
         let others = members.list.iter().filter(|member| !gateway.is_self(&member.instance));
         let others = others.map(|member| member.instance.clone());
-        let count = gateway.fleet_size().saturating_sub(1);
+        let count = gateway.known_fleet_size().saturating_sub(1);
         let mut state = self.state.lock();
         let since = self.settings.limits.window_at(state.true_time(now));
         state.table.set_roster(Roster::new(others, count, since));
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -65,13 +65,19 @@
     ///
     /// Lost instances count until the leader records a smaller number.
     pub(super) fn fleet_size(&self) -> usize {
-        let recorded = self.leadership.lock().fleet_size();
-        match recorded.max(self.members.load().list.len()) {
+        match self.known_fleet_size() {
             0 => DEFAULT_FLEET_SIZE,
             size => size,
         }
     }
 
+    /// Returns the number of instances that the leader has recorded or that are known as members; zero
+    /// before either is known.
+    pub(super) fn known_fleet_size(&self) -> usize {
+        let recorded = self.leadership.lock().fleet_size();
+        recorded.max(self.members.load().list.len())
+    }
+
     /// Returns whether this instance watches the leader's record in the store.
     ///
     /// Besides the leader, one member of each data centre does, in case the leader is lost. Another
