Play sessions on replicas with adapters, and count why parts are prefilled again

Cause: it was not known why engines prefill shared parts that some engine holds. The play now tells a part that is new from one that another engine holds, that is under way at another engine, or that all have evicted, and carries out orders for adapters and fetches.

--- a/tests/kernel/grants/play.rs
+++ b/tests/kernel/grants/play.rs
@@ -2,17 +2,19 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap},
+    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use cardamomshore::{
+    catalog::FetchSpec,
     clock::Time,
-    kernel::grants::{Action, GrantRequest, Outcome, Scheduler, StreamId},
+    kernel::grants::{Action, Grant, GrantRequest, ModelWork, Outcome, Scheduler, StreamId},
 };
 
-use super::fleet::key;
+use super::fleet::{carry_out_order, key};
 
 /// Prompt tokens that an engine prefills in a millisecond.
 const PREFILL_TOKENS_PER_MS: u64 = 40;
@@ -26,6 +28,9 @@
 /// Tokens of prompt parts that an engine keeps; its memory also holds running requests.
 const KEPT_TOKENS: u32 = 190_000;
 
+/// Time until a fetch begins.
+const FETCH_SETUP: Duration = Duration::from_millis(5);
+
 /// Interval of the scheduler's ticks.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -45,6 +50,47 @@
     Refused(Duration),
 }
 
+/// A prompt part as engines cache it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Part {
+    model: Arc<str>,
+    adapter: Option<Arc<str>>,
+    hash: u64,
+}
+
+impl Part {
+    fn of(work: &ModelWork, hash: u64) -> Self {
+        Self { model: work.model.clone(), adapter: work.adapter.clone(), hash }
+    }
+}
+
+/// A part in the cache of an engine.
+struct Kept {
+    part: Part,
+    tokens: u32,
+    /// When its prefill is done.
+    done_at: Time,
+}
+
+/// Prompt tokens, by how engines got them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Reuse {
+    /// All tokens.
+    pub prompt: u64,
+    /// Cached at the engine.
+    pub cached: u64,
+    /// Fetched from the holder that the grant names.
+    pub fetched: u64,
+    /// Prefilled for the first time.
+    pub new: u64,
+    /// Prefilled although another engine held them.
+    pub elsewhere: u64,
+    /// Prefilled while another engine prefilled them too.
+    pub pending: u64,
+    /// Prefilled again, since no engine held them any more.
+    pub evicted: u64,
+}
+
 /// A load that is being played.
 pub struct Play {
     pub scheduler: Scheduler,
@@ -55,8 +101,16 @@
     events: BinaryHeap<Reverse<(Time, Event)>>,
     /// When each engine has prefilled all prompts that it has.
     prefilled_at: HashMap<Arc<str>, Time>,
-    /// Prompt parts that each engine has prefilled, with their tokens; the most recently used come last.
-    cached: HashMap<Arc<str>, Vec<(u64, u32)>>,
+    /// Prompt parts that each engine has prefilled or will; the most recently used come last.
+    cached: HashMap<Arc<str>, Vec<Kept>>,
+    /// Parts that were prefilled before.
+    seen: HashSet<Part>,
+    /// How engines got the prompt tokens.
+    pub reuse: Reuse,
+    /// How engines fetch from one another; `None` if they do not.
+    pub fetch: Option<FetchSpec>,
+    /// Whether orders and reports are carried out at once.
+    pub carries_out_orders: bool,
     /// Time that work takes at all engines, in percent of the usual time.
     pub slowdown: u64,
     /// Time that work takes at single engines beside that, in percent.
@@ -73,6 +127,10 @@
             events: BinaryHeap::new(),
             prefilled_at: HashMap::new(),
             cached: HashMap::new(),
+            seen: HashSet::new(),
+            reuse: Reuse::default(),
+            fetch: None,
+            carries_out_orders: false,
             slowdown: 100,
             slow_engines: HashMap::new(),
         }
@@ -122,7 +180,7 @@
         for action in actions {
             match action {
                 Action::Grant(key, grant) => {
-                    let tokens = self.tokens_to_prefill(key.number, &grant.endpoint);
+                    let tokens = self.tokens_to_prefill(key.number, &grant);
                     let slow = self.slow_engines.get(&grant.endpoint).copied().unwrap_or(100);
                     let prefill = tokens * 1_000 / PREFILL_TOKENS_PER_MS * self.slowdown * slow;
                     let free_at = self.prefilled_at.entry(grant.endpoint).or_default();
@@ -135,26 +193,88 @@
                 Action::Refuse(key, refusal) => {
                     self.fates.insert(key.number, Fate::Refused(refusal.retry));
                 }
-                Action::Order { .. } | Action::Report { .. } => {}
+                Action::Order { .. } | Action::Report { .. } if !self.carries_out_orders => {}
+                Action::Order { .. } | Action::Report { .. } => {
+                    carry_out_order(&mut self.scheduler, action, self.now);
+                }
             }
         }
     }
 
-    /// Returns the prompt tokens of a request that an engine has not prefilled before, which it will.
-    fn tokens_to_prefill(&mut self, number: u64, engine: &Arc<str>) -> u64 {
-        let Some(work) = &self.requests[&number].1.work else { return 0 };
-        let kept = self.cached.entry(engine.clone()).or_default();
-        let parts = work.parts.iter();
-        let known = parts.take_while(|(id, _)| kept.iter().any(|(known, _)| known == id));
-        let cached: u64 = known.map(|(_, tokens)| u64::from(*tokens)).sum();
-        for part in &work.parts {
-            kept.retain(|(known, _)| *known != part.0);
-            kept.push(*part);
+    /// Returns the prompt tokens of a request that an engine must prefill, which has them afterwards.
+    fn tokens_to_prefill(&mut self, number: u64, grant: &Grant) -> u64 {
+        let Some(work) = self.requests[&number].1.work.clone() else { return 0 };
+        let engine = &grant.endpoint;
+        let cached = self.kept_tokens(engine, &work, None);
+        let held = grant.holder.and_then(|holder| self.engine_at(holder));
+        let held = held.map_or(0, |holder| self.kept_tokens(&holder, &work, Some(self.now)));
+        let fetched = held.saturating_sub(cached).min(work.prompt_tokens - cached);
+        self.reuse.prompt += work.prompt_tokens;
+        self.reuse.cached += cached;
+        self.reuse.fetched += fetched;
+        if let Some(spec) = self.fetch.filter(|_| fetched > 0) {
+            let free_at = self.prefilled_at.entry(engine.clone()).or_default();
+            *free_at = (*free_at).max(self.now + FETCH_SETUP + spec.transfer_time(fetched));
+        }
+        let mut end = 0;
+        for (hash, tokens) in &work.parts {
+            end += u64::from(*tokens);
+            if end > cached + fetched {
+                self.count_prefill(engine, Part::of(&work, *hash), u64::from(*tokens));
+            }
         }
-        while kept.iter().map(|(_, tokens)| *tokens).sum::<u32>() > KEPT_TOKENS {
-            kept.remove(0);
+        let prefill = work.prompt_tokens - cached - fetched;
+        let done_at = self.prefilled_at.get(engine).copied().unwrap_or_default().max(self.now)
+            + Duration::from_micros(prefill * 1_000 / PREFILL_TOKENS_PER_MS);
+        let kept = self.cached.entry(engine.clone()).or_default();
+        for (hash, tokens) in &work.parts {
+            let part = Part::of(&work, *hash);
+            let old = kept.iter().position(|known| known.part == part).map(|i| kept.remove(i));
+            let done_at = old.map_or(done_at, |old| old.done_at.min(done_at));
+            kept.push(Kept { part, tokens: *tokens, done_at });
         }
-        work.prompt_tokens - cached
+        let mut sum: u32 = kept.iter().map(|kept| kept.tokens).sum();
+        let evicted = kept.iter().take_while(|kept| {
+            let is_over = sum > KEPT_TOKENS;
+            sum -= kept.tokens;
+            is_over
+        });
+        let evicted = evicted.count();
+        kept.drain(..evicted);
+        prefill
+    }
+
+    /// Returns how many leading tokens of a prompt an engine keeps, of those that were prefilled until
+    /// `done_by`.
+    fn kept_tokens(&self, engine: &str, work: &ModelWork, done_by: Option<Time>) -> u64 {
+        let Some(kept) = self.cached.get(engine) else { return 0 };
+        let is_kept = |hash: u64| {
+            let part = Part::of(work, hash);
+            let is_done = |kept: &Kept| done_by.is_none_or(|at| kept.done_at <= at);
+            kept.iter().any(|kept| kept.part == part && is_done(kept))
+        };
+        let known = work.parts.iter().take_while(|(hash, _)| is_kept(*hash));
+        known.map(|(_, tokens)| u64::from(*tokens)).sum()
+    }
+
+    /// Counts a part that an engine prefills, by the reason.
+    fn count_prefill(&mut self, engine: &Arc<str>, part: Part, tokens: u64) {
+        let others = self.cached.iter().filter(|(other, _)| *other != engine);
+        let copies = others.flat_map(|(_, kept)| kept).filter(|kept| kept.part == part);
+        let first_copy = copies.map(|kept| kept.done_at).min();
+        let is_new = self.seen.insert(part);
+        let count = match first_copy {
+            _ if is_new => &mut self.reuse.new,
+            Some(done_at) if done_at <= self.now => &mut self.reuse.elsewhere,
+            Some(_) => &mut self.reuse.pending,
+            None => &mut self.reuse.evicted,
+        };
+        *count += tokens;
+    }
+
+    fn engine_at(&self, address: SocketAddr) -> Option<Arc<str>> {
+        let engine = self.scheduler.endpoints().find(|engine| engine.info.address == address);
+        engine.map(|engine| engine.info.id.clone())
     }
 
     /// Returns how many of the requests with these numbers were served.
