Let no adapter and no less urgent kind starve

Cause: an engine unloads only an idle adapter, so a request waited without end where all adapters of its engines were always in use. Strict priorities gave a less urgent kind almost nothing while more urgent ones used all places.

A request that has waited 200 ms for an adapter makes the one that has been loaded for longest yield: it gets no more requests there until its runs have ended. A kind of which less than 0.3 times the overall part is served is queued like the most urgent kind.

Ruled out: a raise in the rank alone, since a full engine for a raised request would block urgent ones that may queue longer.

--- a/src/kernel/grants/adapter.rs
+++ b/src/kernel/grants/adapter.rs
@@ -55,7 +55,52 @@
     }
 }
 
+/// Time for which an engine takes no requests for an adapter, so that its runs can end.
+const YIELD_TIME: Duration = Duration::from_secs(2);
+
+/// An adapter that gets no more requests at an engine, so that it can be unloaded once its runs have ended.
+#[derive(Clone, Debug)]
+pub(super) struct YieldingAdapter {
+    /// Model of the adapter.
+    pub model: Arc<str>,
+    /// The adapter.
+    pub adapter: Arc<str>,
+    /// Since when it gets none.
+    since: Time,
+}
+
+impl YieldingAdapter {
+    /// Returns whether the time for its runs to end has not passed.
+    pub(super) fn is_current(&self, now: Time) -> bool {
+        now.since(self.since) < YIELD_TIME
+    }
+}
+
 impl Endpoint {
+    /// Returns whether the engine takes no requests for the adapter of `work`. One that was loaded again
+    /// takes requests.
+    pub(super) fn is_yielding(&self, work: &ModelWork, now: Time) -> bool {
+        self.yielding.as_ref().is_some_and(|yielding| {
+            yielding.is_current(now)
+                && yielding.model == work.model
+                && work.adapter.as_ref() == Some(&yielding.adapter)
+                && self.adapter_state(work).is_some_and(|state| state.ready_at <= yielding.since)
+        })
+    }
+
+    /// Returns the adapter that is known to be loaded for longest, and when it was ready.
+    pub(super) fn oldest_adapter(&self, now: Time) -> Option<(Time, YieldingAdapter)> {
+        let all = self.replicas.iter().flat_map(|(model, replica)| {
+            replica.adapters.iter().map(move |(adapter, state)| (model, adapter, state))
+        });
+        let loaded = all.filter(|(_, _, state)| state.phase == AdapterPhase::Loaded);
+        let oldest =
+            loaded.min_by_key(|(model, adapter, state)| (state.ready_at, *model, *adapter));
+        let (model, adapter, state) = oldest?;
+        let (model, adapter) = (model.clone(), adapter.clone());
+        Some((state.ready_at, YieldingAdapter { model, adapter, since: now }))
+    }
+
     /// Returns how many adapters take up a slot.
     pub(super) fn adapter_count(&self) -> usize {
         self.replicas.values().map(|replica| replica.adapters.len()).sum()
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -166,7 +166,7 @@
     }
     let adapter = endpoint.adapter_state(work);
     let lacks_adapter = Fit::Full { until: None, for_all: false };
-    if adapter.is_some_and(|state| !state.is_usable()) {
+    if adapter.is_some_and(|state| !state.is_usable()) || endpoint.is_yielding(work, context.now) {
         return lacks_adapter;
     }
     let adapter_present = work.adapter.is_none() || adapter.is_some();
--- a/src/kernel/grants/endpoint.rs
+++ b/src/kernel/grants/endpoint.rs
@@ -9,7 +9,7 @@
 
 use super::{
     FailureRates, GrantKey, KvCache, RequestLimit, Swap,
-    adapter::{AdapterPhase, AdapterState},
+    adapter::{AdapterPhase, AdapterState, YieldingAdapter},
     pace::EndpointPace,
     run::ActiveRun,
     running::RunTable,
@@ -163,6 +163,8 @@
     pub(super) reported: bool,
     /// Estimate of the prompt prefixes in the KV cache.
     pub(super) kv_cache: KvCache,
+    /// Adapter that gets no more requests, so that another one can be loaded.
+    pub(super) yielding: Option<YieldingAdapter>,
     /// When its link is free of the transfers that were granted.
     pub(super) link_free: Time,
     /// When the queued prefill is expected to be done.
@@ -209,6 +211,7 @@
             unloaded: HashMap::new(),
             reported: false,
             kv_cache: KvCache::default(),
+            yielding: None,
             link_free: Time::default(),
             prefill_end: Time::default(),
             prefill_start: Time::default(),
--- a/src/kernel/grants/order.rs
+++ b/src/kernel/grants/order.rs
@@ -2,12 +2,15 @@
 //! whether its caller was refused before.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
 
-use super::GrantRequest;
+use super::{
+    GrantRequest,
+    queue::{GroupKey, RequestKind},
+};
 use crate::clock::Time;
 
 /// Time constant with which the tokens that a team has asked for are forgotten: about the time in which
@@ -52,6 +55,10 @@
     pub start_by: Time,
     /// Work of the request: tokens of its prompt and its response.
     pub size: u64,
+    /// Priority of the request's route or team.
+    pub own_priority: u8,
+    /// Priority in the queue: its own, or a more urgent one where its kind gets too little.
+    pub priority: u8,
 }
 
 impl Standing {
@@ -72,7 +79,17 @@
         let serve_by = if in_time > now { in_time.min(start_by.max(now)) } else { half };
         let work = request.work.as_ref();
         let size = work.map_or(0, |work| work.prompt_tokens + work.output_tokens);
-        Self { due: request.due, serve_by, start_by, size, ..Self::default() }
+        let priority = request.priority;
+        let own_priority = priority;
+        Self {
+            due: request.due,
+            serve_by,
+            start_by,
+            size,
+            own_priority,
+            priority,
+            ..Self::default()
+        }
     }
 
     /// Returns the time by which requests of the same class are ordered.
@@ -194,3 +211,76 @@
         }
     }
 }
+
+/// Time constant with which what a kind has asked for and got is forgotten: a few times the wait of a
+/// request.
+const KIND_TIME_CONSTANT: f64 = 5.0;
+
+/// Least part of the requests of a kind that is served, relative to that of all kinds. Callers are
+/// promised a quarter.
+const MIN_KIND_PART: f64 = 0.3;
+
+/// Requests of a kind from which the part that is served says something.
+const MIN_KIND_REQUESTS: f64 = 2.0;
+
+/// Requests of one priority, older ones counting less.
+#[derive(Clone, Copy, Debug, Default)]
+struct KindUse {
+    asked: f64,
+    served: f64,
+}
+
+/// Requests of all priorities for the same model or plain service.
+#[derive(Debug, Default)]
+struct GroupUse {
+    kinds: BTreeMap<u8, KindUse>,
+    updated_at: Time,
+}
+
+impl GroupUse {
+    fn fade(&mut self, now: Time) {
+        let left = (-now.since(self.updated_at).as_secs_f64() / KIND_TIME_CONSTANT).exp();
+        self.updated_at = now;
+        for kind in self.kinds.values_mut() {
+            kind.asked *= left;
+            kind.served *= left;
+        }
+    }
+
+    /// Returns the priority at which a request of a kind is queued.
+    fn priority(&self, own: u8) -> u8 {
+        let Some(kind) = self.kinds.get(&own) else { return own };
+        let all = self.kinds.values().fold(KindUse::default(), |sum, kind| KindUse {
+            asked: sum.asked + kind.asked,
+            served: sum.served + kind.served,
+        });
+        let due = MIN_KIND_PART * kind.asked * all.served / all.asked;
+        let first = self.kinds.iter().find(|(_, kind)| kind.asked >= 1.0).map(|(first, _)| *first);
+        let gets_too_little = kind.asked >= MIN_KIND_REQUESTS && kind.served < due;
+        if gets_too_little { first.unwrap_or(own).min(own) } else { own }
+    }
+}
+
+/// What each priority has asked for and got, so that strict priorities leave none without anything.
+#[derive(Debug, Default)]
+pub(super) struct KindShares {
+    groups: HashMap<GroupKey, GroupUse>,
+}
+
+impl KindShares {
+    /// Records that a request has arrived, and returns the priority at which it is queued.
+    pub fn record_arrival(&mut self, request: &GrantRequest, now: Time) -> u8 {
+        let group = self.groups.entry(RequestKind::of(request).group()).or_default();
+        group.fade(now);
+        group.kinds.entry(request.priority).or_default().asked += 1.0;
+        group.priority(request.priority)
+    }
+
+    /// Records that a request of a priority was granted.
+    pub fn record_grant(&mut self, request: &GrantRequest, own_priority: u8, now: Time) {
+        if let Some(group) = self.groups.get_mut(&RequestKind::of(request).group()) {
+            group.fade(now);
+            group.kinds.entry(own_priority).or_default().served += 1.0;
+        }
+    }
+}
--- a/src/kernel/grants/queues.rs
+++ b/src/kernel/grants/queues.rs
@@ -249,6 +249,11 @@
         self.requests.get_mut(&rank.number).map(|waiting| &mut waiting.queued)
     }
 
+    /// Returns the first request of each queue.
+    pub fn heads(&self) -> impl Iterator<Item = &QueuedRequest> {
+        self.queues.values().filter_map(|queue| self.get(*queue.order.first()?))
+    }
+
     /// Moves a request behind those of its kind that are not late.
     fn mark_late(&mut self, id: KindId, rank: Rank) {
         let late = rank.late();
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -1,5 +1,6 @@
 //! The scheduler: handles events and decides which request is sent to which endpoint.
 
+mod adapters;
 mod admission;
 mod allotments;
 mod crashes;
@@ -36,7 +37,7 @@
     crash_causes::CrashCauses,
     holders::Holders,
     index::Index,
-    order::{FairShares, Refused},
+    order::{FairShares, KindShares, Refused},
     order_state::OrderIds,
     pace::{ModelSpeed, Speeds},
     queues::Queues,
@@ -121,6 +122,7 @@
     observations: Observations,
     supplies: supply::Supplies,
     shares: FairShares,
+    kind_shares: KindShares,
     refused: Refused,
     /// Bound of the prefill without a break, by service.
     pauses: HashMap<Arc<str>, PauseControl>,
@@ -129,6 +131,8 @@
     order_ids: OrderIds,
     /// When loads from the weight store were ordered.
     store_loads: VecDeque<Time>,
+    /// When the requests that wait for adapters were last looked at.
+    adapters_looked_at: Time,
     /// When the placement was last planned.
     planned_at: Time,
     /// Name of this instance; `None` if it hands out no allotments.
@@ -171,11 +175,13 @@
             observations: Observations::default(),
             supplies: supply::Supplies::default(),
             shares: FairShares::default(),
+            kind_shares: KindShares::default(),
             refused: Refused::default(),
             pauses: HashMap::new(),
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
+            adapters_looked_at: Time::default(),
             planned_at: Time::default(),
             instance: None,
             allotments: None,
@@ -397,6 +403,7 @@
             self.planned_at = now;
             self.plan(now);
         }
+        self.make_adapter_room(now);
         self.grant_delayed(now, &mut actions);
         self.grant_queued(now, &mut actions);
         self.collect_orders(now, &mut actions);
--- /dev/null
+++ b/src/kernel/grants/scheduler/adapters.rs
@@ -0,0 +1,89 @@
+//! Makes room for adapters whose requests wait while all adapters of their engines are in use.
+//!
+//! The load for which it is made: more adapters than engines have slots for, some of which always have
+//! requests. An engine unloads only an idle adapter, so the others would wait without end.
+
+use std::{sync::Arc, time::Duration};
+
+use super::Scheduler;
+use crate::{
+    clock::Time,
+    kernel::grants::{Endpoint, GrantRequest, adapter::YieldingAdapter},
+};
+
+/// Time for which a request waits for an idle adapter before one is made idle. Most runs end within it.
+const IDLE_WAIT: Duration = Duration::from_millis(200);
+
+/// Interval at which the waiting requests are looked at.
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What can be done for a request that waits for an adapter.
+enum Room {
+    /// An engine has the adapter, or can load it, or is making room already.
+    Coming,
+    /// This adapter of an engine can be made idle.
+    After(Arc<str>, YieldingAdapter),
+    /// No engine has an adapter that can be unloaded.
+    Unclear,
+}
+
+impl Scheduler {
+    /// Lets an engine take no more requests for one adapter where a request has waited for another one.
+    pub(super) fn make_adapter_room(&mut self, now: Time) {
+        if !self.may_order() || now.since(self.adapters_looked_at) < LOOK_INTERVAL {
+            return;
+        }
+        self.adapters_looked_at = now;
+        let waiting = self.queue.heads().filter(|queued| now.since(queued.since) >= IDLE_WAIT);
+        let requests: Vec<GrantRequest> = waiting
+            .filter(|queued| queued.adapter_load.is_none())
+            .map(|queued| queued.request.clone())
+            .filter(|request| request.work.as_ref().is_some_and(|work| work.adapter.is_some()))
+            .collect();
+        for request in requests {
+            if let Room::After(id, yielding) = self.find_adapter_room(&request, now)
+                && let Some(endpoint) = self.endpoints.get_mut(&id)
+            {
+                log::debug!(
+                    "event=adapter_yields endpoint={id} model={} adapter={}",
+                    yielding.model,
+                    yielding.adapter
+                );
+                endpoint.yielding = Some(yielding);
+            }
+        }
+    }
+
+    /// Returns how a request gets its adapter. The adapter that was loaded first has had its turn.
+    fn find_adapter_room(&self, request: &GrantRequest, now: Time) -> Room {
+        let (Some(work), Some(spec)) = (&request.work, self.engine_spec(&request.service)) else {
+            return Room::Unclear;
+        };
+        let engines = self.index.candidates(request).iter();
+        let engines = engines.filter_map(|id| self.endpoints.get(id)).filter(|endpoint| {
+            endpoint.info.service == request.service
+                && endpoint.is_serving()
+                && endpoint.can_serve(&work.model)
+                && !self.evacuated.contains(&endpoint.info.data_centre)
+        });
+        let engines: Vec<&Endpoint> = engines.collect();
+        let is_coming = |endpoint: &&Endpoint| {
+            let is_usable = endpoint.adapter_state(work).is_some_and(|state| state.is_usable());
+            let yields = endpoint.yielding.as_ref().is_some_and(|it| it.is_current(now));
+            (is_usable && !endpoint.is_yielding(work, now))
+                || yields
+                || endpoint.has_adapter_room(spec)
+        };
+        if engines.iter().any(is_coming) {
+            return Room::Coming;
+        }
+        let oldest = engines.iter().filter_map(|endpoint| {
+            let (ready_at, yielding) = endpoint.oldest_adapter(now)?;
+            Some((ready_at, endpoint.info.id.clone(), yielding))
+        });
+        match oldest.min_by_key(|(ready_at, ..)| *ready_at) {
+            Some((_, id, yielding)) => Room::After(id, yielding),
+            None => Room::Unclear,
+        }
+    }
+}
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -61,8 +61,10 @@
         now: Time,
         actions: &mut Vec<Action>,
     ) {
+        let mut request = request;
         let standing = self.standing(&request, now);
-        let mut queued = QueuedRequest { key, request, standing, adapter_load: None };
+        request.priority = standing.priority;
+        let mut queued = QueuedRequest { key, request, standing, since: now, adapter_load: None };
         let rank = queued.rank(u64::MAX, now);
         let first = self.queue.first_of_kind(&queued.request, now);
         let is_ahead = first.is_some_and(|first| {
@@ -78,6 +80,8 @@
             Selection::Ready(_) | Selection::Full { .. } => {
                 match self.decide(&queued, &selection, &rank, now) {
                     Decision::Send(endpoint) => {
+                        let own = queued.standing.own_priority;
+                        self.kind_shares.record_grant(&queued.request, own, now);
                         let grant = self.begin_run(&queued.key, &queued.request, &endpoint, now);
                         actions.extend(grant.map(|grant| Action::Grant(queued.key, grant)));
                         return;
--- a/src/kernel/grants/scheduler/supply.rs
+++ b/src/kernel/grants/scheduler/supply.rs
@@ -71,8 +71,10 @@
         if !is_returning {
             self.shares.record(request, now);
         }
+        let priority = self.kind_shares.record_arrival(request, now);
         Standing {
             is_returning,
+            priority,
             is_over_share: self.shares.is_over_share(request, now),
             ..Standing::new(request, first_event, run_time, now)
         }
--- a/tests/kernel/grants/fleet.rs
+++ b/tests/kernel/grants/fleet.rs
@@ -149,8 +149,8 @@
     })
 }
 
-/// Carries out one action: a report lists the models that the scheduler knows, and an order is
-/// accepted.
+/// Carries out one action: a report lists the models and counts the orders that the scheduler knows, and an
+/// order is accepted.
 ///
 /// Returns the action if it was an order.
 pub fn carry_out_order(scheduler: &mut Scheduler, action: Action, now: Time) -> Option<Action> {
@@ -158,7 +158,8 @@
         Action::Report { endpoint, .. } => {
             let known = scheduler.endpoints().find(|known| known.info.id == *endpoint);
             let models = known.map(|known| known.snapshot(now).models).unwrap_or_default();
-            let report = EngineReport { models, ..EngineReport::default() };
+            let orders = scheduler.holdings(endpoint).map_or(0, |holdings| holdings.orders);
+            let report = EngineReport { orders, models, ..EngineReport::default() };
             scheduler.handle_report(endpoint, Some(report), now);
             None
         }
--- a/tests/kernel/grants/order.rs
+++ b/tests/kernel/grants/order.rs
@@ -255,3 +255,42 @@
         assert!(granted(&actions).is_some(), "{number}: the engine prefills half of the time");
     }
 }
+
+/// Guards against adapters whose requests wait without end where all adapters of the engine are in use.
+#[test]
+fn no_adapter_starves_beside_busy_ones() {
+    let mut play = play(&[("e1", &["m0"])]);
+    play.carries_out_orders = true;
+    // Requests of two adapters overlap, so that both are always in use; the engine has room for two.
+    for number in 0..1_200 {
+        let adapter = if number % 20 == 7 { 2 } else { number % 2 };
+        let mut request = request(&play, number, 200, "shop", 1);
+        let work = request.work.as_mut().expect("a request for a model");
+        work.adapter = Some(format!("a{adapter}").into());
+        play.send(number, request);
+        play.pass(MS * 10);
+    }
+    play.pass(MS * 6_000);
+    let (rare, common) = (play.served(one_of(20, 7)), play.served(|number| number % 20 != 7));
+    assert!(rare >= 45, "{rare} of 60 requests of the rare adapter are served");
+    assert!(common >= 1_000, "{common} of 1,140 requests of the others are served");
+}
+
+/// Guards against a kind that gets nothing while more urgent kinds use all places.
+#[test]
+fn less_urgent_kind_gets_a_quarter_of_its_share() {
+    let mut play = play(&[("e1", &["m0"])]);
+    // The urgent kind alone asks for half more than the engine does, the other for half of it.
+    for number in 0..600 {
+        let priority = if number % 4 == 0 { 2 } else { 0 };
+        let request = request(&play, number, 4_000, "shop", priority);
+        play.send(number, request);
+        play.pass(MS * 50);
+    }
+    play.pass(MS * 6_000);
+    let (urgent, other) = (play.served(|number| number % 4 != 0), play.served(one_of(4, 0)));
+    let all = (urgent + other) as f64 / 600.0;
+    let (urgent, other) = (urgent as f64 / 450.0, other as f64 / 150.0);
+    assert!(other >= all / 4.0, "less urgent: {other:.2} of all, any: {all:.2}");
+    assert!(other <= urgent + 0.05, "less urgent: {other:.2}, more urgent: {urgent:.2}");
+}
