--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod delayed;
 mod fetches;
+mod held;
 mod observations;
 mod origins;
 mod planning;
@@ -18,11 +19,14 @@
 mod waiting;
 
 pub(in crate::kernel::grants) use self::crashes::CrashState;
-use self::team_use::TeamUses;
 pub use self::{
     admission::UnusedRate, observations::Observations, planning::ModelBacklog, retries::RetryUsage,
     team_use::TeamUse,
 };
+use self::{
+    origins::{OriginStep, UNKNOWN_REFUSAL},
+    team_use::TeamUses,
+};
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet, VecDeque},
@@ -102,6 +106,8 @@
     queue: Queues,
     /// Requests that wait for tokens of their team.
     delayed: delayed::Delayed,
+    /// Streams that wait for their version to be known.
+    held: held::HeldStreams,
     /// Token bucket of each team.
     buckets: HashMap<Arc<str>, TokenBucket>,
     /// What teams have asked for and got since the last report.
@@ -162,6 +168,7 @@
             endpoint_of: HashMap::new(),
             queue: Queues::default(),
             delayed: delayed::Delayed::default(),
+            held: held::HeldStreams::default(),
             buckets: HashMap::new(),
             team_uses: TeamUses::default(),
             retry_budgets: HashMap::new(),
@@ -255,45 +262,61 @@
     /// Replaces the table of endpoints, keeping the state of those whose incarnation, address and
     /// service are unchanged.
     pub fn set_endpoints(&mut self, entries: Vec<EndpointEntry>, now: Time) {
-        let mut old = std::mem::take(&mut self.endpoints);
+        let kept: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let is_lost = |id: &&Arc<str>| !kept.contains(*id);
+        let lost: Vec<Arc<str>> = self.endpoints.keys().filter(is_lost).cloned().collect();
+        self.change_endpoints(entries, &lost, now);
+        self.record_versions(now);
+    }
+
+    /// Applies new and changed entries, and removes the endpoints `lost`. All others stay as they are,
+    /// so that the cost does not grow with the number of endpoints.
+    pub fn change_endpoints(&mut self, entries: Vec<EndpointEntry>, lost: &[Arc<str>], now: Time) {
         let mut has_changed = false;
         for entry in entries {
-            let known = old.remove(&entry.id);
-            let is_changed = known.as_ref().is_none_or(|known| known.entry != entry);
-            let endpoint = match known {
-                Some(known) if !known.is_incarnation(&entry) => {
-                    self.remove_holder(&known);
-                    self.record_loss(known, now);
-                    Endpoint::new(entry, now)
-                }
-                Some(mut known) if known.entry != entry => {
-                    known.update(entry, now);
-                    known
-                }
-                Some(known) => known,
-                None => Endpoint::new(entry, now),
-            };
-            if is_changed {
-                self.index.update(&endpoint);
-            }
-            has_changed |= is_changed;
-            let id = endpoint.info.id.clone();
-            self.endpoints.insert(id.clone(), endpoint);
-            if is_changed {
-                self.update_holders(&id);
-            }
+            has_changed |= self.put_endpoint(entry, now);
         }
-        for lost in old.into_values() {
-            has_changed = true;
-            self.index.remove(&lost.info.id);
-            self.remove_holder(&lost);
-            self.origins.record_version(&lost.info.service, &lost.info.version, now);
-            self.record_loss(lost, now);
+        for id in lost {
+            has_changed |= self.remove_endpoint(id, now);
         }
         if has_changed {
             self.queue.wake_all();
         }
-        self.record_versions(now);
+    }
+
+    /// Applies an entry. Returns whether it differs from the known one.
+    fn put_endpoint(&mut self, entry: EndpointEntry, now: Time) -> bool {
+        self.origins.record_version(&entry.service, &entry.version, now);
+        if self.endpoints.get(&entry.id).is_some_and(|known| known.entry == entry) {
+            return false;
+        }
+        let endpoint = match self.endpoints.remove(&entry.id) {
+            Some(known) if !known.is_incarnation(&entry) => {
+                self.remove_holder(&known);
+                self.record_loss(known, now);
+                Endpoint::new(entry, now)
+            }
+            Some(mut known) => {
+                known.update(entry, now);
+                known
+            }
+            None => Endpoint::new(entry, now),
+        };
+        self.index.update(&endpoint);
+        let id = endpoint.info.id.clone();
+        self.endpoints.insert(id.clone(), endpoint);
+        self.update_holders(&id);
+        true
+    }
+
+    /// Removes an endpoint. Returns whether there was one.
+    fn remove_endpoint(&mut self, id: &str, now: Time) -> bool {
+        let Some(lost) = self.endpoints.remove(id) else { return false };
+        self.index.remove(&lost.info.id);
+        self.remove_holder(&lost);
+        self.origins.record_version(&lost.info.service, &lost.info.version, now);
+        self.record_loss(lost, now);
+        true
     }
 
     /// Returns the endpoints.
@@ -320,20 +343,35 @@
     pub fn handle_request(
         &mut self,
         key: GrantKey,
-        mut request: GrantRequest,
+        request: GrantRequest,
         now: Time,
     ) -> Vec<Action> {
         self.request_rate.record(now);
         self.record_arrival(&key, &request, now);
         self.confirm_silent_crashes(now);
         let mut actions = Vec::new();
-        let origin = self.find_origin(&mut request, now);
-        match origin.and_then(|()| self.admit(&request, now)) {
-            Ok(None) => self.grant_or_queue(key, request, now, &mut actions),
+        self.decide_request(key, request, now, &mut actions);
+        actions
+    }
+
+    /// Grants, queues, holds or refuses a request that was recorded.
+    fn decide_request(
+        &mut self,
+        key: GrantKey,
+        mut request: GrantRequest,
+        now: Time,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.find_origin(&mut request, now) {
+            OriginStep::Decide => {}
+            OriginStep::Hold(until) => return self.held.push(key, request, until),
+            OriginStep::Refuse => return actions.push(Action::Refuse(key, UNKNOWN_REFUSAL)),
+        }
+        match self.admit(&request, now) {
+            Ok(None) => self.grant_or_queue(key, request, now, actions),
             Ok(Some(at)) => self.delayed.push(key, request, at),
             Err(refusal) => actions.push(Action::Refuse(key, refusal)),
         }
-        actions
     }
 
     /// Returns the share of the teams' rates and of the retry budgets that this scheduler may use.
@@ -404,6 +442,7 @@
             self.plan(now);
         }
         self.make_adapter_room(now);
+        self.release_held(now, &mut actions);
         self.grant_delayed(now, &mut actions);
         self.grant_queued(now, &mut actions);
         self.collect_orders(now, &mut actions);
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -10,9 +10,11 @@
     mod crowd;
     mod cut_off;
     mod duties;
+    mod duty_faults;
     mod fetch;
     mod input;
     mod keys;
+    mod large;
     mod links;
     mod membership;
     mod memory;
