Break the import cycle of the ledger's adapters and view

The name of an adapter stands in `record` now, which both need. No change of behaviour. Ran: kernel::ledger::ledger_* and kernel::ledger::adapters (7 passed), clippy.

--- a/src/kernel/ledger.rs
+++ b/src/kernel/ledger.rs
@@ -20,9 +20,9 @@
 use std::collections::BTreeMap;
 
 pub use self::{
-    adapters::{AdapterKey, AdapterLimits, AdapterPool, AdapterStep},
+    adapters::{AdapterLimits, AdapterPool, AdapterStep},
     entry::{Entry, EntryStatus, Progress},
-    record::{EndpointRecord, Intent, StateVersion},
+    record::{AdapterKey, EndpointRecord, Intent, StateVersion},
     step::{Denial, LedgerLimits, Step},
     view::{MemoryView, ReportStatus},
 };
--- a/src/kernel/ledger/adapters.rs
+++ b/src/kernel/ledger/adapters.rs
@@ -11,16 +11,12 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{MemoryView, StateVersion};
+use super::{AdapterKey, MemoryView, StateVersion};
 use crate::{
     clock::Time,
     endpoint::{Order, OrderKind},
-    names::{Adapter, Model},
 };
 
-/// A model and one of its adapters.
-pub type AdapterKey = (Model, Adapter);
-
 /// Limits of an adapter pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdapterLimits {
--- a/src/kernel/ledger/record.rs
+++ b/src/kernel/ledger/record.rs
@@ -10,6 +10,9 @@
     names::{Adapter, InstanceId, Model},
 };
 
+/// A model and one of its adapters.
+pub type AdapterKey = (Model, Adapter);
+
 /// The record of one endpoint: its steward and the orders that may still take effect.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
