Break the import cycle of the soak's fleet and callers

The names that the fleet, the callers and the check share have a file of their own, and callers get the gateways, not the fleet. No change of behaviour.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -9,6 +9,7 @@
 mod check;
 mod fleet;
 mod history;
+mod names;
 mod plan;
 pub mod process;
 
@@ -68,7 +69,7 @@
     let mut fleet = Fleet::start(options)?;
     fleet.wait_ready().await?;
     let steps = plan::plan(options, WARM_UP, options.length.saturating_sub(CALM));
-    let callers = Callers::start(&fleet);
+    let callers = Callers::start(&fleet.gateways);
     fleet.play(&steps, &callers, options.length).await;
     let attempts = callers.stop().await;
     let evidence = Evidence::new(&attempts, &fleet, CALM);
--- a/src/soak/callers.rs
+++ b/src/soak/callers.rs
@@ -19,7 +19,10 @@
     time::{sleep, timeout},
 };
 
-use super::fleet::{FATAL_PART, Fleet, HOST, KEY, MODELS, WITHDRAWN_KEY};
+use super::{
+    names::{FATAL_PART, HOST, KEY, MODELS, WITHDRAWN_KEY},
+    process::GatewayProcess,
+};
 use crate::{
     clock::Time,
     http::pool::{Pool, SendError},
@@ -182,8 +185,8 @@
 
 impl Callers {
     /// Starts the callers.
-    pub fn start(fleet: &Fleet) -> Self {
-        let gateways = fleet.gateways.iter().map(|gateway| (gateway.callers, gateway.directory));
+    pub fn start(gateways: &[GatewayProcess]) -> Self {
+        let gateways = gateways.iter().map(|gateway| (gateway.callers, gateway.directory));
         let shared = Arc::new(Shared {
             gateways: gateways.collect(),
             attempts: Mutex::default(),
--- a/src/soak/check.rs
+++ b/src/soak/check.rs
@@ -17,8 +17,9 @@
 
 use super::{
     callers::{Attempt, Ending, Kind},
-    fleet::{DATA_CENTRES, Fleet, TEAM},
+    fleet::Fleet,
     history::{AddedRoute, Cut, Disturbance, Evacuation, KeyChange},
+    names::{DATA_CENTRES, TEAM},
 };
 use crate::{
     clock::Time,
--- a/src/soak/fleet/returns.rs
+++ b/src/soak/fleet/returns.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use super::{
-    super::{plan::MAX_COPY_AGE_MS, process::GatewayProcess},
-    DATA_CENTRES, Fleet, evacuation_key,
+    super::{names::DATA_CENTRES, plan::MAX_COPY_AGE_MS, process::GatewayProcess},
+    Fleet, evacuation_key,
 };
 use crate::{
     clock::Time,
--- a/src/soak/plan.rs
+++ b/src/soak/plan.rs
@@ -4,7 +4,7 @@
 
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 
-use super::{Options, fleet::DATA_CENTRES};
+use super::{Options, names::DATA_CENTRES};
 use crate::standin::{metadata::StoreFaults, worker::WorkerFaults};
 
 /// Mean times between two faults; the seed chooses one. Promises with a time limit hold only for gateways
