--- a/src/gateway/detour.rs
+++ b/src/gateway/failover.rs
@@ -1,5 +1,5 @@
-//! Sends requests while the path to the endpoints may be cut: watches connections and responses that
-//! take long, and passes a request to another instance.
+//! Failover of requests while the path to the endpoints may be cut: detects it by connections and
+//! responses that take long, and passes a request to another instance.
 
 use std::time::Duration;
 
