End a soak only 10 s after its last fault has ended

Cause: the soak's last 5 s are judged as free of faults, but faults that began before the last 10 s last up to 10 s. Ruled out: a leader or orders that were missing; the requests waited for the engine that asked for pauses.

Change: the soak goes on until no fault has been under way for 10 s. No fault is shorter, the check and its bound stay.

--- a/src/soak.rs
+++ b/src/soak.rs
@@ -19,7 +19,8 @@
 /// Time without faults at the begin of a soak, in which the gateways elect their leader.
 const WARM_UP: Duration = Duration::from_secs(4);
 
-/// Time without faults at the end of a soak, in which the gateways must serve again.
+/// Time without faults at the end of a soak, in which the gateways must serve again. It begins when the
+/// last fault has ended, which may last for seconds.
 const CALM: Duration = Duration::from_secs(10);
 
 /// What a soak is like.
@@ -68,7 +69,7 @@
     fleet.wait_ready().await?;
     let steps = plan::plan(options, WARM_UP, options.length.saturating_sub(CALM));
     let callers = Callers::start(&fleet);
-    fleet.play(&steps, &callers, options.length).await;
+    fleet.play(&steps, &callers, options.length, CALM).await;
     let attempts = callers.stop().await;
     let evidence = Evidence::new(&attempts, &fleet, CALM);
     let served = attempts.iter().filter(|attempt| attempt.is_served()).count();
--- a/src/soak/fleet.rs
+++ b/src/soak/fleet.rs
@@ -264,9 +264,16 @@
         Ok(())
     }
 
-    /// Plays the faults, for `length` in total.
-    pub async fn play(&mut self, steps: &[Step], callers: &Callers, length: Duration) {
+    /// Plays the faults, for `length` in total, or longer if less than `calm` would follow the last one.
+    pub async fn play(
+        &mut self,
+        steps: &[Step],
+        callers: &Callers,
+        length: Duration,
+        calm: Duration,
+    ) {
         let started_at = Time::now();
+        let mut disturbed_at = started_at;
         let mut steps = steps.iter().peekable();
         let mut undo: Vec<(Time, Undo)> = Vec::new();
         loop {
@@ -275,15 +282,18 @@
             while let Some(step) = steps.next_if(|step| step.at <= elapsed) {
                 log::info!("event=soak_fault at_ms={} fault={:?}", step.at.as_millis(), step.fault);
                 undo.extend(self.begin(step.fault, callers, now));
+                disturbed_at = now;
             }
             let due = undo.extract_if(.., |(at, _)| *at <= now).collect::<Vec<_>>();
             for (_, due) in due {
                 undo.extend(self.end(due, callers, now));
+                disturbed_at = now;
             }
+            let is_calm = undo.is_empty() && now.since(disturbed_at) >= calm;
             self.tend_processes(now);
             self.copy_store(now);
             self.api.disturb(now);
-            if elapsed >= length {
+            if elapsed >= length && is_calm {
                 return;
             }
             sleep(STEP_INTERVAL).await;
