--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -4,6 +4,7 @@
 mod allotments;
 mod crashes;
 mod delayed;
+mod fetches;
 mod held;
 mod observations;
 mod origins;
@@ -37,6 +38,7 @@
     GrantKey, GrantRequest, Holdings, Order, OrderResult, PauseControl, RetryBudget, RetryLimits,
     StreamOrigins, TokenBucket,
     crash_causes::CrashCauses,
+    holders::Holders,
     index::Index,
     order::{FairShares, Refused},
     order_state::OrderIds,
@@ -96,6 +98,8 @@
     evacuated: HashSet<Arc<str>>,
     endpoints: BTreeMap<Arc<str>, Endpoint>,
     index: Index,
+    /// Engines that have each prompt part cached, of services whose engines fetch from one another.
+    holders: Holders,
     /// Endpoint that runs each granted request.
     endpoint_of: HashMap<GrantKey, Arc<str>>,
     queue: Queues,
@@ -156,6 +160,7 @@
             evacuated: HashSet::new(),
             endpoints: BTreeMap::new(),
             index: Index::default(),
+            holders: Holders::default(),
             endpoint_of: HashMap::new(),
             queue: Queues::default(),
             delayed: delayed::Delayed::default(),
@@ -232,6 +237,7 @@
         let teams = catalog.keys.values().map(|team| (team.name.clone(), team.clone()));
         self.teams = teams.collect();
         self.catalog = catalog;
+        self.rebuild_holders();
         self.queue.wake_all();
     }
 
@@ -250,39 +256,61 @@
     /// Replaces the table of endpoints, keeping the state of those whose incarnation, address and
     /// service are unchanged.
     pub fn set_endpoints(&mut self, entries: Vec<EndpointEntry>, now: Time) {
-        let mut old = std::mem::take(&mut self.endpoints);
+        let kept: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let is_lost = |id: &&Arc<str>| !kept.contains(*id);
+        let lost: Vec<Arc<str>> = self.endpoints.keys().filter(is_lost).cloned().collect();
+        self.change_endpoints(entries, &lost, now);
+        self.record_versions(now);
+    }
+
+    /// Applies new and changed entries, and removes the endpoints `lost`. All others stay as they are,
+    /// so that the cost does not grow with the number of endpoints.
+    pub fn change_endpoints(&mut self, entries: Vec<EndpointEntry>, lost: &[Arc<str>], now: Time) {
         let mut has_changed = false;
         for entry in entries {
-            let known = old.remove(&entry.id);
-            let is_changed = known.as_ref().is_none_or(|known| known.entry != entry);
-            let endpoint = match known {
-                Some(known) if !known.is_incarnation(&entry) => {
-                    self.record_loss(known, now);
-                    Endpoint::new(entry, now)
-                }
-                Some(mut known) if known.entry != entry => {
-                    known.update(entry, now);
-                    known
-                }
-                Some(known) => known,
-                None => Endpoint::new(entry, now),
-            };
-            if is_changed {
-                self.index.update(&endpoint);
-            }
-            has_changed |= is_changed;
-            self.endpoints.insert(endpoint.info.id.clone(), endpoint);
+            has_changed |= self.put_endpoint(entry, now);
         }
-        for lost in old.into_values() {
-            has_changed = true;
-            self.index.remove(&lost.info.id);
-            self.origins.record_version(&lost.info.service, &lost.info.version, now);
-            self.record_loss(lost, now);
+        for id in lost {
+            has_changed |= self.remove_endpoint(id, now);
         }
         if has_changed {
             self.queue.wake_all();
         }
-        self.record_versions(now);
+    }
+
+    /// Applies an entry. Returns whether it differs from the known one.
+    fn put_endpoint(&mut self, entry: EndpointEntry, now: Time) -> bool {
+        self.origins.record_version(&entry.service, &entry.version, now);
+        if self.endpoints.get(&entry.id).is_some_and(|known| known.entry == entry) {
+            return false;
+        }
+        let endpoint = match self.endpoints.remove(&entry.id) {
+            Some(known) if !known.is_incarnation(&entry) => {
+                self.remove_holder(&known);
+                self.record_loss(known, now);
+                Endpoint::new(entry, now)
+            }
+            Some(mut known) => {
+                known.update(entry, now);
+                known
+            }
+            None => Endpoint::new(entry, now),
+        };
+        self.index.update(&endpoint);
+        let id = endpoint.info.id.clone();
+        self.endpoints.insert(id.clone(), endpoint);
+        self.update_holders(&id);
+        true
+    }
+
+    /// Removes an endpoint. Returns whether there was one.
+    fn remove_endpoint(&mut self, id: &str, now: Time) -> bool {
+        let Some(lost) = self.endpoints.remove(id) else { return false };
+        self.index.remove(&lost.info.id);
+        self.remove_holder(&lost);
+        self.origins.record_version(&lost.info.service, &lost.info.version, now);
+        self.record_loss(lost, now);
+        true
     }
 
     /// Returns the endpoints.
@@ -381,6 +409,7 @@
         }
         endpoint.handle_order_result(order.id, result, ready, now);
         self.index.update(endpoint);
+        self.update_holders(id);
         self.wake_endpoint(id);
     }
 
@@ -391,6 +420,7 @@
         let has_report = report.is_some();
         endpoint.handle_report(report, now);
         self.index.update(endpoint);
+        self.update_holders(id);
         self.wake_endpoint(id);
         if has_report {
             self.record_response(id, requested_at);
--- a/tests/util/gateways.rs
+++ b/tests/util/gateways.rs
@@ -1,6 +1,7 @@
 //! Gateway processes with the stand-ins for the users' platform.
 
 use std::{
+    net::SocketAddr,
     path::{Path, PathBuf},
     sync::Arc,
     time::Duration,
@@ -11,7 +12,7 @@
     http::pool::Pool,
     soak::process::{GatewayProcess, free_address},
     standin::{
-        caller::{CallerRequest, Prompt, TakeUp, stamped_endpoint},
+        caller::{CallerRequest, PART_TOKENS, Prompt, TakeUp, stamped_endpoint},
         duties::DutyApi,
         metadata::MetadataStore,
         operator::Document,
@@ -19,8 +20,9 @@
     },
 };
 use http_body_util::BodyExt;
+use serde_json::Value;
 
-use super::run_folder;
+use super::{gate::Gate, run_folder};
 
 const HOST: &str = "gateways.example";
 const KEY: &str = "gateways-key";
@@ -30,6 +32,12 @@
 /// Data centres of the gateways and the servers, one of each in each.
 pub const DATA_CENTRES: [&str; 2] = ["dc-a", "dc-b"];
 
+/// Returns the address of the leader in the store's record; `None` if nobody leads.
+pub fn leader_address(store: &MetadataStore) -> Option<SocketAddr> {
+    let record: Value = serde_json::from_str(&store.value("cardamomshore/leader")?).ok()?;
+    record["address"].as_str()?.parse().ok()
+}
+
 /// A response: its status, and the endpoint that made it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
@@ -54,6 +62,8 @@
     pub added: Vec<String>,
     /// Least number of endpoints of the plain service in each data centre, if it is scaled.
     pub scaling: Option<u32>,
+    /// Whether engines fetch cached prompt parts from one another.
+    pub fetches: bool,
     /// Name of the team that holds the key.
     pub team: &'static str,
     /// Time for which callers wait.
@@ -75,25 +85,38 @@
 
     /// Starts the same with a gateway for each of `homes`, in the data centre that it names.
     pub async fn start_in(name: &str, homes: &[&str], versions: &[&str]) -> Self {
-        Self::start_all(name, homes, versions, false).await
+        Self::start_all(name, homes, versions, None).await
     }
 
     /// Starts the same with duties towards a platform API.
     pub async fn start_with_duties(name: &str, homes: &[&str], versions: &[&str]) -> Self {
-        Self::start_all(name, homes, versions, true).await
+        let api = DutyApi::start(free_address()).expect("expected the API to start");
+        let address = api.address;
+        Self::start_all(name, homes, versions, Some((api, address))).await
     }
 
-    async fn start_all(name: &str, homes: &[&str], versions: &[&str], has_duties: bool) -> Self {
-        let start_api = || DutyApi::start(free_address()).expect("expected the API to start");
+    /// Starts the same with a platform API that gateways reach through `gate`.
+    pub async fn start_with_gate(name: &str, homes: &[&str], api: DutyApi, gate: &Gate) -> Self {
+        Self::start_all(name, homes, &["v1"], Some((api, gate.address))).await
+    }
+
+    async fn start_all(
+        name: &str,
+        homes: &[&str],
+        versions: &[&str],
+        duties: Option<(DutyApi, SocketAddr)>,
+    ) -> Self {
+        let (duties, api) = duties.unzip();
         let mut world = Self {
             store: MetadataStore::start(),
             gateways: Vec::new(),
             workers: Vec::new(),
             log: Arc::default(),
-            duties: has_duties.then(start_api),
+            duties,
             version: 0,
             added: Vec::new(),
             scaling: None,
+            fetches: false,
             team: TEAM,
             timeout: TIMEOUT,
             folder: run_folder(name),
@@ -110,7 +133,6 @@
             let binary = Path::new(env!("CARGO_BIN_EXE_cardamomshore"));
             let instance = format!("gateway-{data_centre}-{number}");
             let store = world.store.clone();
-            let api = world.duties.as_ref().map(|api| api.address);
             let gateway =
                 GatewayProcess::start(binary, &world.folder, instance, data_centre, store, api);
             world.gateways.push(gateway.expect("expected the gateway to start"));
@@ -177,6 +199,7 @@
             keys: vec![KEY],
             added: self.added.clone(),
             scaling: self.scaling,
+            fetches: self.fetches,
         };
         self.store.put(Document::key(), &document.to_text());
     }
@@ -215,7 +238,11 @@
         take_up: Option<TakeUp>,
         last: usize,
     ) -> Option<(u16, usize)> {
-        let prompt = Prompt { model: MODEL.to_owned(), parts: vec!["aa".to_owned()] };
+        let prompt = Prompt {
+            model: MODEL.to_owned(),
+            parts: vec!["aa".to_owned()],
+            part_tokens: PART_TOKENS,
+        };
         let path = "/chat/1".to_owned();
         let message =
             CallerRequest { path, prompt: Some(prompt), take_up, ..self.request(id.to_owned()) };
@@ -257,7 +284,7 @@
     }
 
     /// Returns a request without a path.
-    fn request(&self, id: String) -> CallerRequest {
+    pub fn request(&self, id: String) -> CallerRequest {
         CallerRequest {
             id,
             host: HOST,
