Repeat the order of engines when one leaves, and play noise, losses and short notice

An order whose number is not reached was repeated only three boot times after the last one, so engines that left at short notice were missed for that long: in the play 10 of 20 engines still were after the notice, a boot time and a second. The order is now also repeated once when an engine begins to drain and once when it ends.

Played in the kernel: independent arrivals (cost, orders, waits), the loss of a data centre, engines that leave with and without notice at platforms that count them until they end or not. Rise, fall, moving demand and change of holder were played before. The play has its own file now. The reasons of the constants name what callers need; the note states the margin as played, which is above what noise alone needs.

Bytes of the Usage and Duties frames for 77 instances and 24 teams have a test.

--- a/src/gateway/duties/scale.rs
+++ b/src/gateway/duties/scale.rs
@@ -120,6 +120,11 @@
                 state.slots = entry.slots;
             }
         }
+        for (service, data_centre) in gateway.draining_endpoints() {
+            if let Some(state) = states.get_mut(&Subject { service, data_centre }) {
+                state.leaving += 1;
+            }
+        }
         states.retain(|subject, _| !evacuated.contains(subject));
         let elsewhere: Vec<&Demand> = demand
             .iter()
@@ -178,7 +183,7 @@
 fn empty_state(slots: u32) -> SubjectState {
     // Where no endpoint has ever named its slots, the demand says nothing of the number of endpoints.
     let slots = if slots > 0 { slots } else { u32::MAX };
-    SubjectState { demand: Demand::default(), ready: 0, slots }
+    SubjectState { demand: Demand::default(), ready: 0, leaving: 0, slots }
 }
 
 fn subject_of(request: &GrantRequest) -> Subject {
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -135,6 +135,13 @@
         all
     }
 
+    /// Returns the service and the data centre of each endpoint that drains.
+    pub(super) fn draining_endpoints(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let table = self.registry.table.lock();
+        let draining = table.entries().filter(|entry| entry.draining);
+        draining.map(|entry| (entry.service.clone(), entry.data_centre.clone())).collect()
+    }
+
     /// Returns the service of an endpoint; `None` if the endpoint is not known.
     pub(super) fn service_of(&self, endpoint: &str) -> Option<Arc<str>> {
         self.registry.table.lock().get(endpoint).map(|entry| entry.service.clone())
--- a/src/kernel/duties/scaling.rs
+++ b/src/kernel/duties/scaling.rs
@@ -20,7 +20,8 @@
 }
 
 /// Fraction of an engine's capacity that is planned for. With Poisson arrivals at 0.7 of a few servers
-/// the mean wait stays below the work time of a request.
+/// the mean wait stays below the work time of a request. The rest also serves a rise that begins sooner
+/// than engines boot: up to 1.4 times the load needs no engine that is not there.
 const PLANNED_USE: f64 = 0.7;
 
 /// Fraction of the capacity below which engines are released. The distance to [`PLANNED_USE`] is the
@@ -28,6 +29,7 @@
 const RELEASE_USE: f64 = 0.55;
 
 /// Fraction of the capacity that may be used after the loss of a data centre, until more engines serve.
+/// Below 1 the queue does not grow without bound, so callers wait for one boot time at most.
 const EMERGENCY_USE: f64 = 0.95;
 
 /// Time for which engines must have been dispensable before they are released, in multiples of the boot
@@ -35,7 +37,9 @@
 /// been needed for longer than that.
 const RELEASE_BOOTS: f64 = 2.0;
 
-/// Time after which an order that has no effect is repeated, in multiples of the boot time.
+/// Time after which an order that has no effect is repeated, in multiples of the boot time. An order of
+/// engines has an effect after one boot time, and some boots take twice as long. An order repeats the
+/// same number, so an early repeat harms nobody but costs a call.
 const REPEAT_BOOTS: f64 = 3.0;
 
 /// What is known of one service in one data centre.
@@ -45,6 +49,8 @@
     pub demand: Demand,
     /// Engines that serve and do not drain.
     pub ready: u32,
+    /// Engines that drain. A platform may count them as engines until they end.
+    pub leaving: u32,
     /// Requests that an engine runs at once.
     pub slots: u32,
 }
@@ -96,6 +102,10 @@
     pub ordered: Option<u32>,
     /// When it was ordered.
     ordered_at: Time,
+    /// Engines that served at the last decision, and all with those that drained.
+    seen: (u32, u32),
+    /// Whether engines have left or ended since the last order.
+    has_lost: bool,
     /// Needed numbers in the time before a release, the largest and those after it.
     recent: VecDeque<(Time, u32)>,
     /// When the course began.
@@ -103,16 +113,18 @@
 }
 
 impl Course {
-    /// Decides what to do with `wanted` engines needed, `kept` of which must not be released, and
-    /// `ready` that serve.
+    /// Decides what to do with `wanted` engines needed and `kept` that must not be released. Where
+    /// fewer engines serve than were ordered, the order is repeated when one begins to drain, and when
+    /// one ends: a platform replaces it at the one or the other.
     pub fn decide(
         &mut self,
         wanted: u32,
         kept: u32,
-        ready: u32,
+        state: &SubjectState,
         spec: &ScalingSpec,
         now: Time,
     ) -> ScaleStep {
+        let ready = state.ready;
         let begun_at = *self.begun_at.get_or_insert(now);
         let release_time = spec.boot.mul_f64(RELEASE_BOOTS);
         let kept = kept.max(wanted);
@@ -127,12 +139,16 @@
         let recent = self.recent.front().map_or(kept, |(_, count)| *count);
         // A leader that has not measured for so long releases nothing.
         let may_release = now.since(begun_at) >= release_time;
+        let seen = (ready, ready + state.leaving);
+        self.has_lost |= seen.0 < self.seen.0 || seen.1 < self.seen.1;
+        self.seen = seen;
+        let is_short = self.has_lost && ready < current;
         let is_without_effect =
             ready != current && now.since(self.ordered_at) >= spec.boot.mul_f64(REPEAT_BOOTS);
         match () {
             () if wanted > current => ScaleStep::Order(wanted),
             () if recent < current && may_release => ScaleStep::Order(recent),
-            () if is_without_effect => ScaleStep::Order(current),
+            () if is_short || is_without_effect => ScaleStep::Order(current),
             () => ScaleStep::Keep,
         }
     }
@@ -142,6 +158,7 @@
         if accepted {
             self.ordered = Some(count);
             self.ordered_at = now;
+            self.has_lost = false;
         }
     }
 }
@@ -180,7 +197,7 @@
             let course = self.courses.entry(subject.clone()).or_default();
             let (wanted, kept) = (wanted[subject], kept[subject]);
             let former = course.ordered;
-            if let ScaleStep::Order(count) = course.decide(wanted, kept, state.ready, spec, now) {
+            if let ScaleStep::Order(count) = course.decide(wanted, kept, state, spec, now) {
                 let (subject, state) = (subject.clone(), state.clone());
                 orders.push(ScaleOrder { subject, count, former, state });
             }
--- a/tests/kernel/duties.rs
+++ b/tests/kernel/duties.rs
@@ -5,4 +5,5 @@
 mod counts;
 mod failures;
 mod model;
+mod play;
 mod scaling;
--- a/tests/kernel/duties/scaling.rs
+++ b/tests/kernel/duties/scaling.rs
@@ -1,130 +1,13 @@
 //! Tests of scaling, which play a load on engines that take a while to boot.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::time::Duration;
 
-use cardamomshore::{
-    clock::Time,
-    kernel::{
-        duties::{
-            demand::{Demand, DemandTable, Subject},
-            scaling::{Scaler, ScalingSpec, SubjectState, needed},
-        },
-        grants::GrantKey,
-    },
+use cardamomshore::kernel::duties::{
+    demand::Demand,
+    scaling::{SubjectState, needed},
 };
 
-const SPEC: ScalingSpec = ScalingSpec { min: 1, max: 40, boot: Duration::from_secs(8) };
-const SLOTS: u32 = 4;
-const WORK: Duration = Duration::from_millis(500);
-const STEP: Duration = Duration::from_millis(50);
-
-fn subject(data_centre: &str) -> Subject {
-    Subject { service: "llm".into(), data_centre: data_centre.into() }
-}
-
-fn key(number: u64) -> GrantKey {
-    GrantKey { instance: Arc::from("i"), number }
-}
-
-/// Engines of one data centre.
-#[derive(Default)]
-struct Site {
-    ready: u32,
-    /// When engines that were ordered begin to serve.
-    boots: Vec<Time>,
-    /// Ends of the requests that run.
-    running: Vec<(u64, Time)>,
-    /// Requests that wait, with the time of their arrival.
-    queue: std::collections::VecDeque<(u64, Time)>,
-    carry: f64,
-    orders: Vec<u32>,
-    longest_wait: Duration,
-}
-
-/// Plays requests of each data centre at its own engines.
-struct Play {
-    now: Time,
-    sites: BTreeMap<&'static str, Site>,
-    demand: DemandTable,
-    scaler: Scaler,
-    next: u64,
-}
-
-impl Play {
-    fn new(sites: &[(&'static str, u32)]) -> Self {
-        let site = |(name, ready): &(&'static str, u32)| {
-            (*name, Site { ready: *ready, ..Site::default() })
-        };
-        Self {
-            now: Time::from_millis(1_000_000),
-            sites: sites.iter().map(site).collect(),
-            demand: DemandTable::default(),
-            scaler: Scaler::default(),
-            next: 0,
-        }
-    }
-
-    /// Plays so many requests a second at each site for a while; `rate` gets the seconds since the
-    /// begin.
-    fn play(&mut self, time: Duration, rate: impl Fn(&str, f64) -> f64) {
-        let begin = self.now;
-        while self.now.since(begin) < time {
-            let (now, at) = (self.now, self.now.since(begin).as_secs_f64());
-            for (name, site) in &mut self.sites {
-                site.carry += rate(name, at) * STEP.as_secs_f64();
-                while site.carry >= 1.0 {
-                    site.carry -= 1.0;
-                    self.next += 1;
-                    site.queue.push_back((self.next, now));
-                    self.demand.record_request(key(self.next), subject(name), false);
-                }
-                site.ready += site.boots.iter().filter(|ready_at| **ready_at <= now).count() as u32;
-                site.boots.retain(|ready_at| *ready_at > now);
-                for (number, _) in site.running.extract_if(.., |(_, end)| *end <= now) {
-                    self.demand.record_end(&key(number), true, now);
-                }
-                while site.running.len() < (site.ready * SLOTS) as usize
-                    && let Some((number, since)) = site.queue.pop_front()
-                {
-                    site.longest_wait = site.longest_wait.max(now.since(since));
-                    site.running.push((number, now + WORK));
-                    self.demand.record_grant(&key(number), now);
-                }
-            }
-            self.demand.tick(now);
-            self.scale();
-            self.now = now + STEP;
-        }
-    }
-
-    fn scale(&mut self) {
-        let demand: BTreeMap<Subject, Demand> =
-            self.demand.all().map(|(subject, demand)| (subject.clone(), demand.clone())).collect();
-        let states = self.sites.iter().map(|(name, site)| {
-            let demand = demand.get(&subject(name)).cloned().unwrap_or_default();
-            (subject(name), SubjectState { demand, ready: site.ready, slots: SLOTS })
-        });
-        let states = states.collect();
-        for order in self.scaler.decide(&states, &SPEC, self.now) {
-            let site = self.sites.get_mut(&*order.subject.data_centre).expect("a site");
-            site.orders.push(order.count);
-            self.scaler.record_order(&order.subject, order.count, true, self.now);
-            let all = site.ready + site.boots.len() as u32;
-            for _ in all..order.count {
-                site.boots.push(self.now + SPEC.boot);
-            }
-            site.ready = site.ready.min(order.count);
-        }
-    }
-
-    fn ready(&self, name: &str) -> u32 {
-        self.sites[name].ready
-    }
-
-    fn take_longest_wait(&mut self, name: &str) -> Duration {
-        std::mem::take(&mut self.sites.get_mut(name).expect("a site").longest_wait)
-    }
-}
+use super::play::{Play, SLOTS, SPEC, WORK, subject};
 
 /// Guards against engines that come too late or not at all for a rise of the load.
 #[test]
@@ -172,7 +55,7 @@
     for rates in [[16.0, 16.0, 16.0], [40.0, 4.0, 4.0]] {
         let states = ["a", "b", "c"].into_iter().zip(rates).map(|(name, rate)| {
             let demand = Demand { rate, work: WORK, ..Demand::default() };
-            (subject(name), SubjectState { demand, ready: 1, slots: SLOTS })
+            (subject(name), SubjectState { demand, ready: 1, leaving: 0, slots: SLOTS })
         });
         let needed = needed(&states.collect(), &SPEC, 0.7);
         let total = rates.iter().sum::<f64>() * WORK.as_secs_f64() / f64::from(SLOTS);
@@ -203,12 +86,8 @@
 fn duties_scaling_new_holder_keeps_engines() {
     let mut play = Play::new(&[("a", 6), ("b", 6)]);
     play.play(Duration::from_secs(30), |_, _| 30.0);
-    let (before, ordered): (u32, Vec<_>) = (
-        play.ready("a"),
-        play.scaler.ordered().map(|(subject, count)| (subject.clone(), count)).collect(),
-    );
-    play.scaler.begin(ordered);
-    play.demand.clear();
+    let before = play.ready("a");
+    play.change_holder();
     play.play(Duration::from_secs(15), |_, _| 30.0);
     assert!(play.ready("a") >= before, "{} of {before}", play.ready("a"));
 }
@@ -247,3 +126,57 @@
     let orders = &play.sites["a"].orders;
     assert!(orders.len() <= 1, "orders {orders:?}");
 }
+
+/// Guards against engines that are billed for noise alone, and against waits in it: independent callers
+/// at a constant rate.
+#[test]
+fn duties_scaling_bounds_cost_of_noise() {
+    // Requests a second, and engines that may be billed for each one that the load fills. Few requests
+    // need relatively more, since their number varies more.
+    for (rate, most) in [(8.0, 6.0), (32.0, 4.0), (100.0, 3.0)] {
+        let mut play = Play::new(&[("a", 4)]).with_noise(7);
+        play.play(Duration::from_secs(60), |_, _| rate);
+        play.forget();
+        play.play(Duration::from_secs(300), |_, _| rate);
+        let full = rate * WORK.as_secs_f64() / f64::from(SLOTS);
+        let billed = play.sites["a"].billed / 300.0 / full;
+        let (orders, wait) = (play.sites["a"].orders.len(), play.wait("a", 0.99));
+        assert!(billed < most, "{billed} engines for each full one at {rate}");
+        assert!(orders <= 15, "{orders} orders in 5 min at {rate}");
+        assert!(wait <= WORK / 2, "waits of {wait:?} at {rate}");
+    }
+}
+
+/// Guards against a lost data centre whose callers the others cannot serve, and against engines that
+/// are released there before it is back.
+#[test]
+fn duties_scaling_lost_data_centre_is_borne() {
+    let mut play = Play::new(&[("a", 6), ("b", 6)]);
+    play.play(Duration::from_secs(60), |_, _| 30.0);
+    play.forget();
+    play.lose("a", "b");
+    play.play(Duration::from_secs(20), |_, _| 30.0);
+    let (wait, most) = (play.wait("b", 0.95), play.wait("b", 1.0));
+    assert!(wait <= WORK, "waits of {wait:?}, {most:?} at most");
+    play.forget();
+    play.play(Duration::from_secs(60), |_, _| 30.0);
+    assert!(play.wait("b", 0.99) <= WORK / 2, "the load is borne for good");
+    assert!(play.sites["a"].orders.iter().all(|count| *count >= 1));
+}
+
+/// Guards against engines that leave at short notice and are replaced only after several boot times.
+#[test]
+fn duties_scaling_replaces_engines_that_leave() {
+    let notice = Duration::from_secs(5);
+    for (notice, counts_leaving) in [(Duration::ZERO, true), (notice, true), (notice, false)] {
+        let mut play = Play::new(&[("a", 12)]).with_noise(5);
+        play.counts_leaving = counts_leaving;
+        play.play(Duration::from_secs(60), |_, _| 50.0);
+        let before = play.ready("a");
+        play.leave("a", before / 2, notice);
+        // A platform that counts an engine until its end replaces it only then.
+        let counted = if counts_leaving { notice } else { Duration::ZERO };
+        play.play(counted + SPEC.boot + Duration::from_secs(1), |_, _| 50.0);
+        assert!(play.ready("a") >= before * 9 / 10, "{} of {before} engines", play.ready("a"));
+    }
+}
--- a/tests/product.rs
+++ b/tests/product.rs
@@ -5,6 +5,7 @@
     mod cli;
     mod config;
     mod docs;
+    mod duty_cost;
     mod measure;
     mod platform;
     mod pool;
