--- a/tests/product.rs
+++ b/tests/product.rs
@@ -6,6 +6,7 @@
     mod config;
     mod config_check;
     mod docs;
+    mod duty_cost;
     mod measure;
     mod platform;
     mod pool;
