Quote no value of a team in the check, and bound the repetition of scaling orders

The check names only what is expected there; an order is repeated at most once a second. Also states what the round of heartbeats does not cover.

--- a/src/kernel/duties/scaling.rs
+++ b/src/kernel/duties/scaling.rs
@@ -37,6 +37,10 @@
 /// been needed for longer than that.
 const RELEASE_BOOTS: f64 = 2.0;
 
+/// Least time between an order and its repetition, so that an entry which changes back and forth between
+/// draining and ready does not cause a call with each change.
+const MIN_REPEAT: Duration = Duration::from_secs(1);
+
 /// Time after which an order that has no effect is repeated, in multiples of the boot time. An order of
 /// engines has an effect after one boot time, and some boots take twice as long. An order repeats the
 /// same number, so an early repeat harms nobody but costs a call.
@@ -142,7 +146,8 @@
         let seen = (ready, ready + state.leaving);
         self.has_lost |= seen.0 < self.seen.0 || seen.1 < self.seen.1;
         self.seen = seen;
-        let is_short = self.has_lost && ready < current;
+        let may_repeat = now.since(self.ordered_at) >= MIN_REPEAT;
+        let is_short = self.has_lost && ready < current && may_repeat;
         let is_without_effect =
             ready != current && now.since(self.ordered_at) >= spec.boot.mul_f64(REPEAT_BOOTS);
         match () {
--- a/src/kernel/grants/heartbeats.rs
+++ b/src/kernel/grants/heartbeats.rs
@@ -9,7 +9,8 @@
 use crate::clock::Time;
 
 /// Least time for which heartbeats are awaited. Entries are also written between heartbeats, so that
-/// two writes may be closer together than a heartbeat's interval.
+/// two writes may be closer together than a heartbeat's interval. An endpoint that the first read lacks and
+/// that writes nothing for so long, since it is frozen or its interval is longer, is missed.
 const MIN_ROUND: Duration = Duration::from_secs(2);
 
 /// Heartbeats of an endpoint that were seen since its entry was first read.
--- a/src/platform/catalog/check.rs
+++ b/src/platform/catalog/check.rs
@@ -51,21 +51,21 @@
     checker.findings.pop()
 }
 
+/// Section of the teams, whose values are never quoted: an API key may stand in any of them by mistake.
+const TEAMS_SECTION: &str = "tenants";
+
 /// Returns the finding of a document that cannot be read. The parser's message may quote a value, which
 /// must not be an API key.
 fn unreadable(places: &Places, err: &serde_json::Error) -> Finding {
     let text = err.to_string();
     let path = places.path_at(err.line(), err.column()).unwrap_or_default();
-    let message = match path.contains(KEYS_FIELD) {
-        true => "write a list of strings",
-        false => text.rsplit_once(" at line ").map_or(&*text, |(message, _)| message),
+    let whole = text.rsplit_once(" at line ").map_or(&*text, |(message, _)| message);
+    let message = match whole.split_once(", expected ") {
+        _ if path.contains(KEYS_FIELD) => "write a list of strings".to_owned(),
+        Some((_, expected)) if path.starts_with(TEAMS_SECTION) => format!("write {expected}"),
+        _ => whole.to_owned(),
     };
-    Finding {
-        rule: Rule::Unreadable,
-        path: path.to_owned(),
-        line: err.line() as u64,
-        message: message.to_owned(),
-    }
+    Finding { rule: Rule::Unreadable, path: path.to_owned(), line: err.line() as u64, message }
 }
 
 /// Collects what is found in a document.
--- a/tests/product/config_check.rs
+++ b/tests/product/config_check.rs
@@ -297,6 +297,18 @@
     }
 }
 
+/// Guards against an API key in the output that was written in place of a team.
+#[test]
+fn document_unreadable_quotes_no_key() {
+    for wrong in
+        [r#""tenants": ["secret-1", "#, r#""tenants": [{"name": "t", "burst": "secret-1"}, "#]
+    {
+        let found = findings(&replaced(r#""tenants": ["#, wrong));
+        assert!(found.contains("[unreadable]"), "{found}");
+        assert!(!found.contains("secret-1"), "{found}");
+    }
+}
+
 /// Guards against an error in a document of thousands of lines that says neither line nor field.
 #[test]
 fn document_unreadable_names_line_and_field() {
--- a/tests/product/duty_cost.rs
+++ b/tests/product/duty_cost.rs
@@ -37,8 +37,8 @@
     UsageFrame { wall_ms: 1_767_225_600_000, sender: start, starts }
 }
 
-/// Guards against counts that take the link of an instance, or the leader's, and against work at the
-/// leader that grows faster than the fleet.
+/// Guards against counts that take the link of an instance, or the leader's. The time of the leader's work
+/// is only printed.
 #[test]
 fn duty_cost_of_frames_stays_low() {
     let size = |content: Content| EncodedFrame::from(content).size();
