End the link on a deflated frame that cannot be read

Cause: a deflated table that could not be inflated or decoded was logged and the link went on. The leader had recorded it as sent, so the instance kept an old table for the life of the link.

Change: reading such a frame fails, which ends the link; the instance joins again with its digests. The leader does not deflate a frame that the receiver would refuse to inflate. The adjacent impl blocks of EncodedFrame are joined.

The tests cover the reading of the frame. That the link then ends is not covered by a test.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -11,7 +11,7 @@
 mod buffered;
 mod callers;
 mod crashes;
-mod deflate;
+pub mod deflate;
 mod directory;
 mod duties;
 mod entry;
--- a/src/gateway/link.rs
+++ b/src/gateway/link.rs
@@ -218,7 +218,7 @@
 ) -> Result<(), FrameError> {
     while let Some(frame) = source.next().await {
         gateway.uplink.record_frame();
-        handle_frame(gateway, frame?);
+        handle_frame(gateway, frame?)?;
     }
     Ok(())
 }
@@ -257,8 +257,9 @@
     }
 }
 
-/// Handles a frame from the leader.
-fn handle_frame(gateway: &Arc<Gateway>, content: Content) {
+/// Handles a frame from the leader. Fails if a deflated frame cannot be read: the leader has recorded that
+/// this instance has the table in it, and sends it again only on a new link.
+fn handle_frame(gateway: &Arc<Gateway>, content: Content) -> Result<(), FrameError> {
     match content {
         Content::Grant(frame) => {
             let number = frame.number;
@@ -286,11 +287,9 @@
         Content::RateLimits(frame) => gateway.handle_rate_limits(frame),
         Content::Duties(frame) => gateway.handle_duties(frame),
         Content::Allotments(frame) => gateway.handle_allotments(frame),
-        Content::Deflated(deflated) => match Content::inflate(&deflated) {
-            Ok(Some(content)) => handle_frame(gateway, content),
-            Ok(None) => log::warn!("event=frame_unexpected from=leader"),
-            Err(err) => log::warn!("event=frame_unreadable from=leader reason={err}"),
-        },
+        Content::Deflated(deflated) => {
+            return handle_frame(gateway, Content::inflate(&deflated)?);
+        }
         Content::Hello(_)
         | Content::HeldAllotments(_)
         | Content::Announcement(_)
@@ -306,6 +305,7 @@
         | Content::Usage(_)
         | Content::Heartbeat(_) => log::warn!("event=frame_unexpected from=leader"),
     }
+    Ok(())
 }
 
 impl Gateway {
--- a/src/gateway/messages/codec.rs
+++ b/src/gateway/messages/codec.rs
@@ -16,7 +16,7 @@
 const MAX_FIRST_FRAME_BYTES: usize = 16 << 10;
 
 /// Largest frame in bytes before it is deflated. It must hold the table of 12,000 endpoints, about 4 MB.
-const MAX_INFLATED_BYTES: u64 = 16 << 20;
+const MAX_INFLATED_BYTES: usize = 16 << 20;
 
 /// Size in bytes from which a frame is deflated. A smaller one takes few packets either way.
 const MIN_DEFLATED_BYTES: usize = 4_096;
@@ -31,6 +31,9 @@
     /// A frame could not be decoded.
     #[error("malformed frame: {0}")]
     Malformed(#[from] prost::DecodeError),
+    /// A deflated frame holds no content that this release knows, or is deflated twice.
+    #[error("deflated frame without known content")]
+    NoContent,
 }
 
 /// An encoded frame, which can be sent on many links without encoding it again.
@@ -42,12 +45,11 @@
     pub fn size(&self) -> usize {
         self.0.len()
     }
-}
 
-impl EncodedFrame {
-    /// Deflates the frame for a receiver that reads deflated frames. A small frame stays as it is.
+    /// Deflates the frame for a receiver that reads deflated frames. A small frame stays as it is, and so
+    /// does one that the receiver would refuse to inflate.
     pub fn deflated(self) -> Self {
-        match self.size() >= MIN_DEFLATED_BYTES {
+        match (MIN_DEFLATED_BYTES..=MAX_INFLATED_BYTES).contains(&self.size()) {
             true => Self::from(Content::Deflated(deflate(&self.0))),
             false => self,
         }
@@ -55,10 +57,11 @@
 }
 
 impl Content {
-    /// Returns the content of a deflated frame; fails if it is not valid, or deflated itself.
-    pub fn inflate(deflated: &[u8]) -> Result<Option<Content>, FrameError> {
-        let content = Frame::decode(inflate(deflated, MAX_INFLATED_BYTES)?)?.content;
-        Ok(content.filter(|content| !matches!(content, Content::Deflated(_))))
+    /// Returns the content of a deflated frame; fails if it is not valid, not known, or deflated itself.
+    pub fn inflate(deflated: &[u8]) -> Result<Content, FrameError> {
+        let content = Frame::decode(inflate(deflated, MAX_INFLATED_BYTES as u64)?)?.content;
+        let content = content.filter(|content| !matches!(content, Content::Deflated(_)));
+        content.ok_or(FrameError::NoContent)
     }
 }
 
--- a/tests/product/updates.rs
+++ b/tests/product/updates.rs
@@ -4,11 +4,15 @@
 
 use cardamomshore::{
     gateway::{
-        messages::{EncodedFrame, EndpointFrame, ModelFrame},
+        deflate::{deflate, inflate},
+        messages::{
+            Content, EncodedFrame, EndpointFrame, EndpointsFrame, Frame, FrameError, ModelFrame,
+        },
         updates::{SentVersions, Updates},
     },
     kernel::{membership::Member, table_digest::TableDigest},
 };
+use prost::Message;
 use tokio::time::Instant;
 
 /// Numbers of instances; the last is the size that the system is designed for.
@@ -229,3 +233,42 @@
     fleet.replace(&members, &endpoints);
     assert!(fleet.round_bytes() > 0, "it is warm");
 }
+
+/// Guards against data that is cut at the limit and taken for a shorter document.
+#[test]
+fn updates_inflate_refuses_longer_data() {
+    let deflated = deflate(&[7; 1_000]);
+    assert_eq!(inflate(&deflated, 1_000).expect("as long as allowed"), vec![7; 1_000]);
+    let error = inflate(&deflated, 999).expect_err("one byte too long");
+    assert_eq!(error.kind(), std::io::ErrorKind::InvalidData);
+}
+
+/// Guards against a frame that the leader deflates and records as sent, and that no peer inflates.
+#[test]
+fn updates_frame_too_large_to_inflate_not_deflated() {
+    let content = |bytes| {
+        Content::Endpoints(EndpointsFrame {
+            removed: vec!["a".repeat(bytes)],
+            ..EndpointsFrame::default()
+        })
+    };
+    let small = EncodedFrame::from(content(16 << 19));
+    assert!(small.clone().deflated().size() < small.size() / 100);
+    let large = EncodedFrame::from(content(16 << 20));
+    assert_eq!(large.clone().deflated(), large);
+}
+
+/// Guards against a link that goes on after a deflated table could not be read: the leader has recorded
+/// it as sent, so the table would stay old until the link ends.
+#[test]
+fn updates_unreadable_deflated_frame_fails() {
+    let deflate_frame = |content| deflate(&Frame { content }.encode_to_vec());
+    let table = Content::Endpoints(EndpointsFrame { full: true, ..EndpointsFrame::default() });
+    let valid = deflate_frame(Some(table.clone()));
+    assert_eq!(Content::inflate(&valid).expect("a valid frame"), table);
+    let nested = deflate_frame(Some(Content::Deflated(valid)));
+    assert!(matches!(Content::inflate(&nested), Err(FrameError::NoContent)));
+    assert!(matches!(Content::inflate(&deflate_frame(None)), Err(FrameError::NoContent)));
+    assert!(matches!(Content::inflate(&deflate(&[0xff; 64])), Err(FrameError::Malformed(_))));
+    assert!(matches!(Content::inflate(&[0xff; 64]), Err(FrameError::Io(_))));
+}
