Tie paced operators' records to the link of their peer

Cause: the records were encoded, to learn their size, while the table of peers was locked, and copied before it was checked whether they are due. The delayed send did not check that the peer still had the same link, and a peer that joined again and again reserved output each time.

Change: the check comes first and the size is computed without the lock. A delayed send is dropped if the link is another one. PeerPacer reserves for a peer only once its former reservation is due. The frame for a joining peer copies only the endpoints of the parts that differ.

--- a/src/gateway/messages/endpoints.rs
+++ b/src/gateway/messages/endpoints.rs
@@ -86,9 +86,12 @@
 
 impl EndpointsFrame {
     /// Creates a frame with all endpoints of these parts of the table.
-    pub fn with_parts(parts: &Parts, endpoints: impl Iterator<Item = EndpointFrame>) -> Self {
+    pub fn with_parts<'a>(
+        parts: &Parts,
+        endpoints: impl Iterator<Item = &'a EndpointFrame>,
+    ) -> Self {
         Self {
-            changed: endpoints.filter(|frame| parts.contains_entry(&frame.id)).collect(),
+            changed: endpoints.filter(|frame| parts.contains_entry(&frame.id)).cloned().collect(),
             partial: true,
             parts: parts.iter().map(|part| part as u32).collect(),
             ..Self::default()
--- a/src/gateway/operator.rs
+++ b/src/gateway/operator.rs
@@ -157,6 +157,13 @@
         }
     }
 
+    /// Returns the fingerprint of the operators' records if they are newer than those of the instance that
+    /// sent `heartbeat`.
+    pub(super) fn newer_operator(&self, heartbeat: &Heartbeat) -> Option<u64> {
+        let operator = self.operator.lock();
+        operator.is_newer_than(heartbeat).then(|| operator.fingerprint())
+    }
+
     /// Returns the operators' records if they are newer than those of the instance that sent
     /// `heartbeat`.
     pub(super) fn operator_update(&self, heartbeat: &Heartbeat) -> Option<Content> {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -100,6 +100,13 @@
         }
     }
 
+    /// Sends a frame to a peer if its link still has the number `link`.
+    fn send_on_link(&self, instance: &str, link: u64, content: Content) {
+        if let Some(peer) = self.table.lock().get_mut(instance).filter(|peer| peer.link == link) {
+            peer.send(content);
+        }
+    }
+
     /// Returns the number of peers.
     pub fn count(&self) -> usize {
         self.table.lock().len()
@@ -435,25 +442,28 @@
     /// Sends the operators' records to a peer that has older ones, paced by the link, unless they are on
     /// their way to it.
     fn update_operator(self: &Arc<Self>, instance: &str, heartbeat: &Heartbeat) {
+        let Some(state) = self.newer_operator(heartbeat) else { return };
+        let now = Time::now();
+        let link = match self.peers.table.lock().get(instance) {
+            Some(peer) if peer.operator.is_due(state, now) => peer.link,
+            _ => return,
+        };
         let Some(update) = self.operator_update(heartbeat) else { return };
-        let (state, now) = (self.operator.lock().fingerprint(), Time::now());
-        let wait = {
-            let mut table = self.peers.table.lock();
-            let Some(peer) = table.get_mut(instance) else { return };
-            if !peer.operator.is_due(state, now) {
-                return;
-            }
-            let wait = self.updates.reserve_operator(EncodedFrame::from(update.clone()).size());
+        // Encoding copies the document, so the table of peers is not locked meanwhile.
+        let bytes = EncodedFrame::from(update.clone()).size();
+        let Some(wait) = self.updates.reserve_operator(instance, bytes) else { return };
+        if let Some(peer) = self.peers.table.lock().get_mut(instance)
+            && peer.link == link
+        {
             peer.operator.record(state, wait, now);
-            wait
-        };
+        }
         if wait.is_zero() {
-            return self.peers.send(instance, update);
+            return self.peers.send_on_link(instance, link, update);
         }
         let (gateway, instance) = (self.clone(), Arc::<str>::from(instance));
         tokio::spawn(async move {
             sleep(wait).await;
-            gateway.peers.send(&instance, update);
+            gateway.peers.send_on_link(&instance, link, update);
         });
     }
 
--- a/src/gateway/updates.rs
+++ b/src/gateway/updates.rs
@@ -21,7 +21,7 @@
     clock::Time,
     kernel::{
         membership::{LinkedInstance, Member, current_members, name_members},
-        pacing::OutputPacer,
+        pacing::{OutputPacer, PeerPacer},
         table_digest::{Parts, TableDigest},
         versioned::{Version, VersionedTable},
     },
@@ -37,8 +37,8 @@
 /// and calls to the store.
 const LINK_FRACTION: f64 = 0.4;
 
-/// Fraction of the rate of the network link for the operators' records of instances that join. They
-/// cannot serve callers without, so the records do not wait for the tables.
+/// Fraction of the rate of the network link for the operators' records of instances that join. An instance
+/// cannot serve callers without these records, so they do not wait for the tables.
 const OPERATOR_LINK_FRACTION: f64 = 0.3;
 
 /// Largest number of peers to which a change of nothing but an engine's adapters is sent. With more
@@ -123,7 +123,7 @@
     state: Mutex<State>,
     pacer: Mutex<OutputPacer>,
     /// Pacer of the operators' records.
-    operator_pacer: Mutex<OutputPacer>,
+    operator_pacer: Mutex<PeerPacer>,
     /// Notifies the writers of the links that a table has changed.
     changed: watch::Sender<()>,
     /// Notified when an instance has joined, left or changed its readiness.
@@ -133,20 +133,20 @@
 impl Updates {
     /// Creates empty tables for an instance with a network link of `link_mbps` megabits a second.
     pub fn new(link_mbps: f64) -> Self {
-        let pacer = |fraction| OutputPacer::new(OutputPacer::link_rate(link_mbps, fraction));
+        let rate = |fraction| OutputPacer::link_rate(link_mbps, fraction);
         Self {
             state: Mutex::default(),
-            pacer: Mutex::new(pacer(LINK_FRACTION)),
-            operator_pacer: Mutex::new(pacer(OPERATOR_LINK_FRACTION)),
+            pacer: Mutex::new(OutputPacer::new(rate(LINK_FRACTION))),
+            operator_pacer: Mutex::new(PeerPacer::new(rate(OPERATOR_LINK_FRACTION))),
             changed: watch::Sender::new(()),
             members_changed: Notify::new(),
         }
     }
 
     /// Reserves output for the operators' records of a peer, and returns how long to wait before they
-    /// are sent.
-    pub fn reserve_operator(&self, bytes: usize) -> Duration {
-        self.operator_pacer.lock().reserve(bytes, Time::now())
+    /// are sent; `None` while output is reserved for it already.
+    pub fn reserve_operator(&self, peer: &str, bytes: usize) -> Option<Duration> {
+        self.operator_pacer.lock().reserve(peer, bytes, Time::now())
     }
 
     /// Records that an instance has joined, left or changed its readiness.
@@ -254,7 +254,7 @@
         let version = match base {
             // The frame is sent even if no part differs: the peer learns that it has the newest table.
             Base::AllBut(parts) => {
-                return Some(EndpointsFrame::with_parts(&parts, self.endpoints.values().cloned()));
+                return Some(EndpointsFrame::with_parts(&parts, self.endpoints.values()));
             }
             Base::Version(version) => Some(version),
             Base::Nothing => None,
--- a/src/kernel/pacing.rs
+++ b/src/kernel/pacing.rs
@@ -4,7 +4,7 @@
 //! would fill the queue of its network link, and its calls to the store and its grants would wait
 //! behind them until its lease ends.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use crate::clock::Time;
 
@@ -42,6 +42,39 @@
     }
 }
 
+/// Assigns send times to bulk messages to peers, one at a time for each.
+///
+/// A peer whose link ends before its message is sent has used output for nothing. Without this bound, a
+/// peer that joins again and again would use the output that the others need.
+#[derive(Clone, Debug)]
+pub struct PeerPacer {
+    pacer: OutputPacer,
+    /// When the last message that had to wait is sent, by the peer.
+    reserved: BTreeMap<Arc<str>, Time>,
+}
+
+impl PeerPacer {
+    /// Creates a pacer for `rate` bytes a second. A rate of zero sets no limit.
+    pub fn new(rate: f64) -> Self {
+        Self { pacer: OutputPacer::new(rate), reserved: BTreeMap::new() }
+    }
+
+    /// Reserves output for a message of `bytes` to `peer` and returns how long to wait before it is sent;
+    /// `None` while an earlier reservation of the peer has not come due, also if that was for a former
+    /// link.
+    pub fn reserve(&mut self, peer: &str, bytes: usize, now: Time) -> Option<Duration> {
+        self.reserved.retain(|_, send_at| *send_at > now);
+        if self.reserved.contains_key(peer) {
+            return None;
+        }
+        let wait = self.pacer.reserve(bytes, now);
+        if !wait.is_zero() {
+            self.reserved.insert(peer.into(), now + wait);
+        }
+        Some(wait)
+    }
+}
+
 /// Time after which a message is sent again to a peer that still lacks what it holds. Reading and applying
 /// it takes less, even on a link of 10 megabits a second.
 const RESEND_TIME: Duration = Duration::from_secs(2);
--- a/tests/kernel/pacing.rs
+++ b/tests/kernel/pacing.rs
@@ -4,7 +4,7 @@
 
 use cardamomshore::{
     clock::Time,
-    kernel::pacing::{OutputPacer, Resend},
+    kernel::pacing::{OutputPacer, PeerPacer, Resend},
 };
 
 const START: Time = Time::from_millis(1_000);
@@ -71,3 +71,19 @@
     assert!(peer.is_due(8, START));
     assert!(peer.is_due(7, START + Duration::from_secs(3)));
 }
+
+/// Guards against a peer that joins again with each heartbeat and uses the output that others need.
+#[test]
+fn peer_pacer_joining_again_reserves_once() {
+    let mut pacer = PeerPacer::new(1e6);
+    assert_eq!(pacer.reserve("edge-0", 500_000, START), Some(Duration::ZERO));
+    let wait = pacer.reserve("edge-1", 100_000, START).expect("nothing is reserved for it");
+    assert_eq!(wait, Duration::from_millis(500));
+    for heartbeat in 1..=3 {
+        let now = START + HEARTBEAT * heartbeat;
+        assert_eq!(pacer.reserve("edge-1", 100_000, now), None, "the first copy still waits");
+    }
+    let other = pacer.reserve("edge-2", 1, START + wait).expect("nothing is reserved for it");
+    assert_eq!(other, Duration::from_millis(100), "one copy of each of the others is ahead of it");
+    assert!(pacer.reserve("edge-1", 100_000, START + wait).is_some(), "the first copy was due");
+}
