Grant by the old table if both the leader and the store are lost

Cause: in a fleet of more than 96 instances, an instance without a leader kept its requests for as long as its table was old. With the store down as well, that refused all requests until the store returned. A kept request was refused only at its deadline, which left the caller no time for a retry, and each tick took the scheduler's lock once for each request. At 960 instances the wait of 1.9 s after a watch call made an instance swing between granting and keeping while its watch worked.

Change: an instance whose calls to the store have all failed for 3 s grants by its old table (CallFailures, lone_step). A single failed or cancelled call, or one from minutes ago, does not count. Deferred requests are refused at half of the time that they had left when they were deferred; the scheduler's lock is taken once a tick, for requests that it may still hold. event=requests_kept is logged also if a new request is the first one deferred. The wait after a watch call is at most a quarter of the drain time. "Keep" is renamed to "defer" in the code; the event and the metric keep their names. Adjacent impl blocks in the registry are joined.

The tests of lone_step and watch_delay pass the new parameters, with the same bounds.

--- a/src/gateway/grants.rs
+++ b/src/gateway/grants.rs
@@ -42,8 +42,12 @@
 /// Interval of another instance's ticks while no request waits.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time after which callers should retry that got no decision in time.
-const KEPT_RETRY: Duration = Duration::from_millis(500);
+/// Retry time for callers whose request got no decision.
+const UNDECIDED_RETRY: Duration = Duration::from_millis(500);
+
+/// Fraction of the time until its deadline for which a request may be deferred. The rest is for a retry by
+/// the caller.
+const MAX_DEFER_FRACTION: f64 = 0.5;
 
 /// The decision of a scheduler about one request.
 type GrantResult = Result<Grant, Refusal>;
@@ -60,15 +64,16 @@
 struct Entry {
     request: GrantRequest,
     state: State,
+    /// When the request is refused if it is still deferred; `None` unless it is deferred.
+    deferred_until: Option<Time>,
 }
 
 /// This instance's requests that wait for a grant or use one, by their number.
 #[derive(Default)]
 pub struct Requests {
     next_number: AtomicU64,
-    /// Whether waiting requests are kept from this instance's scheduler, see
-    /// [`Gateway::keeps_requests`].
-    kept: AtomicBool,
+    /// Whether waiting requests are deferred, see [`Gateway::defers_requests`].
+    deferred: AtomicBool,
     table: Mutex<HashMap<u64, Entry>>,
 }
 
@@ -183,7 +188,7 @@
 pub async fn acquire(gateway: &Arc<Gateway>, request: GrantRequest) -> Result<Permit, Refusal> {
     let number = gateway.requests.next_number.fetch_add(1, Ordering::Relaxed);
     let (tx, rx) = oneshot::channel();
-    let entry = Entry { request: request.clone(), state: State::Waiting(tx) };
+    let entry = Entry { request: request.clone(), state: State::Waiting(tx), deferred_until: None };
     let (service, is_retry) = (request.service.clone(), request.is_retry);
     gateway.requests.table.lock().insert(number, entry);
     let mut guard = WithdrawGuard { gateway, number: Some(number) };
@@ -209,7 +214,7 @@
         Ok(Err(refusal)) => Err(refusal),
         Err(_) => {
             log::error!("event=grant_lost number={number}");
-            Err(Refusal { reason: Reason::NoRoom, retry: KEPT_RETRY })
+            Err(Refusal { reason: Reason::NoRoom, retry: UNDECIDED_RETRY })
         }
     }
 }
@@ -226,10 +231,9 @@
         if self.uplink.send(Content::GrantRequest(GrantRequestFrame::new(number, &request, now))) {
             return;
         }
-        if self.keeps_requests() {
+        if self.defers_requests() {
             metrics::counter!("cardamomshore_requests_kept_total").increment(1);
-            self.requests.kept.store(true, Ordering::Relaxed);
-            return;
+            return self.begin_deferring();
         }
         self.record_demand(&self.grant_key(number), &request);
         let actions = {
@@ -278,10 +282,10 @@
     fn resolve(&self, number: u64, result: GrantResult) {
         let mut table = self.requests.table.lock();
         let tx = match table.remove(&number) {
-            Some(Entry { request, state: State::Waiting(tx) }) => {
+            Some(Entry { request, state: State::Waiting(tx), .. }) => {
                 if let Ok(grant) = &result {
                     let state = State::Running(grant.endpoint.clone());
-                    table.insert(number, Entry { request, state });
+                    table.insert(number, Entry { request, state, deferred_until: None });
                 }
                 tx
             }
@@ -363,12 +367,16 @@
 
     /// Submits the waiting requests again, after the link to the leader was opened or lost.
     pub(super) fn resubmit_waiting(self: &Arc<Self>) {
-        self.requests.kept.store(false, Ordering::Relaxed);
+        self.requests.deferred.store(false, Ordering::Relaxed);
         let waiting: Vec<(u64, GrantRequest)> = {
-            let table = self.requests.table.lock();
+            let mut table = self.requests.table.lock();
             let waiting =
-                table.iter().filter(|(_, entry)| matches!(entry.state, State::Waiting(_)));
-            waiting.map(|(number, entry)| (*number, entry.request.clone())).collect()
+                table.iter_mut().filter(|(_, entry)| matches!(entry.state, State::Waiting(_)));
+            let waiting = waiting.map(|(number, entry)| {
+                entry.deferred_until = None;
+                (*number, entry.request.clone())
+            });
+            waiting.collect()
         };
         for (number, request) in waiting {
             self.scheduler.lock().cancel_waiting(&self.grant_key(number));
@@ -377,25 +385,40 @@
         }
     }
 
-    /// Takes the waiting requests from this instance's scheduler, and refuses those whose time is up. The
-    /// others are submitted again to a new leader, or once the endpoints are known.
-    fn keep_waiting(&self, now: Time) {
-        if !self.requests.kept.swap(true, Ordering::Relaxed) {
+    /// Records that waiting requests are deferred. The next tick takes them from the scheduler.
+    fn begin_deferring(&self) {
+        if !self.requests.deferred.swap(true, Ordering::Relaxed) {
             log::info!("event=requests_kept reason=endpoints_unknown");
         }
-        let waiting: Vec<(u64, Time)> = {
-            let table = self.requests.table.lock();
+    }
+
+    /// Takes the waiting requests from this instance's scheduler, and refuses those that have been deferred
+    /// for too long. The others are submitted again to a new leader, or once the endpoints are known.
+    fn defer_waiting(&self, now: Time) {
+        self.begin_deferring();
+        let (mut added, mut overdue) = (Vec::new(), Vec::new());
+        {
+            let mut table = self.requests.table.lock();
             let waiting =
-                table.iter().filter(|(_, entry)| matches!(entry.state, State::Waiting(_)));
-            waiting.map(|(number, entry)| (*number, entry.request.deadline)).collect()
-        };
-        for (number, deadline) in waiting {
-            self.scheduler.lock().cancel_waiting(&self.grant_key(number));
-            if deadline <= now {
-                let refusal = Refusal { reason: Reason::NoRoom, retry: KEPT_RETRY };
-                self.resolve(number, Err(refusal));
+                table.iter_mut().filter(|(_, entry)| matches!(entry.state, State::Waiting(_)));
+            for (number, entry) in waiting {
+                let until = *entry.deferred_until.get_or_insert_with(|| {
+                    added.push(self.grant_key(*number));
+                    now + entry.request.deadline.since(now).mul_f64(MAX_DEFER_FRACTION)
+                });
+                if until <= now {
+                    overdue.push(*number);
+                }
             }
         }
+        if !added.is_empty() {
+            let mut scheduler = self.scheduler.lock();
+            added.iter().for_each(|key| scheduler.cancel_waiting(key));
+        }
+        for number in overdue {
+            let refusal = Refusal { reason: Reason::NoRoom, retry: UNDECIDED_RETRY };
+            self.resolve(number, Err(refusal));
+        }
     }
 
     /// Grants the requests that wait for an engine and carries out its next order, after the result of
@@ -414,10 +437,10 @@
     /// Runs one tick of the scheduler, which covers the queue, the orders and the placement.
     pub(super) fn tick_scheduler(self: &Arc<Self>) {
         let now = Time::now();
-        if self.keeps_requests() {
-            return self.keep_waiting(now);
+        if self.defers_requests() {
+            return self.defer_waiting(now);
         }
-        if !self.uplink.is_open() && self.requests.kept.load(Ordering::Relaxed) {
+        if !self.uplink.is_open() && self.requests.deferred.load(Ordering::Relaxed) {
             self.resubmit_waiting();
         }
         let mode = self.scheduler_mode();
--- a/src/gateway/registry.rs
+++ b/src/gateway/registry.rs
@@ -44,8 +44,8 @@
 const BATCH_DELAY: Duration = Duration::from_millis(40);
 
 /// Wait of the leader after each watch call, as a fraction of the drain time. Endpoints write their
-/// entries with each heartbeat, so that each call returns at once and the store has to bear one call for
-/// each wait. An endpoint that drains is still known in time.
+/// entries with each heartbeat, so that each call returns at once and the store gets one call per wait. An
+/// endpoint that drains is still known in time.
 const LEADER_BATCH_FRACTION: f64 = 0.1;
 
 /// Longest silence of a leader whose table counts as up to date.
@@ -201,19 +201,20 @@
     fn batch_delay(&self) -> Duration {
         match self.leads() {
             true => BATCH_DELAY.max(self.settings.drain_time.mul_f64(LEADER_BATCH_FRACTION)),
-            false => watch_delay(BATCH_DELAY, self.fleet_size()),
+            false => watch_delay(BATCH_DELAY, self.settings.drain_time, self.fleet_size()),
         }
     }
 
     /// Returns whether this instance is without a leader and knows too little of the endpoints to grant
-    /// requests itself.
-    pub(super) fn keeps_requests(&self) -> bool {
+    /// requests itself, while a new leader or the store can be expected to tell it.
+    pub(super) fn defers_requests(&self) -> bool {
         if self.leads() || self.uplink.is_open() || !self.uplink.was_linked() {
             return false;
         }
         let now = Time::now();
         let age = self.record_age.get(now).min(self.watch_times.endpoints_age(now));
-        lone_step(age, self.settings.drain_time, self.fleet_size()) == LoneStep::Keep
+        let (failing, drain_time) = (self.store.failing_time(now), self.settings.drain_time);
+        lone_step(age, failing, drain_time, self.fleet_size()) == LoneStep::Defer
     }
 
     /// Returns whether what the leader has told of the endpoints is too old.
@@ -222,6 +223,41 @@
         let max_age = max_table_age(drain_time, instance, self.fleet_size());
         self.record_age.get(Time::now()) > max_age
     }
+
+    /// Records the heartbeats of all entries, if they are awaited. The versions of the entries must be
+    /// known already.
+    fn read_heartbeats(&self, era: u64, items: &[Item], began_at: Time) {
+        let now = Time::now();
+        let mut scheduler = self.scheduler.lock();
+        if scheduler.origins().awaits_heartbeats(now) {
+            let heartbeats = items.iter().filter_map(heartbeat_of);
+            scheduler.origins().read_heartbeats(era, heartbeats, began_at, now);
+        }
+    }
+
+    /// Records the heartbeats of entries that have changed, if they are awaited. The versions of the
+    /// entries must be known already.
+    fn record_heartbeats(&self, events: &[Event]) {
+        let now = Time::now();
+        let mut scheduler = self.scheduler.lock();
+        let origins = scheduler.origins();
+        if !origins.awaits_heartbeats(now) {
+            return;
+        }
+        for event in events {
+            match event {
+                Event::Put(item) => {
+                    if let Some((id, number)) = heartbeat_of(item) {
+                        origins.record_heartbeat(&id, number, now);
+                    }
+                }
+                Event::Removed(key) => {
+                    let id = key.strip_prefix(ENDPOINT_PREFIX).unwrap_or(key);
+                    origins.end_heartbeats(id, now);
+                }
+            }
+        }
+    }
 }
 
 /// Reads the endpoints' entries from the store while [`Gateway::must_watch_endpoints`] says so.
@@ -307,40 +343,3 @@
     let id = item.key.strip_prefix(ENDPOINT_PREFIX)?;
     Some((id.into(), decode_heartbeat(&item.value)?))
 }
-
-impl Gateway {
-    /// Records the heartbeats of all entries, if they are awaited. The versions of the entries must be
-    /// known already.
-    fn read_heartbeats(&self, era: u64, items: &[Item], began_at: Time) {
-        let now = Time::now();
-        let mut scheduler = self.scheduler.lock();
-        if scheduler.origins().awaits_heartbeats(now) {
-            let heartbeats = items.iter().filter_map(heartbeat_of);
-            scheduler.origins().read_heartbeats(era, heartbeats, began_at, now);
-        }
-    }
-
-    /// Records the heartbeats of entries that have changed, if they are awaited. The versions of the
-    /// entries must be known already.
-    fn record_heartbeats(&self, events: &[Event]) {
-        let now = Time::now();
-        let mut scheduler = self.scheduler.lock();
-        let origins = scheduler.origins();
-        if !origins.awaits_heartbeats(now) {
-            return;
-        }
-        for event in events {
-            match event {
-                Event::Put(item) => {
-                    if let Some((id, number)) = heartbeat_of(item) {
-                        origins.record_heartbeat(&id, number, now);
-                    }
-                }
-                Event::Removed(key) => {
-                    let id = key.strip_prefix(ENDPOINT_PREFIX).unwrap_or(key);
-                    origins.end_heartbeats(id, now);
-                }
-            }
-        }
-    }
-}
--- a/src/kernel/record_age.rs
+++ b/src/kernel/record_age.rs
@@ -106,7 +106,7 @@
 const START_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time within which a large fleet has a new leader, if the store responds: the lease of the old one ends
-/// after 1.5 s, and the instances join within another.
+/// after 1.5 s, and the instances join within another 1.5 s.
 const LEADER_CHANGE_TIME: Duration = Duration::from_secs(3);
 
 /// Time of the store for listing all endpoints for one instance of a large fleet: 3,000 entries are about
@@ -114,9 +114,49 @@
 const LIST_TIME: Duration = Duration::from_millis(10);
 
 /// Fraction of the drain time after which an instance of a large fleet no longer grants requests by a
-/// table that it has not heard of since. The rest is for the leader's updates, which it collects.
+/// table that it has not heard of since. The rest is for the leader's updates, which it collects, and for
+/// the leader's own table, which may be a tenth of the drain time old besides: 0.75 + 0.1 stays below 1.
 const LONE_FRACTION: f64 = 0.75;
 
+/// Time for which all calls to the store have failed after which an instance grants requests by an old
+/// table. A store that a large fleet calls after the loss of its leader may fail some calls, but responds
+/// within this time. If it is down, neither it nor a new leader can tell the endpoints.
+const STORE_LOSS_TIME: Duration = Duration::from_secs(3);
+
+/// Longest time between two failed calls that count as one loss of the store. An instance whose records
+/// are old calls the store more often; a call that failed before that time says nothing of the present.
+const MAX_FAILURE_GAP: Duration = Duration::from_secs(5);
+
+/// Calls to the store that failed since it last responded.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct CallFailures {
+    /// When the first and the last of them failed.
+    span: Option<(Time, Time)>,
+}
+
+impl CallFailures {
+    /// Records that a call failed.
+    pub fn record_failure(&mut self, now: Time) {
+        let former = self.span.filter(|(_, last)| now.since(*last) <= MAX_FAILURE_GAP);
+        self.span = Some((former.map_or(now, |(first, _)| first), now));
+    }
+
+    /// Records that the store carried out a call.
+    pub fn record_response(&mut self) {
+        self.span = None;
+    }
+
+    /// Returns the time from the first to the last failed call.
+    pub fn failing_time(&self, now: Time) -> Duration {
+        let present = self.span.filter(|(_, last)| now.since(*last) <= MAX_FAILURE_GAP);
+        present.map_or(Duration::ZERO, |(first, last)| last.since(first))
+    }
+}
+
+/// Longest wait after a watch call as a fraction of the drain time. With the watch call itself, the table
+/// stays younger than [`LONE_FRACTION`] of the drain time while the watch works.
+const WATCH_DELAY_FRACTION: f64 = 0.25;
+
 /// Instances of a large fleet that do not wait for a new leader before they read the endpoints.
 const EARLY_READERS: f64 = 16.0;
 
@@ -128,16 +168,24 @@
 pub enum LoneStep {
     /// Grants requests by the table as it is.
     Grant,
-    /// Keeps requests until a new leader or the store has told it the endpoints. In a large fleet a new
+    /// Defers requests until a new leader or the store has told it the endpoints. In a large fleet a new
     /// leader is sooner than the store can list the endpoints for all instances.
-    Keep,
+    Defer,
 }
 
 /// Decides whether an instance without a leader grants requests. The table was up to date `age` ago, and
-/// an endpoint that drains gets no more requests after `drain_time`.
-pub fn lone_step(age: Duration, drain_time: Duration, fleet_size: usize) -> LoneStep {
-    match fleet_size > SMALL_FLEET && age > drain_time.mul_f64(LONE_FRACTION) {
-        true => LoneStep::Keep,
+/// an endpoint that drains gets no more requests after `drain_time`. That does not bind an instance whose
+/// calls to the store have all failed for `store_failing`, if that is long: it would refuse all requests for
+/// as long as the store is down.
+pub fn lone_step(
+    age: Duration,
+    store_failing: Duration,
+    drain_time: Duration,
+    fleet_size: usize,
+) -> LoneStep {
+    let is_old = fleet_size > SMALL_FLEET && age > drain_time.mul_f64(LONE_FRACTION);
+    match is_old && store_failing < STORE_LOSS_TIME {
+        true => LoneStep::Defer,
         false => LoneStep::Grant,
     }
 }
@@ -164,11 +212,12 @@
 
 /// Returns the wait after a watch call about endpoints, so that the next one returns several changes at
 /// once: `least`, and more where all instances of a large fleet may watch.
-pub fn watch_delay(least: Duration, fleet_size: usize) -> Duration {
-    match fleet_size > SMALL_FLEET {
-        true => least.max(WATCH_CALL_TIME * fleet_size as u32),
-        false => least,
+pub fn watch_delay(least: Duration, drain_time: Duration, fleet_size: usize) -> Duration {
+    if fleet_size <= SMALL_FLEET {
+        return least;
     }
+    let delay = WATCH_CALL_TIME * fleet_size as u32;
+    least.max(delay.min(drain_time.mul_f64(WATCH_DELAY_FRACTION)))
 }
 
 /// Returns whether an instance reads the endpoints as soon as it lacks a leader: all of a small fleet, and
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
+use parking_lot::Mutex;
 use serde::de::DeserializeOwned;
 use tokio::{sync::watch, time::timeout};
 
@@ -26,7 +27,10 @@
 use crate::{
     clock::Time,
     http::pool::{Pool, SendError},
-    kernel::revision::{LeaseId, Revision},
+    kernel::{
+        record_age::CallFailures,
+        revision::{LeaseId, Revision},
+    },
 };
 
 /// Header of the store's responses that carries its era, which grows with each return from a copy.
@@ -112,6 +116,8 @@
     recoveries: watch::Sender<u64>,
     /// When the store last carried out a call of this client; zero before the first time.
     responded_at: AtomicU64,
+    /// Calls other than watches that failed since the store last responded.
+    failures: Mutex<CallFailures>,
     /// One more than the latest era in which the store has responded; zero if none is known.
     next_era: AtomicU64,
 }
@@ -119,14 +125,15 @@
 /// Marks the store as unreachable when the guard is dropped, unless the response has arrived
 /// before. Dropping also covers calls that their caller cancels.
 struct UnreachableGuard<'a> {
-    /// The flag to set; `None` once the response has arrived.
-    flag: Option<&'a AtomicBool>,
+    /// The store to mark; `None` once the response has arrived.
+    store: Option<&'a Store>,
 }
 
 impl Drop for UnreachableGuard<'_> {
     fn drop(&mut self) {
-        if let Some(flag) = self.flag {
-            flag.store(true, Ordering::Relaxed);
+        if let Some(store) = self.store {
+            store.unreachable.store(true, Ordering::Relaxed);
+            store.failures.lock().record_failure(Time::now());
         }
     }
 }
@@ -142,6 +149,7 @@
             unreachable: AtomicBool::new(false),
             recoveries,
             responded_at: AtomicU64::new(0),
+            failures: Mutex::default(),
             next_era: AtomicU64::new(0),
         }
     }
@@ -156,6 +164,11 @@
         now.since(Time(self.responded_at.load(Ordering::Relaxed)))
     }
 
+    /// Returns for how long calls have failed without any response, a watch's included.
+    pub fn failing_time(&self, now: Time) -> Duration {
+        self.failures.lock().failing_time(now)
+    }
+
     /// Returns whether the last call other than a watch got a response.
     pub fn is_reachable(&self) -> bool {
         !self.unreachable.load(Ordering::Relaxed)
@@ -305,10 +318,10 @@
         path: &str,
         body: Bytes,
     ) -> Result<Response, StoreError> {
-        let mut guard = UnreachableGuard { flag: Some(&self.unreachable) };
+        let mut guard = UnreachableGuard { store: Some(self) };
         let response = self.attempt(method, path, body, self.timeout).await?;
         if !response.status.is_server_error() {
-            guard.flag = None;
+            guard.store = None;
             if self.unreachable.swap(false, Ordering::Relaxed) {
                 self.recoveries.send_modify(|count| *count += 1);
             }
@@ -336,6 +349,7 @@
             let era = self.record_era(era)?;
             if !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS {
                 self.responded_at.store(Time::now().0, Ordering::Relaxed);
+                self.failures.lock().record_response();
             }
             Ok(Response { status, body, era })
         };
--- a/tests/kernel/record_age.rs
+++ b/tests/kernel/record_age.rs
@@ -5,8 +5,8 @@
 use cardamomshore::{
     clock::Time,
     kernel::record_age::{
-        LoneStep, MAX_OPERATOR_AGE, RecordAge, WATCH_WAIT, WatchTimes, first_read_wait, lone_step,
-        max_record_age, max_table_age, read_backoff, watch_delay,
+        CallFailures, LoneStep, MAX_OPERATOR_AGE, RecordAge, WATCH_WAIT, WatchTimes,
+        first_read_wait, lone_step, max_record_age, max_table_age, read_backoff, watch_delay,
     },
 };
 
@@ -144,7 +144,10 @@
         for instance in instances(fleet_size) {
             let age = max_table_age(DRAIN_TIME, &instance, fleet_size);
             assert!(age <= DRAIN_TIME * 6 / 10, "{age:?} of {fleet_size}");
-            assert_eq!(lone_step(DRAIN_TIME * 10, DRAIN_TIME, fleet_size), LoneStep::Grant);
+            assert_eq!(
+                lone_step(DRAIN_TIME * 10, Duration::ZERO, DRAIN_TIME, fleet_size),
+                LoneStep::Grant
+            );
         }
     }
 }
@@ -152,9 +155,18 @@
 /// Guards against requests to an endpoint that drains while an instance without a leader waits for its
 /// turn to read the endpoints.
 #[test]
-fn lone_step_old_table_keeps_requests() {
-    assert_eq!(lone_step(Duration::from_millis(900), DRAIN_TIME, 300), LoneStep::Grant);
-    assert_eq!(lone_step(DRAIN_TIME * 8 / 10, DRAIN_TIME, 300), LoneStep::Keep);
+fn lone_step_old_table_defers_requests() {
+    let step = |age, failing| lone_step(age, failing, DRAIN_TIME, 300);
+    assert_eq!(step(Duration::from_millis(900), Duration::ZERO), LoneStep::Grant);
+    assert_eq!(step(DRAIN_TIME * 8 / 10, Duration::ZERO), LoneStep::Defer);
+    assert_eq!(step(DRAIN_TIME * 8 / 10, ELECTED_AFTER), LoneStep::Defer, "a store that is slow");
+}
+
+/// Guards against refusals of all requests for as long as the store is down, if the leader is lost
+/// meanwhile.
+#[test]
+fn lone_step_lost_store_grants_by_old_table() {
+    assert_eq!(lone_step(DRAIN_TIME * 10, SECOND * 4, DRAIN_TIME, 300), LoneStep::Grant);
 }
 
 /// Guards against all instances of a fleet that was killed listing the endpoints at once when the former
@@ -173,8 +185,39 @@
 #[test]
 fn watch_delay_bounds_calls_of_fleet() {
     for fleet_size in [9, 77, 300, LARGE_FLEET] {
-        let delay = watch_delay(Duration::from_millis(40), fleet_size);
+        let delay = watch_delay(Duration::from_millis(40), DRAIN_TIME, fleet_size);
         let calls = fleet_size as f64 / delay.as_secs_f64();
         assert!(calls <= 2_000.0, "{calls} watch calls a second of {fleet_size} instances");
     }
 }
+
+/// Guards against an instance that defers requests between the responses to its watch though the watch works.
+#[test]
+fn watch_delay_leaves_table_young() {
+    for drain_time in [SECOND, DRAIN_TIME, SECOND * 10] {
+        for fleet_size in [100, 300, LARGE_FLEET] {
+            let delay = watch_delay(Duration::from_millis(40), drain_time, fleet_size);
+            let step = lone_step(delay * 2, Duration::ZERO, drain_time, fleet_size);
+            assert_eq!(step, LoneStep::Grant, "{delay:?} of {drain_time:?} with {fleet_size}");
+        }
+    }
+}
+
+/// Guards against an old table in use because of one failed call while the store responds, or because of
+/// one that failed minutes ago.
+#[test]
+fn call_failures_count_without_response() {
+    let mut failures = CallFailures::default();
+    failures.record_failure(START);
+    assert_eq!(failures.failing_time(START + SECOND), Duration::ZERO, "one call is no time");
+    failures.record_failure(START + SECOND * 4);
+    assert_eq!(failures.failing_time(START + SECOND * 4), SECOND * 4);
+    let later = START + SECOND * 600;
+    assert_eq!(failures.failing_time(later), Duration::ZERO);
+    failures.record_failure(later);
+    assert_eq!(failures.failing_time(later), Duration::ZERO);
+    failures.record_failure(later + SECOND * 3);
+    failures.record_response();
+    failures.record_failure(later + SECOND * 4);
+    assert_eq!(failures.failing_time(later + SECOND * 4), Duration::ZERO, "it has responded");
+}
--- a/tests/process/large.rs
+++ b/tests/process/large.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use cardamomshore::standin::metadata::MetadataStore;
+use cardamomshore::standin::metadata::{MetadataStore, StoreFaults};
 use serde_json::json;
 use tokio::{
     task::JoinHandle,
@@ -30,6 +30,10 @@
 /// election, the links, and the documents that are sent with them, on a busy host.
 const RETURN_TIME: Duration = Duration::from_secs(10);
 
+/// Time after which instances grant requests again that have lost both the leader and the store: 2 s until
+/// the records are old and the store is called, 3 s of failed calls, and two calls of 0.9 s each.
+const LOST_STORE_TIME: Duration = Duration::from_secs(9);
+
 /// Bytes that one instance besides the leader may read from the store until then. All endpoints are 1 MB.
 const MAX_READ_BYTES: u64 = 300_000;
 
@@ -119,3 +123,24 @@
         }
     });
 }
+
+/// Guards against refusals of all requests for as long as the store is down, if the leader is lost meanwhile:
+/// nobody can tell the instances the endpoints then.
+#[test]
+fn large_fleet_leader_killed_without_store_serves() {
+    block_on(async {
+        let (mut world, writer) = start("large-store").await;
+        writer.abort();
+        let former = world.leader().expect("expected a leader");
+        let silent = StoreFaults { silent: true, ..StoreFaults::default() };
+        world.gateways.iter().for_each(|gateway| gateway.store.set_faults(silent));
+        world.gateways[former].kill();
+        let killed_at = Instant::now();
+        let others: Vec<usize> = (0..world.gateways.len()).filter(|it| *it != former).collect();
+        // The tables are old, and the calls to the store have not failed for long.
+        sleep(Duration::from_millis(2_000)).await;
+        wait_until("the others serve", LOST_STORE_TIME, || world.serve(&others, "look")).await;
+        println!("the others serve after {:?}", killed_at.elapsed());
+        assert!(killed_at.elapsed() < LOST_STORE_TIME, "after {:?}", killed_at.elapsed());
+    });
+}
