Name adapter room, run starts and check times plainly

The names of a few items said something else than they do (a round of checks "looked at" requests, an adapter "had its turn"), and release_held had an arm for a step that never reaches it: HeldStep now only has the two steps that are due. No change of behaviour.

--- a/src/kernel/grants/order.rs
+++ b/src/kernel/grants/order.rs
@@ -238,7 +238,7 @@
 }
 
 impl GroupUse {
-    fn fade(&mut self, now: Time) {
+    fn decay(&mut self, now: Time) {
         let left = (-now.since(self.updated_at).as_secs_f64() / KIND_TIME_CONSTANT).exp();
         self.updated_at = now;
         for kind in self.kinds.values_mut() {
@@ -271,7 +271,7 @@
     /// Records that a request has arrived, and returns the priority at which it is queued.
     pub fn record_arrival(&mut self, request: &GrantRequest, now: Time) -> u8 {
         let group = self.groups.entry(RequestKind::of(request).group()).or_default();
-        group.fade(now);
+        group.decay(now);
         group.kinds.entry(request.priority).or_default().asked += 1.0;
         group.priority(request.priority)
     }
@@ -279,7 +279,7 @@
     /// Records that a request of a priority was granted.
     pub fn record_grant(&mut self, request: &GrantRequest, own_priority: u8, now: Time) {
         if let Some(group) = self.groups.get_mut(&RequestKind::of(request).group()) {
-            group.fade(now);
+            group.decay(now);
             group.kinds.entry(own_priority).or_default().served += 1.0;
         }
     }
--- a/src/kernel/grants/queue.rs
+++ b/src/kernel/grants/queue.rs
@@ -15,8 +15,8 @@
     pub request: GrantRequest,
     /// What its place in the queue depends on.
     pub standing: Standing,
-    /// When it arrived.
-    pub since: Time,
+    /// When it was queued here.
+    pub queued_at: Time,
     /// Engine that is loading the request's adapter, and since when the request waits for this.
     pub adapter_load: Option<(Arc<str>, Time)>,
 }
--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -137,8 +137,8 @@
     order_ids: OrderIds,
     /// When loads from the weight store were ordered.
     store_loads: VecDeque<Time>,
-    /// When the requests that wait for adapters were last looked at.
-    adapters_looked_at: Time,
+    /// When the requests that wait for adapters were last checked.
+    adapters_checked_at: Time,
     /// When the placement was last planned.
     planned_at: Time,
     /// Name of this instance; `None` if it hands out no allotments.
@@ -188,7 +188,7 @@
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
-            adapters_looked_at: Time::default(),
+            adapters_checked_at: Time::default(),
             planned_at: Time::default(),
             instance: None,
             allotments: None,
--- a/src/kernel/grants/scheduler/adapters.rs
+++ b/src/kernel/grants/scheduler/adapters.rs
@@ -14,34 +14,34 @@
 /// Time for which a request waits for an idle adapter before one is made idle. Most runs end within it.
 const IDLE_WAIT: Duration = Duration::from_millis(200);
 
-/// Interval at which the waiting requests are looked at.
-const LOOK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the waiting requests are checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What can be done for a request that waits for an adapter.
-enum Room {
+enum AdapterRoom {
     /// An engine has the adapter, or can load it, or is making room already.
-    Coming,
+    Pending,
     /// This adapter of an engine can be made idle.
-    After(Arc<str>, YieldingAdapter),
+    AfterYield(Arc<str>, YieldingAdapter),
     /// No engine has an adapter that can be unloaded.
-    Unclear,
+    None,
 }
 
 impl Scheduler {
     /// Lets an engine take no more requests for one adapter where a request has waited for another one.
     pub(super) fn make_adapter_room(&mut self, now: Time) {
-        if !self.may_order() || now.since(self.adapters_looked_at) < LOOK_INTERVAL {
+        if !self.may_order() || now.since(self.adapters_checked_at) < CHECK_INTERVAL {
             return;
         }
-        self.adapters_looked_at = now;
-        let waiting = self.queue.heads().filter(|queued| now.since(queued.since) >= IDLE_WAIT);
+        self.adapters_checked_at = now;
+        let waiting = self.queue.heads().filter(|queued| now.since(queued.queued_at) >= IDLE_WAIT);
         let requests: Vec<GrantRequest> = waiting
             .filter(|queued| queued.adapter_load.is_none())
             .map(|queued| queued.request.clone())
             .filter(|request| request.work.as_ref().is_some_and(|work| work.adapter.is_some()))
             .collect();
         for request in requests {
-            if let Room::After(id, yielding) = self.find_adapter_room(&request, now)
+            if let AdapterRoom::AfterYield(id, yielding) = self.find_adapter_room(&request, now)
                 && let Some(endpoint) = self.endpoints.get_mut(&id)
             {
                 log::debug!(
@@ -54,10 +54,10 @@
         }
     }
 
-    /// Returns how a request gets its adapter. The adapter that was loaded first has had its turn.
-    fn find_adapter_room(&self, request: &GrantRequest, now: Time) -> Room {
+    /// Returns how a request gets its adapter. Of all loaded adapters, the one loaded longest ago yields.
+    fn find_adapter_room(&self, request: &GrantRequest, now: Time) -> AdapterRoom {
         let (Some(work), Some(spec)) = (&request.work, self.engine_spec(&request.service)) else {
-            return Room::Unclear;
+            return AdapterRoom::None;
         };
         let engines = self.index.candidates(request).iter();
         let engines = engines.filter_map(|id| self.endpoints.get(id)).filter(|endpoint| {
@@ -75,15 +75,15 @@
                 || endpoint.has_adapter_room(spec)
         };
         if engines.iter().any(is_coming) {
-            return Room::Coming;
+            return AdapterRoom::Pending;
         }
         let oldest = engines.iter().filter_map(|endpoint| {
             let (ready_at, yielding) = endpoint.oldest_adapter(now)?;
             Some((ready_at, endpoint.info.id.clone(), yielding))
         });
         match oldest.min_by_key(|(ready_at, ..)| *ready_at) {
-            Some((_, id, yielding)) => Room::After(id, yielding),
-            None => Room::Unclear,
+            Some((_, id, yielding)) => AdapterRoom::AfterYield(id, yielding),
+            None => AdapterRoom::None,
         }
     }
 }
--- a/src/kernel/grants/scheduler/held.rs
+++ b/src/kernel/grants/scheduler/held.rs
@@ -32,10 +32,9 @@
     until: Time,
 }
 
-/// What to do with a stream that waits.
+/// What to do with a stream that need not wait any longer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HeldStep {
-    Wait,
     Release,
     Refuse,
 }
@@ -86,29 +85,28 @@
             return;
         }
         self.held.checked_at = now;
-        let steps = self.held.streams.iter().map(|(key, held)| (key, self.held_step(held, now)));
-        let due = steps.filter(|(_, step)| *step != HeldStep::Wait).take(MAX_RELEASED_PER_TICK);
-        let due: Vec<(GrantKey, HeldStep)> = due.map(|(key, step)| (key.clone(), step)).collect();
+        let streams = self.held.streams.iter();
+        let due = streams.filter_map(|(key, held)| Some((key.clone(), self.held_step(held, now)?)));
+        let due: Vec<(GrantKey, HeldStep)> = due.take(MAX_RELEASED_PER_TICK).collect();
         for (key, step) in due {
             let Some(held) = self.held.streams.remove(&key) else { continue };
             match step {
                 HeldStep::Release => self.decide_request(key, held.request, now, actions),
-                HeldStep::Refuse | HeldStep::Wait => {
-                    actions.push(Action::Refuse(key, UNKNOWN_REFUSAL));
-                }
+                HeldStep::Refuse => actions.push(Action::Refuse(key, UNKNOWN_REFUSAL)),
             }
         }
     }
 
-    fn held_step(&self, held: &HeldStream, now: Time) -> HeldStep {
+    /// Returns what to do with a stream; `None` if it waits on.
+    fn held_step(&self, held: &HeldStream, now: Time) -> Option<HeldStep> {
         let HeldStream { request, until } = held;
         match self.origins.find(request.stream, &request.service, self.decider(), now) {
-            Origin::Version(_) | Origin::OnlyOne => HeldStep::Release,
-            Origin::Unknown if now >= *until => HeldStep::Refuse,
+            Origin::Version(_) | Origin::OnlyOne => Some(HeldStep::Release),
+            Origin::Unknown if now >= *until => Some(HeldStep::Refuse),
             Origin::Unknown if self.origins.has_several_versions(&request.service, now) => {
-                HeldStep::Refuse
+                Some(HeldStep::Refuse)
             }
-            Origin::Unknown => HeldStep::Wait,
+            Origin::Unknown => None,
         }
     }
 }
--- a/src/kernel/grants/scheduler/runs.rs
+++ b/src/kernel/grants/scheduler/runs.rs
@@ -24,8 +24,8 @@
         let ActiveGrant { request, endpoint: id } = granted;
         let Some(service) = self.catalog.services.get(&request.service).cloned() else { return };
         let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
-        let begin = Begin { key: &key, request: &request, fetch: None };
-        start_run(endpoint, &begin, &service, &self.speeds, now);
+        let start = RunStart { key: &key, request: &request, fetch: None };
+        start_run(endpoint, &start, &service, &self.speeds, now);
         self.update_holders(&id);
         self.count_request(&id, now);
         self.endpoint_of.insert(key, id);
@@ -201,7 +201,7 @@
 }
 
 /// A request that begins to run at an endpoint.
-pub(super) struct Begin<'a> {
+pub(super) struct RunStart<'a> {
     pub key: &'a GrantKey,
     pub request: &'a GrantRequest,
     /// Transfer of the beginning of its prompt, if there is one.
@@ -211,12 +211,12 @@
 /// Records at an endpoint that a request was granted, and returns the times that are expected.
 pub(super) fn start_run(
     endpoint: &mut Endpoint,
-    begin: &Begin<'_>,
+    start: &RunStart<'_>,
     service: &Service,
     speeds: &Speeds,
     now: Time,
 ) -> Forecast {
-    let Begin { key, request, fetch } = *begin;
+    let RunStart { key, request, fetch } = *start;
     let alone = match &request.work {
         Some(work) => {
             forecast::at_engine(endpoint, work, request.priority, speeds.model(&work.model), now)
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Scheduler, runs};
+use super::{Scheduler, runs, runs::RunStart};
 use crate::{
     clock::Time,
     kernel::grants::{
@@ -64,7 +64,8 @@
         let mut request = request;
         let standing = self.standing(&request, now);
         request.priority = standing.priority;
-        let mut queued = QueuedRequest { key, request, standing, since: now, adapter_load: None };
+        let mut queued =
+            QueuedRequest { key, request, standing, queued_at: now, adapter_load: None };
         let rank = queued.rank(u64::MAX, now);
         let first = self.queue.first_of_kind(&queued.request, now);
         let is_ahead = first.is_some_and(|first| {
@@ -297,8 +298,8 @@
             version: endpoint.info.version.clone(),
             holder: fetch.as_ref().map(|fetch| fetch.address),
         };
-        let begin = runs::Begin { key, request, fetch: fetch.as_ref() };
-        let forecast = runs::start_run(endpoint, &begin, &service, &self.speeds, now);
+        let start = RunStart { key, request, fetch: fetch.as_ref() };
+        let forecast = runs::start_run(endpoint, &start, &service, &self.speeds, now);
         self.update_holders(id);
         if let Some(fetch) = &fetch {
             self.record_fetch(id, fetch, now);
