Apply pending cache changes before an engine leaves the index of holders

Cause: remove_holder removes the parts that the engine's cache holds now. Of parts that were evicted, but whose change was not applied to the index yet, the engine's id stayed in Holders. Change: put_endpoint and remove_endpoint call update_holders first. No test of its own: the index cannot be seen from the kernel's interface.

--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -290,6 +290,8 @@
         if self.endpoints.get(&entry.id).is_some_and(|known| known.entry == entry) {
             return false;
         }
+        // Changes that are not applied yet would stay in the index.
+        self.update_holders(&entry.id);
         let endpoint = match self.endpoints.remove(&entry.id) {
             Some(known) if !known.is_incarnation(&entry) => {
                 self.remove_holder(&known);
@@ -311,6 +313,7 @@
 
     /// Removes an endpoint. Returns whether there was one.
     fn remove_endpoint(&mut self, id: &str, now: Time) -> bool {
+        self.update_holders(id);
         let Some(lost) = self.endpoints.remove(id) else { return false };
         self.index.remove(&lost.info.id);
         self.remove_holder(&lost);
