Evaluate raised requests with their own priority, and bound the groups of KindShares

Cause: a request of a kind that gets too little had its own priority overwritten by the raised one. It escaped the bound on pauses, used the slots reserved for urgent requests and their longer queue at engines, and was forecast and filed as urgent, while the engine orders it by its own priority. The groups of KindShares were never removed, and callers can name any model.

Change: request.priority stays; standing.priority decides the rank and what a waiting request blocks. own_priority is dropped, since it is the request's priority again. Groups whose requests are long past are removed every 5 s, and there are at most 1,024; beyond these the one with the fewest requests goes. No test of its own for these bounds: the groups cannot be seen from the kernel's interface.

Test: raised_request_uses_no_reserved_slot; it fails with the priority overwritten as before.

--- a/src/kernel/grants/order.rs
+++ b/src/kernel/grants/order.rs
@@ -55,9 +55,9 @@
     pub start_by: Time,
     /// Work of the request: tokens of its prompt and its response.
     pub size: u64,
-    /// Priority of the request's route or team.
-    pub own_priority: u8,
-    /// Priority in the queue: its own, or a more urgent one where its kind gets too little.
+    /// Priority in the queue: that of the request, or a more urgent one where its kind gets too little.
+    ///
+    /// Endpoints are evaluated with the priority of the request, by which engines order it.
     pub priority: u8,
 }
 
@@ -80,16 +80,15 @@
         let work = request.work.as_ref();
         let size = work.map_or(0, |work| work.prompt_tokens + work.output_tokens);
         let priority = request.priority;
-        let own_priority = priority;
-        Self {
-            due: request.due,
-            serve_by,
-            start_by,
-            size,
-            own_priority,
-            priority,
-            ..Self::default()
-        }
+        Self { due: request.due, serve_by, start_by, size, priority, ..Self::default() }
+    }
+
+    /// Returns the same at a more urgent priority in the queue.
+    ///
+    /// The request does not become late: engines have a place for it later than for urgent requests, which
+    /// would go before a late one meanwhile.
+    pub fn raised(self, priority: u8) -> Self {
+        Self { priority, serve_by: self.start_by, ..self }
     }
 
     /// Returns the time by which requests of the same class are ordered.
@@ -223,6 +222,16 @@
 /// Requests of a kind from which the part that is served says something.
 const MIN_KIND_REQUESTS: f64 = 2.0;
 
+/// Requests of a kind up to which it counts as forgotten. One request falls below it in 23 s.
+const MIN_REMEMBERED: f64 = 0.01;
+
+/// Groups whose requests are counted. Callers may name any model, so that the number is not bounded by the
+/// catalog.
+const MAX_KIND_GROUPS: usize = 1_024;
+
+/// Interval at which groups without recent requests are removed.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Requests of one priority, older ones counting less.
 #[derive(Clone, Copy, Debug, Default)]
 struct KindUse {
@@ -247,6 +256,16 @@
         }
     }
 
+    /// Returns the number of requests of all kinds.
+    fn asked(&self) -> f64 {
+        self.kinds.values().map(|kind| kind.asked).sum()
+    }
+
+    /// Returns whether all requests are long past.
+    fn is_forgotten(&self) -> bool {
+        self.kinds.values().all(|kind| kind.asked < MIN_REMEMBERED)
+    }
+
     /// Returns the priority at which a request of a kind is queued.
     fn priority(&self, own: u8) -> u8 {
         let Some(kind) = self.kinds.get(&own) else { return own };
@@ -265,22 +284,50 @@
 #[derive(Debug, Default)]
 pub(super) struct KindShares {
     groups: HashMap<GroupKey, GroupUse>,
+    pruned_at: Time,
 }
 
 impl KindShares {
     /// Records that a request has arrived, and returns the priority at which it is queued.
     pub fn record_arrival(&mut self, request: &GrantRequest, now: Time) -> u8 {
-        let group = self.groups.entry(RequestKind::of(request).group()).or_default();
+        let key = RequestKind::of(request).group();
+        let is_full = self.groups.len() >= MAX_KIND_GROUPS && !self.groups.contains_key(&key);
+        if is_full || now.since(self.pruned_at) >= PRUNE_INTERVAL {
+            self.prune(now);
+        }
+        if is_full && self.groups.len() >= MAX_KIND_GROUPS {
+            self.remove_smallest();
+        }
+        let group = self.groups.entry(key).or_default();
         group.decay(now);
         group.kinds.entry(request.priority).or_default().asked += 1.0;
         group.priority(request.priority)
     }
 
-    /// Records that a request of a priority was granted.
-    pub fn record_grant(&mut self, request: &GrantRequest, own_priority: u8, now: Time) {
+    /// Removes the groups whose requests are long past.
+    fn prune(&mut self, now: Time) {
+        self.pruned_at = now;
+        self.groups.retain(|_, group| {
+            group.decay(now);
+            !group.is_forgotten()
+        });
+    }
+
+    /// Removes the group with the fewest requests. Names that callers invent are used once, so that the
+    /// models in use stay.
+    fn remove_smallest(&mut self) {
+        let by_requests = |(_, a): &(&GroupKey, &GroupUse), (_, b): &(&GroupKey, &GroupUse)| {
+            a.asked().total_cmp(&b.asked())
+        };
+        let smallest = self.groups.iter().min_by(by_requests).map(|(key, _)| key.clone());
+        smallest.and_then(|key| self.groups.remove(&key));
+    }
+
+    /// Records that a request was granted.
+    pub fn record_grant(&mut self, request: &GrantRequest, now: Time) {
         if let Some(group) = self.groups.get_mut(&RequestKind::of(request).group()) {
             group.decay(now);
-            group.kinds.entry(own_priority).or_default().served += 1.0;
+            group.kinds.entry(request.priority).or_default().served += 1.0;
         }
     }
 }
--- a/src/kernel/grants/queue.rs
+++ b/src/kernel/grants/queue.rs
@@ -24,13 +24,9 @@
 impl QueuedRequest {
     /// Returns the rank in the queue; `number` grows with each request that is queued.
     pub fn rank(&self, number: u64, now: Time) -> Rank {
-        let Standing { is_over_share, is_returning, serve_by, size, .. } = self.standing;
-        let class = Class {
-            priority: self.request.priority,
-            is_over_share,
-            is_late: now > serve_by,
-            is_new: !is_returning,
-        };
+        let Standing { priority, is_over_share, is_returning, serve_by, size, .. } = self.standing;
+        let class =
+            Class { priority, is_over_share, is_late: now > serve_by, is_new: !is_returning };
         let step = self.standing.step();
         let prompt_tokens = self.request.work.as_ref().map_or(0, |work| work.prompt_tokens);
         Rank { class, step, size, serve_by, number, prompt_tokens }
@@ -50,7 +46,7 @@
 /// ones, so that they are not refused again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Class {
-    /// Priority of the request.
+    /// Priority in the queue: that of the request, or a more urgent one where its kind gets too little.
     pub priority: u8,
     /// Whether its team asks for more than its fair share.
     pub is_over_share: bool,
--- a/src/kernel/grants/queues.rs
+++ b/src/kernel/grants/queues.rs
@@ -60,7 +60,7 @@
     wake: Option<Wake>,
     /// When the group is woken next by time alone.
     wake_at: Option<Time>,
-    /// Priority from which all endpoints are full for every request of the group, since the last change
+    /// Priority in the queue from which all endpoints are full for every request of the group, since the last change
     /// of one of them; `None` if that is not known.
     blocked_from: Option<u8>,
 }
@@ -328,10 +328,10 @@
     }
 
     /// Returns whether all endpoints are known to be full for a request.
-    pub fn is_blocked(&self, request: &GrantRequest) -> bool {
-        let group = self.groups.get(&RequestKind::of(request).group());
+    pub fn is_blocked(&self, queued: &QueuedRequest) -> bool {
+        let group = self.groups.get(&RequestKind::of(&queued.request).group());
         let from = group.and_then(|group| group.blocked_from);
-        from.is_some_and(|from| request.priority >= from)
+        from.is_some_and(|from| queued.standing.priority >= from)
     }
 
     /// Requires an evaluation of the group of a request at a time.
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -61,9 +61,7 @@
         now: Time,
         actions: &mut Vec<Action>,
     ) {
-        let mut request = request;
         let standing = self.standing(&request, now);
-        request.priority = standing.priority;
         let mut queued =
             QueuedRequest { key, request, standing, queued_at: now, adapter_load: None };
         let rank = queued.rank(u64::MAX, now);
@@ -73,7 +71,7 @@
             first < rank && !loads
         });
         // The queue has a time to be evaluated already if a request of the kind waits.
-        let selection = match is_ahead || self.is_blocked(&queued.request, now) {
+        let selection = match is_ahead || self.is_blocked(&queued, now) {
             true => Selection::Full { until: None, for_all: false },
             false => self.select_endpoint(&queued.request, now),
         };
@@ -81,8 +79,7 @@
             Selection::Ready(_) | Selection::Full { .. } => {
                 match self.decide(&queued, &selection, &rank, now) {
                     Decision::Send(endpoint) => {
-                        let own = queued.standing.own_priority;
-                        self.kind_shares.record_grant(&queued.request, own, now);
+                        self.kind_shares.record_grant(&queued.request, now);
                         let grant = self.begin_run(&queued.key, &queued.request, &endpoint, now);
                         actions.extend(grant.map(|grant| Action::Grant(queued.key, grant)));
                         return;
@@ -108,14 +105,15 @@
 
     /// Returns whether an earlier evaluation has shown that the endpoints which could run the request
     /// are full, so that it need not be evaluated itself.
-    fn is_blocked(&self, request: &GrantRequest, now: Time) -> bool {
+    fn is_blocked(&self, queued: &QueuedRequest, now: Time) -> bool {
+        let request = &queued.request;
         let is_usual = request.tried.is_empty() && request.version == VersionNeed::Any;
         let max_tokens = self.engine_spec(&request.service).map_or(u64::MAX, |spec| spec.kv_tokens);
         let tokens =
             request.work.as_ref().map_or(0, |work| work.prompt_tokens + work.output_tokens);
         is_usual
             && tokens <= max_tokens
-            && self.queue.is_blocked(request)
+            && self.queue.is_blocked(queued)
             && self.check_crashes(request, now) == CrashCheck::Run
     }
 
--- a/src/kernel/grants/scheduler/supply.rs
+++ b/src/kernel/grants/scheduler/supply.rs
@@ -72,12 +72,11 @@
             self.shares.record(request, now);
         }
         let priority = self.kind_shares.record_arrival(request, now);
-        Standing {
-            is_returning,
-            priority,
-            is_over_share: self.shares.is_over_share(request, now),
-            ..Standing::new(request, first_event, run_time, now)
-        }
+        let standing = Standing::new(request, first_event, run_time, now);
+        let standing =
+            if priority < request.priority { standing.raised(priority) } else { standing };
+        let is_over_share = self.shares.is_over_share(request, now);
+        Standing { is_returning, is_over_share, ..standing }
     }
 
     /// Decides about a request with this rank, after a look at the endpoints.
--- a/src/kernel/grants/scheduler/waiting.rs
+++ b/src/kernel/grants/scheduler/waiting.rs
@@ -196,8 +196,7 @@
         match &selection {
             Selection::Ready(endpoint) => {
                 let Some(queued) = self.queue.take(rank) else { return HeadStep::Served };
-                let own = queued.standing.own_priority;
-                self.kind_shares.record_grant(&queued.request, own, now);
+                self.kind_shares.record_grant(&queued.request, now);
                 if let Some(grant) = self.begin_run(&queued.key, &queued.request, endpoint, now) {
                     actions.push(Action::Grant(queued.key, grant));
                 }
--- a/tests/kernel/grants/order.rs
+++ b/tests/kernel/grants/order.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use cardamomshore::kernel::grants::{GrantRequest, ModelWork};
+use cardamomshore::kernel::grants::{Action, GrantRequest, ModelWork, Outcome};
 
 use super::{
-    fleet::{LEADING, START, catalog, engine, granted, key, model_request, scheduler},
+    fleet::{LEADING, START, catalog, end_request, engine, granted, key, model_request, scheduler},
     play::{Fate, Play},
 };
 
@@ -276,6 +276,34 @@
     assert!(common >= 1_000, "{common} of 1,140 requests of the others are served");
 }
 
+/// Guards against raised requests that take the slots which are reserved for the most urgent ones.
+#[test]
+fn raised_request_uses_no_reserved_slot() {
+    let mut scheduler = scheduler(LEADING, vec![engine("e1", &["m0"])]);
+    let small = |priority| GrantRequest { priority, ..model_request("m0", 10, START) };
+    // All slots but the two that are reserved are in use.
+    for number in 0..62 {
+        let actions = scheduler.handle_request(key(number), small(0), START);
+        assert!(granted(&actions).is_some(), "{number}: the engine has 64 slots");
+    }
+    // From the second one on, the kind has asked for enough to be raised.
+    for number in 62..66 {
+        let actions = scheduler.handle_request(key(number), small(2), START);
+        assert!(granted(&actions).is_none(), "{number} uses a reserved slot");
+    }
+    let now = START + MS * 100;
+    assert_eq!(granted(&scheduler.tick(now)), None);
+    // A raised request has the next place before an urgent one.
+    let urgent = GrantRequest { priority: 0, ..model_request("m0", 10, now) };
+    scheduler.handle_request(key(66), urgent, now);
+    let actions = end_request(&mut scheduler, 0, Outcome::Whole, now);
+    let first = actions.iter().find_map(|action| match action {
+        Action::Grant(key, _) => Some(key.number),
+        _ => None,
+    });
+    assert_eq!(first, Some(63), "{actions:?}");
+}
+
 /// Guards against a kind that gets nothing while more urgent kinds use all places.
 #[test]
 fn less_urgent_kind_gets_a_quarter_of_its_share() {
