Let adapters yield until their runs have ended, and wake their requests then

Cause: Fit::Full of a yielding adapter named no time, so nothing woke its requests at the end of the yield. After 2 s the same adapter took requests again and was chosen again, so that it never became idle where runs take longer. A request could make an adapter yield whose requests are more urgent.

Change: Fit::Full names the end of the yield. The yield is extended while runs of the adapter are left and a request for another one waits, up to MAX_YIELD_TIME (20 s), unless a more urgent request for the yielding adapter waits. Adapters with runs more urgent than the request do not yield.

--- a/src/kernel/grants/adapter.rs
+++ b/src/kernel/grants/adapter.rs
@@ -58,6 +58,10 @@
 /// Time for which an engine takes no requests for an adapter, so that its runs can end.
 const YIELD_TIME: Duration = Duration::from_secs(2);
 
+/// Longest such time, while runs of the adapter are left and a request for another one waits. It bounds how
+/// long requests for the adapter wait for one run that does not end.
+const MAX_YIELD_TIME: Duration = Duration::from_secs(20);
+
 /// An adapter that gets no more requests at an engine, so that it can be unloaded once its runs have ended.
 #[derive(Clone, Debug)]
 pub(super) struct YieldingAdapter {
@@ -67,38 +71,69 @@
     pub adapter: Arc<str>,
     /// Since when it gets none.
     since: Time,
+    /// When it gets requests again.
+    until: Time,
 }
 
 impl YieldingAdapter {
     /// Returns whether the time for its runs to end has not passed.
     pub(super) fn is_current(&self, now: Time) -> bool {
-        now.since(self.since) < YIELD_TIME
+        now < self.until
+    }
+
+    /// Returns when the engine takes requests for the adapter again.
+    pub(super) fn until(&self) -> Time {
+        self.until
     }
 }
 
 impl Endpoint {
-    /// Returns whether the engine takes no requests for the adapter of `work`. One that was loaded again
-    /// takes requests.
-    pub(super) fn is_yielding(&self, work: &ModelWork, now: Time) -> bool {
-        self.yielding.as_ref().is_some_and(|yielding| {
-            yielding.is_current(now)
-                && yielding.model == work.model
-                && work.adapter.as_ref() == Some(&yielding.adapter)
-                && self.adapter_state(work).is_some_and(|state| state.ready_at <= yielding.since)
-        })
+    /// Returns the adapter of `work` if the engine takes no requests for it.
+    pub(super) fn yielding_adapter(&self, work: &ModelWork, now: Time) -> Option<&YieldingAdapter> {
+        let is_own = |yielding: &&YieldingAdapter| {
+            yielding.model == work.model && work.adapter.as_ref() == Some(&yielding.adapter)
+        };
+        self.yielding.as_ref().filter(is_own).filter(|it| it.is_current(now) && self.holds_off(it))
+    }
+
+    /// Returns whether an adapter has not been unloaded since it yields. One that was loaded again takes
+    /// requests.
+    fn holds_off(&self, yielding: &YieldingAdapter) -> bool {
+        let replica = self.replicas.get(&yielding.model);
+        let state = replica.and_then(|replica| replica.adapters.get(&yielding.adapter));
+        state.is_some_and(|state| state.ready_at <= yielding.since)
+    }
+
+    /// Extends the time for which an adapter gets no requests, while runs of it are left.
+    pub(super) fn extend_yield(&mut self, now: Time) {
+        let Some(yielding) = &self.yielding else { return };
+        let has_runs = self.running.uses_adapter(&yielding.model, &yielding.adapter);
+        let is_extended = yielding.is_current(now) && self.holds_off(yielding) && has_runs;
+        if let Some(yielding) = self.yielding.as_mut().filter(|_| is_extended) {
+            yielding.until = (now + YIELD_TIME).min(yielding.since + MAX_YIELD_TIME);
+        }
     }
 
-    /// Returns the adapter that is known to be loaded for longest, and when it was ready.
-    pub(super) fn oldest_adapter(&self, now: Time) -> Option<(Time, YieldingAdapter)> {
+    /// Returns the adapter that is known to be loaded for longest, and when it was ready, of those without
+    /// a run that is more urgent than `priority`.
+    pub(super) fn oldest_adapter(
+        &self,
+        priority: u8,
+        now: Time,
+    ) -> Option<(Time, YieldingAdapter)> {
         let all = self.replicas.iter().flat_map(|(model, replica)| {
             replica.adapters.iter().map(move |(adapter, state)| (model, adapter, state))
         });
         let loaded = all.filter(|(_, _, state)| state.phase == AdapterPhase::Loaded);
+        let may_yield = loaded.filter(|(model, adapter, _)| {
+            self.running.most_urgent(model, adapter).is_none_or(|urgent| urgent >= priority)
+        });
         let oldest =
-            loaded.min_by_key(|(model, adapter, state)| (state.ready_at, *model, *adapter));
+            may_yield.min_by_key(|(model, adapter, state)| (state.ready_at, *model, *adapter));
         let (model, adapter, state) = oldest?;
         let (model, adapter) = (model.clone(), adapter.clone());
-        Some((state.ready_at, YieldingAdapter { model, adapter, since: now }))
+        let until = now + YIELD_TIME;
+        Some((state.ready_at, YieldingAdapter { model, adapter, since: now, until }))
     }
 
     /// Returns how many adapters take up a slot.
--- a/src/kernel/grants/choice.rs
+++ b/src/kernel/grants/choice.rs
@@ -166,9 +166,12 @@
     }
     let adapter = endpoint.adapter_state(work);
     let lacks_adapter = Fit::Full { until: None, for_all: false };
-    if adapter.is_some_and(|state| !state.is_usable()) || endpoint.is_yielding(work, context.now) {
+    if adapter.is_some_and(|state| !state.is_usable()) {
         return lacks_adapter;
     }
+    if let Some(yielding) = endpoint.yielding_adapter(work, context.now) {
+        return Fit::Full { until: Some(yielding.until()), for_all: false };
+    }
     let adapter_present = work.adapter.is_none() || adapter.is_some();
     if !adapter_present && !context.may_order {
         return Fit::Unsuitable;
--- a/src/kernel/grants/running.rs
+++ b/src/kernel/grants/running.rs
@@ -74,6 +74,15 @@
         self.models.get(model).map_or(0, |runs| runs.count)
     }
 
+    /// Returns the priority of the most urgent run that uses an adapter of a model. It walks over all runs.
+    pub fn most_urgent(&self, model: &str, adapter: &str) -> Option<u8> {
+        let uses_adapter =
+            |work: &ModelWork| &*work.model == model && work.adapter.as_deref() == Some(adapter);
+        let runs = self.runs.values().map(|run| &run.request);
+        let users = runs.filter(|request| request.work.as_ref().is_some_and(uses_adapter));
+        users.map(|request| request.priority).min()
+    }
+
     /// Returns whether a run uses an adapter of a model.
     pub fn uses_adapter(&self, model: &str, adapter: &str) -> bool {
         self.models.get(model).is_some_and(|runs| runs.adapters.contains_key(adapter))
--- a/src/kernel/grants/scheduler/adapters.rs
+++ b/src/kernel/grants/scheduler/adapters.rs
@@ -19,11 +19,13 @@
 
 /// What can be done for a request that waits for an adapter.
 enum AdapterRoom {
-    /// An engine has the adapter, or can load it, or is making room already.
+    /// An engine has the adapter, or can load it.
     Pending,
+    /// These engines take no more requests for one of their adapters already.
+    Yielding(Vec<Arc<str>>),
     /// This adapter of an engine can be made idle.
     AfterYield(Arc<str>, YieldingAdapter),
-    /// No engine has an adapter that can be unloaded.
+    /// No engine has an adapter that may be made idle.
     None,
 }
 
@@ -40,16 +42,31 @@
             .map(|queued| queued.request.clone())
             .filter(|request| request.work.as_ref().is_some_and(|work| work.adapter.is_some()))
             .collect();
-        for request in requests {
-            if let AdapterRoom::AfterYield(id, yielding) = self.find_adapter_room(&request, now)
-                && let Some(endpoint) = self.endpoints.get_mut(&id)
-            {
-                log::debug!(
-                    "event=adapter_yields endpoint={id} model={} adapter={}",
-                    yielding.model,
-                    yielding.adapter
-                );
-                endpoint.yielding = Some(yielding);
+        for request in &requests {
+            match self.find_adapter_room(request, now) {
+                AdapterRoom::AfterYield(id, yielding) => {
+                    let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
+                    log::debug!(
+                        "event=adapter_yields endpoint={id} model={} adapter={}",
+                        yielding.model,
+                        yielding.adapter
+                    );
+                    endpoint.yielding = Some(yielding);
+                }
+                AdapterRoom::Yielding(ids) => {
+                    for id in ids {
+                        let Some(endpoint) = self.endpoints.get_mut(&id) else { continue };
+                        let is_outranked = requests.iter().any(|other| {
+                            let work =
+                                other.work.as_ref().filter(|_| other.priority < request.priority);
+                            work.is_some_and(|work| endpoint.yielding_adapter(work, now).is_some())
+                        });
+                        if !is_outranked {
+                            endpoint.extend_yield(now);
+                        }
+                    }
+                }
+                AdapterRoom::Pending | AdapterRoom::None => {}
             }
         }
     }
@@ -67,18 +84,25 @@
                 && !self.evacuated.contains(&endpoint.info.data_centre)
         });
         let engines: Vec<&Endpoint> = engines.collect();
-        let is_coming = |endpoint: &&Endpoint| {
+        let is_pending = |endpoint: &&Endpoint| {
             let is_usable = endpoint.adapter_state(work).is_some_and(|state| state.is_usable());
-            let yields = endpoint.yielding.as_ref().is_some_and(|it| it.is_current(now));
-            (is_usable && !endpoint.is_yielding(work, now))
-                || yields
+            (is_usable && endpoint.yielding_adapter(work, now).is_none())
                 || endpoint.has_adapter_room(spec)
         };
-        if engines.iter().any(is_coming) {
+        if engines.iter().any(is_pending) {
             return AdapterRoom::Pending;
         }
+        let yielding = engines
+            .iter()
+            .filter(|endpoint| endpoint.yielding.as_ref().is_some_and(|it| it.is_current(now)));
+        let yielding: Vec<&&Endpoint> = yielding.collect();
+        if !yielding.is_empty() {
+            // A request for the adapter that yields does not extend its own wait.
+            let others = yielding.iter().filter(|it| it.yielding_adapter(work, now).is_none());
+            return AdapterRoom::Yielding(others.map(|it| it.info.id.clone()).collect());
+        }
         let oldest = engines.iter().filter_map(|endpoint| {
-            let (ready_at, yielding) = endpoint.oldest_adapter(now)?;
+            let (ready_at, yielding) = endpoint.oldest_adapter(request.priority, now)?;
             Some((ready_at, endpoint.info.id.clone(), yielding))
         });
         match oldest.min_by_key(|(ready_at, ..)| *ready_at) {
--- a/tests/kernel/grants/order.rs
+++ b/tests/kernel/grants/order.rs
@@ -1,11 +1,17 @@
 //! What each kind, team and size of requests gets under a load that the engines cannot serve in time.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
-use cardamomshore::kernel::grants::{Action, GrantRequest, ModelWork, Outcome};
+use cardamomshore::{
+    clock::Time,
+    kernel::grants::{Action, EndpointEntry, GrantRequest, ModelWork, Outcome, Scheduler},
+};
 
 use super::{
-    fleet::{LEADING, START, catalog, end_request, engine, granted, key, model_request, scheduler},
+    fleet::{
+        LEADING, START, catalog, deliver_reports, end_request, engine, granted, key, model_request,
+        refused, scheduler,
+    },
     play::{Fate, Play},
 };
 
@@ -276,6 +282,92 @@
     assert!(common >= 1_000, "{common} of 1,140 requests of the others are served");
 }
 
+/// Guards against adapters whose requests wait without end where the runs of the others are so long that
+/// their adapter takes requests again before they have ended.
+#[test]
+fn no_adapter_starves_beside_long_runs() {
+    let mut play = play(&[("e1", &["m0"])]);
+    play.carries_out_orders = true;
+    play.decode_time = MS * 3_000;
+    // Runs of two adapters overlap, so that both are always in use; the engine has room for two.
+    for number in 0..600 {
+        let adapter = if number % 20 == 7 { 2 } else { number % 2 };
+        let request = request(&play, number, 200, "shop", 1);
+        let mut request = GrantRequest { deadline: play.now + MS * 20_000, ..request };
+        let work = request.work.as_mut().expect("a request for a model");
+        work.adapter = Some(format!("a{adapter}").into());
+        play.send(number, request);
+        // Ticks come at other intervals than the checks of the waiting requests.
+        play.pass(MS * 103);
+    }
+    play.pass(MS * 20_000);
+    let (rare, common) = (play.served(one_of(20, 7)), play.served(|number| number % 20 != 7));
+    assert!(rare >= 24, "{rare} of 30 requests of the rare adapter are served");
+    assert!(common >= 450, "{common} of 570 requests of the others are served");
+}
+
+/// Returns an engine whose two adapters are in use by requests of this priority, and a request for a third
+/// adapter, which waits.
+fn third_adapter_waits(urgent: u8, waiting: u8) -> Scheduler {
+    let adapters = ["a0", "a1"].map(Arc::from).to_vec();
+    let entry = EndpointEntry {
+        models: [(Arc::from("m0"), adapters)].into_iter().collect(),
+        ..engine("e1", &["m0"])
+    };
+    let mut scheduler = scheduler(LEADING, vec![entry]);
+    deliver_reports(&mut scheduler, START);
+    for (number, adapter) in [(0, "a0"), (1, "a1")] {
+        let request = with_adapter(adapter, urgent, START);
+        let actions = scheduler.handle_request(key(number), request, START);
+        assert!(granted(&actions).is_some(), "{adapter} is loaded");
+    }
+    let actions = scheduler.handle_request(key(2), with_adapter("a2", waiting, START), START);
+    assert!(granted(&actions).is_none() && refused(&actions).is_none(), "{actions:?}");
+    scheduler
+}
+
+fn with_adapter(adapter: &str, priority: u8, now: Time) -> GrantRequest {
+    let work = ModelWork { adapter: Some(adapter.into()), ..work_of("m0", 200) };
+    let deadline = now + MS * 20_000;
+    GrantRequest { priority, deadline, work: Some(work), ..model_request("m0", 200, now) }
+}
+
+/// Ticks from one time to another, and returns when a request is granted first.
+fn tick_until_grant(scheduler: &mut Scheduler, from: u32, to: u32) -> Option<u32> {
+    (from..to).step_by(20).find(|ms| {
+        let now = START + MS * *ms;
+        granted(&scheduler.tick(now)).is_some()
+    })
+}
+
+/// Guards against requests that nothing wakes at the end of the time for which their adapter yields.
+#[test]
+fn yielding_adapter_goes_on_after_waiting_request_left() {
+    let mut scheduler = third_adapter_waits(1, 1);
+    assert_eq!(tick_until_grant(&mut scheduler, 20, 320), None);
+    let now = START + MS * 320;
+    end_request(&mut scheduler, 2, Outcome::Left, now);
+    // One of the two adapters yields; which one depends on their names.
+    for (number, adapter) in [(3, "a0"), (4, "a1")] {
+        let actions = scheduler.handle_request(key(number), with_adapter(adapter, 1, now), now);
+        assert_eq!(granted(&actions).is_some(), adapter == "a1", "{adapter}");
+    }
+    let granted_at = tick_until_grant(&mut scheduler, 340, 5_000).expect("the request is granted");
+    assert!((2_200..2_500).contains(&granted_at), "granted after {granted_at} ms");
+}
+
+/// Guards against requests that keep an adapter of more urgent ones from being used.
+#[test]
+fn adapter_of_more_urgent_requests_does_not_yield() {
+    let mut scheduler = third_adapter_waits(0, 1);
+    assert_eq!(tick_until_grant(&mut scheduler, 20, 1_020), None);
+    let now = START + MS * 1_020;
+    for (number, adapter) in [(3, "a0"), (4, "a1")] {
+        let actions = scheduler.handle_request(key(number), with_adapter(adapter, 0, now), now);
+        assert!(granted(&actions).is_some(), "{adapter} takes requests");
+    }
+}
+
 /// Guards against raised requests that take the slots which are reserved for the most urgent ones.
 #[test]
 fn raised_request_uses_no_reserved_slot() {
--- a/tests/kernel/grants/play.rs
+++ b/tests/kernel/grants/play.rs
@@ -22,7 +22,7 @@
 /// Time from a grant to the first event beside the prefill.
 const LATENCY: Duration = Duration::from_millis(10);
 
-/// Time from the first event of a response to its end.
+/// Usual time from the first event of a response to its end.
 const DECODE_TIME: Duration = Duration::from_millis(50);
 
 /// Tokens of prompt parts that an engine keeps; its memory also holds running requests.
@@ -111,6 +111,8 @@
     pub fetch: Option<FetchSpec>,
     /// Whether orders and reports are carried out at once.
     pub carries_out_orders: bool,
+    /// Time from the first event of a response to its end.
+    pub decode_time: Duration,
     /// Time that work takes at all engines, in percent of the usual time.
     pub slowdown: u64,
     /// Time that work takes at single engines beside that, in percent.
@@ -131,6 +133,7 @@
             reuse: Reuse::default(),
             fetch: None,
             carries_out_orders: false,
+            decode_time: DECODE_TIME,
             slowdown: 100,
             slow_engines: HashMap::new(),
         }
@@ -186,7 +189,7 @@
                     let free_at = self.prefilled_at.entry(grant.endpoint).or_default();
                     *free_at = (*free_at).max(self.now) + Duration::from_micros(prefill / 10_000);
                     let first_event = *free_at + LATENCY;
-                    let end = first_event + DECODE_TIME;
+                    let end = first_event + self.decode_time;
                     self.events.push(Reverse((first_event, Event::FirstEvent(key.number))));
                     self.events.push(Reverse((end, Event::End(key.number))));
                 }
