--- a/src/kernel/grants/scheduler.rs
+++ b/src/kernel/grants/scheduler.rs
@@ -137,8 +137,8 @@
     order_ids: OrderIds,
     /// When loads from the weight store were ordered.
     store_loads: VecDeque<Time>,
-    /// When the requests that wait for adapters were last looked at.
-    adapters_looked_at: Time,
+    /// When the requests that wait for adapters were last checked.
+    adapters_checked_at: Time,
     /// When the placement was last planned.
     planned_at: Time,
     /// Name of this instance; `None` if it hands out no allotments.
@@ -188,7 +188,7 @@
             request_rate: RequestRate::default(),
             order_ids: OrderIds::default(),
             store_loads: VecDeque::new(),
-            adapters_looked_at: Time::default(),
+            adapters_checked_at: Time::default(),
             planned_at: Time::default(),
             instance: None,
             allotments: None,
@@ -290,6 +290,8 @@
         if self.endpoints.get(&entry.id).is_some_and(|known| known.entry == entry) {
             return false;
         }
+        // Changes that are not applied yet would stay in the index.
+        self.update_holders(&entry.id);
         let endpoint = match self.endpoints.remove(&entry.id) {
             Some(known) if !known.is_incarnation(&entry) => {
                 self.remove_holder(&known);
@@ -311,6 +313,7 @@
 
     /// Removes an endpoint. Returns whether there was one.
     fn remove_endpoint(&mut self, id: &str, now: Time) -> bool {
+        self.update_holders(id);
         let Some(lost) = self.endpoints.remove(id) else { return false };
         self.index.remove(&lost.info.id);
         self.remove_holder(&lost);
--- a/src/kernel/grants/scheduler/selection.rs
+++ b/src/kernel/grants/scheduler/selection.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use super::{Scheduler, runs};
+use super::{Scheduler, runs, runs::RunStart};
 use crate::{
     clock::Time,
     kernel::grants::{
@@ -61,10 +61,9 @@
         now: Time,
         actions: &mut Vec<Action>,
     ) {
-        let mut request = request;
         let standing = self.standing(&request, now);
-        request.priority = standing.priority;
-        let mut queued = QueuedRequest { key, request, standing, since: now, adapter_load: None };
+        let mut queued =
+            QueuedRequest { key, request, standing, queued_at: now, adapter_load: None };
         let rank = queued.rank(u64::MAX, now);
         let first = self.queue.first_of_kind(&queued.request, now);
         let is_ahead = first.is_some_and(|first| {
@@ -72,7 +71,7 @@
             first < rank && !loads
         });
         // The queue has a time to be evaluated already if a request of the kind waits.
-        let selection = match is_ahead || self.is_blocked(&queued.request, now) {
+        let selection = match is_ahead || self.is_blocked(&queued, now) {
             true => Selection::Full { until: None, for_all: false },
             false => self.select_endpoint(&queued.request, now),
         };
@@ -80,8 +79,7 @@
             Selection::Ready(_) | Selection::Full { .. } => {
                 match self.decide(&queued, &selection, &rank, now) {
                     Decision::Send(endpoint) => {
-                        let own = queued.standing.own_priority;
-                        self.kind_shares.record_grant(&queued.request, own, now);
+                        self.kind_shares.record_grant(&queued.request, now);
                         let grant = self.begin_run(&queued.key, &queued.request, &endpoint, now);
                         actions.extend(grant.map(|grant| Action::Grant(queued.key, grant)));
                         return;
@@ -107,14 +105,15 @@
 
     /// Returns whether an earlier evaluation has shown that the endpoints which could run the request
     /// are full, so that it need not be evaluated itself.
-    fn is_blocked(&self, request: &GrantRequest, now: Time) -> bool {
+    fn is_blocked(&self, queued: &QueuedRequest, now: Time) -> bool {
+        let request = &queued.request;
         let is_usual = request.tried.is_empty() && request.version == VersionNeed::Any;
         let max_tokens = self.engine_spec(&request.service).map_or(u64::MAX, |spec| spec.kv_tokens);
         let tokens =
             request.work.as_ref().map_or(0, |work| work.prompt_tokens + work.output_tokens);
         is_usual
             && tokens <= max_tokens
-            && self.queue.is_blocked(request)
+            && self.queue.is_blocked(queued)
             && self.check_crashes(request, now) == CrashCheck::Run
     }
 
@@ -297,8 +296,8 @@
             version: endpoint.info.version.clone(),
             holder: fetch.as_ref().map(|fetch| fetch.address),
         };
-        let begin = runs::Begin { key, request, fetch: fetch.as_ref() };
-        let forecast = runs::start_run(endpoint, &begin, &service, &self.speeds, now);
+        let start = RunStart { key, request, fetch: fetch.as_ref() };
+        let forecast = runs::start_run(endpoint, &start, &service, &self.speeds, now);
         self.update_holders(id);
         if let Some(fetch) = &fetch {
             self.record_fetch(id, fetch, now);
