--- a/tests/process/take_up.rs
+++ b/tests/process/take_up.rs
@@ -38,6 +38,17 @@
     ids
 }
 
+/// Begins streams at both gateways at the same time, so that all engines get some, however fast they are.
+async fn begin_at_once(world: &World) -> Vec<String> {
+    let ids: Vec<String> =
+        (0..STREAMS).map(|_| format!("{:016x}", rand::random::<u64>())).collect();
+    let begun = ids.iter().enumerate().map(|(n, id)| world.stream(n % 2, id, None, AFTER));
+    for (number, begun) in join_all(begun).await.into_iter().enumerate() {
+        assert_eq!(begun, Some((200, AFTER)), "expected stream {number} to begin");
+    }
+    ids
+}
+
 /// Takes a stream up again at a gateway, until it goes on or the time is over. Returns the id of the
 /// request by which it went on.
 async fn take_up(world: &World, gateway: usize, id: &str) -> Option<String> {
@@ -175,7 +186,7 @@
             world.start_worker("engines", data_centre, "v2", vec![MODEL.to_owned()]);
         }
         sleep(Duration::from_secs(1)).await;
-        let ids = begin(&world).await;
+        let ids = begin_at_once(&world).await;
         let runs = world.log.runs().into_iter();
         assert!(
             runs.filter(|run| run.version == "v2").count() > 0,
