Show that prompts of many short parts fill the leader's memory

Cause: the estimate of an engine's cache bounds the tokens of its parts and not their number. Nothing is fixed.

--- a/review/standins-2/base.rs
+++ b/review/standins-2/base.rs
@@ -311,23 +311,31 @@
 
 /// Returns a loopback address that nothing listens on. Each process of a case has a host of its own.
 pub fn free_address(host: u8) -> SocketAddr {
-    let [high, low] = (std::process::id() as u16).to_be_bytes();
-    let ip = Ipv4Addr::new(127, 100 + host, high, low.max(1));
-    let listener = TcpListener::bind((ip, 0)).expect("a free loopback address");
-    listener.local_addr().expect("its address")
+    let [address] = free_addresses(host);
+    address
 }
 
-/// Returns two neighbouring free ports of a host.
-pub fn free_pair(host: u8) -> SocketAddr {
+/// Returns free addresses of a host, all of them different. The port after that of the first is free too.
+pub fn free_addresses<const N: usize>(host: u8) -> [SocketAddr; N] {
     loop {
-        let first = free_address(host);
-        let Some(next) = first.port().checked_add(1) else { continue };
-        if TcpListener::bind((first.ip(), next)).is_ok() {
-            return first;
+        // All ports stay taken until the last one is chosen.
+        let listeners: [TcpListener; N] = std::array::from_fn(|_| {
+            TcpListener::bind((host_address(host), 0)).expect("a free loopback address")
+        });
+        let addresses = listeners.each_ref().map(|it| it.local_addr().expect("its address"));
+        let next = addresses[0].port().checked_add(1);
+        if next.is_some_and(|next| TcpListener::bind((host_address(host), next)).is_ok()) {
+            return addresses;
         }
     }
 }
 
+/// Returns the loopback host of a process of this case.
+fn host_address(host: u8) -> Ipv4Addr {
+    let [high, low] = (std::process::id() as u16).to_be_bytes();
+    Ipv4Addr::new(127, 100 + host, high, low.max(1))
+}
+
 /// What was sent, answered and run, with the seconds since the start.
 #[derive(Clone)]
 pub struct Record(Arc<Mutex<(File, Instant)>>);
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,6 +10,7 @@
 mod large;
 mod late_orders;
 mod names;
+mod parts;
 mod platform;
 mod tokens;
 
@@ -59,6 +60,7 @@
         "late-orders" => late_orders::play(&stage),
         "forged" => forged::play(&stage),
         "names" => names::play(&stage),
+        "parts" => parts::play(&stage),
         "tokens" => tokens::play(&stage),
         _ => Err(io::Error::other("unknown case")),
     };
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use crate::base::{Json, Reader, base64, free_address, free_pair, respond, sleep_ms};
+use crate::base::{Json, Reader, base64, free_address, free_addresses, respond, sleep_ms};
 
 #[derive(Clone)]
 struct Item {
@@ -281,8 +281,7 @@
     pub fn start(index: usize, zone: &str, store: &Store, folder: &str) -> io::Result<Self> {
         let host = 1 + index as u8;
         let name = format!("edge-{zone}-{index}");
-        let [callers, directory, readiness, metrics] = std::array::from_fn(|_| free_address(host));
-        let peer = free_pair(host);
+        let [peer, callers, directory, readiness, metrics] = free_addresses(host);
         let fields = [
             ("node", name.clone()),
             ("zone", zone.to_owned()),
--- a/review/standins-2/tokens.rs
+++ b/review/standins-2/tokens.rs
@@ -57,12 +57,12 @@
         std::thread::scope(|scope| {
             for number in 0..WITHOUT_OUTPUT {
                 let (id, model) = (format!("odd-output-{number}"), format!("m1/a{}", number + 1));
-                scope.spawn(move || chat(number % 3, id, &model, &format!("500,{unset}")));
+                scope.spawn(move || chat(number % 2, id, &model, &format!("500,{unset}")));
             }
             sleep_ms(3);
             for number in 0..WITHOUT_PROMPT {
                 let id = format!("odd-prompt-{number}");
-                scope.spawn(move || chat(number % 3, id, "m1", &format!("{unset},40")));
+                scope.spawn(move || chat(2, id, "m1", &format!("{unset},40")));
             }
         });
     }
