--- a/review/standins-2/tokens.rs
+++ b/review/standins-2/tokens.rs
@@ -26,6 +26,13 @@
 const WITHOUT_OUTPUT: usize = 12;
 const WITHOUT_PROMPT: usize = 6;
 
+/// Bursts of such requests, and the time between them, after which their traces have faded.
+const BURSTS: usize = 2;
+const BURST_PAUSE: Duration = Duration::from_secs(42);
+
+/// Time from the last burst until the ordinary callers ask.
+const LEAD: Duration = Duration::from_secs(8);
+
 /// Time for which the ordinary callers ask at the end.
 const ASKING: Duration = Duration::from_secs(24);
 
@@ -52,21 +59,13 @@
         chat(number % 3, format!("warm-{number}"), "m1", "500,40");
         sleep_ms(50);
     }
-    if *has_trouble {
-        let (chat, unset) = (&chat, &UNSET.to_string());
-        std::thread::scope(|scope| {
-            for number in 0..WITHOUT_OUTPUT {
-                let (id, model) = (format!("odd-output-{number}"), format!("m1/a{}", number + 1));
-                scope.spawn(move || chat(number % 2, id, &model, &format!("500,{unset}")));
-            }
-            sleep_ms(3);
-            for number in 0..WITHOUT_PROMPT {
-                let id = format!("odd-prompt-{number}");
-                scope.spawn(move || chat(2, id, "m1", &format!("{unset},40")));
-            }
-        });
+    for burst in 0..BURSTS {
+        if *has_trouble {
+            send_odd(&chat, burst);
+        }
+        let pause = if burst + 1 < BURSTS { BURST_PAUSE } else { LEAD };
+        std::thread::sleep(pause);
     }
-    sleep_ms(10_000);
     // Ordinary requests at each gateway, most of them for models that no engine has loaded yet.
     let (asked, served) = ([const { AtomicUsize::new(0) }; 4], [const { AtomicUsize::new(0) }; 4]);
     let started = Instant::now();
@@ -99,3 +98,19 @@
     record.note(format!("{starved} of {} models were never served, {allowed} may be", ASKED.len()));
     Ok(starved as f64 > allowed)
 }
+
+/// Sends the requests of the odd client, those without an output first.
+fn send_odd(chat: &(impl Fn(usize, String, &str, &str) -> Answer + Sync), burst: usize) {
+    std::thread::scope(|scope| {
+        for number in 0..WITHOUT_OUTPUT {
+            let id = format!("odd-output-{burst}-{number}");
+            let model = format!("m{}/a{}", burst + 1, number + 1);
+            scope.spawn(move || chat(number % 2, id, &model, &format!("500,{UNSET}")));
+        }
+        sleep_ms(3);
+        for number in 0..WITHOUT_PROMPT {
+            let id = format!("odd-prompt-{burst}-{number}");
+            scope.spawn(move || chat(2, id, "m1", &format!("{UNSET},40")));
+        }
+    });
+}
